--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,3 @@
+//! Pure decisions: inputs in, a decision with its reason out.
+//!
+//! Nothing here does I/O or reads a clock; time and random numbers are arguments.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Frames and connections between instances.
--- /dev/null
+++ b/crates/persimmonctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The `persimmonctl` binary: the operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/persimmonlift/src/lib.rs
@@ -0,0 +1,1 @@
+//! An entry instance: it stands between callers and endpoints.
--- /dev/null
+++ b/crates/persimmonlift/src/main.rs
@@ -0,0 +1,3 @@
+//! The `persimmonlift` binary: one entry instance.
+
+fn main() {}
--- /dev/null
+++ b/crates/platform/src/log.rs
@@ -0,0 +1,185 @@
+//! Client of the platform's append-only log.
+//!
+//! `POST /streams/{stream}/records` appends its body as one record and answers
+//! `{"offset": n}`; 429 is the rate limit and 503 an outage. `GET
+//! /streams/{stream}/records?from=N&max=M&wait_ms=W` answers a `LogBatch`, waiting
+//! up to `W` for a first record. Offsets count from 1 in each stream.
+//!
+//! A `LogClient` is two closures, so a test can stand in for the log without a
+//! socket.
+
+use crate::http::{HttpClient, HttpError, JsonCall};
+use catalogue::id::{Offset, StreamName};
+use futures_util::future::BoxFuture;
+use hyper::{Method, StatusCode};
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// One record of a stream
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct LogRecord {
+    /// Position in the stream
+    pub offset: Offset,
+    /// Time of the append by the platform's clock, in milliseconds since the Unix epoch
+    pub time_ms: u64,
+    /// Content as appended
+    pub data: String,
+}
+
+/// Answer to a read
+#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct LogBatch {
+    /// Offset of the oldest record still kept; equals `next` when none is
+    pub earliest: Offset,
+    /// Offset that the next append to the stream will get
+    pub next: Offset,
+    /// Records in order, without a gap
+    pub records: Vec<LogRecord>,
+}
+
+/// What to read
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadRange {
+    /// First offset wanted
+    pub from: Offset,
+    /// Most records to return
+    pub max: u32,
+    /// Time to wait for a first record
+    pub wait: Duration,
+}
+
+/// Answer to an append
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct AppendAnswer {
+    /// Offset of the new record
+    pub offset: Offset,
+}
+
+/// Failure of a log call
+#[derive(Debug, displaydoc::Display)]
+pub enum LogError {
+    /// log refused the append, which has no effect: rate limit
+    RateLimited,
+    /// log is down, the call has no effect
+    Down,
+    /// no answer, the append may have taken effect
+    Unanswered,
+    /// answer is not of the expected form
+    Form(HttpError),
+}
+
+impl std::error::Error for LogError {}
+
+impl LogError {
+    /// Whether an append that failed so has certainly had no effect
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, LogError::RateLimited | LogError::Down)
+    }
+}
+
+/// Function that appends a record to a stream
+pub type AppendFn =
+    dyn Fn(StreamName, String) -> BoxFuture<'static, Result<Offset, LogError>> + Send + Sync;
+/// Function that reads records of a stream
+pub type ReadFn =
+    dyn Fn(StreamName, ReadRange) -> BoxFuture<'static, Result<LogBatch, LogError>> + Send + Sync;
+
+/// Handle to the log
+#[derive(Clone)]
+pub struct LogClient {
+    append: Arc<AppendFn>,
+    read: Arc<ReadFn>,
+}
+
+impl fmt::Debug for LogClient {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("LogClient").finish_non_exhaustive()
+    }
+}
+
+impl LogClient {
+    /// Client made of two functions
+    pub fn new(append: Arc<AppendFn>, read: Arc<ReadFn>) -> LogClient {
+        LogClient { append, read }
+    }
+
+    /// Client of the log service at `address`; `timeout` bounds a call beyond its wait
+    pub fn over_http(address: SocketAddr, timeout: Duration) -> LogClient {
+        let client = HttpClient::new();
+        let appender = client.clone();
+        LogClient {
+            append: Arc::new(move |stream, data| {
+                Box::pin(append_over_http(appender.clone(), address, timeout, stream, data))
+            }),
+            read: Arc::new(move |stream, range| {
+                Box::pin(read_over_http(client.clone(), address, timeout, stream, range))
+            }),
+        }
+    }
+
+    /// Appends one record
+    ///
+    /// # Errors
+    /// `LogError`; after `Unanswered` the record may be in the stream.
+    pub async fn append(&self, stream: &StreamName, data: String) -> Result<Offset, LogError> {
+        (self.append)(stream.clone(), data).await
+    }
+
+    /// Reads records from an offset on
+    ///
+    /// # Errors
+    /// `LogError`.
+    pub async fn read(&self, stream: &StreamName, range: ReadRange) -> Result<LogBatch, LogError> {
+        (self.read)(stream.clone(), range).await
+    }
+}
+
+async fn append_over_http(
+    client: HttpClient,
+    address: SocketAddr,
+    timeout: Duration,
+    stream: StreamName,
+    data: String,
+) -> Result<Offset, LogError> {
+    let path = format!("/streams/{stream}/records");
+    let call = JsonCall { method: Method::POST, address, path: &path, timeout, request: None };
+    let answer: AppendAnswer =
+        client.call(call, Some(&AppendBody { data })).await.map_err(log_error)?;
+    Ok(answer.offset)
+}
+
+/// Body of an append
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct AppendBody {
+    /// Content of the record
+    pub data: String,
+}
+
+async fn read_over_http(
+    client: HttpClient,
+    address: SocketAddr,
+    timeout: Duration,
+    stream: StreamName,
+    range: ReadRange,
+) -> Result<LogBatch, LogError> {
+    let wait_ms = range.wait.as_millis();
+    let path = format!(
+        "/streams/{stream}/records?from={}&max={}&wait_ms={wait_ms}",
+        range.from, range.max
+    );
+    let timeout = timeout + range.wait;
+    let call = JsonCall { method: Method::GET, address, path: &path, timeout, request: None };
+    client.call(call, None::<&()>).await.map_err(log_error)
+}
+
+fn log_error(error: HttpError) -> LogError {
+    match error {
+        HttpError::Connect(_) | HttpError::Request(_) => LogError::Down,
+        HttpError::Broken(_) | HttpError::Body(_) | HttpError::TimedOut(_) => LogError::Unanswered,
+        HttpError::Status { status: StatusCode::TOO_MANY_REQUESTS, .. } => LogError::RateLimited,
+        HttpError::Status { status: StatusCode::SERVICE_UNAVAILABLE, .. } => LogError::Down,
+        other => LogError::Form(other),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/service.rs
@@ -0,0 +1,83 @@
+//! Client of plain services.
+//!
+//! A request is passed on as it came, with its idempotency key. What counts is
+//! how far a failed call got: whether the service may have seen it.
+
+use crate::http::{HttpClient, HttpError, read_body};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{HeaderMap, Method, Request, StatusCode};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Request to a service
+#[derive(Debug, Clone)]
+pub struct ServiceRequest {
+    /// Method
+    pub method: Method,
+    /// Path with its query
+    pub path: String,
+    /// Headers to pass on
+    pub headers: HeaderMap,
+    /// Whole body
+    pub body: Bytes,
+}
+
+/// Whole answer of a service
+#[derive(Debug, Clone)]
+pub struct ServiceAnswer {
+    /// Status
+    pub status: StatusCode,
+    /// Headers
+    pub headers: HeaderMap,
+    /// Whole body
+    pub body: Bytes,
+}
+
+/// Client of services
+#[derive(Debug, Clone)]
+pub struct ServiceClient {
+    client: HttpClient,
+    max_answer_bytes: usize,
+}
+
+impl ServiceClient {
+    /// Client that reads answers of at most `max_answer_bytes`
+    pub fn new(max_answer_bytes: usize) -> ServiceClient {
+        ServiceClient { client: HttpClient::new(), max_answer_bytes }
+    }
+
+    /// Sends a request and reads the whole answer within `timeout`
+    ///
+    /// # Errors
+    /// `HttpError`; `is_unsent` tells whether the service certainly did not see it.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: ServiceRequest,
+        timeout: Duration,
+    ) -> Result<ServiceAnswer, HttpError> {
+        match tokio::time::timeout(timeout, self.exchange(address, request)).await {
+            Ok(answer) => answer,
+            Err(_) => Err(HttpError::TimedOut(timeout)),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: ServiceRequest,
+    ) -> Result<ServiceAnswer, HttpError> {
+        let uri = format!("http://{address}{}", request.path);
+        let mut outgoing = Request::builder()
+            .method(request.method)
+            .uri(uri)
+            .body(Full::new(request.body))
+            .map_err(HttpError::Request)?;
+        *outgoing.headers_mut() = request.headers;
+        let response = self.client.send(outgoing).await?;
+        let (parts, body) = response.into_parts();
+        let body = read_body(body, self.max_answer_bytes).await?;
+        Ok(ServiceAnswer { status: parts.status, headers: parts.headers, body })
+    }
+}
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,5 @@
+//! Log records and the deterministic folds over them.
+//!
+//! Every shared decision is a fold over a log stream: two instances that have
+//! read the same prefix hold the same state. This package does no I/O and reads no
+//! clock.
