Add the pure decisions in a first, simple form

Cause: the serving path and the planner need their interfaces early. Change: endpoint choice and path, prefix knowledge, admission queue, entry meters and grants, retry budget, suspects, fingerprints, mix meter and role planning.

--- /dev/null
+++ b/crates/decide/src/mix.rs
@@ -0,0 +1,64 @@
+//! Measured mix of prompt and output work.
+//!
+//! The rates are smoothed over a window that is longer than the lag of the reports,
+//! so that planning follows the mix and not its noise.
+
+use catalogue::id::TokenCount;
+use std::time::{Duration, Instant};
+
+/// Time constant of the smoothing.
+pub const MIX_WINDOW: Duration = Duration::from_secs(10);
+
+/// Work offered to a pool
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct MixFigures {
+    /// Prompt tokens that arrive a second, without those found in caches
+    pub prompt_tokens_per_s: f64,
+    /// Output tokens asked for a second
+    pub output_tokens_per_s: f64,
+    /// Prompt tokens that wait to be read
+    pub queued_prompt_tokens: f64,
+    /// Output tokens that wait to be generated
+    pub queued_output_tokens: f64,
+}
+
+/// Arrival counts turned into smoothed rates
+#[derive(Debug, Clone, Copy)]
+pub struct MixMeter {
+    window: Duration,
+    prompt_per_s: f64,
+    output_per_s: f64,
+    weight: f64,
+    updated: Instant,
+}
+
+impl MixMeter {
+    /// Meter that averages over about `window`
+    pub fn new(window: Duration, now: Instant) -> MixMeter {
+        MixMeter { window, prompt_per_s: 0.0, output_per_s: 0.0, weight: 0.0, updated: now }
+    }
+
+    /// Notes a request that arrived
+    pub fn arrived(&mut self, prompt_tokens: TokenCount, output_tokens: TokenCount, now: Instant) {
+        self.decay(now);
+        let window = self.window.as_secs_f64();
+        self.prompt_per_s += f64::from(prompt_tokens) / window;
+        self.output_per_s += f64::from(output_tokens) / window;
+    }
+
+    /// Smoothed rates of prompt and output tokens a second
+    pub fn rates(&mut self, now: Instant) -> (f64, f64) {
+        self.decay(now);
+        let weight = self.weight.max(f64::EPSILON);
+        (self.prompt_per_s / weight, self.output_per_s / weight)
+    }
+
+    fn decay(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.updated).as_secs_f64();
+        let kept = (-elapsed / self.window.as_secs_f64()).exp();
+        self.prompt_per_s *= kept;
+        self.output_per_s *= kept;
+        self.weight = self.weight * kept + (1.0 - kept);
+        self.updated = now;
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/retry.rs
@@ -0,0 +1,48 @@
+//! Retry budget: retries stay a tenth of the work.
+
+use decide::retry::{RetryBudget, backoff};
+use googletest::prelude::*;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use std::time::Duration;
+use testcases::cases;
+
+/// Every attempt fails and asks for as many retries as it can get.
+fn check_outage(requests: u32) -> Result<()> {
+    let mut budget = RetryBudget::default();
+    let mut retries = 0;
+    for _ in 0..requests {
+        budget.earn();
+        while budget.spend() {
+            retries += 1;
+        }
+    }
+    let allowed = requests / 10 + 2;
+    verify_that!(retries, all!(le(allowed), ge(requests / 10 - 1)))
+}
+
+fn check_saved_retries_are_bounded() -> Result<()> {
+    let mut budget = RetryBudget::default();
+    for _ in 0..10_000 {
+        budget.earn();
+    }
+    let retries = (0..100).filter(|_| budget.spend()).count();
+    verify_that!(retries, eq(10))
+}
+
+fn check_backoff(attempt: u32, bound_ms: u64) -> Result<()> {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let pauses: Vec<Duration> = (0..200).map(|_| backoff(attempt, &mut rng)).collect();
+    let bound = Duration::from_millis(bound_ms);
+    verify_that!(pauses, each(le(&bound)))?;
+    verify_that!(pauses.iter().max().copied(), some(ge(bound / 2)))
+}
+
+cases! {
+    outage_of_100_requests => check_outage(100),
+    outage_of_5000_requests => check_outage(5_000),
+    saved_retries_are_bounded => check_saved_retries_are_bounded(),
+    first_backoff => check_backoff(1, 20),
+    third_backoff => check_backoff(3, 80),
+    backoff_is_capped => check_backoff(40, 1_000),
+}
