Add frames, authentication and calls between instances

Cause: instances need to forward claims, relay log records, share limits and confirm plans, and had no way to talk to each other.

Errors tell whether the peer certainly did not act.

Measured: `cargo test -p peer`: 18 call tests and 13 frame tests pass; the silent connection's test sees `Silent` and a second connection.

Conclusion: the contract's messages can be used by the other packages.

--- /dev/null
+++ b/crates/peer/src/client.rs
@@ -0,0 +1,105 @@
+//! Calls to other instances over one connection each.
+
+use crate::auth::PeerSecret;
+use crate::connection::PeerConnection;
+use crate::error::PeerError;
+use crate::message::{PeerReply, PeerRequest};
+use crate::traffic::PeerTraffic;
+use indexmap::IndexMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// Times of a connection
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LinkTimes {
+    /// Time to connect
+    pub connect: Duration,
+    /// Time between pings while a call waits
+    pub ping_interval: Duration,
+    /// Time for a ping to be answered
+    pub ping_timeout: Duration,
+    /// Time without calls after which a connection is closed
+    pub idle: Duration,
+}
+
+impl Default for LinkTimes {
+    fn default() -> LinkTimes {
+        LinkTimes {
+            connect: Duration::from_secs(1),
+            ping_interval: Duration::from_secs(1),
+            ping_timeout: Duration::from_secs(1),
+            idle: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Client of all peers; clones share their connections
+#[derive(Debug, Clone)]
+pub struct PeerClient {
+    secret: PeerSecret,
+    times: LinkTimes,
+    traffic: Arc<PeerTraffic>,
+    links: Arc<Mutex<IndexMap<SocketAddr, Arc<PeerLink>>>>,
+}
+
+/// Connection to one peer, opened by the call that needs it
+#[derive(Debug, Default)]
+struct PeerLink {
+    connection: tokio::sync::Mutex<Option<Arc<PeerConnection>>>,
+}
+
+impl PeerClient {
+    /// Client that shows and asks for `secret`
+    pub fn new(secret: PeerSecret, times: LinkTimes) -> PeerClient {
+        let traffic = Arc::new(PeerTraffic::default());
+        PeerClient { secret, times, traffic, links: Arc::default() }
+    }
+
+    /// Bytes of all connections that this client opened
+    pub fn traffic(&self) -> Arc<PeerTraffic> {
+        self.traffic.clone()
+    }
+
+    /// Calls the peer at `address`
+    ///
+    /// # Errors
+    /// Any `PeerError`; `is_unsent` tells whether the peer certainly did not act.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: PeerRequest,
+        timeout: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        let exchange = async {
+            let connection = self.connection(address).await?;
+            connection.call(&request).await
+        };
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(reply) => reply,
+            Err(_) => Err(PeerError::TimedOut(timeout)),
+        }
+    }
+
+    /// Forgets peers whose address is not listed any more
+    pub fn retain(&self, is_listed: impl Fn(&SocketAddr) -> bool) {
+        self.lock_links().retain(|address, _| is_listed(address));
+    }
+
+    async fn connection(&self, address: SocketAddr) -> Result<Arc<PeerConnection>, PeerError> {
+        let link = self.lock_links().entry(address).or_default().clone();
+        let mut slot = link.connection.lock().await;
+        if let Some(connection) = slot.as_ref().filter(|it| it.is_open()) {
+            return Ok(connection.clone());
+        }
+        let traffic = self.traffic.clone();
+        let opened = PeerConnection::open(address, &self.secret, self.times, traffic).await?;
+        let connection = Arc::new(opened);
+        *slot = Some(connection.clone());
+        Ok(connection)
+    }
+
+    fn lock_links(&self) -> std::sync::MutexGuard<'_, IndexMap<SocketAddr, Arc<PeerLink>>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/peer/src/frame.rs
@@ -0,0 +1,97 @@
+//! Frames: one byte of version, four of length, and a `bincode` body.
+//!
+//! The length comes first so that a frame that is too large is refused before any
+//! of its body is read.
+
+use bytes::{BufMut, Bytes, BytesMut};
+
+/// Version of the frame and of the messages in it.
+pub const FRAME_VERSION: u8 = 1;
+/// Bytes before the body.
+pub const HEADER_BYTES: usize = 5;
+/// Largest body, in bytes.
+pub const MAX_BODY_BYTES: usize = 1024 * 1024;
+
+/// Failure to read or write a frame
+#[derive(Debug, displaydoc::Display)]
+pub enum FrameError {
+    /// version {0} is not known
+    Version(u8),
+    /// body of {0} bytes is larger than a frame may be
+    TooLarge(usize),
+    /// frame has {have} bytes of {need}
+    Short {
+        /// Bytes that came
+        have: usize,
+        /// Bytes that the header promises
+        need: usize,
+    },
+    /// {0} bytes follow the end of the message
+    Trailing(usize),
+    /// body can't be read: {0}
+    Decode(bincode::error::DecodeError),
+    /// message can't be written: {0}
+    Encode(bincode::error::EncodeError),
+}
+
+impl std::error::Error for FrameError {}
+
+/// Encodes a message as one frame.
+///
+/// # Errors
+/// `TooLarge` or `Encode`.
+pub fn encode(message: &impl serde::Serialize) -> Result<Bytes, FrameError> {
+    let body = bincode::serde::encode_to_vec(message, bincode::config::standard())
+        .map_err(FrameError::Encode)?;
+    if body.len() > MAX_BODY_BYTES {
+        return Err(FrameError::TooLarge(body.len()));
+    }
+    let mut frame = BytesMut::with_capacity(HEADER_BYTES + body.len());
+    frame.put_u8(FRAME_VERSION);
+    frame.put_u32(body.len() as u32);
+    frame.put_slice(&body);
+    Ok(frame.freeze())
+}
+
+/// Decodes a frame that holds exactly one message.
+///
+/// # Errors
+/// Any `FrameError` but `Encode`.
+pub fn decode<M: serde::de::DeserializeOwned>(frame: &[u8]) -> Result<M, FrameError> {
+    let need = frame_length(frame)?.unwrap_or(HEADER_BYTES);
+    if frame.len() < need {
+        return Err(FrameError::Short { have: frame.len(), need });
+    }
+    if frame.len() > need {
+        return Err(FrameError::Trailing(frame.len() - need));
+    }
+    let config = bincode::config::standard().with_limit::<MAX_BODY_BYTES>();
+    let body = &frame[HEADER_BYTES..];
+    let (message, read) =
+        bincode::serde::decode_from_slice(body, config).map_err(FrameError::Decode)?;
+    if read < body.len() {
+        return Err(FrameError::Trailing(body.len() - read));
+    }
+    Ok(message)
+}
+
+/// Whole length of the frame that begins so; `None` until its header is there.
+///
+/// # Errors
+/// `Version` or `TooLarge`.
+pub fn frame_length(start: &[u8]) -> Result<Option<usize>, FrameError> {
+    let Some(&version) = start.first() else {
+        return Ok(None);
+    };
+    if version != FRAME_VERSION {
+        return Err(FrameError::Version(version));
+    }
+    let Some(length) = start.get(1..HEADER_BYTES).and_then(|it| it.try_into().ok()) else {
+        return Ok(None);
+    };
+    let body_length = u32::from_be_bytes(length) as usize;
+    if body_length > MAX_BODY_BYTES {
+        return Err(FrameError::TooLarge(body_length));
+    }
+    Ok(Some(HEADER_BYTES + body_length))
+}
--- /dev/null
+++ b/crates/peer/src/message.rs
@@ -0,0 +1,265 @@
+//! Requests between instances and their replies.
+//!
+//! The variants are numbered by their order, so a new one goes to the end of its
+//! enum. A change of an existing one needs a new `frame::FRAME_VERSION`.
+
+use catalogue::id::{
+    EndpointId, EntryName, IdempotencyKey, InstanceId, Offset, PoolName, StreamName,
+};
+use smol_str::SmolStr;
+
+/// SHA-256 of a request's method, path and body.
+pub type RequestDigest = [u8; 32];
+/// Hash of a prompt's content that stays the same when it is sent again.
+pub type PromptFingerprint = u64;
+
+/// Request to another instance
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub enum PeerRequest {
+    /// Tells that the sender is live, and which instances it found down
+    Ping(PeerNews),
+    /// Asks the home of a stream to claim a key for a single run
+    Claim(ClaimRequest),
+    /// Asks for records of a log stream that the sender can't read itself
+    Relay(RelayRequest),
+    /// Asks the home of an entry for a share of its limits
+    Grant(GrantRequest),
+    /// Reports a request that was in flight when its endpoint crashed
+    Strike(StrikeReport),
+    /// Asks whether the plan has been read and nothing more goes to its engine
+    ConfirmPlan(PlanQuestion),
+    /// Asks the home of a stream to record how a claimed run ended
+    Settle(SettleRequest),
+    /// Passes on load reports of engines
+    Digest(ReportDigest),
+}
+
+/// Reply to a request
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub enum PeerReply {
+    /// Reply to `Ping`
+    Pong(PeerNews),
+    /// Reply to `Claim`
+    Claim(ClaimReply),
+    /// Reply to `Relay`
+    Records(RelayedBatch),
+    /// Reply to `Grant`
+    Granted(GrantReply),
+    /// Reply to `Strike`
+    Strikes(StrikeCount),
+    /// Reply to `ConfirmPlan`
+    Confirmed(PlanAnswer),
+    /// Reply to `Settle`: offset of the record that settles the claim
+    Settled(Offset),
+    /// Reply to `Digest`
+    Noted,
+}
+
+/// What two instances tell each other with every heartbeat
+#[derive(Debug, Clone, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct PeerNews {
+    /// Instance that speaks
+    pub instance: InstanceId,
+    /// Requests that it has in flight
+    pub load: u32,
+    /// Instances that do not answer heartbeats
+    pub down: Vec<DownNotice>,
+}
+
+/// Instance that does not answer heartbeats
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct DownNotice {
+    /// Instance
+    pub instance: InstanceId,
+    /// Time since a heartbeat to it last failed, in milliseconds
+    pub age_ms: u32,
+}
+
+/// Claim of a key
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct ClaimRequest {
+    /// Stream that holds the key's claims
+    pub stream: StreamName,
+    /// Caller's key
+    pub key: IdempotencyKey,
+    /// Digest of the request
+    pub digest: RequestDigest,
+    /// Entry that the request is for
+    pub entry: EntryName,
+    /// Instance that will run the request
+    pub holder: InstanceId,
+    /// Time left, in milliseconds
+    pub deadline_ms: u64,
+}
+
+/// How a claim went
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum ClaimReply {
+    /// The holder may run the request; offset of the claim
+    Granted(Offset),
+    /// Answered before
+    Answered(KeptAnswer),
+    /// Claimed by a run that has not ended
+    InProgress,
+    /// An earlier run may have taken effect
+    Unknown,
+    /// The key stands for another request
+    Mismatch,
+    /// Not claimed and certainly not run
+    NotClaimed,
+    /// The claim may be in the log and was not confirmed
+    Unconfirmed,
+}
+
+/// Recorded answer of a service
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct KeptAnswer {
+    /// Status
+    pub status: u16,
+    /// Headers, in order
+    pub headers: Vec<(SmolStr, SmolStr)>,
+    /// Body
+    pub body: Vec<u8>,
+}
+
+/// End of a claimed run
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct SettleRequest {
+    /// Stream that holds the claim
+    pub stream: StreamName,
+    /// Caller's key
+    pub key: IdempotencyKey,
+    /// Offset of the claim
+    pub claim: Offset,
+    /// How the run ended
+    pub outcome: RunOutcome,
+}
+
+/// How a claimed run ended
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum RunOutcome {
+    /// Whole answer came
+    Answered(KeptAnswer),
+    /// The service may have run the request
+    Unknown,
+    /// Certainly not run
+    Released,
+}
+
+/// Part of a log stream
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct RelayRequest {
+    /// Stream
+    pub stream: StreamName,
+    /// First offset wanted
+    pub from: Offset,
+    /// Most records to return
+    pub max: u32,
+}
+
+/// Records of a log stream
+#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct RelayedBatch {
+    /// Offset of the oldest record that the replier has
+    pub earliest: Offset,
+    /// Offset after the newest record that the replier has
+    pub next: Offset,
+    /// Records in order, without a gap
+    pub records: Vec<RelayedRecord>,
+}
+
+/// Record of a log stream
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct RelayedRecord {
+    /// Position in the stream
+    pub offset: Offset,
+    /// Time of the append, in milliseconds since the Unix epoch
+    pub time_ms: u64,
+    /// Content as appended
+    pub data: String,
+}
+
+/// Rates of an entry
+#[derive(Debug, Clone, Copy, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct EntryRates {
+    /// Requests a second
+    pub requests_per_s: f64,
+    /// Tokens a second
+    pub tokens_per_s: f64,
+    /// Requests in flight
+    pub in_flight: f64,
+}
+
+/// What an instance needs of an entry's limits
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct GrantRequest {
+    /// Entry
+    pub entry: EntryName,
+    /// Instance that asks
+    pub instance: InstanceId,
+    /// What it saw asked for
+    pub demand: EntryRates,
+}
+
+/// Share of an entry's limits
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct GrantReply {
+    /// What the instance may use
+    pub rates: EntryRates,
+    /// Time that the share holds, in milliseconds
+    pub ttl_ms: u64,
+}
+
+/// Request in flight on an endpoint that crashed
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct StrikeReport {
+    /// Fingerprint of its prompt
+    pub fingerprint: PromptFingerprint,
+    /// Endpoint that crashed; none to only ask for the count
+    pub endpoint: Option<EndpointId>,
+}
+
+/// Crashes that a fingerprint took part in
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct StrikeCount {
+    /// Different endpoints that crashed
+    pub strikes: u32,
+}
+
+/// Planned change to be confirmed
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct PlanQuestion {
+    /// Pool
+    pub pool: PoolName,
+    /// Offset of the plan record
+    pub plan: Offset,
+    /// Engine that is to change
+    pub engine: EndpointId,
+}
+
+/// Confirmation of a planned change
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct PlanAnswer {
+    /// Requests that the replier still has in flight on the engine
+    pub in_flight: u32,
+}
+
+/// Load reports of engines
+#[derive(Debug, Clone, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct ReportDigest {
+    /// Instance that polled the engines
+    pub watcher: InstanceId,
+    /// One line an engine
+    pub lines: Vec<DigestLine>,
+}
+
+/// Load of one engine
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct DigestLine {
+    /// Engine
+    pub engine: EndpointId,
+    /// Age of the report, in milliseconds
+    pub age_ms: u32,
+    /// Report, encoded by its owner
+    pub report: Vec<u8>,
+}
--- /dev/null
+++ b/crates/peer/tests/calls.rs
@@ -0,0 +1,188 @@
+//! Calls over real sockets: authentication, silence, crashes and bad frames.
+
+mod net;
+
+use googletest::prelude::*;
+use net::*;
+use peer::message::{PeerNews, RelayRequest, RelayedBatch, RelayedRecord};
+use peer::{PeerError, PeerRefusal, PeerReply, PeerRequest};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use testcases::cases;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+fn ping() -> PeerRequest {
+    PeerRequest::Ping(PeerNews { instance: "a".into(), load: 1, down: Vec::new() })
+}
+
+fn relay() -> PeerRequest {
+    PeerRequest::Relay(RelayRequest { stream: "catalogue".into(), from: 1, max: 9 })
+}
+
+async fn check_answered() -> Result<()> {
+    let peer = TestPeer::start("secret").await;
+    let reply = client("secret").call(peer.address, ping(), CALL_TIMEOUT).await.or_fail()?;
+    verify_that!(matches!(reply, PeerReply::Pong(news) if news.instance == "b"), eq(true))
+}
+
+async fn check_one_connection() -> Result<()> {
+    let peer = TestPeer::start("secret").await;
+    let relay = TestRelay::start(peer.address).await;
+    let client = client("secret");
+    let calls = (0..50).map(|_| client.call(relay.address, ping(), CALL_TIMEOUT));
+    for reply in futures_util::future::join_all(calls).await {
+        reply.or_fail()?;
+    }
+    verify_that!(relay.accepted.load(Ordering::Relaxed), eq(1))
+}
+
+async fn check_refusal() -> Result<()> {
+    let peer = TestPeer::start("secret").await;
+    let request = PeerRequest::Digest(Default::default());
+    let error = client("secret").call(peer.address, request, CALL_TIMEOUT).await.unwrap_err();
+    verify_that!(matches!(error, PeerError::Refused(PeerRefusal::Unsupported)), eq(true))?;
+    verify_that!(error.is_unsent(), eq(true))
+}
+
+async fn check_wrong_secret() -> Result<()> {
+    let peer = TestPeer::start("secret").await;
+    let error = client("other").call(peer.address, ping(), CALL_TIMEOUT).await.unwrap_err();
+    verify_that!(matches!(error, PeerError::Auth(_)), eq(true))?;
+    verify_that!(peer.calls.load(Ordering::Relaxed), eq(0))
+}
+
+/// A server that doesn't know the secret can't make a client talk to it, not even
+/// by sending the client's own bytes back.
+async fn check_false_server() -> Result<()> {
+    let address = echo_server().await;
+    let error = client("secret").call(address, ping(), CALL_TIMEOUT).await.unwrap_err();
+    verify_that!(matches!(error, PeerError::Auth(_)), eq(true))?;
+    verify_that!(error.is_unsent(), eq(true))
+}
+
+async fn check_garbage_caller() -> Result<()> {
+    let peer = TestPeer::start("secret").await;
+    let mut stream = TcpStream::connect(peer.address).await.or_fail()?;
+    stream.write_all(b"GET / HTTP/1.1\r\n\r\n").await.or_fail()?;
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    verify_that!(answer, is_empty())?;
+    check_still_serves(&peer).await
+}
+
+async fn check_still_serves(peer: &TestPeer) -> Result<()> {
+    client("secret").call(peer.address, ping(), CALL_TIMEOUT).await.or_fail()?;
+    Ok(())
+}
+
+/// The connection goes silent while new ones work: the waiting call fails within the
+/// ping's bounds, and the next call goes over a new connection.
+async fn check_silent() -> Result<()> {
+    let peer = TestPeer::start("secret").await;
+    let relay = TestRelay::start(peer.address).await;
+    let client = client("secret");
+    client.call(relay.address, ping(), CALL_TIMEOUT).await.or_fail()?;
+    relay.silence_open_connections();
+    let error = client.call(relay.address, ping(), CALL_TIMEOUT).await.unwrap_err();
+    verify_that!(matches!(error, PeerError::Silent), eq(true))?;
+    verify_that!(error.is_unsent(), eq(false))?;
+    client.call(relay.address, ping(), CALL_TIMEOUT).await.or_fail()?;
+    verify_that!(relay.accepted.load(Ordering::Relaxed), eq(2))
+}
+
+async fn check_killed() -> Result<()> {
+    let peer = TestPeer::start("secret").await;
+    let client = client("secret");
+    client.call(peer.address, ping(), CALL_TIMEOUT).await.or_fail()?;
+    let address = peer.address;
+    peer.kill().await;
+    let error = client.call(address, ping(), CALL_TIMEOUT).await.unwrap_err();
+    verify_that!(error.is_answer(), eq(false))?;
+    let peer = TestPeer::start_at(address, "secret").await;
+    client.call(peer.address, ping(), CALL_TIMEOUT).await.or_fail()?;
+    Ok(())
+}
+
+/// A peer killed while it works leaves the caller unsure, not told "not run".
+async fn check_killed_at_work() -> Result<()> {
+    let peer = TestPeer::start("secret").await;
+    let client = client("secret");
+    let address = peer.address;
+    let calls = peer.calls.clone();
+    let call = tokio::spawn(async move { client.call(address, net::hang(), CALL_TIMEOUT).await });
+    wait_until(|| calls.load(Ordering::Relaxed) == 1).await;
+    peer.kill().await;
+    let error = call.await.or_fail()?.unwrap_err();
+    verify_that!(error.is_unsent(), eq(false))
+}
+
+async fn check_timed_out() -> Result<()> {
+    let peer = TestPeer::start("secret").await;
+    let bound = Duration::from_millis(50);
+    let error = client("secret").call(peer.address, net::hang(), bound).await.unwrap_err();
+    verify_that!(matches!(error, PeerError::TimedOut(_)), eq(true))?;
+    check_still_serves(&peer).await
+}
+
+async fn check_large_reply() -> Result<()> {
+    let peer = TestPeer::start("secret").await;
+    peer.set_batch(batch_of(900_000));
+    let reply = client("secret").call(peer.address, relay(), CALL_TIMEOUT).await.or_fail()?;
+    let expected = PeerReply::Records(batch_of(900_000));
+    verify_that!(reply == expected, eq(true))
+}
+
+async fn check_reply_too_large() -> Result<()> {
+    let peer = TestPeer::start("secret").await;
+    peer.set_batch(batch_of(2_000_000));
+    let error = client("secret").call(peer.address, relay(), CALL_TIMEOUT).await.unwrap_err();
+    verify_that!(matches!(error, PeerError::Refused(PeerRefusal::Failed)), eq(true))
+}
+
+fn batch_of(bytes: usize) -> RelayedBatch {
+    let record = RelayedRecord { offset: 1, time_ms: 0, data: "x".repeat(bytes) };
+    RelayedBatch { earliest: 1, next: 2, records: vec![record] }
+}
+
+/// Frames sent past the client's own codec, on an authenticated connection.
+async fn check_raw_frame(frame: &'static [u8]) -> Result<()> {
+    let peer = TestPeer::start("secret").await;
+    let reply = send_raw(peer.address, "secret", frame).await;
+    verify_that!(reply, eq(&Err(PeerRefusal::Unreadable)))?;
+    verify_that!(peer.calls.load(Ordering::Relaxed), eq(0))?;
+    check_still_serves(&peer).await
+}
+
+async fn check_traffic_counted() -> Result<()> {
+    let peer = TestPeer::start("secret").await;
+    let client = client("secret");
+    client.call(peer.address, ping(), CALL_TIMEOUT).await.or_fail()?;
+    let traffic: Arc<_> = client.traffic();
+    verify_that!(traffic.sent(), gt(0))?;
+    verify_that!(traffic.received(), gt(0))
+}
+
+cases! { async
+    answered => check_answered(),
+    calls_share_a_connection => check_one_connection(),
+    refusal_is_typed => check_refusal(),
+    wrong_secret => check_wrong_secret(),
+    false_server => check_false_server(),
+    garbage_caller => check_garbage_caller(),
+    silent_connection => check_silent(),
+    killed_and_replaced => check_killed(),
+    killed_at_work => check_killed_at_work(),
+    no_reply_in_time => check_timed_out(),
+    large_reply => check_large_reply(),
+    reply_too_large => check_reply_too_large(),
+    frame_of_other_version => check_raw_frame(&[9, 0, 0, 0, 0]),
+    frame_too_large => check_raw_frame(&[1, 0xff, 0, 0, 0]),
+    frame_cut_short => check_raw_frame(&[1, 0, 0, 0, 9, 1]),
+    frame_with_unknown_variant => check_raw_frame(&[1, 0, 0, 0, 1, 200]),
+    frame_empty => check_raw_frame(&[]),
+    traffic_is_counted => check_traffic_counted(),
+}
