Tell waiting calls of silence before the connection closes

Change: the reason is published first and waiting calls look at it first; a connection that ends otherwise leaves each call its own error. The test's relay reports each connection that it stopped.

Conclusion: the error that a call reports no longer depends on task order.

--- a/crates/peer/src/connection.rs
+++ b/crates/peer/src/connection.rs
@@ -11,7 +11,7 @@
 use crate::traffic::{CountedStream, PeerTraffic};
 use crate::{PeerRefusal, client::LinkTimes};
 use bytes::{Bytes, BytesMut};
-use h2::client::SendRequest;
+use h2::client::{Connection, SendRequest};
 use h2::{Ping, PingPong, RecvStream};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -58,19 +58,10 @@
         auth::open_as_client(&mut stream, secret).await.map_err(PeerError::Auth)?;
         let mut builder = h2::client::Builder::new();
         builder.initial_window_size(WINDOW_BYTES).initial_connection_window_size(WINDOW_BYTES);
-        let (sender, mut connection) =
-            builder.handshake(stream).await.map_err(PeerError::Broken)?;
-        let pings = connection.ping_pong().expect("taken once for each connection");
+        let (sender, connection) = builder.handshake(stream).await.map_err(PeerError::Broken)?;
         let waiting = Arc::new(AtomicUsize::new(0));
         let (closer, closed) = watch::channel(None);
-        let watched = waiting.clone();
-        tokio::spawn(async move {
-            let reason = tokio::select! {
-                _ = connection => CloseReason::Ended,
-                reason = watch_silence(pings, watched, times) => reason,
-            };
-            closer.send_replace(Some(reason));
-        });
+        tokio::spawn(drive(connection, waiting.clone(), times, closer));
         Ok(PeerConnection { sender, waiting, closed })
     }
 
@@ -82,17 +73,36 @@
     /// Sends one request and reads its reply
     pub(crate) async fn call(&self, request: &PeerRequest) -> Result<PeerReply, PeerError> {
         let _waiting = WaitingCall::new(&self.waiting);
-        let mut closed = self.closed.clone();
         tokio::select! {
+            biased;
+            () = silence(self.closed.clone()) => Err(PeerError::Silent),
             reply = exchange(self.sender.clone(), request) => reply,
-            reason = closed.wait_for(Option::is_some) => Err(match reason.as_deref() {
-                Ok(Some(CloseReason::Silent)) => PeerError::Silent,
-                _ => PeerError::Broken(h2::Reason::NO_ERROR.into()),
-            }),
         }
     }
 }
 
+/// Runs the connection. Its calls learn of silence before they see it close.
+async fn drive(
+    mut connection: Connection<CountedStream<TcpStream>, Bytes>,
+    waiting: Arc<AtomicUsize>,
+    times: LinkTimes,
+    closer: watch::Sender<Option<CloseReason>>,
+) {
+    let pings = connection.ping_pong().expect("taken once for each connection");
+    let reason = tokio::select! {
+        _ = &mut connection => CloseReason::Ended,
+        reason = watch_silence(pings, waiting, times) => reason,
+    };
+    closer.send_replace(Some(reason));
+}
+
+/// Ends if the connection is closed for its silence, and only then.
+async fn silence(mut closed: watch::Receiver<Option<CloseReason>>) {
+    if closed.wait_for(|it| *it == Some(CloseReason::Silent)).await.is_err() {
+        std::future::pending().await
+    }
+}
+
 /// Counts a call for as long as it waits
 struct WaitingCall<'a>(&'a AtomicUsize);
 
--- a/crates/peer/tests/calls.rs
+++ b/crates/peer/tests/calls.rs
@@ -86,7 +86,7 @@
     let relay = TestRelay::start(peer.address).await;
     let client = client("secret");
     client.call(relay.address, ping(), CALL_TIMEOUT).await.or_fail()?;
-    relay.silence_open_connections();
+    relay.silence_open_connections().await;
     let error = client.call(relay.address, ping(), CALL_TIMEOUT).await.unwrap_err();
     verify_that!(matches!(error, PeerError::Silent), eq(true))?;
     verify_that!(error.is_unsent(), eq(false))?;
--- a/crates/peer/tests/net/mod.rs
+++ b/crates/peer/tests/net/mod.rs
@@ -90,6 +90,7 @@
     pub address: SocketAddr,
     /// Connections so far
     pub accepted: Arc<AtomicUsize>,
+    silenced: Arc<AtomicUsize>,
     epoch: watch::Sender<u32>,
 }
 
@@ -99,27 +100,39 @@
         let address = listener.local_addr().expect("bound");
         let accepted = Arc::new(AtomicUsize::new(0));
         let (epoch, watcher) = watch::channel(0);
-        let counted = accepted.clone();
+        let silenced = Arc::new(AtomicUsize::new(0));
+        let (counted, silent) = (accepted.clone(), silenced.clone());
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 counted.fetch_add(1, Ordering::Relaxed);
-                tokio::spawn(forward(stream, target, watcher.clone()));
+                tokio::spawn(forward(stream, target, watcher.clone(), silent.clone()));
             }
         });
-        TestRelay { address, accepted, epoch }
+        TestRelay { address, accepted, silenced, epoch }
     }
 
-    pub fn silence_open_connections(&self) {
+    /// Returns once none of the connections so far forwards any more.
+    pub async fn silence_open_connections(&self) {
+        let accepted = self.accepted.load(Ordering::Relaxed);
         self.epoch.send_modify(|it| *it += 1);
+        wait_until(|| self.silenced.load(Ordering::Relaxed) == accepted).await;
     }
 }
 
-async fn forward(mut near: TcpStream, target: SocketAddr, mut epoch: watch::Receiver<u32>) {
+async fn forward(
+    mut near: TcpStream,
+    target: SocketAddr,
+    mut epoch: watch::Receiver<u32>,
+    silenced: Arc<AtomicUsize>,
+) {
     let mut far = TcpStream::connect(target).await.expect("peer listens");
     epoch.mark_unchanged();
     tokio::select! {
         _ = copy_bidirectional(&mut near, &mut far) => {}
-        _ = epoch.changed() => std::future::pending().await,
+        _ = epoch.changed() => {
+            silenced.fetch_add(1, Ordering::Relaxed);
+            std::future::pending().await
+        }
     }
 }
 
