Add stand-ins of the platform, engines and services

Cause: nothing to run the system against. Change: log, list, weight store, engines with continuous batching, counting services, a fleet of either deployment, faults by call and by control port. Conclusion: tests and the quickstart can be built on these.

--- /dev/null
+++ b/crates/standins/src/control.rs
@@ -0,0 +1,93 @@
+//! Control port of a fleet: faults by HTTP, and what the fleet has seen.
+//!
+//! | call | body | answer |
+//! | --- | --- | --- |
+//! | `POST /faults` | `FaultOrder` | `{}`; 400 with the reason |
+//! | `GET /addresses` | | addresses of the platform and all endpoints |
+//! | `GET /executions` | | every execution of the services |
+//! | `GET /orders` | | every order that the engines were given |
+//! | `GET /conflicts` | | conflicts among the orders taken |
+
+use crate::fault::FaultOrder;
+use crate::fleet::Fleet;
+use crate::reply::{self, Reply};
+use crate::server::StandinServer;
+use catalogue::id::EndpointId;
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use indexmap::IndexMap;
+use smol_str::SmolStr;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Where everything of a fleet listens
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct FleetAddresses {
+    /// Log
+    pub log: SocketAddr,
+    /// List of instances
+    pub instances: SocketAddr,
+    /// Weight store
+    pub weights: SocketAddr,
+    /// Engines and services
+    pub endpoints: IndexMap<EndpointId, SocketAddr>,
+}
+
+#[derive(serde::Serialize)]
+struct ControlError {
+    error: SmolStr,
+}
+
+impl Fleet {
+    /// Where everything listens
+    pub fn addresses(&self) -> FleetAddresses {
+        let engines = self.engines.values().map(|it| (it.id().clone(), it.address()));
+        let services = self.services.values().map(|it| (it.id().clone(), it.address()));
+        FleetAddresses {
+            log: self.log_address(),
+            instances: self.list.address(),
+            weights: self.weights.address(),
+            endpoints: engines.chain(services).collect(),
+        }
+    }
+
+    /// Opens the control port, which closes when the server is dropped
+    ///
+    /// # Errors
+    /// Any error of listening.
+    pub fn serve_control(&self) -> io::Result<StandinServer> {
+        let fleet = self.clone();
+        StandinServer::http(Arc::new(move |request| {
+            let fleet = fleet.clone();
+            Box::pin(async move { Ok(answer(fleet, request).await) })
+        }))
+    }
+}
+
+async fn answer(fleet: Fleet, request: Request<Incoming>) -> Reply {
+    match (request.method(), request.uri().path()) {
+        (&Method::POST, "/faults") => switch_fault(&fleet, request).await,
+        (&Method::GET, "/addresses") => reply::json(StatusCode::OK, &fleet.addresses()),
+        (&Method::GET, "/executions") => reply::json(StatusCode::OK, &fleet.service_executions()),
+        (&Method::GET, "/orders") => reply::json(StatusCode::OK, &fleet.orders()),
+        (&Method::GET, "/conflicts") => reply::json(StatusCode::OK, &fleet.conflicts()),
+        _ => reply::empty(StatusCode::NOT_FOUND),
+    }
+}
+
+async fn switch_fault(fleet: &Fleet, request: Request<Incoming>) -> Reply {
+    let order = match reply::read_json::<FaultOrder>(request).await {
+        Ok(order) => order,
+        Err(error) => return refuse(&error),
+    };
+    match fleet.apply(&order) {
+        Ok(()) => reply::whole(StatusCode::OK, "{}"),
+        Err(error) => refuse(&error),
+    }
+}
+
+fn refuse(error: &impl std::error::Error) -> Reply {
+    let error = ControlError { error: SmolStr::new(error.to_string()) };
+    reply::json(StatusCode::BAD_REQUEST, &error)
+}
--- /dev/null
+++ b/crates/standins/src/fleet.rs
@@ -0,0 +1,247 @@
+//! A whole deployment without the system's own instances.
+
+use crate::deployment::{DeploymentKind, DeploymentPlan, MODEL_VERSION};
+use crate::engine::{
+    EngineExecution, EngineSettings, EngineStandin, OrderConflict, OrderRecord, conflicts,
+};
+use crate::list::ListStandin;
+use crate::log::{LogSettings, LogStandin};
+use crate::server::StandinServer;
+use crate::service::{ServiceExecution, ServiceStandin};
+use crate::weights::WeightStandin;
+use catalogue::id::{EndpointId, InstanceId, PoolName, ZoneName};
+use catalogue::{EngineRole, InstanceKind, InstanceState, ListedInstance};
+use indexmap::IndexMap;
+use platform::weights::StoredModel;
+use smol_str::format_smolstr;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Everything that is set about a fleet
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FleetSettings {
+    /// Whose fleet
+    pub deployment: DeploymentKind,
+    /// Log
+    pub log: LogSettings,
+    /// Time after which a change of the list shows, in milliseconds
+    pub list_lag_ms: u64,
+    /// Bytes a second that the weight store gives
+    pub weight_bytes_per_s: u64,
+    /// Size of the weights of the model, in bytes
+    pub model_bytes: u64,
+    /// All engines; each one's model and seed are set by the fleet
+    pub engine: EngineSettings,
+    /// Engines that ignore fencing numbers, the last ones of the pool
+    pub engines_ignoring_fence: usize,
+}
+
+impl Default for FleetSettings {
+    fn default() -> FleetSettings {
+        FleetSettings {
+            deployment: DeploymentKind::Trust,
+            log: LogSettings::default(),
+            list_lag_ms: 500,
+            weight_bytes_per_s: 2_000_000_000,
+            model_bytes: 8_000_000_000,
+            engine: EngineSettings::default(),
+            engines_ignoring_fence: 0,
+        }
+    }
+}
+
+impl FleetSettings {
+    /// Defaults for one deployment
+    pub fn of(deployment: DeploymentKind) -> FleetSettings {
+        FleetSettings { deployment, ..FleetSettings::default() }
+    }
+}
+
+/// Running deployment
+#[derive(Clone)]
+pub struct Fleet {
+    /// What was started
+    pub plan: DeploymentPlan,
+    /// Log
+    pub log: LogStandin,
+    /// List of instances
+    pub list: ListStandin,
+    /// Weight store
+    pub weights: WeightStandin,
+    /// Engines by id
+    pub engines: IndexMap<EndpointId, EngineStandin>,
+    /// Services by id
+    pub services: IndexMap<EndpointId, ServiceStandin>,
+    log_server: Arc<StandinServer>,
+}
+
+impl Fleet {
+    /// Starts the stand-ins of a deployment
+    ///
+    /// # Errors
+    /// Any error of listening.
+    pub fn start(settings: FleetSettings) -> io::Result<Fleet> {
+        let plan = settings.deployment.plan();
+        let log = LogStandin::new(settings.log.clone());
+        let log_server = Arc::new(log.serve()?);
+        let weights = start_weights(&settings, &plan)?;
+        let engines = start_engines(&settings, &plan, &weights)?;
+        let services = start_services(&plan)?;
+        let mut listed = listed_engines(&settings, &plan, &engines);
+        listed.extend(listed_services(&plan, &services));
+        let list = ListStandin::start(listed, Duration::from_millis(settings.list_lag_ms))?;
+        Ok(Fleet { plan, log, list, weights, engines, services, log_server })
+    }
+
+    /// Address of the log
+    pub fn log_address(&self) -> SocketAddr {
+        self.log_server.address()
+    }
+
+    /// HTTP server of the log, for faults of its connections
+    pub fn log_server(&self) -> &StandinServer {
+        &self.log_server
+    }
+
+    /// Lists an entry instance of the system
+    pub fn register_instance(&self, id: InstanceId, zone: ZoneName, peer_address: SocketAddr) {
+        self.list.put(ListedInstance {
+            id,
+            kind: InstanceKind::Entry,
+            pool: self.plan.name.clone(),
+            zone,
+            region: self.plan.region.clone(),
+            address: peer_address,
+            state: InstanceState::Live,
+            checks_fence: false,
+        });
+    }
+
+    /// Withdraws an engine: it refuses new work at once and is listed as leaving
+    pub fn withdraw(&self, engine: &str) {
+        if let Some(it) = self.engines.get(engine) {
+            it.set_leaving(true);
+        }
+        self.list.mark(engine, InstanceState::Leaving);
+    }
+
+    /// Takes a withdrawn engine back
+    pub fn readmit(&self, engine: &str) {
+        if let Some(it) = self.engines.get(engine) {
+            it.set_leaving(false);
+        }
+        self.list.mark(engine, InstanceState::Live);
+    }
+
+    /// Executions of all services that showed the key
+    pub fn execution_count(&self, key: &str) -> usize {
+        self.services.values().map(|it| it.execution_count(key)).sum()
+    }
+
+    /// Every execution of all services
+    pub fn service_executions(&self) -> Vec<ServiceExecution> {
+        self.services.values().flat_map(ServiceStandin::executions).collect()
+    }
+
+    /// Every request that the engines took
+    pub fn engine_executions(&self) -> Vec<EngineExecution> {
+        self.engines.values().flat_map(EngineStandin::executions).collect()
+    }
+
+    /// Every order that the engines were given
+    pub fn orders(&self) -> Vec<OrderRecord> {
+        self.engines.values().flat_map(EngineStandin::orders).collect()
+    }
+
+    /// Conflicts among the orders that the engines took
+    pub fn conflicts(&self) -> Vec<OrderConflict> {
+        self.engines.values().flat_map(|it| conflicts(&it.orders())).collect()
+    }
+}
+
+fn start_weights(settings: &FleetSettings, plan: &DeploymentPlan) -> io::Result<WeightStandin> {
+    let model = StoredModel {
+        model: plan.model.clone(),
+        version: MODEL_VERSION.into(),
+        bytes: settings.model_bytes,
+    };
+    WeightStandin::start(settings.weight_bytes_per_s, vec![model])
+}
+
+fn start_engines(
+    settings: &FleetSettings,
+    plan: &DeploymentPlan,
+    weights: &WeightStandin,
+) -> io::Result<IndexMap<EndpointId, EngineStandin>> {
+    let mut engines = IndexMap::new();
+    for index in 0..plan.engines {
+        let id = endpoint_id(&plan.engine_pool, index);
+        let mut engine = settings.engine.clone();
+        engine.target = plan.target(EngineRole::Mixed);
+        engine.seed = settings.engine.seed + index as u64;
+        engine.checks_fence &= checks_fence(settings, plan, index);
+        engines.insert(id.clone(), EngineStandin::start(id, engine, Some(weights.clone()))?);
+    }
+    Ok(engines)
+}
+
+fn start_services(plan: &DeploymentPlan) -> io::Result<IndexMap<EndpointId, ServiceStandin>> {
+    let mut services = IndexMap::new();
+    for index in 0..plan.services {
+        let id = endpoint_id(&plan.service_pool, index);
+        services.insert(id.clone(), ServiceStandin::start(id)?);
+    }
+    Ok(services)
+}
+
+fn listed_engines(
+    settings: &FleetSettings,
+    plan: &DeploymentPlan,
+    engines: &IndexMap<EndpointId, EngineStandin>,
+) -> Vec<ListedInstance> {
+    let listed = |(index, engine): (usize, &EngineStandin)| {
+        let mut line = listed_endpoint(plan, InstanceKind::Engine, index, engine.address());
+        line.checks_fence = settings.engine.checks_fence && checks_fence(settings, plan, index);
+        line
+    };
+    engines.values().enumerate().map(listed).collect()
+}
+
+fn listed_services(
+    plan: &DeploymentPlan,
+    services: &IndexMap<EndpointId, ServiceStandin>,
+) -> Vec<ListedInstance> {
+    let addresses = services.values().map(ServiceStandin::address).enumerate();
+    addresses.map(|(index, it)| listed_endpoint(plan, InstanceKind::Service, index, it)).collect()
+}
+
+fn listed_endpoint(
+    plan: &DeploymentPlan,
+    kind: InstanceKind,
+    index: usize,
+    address: SocketAddr,
+) -> ListedInstance {
+    let is_engine = kind == InstanceKind::Engine;
+    let pool = if is_engine { &plan.engine_pool } else { &plan.service_pool };
+    ListedInstance {
+        id: endpoint_id(pool, index),
+        kind,
+        pool: pool.clone(),
+        zone: plan.zone(index),
+        region: plan.region.clone(),
+        address,
+        state: InstanceState::Live,
+        checks_fence: false,
+    }
+}
+
+fn checks_fence(settings: &FleetSettings, plan: &DeploymentPlan, index: usize) -> bool {
+    index + settings.engines_ignoring_fence < plan.engines
+}
+
+fn endpoint_id(pool: &PoolName, index: usize) -> EndpointId {
+    format_smolstr!("{pool}-{}", index + 1)
+}
--- /dev/null
+++ b/crates/standins/src/reply.rs
@@ -0,0 +1,94 @@
+//! Replies of stand-ins and reading of their requests.
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{Request, Response, StatusCode};
+use std::convert::Infallible;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// Largest request that a stand-in reads, in bytes.
+pub const MAX_REQUEST_BYTES: usize = 16 * 1024 * 1024;
+
+/// Reply of a stand-in
+pub type Reply = Response<BoxBody<Bytes, Infallible>>;
+
+/// Order to close the connection without a reply
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+pub enum CutConnection {
+    /// connection is cut
+    Now,
+}
+
+impl std::error::Error for CutConnection {}
+
+/// Failure to read a request
+#[derive(Debug, displaydoc::Display)]
+pub enum ReadError {
+    /// body broke off or is too large
+    Body,
+    /// body is not of the expected form: {0}
+    Form(serde_json::Error),
+}
+
+impl std::error::Error for ReadError {}
+
+/// Reply with a JSON body
+pub fn json(status: StatusCode, value: &impl serde::Serialize) -> Reply {
+    match serde_json::to_vec(value) {
+        Ok(bytes) => whole(status, bytes),
+        Err(_) => empty(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+/// Reply with a whole body, announced as JSON
+pub fn whole(status: StatusCode, bytes: impl Into<Bytes>) -> Reply {
+    let mut reply = Response::new(Full::new(bytes.into()).boxed());
+    *reply.status_mut() = status;
+    let json = hyper::header::HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
+    reply
+}
+
+/// Reply without a body
+pub fn empty(status: StatusCode) -> Reply {
+    let mut reply = Response::new(Full::new(Bytes::new()).boxed());
+    *reply.status_mut() = status;
+    reply
+}
+
+/// Reply whose body follows piece by piece
+pub fn stream(mut lines: UnboundedReceiver<Bytes>) -> Reply {
+    let frames = futures_util::stream::poll_fn(move |context| lines.poll_recv(context))
+        .map(|it| Ok(Frame::data(it)));
+    Response::new(BodyExt::boxed(StreamBody::new(frames)))
+}
+
+/// Reads a request's body
+///
+/// # Errors
+/// `ReadError::Body`.
+pub async fn read_bytes(request: Request<Incoming>) -> Result<Bytes, ReadError> {
+    let body = Limited::new(request.into_body(), MAX_REQUEST_BYTES);
+    body.collect().await.map(|it| it.to_bytes()).map_err(|_| ReadError::Body)
+}
+
+/// Reads a request's JSON body
+///
+/// # Errors
+/// `ReadError`.
+pub async fn read_json<T: serde::de::DeserializeOwned>(
+    request: Request<Incoming>,
+) -> Result<T, ReadError> {
+    let bytes = read_bytes(request).await?;
+    serde_json::from_slice(&bytes).map_err(ReadError::Form)
+}
+
+/// Number given in a query, or a default
+pub fn query_number(query: Option<&str>, name: &str, default: u64) -> u64 {
+    let pairs = query.unwrap_or("").split('&').filter_map(|it| it.split_once('='));
+    let mut values = pairs.filter(|(key, _)| *key == name).map(|(_, value)| value);
+    values.next().and_then(|it| it.parse().ok()).unwrap_or(default)
+}
