--- a/crates/catalogue/src/class.rs
+++ b/crates/catalogue/src/class.rs
@@ -4,7 +4,16 @@
 ///
 /// The order of the variants is the order of service.
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize
 )]
 #[serde(rename_all = "snake_case")]
 pub enum RequestClass {
--- a/crates/catalogue/src/fleet.rs
+++ b/crates/catalogue/src/fleet.rs
@@ -6,7 +6,16 @@
 
 /// Part that an engine plays in serving a request
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize
 )]
 #[serde(rename_all = "snake_case")]
 pub enum EngineRole {
--- /dev/null
+++ b/crates/coordination/src/stream/mod.rs
@@ -0,0 +1,217 @@
+//! One stream of the log: follow, fold, append.
+//!
+//! A `StreamHandle` submits items and gets the fold's own verdict on each, so an
+//! item is known to count only once this instance has read it back in its place
+//! in the stream. An actor owns the state; dropping the last handle stops it.
+
+mod queue;
+mod reader;
+mod rebuild;
+mod worker;
+
+use crate::shared::{RelayError, SharedLog};
+use catalogue::id::{Offset, StreamName};
+use platform::log::{LogError, LogRecord};
+use queue::Submission;
+use ractor::ActorRef;
+use reader::ReadAnswer;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use state::stream::ItemPlace;
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::sync::{oneshot, watch};
+use tokio::time::Instant;
+
+/// Types that a stream's state and items are made of
+pub trait StreamData:
+    Clone + fmt::Debug + Send + Sync + Serialize + DeserializeOwned + 'static
+{
+}
+
+impl<T> StreamData for T where
+    T: Clone + fmt::Debug + Send + Sync + Serialize + DeserializeOwned + 'static
+{
+}
+
+/// What a stream needs once its first records have aged out
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamStart {
+    /// A checkpoint, which instances append ahead of retention
+    Checkpoint,
+    /// Nothing: records within the retention are enough
+    Retained,
+}
+
+/// How a stream is folded and written
+pub struct StreamRules<S, I, O> {
+    /// Name of the stream
+    pub stream: StreamName,
+    /// What it needs to start
+    pub start: StreamStart,
+    /// Most items in one record
+    pub max_items: usize,
+    /// Least time between two appends
+    pub pacing: Duration,
+    /// Folds one item
+    pub apply: fn(&mut S, ItemPlace, &I) -> O,
+    /// Shows the state after each batch that changed it
+    pub publish: Box<dyn Fn(&S) + Send + Sync>,
+}
+
+/// How a stream stands with the log
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct StreamStatus {
+    /// Last offset folded
+    pub through: Offset,
+    /// Whether the fold has reached the end of the stream since the start
+    pub is_caught_up: bool,
+    /// Last time that the log, or a peer in touch with it, answered a read
+    pub contact: Option<Instant>,
+    /// Last time that the log itself answered a read
+    pub log_contact: Option<Instant>,
+    /// Whether a record that can't be skipped has stopped the fold
+    pub is_stopped: bool,
+    /// Damaged records passed over
+    pub damaged: u64,
+}
+
+/// Why there is no verdict on an item
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
+pub enum SubmitError {
+    /// log was not reached in time; the item has no effect
+    Down,
+    /// stream is stopped; the item has no effect
+    Stopped,
+    /// no answer in time; the item may yet take effect
+    Unknown,
+}
+
+impl std::error::Error for SubmitError {}
+
+impl SubmitError {
+    /// Whether the item certainly has no effect
+    pub fn is_void(self) -> bool {
+        self != SubmitError::Unknown
+    }
+}
+
+type InspectFn<S> = Box<dyn FnOnce(&S) + Send>;
+
+enum StreamMessage<S, I, O> {
+    Read { generation: u64, answer: ReadAnswer },
+    Appended { sequence: u64, result: Result<Offset, LogError> },
+    Submit(Submission<I, O>),
+    GiveUp { ticket: u64 },
+    Inspect(InspectFn<S>),
+    Relay { from: Offset, max: u32, reply: oneshot::Sender<Result<Vec<LogRecord>, RelayError>> },
+    Wake,
+}
+
+struct StopGuard<S: StreamData, I: StreamData, O: Send + 'static> {
+    actor: ActorRef<StreamMessage<S, I, O>>,
+    tickets: AtomicU64,
+}
+
+impl<S: StreamData, I: StreamData, O: Send + 'static> Drop for StopGuard<S, I, O> {
+    fn drop(&mut self) {
+        self.actor.stop(None);
+    }
+}
+
+/// Handle to a stream
+pub struct StreamHandle<S: StreamData, I: StreamData, O: Send + 'static> {
+    guard: Arc<StopGuard<S, I, O>>,
+    status: watch::Receiver<StreamStatus>,
+}
+
+impl<S: StreamData, I: StreamData, O: Send + 'static> Clone for StreamHandle<S, I, O> {
+    fn clone(&self) -> StreamHandle<S, I, O> {
+        StreamHandle { guard: self.guard.clone(), status: self.status.clone() }
+    }
+}
+
+impl<S: StreamData, I: StreamData, O: Send + 'static> fmt::Debug for StreamHandle<S, I, O> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("StreamHandle").field("status", &*self.status.borrow()).finish()
+    }
+}
+
+impl<S: StreamData + Default, I: StreamData, O: Send + 'static> StreamHandle<S, I, O> {
+    /// Starts to follow a stream
+    ///
+    /// # Errors
+    /// `ractor::SpawnErr` if the actor can't be started.
+    pub async fn start(
+        shared: SharedLog,
+        rules: StreamRules<S, I, O>,
+    ) -> Result<StreamHandle<S, I, O>, ractor::SpawnErr> {
+        let (status_sender, status) = watch::channel(StreamStatus::default());
+        let actor = worker::start(shared, rules, status_sender).await?;
+        let guard = Arc::new(StopGuard { actor, tickets: AtomicU64::new(0) });
+        Ok(StreamHandle { guard, status })
+    }
+}
+
+impl<S: StreamData, I: StreamData, O: Send + 'static> StreamHandle<S, I, O> {
+    /// Appends an item and waits until the fold has judged it
+    ///
+    /// # Errors
+    /// `SubmitError` if there is no verdict by the deadline.
+    pub async fn submit(&self, item: I, deadline: Instant) -> Result<O, SubmitError> {
+        let ticket = self.guard.tickets.fetch_add(1, Ordering::Relaxed);
+        let (reply, mut verdict) = oneshot::channel();
+        let submission = Submission { ticket, item, reply };
+        if self.guard.actor.cast(StreamMessage::Submit(submission)).is_err() {
+            return Err(SubmitError::Stopped);
+        }
+        if let Ok(judged) = tokio::time::timeout_at(deadline, &mut verdict).await {
+            return judged.unwrap_or(Err(SubmitError::Unknown));
+        }
+        let _ = self.guard.actor.cast(StreamMessage::GiveUp { ticket });
+        verdict.await.unwrap_or(Err(SubmitError::Unknown))
+    }
+
+    /// Calls a function on the state as folded so far; none if the stream has ended
+    pub async fn inspect<T: Send + 'static>(
+        &self,
+        look: impl FnOnce(&S) -> T + Send + 'static,
+    ) -> Option<T> {
+        let (reply, seen) = oneshot::channel();
+        let inspect = move |state: &S| {
+            let _ = reply.send(look(state));
+        };
+        self.guard.actor.cast(StreamMessage::Inspect(Box::new(inspect))).ok()?;
+        seen.await.ok()
+    }
+
+    /// Recent records for a peer that can't reach the log
+    ///
+    /// # Errors
+    /// `OutOfTouch` if this instance doesn't hear from the log either.
+    pub async fn relay(&self, from: Offset, max: u32) -> Result<Vec<LogRecord>, RelayError> {
+        let (reply, records) = oneshot::channel();
+        let message = StreamMessage::Relay { from, max, reply };
+        self.guard.actor.cast(message).map_err(|_| RelayError::OutOfTouch)?;
+        records.await.unwrap_or(Err(RelayError::OutOfTouch))
+    }
+
+    /// How the stream stands with the log
+    pub fn status(&self) -> StreamStatus {
+        *self.status.borrow()
+    }
+
+    /// Waits until the fold has reached the end of the stream once
+    pub async fn caught_up(&self) {
+        let mut status = self.status.clone();
+        let _ = status.wait_for(|it| it.is_caught_up || it.is_stopped).await;
+    }
+
+    /// Changes of `status`
+    pub fn watch_status(&self) -> watch::Receiver<StreamStatus> {
+        self.status.clone()
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/stream/rebuild.rs
@@ -0,0 +1,50 @@
+//! Start of a stream whose first records have aged out.
+//!
+//! Records are collected from the oldest one on until a checkpoint turns up that
+//! they connect to; the fold is that checkpoint and the records after its offset.
+
+use platform::log::LogRecord;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use state::stream::{StreamFold, read_checkpoint};
+
+/// Records collected while a checkpoint is looked for
+#[derive(Debug, Default)]
+pub(super) struct RebuildBuffer {
+    records: Vec<LogRecord>,
+}
+
+/// Fold to go on with and the records that it doesn't cover
+#[derive(Debug)]
+pub(super) struct RebuiltFold<S> {
+    pub(super) fold: StreamFold<S>,
+    pub(super) rest: Vec<LogRecord>,
+}
+
+impl RebuildBuffer {
+    /// Offset to read next, if a record has been collected
+    pub(super) fn next(&self) -> Option<u64> {
+        self.records.last().map(|it| it.offset + 1)
+    }
+
+    /// Adds the next record; gives the fold once it can be built
+    pub(super) fn push<S>(&mut self, record: LogRecord) -> Option<RebuiltFold<S>>
+    where
+        S: Serialize + DeserializeOwned,
+    {
+        if self.next().is_some_and(|it| it != record.offset) {
+            self.records.clear();
+        }
+        let checkpoint = read_checkpoint::<S>(&record.data);
+        self.records.push(record);
+        let checkpoint = checkpoint?;
+        let first = self.records.first()?.offset;
+        if checkpoint.through + 1 < first {
+            return None;
+        }
+        let through = checkpoint.through;
+        let rest = std::mem::take(&mut self.records);
+        let rest = rest.into_iter().filter(|it| it.offset > through).collect();
+        Some(RebuiltFold { fold: StreamFold::restore(checkpoint), rest })
+    }
+}
