--- a/crates/catalogue/src/class.rs
+++ b/crates/catalogue/src/class.rs
@@ -3,18 +3,8 @@
 /// Urgency of an entry's requests
 ///
 /// The order of the variants is the order of service.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RequestClass {
     /// Ahead of all else: the Trust's summaries, Dongelek's contract checks
--- a/crates/catalogue/src/entry.rs
+++ b/crates/catalogue/src/entry.rs
@@ -17,7 +17,8 @@
 const KEY_HASH_BYTES: usize = 64;
 
 /// What serves an entry
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(tag = "type", rename_all = "snake_case", deny_unknown_fields)]
 pub enum EntryKind {
     /// Language model on engines
@@ -35,7 +36,8 @@
 }
 
 /// Limits of an entry over all instances together
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntryLimits {
     /// Requests a second
@@ -87,7 +89,8 @@
 }
 
 /// One entry of the catalogue
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CatalogueEntry {
     /// Unique name
@@ -176,7 +179,8 @@
 }
 
 /// Fault of a catalogue entry
-#[derive(Debug, Clone, PartialEq, displaydoc::Display)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(displaydoc::Display)]
 pub enum EntryFault {
     /// {0} must be 1 to 64 letters, digits, '-', '_' or '.'
     Name(&'static str),
--- a/crates/catalogue/src/fleet.rs
+++ b/crates/catalogue/src/fleet.rs
@@ -5,18 +5,8 @@
 use std::net::SocketAddr;
 
 /// Part that an engine plays in serving a request
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EngineRole {
     /// Reads prompts and generates tokens, each slowing the other
@@ -49,7 +39,8 @@
 }
 
 /// Kind of a back end
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EndpointKind {
     /// Language-model engine
@@ -59,7 +50,8 @@
 }
 
 /// Kind of a listed instance
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum InstanceKind {
     /// Entry instance of this system
@@ -71,7 +63,8 @@
 }
 
 /// State of an instance in the platform's list
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum InstanceState {
     /// In service
@@ -81,7 +74,8 @@
 }
 
 /// One line of the platform's list of instances
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ListedInstance {
     /// Instance or endpoint id
     pub id: SmolStr,
@@ -103,7 +97,8 @@
 }
 
 /// What an engine is to serve: the content of an absolute order
-#[derive(Debug, Clone, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ModelTarget {
     /// Role to play
     pub role: EngineRole,
--- a/crates/coordination/src/stream/worker.rs
+++ b/crates/coordination/src/stream/worker.rs
@@ -32,8 +32,10 @@
 /// Part of the time between checkpoints by which instances vary it.
 const CHECKPOINT_JITTER: f64 = 0.25;
 
+type SetupMark<S, I, O> = PhantomData<fn(StreamSetup<S, I, O>)>;
+
 struct StreamActor<S, I, O> {
-    setup: PhantomData<fn(StreamSetup<S, I, O>)>,
+    setup: SetupMark<S, I, O>,
 }
 
 struct StreamSetup<S, I, O> {
--- a/crates/decide/src/admission.rs
+++ b/crates/decide/src/admission.rs
@@ -36,7 +36,8 @@
 }
 
 /// Why a request is refused; it has not run
-#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub enum RefuseReason {
     /// queue is full, come again after {retry_after:?}
     QueueFull {
--- a/crates/decide/src/limits.rs
+++ b/crates/decide/src/limits.rs
@@ -58,7 +58,8 @@
 }
 
 /// Limit that a request ran into; it has not run
-#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub enum LimitRefusal {
     /// entry has used its requests a second, come again after {retry_after:?}
     Requests {
--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -88,7 +88,8 @@
 }
 
 /// Why a planning step decided as it did
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, displaydoc::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(displaydoc::Display)]
 pub enum PlanReason {
     /// another change is under way
     ChangeUnderWay,
--- a/crates/peer/src/auth.rs
+++ b/crates/peer/src/auth.rs
@@ -67,7 +67,8 @@
 }
 
 /// Failure to authenticate a peer
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 pub enum AuthError {
     /// peer speaks version {0}
     Version(u8),
--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -5,9 +5,8 @@
 use std::time::Duration;
 
 /// Why a peer did not do what it was asked
-#[derive(
-    Debug, Clone, PartialEq, Eq, displaydoc::Display, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(displaydoc::Display, serde::Serialize, serde::Deserialize)]
 pub enum PeerRefusal {
     /// request can't be read by this version
     Unreadable,
@@ -28,7 +27,8 @@
 impl std::error::Error for PeerRefusal {}
 
 /// Failure of a call
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 pub enum PeerError {
     /// no connection: {0}
     Connect(std::io::Error),
--- a/crates/peer/src/frame.rs
+++ b/crates/peer/src/frame.rs
@@ -13,7 +13,8 @@
 pub const MAX_BODY_BYTES: usize = 1024 * 1024;
 
 /// Failure to read or write a frame
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 pub enum FrameError {
     /// version {0} is not known
     Version(u8),
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -14,7 +14,8 @@
 pub type PromptFingerprint = u64;
 
 /// Request to another instance
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum PeerRequest {
     /// Tells that the sender is live, and which instances it found down
     Ping(PeerNews),
@@ -35,7 +36,8 @@
 }
 
 /// Reply to a request
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum PeerReply {
     /// Reply to `Ping`
     Pong(PeerNews),
@@ -56,7 +58,8 @@
 }
 
 /// What two instances tell each other with every heartbeat
-#[derive(Debug, Clone, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct PeerNews {
     /// Instance that speaks
     pub instance: InstanceId,
@@ -67,7 +70,8 @@
 }
 
 /// Instance that does not answer heartbeats
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct DownNotice {
     /// Instance
     pub instance: InstanceId,
@@ -76,7 +80,8 @@
 }
 
 /// Claim of a key
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ClaimRequest {
     /// Stream that holds the key's claims
     pub stream: StreamName,
@@ -93,7 +98,8 @@
 }
 
 /// How a claim went
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum ClaimReply {
     /// The holder may run the request; offset of the claim
     Granted(Offset),
@@ -112,7 +118,8 @@
 }
 
 /// Recorded answer of a service
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct KeptAnswer {
     /// Status
     pub status: u16,
@@ -123,7 +130,8 @@
 }
 
 /// End of a claimed run
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct SettleRequest {
     /// Stream that holds the claim
     pub stream: StreamName,
@@ -136,7 +144,8 @@
 }
 
 /// How a claimed run ended
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum RunOutcome {
     /// Whole answer came
     Answered(KeptAnswer),
@@ -147,7 +156,8 @@
 }
 
 /// Part of a log stream
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct RelayRequest {
     /// Stream
     pub stream: StreamName,
@@ -158,7 +168,8 @@
 }
 
 /// Records of a log stream
-#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct RelayedBatch {
     /// Offset of the oldest record that the replier has
     pub earliest: Offset,
@@ -169,7 +180,8 @@
 }
 
 /// Record of a log stream
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct RelayedRecord {
     /// Position in the stream
     pub offset: Offset,
@@ -180,7 +192,8 @@
 }
 
 /// Rates of an entry
-#[derive(Debug, Clone, Copy, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct EntryRates {
     /// Requests a second
     pub requests_per_s: f64,
@@ -191,7 +204,8 @@
 }
 
 /// What an instance needs of an entry's limits
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct GrantRequest {
     /// Entry
     pub entry: EntryName,
@@ -202,7 +216,8 @@
 }
 
 /// Share of an entry's limits
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct GrantReply {
     /// What the instance may use
     pub rates: EntryRates,
@@ -211,7 +226,8 @@
 }
 
 /// Request in flight on an endpoint that crashed
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct StrikeReport {
     /// Fingerprint of its prompt
     pub fingerprint: PromptFingerprint,
@@ -220,14 +236,16 @@
 }
 
 /// Crashes that a fingerprint took part in
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct StrikeCount {
     /// Different endpoints that crashed
     pub strikes: u32,
 }
 
 /// Planned change to be confirmed
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct PlanQuestion {
     /// Pool
     pub pool: PoolName,
@@ -238,14 +256,16 @@
 }
 
 /// Confirmation of a planned change
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct PlanAnswer {
     /// Requests that the replier still has in flight on the engine
     pub in_flight: u32,
 }
 
 /// Load reports of engines
-#[derive(Debug, Clone, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ReportDigest {
     /// Instance that polled the engines
     pub watcher: InstanceId,
@@ -254,7 +274,8 @@
 }
 
 /// Load of one engine
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct DigestLine {
     /// Engine
     pub engine: EndpointId,
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -28,7 +28,8 @@
 pub const MAX_LINE_BYTES: usize = 64 * 1024;
 
 /// Prompt to read, whose cache is then exported
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct PrefillRequest {
     /// Request id
     pub request: RequestId,
@@ -43,7 +44,8 @@
 }
 
 /// Cache held for export
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct PrefillAnswer {
     /// Cache that another engine may import
     pub cache: CacheHandle,
@@ -54,7 +56,8 @@
 }
 
 /// Exported cache of one prompt
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct CacheHandle {
     /// Serving address of the engine that holds it
     pub address: SocketAddr,
@@ -63,7 +66,8 @@
 }
 
 /// Prompt to answer
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct GenerateRequest {
     /// Request id
     pub request: RequestId,
@@ -84,7 +88,8 @@
 }
 
 /// One line of a token stream
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum StreamLine {
     /// One token
@@ -111,7 +116,8 @@
 }
 
 /// Why an engine refuses a request or stops it
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalReason {
     /// Queue or memory is full
@@ -137,14 +143,16 @@
 }
 
 /// Body of a refusal
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Refusal {
     /// Why
     pub reason: RefusalReason,
 }
 
 /// Load of an engine as it reports it, some time ago
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct LoadReport {
     /// Number of the report
     pub sequence: u64,
@@ -175,7 +183,8 @@
 }
 
 /// Change of an engine's prefix cache
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct CacheEvent {
     /// Number of the event, from 1
     pub sequence: u64,
@@ -186,7 +195,8 @@
 }
 
 /// Published changes of an engine's cache
-#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct CacheEvents {
     /// Number of the next event to be published
     pub next: u64,
@@ -195,7 +205,8 @@
 }
 
 /// Order to an engine: absolute, so that repeating it does no harm
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct EngineOrder {
     /// Order id
     pub order: OrderId,
@@ -208,7 +219,8 @@
 }
 
 /// State of an engine at this moment
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct EngineState {
     /// Engine
     pub engine: EndpointId,
@@ -227,7 +239,8 @@
 }
 
 /// Failure of an engine call
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 pub enum EngineError {
     /// engine refused: {0:?}
     Refused(RefusalReason),
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -19,7 +19,8 @@
 pub const REQUEST_ID_HEADER: &str = "persimmon-request";
 
 /// Failure of an HTTP call
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 pub enum HttpError {
     /// no connection: {0}
     Connect(hyper_util::client::legacy::Error),
--- a/crates/platform/src/instances.rs
+++ b/crates/platform/src/instances.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 /// The platform's list at one moment
-#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct InstanceList {
     /// Grows with every change of the list
     pub version: u64,
--- a/crates/platform/src/log.rs
+++ b/crates/platform/src/log.rs
@@ -18,7 +18,8 @@
 use std::time::Duration;
 
 /// One record of a stream
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct LogRecord {
     /// Position in the stream
     pub offset: Offset,
@@ -29,7 +30,8 @@
 }
 
 /// Answer to a read
-#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct LogBatch {
     /// Offset of the oldest record still kept; equals `next` when none is
     pub earliest: Offset,
@@ -51,14 +53,16 @@
 }
 
 /// Answer to an append
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct AppendAnswer {
     /// Offset of the new record
     pub offset: Offset,
 }
 
 /// Failure of a log call
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 pub enum LogError {
     /// log refused the append, which has no effect: rate limit
     RateLimited,
@@ -151,7 +155,8 @@
 }
 
 /// Body of an append
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct AppendBody {
     /// Content of the record
     pub data: String,
--- a/crates/platform/src/weights.rs
+++ b/crates/platform/src/weights.rs
@@ -12,7 +12,8 @@
 use std::time::Duration;
 
 /// Size of one stored version of a model
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct StoredModel {
     /// Model
     pub model: ModelName,
@@ -23,7 +24,8 @@
 }
 
 /// State of the store
-#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct WeightReport {
     /// Bytes a second that the store gives to all loads together
     pub bytes_per_s: u64,
