Decide the steps of a planned engine change

Cause: a change passes through plan, confirmations, drain, order and opening, and its holder may be lost at any point.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod cache;
+pub mod change;
 pub mod choice;
 pub mod endpoint;
 pub mod fingerprint;
