Carry claim items to homes and log records past an unreachable log

Cause: peers had a claim message without the claim's token, and a caller that went away while its claim was on its way left the key open until it lapsed.

Change: one Submit message carries any item to the home, in the owner's encoding; coordination::peers makes the forward and relay closures from a PeerClient and answers both. The permit exists before the claim is submitted, so dropping the call releases the key.

Measured: cargo test -p coordination -p peer passes; no speed measured.

Conclusion: a claim that reaches the log by two ways is one claim.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod control;
 pub mod lease;
 pub mod once;
+pub mod peers;
 pub mod shared;
 pub mod stream;
--- a/crates/coordination/src/once/mod.rs
+++ b/crates/coordination/src/once/mod.rs
@@ -6,15 +6,16 @@
 //! token, so a claim that arrives by both ways counts once. Who is home never
 //! matters for correctness.
 
-pub mod home;
+mod home;
 mod permit;
 
-pub use home::{ForwardError, ForwardFn, ForwardedItem, HomeFn, HomeRoute};
+pub use home::{ForwardError, ForwardFn, ForwardedItem, HomeFn, HomeRoute, partition_of_stream};
 pub use permit::{ClaimPermit, OnceOutcome, SettledClaim};
 
-use crate::shared::SharedLog;
+use crate::shared::{RelayError, SharedLog};
 use crate::stream::{StreamHandle, StreamRules, StreamStart, SubmitError};
-use catalogue::id::{EntryName, IdempotencyKey};
+use catalogue::id::{EntryName, IdempotencyKey, Offset, StreamName};
+use platform::log::LogRecord;
 use smol_str::SmolStr;
 use state::claims::{
     self, ClaimItem, ClaimOutcome, ClaimTable, ClaimToken, KeyFault, KeyStanding, PARTITIONS,
@@ -165,42 +166,18 @@
             holder: self.state.shared.instance.clone(),
             deadline_ms: left.as_millis() as u64,
         };
+        let permit = ClaimPermit::new(self.clone(), key, token, deadline);
         match self.state.submit(&key, item, deadline).await {
-            Ok(outcome) => self.judge(outcome, key, token, deadline),
+            Ok(outcome) => judge(outcome, permit),
             Err(error) => {
-                if !error.is_void() {
-                    permit::release_later(self.clone(), key, token);
+                if error.is_void() {
+                    permit.void();
                 }
                 Err(OnceError::Unconfirmed(error))
             }
         }
     }
 
-    fn judge(
-        &self,
-        outcome: ClaimOutcome,
-        key: IdempotencyKey,
-        token: ClaimToken,
-        deadline: Instant,
-    ) -> Result<OnceBegin, OnceError> {
-        match outcome {
-            ClaimOutcome::Won => {
-                Ok(OnceBegin::Run(ClaimPermit::new(self.clone(), key, token, deadline)))
-            }
-            ClaimOutcome::Held(KeyStanding::Answered(answer)) => Ok(OnceBegin::Answered(answer)),
-            ClaimOutcome::Held(KeyStanding::Open) => Ok(OnceBegin::InProgress),
-            ClaimOutcome::Held(KeyStanding::Unknown(_)) => Ok(OnceBegin::Unknown),
-            ClaimOutcome::Held(KeyStanding::Resolved { resolution, .. }) => {
-                Ok(OnceBegin::Resolved(resolution))
-            }
-            ClaimOutcome::Mismatch => Ok(OnceBegin::Mismatch),
-            ClaimOutcome::Refused(fault) => Err(OnceError::Key(fault)),
-            ClaimOutcome::Void | ClaimOutcome::Recorded | ClaimOutcome::Ignored => {
-                Err(OnceError::Unconfirmed(SubmitError::Unknown))
-            }
-        }
-    }
-
     /// Appends an item that a peer forwarded to this instance as the home
     ///
     /// # Errors
@@ -211,12 +188,20 @@
         stream.submit(forwarded.item, Instant::now() + forwarded.timeout).await
     }
 
-    /// Stream of a partition, for relaying its records to peers
+    /// Recent records of a claims stream for a peer that can't reach the log
     ///
     /// # Errors
-    /// `Stopped` if it can't be started.
-    pub async fn stream(&self, partition: PartitionNumber) -> Result<ClaimStream, SubmitError> {
-        self.state.stream(partition).await
+    /// `OutOfTouch` if this instance doesn't hear from the log either, or if it is no
+    /// claims stream.
+    pub async fn relay(
+        &self,
+        stream: &StreamName,
+        from: Offset,
+        max: u32,
+    ) -> Result<Vec<LogRecord>, RelayError> {
+        let partition = home::partition_of_stream(stream).ok_or(RelayError::OutOfTouch)?;
+        let stream = self.state.stream(partition).await.map_err(|_| RelayError::OutOfTouch)?;
+        stream.relay(from, max).await
     }
 
     /// Claims whose outcome isn't known, of all partitions, oldest first
@@ -301,6 +286,28 @@
     }
 }
 
+fn judge(outcome: ClaimOutcome, permit: ClaimPermit) -> Result<OnceBegin, OnceError> {
+    let begin = match outcome {
+        ClaimOutcome::Won => return Ok(OnceBegin::Run(permit)),
+        ClaimOutcome::Held(KeyStanding::Answered(answer)) => OnceBegin::Answered(answer),
+        ClaimOutcome::Held(KeyStanding::Open) => OnceBegin::InProgress,
+        ClaimOutcome::Held(KeyStanding::Unknown(_)) => OnceBegin::Unknown,
+        ClaimOutcome::Held(KeyStanding::Resolved { resolution, .. }) => {
+            OnceBegin::Resolved(resolution)
+        }
+        ClaimOutcome::Mismatch => OnceBegin::Mismatch,
+        ClaimOutcome::Refused(fault) => {
+            permit.void();
+            return Err(OnceError::Key(fault));
+        }
+        ClaimOutcome::Void | ClaimOutcome::Recorded | ClaimOutcome::Ignored => {
+            return Err(OnceError::Unconfirmed(SubmitError::Unknown));
+        }
+    };
+    permit.void();
+    Ok(begin)
+}
+
 fn wall_clock_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
--- a/crates/coordination/src/once/permit.rs
+++ b/crates/coordination/src/once/permit.rs
@@ -1,8 +1,8 @@
 //! Permit to dispatch a claimed call, and the record of how it ended.
 //!
-//! Whatever becomes of the permit, the claim is settled: with the outcome given to
-//! it, else as unknown if dispatch had begun, else by a release. The record is
-//! repeated while the log is out of reach.
+//! The permit exists from before the claim is submitted. Whatever becomes of it, the
+//! claim is settled: with the outcome given to it, else as unknown if dispatch had
+//! begun, else by a release. The record is repeated while the log is out of reach.
 
 use super::OnceHandle;
 use catalogue::id::IdempotencyKey;
@@ -60,6 +60,11 @@
         ClaimPermit { once, key, token, deadline, is_dispatched, is_settled: false }
     }
 
+    /// Marks the claim as settled by the verdict itself, so that nothing is recorded
+    pub(super) fn void(mut self) {
+        self.is_settled = true;
+    }
+
     /// Key of the call
     pub fn key(&self) -> IdempotencyKey {
         self.key
@@ -114,7 +119,9 @@
             return;
         }
         if !*self.is_dispatched.get_mut() {
-            return release_later(self.once.clone(), self.key, self.token);
+            let item = ClaimItem::Release { key: self.key, token: self.token };
+            tokio::spawn(record(self.once.clone(), self.key, item, None));
+            return;
         }
         let outcome = RunOutcome::Unknown(UnknownReason::NoAnswer);
         let item = outcome_item(self.key, self.token, outcome);
@@ -126,12 +133,6 @@
     ClaimItem::Outcome { key, token, outcome }
 }
 
-/// Releases a claim in the background, whether it has landed or yet may.
-pub(super) fn release_later(once: OnceHandle, key: IdempotencyKey, token: ClaimToken) {
-    let item = ClaimItem::Release { key, token };
-    tokio::spawn(record(once, key, item, None));
-}
-
 async fn record(
     once: OnceHandle,
     key: IdempotencyKey,
--- /dev/null
+++ b/crates/coordination/src/peers.rs
@@ -0,0 +1,142 @@
+//! Ways to peers: items to homes, records past a log that is out of reach.
+//!
+//! Two closures for the asking side and two functions for the answering side.
+
+use crate::once::{ForwardError, ForwardFn, ForwardedItem, OnceHandle, partition_of_stream};
+use crate::shared::{RelayError, RelayFn};
+use catalogue::id::{InstanceId, Offset};
+use peer::message::{RelayRequest, RelayedBatch, RelayedRecord, SubmitReply, SubmitRequest};
+use peer::{PeerClient, PeerRefusal, PeerReply, PeerRequest};
+use platform::log::LogRecord;
+use rand::seq::SliceRandom;
+use state::claims::{ClaimOutcome, stream_name};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+const RELAY_TIMEOUT: Duration = Duration::from_millis(600);
+/// Peers that are asked for records, one after the other.
+const RELAY_TRIES: usize = 2;
+/// Records of at most this many bytes go into one reply.
+const MAX_RELAY_BYTES: usize = 512 * 1024;
+
+/// Function that hands items to homes; `address_of` gives an instance's peer address.
+pub fn forward_over(
+    client: PeerClient,
+    address_of: impl Fn(&InstanceId) -> Option<SocketAddr> + Send + Sync + 'static,
+) -> Arc<ForwardFn> {
+    Arc::new(move |instance, forwarded| {
+        let address = address_of(&instance);
+        let client = client.clone();
+        Box::pin(async move {
+            let address = address.ok_or(ForwardError::Void)?;
+            forward(client, address, forwarded).await
+        })
+    })
+}
+
+async fn forward(
+    client: PeerClient,
+    address: SocketAddr,
+    forwarded: ForwardedItem,
+) -> Result<ClaimOutcome, ForwardError> {
+    let item = serde_json::to_string(&forwarded.item).map_err(|_| ForwardError::Void)?;
+    let request = PeerRequest::Submit(SubmitRequest {
+        stream: stream_name(forwarded.partition),
+        item,
+        timeout_ms: forwarded.timeout.as_millis() as u64,
+    });
+    match client.call(address, request, forwarded.timeout).await {
+        Ok(PeerReply::Submitted(SubmitReply::Judged(verdict))) => {
+            serde_json::from_str(&verdict).map_err(|_| ForwardError::Unknown)
+        }
+        Ok(PeerReply::Submitted(SubmitReply::Void)) => Err(ForwardError::Void),
+        Ok(_) => Err(ForwardError::Unknown),
+        Err(error) if error.is_unsent() => Err(ForwardError::Void),
+        Err(_) => Err(ForwardError::Unknown),
+    }
+}
+
+/// Answers a `Submit` of a claim as the home of its stream.
+///
+/// # Errors
+/// `Unsupported` for another stream, `Unreadable` for an item of another version.
+pub async fn answer_submit(
+    once: &OnceHandle,
+    request: SubmitRequest,
+) -> Result<PeerReply, PeerRefusal> {
+    let partition = partition_of_stream(&request.stream).ok_or(PeerRefusal::Unsupported)?;
+    let item = serde_json::from_str(&request.item).map_err(|_| PeerRefusal::Unreadable)?;
+    let timeout = Duration::from_millis(request.timeout_ms);
+    let reply = match once.serve(ForwardedItem { partition, item, timeout }).await {
+        Ok(outcome) => {
+            SubmitReply::Judged(serde_json::to_string(&outcome).map_err(|_| PeerRefusal::Failed)?)
+        }
+        Err(error) if error.is_void() => SubmitReply::Void,
+        Err(_) => SubmitReply::Unknown,
+    };
+    Ok(PeerReply::Submitted(reply))
+}
+
+/// Function that reads records from live peers; `peers` gives their addresses.
+pub fn relay_over(
+    client: PeerClient,
+    peers: impl Fn() -> Vec<SocketAddr> + Send + Sync + 'static,
+) -> Arc<RelayFn> {
+    Arc::new(move |stream, from, max| {
+        let mut addresses = peers();
+        addresses.shuffle(&mut rand::rng());
+        addresses.truncate(RELAY_TRIES);
+        Box::pin(relay(client.clone(), addresses, RelayRequest { stream, from, max }))
+    })
+}
+
+async fn relay(
+    client: PeerClient,
+    addresses: Vec<SocketAddr>,
+    request: RelayRequest,
+) -> Result<Vec<LogRecord>, RelayError> {
+    let mut failure = RelayError::Unreached;
+    for address in addresses {
+        match client.call(address, PeerRequest::Relay(request.clone()), RELAY_TIMEOUT).await {
+            Ok(PeerReply::Records(batch)) => {
+                return Ok(batch.records.into_iter().map(log_record).collect());
+            }
+            Ok(_) => {}
+            Err(error) if error.is_answer() => failure = RelayError::OutOfTouch,
+            Err(_) => {}
+        }
+    }
+    Err(failure)
+}
+
+/// Reply to a `Relay` with what a stream's handle gave.
+///
+/// # Errors
+/// `Behind` if this instance is out of touch with the log itself, or if the next
+/// record is too large for a reply.
+pub fn answer_relay(
+    from: Offset,
+    records: Result<Vec<LogRecord>, RelayError>,
+) -> Result<PeerReply, PeerRefusal> {
+    let records = records.map_err(|_| PeerRefusal::Behind)?;
+    if records.first().is_some_and(|it| it.data.len() > MAX_RELAY_BYTES) {
+        return Err(PeerRefusal::Behind);
+    }
+    let mut bytes = 0;
+    let fits = |record: &LogRecord| {
+        bytes += record.data.len();
+        bytes <= MAX_RELAY_BYTES
+    };
+    let records: Vec<_> = records.into_iter().take_while(fits).map(relayed_record).collect();
+    let next = records.last().map_or(from, |it| it.offset + 1);
+    Ok(PeerReply::Records(RelayedBatch { earliest: from, next, records }))
+}
+
+fn log_record(record: RelayedRecord) -> LogRecord {
+    LogRecord { offset: record.offset, time_ms: record.time_ms, data: record.data }
+}
+
+fn relayed_record(record: LogRecord) -> RelayedRecord {
+    RelayedRecord { offset: record.offset, time_ms: record.time_ms, data: record.data }
+}
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -3,13 +3,8 @@
 //! The variants are numbered by their order, so a new one goes to the end of its
 //! enum. A change of an existing one needs a new `frame::FRAME_VERSION`.
 
-use catalogue::id::{
-    EndpointId, EntryName, IdempotencyKey, InstanceId, Offset, PoolName, StreamName,
-};
-use smol_str::SmolStr;
+use catalogue::id::{EndpointId, EntryName, InstanceId, Offset, PoolName, StreamName};
 
-/// SHA-256 of a request's method, path and body.
-pub type RequestDigest = [u8; 32];
 /// Hash of a prompt's content that stays the same when it is sent again.
 pub type PromptFingerprint = u64;
 
@@ -19,8 +14,8 @@
 pub enum PeerRequest {
     /// Tells that the sender is live, and which instances it found down
     Ping(PeerNews),
-    /// Asks the home of a stream to claim a key for a single run
-    Claim(ClaimRequest),
+    /// Asks the home of a stream to append an item
+    Submit(SubmitRequest),
     /// Asks for records of a log stream that the sender can't read itself
     Relay(RelayRequest),
     /// Asks the home of an entry for a share of its limits
@@ -29,8 +24,6 @@
     Strike(StrikeReport),
     /// Asks whether the plan has been read and nothing more goes to its engine
     ConfirmPlan(PlanQuestion),
-    /// Asks the home of a stream to record how a claimed run ended
-    Settle(SettleRequest),
     /// Passes on load reports of engines
     Digest(ReportDigest),
 }
@@ -41,8 +34,8 @@
 pub enum PeerReply {
     /// Reply to `Ping`
     Pong(PeerNews),
-    /// Reply to `Claim`
-    Claim(ClaimReply),
+    /// Reply to `Submit`
+    Submitted(SubmitReply),
     /// Reply to `Relay`
     Records(RelayedBatch),
     /// Reply to `Grant`
@@ -51,8 +44,6 @@
     Strikes(StrikeCount),
     /// Reply to `ConfirmPlan`
     Confirmed(PlanAnswer),
-    /// Reply to `Settle`: offset of the record that settles the claim
-    Settled(Offset),
     /// Reply to `Digest`
     Noted,
 }
@@ -79,80 +70,28 @@
     pub age_ms: u32,
 }
 
-/// Claim of a key
+/// Item to append
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
-pub struct ClaimRequest {
-    /// Stream that holds the key's claims
-    pub stream: StreamName,
-    /// Caller's key
-    pub key: IdempotencyKey,
-    /// Digest of the request
-    pub digest: RequestDigest,
-    /// Entry that the request is for
-    pub entry: EntryName,
-    /// Instance that will run the request
-    pub holder: InstanceId,
-    /// Time left, in milliseconds
-    pub deadline_ms: u64,
-}
-
-/// How a claim went
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(serde::Serialize, serde::Deserialize)]
-pub enum ClaimReply {
-    /// The holder may run the request; offset of the claim
-    Granted(Offset),
-    /// Answered before
-    Answered(KeptAnswer),
-    /// Claimed by a run that has not ended
-    InProgress,
-    /// An earlier run may have taken effect
-    Unknown,
-    /// The key stands for another request
-    Mismatch,
-    /// Not claimed and certainly not run
-    NotClaimed,
-    /// The claim may be in the log and was not confirmed
-    Unconfirmed,
-}
-
-/// Recorded answer of a service
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(serde::Serialize, serde::Deserialize)]
-pub struct KeptAnswer {
-    /// Status
-    pub status: u16,
-    /// Headers, in order
-    pub headers: Vec<(SmolStr, SmolStr)>,
-    /// Body
-    pub body: Vec<u8>,
-}
-
-/// End of a claimed run
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(serde::Serialize, serde::Deserialize)]
-pub struct SettleRequest {
-    /// Stream that holds the claim
+pub struct SubmitRequest {
+    /// Stream
     pub stream: StreamName,
-    /// Caller's key
-    pub key: IdempotencyKey,
-    /// Offset of the claim
-    pub claim: Offset,
-    /// How the run ended
-    pub outcome: RunOutcome,
+    /// Item, encoded by its owner
+    pub item: String,
+    /// Time for the verdict, in milliseconds
+    pub timeout_ms: u64,
 }
 
-/// How a claimed run ended
+/// What became of an item
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
-pub enum RunOutcome {
-    /// Whole answer came
-    Answered(KeptAnswer),
-    /// The service may have run the request
+pub enum SubmitReply {
+    /// Verdict, encoded by its owner
+    Judged(String),
+    /// It has no effect
+    Void,
+    /// It may yet take effect
     Unknown,
-    /// Certainly not run
-    Released,
 }
 
 /// Part of a log stream
