Tell how long ago a plan was first seen

Cause: the planner bounds the wait for confirmations by its own monotonic clock. Change: ControlHandle::plan_observed, kept beside the sights of leases and orders. Conclusion: no clock of another instance enters a bound.

--- a/crates/coordination/src/control.rs
+++ b/crates/coordination/src/control.rs
@@ -32,6 +32,7 @@
 #[derive(Debug, Default)]
 struct SightTable {
     leases: IndexMap<DutyName, (Offset, Instant)>,
+    plans: IndexMap<OrderId, Instant>,
     orders: IndexMap<(OrderId, Offset), Instant>,
 }
 
@@ -48,7 +49,9 @@
             order.is_some_and(|it| it.offset == id.1)
         };
         self.orders.retain(|id, _| is_open(id));
+        self.plans.retain(|id, _| view.plan(*id).is_some());
         for plan in view.plans() {
+            self.plans.entry(plan.id).or_insert(now);
             if let Some(order) = plan.open_order() {
                 self.orders.entry((plan.id, order.offset)).or_insert(now);
             }
@@ -157,6 +160,12 @@
         sights.leases.get(duty).map(|(_, at)| at.elapsed())
     }
 
+    /// Time since this instance first saw a plan that is open
+    pub fn plan_observed(&self, plan: OrderId) -> Option<Duration> {
+        let sights = self.sights.lock().unwrap_or_else(PoisonError::into_inner);
+        sights.plans.get(&plan).map(Instant::elapsed)
+    }
+
     /// Time since this instance first saw the open order of a plan
     pub fn order_observed(&self, plan: OrderId) -> Option<Duration> {
         let order = self.views.borrow().plan(plan)?.open_order()?.offset;
