Add sample settings, a checking caller and the stand-ins example

Cause: the real binaries need stand-ins at fixed addresses, and load needs a caller that tells a whole answer from another's. Change: settings for both deployments, example standins, caller, load and table.

--- /dev/null
+++ b/crates/standins/src/caller.rs
@@ -0,0 +1,282 @@
+//! A caller of the system that checks what it is answered.
+
+use crate::answer::{expected_text, service_text};
+use bytes::{Bytes, BytesMut};
+use catalogue::id::{EntryName, ModelName, TokenCount};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use platform::http::{HttpClient, HttpError, MAX_ANSWER_BYTES, read_body};
+use smol_str::SmolStr;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Header that tells whether a refused request has run.
+pub const RAN_HEADER: &str = "persimmon-ran";
+const EVENT_START: &[u8] = b"data: ";
+const STREAM_END: &[u8] = b"[DONE]";
+
+/// Completion to ask for
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CompletionCall {
+    /// Entry
+    pub entry: EntryName,
+    /// Model that serves it, from which the expected answer follows
+    pub model: ModelName,
+    /// Prompt
+    pub prompt: String,
+    /// Tokens to generate
+    pub max_tokens: TokenCount,
+    /// Whether the answer is streamed
+    pub stream: bool,
+}
+
+/// Service call to make
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceCall {
+    /// Entry
+    pub entry: EntryName,
+    /// Method
+    pub method: Method,
+    /// Path below the entry, from its slash on
+    pub path: SmolStr,
+    /// Idempotency key
+    pub key: Option<SmolStr>,
+    /// Body
+    pub body: Bytes,
+}
+
+/// What a refusal says about whether the request has run
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RanClaim {
+    /// Certainly not
+    No,
+    /// Perhaps
+    Unknown,
+    /// Certainly
+    Yes,
+    /// Nothing said
+    Missing,
+}
+
+/// What became of a call
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallOutcome {
+    /// The whole answer to this request
+    Right {
+        /// Time to the first byte of the answer's text
+        first: Duration,
+        /// Time to the end
+        total: Duration,
+    },
+    /// A refusal
+    Refused {
+        /// Status
+        status: StatusCode,
+        /// Whether it claims to have run
+        ran: RanClaim,
+        /// Body of the refusal
+        body: SmolStr,
+    },
+    /// An answer that is not the one to this request
+    Wrong(SmolStr),
+    /// No whole answer, and the caller was told so or was cut off
+    Cut(SmolStr),
+}
+
+impl CallOutcome {
+    /// Whether the answer was whole and the caller's own
+    pub fn is_right(&self) -> bool {
+        matches!(self, CallOutcome::Right { .. })
+    }
+
+    /// Whether the caller was told that the request has not run
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, CallOutcome::Refused { ran: RanClaim::No, .. })
+    }
+}
+
+#[derive(serde::Serialize)]
+struct CompletionBody<'a> {
+    model: &'a str,
+    prompt: &'a str,
+    max_tokens: TokenCount,
+    stream: bool,
+}
+
+#[derive(serde::Deserialize)]
+struct CompletionAnswer {
+    choices: Vec<CompletionChoice>,
+}
+
+#[derive(serde::Deserialize)]
+struct CompletionChoice {
+    text: Option<String>,
+}
+
+/// Caller with a bearer key
+#[derive(Debug, Clone)]
+pub struct CallerClient {
+    client: HttpClient,
+    key: SmolStr,
+    timeout: Duration,
+}
+
+impl CallerClient {
+    /// Caller that waits at most `timeout` for a whole answer
+    pub fn new(key: &str, timeout: Duration) -> CallerClient {
+        CallerClient { client: HttpClient::new(), key: key.into(), timeout }
+    }
+
+    /// Asks the instance at `address` for a completion and checks the answer
+    pub async fn complete(&self, address: SocketAddr, call: &CompletionCall) -> CallOutcome {
+        match tokio::time::timeout(self.timeout, self.completion(address, call)).await {
+            Ok(outcome) => outcome.unwrap_or_else(|it| CallOutcome::Cut(it.to_string().into())),
+            Err(_) => CallOutcome::Cut("no answer in time".into()),
+        }
+    }
+
+    /// Calls a service through the instance at `address` and checks the answer
+    pub async fn call_service(&self, address: SocketAddr, call: &ServiceCall) -> CallOutcome {
+        match tokio::time::timeout(self.timeout, self.service_call(address, call)).await {
+            Ok(outcome) => outcome.unwrap_or_else(|it| CallOutcome::Cut(it.to_string().into())),
+            Err(_) => CallOutcome::Cut("no answer in time".into()),
+        }
+    }
+
+    async fn completion(
+        &self,
+        address: SocketAddr,
+        call: &CompletionCall,
+    ) -> Result<CallOutcome, HttpError> {
+        let started = Instant::now();
+        let body = CompletionBody {
+            model: &call.entry,
+            prompt: &call.prompt,
+            max_tokens: call.max_tokens,
+            stream: call.stream,
+        };
+        let body = serde_json::to_vec(&body).map_err(HttpError::Form)?;
+        let request = self
+            .request(Method::POST, format!("http://{address}/v1/completions"))
+            .header(hyper::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(HttpError::Request)?;
+        let response = self.client.send(request).await?;
+        if !response.status().is_success() {
+            return refusal(response).await;
+        }
+        let mut text = TextReader::new(response.into_body(), call.stream);
+        let whole = text.read(started).await?;
+        if !whole {
+            return Ok(CallOutcome::Cut(text.rest()));
+        }
+        let expected = expected_text(&call.model, &call.prompt, call.max_tokens);
+        if text.text != expected {
+            return Ok(CallOutcome::Wrong(text.text.into()));
+        }
+        let total = started.elapsed();
+        Ok(CallOutcome::Right { first: text.first.unwrap_or(total), total })
+    }
+
+    async fn service_call(
+        &self,
+        address: SocketAddr,
+        call: &ServiceCall,
+    ) -> Result<CallOutcome, HttpError> {
+        let started = Instant::now();
+        let uri = format!("http://{address}/services/{}{}", call.entry, call.path);
+        let mut builder = self.request(call.method.clone(), uri);
+        if let Some(key) = &call.key {
+            builder = builder.header(crate::service::KEY_HEADER, key.as_str());
+        }
+        let request = builder.body(Full::new(call.body.clone())).map_err(HttpError::Request)?;
+        let response = self.client.send(request).await?;
+        if !response.status().is_success() {
+            return refusal(response).await;
+        }
+        let answer = read_body(response.into_body(), MAX_ANSWER_BYTES).await?;
+        let expected = service_text(call.method.as_str(), &call.path, &call.body);
+        if answer != expected.as_bytes() {
+            return Ok(CallOutcome::Wrong(String::from_utf8_lossy(&answer).into()));
+        }
+        let total = started.elapsed();
+        Ok(CallOutcome::Right { first: total, total })
+    }
+
+    fn request(&self, method: Method, uri: String) -> hyper::http::request::Builder {
+        let bearer = format!("Bearer {}", self.key);
+        Request::builder().method(method).uri(uri).header(hyper::header::AUTHORIZATION, bearer)
+    }
+}
+
+async fn refusal(response: Response<Incoming>) -> Result<CallOutcome, HttpError> {
+    let status = response.status();
+    let ran = match response.headers().get(RAN_HEADER).and_then(|it| it.to_str().ok()) {
+        Some("no") => RanClaim::No,
+        Some("unknown") => RanClaim::Unknown,
+        Some("yes") => RanClaim::Yes,
+        _ => RanClaim::Missing,
+    };
+    let body = read_body(response.into_body(), MAX_ANSWER_BYTES).await?;
+    Ok(CallOutcome::Refused { status, ran, body: String::from_utf8_lossy(&body).into() })
+}
+
+/// Reader of a completion's text, whole or streamed
+struct TextReader {
+    body: Incoming,
+    is_stream: bool,
+    buffer: BytesMut,
+    text: String,
+    first: Option<Duration>,
+}
+
+impl TextReader {
+    fn new(body: Incoming, is_stream: bool) -> TextReader {
+        TextReader { body, is_stream, buffer: BytesMut::new(), text: String::new(), first: None }
+    }
+
+    /// Reads to the end; whether the answer came to its end mark
+    async fn read(&mut self, started: Instant) -> Result<bool, HttpError> {
+        while let Some(frame) = self.body.frame().await {
+            let frame = frame.map_err(|it| HttpError::Body(Box::new(it)))?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            self.buffer.extend_from_slice(&data);
+            if self.is_stream && self.read_events(started)? {
+                return Ok(true);
+            }
+        }
+        if self.is_stream {
+            return Ok(false);
+        }
+        let answer = std::mem::take(&mut self.buffer);
+        self.push(&answer)?;
+        Ok(true)
+    }
+
+    /// Takes the whole events out of the buffer; whether the end mark came
+    fn read_events(&mut self, started: Instant) -> Result<bool, HttpError> {
+        while let Some(end) = self.buffer.windows(2).position(|it| it == b"\n\n") {
+            let event = self.buffer.split_to(end + 2);
+            let data = event[..end].strip_prefix(EVENT_START).unwrap_or(&event[..end]);
+            if data == STREAM_END {
+                return Ok(true);
+            }
+            self.push(data)?;
+            self.first.get_or_insert_with(|| started.elapsed());
+        }
+        Ok(false)
+    }
+
+    fn push(&mut self, data: &[u8]) -> Result<(), HttpError> {
+        let answer: CompletionAnswer = serde_json::from_slice(data).map_err(HttpError::Form)?;
+        self.text.extend(answer.choices.into_iter().filter_map(|it| it.text));
+        Ok(())
+    }
+
+    fn rest(&self) -> SmolStr {
+        String::from_utf8_lossy(&self.buffer).into()
+    }
+}
--- a/crates/standins/src/control.rs
+++ b/crates/standins/src/control.rs
@@ -56,12 +56,15 @@
     ///
     /// # Errors
     /// Any error of listening.
-    pub fn serve_control(&self) -> io::Result<StandinServer> {
+    pub fn serve_control(&self, address: SocketAddr) -> io::Result<StandinServer> {
         let fleet = self.clone();
-        StandinServer::http(Arc::new(move |request| {
-            let fleet = fleet.clone();
-            Box::pin(async move { Ok(answer(fleet, request).await) })
-        }))
+        StandinServer::http_at(
+            address,
+            Arc::new(move |request| {
+                let fleet = fleet.clone();
+                Box::pin(async move { Ok(answer(fleet, request).await) })
+            }),
+        )
     }
 }
 
--- a/crates/standins/src/engine/http.rs
+++ b/crates/standins/src/engine/http.rs
@@ -207,6 +207,7 @@
         engine: shared.id.clone(),
         request: call.request.clone(),
         from_token,
+        seed: answer_seed(&call.model, &call.prompt),
     });
     core.batch.push(Sequence {
         request: call.request,
--- a/crates/standins/src/engine/record.rs
+++ b/crates/standins/src/engine/record.rs
@@ -1,5 +1,6 @@
 //! What an engine remembers about the work and the orders it was given.
 
+use crate::answer::AnswerSeed;
 use catalogue::ModelTarget;
 use catalogue::id::{EndpointId, Fence, InstanceId, OrderId, RequestId, TokenCount};
 
@@ -12,6 +13,8 @@
     pub request: RequestId,
     /// First token wanted
     pub from_token: TokenCount,
+    /// Digest of model and prompt
+    pub seed: AnswerSeed,
 }
 
 /// Order that an engine was given
--- a/crates/standins/src/fault.rs
+++ b/crates/standins/src/fault.rs
@@ -2,7 +2,8 @@
 
 use crate::fleet::Fleet;
 use crate::log::LostAnswer;
-use catalogue::id::EndpointId;
+use catalogue::InstanceState;
+use catalogue::id::{EndpointId, InstanceId};
 use smol_str::SmolStr;
 use std::time::Duration;
 
@@ -41,6 +42,18 @@
         /// Time until a change shows, in milliseconds
         lag_ms: u64,
     },
+    /// State of an entry instance in the list
+    InstanceLeave {
+        /// Instance
+        instance: InstanceId,
+        /// Whether it leaves or is taken back
+        leaving: bool,
+    },
+    /// Removal of an entry instance from the list
+    InstanceGone {
+        /// Instance
+        instance: InstanceId,
+    },
     /// Crash of an engine
     EngineCrash {
         /// Engine
@@ -146,7 +159,9 @@
             | FaultOrder::LogLoseAnswers { .. }
             | FaultOrder::LogSilent
             | FaultOrder::ListDown { .. }
-            | FaultOrder::ListLag { .. } => {
+            | FaultOrder::ListLag { .. }
+            | FaultOrder::InstanceLeave { .. }
+            | FaultOrder::InstanceGone { .. } => {
                 self.apply_to_platform(order);
                 Ok(())
             }
@@ -169,6 +184,13 @@
             FaultOrder::LogLoseAnswers { when, count } => self.log.lose_answers(*when, *count),
             FaultOrder::LogSilent => self.log_server().silence(),
             FaultOrder::ListDown { down } => self.list.set_down(*down),
+            FaultOrder::InstanceLeave { instance, leaving: true } => {
+                self.list.mark(instance, InstanceState::Leaving);
+            }
+            FaultOrder::InstanceLeave { instance, leaving: false } => {
+                self.list.mark(instance, InstanceState::Live);
+            }
+            FaultOrder::InstanceGone { instance } => self.list.remove(instance),
             FaultOrder::ListLag { lag_ms } => self.list.set_lag(Duration::from_millis(*lag_ms)),
             _ => {}
         }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -6,7 +6,7 @@
 };
 use crate::list::ListStandin;
 use crate::log::{LogSettings, LogStandin};
-use crate::server::StandinServer;
+use crate::server::{ANY_PORT, StandinServer};
 use crate::service::{ServiceExecution, ServiceStandin};
 use crate::weights::WeightStandin;
 use catalogue::id::{EndpointId, InstanceId, PoolName, ZoneName};
@@ -19,12 +19,47 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Where the platform listens; port 0 for one that the system chooses
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlatformAddresses {
+    /// Log
+    pub log: SocketAddr,
+    /// List of instances
+    pub instances: SocketAddr,
+    /// Weight store
+    pub weights: SocketAddr,
+    /// Control port of the stand-ins
+    pub control: SocketAddr,
+}
+
+impl Default for PlatformAddresses {
+    fn default() -> PlatformAddresses {
+        let [log, instances, weights, control] = [ANY_PORT; 4];
+        PlatformAddresses { log, instances, weights, control }
+    }
+}
+
+/// Entry instance that is listed from the start
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntryInstance {
+    /// Id
+    pub id: InstanceId,
+    /// Availability zone
+    pub zone: ZoneName,
+    /// Address for its peers
+    pub peer: SocketAddr,
+}
+
 /// Everything that is set about a fleet
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct FleetSettings {
     /// Whose fleet
     pub deployment: DeploymentKind,
+    /// Where the platform listens
+    pub listen: PlatformAddresses,
     /// Log
     pub log: LogSettings,
     /// Time after which a change of the list shows, in milliseconds
@@ -37,18 +72,22 @@
     pub engine: EngineSettings,
     /// Engines that ignore fencing numbers, the last ones of the pool
     pub engines_ignoring_fence: usize,
+    /// Entry instances that are listed from the start
+    pub instances: Vec<EntryInstance>,
 }
 
 impl Default for FleetSettings {
     fn default() -> FleetSettings {
         FleetSettings {
             deployment: DeploymentKind::Trust,
+            listen: PlatformAddresses::default(),
             log: LogSettings::default(),
             list_lag_ms: 500,
             weight_bytes_per_s: 2_000_000_000,
             model_bytes: 8_000_000_000,
             engine: EngineSettings::default(),
             engines_ignoring_fence: 0,
+            instances: Vec::new(),
         }
     }
 }
@@ -86,13 +125,15 @@
     pub fn start(settings: FleetSettings) -> io::Result<Fleet> {
         let plan = settings.deployment.plan();
         let log = LogStandin::new(settings.log.clone());
-        let log_server = Arc::new(log.serve()?);
+        let log_server = Arc::new(log.serve_at(settings.listen.log)?);
         let weights = start_weights(&settings, &plan)?;
         let engines = start_engines(&settings, &plan, &weights)?;
         let services = start_services(&plan)?;
         let mut listed = listed_engines(&settings, &plan, &engines);
         listed.extend(listed_services(&plan, &services));
-        let list = ListStandin::start(listed, Duration::from_millis(settings.list_lag_ms))?;
+        listed.extend(settings.instances.iter().map(|it| listed_instance(&plan, it)));
+        let lag = Duration::from_millis(settings.list_lag_ms);
+        let list = ListStandin::start_at(settings.listen.instances, listed, lag)?;
         Ok(Fleet { plan, log, list, weights, engines, services, log_server })
     }
 
@@ -108,16 +149,8 @@
 
     /// Lists an entry instance of the system
     pub fn register_instance(&self, id: InstanceId, zone: ZoneName, peer_address: SocketAddr) {
-        self.list.put(ListedInstance {
-            id,
-            kind: InstanceKind::Entry,
-            pool: self.plan.name.clone(),
-            zone,
-            region: self.plan.region.clone(),
-            address: peer_address,
-            state: InstanceState::Live,
-            checks_fence: false,
-        });
+        let instance = EntryInstance { id, zone, peer: peer_address };
+        self.list.put(listed_instance(&self.plan, &instance));
     }
 
     /// Withdraws an engine: it refuses new work at once and is listed as leaving
@@ -168,7 +201,7 @@
         version: MODEL_VERSION.into(),
         bytes: settings.model_bytes,
     };
-    WeightStandin::start(settings.weight_bytes_per_s, vec![model])
+    WeightStandin::start_at(settings.listen.weights, settings.weight_bytes_per_s, vec![model])
 }
 
 fn start_engines(
@@ -197,6 +230,19 @@
     Ok(services)
 }
 
+fn listed_instance(plan: &DeploymentPlan, instance: &EntryInstance) -> ListedInstance {
+    ListedInstance {
+        id: instance.id.clone(),
+        kind: InstanceKind::Entry,
+        pool: plan.name.clone(),
+        zone: instance.zone.clone(),
+        region: plan.region.clone(),
+        address: instance.peer,
+        state: InstanceState::Live,
+        checks_fence: false,
+    }
+}
+
 fn listed_engines(
     settings: &FleetSettings,
     plan: &DeploymentPlan,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 //! is whole and its own.
 
 pub mod answer;
+pub mod caller;
 pub mod control;
 pub mod deployment;
 pub mod engine;
@@ -15,8 +16,10 @@
 pub mod gate;
 pub mod link;
 pub mod list;
+pub mod load;
 pub mod log;
 pub mod reply;
+pub mod result_table;
 pub mod server;
 pub mod service;
 pub mod weights;
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -1,7 +1,7 @@
 //! Stand-in of the platform's list of instances, which lags behind the truth.
 
 use crate::reply::{self, CutConnection, Reply};
-use crate::server::StandinServer;
+use crate::server::{ANY_PORT, StandinServer};
 use catalogue::{InstanceState, ListedInstance};
 use hyper::StatusCode;
 use platform::instances::InstanceList;
@@ -32,14 +32,29 @@
     /// # Errors
     /// Any error of listening.
     pub fn start(instances: Vec<ListedInstance>, lag: Duration) -> io::Result<ListStandin> {
+        ListStandin::start_at(ANY_PORT, instances, lag)
+    }
+
+    /// The same at a given address
+    ///
+    /// # Errors
+    /// Any error of listening.
+    pub fn start_at(
+        address: SocketAddr,
+        instances: Vec<ListedInstance>,
+        lag: Duration,
+    ) -> io::Result<ListStandin> {
         let first = InstanceList { version: 1, instances };
         let versions = VecDeque::from([(Instant::now(), first)]);
         let state = Arc::new(Mutex::new(ListState { versions, lag, down: false }));
         let shared = Arc::clone(&state);
-        let server = StandinServer::http(Arc::new(move |_| {
-            let answer = answer(&shared);
-            Box::pin(async move { answer })
-        }))?;
+        let server = StandinServer::http_at(
+            address,
+            Arc::new(move |_| {
+                let answer = answer(&shared);
+                Box::pin(async move { answer })
+            }),
+        )?;
         Ok(ListStandin { state, server: Arc::new(server) })
     }
 
--- a/crates/standins/src/log/http.rs
+++ b/crates/standins/src/log/http.rs
@@ -8,13 +8,14 @@
 use hyper::{Method, Request, StatusCode};
 use platform::log::{AppendAnswer, AppendBody, LogError, ReadRange};
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 const DEFAULT_BATCH: u64 = 500;
 
-pub(super) fn serve(log: LogStandin) -> io::Result<StandinServer> {
-    StandinServer::http(Arc::new(move |request| Box::pin(answer(log.clone(), request))))
+pub(super) fn serve(log: LogStandin, address: SocketAddr) -> io::Result<StandinServer> {
+    StandinServer::http_at(address, Arc::new(move |request| Box::pin(answer(log.clone(), request))))
 }
 
 async fn answer(log: LogStandin, request: Request<Incoming>) -> Result<Reply, CutConnection> {
--- a/crates/standins/src/log/mod.rs
+++ b/crates/standins/src/log/mod.rs
@@ -7,10 +7,11 @@
 mod http;
 mod store;
 
-use crate::server::StandinServer;
+use crate::server::{ANY_PORT, StandinServer};
 use catalogue::id::{Offset, StreamName};
 use platform::log::{LogBatch, LogClient, LogError, LogRecord, ReadRange};
 use std::io;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use store::LogStore;
@@ -98,7 +99,15 @@
     /// # Errors
     /// Any error of listening.
     pub fn serve(&self) -> io::Result<StandinServer> {
-        http::serve(self.clone())
+        self.serve_at(ANY_PORT)
+    }
+
+    /// The same at a given address
+    ///
+    /// # Errors
+    /// Any error of listening.
+    pub fn serve_at(&self, address: SocketAddr) -> io::Result<StandinServer> {
+        http::serve(self.clone(), address)
     }
 
     /// Faults in force
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -11,12 +11,14 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
+/// Loopback port that the system chooses.
+pub const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 const BACKLOG: u32 = 1_024;
 const RELISTEN_PAUSE: Duration = Duration::from_millis(5);
 const RELISTEN_TRIES: u32 = 400;
@@ -48,18 +50,31 @@
     /// # Errors
     /// Any error of binding or listening.
     pub fn http(handler: Arc<RequestHandler>) -> io::Result<StandinServer> {
-        StandinServer::streams(Arc::new(move |stream| {
+        StandinServer::http_at(ANY_PORT, handler)
+    }
+
+    /// HTTP server at a given address
+    ///
+    /// # Errors
+    /// Any error of binding or listening.
+    pub fn http_at(address: SocketAddr, handler: Arc<RequestHandler>) -> io::Result<StandinServer> {
+        let serve: Arc<StreamHandler> = Arc::new(move |stream| {
             let handler = Arc::clone(&handler);
             Box::pin(serve_http(stream, handler))
-        }))
+        });
+        StandinServer::streams_at(address, serve)
     }
 
-    /// Server that hands each connection to `serve`
+    /// Server that hands each connection to `serve`, on a port that the system chooses
     ///
     /// # Errors
     /// Any error of binding or listening.
     pub fn streams(serve: Arc<StreamHandler>) -> io::Result<StandinServer> {
-        let reserved = bound_socket(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        StandinServer::streams_at(ANY_PORT, serve)
+    }
+
+    fn streams_at(address: SocketAddr, serve: Arc<StreamHandler>) -> io::Result<StandinServer> {
+        let reserved = bound_socket(address)?;
         let address = reserved.local_addr()?;
         let server = StandinServer {
             address,
--- a/crates/standins/src/weights.rs
+++ b/crates/standins/src/weights.rs
@@ -1,7 +1,7 @@
 //! Stand-in of the weight store, which gives only so many bytes a second.
 
 use crate::reply;
-use crate::server::StandinServer;
+use crate::server::{ANY_PORT, StandinServer};
 use catalogue::ModelTarget;
 use hyper::StatusCode;
 use platform::weights::{StoredModel, WeightReport};
@@ -30,13 +30,28 @@
     /// # Errors
     /// Any error of listening.
     pub fn start(bytes_per_s: u64, models: Vec<StoredModel>) -> io::Result<WeightStandin> {
+        WeightStandin::start_at(ANY_PORT, bytes_per_s, models)
+    }
+
+    /// The same at a given address
+    ///
+    /// # Errors
+    /// Any error of listening.
+    pub fn start_at(
+        address: SocketAddr,
+        bytes_per_s: u64,
+        models: Vec<StoredModel>,
+    ) -> io::Result<WeightStandin> {
         let busy_until = Instant::now();
         let state = Arc::new(Mutex::new(StoreState { bytes_per_s, models, busy_until }));
         let shared = Arc::clone(&state);
-        let server = StandinServer::http(Arc::new(move |_| {
-            let report = report(&shared);
-            Box::pin(async move { Ok(reply::json(StatusCode::OK, &report)) })
-        }))?;
+        let server = StandinServer::http_at(
+            address,
+            Arc::new(move |_| {
+                let report = report(&shared);
+                Box::pin(async move { Ok(reply::json(StatusCode::OK, &report)) })
+            }),
+        )?;
         Ok(WeightStandin { state, server: Arc::new(server) })
     }
 
--- /dev/null
+++ b/crates/standins/tests/samples.rs
@@ -0,0 +1,37 @@
+//! Sample settings: they parse and describe the deployments as the stand-ins do.
+
+use catalogue::CatalogueEntry;
+use googletest::prelude::*;
+use standins::deployment::DeploymentKind;
+use standins::fleet::FleetSettings;
+use std::path::PathBuf;
+use testcases::cases;
+
+fn sample(deployment: &str, file: &str) -> Result<String> {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../settings");
+    std::fs::read_to_string(path.join(deployment).join(file)).or_fail()
+}
+
+fn check_fleet(kind: DeploymentKind, name: &str) -> Result<()> {
+    let settings: FleetSettings = toml::from_str(&sample(name, "standins.toml")?).or_fail()?;
+    verify_that!(settings.deployment, eq(kind))?;
+    let zones = kind.plan().zones;
+    verify_that!(settings.instances.iter().all(|it| zones.contains(&it.zone)), eq(true))
+}
+
+fn check_catalogue(kind: DeploymentKind, name: &str) -> Result<()> {
+    let key = sample(name, "caller.key")?;
+    for entry in kind.entries(key.trim()) {
+        let file = format!("catalogue/{}.toml", entry.name);
+        let sample: CatalogueEntry = toml::from_str(&sample(name, &file)?).or_fail()?;
+        verify_that!(sample, eq(&entry))?;
+    }
+    Ok(())
+}
+
+cases! {
+    trust_fleet => check_fleet(DeploymentKind::Trust, "trust"),
+    dongelek_fleet => check_fleet(DeploymentKind::Dongelek, "dongelek"),
+    trust_catalogue => check_catalogue(DeploymentKind::Trust, "trust"),
+    dongelek_catalogue => check_catalogue(DeploymentKind::Dongelek, "dongelek"),
+}
