Keep derives of the stand-ins on lines of their own

Cause: the house style asks for standard and foreign derives apart. Change: attribute lines split, no behaviour.

--- a/crates/standins/src/control.rs
+++ b/crates/standins/src/control.rs
@@ -22,7 +22,8 @@
 use std::sync::Arc;
 
 /// Where everything of a fleet listens
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct FleetAddresses {
     /// Log
     pub log: SocketAddr,
--- a/crates/standins/src/deployment.rs
+++ b/crates/standins/src/deployment.rs
@@ -10,7 +10,8 @@
 pub const MODEL_VERSION: &str = "1";
 
 /// Which firm's fleet is started
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum DeploymentKind {
     /// Húsagerðarvaktin Statistical Trust
--- a/crates/standins/src/engine/core.rs
+++ b/crates/standins/src/engine/core.rs
@@ -19,7 +19,8 @@
 const MAX_EXPORTS: usize = 512;
 
 /// Prompt held for export
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct ExportedCache {
     pub(super) model: ModelName,
     pub(super) prompt_tokens: TokenCount,
--- a/crates/standins/src/engine/record.rs
+++ b/crates/standins/src/engine/record.rs
@@ -5,7 +5,8 @@
 use catalogue::id::{EndpointId, Fence, InstanceId, OrderId, RequestId, TokenCount};
 
 /// Request that an engine took
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct EngineExecution {
     /// Engine
     pub engine: EndpointId,
@@ -18,7 +19,8 @@
 }
 
 /// Order that an engine was given
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct OrderRecord {
     /// Engine
     pub engine: EndpointId,
@@ -37,7 +39,8 @@
 }
 
 /// Two orders that an engine took although the later one had lost its authority
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct OrderConflict {
     /// Order taken first
     pub first: OrderRecord,
--- a/crates/standins/src/engine/settings.rs
+++ b/crates/standins/src/engine/settings.rs
@@ -9,7 +9,8 @@
 ///
 /// A step generates one token for each decoding request of the batch and reads up
 /// to `chunk_tokens` of prompts; its time grows with both.
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EngineSpeed {
     /// Prompt tokens read a second
@@ -72,7 +73,8 @@
 }
 
 /// Everything that is set about an engine
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EngineSettings {
     /// Speeds
--- a/crates/standins/src/fault.rs
+++ b/crates/standins/src/fault.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 /// Switch of one fault
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(tag = "fault", rename_all = "snake_case", deny_unknown_fields)]
 pub enum FaultOrder {
     /// Outage of the log
@@ -137,7 +138,8 @@
 }
 
 /// Why a fault could not be switched
-#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub enum FaultError {
     /// no such engine: {0}
     NoEngine(EndpointId),
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -20,7 +20,8 @@
 use std::time::Duration;
 
 /// Where the platform listens; port 0 for one that the system chooses
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlatformAddresses {
     /// Log
@@ -41,7 +42,8 @@
 }
 
 /// Entry instance that is listed from the start
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntryInstance {
     /// Id
@@ -53,7 +55,8 @@
 }
 
 /// Everything that is set about a fleet
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct FleetSettings {
     /// Whose fleet
--- a/crates/standins/src/log/mod.rs
+++ b/crates/standins/src/log/mod.rs
@@ -19,7 +19,8 @@
 use tokio::time::Instant;
 
 /// Behaviour of the log
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LogSettings {
     /// Appends a second over all streams
@@ -35,7 +36,8 @@
 }
 
 /// When an answer is lost
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LostAnswer {
     /// The append has no effect
--- a/crates/standins/src/reply.rs
+++ b/crates/standins/src/reply.rs
@@ -16,7 +16,8 @@
 pub type Reply = Response<BoxBody<Bytes, Infallible>>;
 
 /// Order to close the connection without a reply
-#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub enum CutConnection {
     /// connection is cut
     Now,
@@ -25,7 +26,8 @@
 impl std::error::Error for CutConnection {}
 
 /// Failure to read a request
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 pub enum ReadError {
     /// body broke off or is too large
     Body,
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -21,7 +21,8 @@
 const HEALTH_PATH: &str = "/health";
 
 /// One execution
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct ServiceExecution {
     /// Service that ran it
     pub service: EndpointId,
