Keep members by heartbeats to a logarithmic number of targets

Cause: the platform's list lags, and heartbeats from every instance to every other would by themselves pass the budget of 15 KB/s at 400 instances.

Change: each instance probes those at ring distances 1, 2, 4 and so on (9 of 400) and passes on which instances it found down, with the age of the finding, so that findings die out without being revoked. Homes of keys come by rendezvous hashing over the live members. An actor keeps the table and publishes views.

Conclusion: peers can be found and avoided without all-to-all traffic.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -13,12 +13,17 @@
 mod connection;
 pub mod error;
 pub mod frame;
+pub mod keeper;
+pub mod membership;
 pub mod message;
+pub mod ring;
 pub mod server;
 pub mod traffic;
 
 pub use auth::PeerSecret;
 pub use client::PeerClient;
 pub use error::{PeerError, PeerRefusal};
+pub use keeper::MemberHandle;
+pub use membership::{Member, MemberView};
 pub use message::{PeerReply, PeerRequest};
 pub use traffic::PeerTraffic;
--- a/crates/peer/tests/calls.rs
+++ b/crates/peer/tests/peer/calls.rs
@@ -1,9 +1,7 @@
 //! Calls over real sockets: authentication, silence, crashes and bad frames.
 
-mod net;
-
+use crate::net::*;
 use googletest::prelude::*;
-use net::*;
 use peer::message::{PeerNews, RelayRequest, RelayedBatch, RelayedRecord};
 use peer::{PeerError, PeerRefusal, PeerReply, PeerRequest};
 use std::sync::Arc;
@@ -113,7 +111,7 @@
     let client = client("secret");
     let address = peer.address;
     let calls = peer.calls.clone();
-    let call = tokio::spawn(async move { client.call(address, net::hang(), CALL_TIMEOUT).await });
+    let call = tokio::spawn(async move { client.call(address, hang(), CALL_TIMEOUT).await });
     wait_until(|| calls.load(Ordering::Relaxed) == 1).await;
     peer.kill().await;
     let error = call.await.or_fail()?.unwrap_err();
@@ -123,7 +121,7 @@
 async fn check_timed_out() -> Result<()> {
     let peer = TestPeer::start("secret").await;
     let bound = Duration::from_millis(50);
-    let error = client("secret").call(peer.address, net::hang(), bound).await.unwrap_err();
+    let error = client("secret").call(peer.address, hang(), bound).await.unwrap_err();
     verify_that!(matches!(error, PeerError::TimedOut(_)), eq(true))?;
     check_still_serves(&peer).await
 }
