--- a/crates/coordination/src/lease.rs
+++ b/crates/coordination/src/lease.rs
@@ -19,7 +19,7 @@
 pub struct LeaseTiming {
     /// Time for which a claim or renewal holds
     pub term: Duration,
-    /// Time between renewals
+    /// Time between renewals, and for a claim to be confirmed
     pub renewal: Duration,
     /// Time beyond the term that a challenger waits
     pub margin: Duration,
@@ -206,7 +206,7 @@
         let control = self.control.clone();
         let myself = self.myself.clone();
         let sent = Instant::now();
-        let deadline = sent + self.timing.term;
+        let deadline = sent + self.timing.renewal;
         tokio::spawn(async move {
             let result = control.append_by(item, deadline).await;
             let _ = myself.cast(LeaseMessage::Stepped { fence, sent, result });
