Append only after a stream has been read once, and prove once-only work

Cause: an instance that had just started sent its first claim before its first read. If the stream's first records had aged out, the bridged gap ended the claim's flight as unknown, although nothing of it could have been skipped (seen by the case window_ends: a retry at a fresh instance was told unconfirmed).

Change: appends wait until the fold has reached the end of the stream once. The variation of delays has a seed, fixed in tests. Cases for once-only work: lost, late, doubled and damaged appends at claim and outcome, races, killed and paused holders, dropped permits, a caller that goes away, outage at claim and outcome, resolution, key window, carried unknown outcomes, homes that fail.

--- a/crates/coordination/src/shared.rs
+++ b/crates/coordination/src/shared.rs
@@ -68,6 +68,8 @@
     pub relay: Option<Arc<RelayFn>>,
     /// Times to go by
     pub timing: LogTiming,
+    /// Seed of the variation of delays
+    pub seed: u64,
 }
 
 impl fmt::Debug for SharedLog {
@@ -81,7 +83,7 @@
     pub fn new(client: LogClient, instance: InstanceId, timing: LogTiming) -> SharedLog {
         let run = uuid::Uuid::now_v7().simple();
         let writer = smol_str::format_smolstr!("{instance}/{run}");
-        SharedLog { client, instance, writer, relay: None, timing }
+        SharedLog { client, instance, writer, relay: None, timing, seed: rand::random() }
     }
 
     /// The same with a way to records through peers
--- a/crates/coordination/src/stream/queue.rs
+++ b/crates/coordination/src/stream/queue.rs
@@ -5,6 +5,8 @@
 //! gets a higher number, after which the fold ignores late copies of the former.
 
 use super::SubmitError;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use state::record::{RecordFault, Sequence, WriterId, encode};
 use state::stream::{Checkpoint, StreamBody};
 use std::collections::VecDeque;
@@ -63,10 +65,16 @@
     flight: Option<RecordFlight<I, O>>,
     next_start: Instant,
     retry_delay: Duration,
+    rng: SmallRng,
 }
 
 impl<I: serde::Serialize, O> AppendQueue<I, O> {
-    pub(super) fn new(writer: WriterId, bounds: QueueBounds, now: Instant) -> AppendQueue<I, O> {
+    pub(super) fn new(
+        writer: WriterId,
+        bounds: QueueBounds,
+        seed: u64,
+        now: Instant,
+    ) -> AppendQueue<I, O> {
         let waiting = VecDeque::new();
         let retry_delay = bounds.retry_delay;
         AppendQueue {
@@ -77,6 +85,7 @@
             flight: None,
             next_start: now,
             retry_delay,
+            rng: SmallRng::seed_from_u64(seed),
         }
     }
 
@@ -172,7 +181,7 @@
     /// Notes that an append failed: what certainly isn't in the stream waits anew, what
     /// may be there is repeated
     pub(super) fn failed(&mut self, sequence: Sequence, is_unsent: bool, now: Instant) {
-        let delay = self.retry_delay.mul_f64(rand::random_range(0.5..1.0));
+        let delay = self.retry_delay.mul_f64(self.rng.random_range(0.5..1.0));
         self.retry_delay = (2 * self.retry_delay).min(self.bounds.max_retry_delay);
         let Some(flight) = self.flight.as_mut().filter(|it| it.sequence == sequence) else {
             return;
--- a/crates/coordination/src/stream/worker.rs
+++ b/crates/coordination/src/stream/worker.rs
@@ -11,6 +11,8 @@
 use catalogue::id::Offset;
 use platform::log::{LogBatch, LogError, LogRecord};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use state::stream::{FoldFault, Folded, RecordText, StreamFold};
 use std::collections::VecDeque;
 use std::marker::PhantomData;
@@ -107,6 +109,7 @@
     suspect: Option<Offset>,
     checkpoint_due: Option<Instant>,
     next_wake: Option<Instant>,
+    rng: SmallRng,
 }
 
 impl<S: StreamData + Default, I: StreamData, O: Send + 'static> StreamWorker<S, I, O> {
@@ -121,8 +124,9 @@
             retry_delay: shared.timing.retry_delay,
             max_retry_delay: shared.timing.max_retry_delay,
         };
-        let queue = AppendQueue::new(shared.writer.clone(), bounds, Instant::now());
+        let queue = AppendQueue::new(shared.writer.clone(), bounds, shared.seed, Instant::now());
         let read_delay = shared.timing.retry_delay;
+        let rng = SmallRng::seed_from_u64(shared.seed);
         StreamWorker {
             myself,
             shared,
@@ -138,6 +142,7 @@
             suspect: None,
             checkpoint_due: None,
             next_wake: None,
+            rng,
         }
     }
 
@@ -220,7 +225,7 @@
     }
 
     fn back_off(&mut self) -> Duration {
-        let delay = self.read_delay.mul_f64(rand::random_range(0.5..1.0));
+        let delay = self.read_delay.mul_f64(self.rng.random_range(0.5..1.0));
         self.read_delay = (2 * self.read_delay).min(self.shared.timing.max_retry_delay);
         delay
     }
@@ -380,7 +385,8 @@
 
     /// Sends what is due and sees to being woken for what will be
     fn pump(&mut self) {
-        if self.status.borrow().is_stopped {
+        let StreamStatus { is_stopped, is_caught_up, .. } = *self.status.borrow();
+        if is_stopped || !is_caught_up {
             return;
         }
         let now = Instant::now();
@@ -449,15 +455,16 @@
 
     // Checkpoints
 
-    fn checkpoint_interval(&self) -> Duration {
+    fn checkpoint_interval(&mut self) -> Duration {
         let interval = self.shared.timing.retention / CHECKPOINTS_PER_RETENTION;
-        interval.mul_f64(1.0 - rand::random_range(0.0..CHECKPOINT_JITTER))
+        interval.mul_f64(1.0 - self.rng.random_range(0.0..CHECKPOINT_JITTER))
     }
 
     fn note_checkpoint(&mut self, time_ms: u64) {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let age = now.saturating_sub(Duration::from_millis(time_ms));
-        let due = Instant::now() + self.checkpoint_interval().saturating_sub(age);
+        let interval = self.checkpoint_interval();
+        let due = Instant::now() + interval.saturating_sub(age);
         self.checkpoint_due = Some(due);
         self.wake_at(due);
     }
--- a/crates/coordination/tests/common/mod.rs
+++ b/crates/coordination/tests/common/mod.rs
@@ -231,7 +231,9 @@
     /// Way of a new instance to the log
     pub fn shared(&self, instance: &str) -> (SharedLog, FakeLink) {
         let (client, link) = self.link();
-        (SharedLog::new(client, instance.into(), LogTiming::default()), link)
+        let shared = SharedLog::new(client, instance.into(), LogTiming::default());
+        let seed = instance.bytes().map(u64::from).sum();
+        (SharedLog { seed, ..shared }, link)
     }
 }
 
