--- a/crates/coordination/tests/lease.rs
+++ b/crates/coordination/tests/lease.rs
@@ -110,7 +110,7 @@
 fn cut_holder(round: usize, members: &[Member]) {
     mend_all(members);
     if let Some(holder) = holder(members)
-        && round % 2 == 0
+        && round.is_multiple_of(2)
     {
         holder.link.cut();
     }
@@ -125,7 +125,7 @@
 
 fn cut_all(round: usize, members: &[Member]) {
     for member in members {
-        member.link.set(|it| it.is_down = round % 2 == 0);
+        member.link.set(|it| it.is_down = round.is_multiple_of(2));
     }
 }
 
