--- /dev/null
+++ b/crates/persimmonlift/src/admin_status.rs
@@ -0,0 +1,131 @@
+//! `GET /admin/status`.
+
+use crate::answer::{AnswerResponse, json_answer};
+use crate::context::NodeContext;
+use crate::pool::EndpointStatus;
+use catalogue::ListedInstance;
+use catalogue::id::{InstanceId, Offset, PoolName, RegionName, ZoneName};
+use http::StatusCode;
+use indexmap::IndexMap;
+use smol_str::SmolStr;
+use std::fmt;
+use std::sync::{Mutex, PoisonError};
+use tokio::time::Instant;
+
+/// Function that reports on one part of the instance, as JSON
+pub type ReportFn = Box<dyn Fn() -> serde_json::Value + Send + Sync>;
+
+/// Reports of parts that are not known to the status page itself
+#[derive(Default)]
+pub struct StatusReports {
+    reports: Mutex<IndexMap<&'static str, ReportFn>>,
+}
+
+impl fmt::Debug for StatusReports {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("StatusReports").finish_non_exhaustive()
+    }
+}
+
+impl StatusReports {
+    /// Adds a report under a name of the status page, such as `peers` or `leases`
+    pub fn add(&self, name: &'static str, report: ReportFn) {
+        self.reports.lock().unwrap_or_else(PoisonError::into_inner).insert(name, report);
+    }
+
+    fn read(&self) -> IndexMap<&'static str, serde_json::Value> {
+        let reports = self.reports.lock().unwrap_or_else(PoisonError::into_inner);
+        reports.iter().map(|(name, report)| (*name, report())).collect()
+    }
+}
+
+#[derive(Debug)]
+#[derive(serde::Serialize)]
+struct StatusBody {
+    instance: InstanceStatus,
+    catalogue: CatalogueStatus,
+    queues: Vec<QueueStatus>,
+    endpoints: Vec<EndpointStatus>,
+    instances: Vec<ListedInstance>,
+    #[serde(flatten)]
+    reports: IndexMap<&'static str, serde_json::Value>,
+}
+
+#[derive(Debug)]
+#[derive(serde::Serialize)]
+struct InstanceStatus {
+    id: InstanceId,
+    zone: ZoneName,
+    region: RegionName,
+    deployment: SmolStr,
+    ready: bool,
+    draining: bool,
+    isolated: bool,
+    in_flight: u32,
+}
+
+#[derive(Debug)]
+#[derive(serde::Serialize)]
+struct CatalogueStatus {
+    offset: Offset,
+    caught_up: bool,
+    stopped: bool,
+    log_contact_ms: Option<u64>,
+    contact_ms: Option<u64>,
+}
+
+#[derive(Debug)]
+#[derive(serde::Serialize)]
+struct QueueStatus {
+    pool: PoolName,
+    queued: usize,
+    admitted: u32,
+}
+
+/// Answers the status page
+pub fn status(context: &NodeContext) -> AnswerResponse {
+    let body = StatusBody {
+        instance: instance_status(context),
+        catalogue: catalogue_status(context),
+        queues: queue_status(context),
+        endpoints: context.registry.status(),
+        instances: context.registry.entry_instances().borrow().clone(),
+        reports: context.reports.read(),
+    };
+    json_answer(StatusCode::OK, &body)
+}
+
+fn instance_status(context: &NodeContext) -> InstanceStatus {
+    let settings = &context.settings.instance;
+    let standing = &context.standing;
+    InstanceStatus {
+        id: settings.id.clone(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        deployment: settings.deployment.clone(),
+        ready: standing.is_ready(),
+        draining: standing.is_draining(),
+        isolated: standing.is_isolated(),
+        in_flight: standing.in_flight(),
+    }
+}
+
+fn catalogue_status(context: &NodeContext) -> CatalogueStatus {
+    let status = context.catalogue.status();
+    let age_ms = |at: Option<Instant>| at.map(|it| it.elapsed().as_millis() as u64);
+    CatalogueStatus {
+        offset: status.through,
+        caught_up: status.is_caught_up,
+        stopped: status.is_stopped,
+        log_contact_ms: age_ms(status.log_contact),
+        contact_ms: age_ms(status.contact),
+    }
+}
+
+fn queue_status(context: &NodeContext) -> Vec<QueueStatus> {
+    let mut queues = Vec::new();
+    for (pool, gate) in context.gates.all() {
+        queues.push(QueueStatus { pool, queued: gate.queued(), admitted: gate.admitted() });
+    }
+    queues
+}
--- /dev/null
+++ b/crates/persimmonlift/src/completions.rs
@@ -0,0 +1,207 @@
+//! `POST /v1/completions` and `POST /v1/chat/completions`.
+
+use crate::access::{caller_key, find_entry};
+use crate::answer::{AnswerResponse, json_answer, set_ran};
+use crate::body::read_body;
+use crate::context::NodeContext;
+use crate::generation::{AnswerStream, GenerationJob, GenerationPasses};
+use crate::prompt::{CompletionForm, CompletionRequest, parse_request};
+use crate::refusal::{CallerRefusal, FieldProblem, RanState, RefusalCause};
+use crate::sse::stream_answer;
+use crate::standing::FlightPass;
+use catalogue::EntryKind;
+use catalogue::id::{RequestId, TokenCount};
+use catalogue::prefix::{piece_hashes, token_count};
+use decide::admission::ArrivingRequest;
+use decide::fingerprint::fingerprint;
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use smol_str::{SmolStr, ToSmolStr};
+use state::catalogue::VersionedEntry;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Places that a call holds until its answer has been sent
+#[derive(Debug)]
+pub struct CallPlaces {
+    /// Counted as in flight
+    pub flight: FlightPass,
+    /// Place among the requests in work
+    pub place: tokio::sync::OwnedSemaphorePermit,
+}
+
+/// Answers a completion call
+///
+/// # Errors
+/// The refusal to answer.
+pub async fn complete(
+    context: Arc<NodeContext>,
+    form: CompletionForm,
+    request: Request<Incoming>,
+    id: RequestId,
+    places: CallPlaces,
+) -> Result<AnswerResponse, CallerRefusal> {
+    let arrived = Instant::now();
+    let key = caller_key(request.headers())?;
+    let body = read_body(&context, request).await?;
+    let call = parse_request(form, &body.bytes)?;
+    drop(body);
+    let entry = find_entry(&context.catalogue.view(), &key, &call.model)?;
+    let is_streamed = call.stream;
+    let job = generation_job(call, &entry, id, arrived)?;
+    let answer = begin(context, job).await?;
+    if is_streamed {
+        return Ok(stream_answer(form, answer, places));
+    }
+    whole_answer(form, answer).await
+}
+
+async fn begin(
+    context: Arc<NodeContext>,
+    job: GenerationJob,
+) -> Result<AnswerStream, CallerRefusal> {
+    let entry = job.entry.clone();
+    let pool = context.registry.pool(&entry.pool).ok_or_else(no_endpoint)?;
+    let instances = context.registry.instance_count();
+    let tokens = job.prompt_tokens.saturating_add(job.max_tokens);
+    let meter = context.meters.start(&entry, instances, tokens)?;
+    let gate = context.gates.gate(&pool);
+    gate.set_instances(instances);
+    let arriving = ArrivingRequest {
+        class: entry.class,
+        deadline: job.deadline,
+        service_time: gate.service_time(job.prompt_tokens, job.max_tokens),
+    };
+    let gate = gate.admit(arriving).await?;
+    AnswerStream::begin(context, pool, job, GenerationPasses { meter, gate }).await
+}
+
+fn no_endpoint() -> CallerRefusal {
+    CallerRefusal::not_run(RefusalCause::NoEndpoint).retry_after(Duration::from_secs(1))
+}
+
+fn generation_job(
+    call: CompletionRequest,
+    entry: &VersionedEntry,
+    request: RequestId,
+    arrived: Instant,
+) -> Result<GenerationJob, CallerRefusal> {
+    let entry = entry.entry.clone();
+    let EntryKind::Engine { model, .. } = &entry.kind else {
+        return Err(CallerRefusal::field("model", FieldProblem::Form));
+    };
+    let limits = &entry.limits;
+    let prompt_tokens = token_count(&call.prompt);
+    check_size("prompt", prompt_tokens, limits.prompt_tokens)?;
+    let max_tokens = call.max_tokens.unwrap_or(limits.output_tokens.min(DEFAULT_TOKENS));
+    check_size("max_tokens", max_tokens, limits.output_tokens)?;
+    let wanted = call.deadline_ms.map_or(limits.deadline(), Duration::from_millis);
+    Ok(GenerationJob {
+        request,
+        model: model.clone(),
+        prompt_tokens,
+        max_tokens,
+        pieces: piece_hashes(model, &call.prompt),
+        fingerprint: fingerprint(&entry.name, &call.prompt),
+        arrived,
+        deadline: arrived + wanted.min(limits.deadline()),
+        prompt: call.prompt,
+        entry,
+    })
+}
+
+/// Tokens generated when the caller does not say how many.
+const DEFAULT_TOKENS: TokenCount = 256;
+
+fn check_size(
+    field: &'static str,
+    size: TokenCount,
+    limit: TokenCount,
+) -> Result<(), CallerRefusal> {
+    if size > limit {
+        return Err(CallerRefusal::field(field, FieldProblem::TooLarge(limit.into())));
+    }
+    Ok(())
+}
+
+async fn whole_answer(
+    form: CompletionForm,
+    mut answer: AnswerStream,
+) -> Result<AnswerResponse, CallerRefusal> {
+    let mut texts = Vec::new();
+    while !answer.is_ended() {
+        answer.next_texts(&mut texts).await?;
+    }
+    let body = WholeCompletion {
+        id: answer.job().request.to_smolstr(),
+        object: form.whole_object(),
+        model: answer.job().entry.name.clone(),
+        choices: [WholeChoice::new(form, texts.concat())],
+        usage: CompletionUsage::of(&answer),
+    };
+    let mut response = json_answer(StatusCode::OK, &body);
+    set_ran(&mut response, RanState::Yes);
+    Ok(response)
+}
+
+/// Token counts of an answer
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(serde::Serialize)]
+pub struct CompletionUsage {
+    prompt_tokens: TokenCount,
+    completion_tokens: TokenCount,
+    total_tokens: TokenCount,
+    cached_tokens: TokenCount,
+}
+
+impl CompletionUsage {
+    /// Counts of a whole answer
+    pub fn of(answer: &AnswerStream) -> CompletionUsage {
+        let prompt_tokens = answer.job().prompt_tokens;
+        let completion_tokens = answer.tokens();
+        CompletionUsage {
+            prompt_tokens,
+            completion_tokens,
+            total_tokens: prompt_tokens.saturating_add(completion_tokens),
+            cached_tokens: answer.cached_tokens(),
+        }
+    }
+}
+
+#[derive(Debug)]
+#[derive(serde::Serialize)]
+struct WholeCompletion {
+    id: SmolStr,
+    object: &'static str,
+    model: SmolStr,
+    choices: [WholeChoice; 1],
+    usage: CompletionUsage,
+}
+
+#[derive(Debug)]
+#[derive(serde::Serialize)]
+struct WholeChoice {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<WholeMessage>,
+    finish_reason: &'static str,
+}
+
+#[derive(Debug)]
+#[derive(serde::Serialize)]
+struct WholeMessage {
+    role: &'static str,
+    content: String,
+}
+
+impl WholeChoice {
+    fn new(form: CompletionForm, text: String) -> WholeChoice {
+        let (text, message) = match form {
+            CompletionForm::Text => (Some(text), None),
+            CompletionForm::Chat => (None, Some(WholeMessage { role: "assistant", content: text })),
+        };
+        WholeChoice { index: 0, text, message, finish_reason: "length" }
+    }
+}
--- /dev/null
+++ b/crates/persimmonlift/src/context.rs
@@ -0,0 +1,86 @@
+//! What all requests of an instance share.
+
+use crate::admin_status::StatusReports;
+use crate::gate::PoolGate;
+use crate::meters::EntryMeters;
+use crate::metrics::ServingMetrics;
+use crate::pool::EndpointPool;
+use crate::registry::EndpointRegistry;
+use crate::settings::{NodeSecrets, NodeSettings};
+use crate::standing::NodeStanding;
+use crate::suspects::SuspectRegister;
+use catalogue::id::PoolName;
+use coordination::catalogue::CatalogueHandle;
+use coordination::once::OnceHandle;
+use indexmap::IndexMap;
+use platform::engine::EngineClient;
+use platform::service::ServiceClient;
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::sync::Semaphore;
+
+/// Bytes of request bodies that one permit of `held` stands for.
+pub const HELD_UNIT_BYTES: usize = 1_024;
+
+/// Shared parts of an instance
+#[derive(Debug)]
+pub struct NodeContext {
+    /// Settings
+    pub settings: NodeSettings,
+    /// Secrets
+    pub secrets: NodeSecrets,
+    /// Endpoints
+    pub registry: Arc<EndpointRegistry>,
+    /// Catalogue
+    pub catalogue: CatalogueHandle,
+    /// Once-only work
+    pub once: OnceHandle,
+    /// Client of engines
+    pub engines: EngineClient,
+    /// Client of services for calls that may be repeated
+    pub services: ServiceClient,
+    /// Client of services for calls that may not
+    pub once_services: ServiceClient,
+    /// Limits of entries
+    pub meters: EntryMeters,
+    /// Suspects
+    pub suspects: Arc<SuspectRegister>,
+    /// Metrics
+    pub metrics: ServingMetrics,
+    /// Whether it serves, drains or is isolated
+    pub standing: NodeStanding,
+    /// Room for request bodies
+    pub held: Arc<Semaphore>,
+    /// Places for requests in work
+    pub places: Arc<Semaphore>,
+    /// Admission by pool
+    pub gates: PoolGates,
+    /// Reports for the status page
+    pub reports: StatusReports,
+}
+
+/// Gates of the pools that were asked for
+#[derive(Debug)]
+pub struct PoolGates {
+    gates: Mutex<IndexMap<PoolName, Arc<PoolGate>>>,
+    capacity: usize,
+}
+
+impl PoolGates {
+    /// No gates yet; each queue will hold at most `capacity` requests
+    pub fn new(capacity: usize) -> PoolGates {
+        PoolGates { gates: Mutex::default(), capacity }
+    }
+
+    /// Gate of a pool
+    pub fn gate(&self, pool: &Arc<EndpointPool>) -> Arc<PoolGate> {
+        let mut gates = self.gates.lock().unwrap_or_else(PoisonError::into_inner);
+        let start = || PoolGate::start(pool.clone(), self.capacity);
+        gates.entry(pool.name().clone()).or_insert_with(start).clone()
+    }
+
+    /// All gates with their pools' names
+    pub fn all(&self) -> Vec<(PoolName, Arc<PoolGate>)> {
+        let gates = self.gates.lock().unwrap_or_else(PoisonError::into_inner);
+        gates.iter().map(|(name, gate)| (name.clone(), gate.clone())).collect()
+    }
+}
--- a/crates/persimmonlift/src/main.rs
+++ b/crates/persimmonlift/src/main.rs
@@ -1,3 +1,126 @@
-//! The `persimmonlift` binary: one entry instance.
+//! Entry instance: reads its settings, serves until told to stop.
 
-fn main() {}
+use persimmonlift::SettingFault;
+use persimmonlift::node::{Node, NodeHandle, StartError};
+use persimmonlift::settings::{NodeSecrets, NodeSettings};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
+
+const USAGE: &str = "\
+Entry instance of persimmonlift.
+
+Usage:
+    persimmonlift --settings FILE [--check]
+    persimmonlift --help | --version
+
+Options:
+    --settings FILE   settings of the instance, in TOML
+    --check           report every fault of the settings and stop
+    --help            show this text
+    --version         show the version
+
+Exit codes: 0 stopped in good order, 1 could not start or cut requests,
+2 faulty settings or command line.
+";
+const FAULTY: u8 = 2;
+
+/// Command line
+#[derive(Debug)]
+struct CommandLine {
+    settings: PathBuf,
+    is_check: bool,
+}
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let mut arguments = pico_args::Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        print!("{USAGE}");
+        return ExitCode::SUCCESS;
+    }
+    if arguments.contains(["-V", "--version"]) {
+        println!("persimmonlift {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    match parse(arguments) {
+        Ok(command) => run(&command),
+        Err(error) => {
+            eprintln!("persimmonlift: {error}\n\n{USAGE}");
+            ExitCode::from(FAULTY)
+        }
+    }
+}
+
+fn parse(mut arguments: pico_args::Arguments) -> Result<CommandLine, pico_args::Error> {
+    let is_check = arguments.contains("--check");
+    let settings = arguments.value_from_str("--settings")?;
+    match arguments.finish().first() {
+        None => Ok(CommandLine { settings, is_check }),
+        Some(extra) => Err(pico_args::Error::ArgumentParsingFailed {
+            cause: format!("unknown argument {}", extra.display()),
+        }),
+    }
+}
+
+fn run(command: &CommandLine) -> ExitCode {
+    let (settings, secrets) = match read(&command.settings) {
+        Ok(read) => read,
+        Err(faults) => {
+            report(&command.settings, &faults);
+            return ExitCode::from(FAULTY);
+        }
+    };
+    if command.is_check {
+        println!("{}: sound", command.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    match serve(settings, secrets) {
+        Ok(code) => code,
+        Err(error) => {
+            log::error!("event=start_failed reason=\"{error}\"");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read(path: &Path) -> Result<(NodeSettings, NodeSecrets), Vec<SettingFault>> {
+    let text = std::fs::read_to_string(path).map_err(|it| vec![SettingFault::unread_file(it)])?;
+    let settings = NodeSettings::check(&text)?;
+    let secrets = settings.read_secrets()?;
+    Ok((settings, secrets))
+}
+
+fn report(path: &Path, faults: &[SettingFault]) {
+    for fault in faults {
+        if fault.key.is_empty() {
+            eprintln!("{}: {}", path.display(), fault.reason);
+        } else {
+            eprintln!("{}: {}: {}", path.display(), fault.key, fault.reason);
+        }
+    }
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn serve(settings: NodeSettings, secrets: NodeSecrets) -> Result<ExitCode, StartError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Runtime)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::Runtime)?;
+    let node = Node::start(settings, secrets).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    tokio::select! {
+        report = node.drain() => {
+            Ok(if report.cut == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }
+        _ = terminate.recv() => Ok(stop_now(&node)),
+        _ = interrupt.recv() => Ok(stop_now(&node)),
+    }
+}
+
+fn stop_now(node: &NodeHandle) -> ExitCode {
+    let cut = node.context().standing.in_flight();
+    log::warn!("event=stopped_early cut={cut}");
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/persimmonlift/src/node.rs
@@ -0,0 +1,338 @@
+//! An instance as a whole: starting, draining, stopping.
+//!
+//! Each instance has a runtime of its own, so that several can run in one process
+//! and one of them can be dropped at once, as a crash would.
+
+use crate::admin;
+use crate::answer::AnswerResponse;
+use crate::callers;
+use crate::context::{HELD_UNIT_BYTES, NodeContext, PoolGates};
+use crate::metrics::ServingMetrics;
+use crate::registry::{RegistryActor, RegistryConfig, RegistryMessage};
+use crate::server::{AnswerFn, HttpServer, ServerRules};
+use crate::settings::{NodeSecrets, NodeSettings};
+use crate::standing::NodeStanding;
+use crate::suspects::SuspectRegister;
+use catalogue::id::InstanceId;
+use coordination::catalogue::CatalogueHandle;
+use coordination::once::{HomeRoute, OnceHandle};
+use coordination::shared::{LogTiming, SharedLog};
+use http::Request;
+use hyper::body::Incoming;
+use platform::engine::EngineClient;
+use platform::instances::InstanceClient;
+use platform::log::LogClient;
+use platform::service::ServiceClient;
+use ractor::{Actor, ActorRef};
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::available_parallelism;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::{Mutex, Semaphore};
+
+/// Most worker threads of an instance.
+const MAX_WORKERS: usize = 4;
+/// Interval at which contact with the log is noted and gauges are sent.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which a drain looks for work that has no connection.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+
+/// Failure to start an instance
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
+pub enum StartError {
+    /// runtime could not be made: {0}
+    Runtime(io::Error),
+    /// can't listen on {0}: {1}
+    Listen(SocketAddr, io::Error),
+    /// metrics can't be sent: {0}
+    Metrics(io::Error),
+    /// actor could not be started: {0}
+    Actor(ractor::SpawnErr),
+    /// start broke off: {0}
+    Broken(tokio::task::JoinError),
+}
+
+impl std::error::Error for StartError {}
+
+/// An entry instance
+#[derive(Debug)]
+pub struct Node;
+
+/// How a drain went
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DrainReport {
+    /// Requests that had not ended within the bound
+    pub cut: u32,
+    /// Time that it took
+    pub took: Duration,
+}
+
+/// Running instance
+#[derive(Debug)]
+pub struct NodeHandle {
+    parts: Arc<NodeParts>,
+    runtime: Option<Runtime>,
+}
+
+#[derive(Debug)]
+struct NodeParts {
+    context: Arc<NodeContext>,
+    servers: Mutex<NodeServers>,
+    registry: ActorRef<RegistryMessage>,
+    caller: SocketAddr,
+    admin: SocketAddr,
+    peer: SocketAddr,
+}
+
+#[derive(Debug)]
+struct NodeServers {
+    caller: HttpServer,
+    admin: HttpServer,
+}
+
+#[derive(Debug)]
+struct NodeListeners {
+    caller: TcpListener,
+    admin: TcpListener,
+    peer: TcpListener,
+}
+
+impl Node {
+    /// Starts an instance
+    ///
+    /// # Errors
+    /// `StartError`; nothing is left running then.
+    pub async fn start(
+        settings: NodeSettings,
+        secrets: NodeSecrets,
+    ) -> Result<NodeHandle, StartError> {
+        let runtime = runtime().map_err(StartError::Runtime)?;
+        let started = runtime.spawn(start_parts(settings, secrets)).await;
+        match started.map_err(StartError::Broken).and_then(|it| it) {
+            Ok(parts) => Ok(NodeHandle { parts: Arc::new(parts), runtime: Some(runtime) }),
+            Err(error) => {
+                runtime.shutdown_background();
+                Err(error)
+            }
+        }
+    }
+}
+
+impl NodeHandle {
+    /// Id
+    pub fn id(&self) -> &InstanceId {
+        &self.parts.context.settings.instance.id
+    }
+
+    /// Address of the callers' port
+    pub fn caller_address(&self) -> SocketAddr {
+        self.parts.caller
+    }
+
+    /// Address of the operators' port
+    pub fn admin_address(&self) -> SocketAddr {
+        self.parts.admin
+    }
+
+    /// Address for other instances
+    pub fn peer_address(&self) -> SocketAddr {
+        self.parts.peer
+    }
+
+    /// Shared parts of the instance
+    pub fn context(&self) -> &Arc<NodeContext> {
+        &self.parts.context
+    }
+
+    /// Stops gracefully, as on SIGTERM
+    ///
+    /// New callers are told to go elsewhere first; after a pause no connection is
+    /// taken any more, and requests in flight end whole within the drain bound.
+    pub async fn drain(&self) -> DrainReport {
+        let parts = self.parts.clone();
+        let Some(runtime) = &self.runtime else {
+            return DrainReport { cut: 0, took: Duration::ZERO };
+        };
+        let lost = DrainReport { cut: parts.context.standing.in_flight(), took: Duration::ZERO };
+        runtime.spawn(async move { parts.drain().await }).await.unwrap_or(lost)
+    }
+
+    /// Drops everything at once, as a crash would
+    pub fn kill(self) {
+        drop(self);
+    }
+}
+
+impl Drop for NodeHandle {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl NodeParts {
+    async fn drain(&self) -> DrainReport {
+        let started = Instant::now();
+        let context = &self.context;
+        let timeouts = &context.settings.timeouts;
+        if context.standing.set_draining() {
+            log::info!("event=drain in_flight={}", context.standing.in_flight());
+            tokio::time::sleep(timeouts.drain_pause()).await;
+        }
+        let bound = timeouts.drain_bound();
+        let mut servers = self.servers.lock().await;
+        let drained_by = Instant::now() + bound;
+        servers.caller.drain(bound).await;
+        while context.standing.in_flight() > 0 && Instant::now() < drained_by {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+        let cut = context.standing.in_flight();
+        servers.admin.abort();
+        self.registry.stop(None);
+        let report = DrainReport { cut, took: started.elapsed() };
+        log::info!("event=drained cut={cut} took_ms={}", report.took.as_millis());
+        report
+    }
+}
+
+fn runtime() -> io::Result<Runtime> {
+    let workers = available_parallelism().map_or(1, usize::from).min(MAX_WORKERS);
+    Builder::new_multi_thread().worker_threads(workers).enable_all().build()
+}
+
+async fn start_parts(
+    settings: NodeSettings,
+    secrets: NodeSecrets,
+) -> Result<NodeParts, StartError> {
+    let listeners = listen(&settings).await?;
+    let peer = address(&listeners.peer, settings.listen.peer)?;
+    let context = Arc::new(start_context(settings, secrets).await?);
+    let registry = start_registry(&context).await?;
+    tokio::spawn(upkeep(context.clone()));
+    let servers = start_servers(&context, listeners)?;
+    let (caller, admin) = (servers.caller.address(), servers.admin.address());
+    log::info!(
+        "event=started instance={} zone={} caller={caller} admin={admin} peer={peer}",
+        context.settings.instance.id,
+        context.settings.instance.zone
+    );
+    Ok(NodeParts { context, servers: Mutex::new(servers), registry, caller, admin, peer })
+}
+
+async fn listen(settings: &NodeSettings) -> Result<NodeListeners, StartError> {
+    Ok(NodeListeners {
+        caller: bind(settings.listen.caller).await?,
+        admin: bind(settings.listen.admin).await?,
+        peer: bind(settings.listen.peer).await?,
+    })
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|it| StartError::Listen(address, it))
+}
+
+fn address(listener: &TcpListener, wanted: SocketAddr) -> Result<SocketAddr, StartError> {
+    listener.local_addr().map_err(|it| StartError::Listen(wanted, it))
+}
+
+async fn start_context(
+    settings: NodeSettings,
+    secrets: NodeSecrets,
+) -> Result<NodeContext, StartError> {
+    let limits = settings.limits.clone();
+    let timeouts = &settings.timeouts;
+    let log = LogClient::over_http(settings.platform.log, timeouts.platform());
+    let shared = SharedLog::new(log, settings.instance.id.clone(), LogTiming::default());
+    let catalogue = CatalogueHandle::start(shared.clone()).await.map_err(StartError::Actor)?;
+    let metrics = ServingMetrics::start(settings.metrics.statsd).map_err(StartError::Metrics)?;
+    Ok(NodeContext {
+        secrets,
+        registry: Arc::default(),
+        catalogue,
+        once: OnceHandle::new(shared, HomeRoute::none()),
+        engines: EngineClient::new(),
+        services: ServiceClient::new(limits.max_answer_bytes),
+        once_services: ServiceClient::without_reuse(limits.max_answer_bytes),
+        meters: Default::default(),
+        suspects: Arc::new(SuspectRegister::default()),
+        metrics,
+        standing: NodeStanding::new(timeouts.isolation()),
+        held: Arc::new(Semaphore::new(limits.max_held_bytes / HELD_UNIT_BYTES)),
+        places: Arc::new(Semaphore::new(limits.max_in_flight)),
+        gates: PoolGates::new(limits.queue_length),
+        reports: Default::default(),
+        settings,
+    })
+}
+
+async fn start_registry(context: &NodeContext) -> Result<ActorRef<RegistryMessage>, StartError> {
+    let settings = &context.settings;
+    let timeout = settings.timeouts.platform();
+    let config = RegistryConfig {
+        registry: context.registry.clone(),
+        instances: InstanceClient::new(settings.platform.instances, timeout),
+        engines: context.engines.clone(),
+        list_interval: settings.timeouts.list(),
+        report_interval: settings.timeouts.report(),
+        timeout,
+    };
+    let spawned = Actor::spawn(None, RegistryActor, config).await;
+    spawned.map(|(actor, _)| actor).map_err(StartError::Actor)
+}
+
+fn start_servers(
+    context: &Arc<NodeContext>,
+    listeners: NodeListeners,
+) -> Result<NodeServers, StartError> {
+    let settings = &context.settings;
+    let rules = ServerRules {
+        max_connections: settings.limits.max_connections,
+        head_timeout: settings.timeouts.head(),
+        write_stall: settings.timeouts.write_stall(),
+    };
+    let caller =
+        HttpServer::start(listeners.caller, rules.clone(), answer_fn(context, callers::answer))
+            .map_err(|it| StartError::Listen(settings.listen.caller, it))?;
+    let admin = HttpServer::start(listeners.admin, rules, answer_fn(context, admin::answer))
+        .map_err(|it| StartError::Listen(settings.listen.admin, it))?;
+    Ok(NodeServers { caller, admin })
+}
+
+fn answer_fn<F>(
+    context: &Arc<NodeContext>,
+    answer: impl Fn(Arc<NodeContext>, Request<Incoming>) -> F + Send + Sync + 'static,
+) -> Arc<AnswerFn>
+where
+    F: Future<Output = Result<AnswerResponse, Infallible>> + Send + 'static,
+{
+    let context = context.clone();
+    Arc::new(move |request| Box::pin(answer(context.clone(), request)))
+}
+
+/// Notes contact with the log and sends gauges until the runtime stops
+async fn upkeep(context: Arc<NodeContext>) {
+    let mut interval = tokio::time::interval(UPKEEP_INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        let status = context.catalogue.status();
+        if let Some(contact) = status.contact {
+            context.standing.note_contact(contact.into_std());
+        }
+        if status.is_caught_up {
+            context.standing.set_started();
+        }
+        context.metrics.gauge("in_flight", u64::from(context.standing.in_flight()));
+        for (pool, gate) in context.gates.all() {
+            let name = smol_str::format_smolstr!("queue.{pool}");
+            context.metrics.gauge(&name, gate.queued() as u64);
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmonlift/src/once_calls.rs
@@ -0,0 +1,203 @@
+//! Calls that may run only once.
+//!
+//! The claim of the caller's key comes first, then one dispatch. From the claim on,
+//! the call goes on without its caller, so that its outcome is recorded in any case.
+
+use crate::answer::{AnswerResponse, set_ran, whole_body};
+use crate::context::NodeContext;
+use crate::refusal::{CallerRefusal, FieldProblem, RanState, RefusalCause};
+use crate::services::{ServiceCall, no_endpoint};
+use catalogue::id::IdempotencyKey;
+use coordination::once::{
+    ClaimPermit, OnceBegin, OnceError, OnceOutcome, OnceRequest, RanState as KnownRan, parse_key,
+};
+use http::{HeaderName, HeaderValue, Response, StatusCode};
+use platform::service::{ServiceAnswer, ServiceRequest};
+use sha2::{Digest, Sha256};
+use smol_str::SmolStr;
+use state::claims::{KeyFault, RecordedAnswer, RequestDigest, Resolution};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Header with the caller's key.
+pub const KEY_HEADER: &str = "idempotency-key";
+/// Part of the time that may pass before a claim is no longer dispatched.
+const DISPATCH_PART: f64 = 0.5;
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Headers of an answer that are recorded with it.
+const RECORDED_HEADERS: [HeaderName; 3] =
+    [http::header::CONTENT_TYPE, http::header::LOCATION, http::header::ETAG];
+
+/// Answers a call that may run only once
+///
+/// # Errors
+/// The refusal to answer.
+pub async fn call_once(
+    context: &Arc<NodeContext>,
+    call: ServiceCall,
+) -> Result<AnswerResponse, CallerRefusal> {
+    let header = call.request.headers.get(KEY_HEADER);
+    let text = header.map(|it| it.to_str().unwrap_or_default());
+    let key = parse_key(text).map_err(once_refusal)?;
+    let flight = context.standing.fly();
+    let context = context.clone();
+    let running = tokio::spawn(async move {
+        let answer = claim_and_run(&context, call, key).await;
+        drop(flight);
+        answer
+    });
+    let lost = CallerRefusal::unknown(RefusalCause::OnceUnknown);
+    running.await.unwrap_or(Err(lost))
+}
+
+async fn claim_and_run(
+    context: &NodeContext,
+    call: ServiceCall,
+    key: IdempotencyKey,
+) -> Result<AnswerResponse, CallerRefusal> {
+    let request = OnceRequest {
+        key,
+        digest: digest(&call.request),
+        entry: call.entry.name.clone(),
+        deadline: Instant::now() + call.left().mul_f64(DISPATCH_PART),
+    };
+    let begin = context.once.begin(request).await;
+    log_begin(&call, key, &begin);
+    match begin.map_err(once_refusal)? {
+        OnceBegin::Run(permit) => dispatch(context, call, permit).await,
+        OnceBegin::Answered(answer) => Ok(recorded(answer)),
+        OnceBegin::InProgress => {
+            let refusal = CallerRefusal::unknown(RefusalCause::OnceInProgress);
+            Err(refusal.retry_after(RETRY_AFTER))
+        }
+        OnceBegin::Unknown => Err(CallerRefusal::unknown(RefusalCause::OnceUnknown)),
+        OnceBegin::Resolved(resolution) => Err(resolved(resolution)),
+        OnceBegin::Mismatch => Err(CallerRefusal::not_run(RefusalCause::OnceMismatch)),
+    }
+}
+
+fn log_begin(call: &ServiceCall, key: IdempotencyKey, begin: &Result<OnceBegin, OnceError>) {
+    let verdict = match begin {
+        Ok(OnceBegin::Run(_)) => "run",
+        Ok(OnceBegin::Answered(_)) => "answered",
+        Ok(OnceBegin::InProgress) => "in_progress",
+        Ok(OnceBegin::Unknown) => "unknown",
+        Ok(OnceBegin::Resolved(_)) => "resolved",
+        Ok(OnceBegin::Mismatch) => "mismatch",
+        Err(_) => "refused",
+    };
+    log::info!("event=claim request={} key={key} verdict={verdict}", call.id);
+}
+
+/// Dispatches a claimed call to one endpoint after another until bytes have left
+async fn dispatch(
+    context: &NodeContext,
+    call: ServiceCall,
+    permit: ClaimPermit,
+) -> Result<AnswerResponse, CallerRefusal> {
+    let mut excluded = call.pool.excluded_for(&call.entry);
+    let mut attempt = 0;
+    loop {
+        attempt += 1;
+        let Some((endpoint, address, _use)) = call.choose(&excluded, attempt) else {
+            permit.release().await;
+            return Err(no_endpoint());
+        };
+        if !permit.may_dispatch(Instant::now()) {
+            permit.release().await;
+            return Err(CallerRefusal::not_run(RefusalCause::DeadlinePassed));
+        }
+        let sent = context.once_services.call(address, call.request.clone(), call.left()).await;
+        match sent {
+            Ok(answer) => return Ok(finish(context, &call, permit, answer).await),
+            Err(error) if error.is_unsent() => {
+                permit.not_dispatched();
+                call.log_failure(&endpoint, &error, attempt);
+                call.pool.pause(&endpoint);
+                excluded.push(endpoint);
+            }
+            Err(error) => {
+                call.log_failure(&endpoint, &error, attempt);
+                permit.finish(OnceOutcome::Unknown).await;
+                return Err(CallerRefusal::unknown(RefusalCause::OnceUnknown));
+            }
+        }
+    }
+}
+
+async fn finish(
+    context: &NodeContext,
+    call: &ServiceCall,
+    permit: ClaimPermit,
+    answer: ServiceAnswer,
+) -> AnswerResponse {
+    let record = RecordedAnswer::bounded(
+        answer.status.as_u16(),
+        recorded_headers(&answer),
+        answer.body.to_vec(),
+    );
+    permit.finish(OnceOutcome::Answered(record)).await;
+    call.answered(context, answer)
+}
+
+fn recorded_headers(answer: &ServiceAnswer) -> Vec<(SmolStr, SmolStr)> {
+    let mut headers = Vec::new();
+    for name in &RECORDED_HEADERS {
+        if let Some(value) = answer.headers.get(name).and_then(|it| it.to_str().ok()) {
+            headers.push((SmolStr::new(name.as_str()), SmolStr::new(value)));
+        }
+    }
+    headers
+}
+
+/// Answer as it was recorded; one that was too large to keep has no body
+fn recorded(answer: RecordedAnswer) -> AnswerResponse {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    let mut response = Response::new(whole_body(answer.body));
+    *response.status_mut() = status;
+    for (name, value) in answer.headers {
+        let name = HeaderName::try_from(name.as_str());
+        let value = HeaderValue::try_from(value.as_str());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().insert(name, value);
+        }
+    }
+    set_ran(&mut response, RanState::Yes);
+    response
+}
+
+fn resolved(resolution: Resolution) -> CallerRefusal {
+    let ran = match resolution {
+        Resolution::Ran => RanState::Yes,
+        Resolution::NotRun => RanState::No,
+    };
+    CallerRefusal { cause: RefusalCause::OnceResolved(resolution), ran, retry_after: None }
+}
+
+fn once_refusal(error: OnceError) -> CallerRefusal {
+    let ran = match error.ran() {
+        KnownRan::No => RanState::No,
+        KnownRan::Unknown => RanState::Unknown,
+    };
+    let field = |problem| RefusalCause::Field { field: "Idempotency-Key", problem };
+    let (cause, retry_after) = match error {
+        OnceError::KeyMissing => (field(FieldProblem::Missing), None),
+        OnceError::Key(KeyFault::Form) => (field(FieldProblem::Form), None),
+        OnceError::Key(KeyFault::Future) => (field(FieldProblem::Future), None),
+        OnceError::Key(KeyFault::TooOld) => (RefusalCause::OnceTooOld, None),
+        OnceError::Unconfirmed(_) => (RefusalCause::OnceUnclaimed, Some(RETRY_AFTER)),
+    };
+    CallerRefusal { cause, ran, retry_after }
+}
+
+/// SHA-256 of method, path and body, each with its length
+fn digest(request: &ServiceRequest) -> RequestDigest {
+    let mut hasher = Sha256::new();
+    let parts = [request.method.as_str().as_bytes(), request.path.as_bytes(), &request.body];
+    for part in parts {
+        hasher.update((part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.finalize().into()
+}
--- /dev/null
+++ b/crates/persimmonlift/src/refusal.rs
@@ -0,0 +1,284 @@
+//! Refusals: what a caller is told when it gets no whole answer.
+//!
+//! Each cause has a status, a type, a code and whether the request has run. `no`
+//! is said only where that is certain.
+
+use decide::admission::RefuseReason;
+use decide::limits::LimitRefusal;
+use http::StatusCode;
+use smol_str::SmolStr;
+use state::claims::Resolution;
+use std::time::Duration;
+
+/// Header that tells whether the request has run.
+pub const RAN_HEADER: &str = "persimmon-ran";
+
+/// Whether a request has run
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RanState {
+    /// Certainly not
+    No,
+    /// Perhaps, or in part
+    Unknown,
+    /// Certainly
+    Yes,
+}
+
+impl RanState {
+    /// Name as it stands in headers and logs
+    pub fn name(self) -> &'static str {
+        match self {
+            RanState::No => "no",
+            RanState::Unknown => "unknown",
+            RanState::Yes => "yes",
+        }
+    }
+}
+
+/// Why a request is refused
+#[derive(Debug, Clone, PartialEq)]
+#[derive(displaydoc::Display)]
+pub enum RefusalCause {
+    /// no such path
+    NoPath,
+    /// method is not allowed here
+    NoMethod,
+    /// a bearer key is needed
+    NoKey,
+    /// the bearer key is not known
+    UnknownKey,
+    /// no entry of this name may be called with this key
+    NoEntry,
+    /// body is larger than {0} bytes
+    BodyTooLarge(usize),
+    /// body did not come in time
+    BodyTooSlow,
+    /// body broke off
+    BodyBroken,
+    /// body is not JSON of the expected form: {0}
+    Json(SmolStr),
+    /// {field} {problem}
+    Field {
+        /// Field of the body or name of a header
+        field: &'static str,
+        /// What is wrong with it
+        problem: FieldProblem,
+    },
+    /// instance holds as much as it can
+    Busy,
+    /// {0}
+    Limit(LimitRefusal),
+    /// {0}
+    Admission(RefuseReason),
+    /// no endpoint takes the request now
+    NoEndpoint,
+    /// instance reaches neither the log nor other instances
+    Isolated,
+    /// instance is stopping
+    Draining,
+    /// request crashed the endpoints that ran it
+    CrashesEndpoints,
+    /// deadline has passed
+    DeadlinePassed,
+    /// endpoints failed before the answer was whole
+    EndpointsFailed,
+    /// service sent an answer that is not whole
+    ServiceFailed,
+    /// key's request is still in progress
+    OnceInProgress,
+    /// key was used for another request
+    OnceMismatch,
+    /// outcome of the key's request is not known
+    OnceUnknown,
+    /// key is too old to tell whether its request has run
+    OnceTooOld,
+    /// claim could not be recorded in time
+    OnceUnclaimed,
+    /// an operator found out about the key's request: {0}
+    OnceResolved(Resolution),
+    /// the operators' token is needed
+    NoAdminToken,
+    /// If-Match must name the revision to replace, or * or 0 for a new entry
+    NoMatch,
+    /// entry stands at revision {0}
+    Conflict(u64),
+    /// entry has faults: {0}
+    EntryFaults(SmolStr),
+    /// log can't be reached, nothing was changed
+    LogDown,
+    /// log did not answer, the change may have taken effect
+    LogUnanswered,
+    /// no such entry
+    AbsentEntry,
+    /// no outcome to settle under this key
+    AbsentOutcome,
+}
+
+impl std::error::Error for RefusalCause {}
+
+/// What is wrong with a field
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
+pub enum FieldProblem {
+    /// is missing
+    Missing,
+    /// must be above 0
+    Zero,
+    /// must not be empty
+    Empty,
+    /// must be at most {0}
+    TooLarge(u64),
+    /// is not of the expected form
+    Form,
+    /// lies too far in the future
+    Future,
+}
+
+impl std::error::Error for FieldProblem {}
+
+/// Answer to a request that is refused
+#[derive(Debug, Clone, PartialEq)]
+pub struct CallerRefusal {
+    /// Why
+    pub cause: RefusalCause,
+    /// Whether the request has run
+    pub ran: RanState,
+    /// When to come again, where that helps
+    pub retry_after: Option<Duration>,
+}
+
+impl CallerRefusal {
+    /// Refusal of a request that has not run
+    pub fn not_run(cause: RefusalCause) -> CallerRefusal {
+        CallerRefusal { cause, ran: RanState::No, retry_after: None }
+    }
+
+    /// Refusal of a request that may have run, or has in part
+    pub fn unknown(cause: RefusalCause) -> CallerRefusal {
+        CallerRefusal { cause, ran: RanState::Unknown, retry_after: None }
+    }
+
+    /// The same with the time after which to come again
+    pub fn retry_after(mut self, time: Duration) -> CallerRefusal {
+        self.retry_after = Some(time);
+        self
+    }
+
+    /// Refusal for an unsound field
+    pub fn field(field: &'static str, problem: FieldProblem) -> CallerRefusal {
+        CallerRefusal::not_run(RefusalCause::Field { field, problem })
+    }
+}
+
+impl From<LimitRefusal> for CallerRefusal {
+    fn from(refusal: LimitRefusal) -> CallerRefusal {
+        let time = refusal.retry_after();
+        CallerRefusal::not_run(RefusalCause::Limit(refusal)).retry_after(time)
+    }
+}
+
+impl From<RefuseReason> for CallerRefusal {
+    fn from(reason: RefuseReason) -> CallerRefusal {
+        let time = reason.retry_after();
+        CallerRefusal::not_run(RefusalCause::Admission(reason)).retry_after(time)
+    }
+}
+
+impl RefusalCause {
+    /// HTTP status
+    pub fn status(&self) -> StatusCode {
+        match self {
+            RefusalCause::NoPath | RefusalCause::AbsentEntry | RefusalCause::AbsentOutcome => {
+                StatusCode::NOT_FOUND
+            }
+            RefusalCause::NoMethod => StatusCode::METHOD_NOT_ALLOWED,
+            RefusalCause::NoKey | RefusalCause::UnknownKey | RefusalCause::NoAdminToken => {
+                StatusCode::UNAUTHORIZED
+            }
+            RefusalCause::NoEntry => StatusCode::FORBIDDEN,
+            RefusalCause::BodyTooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            RefusalCause::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
+            RefusalCause::BodyBroken
+            | RefusalCause::Json(_)
+            | RefusalCause::Field { .. }
+            | RefusalCause::EntryFaults(_) => StatusCode::BAD_REQUEST,
+            RefusalCause::Limit(_) => StatusCode::TOO_MANY_REQUESTS,
+            RefusalCause::CrashesEndpoints | RefusalCause::OnceMismatch => {
+                StatusCode::UNPROCESSABLE_ENTITY
+            }
+            RefusalCause::OnceInProgress | RefusalCause::OnceResolved(_) => StatusCode::CONFLICT,
+            RefusalCause::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+            RefusalCause::EndpointsFailed
+            | RefusalCause::ServiceFailed
+            | RefusalCause::OnceUnknown => StatusCode::BAD_GATEWAY,
+            RefusalCause::OnceTooOld => StatusCode::GONE,
+            RefusalCause::NoMatch => StatusCode::PRECONDITION_REQUIRED,
+            RefusalCause::Conflict(_) => StatusCode::PRECONDITION_FAILED,
+            RefusalCause::Busy
+            | RefusalCause::Admission(_)
+            | RefusalCause::NoEndpoint
+            | RefusalCause::Isolated
+            | RefusalCause::Draining
+            | RefusalCause::OnceUnclaimed
+            | RefusalCause::LogDown
+            | RefusalCause::LogUnanswered => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// Kind of refusal, by its status
+    pub fn type_name(&self) -> &'static str {
+        match self.status() {
+            StatusCode::UNAUTHORIZED => "authentication_error",
+            StatusCode::FORBIDDEN => "permission_error",
+            StatusCode::NOT_FOUND | StatusCode::METHOD_NOT_ALLOWED => "not_found_error",
+            StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
+            StatusCode::SERVICE_UNAVAILABLE => "unavailable_error",
+            StatusCode::GATEWAY_TIMEOUT | StatusCode::REQUEST_TIMEOUT => "timeout_error",
+            StatusCode::BAD_GATEWAY => "endpoint_error",
+            StatusCode::CONFLICT | StatusCode::PRECONDITION_FAILED => "conflict_error",
+            _ => "invalid_request_error",
+        }
+    }
+
+    /// Code for programs
+    pub fn code(&self) -> &'static str {
+        match self {
+            RefusalCause::NoPath => "no_path",
+            RefusalCause::NoMethod => "no_method",
+            RefusalCause::NoKey => "no_key",
+            RefusalCause::UnknownKey => "unknown_key",
+            RefusalCause::NoEntry => "no_entry",
+            RefusalCause::BodyTooLarge(_) => "body_too_large",
+            RefusalCause::BodyTooSlow => "body_too_slow",
+            RefusalCause::BodyBroken => "body_broken",
+            RefusalCause::Json(_) => "bad_json",
+            RefusalCause::Field { .. } => "bad_field",
+            RefusalCause::Busy => "busy",
+            RefusalCause::Limit(it) => it.name(),
+            RefusalCause::Admission(it) => it.name(),
+            RefusalCause::NoEndpoint => "no_endpoint",
+            RefusalCause::Isolated => "isolated",
+            RefusalCause::Draining => "draining",
+            RefusalCause::CrashesEndpoints => "crashes_endpoints",
+            RefusalCause::DeadlinePassed => "deadline_passed",
+            RefusalCause::EndpointsFailed => "endpoints_failed",
+            RefusalCause::ServiceFailed => "service_failed",
+            RefusalCause::OnceInProgress => "in_progress",
+            RefusalCause::OnceMismatch => "key_mismatch",
+            RefusalCause::OnceUnknown => "outcome_unknown",
+            RefusalCause::OnceTooOld => "key_too_old",
+            RefusalCause::OnceUnclaimed => "not_claimed",
+            RefusalCause::OnceResolved(_) => "resolved",
+            RefusalCause::NoAdminToken => "no_admin_token",
+            RefusalCause::NoMatch => "no_match",
+            RefusalCause::Conflict(_) => "conflict",
+            RefusalCause::EntryFaults(_) => "entry_faults",
+            RefusalCause::LogDown => "log_down",
+            RefusalCause::LogUnanswered => "log_unanswered",
+            RefusalCause::AbsentEntry => "absent_entry",
+            RefusalCause::AbsentOutcome => "absent_outcome",
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmonlift/src/server.rs
@@ -0,0 +1,160 @@
+//! HTTP servers of an instance: accepting, bounds on connections, draining.
+
+use crate::answer::AnswerResponse;
+use crate::stall::StallGuard;
+use futures_util::future::BoxFuture;
+use http::Request;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::{GracefulShutdown, Watcher};
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, oneshot};
+use tokio::task::JoinHandle;
+
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Most headers of a request.
+const MAX_HEADERS: usize = 100;
+/// Most requests at once on one HTTP/2 connection.
+const MAX_STREAMS: u32 = 256;
+/// Pause after an error of accepting, so that it can't spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Interval of HTTP/2 pings, and the time for their answer.
+const PING_INTERVAL: Duration = Duration::from_secs(20);
+const PING_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Function that answers requests
+pub type AnswerFn = dyn Fn(Request<Incoming>) -> BoxFuture<'static, Result<AnswerResponse, Infallible>>
+    + Send
+    + Sync;
+
+/// How a server treats its connections
+#[derive(Debug, Clone)]
+pub struct ServerRules {
+    /// Most connections
+    pub max_connections: usize,
+    /// For the head of a request
+    pub head_timeout: Duration,
+    /// For a caller to take anything of its answer
+    pub write_stall: Duration,
+}
+
+/// Running server
+#[derive(Debug)]
+pub struct HttpServer {
+    address: SocketAddr,
+    stop: Option<oneshot::Sender<Duration>>,
+    task: JoinHandle<bool>,
+}
+
+impl HttpServer {
+    /// Starts a server on a listener
+    ///
+    /// # Errors
+    /// Any error of the listener.
+    pub fn start(
+        listener: TcpListener,
+        rules: ServerRules,
+        answer: Arc<AnswerFn>,
+    ) -> io::Result<HttpServer> {
+        let address = listener.local_addr()?;
+        let (stop, stopped) = oneshot::channel();
+        let connections = Arc::new(Semaphore::new(rules.max_connections));
+        let acceptor = ConnectionAcceptor { listener, rules, answer, connections };
+        let task = tokio::spawn(acceptor.run(stopped));
+        Ok(HttpServer { address, stop: Some(stop), task })
+    }
+
+    /// Address that it listens on
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Takes no more connections and lets requests in flight end within `bound`;
+    /// whether all of them did
+    pub async fn drain(&mut self, bound: Duration) -> bool {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(bound);
+        }
+        (&mut self.task).await.unwrap_or(false)
+    }
+
+    /// Drops the listener and every connection
+    pub fn abort(&self) {
+        self.task.abort();
+    }
+}
+
+struct ConnectionAcceptor {
+    listener: TcpListener,
+    rules: ServerRules,
+    answer: Arc<AnswerFn>,
+    connections: Arc<Semaphore>,
+}
+
+impl ConnectionAcceptor {
+    async fn run(self, mut stopped: oneshot::Receiver<Duration>) -> bool {
+        let graceful = GracefulShutdown::new();
+        let mut tasks = tokio::task::JoinSet::new();
+        let bound = loop {
+            tokio::select! {
+                bound = &mut stopped => break bound.unwrap_or_default(),
+                accepted = self.listener.accept() => match accepted {
+                    Ok((stream, _)) => self.serve(stream, graceful.watcher(), &mut tasks),
+                    Err(error) => {
+                        log::warn!("event=accept_failed reason=\"{error}\"");
+                        tokio::time::sleep(ACCEPT_PAUSE).await;
+                    }
+                },
+                Some(_) = tasks.join_next() => {}
+            }
+        };
+        drop(self.listener);
+        tokio::time::timeout(bound, graceful.shutdown()).await.is_ok()
+    }
+
+    fn serve(&self, stream: TcpStream, watcher: Watcher, tasks: &mut tokio::task::JoinSet<()>) {
+        let Ok(place) = self.connections.clone().try_acquire_owned() else {
+            log::warn!("event=connection_refused reason=\"too many connections\"");
+            return;
+        };
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("event=nodelay_failed reason=\"{error}\"");
+        }
+        let io = TokioIo::new(StallGuard::new(stream, self.rules.write_stall));
+        let answer = self.answer.clone();
+        let service = service_fn(move |request| answer(request));
+        let builder = connection_builder(&self.rules);
+        tasks.spawn(async move {
+            let connection = builder.serve_connection(io, service).into_owned();
+            if let Err(error) = watcher.watch(connection).await {
+                log::debug!("event=connection_failed reason=\"{error}\"");
+            }
+            drop(place);
+        });
+    }
+}
+
+fn connection_builder(rules: &ServerRules) -> Builder<TokioExecutor> {
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(rules.head_timeout)
+        .max_headers(MAX_HEADERS)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(MAX_HEAD_BYTES as u32)
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT);
+    builder
+}
--- /dev/null
+++ b/crates/persimmonlift/src/settings.rs
@@ -0,0 +1,297 @@
+//! Settings of an instance, as they stand in its TOML file.
+//!
+//! `check` reads a file's text against the table of keys and reports every fault
+//! at once; only a text without faults becomes `NodeSettings`. Secrets stand in
+//! files of their own and are read last.
+
+use crate::settings_check::{SettingFault, check_table};
+use catalogue::id::{InstanceId, RegionName, ZoneName};
+use smol_str::SmolStr;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Settings of one instance
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Who and where it is
+    pub instance: InstanceSettings,
+    /// Addresses it listens on
+    pub listen: ListenSettings,
+    /// Addresses of the platform
+    pub platform: PlatformSettings,
+    /// Files with its secrets
+    pub secrets: SecretSettings,
+    /// Bounds on what it holds
+    #[serde(default)]
+    pub limits: LimitSettings,
+    /// Time-outs and intervals
+    #[serde(default)]
+    pub timeouts: TimeoutSettings,
+    /// Where metrics go
+    #[serde(default)]
+    pub metrics: MetricSettings,
+}
+
+/// Who and where an instance is
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct InstanceSettings {
+    /// Unique id
+    pub id: InstanceId,
+    /// Availability zone
+    pub zone: ZoneName,
+    /// Region
+    pub region: RegionName,
+    /// Name of the deployment, under which the platform lists its instances
+    pub deployment: SmolStr,
+}
+
+/// Addresses that an instance listens on
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSettings {
+    /// Callers' port
+    pub caller: SocketAddr,
+    /// Operators' port
+    pub admin: SocketAddr,
+    /// Port for other instances
+    pub peer: SocketAddr,
+}
+
+/// Addresses of the platform
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Append-only log
+    pub log: SocketAddr,
+    /// List of instances
+    pub instances: SocketAddr,
+    /// Weight store
+    pub weights: SocketAddr,
+}
+
+/// Files with an instance's secrets
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SecretSettings {
+    /// Token of the operators' port
+    pub admin_token_file: PathBuf,
+    /// Token that instances show each other
+    pub peer_token_file: PathBuf,
+}
+
+/// Bounds on what an instance holds
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LimitSettings {
+    /// Largest body of a request, in bytes
+    pub max_body_bytes: usize,
+    /// Largest answer of a plain service, in bytes
+    pub max_answer_bytes: usize,
+    /// Most bytes of request bodies held at once
+    pub max_held_bytes: usize,
+    /// Most callers' connections
+    pub max_connections: usize,
+    /// Most requests in work at once
+    pub max_in_flight: usize,
+    /// Most requests that wait for a pool
+    pub queue_length: usize,
+}
+
+impl Default for LimitSettings {
+    fn default() -> LimitSettings {
+        LimitSettings {
+            max_body_bytes: 4 << 20,
+            max_answer_bytes: 8 << 20,
+            max_held_bytes: 128 << 20,
+            max_connections: 8_192,
+            max_in_flight: 4_096,
+            queue_length: 1_024,
+        }
+    }
+}
+
+/// Time-outs and intervals, in milliseconds
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TimeoutSettings {
+    /// For a caller to send the head of a request
+    pub head_ms: u64,
+    /// For a caller to send the body of a request
+    pub body_ms: u64,
+    /// For a caller to take anything of its answer
+    pub write_stall_ms: u64,
+    /// Between two tokens of a stream
+    pub between_tokens_ms: u64,
+    /// For a call of the platform
+    pub platform_ms: u64,
+    /// Between two reads of the instance list
+    pub list_ms: u64,
+    /// Between two reads of an engine's report
+    pub report_ms: u64,
+    /// Without log and peers before it turns unready
+    pub isolation_ms: u64,
+    /// Between turning unready and taking no more connections
+    pub drain_pause_ms: u64,
+    /// For requests in flight to end after that
+    pub drain_bound_ms: u64,
+}
+
+impl Default for TimeoutSettings {
+    fn default() -> TimeoutSettings {
+        TimeoutSettings {
+            head_ms: 5_000,
+            body_ms: 15_000,
+            write_stall_ms: 20_000,
+            between_tokens_ms: 2_000,
+            platform_ms: 1_000,
+            list_ms: 500,
+            report_ms: 250,
+            isolation_ms: 5_000,
+            drain_pause_ms: 2_000,
+            drain_bound_ms: 120_000,
+        }
+    }
+}
+
+impl TimeoutSettings {
+    /// For a caller to send the head of a request
+    pub fn head(&self) -> Duration {
+        Duration::from_millis(self.head_ms)
+    }
+
+    /// For a caller to send the body of a request
+    pub fn body(&self) -> Duration {
+        Duration::from_millis(self.body_ms)
+    }
+
+    /// For a caller to take anything of its answer
+    pub fn write_stall(&self) -> Duration {
+        Duration::from_millis(self.write_stall_ms)
+    }
+
+    /// Between two tokens of a stream
+    pub fn between_tokens(&self) -> Duration {
+        Duration::from_millis(self.between_tokens_ms)
+    }
+
+    /// For a call of the platform
+    pub fn platform(&self) -> Duration {
+        Duration::from_millis(self.platform_ms)
+    }
+
+    /// Between two reads of the instance list
+    pub fn list(&self) -> Duration {
+        Duration::from_millis(self.list_ms)
+    }
+
+    /// Between two reads of an engine's report
+    pub fn report(&self) -> Duration {
+        Duration::from_millis(self.report_ms)
+    }
+
+    /// Without log and peers before the instance turns unready
+    pub fn isolation(&self) -> Duration {
+        Duration::from_millis(self.isolation_ms)
+    }
+
+    /// Between turning unready and taking no more connections
+    pub fn drain_pause(&self) -> Duration {
+        Duration::from_millis(self.drain_pause_ms)
+    }
+
+    /// For requests in flight to end once no more connections are taken
+    pub fn drain_bound(&self) -> Duration {
+        Duration::from_millis(self.drain_bound_ms)
+    }
+}
+
+/// Where metrics go
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct MetricSettings {
+    /// Address of a statsd daemon
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub statsd: Option<SocketAddr>,
+}
+
+/// Secrets of an instance
+#[derive(Clone, PartialEq, Eq)]
+pub struct NodeSecrets {
+    /// Token of the operators' port
+    pub admin_token: SmolStr,
+    /// Token that instances show each other
+    pub peer_token: SmolStr,
+}
+
+impl fmt::Debug for NodeSecrets {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("NodeSecrets").finish_non_exhaustive()
+    }
+}
+
+impl NodeSettings {
+    /// Settings with defaults for all that has one
+    pub fn new(
+        instance: InstanceSettings,
+        listen: ListenSettings,
+        platform: PlatformSettings,
+    ) -> NodeSettings {
+        NodeSettings {
+            instance,
+            listen,
+            platform,
+            secrets: SecretSettings {
+                admin_token_file: PathBuf::new(),
+                peer_token_file: PathBuf::new(),
+            },
+            limits: LimitSettings::default(),
+            timeouts: TimeoutSettings::default(),
+            metrics: MetricSettings::default(),
+        }
+    }
+
+    /// Reads the text of a settings file
+    ///
+    /// # Errors
+    /// Every fault of the text at once.
+    pub fn check(text: &str) -> Result<NodeSettings, Vec<SettingFault>> {
+        let table: toml::Table =
+            toml::from_str(text).map_err(|it| vec![SettingFault::syntax(&it)])?;
+        let faults = check_table(&table);
+        if !faults.is_empty() {
+            return Err(faults);
+        }
+        toml::from_str(text).map_err(|it| vec![SettingFault::syntax(&it)])
+    }
+
+    /// Reads the secrets from their files
+    ///
+    /// # Errors
+    /// Every file that can't be read or is empty.
+    pub fn read_secrets(&self) -> Result<NodeSecrets, Vec<SettingFault>> {
+        let admin = read_secret("secrets.admin_token_file", &self.secrets.admin_token_file);
+        let peer = read_secret("secrets.peer_token_file", &self.secrets.peer_token_file);
+        match (admin, peer) {
+            (Ok(admin_token), Ok(peer_token)) => Ok(NodeSecrets { admin_token, peer_token }),
+            (admin, peer) => Err(admin.err().into_iter().chain(peer.err()).collect()),
+        }
+    }
+}
+
+fn read_secret(key: &str, path: &Path) -> Result<SmolStr, SettingFault> {
+    let text = std::fs::read_to_string(path).map_err(|it| SettingFault::unreadable(key, it))?;
+    let secret = SmolStr::new(text.trim());
+    if secret.is_empty() { Err(SettingFault::empty_secret(key)) } else { Ok(secret) }
+}
--- /dev/null
+++ b/crates/persimmonlift/src/stall.rs
@@ -0,0 +1,85 @@
+//! Guard against a caller that takes nothing of its answer.
+//!
+//! Without it, a caller that stops reading would hold its request's places on the
+//! instance and on the engine for ever.
+
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep};
+
+/// Connection whose writes fail once none has gone on for a time
+#[derive(Debug)]
+pub struct StallGuard {
+    stream: TcpStream,
+    bound: Duration,
+    stall: Option<Pin<Box<Sleep>>>,
+}
+
+impl StallGuard {
+    /// Connection whose writes may stand still for at most `bound`
+    pub fn new(stream: TcpStream, bound: Duration) -> StallGuard {
+        StallGuard { stream, bound, stall: None }
+    }
+
+    fn check_stall<T>(
+        &mut self,
+        context: &mut Context<'_>,
+        written: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if written.is_ready() {
+            self.stall = None;
+            return written;
+        }
+        let due = Instant::now() + self.bound;
+        let stall = self.stall.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(due)));
+        ready!(stall.as_mut().poll(context));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+impl AsyncRead for StallGuard {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for StallGuard {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, buffer);
+        self.check_stall(context, written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.check_stall(context, written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/persimmonlift/tests/whole_path.rs
@@ -0,0 +1,93 @@
+//! The whole path: callers' calls over real sockets to engines and services.
+
+mod harness;
+
+use googletest::prelude::*;
+use harness::*;
+use http::{Method, StatusCode};
+use serde_json::json;
+use standins::answer::service_text;
+use std::sync::Arc;
+use testcases::cases;
+use uuid::Uuid;
+
+async fn check_plain() -> Result<()> {
+    let deployment = Deployment::start(1).await?;
+    let prompt = prompt(1, 100);
+    let answer = deployment.complete(0, &prompt, 40).await?;
+    check_whole(&answer, &prompt, 40)?;
+    verify_that!(answer.header("persimmon-ran"), eq("yes"))
+}
+
+async fn check_streaming() -> Result<()> {
+    let deployment = Deployment::start(1).await?;
+    deployment.check_stream(0, &prompt(2, 5_000), 60).await
+}
+
+async fn check_chat() -> Result<()> {
+    let deployment = Deployment::start(1).await?;
+    let messages = json!([{"role": "user", "content": "is it complete?"}]);
+    let body = json!({"model": "clerk-queries", "messages": messages, "max_tokens": 8});
+    let path = "/v1/chat/completions";
+    let answer = deployment.call(0, Method::POST, path, body.to_string()).await?;
+    let expected = standins::answer::expected_text(MODEL, "user: is it complete?\n", 8);
+    let body = answer.json()?;
+    verify_that!(body["choices"][0]["message"]["content"].as_str(), some(eq(expected.as_str())))
+}
+
+async fn check_models() -> Result<()> {
+    let deployment = Deployment::start(1).await?;
+    let answer = deployment.call(0, Method::GET, "/v1/models", "").await?;
+    let body = answer.json()?;
+    verify_that!(body["data"].as_array().map(Vec::len), some(eq(2)))
+}
+
+async fn check_lookup() -> Result<()> {
+    let deployment = Deployment::start(1).await?;
+    let path = "/services/register-lookups/dwellings/7?full=1";
+    let answer = deployment.call(0, Method::GET, path, "").await?;
+    verify_that!(answer.status, eq(StatusCode::OK))?;
+    let text = String::from_utf8(answer.body.to_vec()).or_fail()?;
+    let own =
+        [service_text("GET", "/dwellings/7?full=1", b""), service_text("GET", "/dwellings/7", b"")];
+    verify_that!(own.contains(&text), eq(true))
+}
+
+async fn check_once() -> Result<()> {
+    let deployment = Deployment::start(2).await?;
+    let key = Uuid::now_v7().to_string();
+    let first = deployment.register(0, &key, "dwelling 7").await?;
+    verify_that!(first.status, eq(StatusCode::OK))?;
+    let again = deployment.register(1, &key, "dwelling 7").await?;
+    verify_that!(again.body, eq(&first.body))?;
+    verify_that!(deployment.fleet.execution_count(&key), eq(1))
+}
+
+/// 200 mixed streamed requests over two instances while one of them drains
+async fn check_drain_cuts_none() -> Result<()> {
+    let deployment = Arc::new(Deployment::start(2).await?);
+    let mut calls = tokio::task::JoinSet::new();
+    for number in 0..200 {
+        let deployment = deployment.clone();
+        let (size, tokens) = if number % 3 == 0 { (3_000, 20) } else { (60, 120) };
+        calls.spawn(async move {
+            deployment.check_stream(number % 2, &prompt(number, size), tokens as u32).await
+        });
+    }
+    let draining = deployment.clone();
+    let drained = tokio::spawn(async move { draining.nodes[1].drain().await });
+    while let Some(call) = calls.join_next().await {
+        call.or_fail()??;
+    }
+    verify_that!(drained.await.or_fail()?.cut, eq(0))
+}
+
+cases! { async
+    plain_completion => check_plain(),
+    streamed_completion => check_streaming(),
+    chat_completion => check_chat(),
+    models_of_a_key => check_models(),
+    lookup_of_a_service => check_lookup(),
+    once_only_call_and_its_retry => check_once(),
+    drain_cuts_none_of_200 => check_drain_cuts_none(),
+}
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -333,6 +333,8 @@
             buffer: BytesMut::new(),
             next: request.from_token,
             ended: false,
+            pending: Vec::new(),
+            fault: None,
         })
     }
 
@@ -436,6 +438,9 @@
     buffer: BytesMut,
     next: TokenCount,
     ended: bool,
+    /// Lines that came together with one returned by `next`
+    pending: Vec<StreamLine>,
+    fault: Option<EngineError>,
 }
 
 impl TokenStream {
@@ -444,22 +449,81 @@
         self.next
     }
 
+    /// Whether the end mark has come
+    pub fn is_ended(&self) -> bool {
+        self.ended
+    }
+
     /// Next line, `None` after the end mark
     ///
     /// # Errors
+    /// As for `next_lines`.
+    pub async fn next(&mut self, silence: Duration) -> Result<Option<StreamLine>, EngineError> {
+        let mut lines = Vec::new();
+        self.next_lines(silence, &mut lines).await?;
+        if lines.is_empty() {
+            return Ok(None);
+        }
+        self.pending = lines.split_off(1);
+        Ok(lines.pop())
+    }
+
+    /// Appends the lines that come next, at least one unless the end mark has come
+    ///
+    /// Lines that arrive together are returned together.
+    ///
+    /// # Errors
     /// `Silent` when no line comes within `silence`, `BrokenOff` when the
     /// connection ends early, `Gap` and `Line` for a stream that can't be trusted,
-    /// `Stopped` when the engine gives up.
-    pub async fn next(&mut self, silence: Duration) -> Result<Option<StreamLine>, EngineError> {
+    /// `Stopped` when the engine gives up. Sound lines before a fault are returned
+    /// first.
+    pub async fn next_lines(
+        &mut self,
+        silence: Duration,
+        lines: &mut Vec<StreamLine>,
+    ) -> Result<(), EngineError> {
+        if !self.pending.is_empty() {
+            lines.append(&mut self.pending);
+            return Ok(());
+        }
+        if let Some(fault) = self.fault.take() {
+            return Err(fault);
+        }
         if self.ended {
-            return Ok(None);
+            return Ok(());
         }
-        let line = match tokio::time::timeout(silence, self.read_line()).await {
-            Ok(line) => line?,
-            Err(_) => return Err(EngineError::Silent(silence)),
-        };
-        self.accept(&line)?;
-        Ok(Some(line))
+        match tokio::time::timeout(silence, self.read_lines(lines)).await {
+            Ok(read) => read,
+            Err(_) => Err(EngineError::Silent(silence)),
+        }
+    }
+
+    async fn read_lines(&mut self, lines: &mut Vec<StreamLine>) -> Result<(), EngineError> {
+        let before = lines.len();
+        loop {
+            match self.take_lines(lines) {
+                Ok(()) if lines.len() > before => return Ok(()),
+                Ok(()) => self.read_frame().await?,
+                Err(fault) if lines.len() > before => {
+                    self.fault = Some(fault);
+                    return Ok(());
+                }
+                Err(fault) => return Err(fault),
+            }
+        }
+    }
+
+    /// Takes the whole lines out of the buffer
+    fn take_lines(&mut self, lines: &mut Vec<StreamLine>) -> Result<(), EngineError> {
+        while !self.ended
+            && let Some(end) = self.buffer.iter().position(|it| *it == b'\n')
+        {
+            let text = self.buffer.split_to(end + 1);
+            let line = serde_json::from_slice(&text[..end]).map_err(|_| EngineError::Line)?;
+            self.accept(&line)?;
+            lines.push(line);
+        }
+        if self.buffer.len() > MAX_LINE_BYTES { Err(EngineError::Line) } else { Ok(()) }
     }
 
     fn accept(&mut self, line: &StreamLine) -> Result<(), EngineError> {
@@ -477,19 +541,6 @@
         Ok(())
     }
 
-    async fn read_line(&mut self) -> Result<StreamLine, EngineError> {
-        loop {
-            if let Some(end) = self.buffer.iter().position(|it| *it == b'\n') {
-                let line = self.buffer.split_to(end + 1);
-                return serde_json::from_slice(&line[..end]).map_err(|_| EngineError::Line);
-            }
-            if self.buffer.len() > MAX_LINE_BYTES {
-                return Err(EngineError::Line);
-            }
-            self.read_frame().await?;
-        }
-    }
-
     async fn read_frame(&mut self) -> Result<(), EngineError> {
         match self.body.frame().await {
             Some(Ok(frame)) => {
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -67,13 +67,26 @@
 impl HttpClient {
     /// Client with a pool of its own
     pub fn new() -> HttpClient {
+        HttpClient::with_idle_connections(usize::MAX)
+    }
+
+    /// Client that makes a connection for each request
+    ///
+    /// An open connection may have gone silent without either end knowing.
+    pub fn without_reuse() -> HttpClient {
+        HttpClient::with_idle_connections(0)
+    }
+
+    fn with_idle_connections(count: usize) -> HttpClient {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
-            .retry_canceled_requests(false)
+            .pool_max_idle_per_host(count)
+            // Only a request of which no byte was written is sent again.
+            .retry_canceled_requests(true)
             .build(connector);
         HttpClient { client }
     }
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -47,6 +47,14 @@
         ServiceClient { client: HttpClient::new(), max_answer_bytes }
     }
 
+    /// Client that makes a connection for each request
+    ///
+    /// For calls that may not be repeated: a pooled connection may have gone silent,
+    /// and what was sent over it would have to count as run.
+    pub fn without_reuse(max_answer_bytes: usize) -> ServiceClient {
+        ServiceClient { client: HttpClient::without_reuse(), max_answer_bytes }
+    }
+
     /// Sends a request and reads the whole answer within `timeout`
     ///
     /// # Errors
