Change engines by confirmed plans under a lease

Cause: nothing gave orders to engines; a change of role or version would have cut requests in flight. Change: a planner for each engine pool stands for the pool's lease. The holder plans one change at a time (roles by decide::plan, versions by what the entries ask for, loads only while the weight store has room), waits for every listed instance's confirmation and for the drain, announces the order in the control stream, sends it under its fencing number and opens the engine when it is ready. Every instance keeps new work from engines with an open plan. Ruled out on the way: the log outage case first failed with 503 because a lone instance counts as isolated after 5 s without the log; it now has a longer bound there, as it has no peer to ask.

--- a/crates/persimmonlift/src/context.rs
+++ b/crates/persimmonlift/src/context.rs
@@ -4,6 +4,7 @@
 use crate::gate::PoolGate;
 use crate::meters::EntryMeters;
 use crate::metrics::ServingMetrics;
+use crate::planner::RolePlanner;
 use crate::pool::EndpointPool;
 use crate::registry::EndpointRegistry;
 use crate::settings::{NodeSecrets, NodeSettings};
@@ -13,6 +14,7 @@
 use coordination::catalogue::CatalogueHandle;
 use coordination::once::OnceHandle;
 use indexmap::IndexMap;
+use peer::client::PeerClient;
 use platform::engine::EngineClient;
 use platform::service::ServiceClient;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -34,6 +36,10 @@
     pub catalogue: CatalogueHandle,
     /// Once-only work
     pub once: OnceHandle,
+    /// Planned changes of engines
+    pub planner: RolePlanner,
+    /// Client of other instances
+    pub peers: PeerClient,
     /// Client of engines
     pub engines: EngineClient,
     /// Client of services for calls that may be repeated
--- a/crates/persimmonlift/src/lib.rs
+++ b/crates/persimmonlift/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod metrics;
 pub mod node;
 pub mod once_calls;
+pub mod planner;
 pub mod pool;
 pub mod prompt;
 pub mod recovery;
--- a/crates/persimmonlift/src/node.rs
+++ b/crates/persimmonlift/src/node.rs
@@ -4,11 +4,13 @@
 //! and one of them can be dropped at once, as a crash would.
 
 use crate::admin;
+use crate::admin_status::StatusReports;
 use crate::answer::AnswerResponse;
 use crate::callers;
 use crate::context::{HELD_UNIT_BYTES, NodeContext, PoolGates};
 use crate::metrics::ServingMetrics;
-use crate::registry::{RegistryActor, RegistryConfig, RegistryMessage};
+use crate::planner::{PlannerParts, RolePlanner};
+use crate::registry::{EndpointRegistry, RegistryActor, RegistryConfig, RegistryMessage};
 use crate::server::{AnswerFn, HttpServer, ServerRules};
 use crate::settings::{NodeSecrets, NodeSettings};
 use crate::standing::NodeStanding;
@@ -19,10 +21,13 @@
 use coordination::shared::{LogTiming, SharedLog};
 use http::Request;
 use hyper::body::Incoming;
+use peer::auth::PeerSecret;
+use peer::client::{LinkTimes, PeerClient};
 use platform::engine::EngineClient;
 use platform::instances::InstanceClient;
 use platform::log::LogClient;
 use platform::service::ServiceClient;
+use platform::weights::WeightClient;
 use ractor::{Actor, ActorRef};
 use std::convert::Infallible;
 use std::future::Future;
@@ -194,6 +199,7 @@
             tokio::time::sleep(DRAIN_POLL).await;
         }
         let cut = context.standing.in_flight();
+        context.planner.release().await;
         servers.admin.abort();
         self.registry.stop(None);
         let report = DrainReport { cut, took: started.elapsed() };
@@ -252,12 +258,31 @@
     let shared = SharedLog::new(log, settings.instance.id.clone(), LogTiming::default());
     let catalogue = CatalogueHandle::start(shared.clone()).await.map_err(StartError::Actor)?;
     let metrics = ServingMetrics::start(settings.metrics.statsd).map_err(StartError::Metrics)?;
+    let registry = Arc::<EndpointRegistry>::default();
+    let engines = EngineClient::new();
+    let secret = PeerSecret::new(&secrets.peer_token);
+    let peers = PeerClient::new(secret, LinkTimes::default());
+    let parts = PlannerParts {
+        settings: settings.planner.clone(),
+        shared: shared.clone(),
+        catalogue: catalogue.clone(),
+        registry: registry.clone(),
+        peers: peers.clone(),
+        engines: engines.clone(),
+        weights: WeightClient::new(settings.platform.weights, timeouts.platform()),
+    };
+    let planner = RolePlanner::start(parts).await.map_err(StartError::Actor)?;
+    let reports = StatusReports::default();
+    let reporter = planner.clone();
+    reports.add("control", Box::new(move || reporter.status()));
     Ok(NodeContext {
         secrets,
-        registry: Arc::default(),
+        registry,
+        planner,
+        peers,
         catalogue,
         once: OnceHandle::new(shared, HomeRoute::none()),
-        engines: EngineClient::new(),
+        engines,
         services: ServiceClient::new(limits.max_answer_bytes),
         once_services: ServiceClient::without_reuse(limits.max_answer_bytes),
         meters: Default::default(),
@@ -267,7 +292,7 @@
         held: Arc::new(Semaphore::new(limits.max_held_bytes / HELD_UNIT_BYTES)),
         places: Arc::new(Semaphore::new(limits.max_in_flight)),
         gates: PoolGates::new(limits.queue_length),
-        reports: Default::default(),
+        reports,
         settings,
     })
 }
--- /dev/null
+++ b/crates/persimmonlift/src/planner/figures.rs
@@ -0,0 +1,161 @@
+//! What a pool's engines report, put together for the decisions.
+
+use super::settings::PlannerSettings;
+use crate::pool::EndpointPool;
+use catalogue::id::EndpointId;
+use catalogue::{CatalogueEntry, EntryKind, InstanceKind, InstanceState, ListedInstance};
+use catalogue::{EngineRole, ModelTarget};
+use decide::mix::MixFigures;
+use decide::plan::{ChangeCosts, EngineFigures, PlanInput};
+use indexmap::IndexMap;
+use platform::engine::LoadReport;
+use state::catalogue::CatalogueView;
+use state::control::ControlView;
+use std::time::{Duration, Instant};
+
+/// Time constant over which the mix is averaged.
+const MIX_WINDOW: Duration = Duration::from_secs(6);
+
+#[derive(Debug, Clone, Copy)]
+struct EngineCount {
+    prompt_tokens: u64,
+    output_tokens: u64,
+    taken_at: Instant,
+}
+
+/// Rates of the work that engines have done, from the counters in their reports
+#[derive(Debug, Default)]
+pub struct MixTracker {
+    counts: IndexMap<EndpointId, EngineCount>,
+    prompt_per_s: IndexMap<EndpointId, f64>,
+    output_per_s: IndexMap<EndpointId, f64>,
+}
+
+impl MixTracker {
+    /// Takes in the reports of a pool and answers the mix over all its engines
+    pub fn update(
+        &mut self,
+        reports: &[(ListedInstance, Option<LoadReport>)],
+        now: Instant,
+    ) -> MixFigures {
+        let mut mix = MixFigures::default();
+        for (engine, report) in reports {
+            let Some(report) = report else {
+                continue;
+            };
+            self.take(&engine.id, report, now);
+            mix.queued_prompt_tokens += report.queued_prompt_tokens as f64;
+            mix.queued_output_tokens += report.queued_output_tokens as f64;
+        }
+        let is_listed = |id: &EndpointId| reports.iter().any(|it| it.0.id == *id);
+        self.counts.retain(|id, _| is_listed(id));
+        self.prompt_per_s.retain(|id, _| is_listed(id));
+        self.output_per_s.retain(|id, _| is_listed(id));
+        mix.prompt_tokens_per_s = self.prompt_per_s.values().sum();
+        mix.output_tokens_per_s = self.output_per_s.values().sum();
+        mix
+    }
+
+    fn take(&mut self, id: &EndpointId, report: &LoadReport, now: Instant) {
+        let taken_at = now.checked_sub(Duration::from_millis(report.age_ms)).unwrap_or(now);
+        let count = EngineCount {
+            prompt_tokens: report.prompt_tokens_done,
+            output_tokens: report.output_tokens_done,
+            taken_at,
+        };
+        let Some(before) = self.counts.insert(id.clone(), count) else {
+            return;
+        };
+        let elapsed = taken_at.saturating_duration_since(before.taken_at);
+        let is_restarted = count.prompt_tokens < before.prompt_tokens
+            || count.output_tokens < before.output_tokens;
+        if is_restarted || elapsed.is_zero() {
+            return;
+        }
+        let prompt = count.prompt_tokens - before.prompt_tokens;
+        let output = count.output_tokens - before.output_tokens;
+        smooth(self.prompt_per_s.entry(id.clone()).or_default(), prompt, elapsed);
+        smooth(self.output_per_s.entry(id.clone()).or_default(), output, elapsed);
+    }
+}
+
+fn smooth(rate: &mut f64, tokens: u64, elapsed: Duration) {
+    let kept = (-elapsed.as_secs_f64() / MIX_WINDOW.as_secs_f64()).exp();
+    let current = tokens as f64 / elapsed.as_secs_f64();
+    *rate = *rate * kept + current * (1.0 - kept);
+}
+
+/// Input of one planning step
+pub fn plan_input(
+    pool: &EndpointPool,
+    view: &ControlView,
+    mix: MixFigures,
+    settings: &PlannerSettings,
+    since_last: Option<Duration>,
+) -> PlanInput {
+    let reports = pool.reports();
+    let is_engine = |it: &&(ListedInstance, Option<LoadReport>)| it.0.kind == InstanceKind::Engine;
+    let engines = reports
+        .iter()
+        .filter(is_engine)
+        .filter_map(|(listed, report)| Some(engine_figures(listed, report.as_ref()?, view)))
+        .collect();
+    let costs = ChangeCosts { away: settings.away(), store_busy: Duration::ZERO, since_last };
+    PlanInput { engines, mix, costs, horizon: settings.horizon(), floors: settings.floors() }
+}
+
+fn engine_figures(
+    listed: &ListedInstance,
+    report: &LoadReport,
+    view: &ControlView,
+) -> EngineFigures {
+    let is_planned = view.plan_of(&listed.id).is_some();
+    let is_live = listed.state == InstanceState::Live;
+    EngineFigures {
+        engine: listed.id.clone(),
+        zone: listed.zone.clone(),
+        role: report.role,
+        ready: report.accepting && is_live && !is_planned,
+        changing: is_planned,
+        changeable: report.accepting && is_live && !is_planned,
+        prefill_tokens_per_s: report.prefill_tokens_per_s,
+        decode_tokens_per_s: report.decode_tokens_per_s,
+        in_flight: report.running + report.waiting,
+    }
+}
+
+/// Models that the entries of a pool ask an engine for, the most urgent entry's first
+pub fn wanted_models(catalogue: &CatalogueView, pool: &str, engine: &str) -> Vec<ModelTarget> {
+    let entries = catalogue.entries().map(|it| &*it.entry);
+    let mut entries: Vec<&CatalogueEntry> =
+        entries.filter(|it| it.pool == pool && it.admits_endpoint(engine)).collect();
+    entries.sort_by_key(|it| (it.class, it.name.clone()));
+    let mut wanted: Vec<ModelTarget> = Vec::new();
+    for entry in entries {
+        let EntryKind::Engine { model, version, adapter } = &entry.kind else {
+            continue;
+        };
+        let target = ModelTarget {
+            role: EngineRole::Mixed,
+            model: model.clone(),
+            version: version.clone(),
+            adapter: adapter.clone(),
+        };
+        if !wanted.contains(&target) {
+            wanted.push(target);
+        }
+    }
+    wanted
+}
+
+/// What an engine should serve in place of what it does, if the entries ask for another
+pub fn wanted_change(serves: &ModelTarget, wanted: &[ModelTarget]) -> Option<ModelTarget> {
+    let is_served = |it: &ModelTarget| {
+        (&it.model, &it.version, &it.adapter) == (&serves.model, &serves.version, &serves.adapter)
+    };
+    if wanted.iter().any(is_served) {
+        return None;
+    }
+    let target = wanted.iter().find(|it| it.model == serves.model).or(wanted.first())?;
+    Some(ModelTarget { role: serves.role, ..target.clone() })
+}
--- /dev/null
+++ b/crates/persimmonlift/src/planner/pool.rs
@@ -0,0 +1,285 @@
+//! Planner of one pool: looks at fixed intervals and takes one step at a time.
+//!
+//! Whoever holds the lease carries out the open plan, or makes one. A tick never
+//! overlaps the next, and each step reads its facts anew.
+
+use super::PlannerParts;
+use super::change::{ChangeDesk, StepEnd};
+use super::figures::{MixTracker, plan_input, wanted_change, wanted_models};
+use super::gate::PlanGate;
+use crate::pool::EndpointPool;
+use catalogue::id::{EndpointId, PoolName};
+use catalogue::{EngineRole, InstanceKind, InstanceState, ListedInstance, ModelTarget};
+use coordination::control::ControlHandle;
+use coordination::lease::{HeldLease, LeaseKeeper};
+use decide::plan::{PlanReason, plan_roles};
+use platform::engine::LoadReport;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use smol_str::format_smolstr;
+use state::control::{ControlItem, DutyName, PlanStep};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Handle to a pool's planner; dropping the last one ends it
+#[derive(Clone)]
+pub struct PoolPlannerHandle {
+    pub(super) gate: PlanGate,
+    pub(super) control: ControlHandle,
+    keeper: LeaseKeeper,
+    _guard: Arc<PoolGuard>,
+}
+
+impl std::fmt::Debug for PoolPlannerHandle {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("PoolPlannerHandle").finish_non_exhaustive()
+    }
+}
+
+struct PoolGuard(ActorRef<PoolMessage>);
+
+impl Drop for PoolGuard {
+    fn drop(&mut self) {
+        self.0.stop(None);
+    }
+}
+
+impl PoolPlannerHandle {
+    /// Gives the lease up
+    pub async fn release(&self) {
+        self.keeper.release().await;
+    }
+}
+
+/// Message to the planner of a pool
+#[derive(Debug)]
+pub enum PoolMessage {
+    /// Take a step
+    Tick,
+}
+
+/// Planner of one pool
+#[derive(Debug)]
+pub struct PoolPlanner;
+
+/// State of the planner of one pool
+pub struct PoolState {
+    desk: ChangeDesk,
+    keeper: LeaseKeeper,
+    mix: MixTracker,
+    opened: usize,
+    last_change: Option<Instant>,
+    last_reason: Option<PlanReason>,
+}
+
+impl PoolPlanner {
+    /// Starts to follow a pool and to stand for its planner lease
+    ///
+    /// # Errors
+    /// `ractor::SpawnErr` if an actor can't be started.
+    pub async fn start(
+        parts: PlannerParts,
+        pool: Arc<EndpointPool>,
+    ) -> Result<PoolPlannerHandle, ractor::SpawnErr> {
+        let control = ControlHandle::start(parts.shared.clone(), pool.name()).await?;
+        let duty = planner_duty(pool.name());
+        let keeper =
+            LeaseKeeper::start(control.clone(), duty.clone(), parts.settings.lease()).await?;
+        let gate = PlanGate::new(control.clone(), pool.clone());
+        tokio::spawn(gate.clone().follow());
+        let desk = ChangeDesk { parts, pool, control: control.clone(), duty, gate: gate.clone() };
+        let state = PoolState {
+            desk,
+            keeper: keeper.clone(),
+            mix: MixTracker::default(),
+            opened: 0,
+            last_change: None,
+            last_reason: None,
+        };
+        let (actor, _) = Actor::spawn(None, PoolPlanner, state).await?;
+        Ok(PoolPlannerHandle { gate, control, keeper, _guard: Arc::new(PoolGuard(actor)) })
+    }
+}
+
+/// Duty of planning for a pool
+pub fn planner_duty(pool: &PoolName) -> DutyName {
+    format_smolstr!("planner.{pool}")
+}
+
+impl Actor for PoolPlanner {
+    type Msg = PoolMessage;
+    type State = PoolState;
+    type Arguments = PoolState;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<PoolMessage>,
+        state: PoolState,
+    ) -> Result<PoolState, ActorProcessingErr> {
+        myself.send_after(state.desk.parts.settings.tick(), || PoolMessage::Tick);
+        Ok(state)
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<PoolMessage>,
+        message: PoolMessage,
+        state: &mut PoolState,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            PoolMessage::Tick => state.tick().await,
+        }
+        myself.send_after(state.desk.parts.settings.tick(), || PoolMessage::Tick);
+        Ok(())
+    }
+}
+
+impl PoolState {
+    async fn tick(&mut self) {
+        let reports = self.desk.pool.reports();
+        let mix = self.mix.update(&reports, Instant::now());
+        self.note_closed_plans();
+        let Some(lease) = self.keeper.held() else {
+            return;
+        };
+        let plans: Vec<_> = self.desk.control.view().plans().map(|it| it.id).collect();
+        for plan in &plans {
+            let end = self.desk.step(*plan, &self.keeper).await;
+            if let StepEnd::Failed(error) = end {
+                log::warn!("event=plan_step_failed plan={plan} reason=\"{error}\"");
+            }
+        }
+        if !plans.is_empty() {
+            return;
+        }
+        if self.plan_models(&reports, lease).await {
+            return;
+        }
+        if self.desk.parts.settings.roles {
+            self.plan_roles(mix, lease).await;
+        }
+    }
+
+    fn note_closed_plans(&mut self) {
+        let view = self.desk.control.view();
+        let last = view.closed().iter().rfind(|it| it.step == PlanStep::Opened);
+        let opened = last.map_or(0, |it| it.id as usize);
+        if opened != self.opened {
+            self.opened = opened;
+            self.last_change = Some(Instant::now());
+        }
+    }
+
+    /// Plans to load what entries ask for, one engine at a time; whether it did
+    async fn plan_models(
+        &self,
+        reports: &[(ListedInstance, Option<LoadReport>)],
+        lease: HeldLease,
+    ) -> bool {
+        let catalogue = self.desk.parts.catalogue.view();
+        for (engine, _) in reports.iter().filter(|it| is_changeable(it)) {
+            let wanted = wanted_models(&catalogue, self.desk.pool.name(), &engine.id);
+            let Some(state) = self.desk.engine_state(engine.address).await else {
+                continue;
+            };
+            let Some(target) = wanted_change(&state.target, &wanted) else {
+                continue;
+            };
+            if self.store_has_room(&target).await {
+                return self.plan(&engine.id, state.target, target, lease, "model").await;
+            }
+        }
+        false
+    }
+
+    async fn store_has_room(&self, target: &ModelTarget) -> bool {
+        let bound = self.desk.parts.settings.store_wait();
+        match self.desk.parts.weights.report().await {
+            Ok(report) => {
+                let time = report.load_time(&target.model, &target.version);
+                if time.is_none() {
+                    log::warn!("event=weights_missing model={}", target.model);
+                }
+                time.is_some_and(|it| it <= bound)
+            }
+            Err(error) => {
+                log::warn!("event=weights_unread reason=\"{error}\"");
+                false
+            }
+        }
+    }
+
+    async fn plan_roles(&mut self, mix: decide::mix::MixFigures, lease: HeldLease) {
+        let desk = &self.desk;
+        let since_last = self.last_change.map(|it| it.elapsed());
+        let view = desk.control.view();
+        let input = plan_input(&desk.pool, &view, mix, &desk.parts.settings, since_last);
+        let decision = plan_roles(&input);
+        if decision.change.is_some() || self.last_reason != Some(decision.reason) {
+            log::info!(
+                "event=plan_roles pool={} engines={} prompt_per_s={:.0} output_per_s={:.0} load={:.2} load_after={:.2} reason=\"{}\"",
+                desk.pool.name(),
+                input.engines.len(),
+                mix.prompt_tokens_per_s,
+                mix.output_tokens_per_s,
+                decision.load_now,
+                decision.load_after,
+                decision.reason,
+            );
+        }
+        self.last_reason = Some(decision.reason);
+        let Some(change) = decision.change else {
+            return;
+        };
+        self.plan_role(&change.engine, change.to, lease).await;
+    }
+
+    async fn plan_role(&self, engine: &EndpointId, role: EngineRole, lease: HeldLease) {
+        let reports = self.desk.pool.reports();
+        let Some((listed, _)) = reports.iter().find(|it| it.0.id == *engine) else {
+            return;
+        };
+        let Some(state) = self.desk.engine_state(listed.address).await else {
+            return;
+        };
+        let target = ModelTarget { role, ..state.target.clone() };
+        self.plan(engine, state.target, target, lease, "role").await;
+    }
+
+    async fn plan(
+        &self,
+        engine: &EndpointId,
+        from: ModelTarget,
+        to: ModelTarget,
+        lease: HeldLease,
+        cause: &str,
+    ) -> bool {
+        log::info!(
+            "event=plan pool={} engine={engine} cause={cause} from={} to={} version={} fence={}",
+            self.desk.pool.name(),
+            from.role.name(),
+            to.role.name(),
+            to.version,
+            lease.fence,
+        );
+        let item = ControlItem::Plan {
+            duty: self.desk.duty.clone(),
+            fence: lease.fence,
+            engine: engine.clone(),
+            from,
+            to,
+        };
+        match self.desk.control.append(item).await {
+            Ok(_) => true,
+            Err(error) => {
+                log::warn!("event=plan_not_made engine={engine} reason=\"{error}\"");
+                false
+            }
+        }
+    }
+}
+
+fn is_changeable(engine: &(ListedInstance, Option<LoadReport>)) -> bool {
+    let (listed, report) = engine;
+    let is_live = listed.kind == InstanceKind::Engine && listed.state == InstanceState::Live;
+    is_live && report.as_ref().is_some_and(|it| it.accepting)
+}
--- a/crates/persimmonlift/src/settings.rs
+++ b/crates/persimmonlift/src/settings.rs
@@ -4,6 +4,7 @@
 //! at once; only a text without faults becomes `NodeSettings`. Secrets stand in
 //! files of their own and are read last.
 
+use crate::planner::settings::PlannerSettings;
 use crate::settings_check::{SettingFault, check_table};
 use catalogue::id::{InstanceId, RegionName, ZoneName};
 use smol_str::SmolStr;
@@ -34,6 +35,9 @@
     /// Where metrics go
     #[serde(default)]
     pub metrics: MetricSettings,
+    /// Planned changes of engines
+    #[serde(default)]
+    pub planner: PlannerSettings,
 }
 
 /// Who and where an instance is
@@ -259,6 +263,7 @@
             limits: LimitSettings::default(),
             timeouts: TimeoutSettings::default(),
             metrics: MetricSettings::default(),
+            planner: PlannerSettings::default(),
         }
     }
 
--- a/crates/persimmonlift/src/settings_check.rs
+++ b/crates/persimmonlift/src/settings_check.rs
@@ -71,6 +71,7 @@
     Name,
     Path,
     Address,
+    Switch,
     Integer { min: i64, max: i64 },
 }
 
@@ -95,7 +96,7 @@
 const MILLIS: KeyForm = KeyForm::Integer { min: 1, max: DAY_MS };
 const PAUSE_MILLIS: KeyForm = KeyForm::Integer { min: 0, max: DAY_MS };
 
-const KEY_RULES: [KeyRule; 29] = [
+const KEY_RULES: [KeyRule; 42] = [
     required("instance", "id", KeyForm::Name),
     required("instance", "zone", KeyForm::Name),
     required("instance", "region", KeyForm::Name),
@@ -125,6 +126,19 @@
     optional("timeouts", "drain_pause_ms", PAUSE_MILLIS),
     optional("timeouts", "drain_bound_ms", MILLIS),
     optional("metrics", "statsd", KeyForm::Address),
+    optional("planner", "roles", KeyForm::Switch),
+    optional("planner", "tick_ms", MILLIS),
+    optional("planner", "horizon_ms", MILLIS),
+    optional("planner", "away_ms", MILLIS),
+    optional("planner", "lease_term_ms", MILLIS),
+    optional("planner", "lease_renewal_ms", MILLIS),
+    optional("planner", "confirm_ms", MILLIS),
+    optional("planner", "drain_ms", MILLIS),
+    optional("planner", "call_ms", MILLIS),
+    optional("planner", "order_lifetime_ms", MILLIS),
+    optional("planner", "floor_prefill", COUNT),
+    optional("planner", "floor_decode", COUNT),
+    optional("planner", "store_wait_ms", MILLIS),
 ];
 
 /// Every fault of a settings table
@@ -179,6 +193,10 @@
             let is_address = value.as_str().is_some_and(|it| it.parse::<SocketAddr>().is_ok());
             (!is_address).then_some(FaultReason::Form("an IP number with a port"))
         }
+        KeyForm::Switch => {
+            let is_switch = value.is_bool();
+            (!is_switch).then_some(FaultReason::Form("true or false"))
+        }
         KeyForm::Integer { min, max } => match value.as_integer() {
             Some(number) if (min..=max).contains(&number) => None,
             Some(_) => Some(FaultReason::Range(min, max)),
--- /dev/null
+++ b/crates/persimmonlift/tests/planner.rs
@@ -0,0 +1,166 @@
+//! Planned changes on live stand-ins: what they cut, and what a fault leaves behind.
+//!
+//! A catalogue edit asks for another version of the model, so every engine has to be
+//! changed in turn.
+
+mod harness;
+
+use catalogue::id::EndpointId;
+use catalogue::{CatalogueEntry, EntryKind};
+use googletest::prelude::*;
+use harness::*;
+use persimmonlift::settings::NodeSettings;
+use smol_str::SmolStr;
+use standins::deployment::{DeploymentKind, NEXT_MODEL_VERSION};
+use standins::fleet::FleetSettings;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use testcases::cases;
+
+const POOL: &str = "summary";
+
+/// Fault that meets a change
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ChangeFault {
+    None,
+    EngineCrash,
+    EngineGone,
+    LogOutage,
+}
+
+fn fleet(ignoring_fence: usize) -> FleetSettings {
+    let mut fleet = FleetSettings::of(DeploymentKind::Trust);
+    fleet.engine.change_ms = 300;
+    fleet.engine.report_lag_ms = 100;
+    fleet.model_bytes = 20_000_000;
+    fleet.engine.restart_ms = 300;
+    fleet.engines_ignoring_fence = ignoring_fence;
+    fleet.list_lag_ms = 100;
+    fleet
+}
+
+fn quick(settings: &mut NodeSettings) {
+    // A single instance has no peer to tell an outage of the log from its own isolation.
+    settings.timeouts.isolation_ms = 60_000;
+    settings.planner.roles = false;
+    settings.planner.tick_ms = 50;
+    settings.planner.call_ms = 400;
+    settings.planner.confirm_ms = 1_000;
+    settings.planner.lease_term_ms = 1_500;
+    settings.planner.lease_renewal_ms = 400;
+    settings.planner.order_lifetime_ms = 1_000;
+}
+
+async fn ask_for_next_version(deployment: &Deployment) -> Result<()> {
+    let catalogue = &deployment.nodes[0].context().catalogue;
+    for entry in DeploymentKind::Trust.entries(KEY) {
+        let EntryKind::Engine { model, adapter, .. } = entry.kind.clone() else {
+            continue;
+        };
+        let kind = EntryKind::Engine { model, adapter, version: NEXT_MODEL_VERSION.into() };
+        let base = catalogue.view().entry(&entry.name).map_or(0, |it| it.revision);
+        let edit = CatalogueEntry { kind, ..entry };
+        catalogue.put(edit, base, "test".into()).await.or_fail()?;
+    }
+    Ok(())
+}
+
+fn served_versions(deployment: &Deployment, except: &[EndpointId]) -> Vec<SmolStr> {
+    let engines = deployment.fleet.engines.iter().filter(|it| !except.contains(it.0));
+    engines.map(|(_, it)| it.state()).filter(|it| it.ready).map(|it| it.target.version).collect()
+}
+
+async fn await_next_version(deployment: &Deployment, except: &[EndpointId]) -> Result<()> {
+    let expected = deployment.fleet.engines.len() - except.len();
+    await_until("every engine serves the next version", || {
+        let versions = served_versions(deployment, except);
+        versions.iter().filter(|it| *it == NEXT_MODEL_VERSION).count() == expected
+    })
+    .await
+}
+
+/// Sends streams one after the other until told to stop; answers how many were whole
+async fn stream_on(deployment: Arc<Deployment>, stop: Arc<AtomicBool>, lane: usize) -> Result<u32> {
+    let mut whole = 0;
+    while !stop.load(Ordering::Relaxed) {
+        let node = lane % deployment.nodes.len();
+        deployment.check_stream(node, &prompt(lane * 1_000 + whole as usize, 200), 30).await?;
+        whole += 1;
+    }
+    Ok(whole)
+}
+
+async fn check_change(fault: ChangeFault, ignoring_fence: usize) -> Result<()> {
+    let deployment = Arc::new(Deployment::start_with(1, fleet(ignoring_fence), quick).await?);
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut lanes = tokio::task::JoinSet::new();
+    for lane in 0..16 {
+        lanes.spawn(stream_on(deployment.clone(), stop.clone(), lane));
+    }
+    ask_for_next_version(&deployment).await?;
+    let gone = strike(&deployment, fault).await?;
+    await_next_version(&deployment, &gone).await?;
+    stop.store(true, Ordering::Relaxed);
+    while let Some(lane) = lanes.join_next().await {
+        verify_that!(lane.or_fail()??, gt(0))?;
+    }
+    verify_that!(deployment.fleet.conflicts(), is_empty())?;
+    // Work that a crashed engine lost was not cut by the plan.
+    let cut: u32 = deployment.fleet.orders().iter().map(|it| it.cut).sum();
+    verify_that!(cut, eq(0))
+}
+
+/// Waits for a first order and brings the fault; answers engines that are gone for good
+async fn strike(deployment: &Deployment, fault: ChangeFault) -> Result<Vec<EndpointId>> {
+    await_until("an engine is ordered", || !deployment.fleet.orders().is_empty()).await?;
+    let order = deployment.fleet.orders().swap_remove(0);
+    let engine = &deployment.fleet.engines[&order.engine];
+    match fault {
+        ChangeFault::None => {}
+        ChangeFault::EngineCrash => engine.crash(),
+        ChangeFault::EngineGone => {
+            engine.crash_for(Duration::from_secs(3_600));
+            deployment.fleet.list.remove(&order.engine);
+            return Ok(vec![order.engine.clone()]);
+        }
+        ChangeFault::LogOutage => {
+            deployment.fleet.log.set_down(true);
+            tokio::time::sleep(Duration::from_secs(2)).await;
+            let during = deployment.fleet.orders().len();
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            verify_that!(deployment.fleet.orders().len(), eq(during))?;
+            deployment.fleet.log.set_down(false);
+        }
+    }
+    Ok(Vec::new())
+}
+
+/// A listed instance that never answers keeps every engine as it is
+async fn check_unconfirmed() -> Result<()> {
+    let deployment = Deployment::start_with(1, fleet(0), quick).await?;
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").or_fail()?;
+    let address = silent.local_addr().or_fail()?;
+    deployment.fleet.register_instance("entry-9".into(), "south-a".into(), address);
+    await_until("the silent instance is listed", || {
+        let entries = deployment.nodes[0].context().registry.entry_instances();
+        entries.borrow().len() == 2
+    })
+    .await?;
+    ask_for_next_version(&deployment).await?;
+    let controls = deployment.nodes[0].context().planner.controls();
+    let control = controls.iter().find(|it| it.0 == POOL).or_fail()?.1.clone();
+    await_until("an unconfirmed plan is withdrawn", || !control.view().closed().is_empty()).await?;
+    verify_that!(deployment.fleet.orders(), is_empty())?;
+    deployment.fleet.list.remove("entry-9");
+    await_next_version(&deployment, &[]).await
+}
+
+cases! { async
+    change_cuts_no_stream => check_change(ChangeFault::None, 0),
+    change_of_engines_that_ignore_fences_cuts_no_stream => check_change(ChangeFault::None, 7),
+    engine_crash_half_way => check_change(ChangeFault::EngineCrash, 0),
+    engine_withdrawn_half_way => check_change(ChangeFault::EngineGone, 0),
+    log_outage_half_way => check_change(ChangeFault::LogOutage, 0),
+    unconfirmed_plan_orders_nothing => check_unconfirmed(),
+}
--- a/crates/standins/src/deployment.rs
+++ b/crates/standins/src/deployment.rs
@@ -6,8 +6,10 @@
 use sha2::{Digest, Sha256};
 use smol_str::{SmolStr, format_smolstr};
 
-/// Version of all models
+/// Version of all models at first
 pub const MODEL_VERSION: &str = "1";
+/// Version that the weight store holds besides, for changes of version
+pub const NEXT_MODEL_VERSION: &str = "2";
 
 /// Which firm's fleet is started
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -1,6 +1,6 @@
 //! A whole deployment without the system's own instances.
 
-use crate::deployment::{DeploymentKind, DeploymentPlan, MODEL_VERSION};
+use crate::deployment::{DeploymentKind, DeploymentPlan, MODEL_VERSION, NEXT_MODEL_VERSION};
 use crate::engine::{
     EngineExecution, EngineSettings, EngineStandin, OrderConflict, OrderRecord, conflicts,
 };
@@ -199,12 +199,13 @@
 }
 
 fn start_weights(settings: &FleetSettings, plan: &DeploymentPlan) -> io::Result<WeightStandin> {
-    let model = StoredModel {
+    let stored = |version: &str| StoredModel {
         model: plan.model.clone(),
-        version: MODEL_VERSION.into(),
+        version: version.into(),
         bytes: settings.model_bytes,
     };
-    WeightStandin::start_at(settings.listen.weights, settings.weight_bytes_per_s, vec![model])
+    let models = [MODEL_VERSION, NEXT_MODEL_VERSION].map(stored).to_vec();
+    WeightStandin::start_at(settings.listen.weights, settings.weight_bytes_per_s, models)
 }
 
 fn start_engines(
