--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -144,6 +144,18 @@
         }
     }
 
+    /// Whether the instance at `address` says that it is ready
+    pub async fn is_ready(&self, address: SocketAddr) -> bool {
+        let request = Request::builder()
+            .uri(format!("http://{address}/readyz"))
+            .body(Full::new(Bytes::new()))
+            .map_err(HttpError::Request);
+        match request {
+            Ok(request) => self.client.send(request).await.is_ok_and(|it| it.status().is_success()),
+            Err(_) => false,
+        }
+    }
+
     async fn completion(
         &self,
         address: SocketAddr,
--- a/crates/standins/src/result_table.rs
+++ b/crates/standins/src/result_table.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 const SIGNIFICANT_DIGITS: u8 = 3;
+const MAX_TIME_US: u64 = 3_600_000_000;
 
 /// Results by entry
 #[derive(Debug, Default)]
@@ -85,8 +86,8 @@
 }
 
 fn histogram() -> Histogram<u64> {
-    // The number of digits is within what the library takes.
-    Histogram::new(SIGNIFICANT_DIGITS).unwrap_or_else(|_| unreachable!())
+    // Bound and number of digits are within what the library takes.
+    Histogram::new_with_max(MAX_TIME_US, SIGNIFICANT_DIGITS).unwrap_or_else(|_| unreachable!())
 }
 
 impl fmt::Display for ResultTable {
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -52,7 +52,11 @@
     let mut stream = EngineClient::new().generate(engine.address(), request, WAIT).await?;
     let mut text = String::new();
     let mut cached = 0;
-    while let Some(line) = stream.next(WAIT).await? {
+    let mut lines = Vec::new();
+    while !stream.is_ended() {
+        stream.next_lines(WAIT, &mut lines).await?;
+    }
+    for line in lines {
         match line {
             StreamLine::Token { text: token, .. } => text.push_str(&token),
             StreamLine::End { cached_tokens, .. } => cached = cached_tokens,
@@ -160,11 +164,11 @@
     let client = EngineClient::new();
     let request = generate("r", "p", 400, 0);
     let mut stream = client.generate(engine.address(), &request, WAIT).await.or_fail()?;
-    stream.next(WAIT).await.or_fail()?;
+    stream.next_lines(WAIT, &mut Vec::new()).await.or_fail()?;
     engine.silence();
-    let mut last = Ok(None);
+    let mut last = Ok(());
     while last.is_ok() {
-        last = stream.next(Duration::from_millis(100)).await;
+        last = stream.next_lines(Duration::from_millis(100), &mut Vec::new()).await;
     }
     verify_that!(last, err(matches_pattern!(EngineError::Silent(anything()))))?;
     let (text, _) = read(&engine, &generate("other", "p", 4, 0)).await.or_fail()?;
@@ -190,13 +194,13 @@
     let client = EngineClient::new();
     let request = generate("r", "p", 4_000, 0);
     let mut stream = client.generate(engine.address(), &request, WAIT).await.or_fail()?;
-    stream.next(WAIT).await.or_fail()?;
+    stream.next_lines(WAIT, &mut Vec::new()).await.or_fail()?;
     let order = order(1, 1, "i-1", EngineRole::Prefill);
     let state = client.order(engine.address(), &order, WAIT).await.or_fail()?;
     verify_that!(state.ready, eq(false))?;
-    let mut last = Ok(None);
+    let mut last = Ok(());
     while last.is_ok() {
-        last = stream.next(WAIT).await;
+        last = stream.next_lines(WAIT, &mut Vec::new()).await;
     }
     verify_that!(last, err(matches_pattern!(EngineError::Stopped(eq(&RefusalReason::Changing)))))?;
     tokio::time::sleep(Duration::from_millis(100)).await;
