Measure goodput through shifts on real instances

Cause: what users weigh first, goodput while the mix shifts, had no measurement. It prints figures by kind of call, writes JSON lines and draws an SVG.

--- /dev/null
+++ b/crates/standins/examples/shift/day.rs
@@ -0,0 +1,158 @@
+//! One day: calls made on time whatever becomes of earlier ones, and what is seen.
+
+use crate::caller::{CallContext, CallResult};
+use crate::faults::{DayEvent, all_engines, day_events, engines_at};
+use crate::options::ShiftOptions;
+use crate::schedule::{DAY, PlannedCall, ScheduleInput, arrivals};
+use crate::world::{INSTANCES, ShiftWorld, WorldError, engine_speed};
+use catalogue::EngineRole;
+use standins::fleet::Fleet;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between the start of the instances and that of the day.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// Roles of the engines at one moment
+#[derive(Debug, Clone, Copy, Default, serde::Serialize)]
+pub struct RoleSample {
+    pub at_ms: u64,
+    pub prefill: usize,
+    pub decode: usize,
+    pub mixed: usize,
+    /// Engines that change their role, are down or withdrawn
+    pub away: usize,
+}
+
+/// All that was seen of a day
+pub struct DayRecord {
+    pub results: Vec<CallResult>,
+    pub roles: Vec<RoleSample>,
+    pub events: Vec<(Duration, DayEvent)>,
+    /// Orders that an engine took
+    pub role_changes: usize,
+    /// Requests that orders cut off
+    pub cut_by_change: u32,
+    /// Conflicting orders that an engine took
+    pub conflicts: usize,
+    /// Once-only calls that ran more than once
+    pub doubled: usize,
+    /// Once-only calls answered as done that never ran
+    pub lost_once: usize,
+    /// Calls refused as not run that did run
+    pub untrue_refusals: usize,
+}
+
+/// Runs one day
+///
+/// # Errors
+/// `WorldError` when the instances can't be started.
+pub async fn run_day(options: &ShiftOptions) -> Result<DayRecord, WorldError> {
+    let world = ShiftWorld::start(options).await?;
+    tokio::time::sleep(SETTLE_TIME).await;
+    let calls = arrivals(&ScheduleInput {
+        seed: options.seed,
+        deployment: options.deployment,
+        load: options.load,
+        instances: INSTANCES,
+        speed: engine_speed(),
+        engines_at: if options.faults { engines_at } else { all_engines },
+    });
+    let start = Instant::now();
+    let events = day_events(options.faults);
+    let sampler = tokio::spawn(sample_roles(world.fleet.clone(), start));
+    let happening = tokio::spawn(bring_about(world.fleet.clone(), events.clone(), start));
+    let results = make_calls(world.call_context(options), calls, start).await;
+    let roles = sampler.await.unwrap_or_default();
+    happening.abort();
+    let record = judge(&world.fleet, results, roles, events);
+    for node in world.nodes {
+        tokio::task::spawn_blocking(|| node.kill());
+    }
+    Ok(record)
+}
+
+async fn make_calls(
+    context: CallContext,
+    calls: Vec<PlannedCall>,
+    start: Instant,
+) -> Vec<CallResult> {
+    let mut running = JoinSet::new();
+    let mut results = Vec::with_capacity(calls.len());
+    for call in calls {
+        tokio::time::sleep_until(start + call.at).await;
+        let context = context.clone();
+        running.spawn(async move { context.make(call).await });
+        while let Some(Ok(result)) = running.try_join_next() {
+            results.push(result);
+        }
+    }
+    while let Some(Ok(result)) = running.join_next().await {
+        results.push(result);
+    }
+    results.sort_by_key(|it| it.call.serial);
+    results
+}
+
+async fn bring_about(fleet: Fleet, events: Vec<(Duration, DayEvent)>, start: Instant) {
+    for (at, event) in events {
+        tokio::time::sleep_until(start + at).await;
+        event.apply(&fleet);
+    }
+}
+
+async fn sample_roles(fleet: Fleet, start: Instant) -> Vec<RoleSample> {
+    let mut samples = Vec::new();
+    while start.elapsed() < DAY {
+        samples.push(sample(&fleet, start.elapsed()));
+        tokio::time::sleep(SAMPLE_INTERVAL).await;
+    }
+    samples
+}
+
+fn sample(fleet: &Fleet, at: Duration) -> RoleSample {
+    let mut sample = RoleSample { at_ms: at.as_millis() as u64, ..RoleSample::default() };
+    for engine in fleet.engines.values() {
+        let state = engine.state();
+        match state.target.role {
+            _ if !state.ready => sample.away += 1,
+            EngineRole::Prefill => sample.prefill += 1,
+            EngineRole::Decode => sample.decode += 1,
+            EngineRole::Mixed => sample.mixed += 1,
+        }
+    }
+    sample
+}
+
+fn judge(
+    fleet: &Fleet,
+    results: Vec<CallResult>,
+    roles: Vec<RoleSample>,
+    events: Vec<(Duration, DayEvent)>,
+) -> DayRecord {
+    use crate::caller::CallEnd;
+    let mut record = DayRecord {
+        results,
+        roles,
+        events,
+        role_changes: fleet.orders().iter().filter(|it| it.taken).count(),
+        cut_by_change: fleet.orders().iter().map(|it| it.cut).sum(),
+        conflicts: fleet.conflicts().len(),
+        doubled: 0,
+        lost_once: 0,
+        untrue_refusals: 0,
+    };
+    for result in &record.results {
+        let Some(key) = &result.key else {
+            continue;
+        };
+        let runs = fleet.execution_count(key);
+        record.doubled += usize::from(runs > 1);
+        let is_done = matches!(result.end, CallEnd::Good | CallEnd::Late);
+        record.lost_once += usize::from(is_done && runs == 0);
+        record.untrue_refusals += usize::from(result.end == CallEnd::Refused && runs > 0);
+    }
+    record
+}
--- /dev/null
+++ b/crates/standins/examples/shift/options.rs
@@ -0,0 +1,115 @@
+//! Command line.
+
+use displaydoc::Display;
+use pico_args::Arguments;
+use standins::deployment::DeploymentKind;
+use std::path::PathBuf;
+
+/// Usage text.
+pub const USAGE: &str = "\
+shift: goodput of real instances before stand-in engines while the mix shifts
+
+  --seed N              seed of arrivals and sizes (1)
+  --deployment D        trust or dongelek (trust)
+  --policy P            lift, threshold, mixed, static (best split), or static:K with
+                        K prefill engines (lift)
+  --load F              offered part of what the fleet can do (0.85)
+  --out DIR             folder for JSON lines and SVG (out)
+  --compare             all policies in turn with the same seed, and their ratios
+  --quiet-faults        no crash, no withdrawal, no outage of the log
+";
+
+/// Who gives the engines their roles
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RolePolicy {
+    /// The system's planner
+    Lift,
+    /// The threshold rule in the system's planner
+    Threshold,
+    /// All engines mixed throughout
+    Mixed,
+    /// Best of all static splits, known only afterwards
+    BestStatic,
+    /// So many prefill engines throughout, all others decode
+    Static(usize),
+}
+
+impl RolePolicy {
+    /// Name in figures and file names
+    pub fn name(self) -> String {
+        match self {
+            RolePolicy::Lift => "lift".into(),
+            RolePolicy::Threshold => "threshold".into(),
+            RolePolicy::Mixed => "mixed".into(),
+            RolePolicy::BestStatic => "static".into(),
+            RolePolicy::Static(count) => format!("static-{count}"),
+        }
+    }
+
+    fn parse(name: &str) -> Result<RolePolicy, OptionError> {
+        match name {
+            "lift" => Ok(RolePolicy::Lift),
+            "threshold" => Ok(RolePolicy::Threshold),
+            "mixed" => Ok(RolePolicy::Mixed),
+            "static" => Ok(RolePolicy::BestStatic),
+            _ => match name.strip_prefix("static:").and_then(|it| it.parse().ok()) {
+                Some(count) => Ok(RolePolicy::Static(count)),
+                None => Err(OptionError::Policy(name.to_owned())),
+            },
+        }
+    }
+}
+
+/// What to run
+#[derive(Debug, Clone, PartialEq)]
+pub struct ShiftOptions {
+    pub seed: u64,
+    pub deployment: DeploymentKind,
+    pub policy: RolePolicy,
+    pub load: f64,
+    pub out: PathBuf,
+    pub compare: bool,
+    pub faults: bool,
+}
+
+/// Fault of the command line
+#[derive(Debug, Display)]
+pub enum OptionError {
+    /// {0}
+    Arguments(pico_args::Error),
+    /// unknown policy {0}
+    Policy(String),
+    /// unknown deployment {0}
+    Deployment(String),
+}
+
+impl std::error::Error for OptionError {}
+
+impl From<pico_args::Error> for OptionError {
+    fn from(error: pico_args::Error) -> OptionError {
+        OptionError::Arguments(error)
+    }
+}
+
+/// Reads the command line
+///
+/// # Errors
+/// `OptionError` for what can't be understood.
+pub fn parse() -> Result<ShiftOptions, OptionError> {
+    let mut arguments = Arguments::from_env();
+    let deployment: String =
+        arguments.opt_value_from_str("--deployment")?.unwrap_or_else(|| "trust".into());
+    let policy: String =
+        arguments.opt_value_from_str("--policy")?.unwrap_or_else(|| "lift".into());
+    let options = ShiftOptions {
+        seed: arguments.opt_value_from_str("--seed")?.unwrap_or(1),
+        deployment: DeploymentKind::parse(&deployment)
+            .ok_or(OptionError::Deployment(deployment))?,
+        policy: RolePolicy::parse(&policy)?,
+        load: arguments.opt_value_from_str("--load")?.unwrap_or(0.85),
+        out: arguments.opt_value_from_str("--out")?.unwrap_or_else(|| "out".into()),
+        compare: arguments.contains("--compare"),
+        faults: !arguments.contains("--quiet-faults"),
+    };
+    Ok(options)
+}
--- /dev/null
+++ b/crates/standins/examples/shift/world.rs
@@ -0,0 +1,174 @@
+//! Real instances before a stand-in fleet, in one process over loopback.
+
+use crate::caller::CallContext;
+use crate::options::{RolePolicy, ShiftOptions};
+use crate::schedule::SPEED_FACTOR;
+use catalogue::{CatalogueEntry, EngineRole};
+use displaydoc::Display;
+use persimmonlift::node::{Node, NodeHandle, StartError};
+use persimmonlift::settings::{
+    InstanceSettings, ListenSettings, NodeSecrets, NodeSettings, PlatformSettings,
+};
+use platform::http::HttpClient;
+use smol_str::format_smolstr;
+use standins::engine::{EngineSettings, EngineSpeed};
+use standins::fleet::{Fleet, FleetSettings};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Instances of the system.
+pub const INSTANCES: usize = 6;
+const KEY: &str = "shift-caller";
+const READY_BOUND: Duration = Duration::from_secs(30);
+const REPORT_LAG: Duration = Duration::from_secs(2);
+/// Time that a change of role takes an engine away at its own speed.
+const CHANGE_TIME: Duration = Duration::from_secs(4);
+
+/// Stand-ins and instances
+pub struct ShiftWorld {
+    pub fleet: Fleet,
+    pub nodes: Vec<NodeHandle>,
+}
+
+/// Failure to set the world up
+#[derive(Debug, Display)]
+pub enum WorldError {
+    /// stand-ins: {0}
+    Fleet(std::io::Error),
+    /// instance: {0}
+    Node(StartError),
+    /// catalogue: {0}
+    Catalogue(coordination::catalogue::EditError),
+    /// instances did not become ready
+    NotReady,
+}
+
+impl std::error::Error for WorldError {}
+
+/// Speed of the engines
+pub fn engine_speed() -> EngineSpeed {
+    EngineSpeed { factor: SPEED_FACTOR, ..EngineSpeed::default() }
+}
+
+impl ShiftWorld {
+    /// Starts everything and waits until all instances serve
+    ///
+    /// # Errors
+    /// `WorldError`.
+    pub async fn start(options: &ShiftOptions) -> Result<ShiftWorld, WorldError> {
+        let fleet = Fleet::start(fleet_settings(options)).map_err(WorldError::Fleet)?;
+        assign_roles(&fleet, options.policy);
+        let mut world = ShiftWorld { fleet, nodes: Vec::new() };
+        for index in 0..INSTANCES {
+            let settings = world.node_settings(index, options.policy);
+            let zone = settings.instance.zone.clone();
+            let node = Node::start(settings, secrets()).await.map_err(WorldError::Node)?;
+            world.fleet.register_instance(node.id().clone(), zone, node.peer_address());
+            world.nodes.push(node);
+        }
+        world.publish(options).await?;
+        world.await_ready().await?;
+        Ok(world)
+    }
+
+    /// What all calls share
+    pub fn call_context(&self, options: &ShiftOptions) -> CallContext {
+        let entries = options.deployment.entries(KEY);
+        CallContext {
+            client: HttpClient::new(),
+            bearer: KEY.into(),
+            model: self.fleet.plan.model.clone(),
+            entries: entries.into_iter().map(|it| it.name).collect(),
+            instances: self.nodes.iter().map(NodeHandle::caller_address).collect(),
+        }
+    }
+
+    fn node_settings(&self, index: usize, policy: RolePolicy) -> NodeSettings {
+        let instance = InstanceSettings {
+            id: format_smolstr!("entry-{}", index + 1),
+            zone: self.fleet.plan.zone(index),
+            region: self.fleet.plan.region.clone(),
+            deployment: self.fleet.plan.name.clone(),
+        };
+        let listen = ListenSettings { caller: any_port(), admin: any_port(), peer: any_port() };
+        let platform = PlatformSettings {
+            log: self.fleet.log_address(),
+            instances: self.fleet.list.address(),
+            weights: self.fleet.weights.address(),
+        };
+        let mut settings = NodeSettings::new(instance, listen, platform);
+        set_planner(&mut settings, policy);
+        settings
+    }
+
+    async fn publish(&self, options: &ShiftOptions) -> Result<(), WorldError> {
+        let catalogue = &self.nodes[0].context().catalogue;
+        catalogue.caught_up().await;
+        for entry in options.deployment.entries(KEY) {
+            let put = catalogue.put(unlimited(entry), 0, "shift".into()).await;
+            put.map_err(WorldError::Catalogue)?;
+        }
+        Ok(())
+    }
+
+    async fn await_ready(&self) -> Result<(), WorldError> {
+        let begun = Instant::now();
+        while !self.nodes.iter().all(|it| self.is_ready(it)) {
+            if begun.elapsed() > READY_BOUND {
+                return Err(WorldError::NotReady);
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        Ok(())
+    }
+
+    fn is_ready(&self, node: &NodeHandle) -> bool {
+        let context = node.context();
+        let status = context.registry.status();
+        let accepting = status.iter().filter(|it| it.accepting).count();
+        let endpoints = self.fleet.engines.len() + self.fleet.services.len();
+        let entries = context.catalogue.view().entries().count();
+        context.standing.is_ready() && entries == 4 && accepting == endpoints
+    }
+}
+
+/// Limits are not what is measured here
+fn unlimited(mut entry: CatalogueEntry) -> CatalogueEntry {
+    entry.limits.requests_per_s = 1e6;
+    entry.limits.in_flight = 1_000_000;
+    entry
+}
+
+fn fleet_settings(options: &ShiftOptions) -> FleetSettings {
+    let mut settings = FleetSettings::of(options.deployment);
+    settings.engine = EngineSettings {
+        speed: engine_speed(),
+        report_lag_ms: REPORT_LAG.as_millis() as u64,
+        change_ms: CHANGE_TIME.as_millis() as u64,
+        ..EngineSettings::default()
+    };
+    settings
+}
+
+/// Roles at the start of the day, when prompts are few
+fn assign_roles(fleet: &Fleet, policy: RolePolicy) {
+    let prefill = match policy {
+        RolePolicy::Mixed => return,
+        RolePolicy::Lift | RolePolicy::Threshold | RolePolicy::BestStatic => 2,
+        RolePolicy::Static(count) => count,
+    };
+    for (index, engine) in fleet.engines.values().enumerate() {
+        let role = if index < prefill { EngineRole::Prefill } else { EngineRole::Decode };
+        engine.set_target(fleet.plan.target(role));
+    }
+}
+
+fn set_planner(_settings: &mut NodeSettings, _policy: RolePolicy) {}
+
+fn secrets() -> NodeSecrets {
+    NodeSecrets { admin_token: "shift-admin".into(), peer_token: "shift-peer".into() }
+}
+
+fn any_port() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
