--- a/crates/state/src/claims.rs
+++ b/crates/state/src/claims.rs
@@ -294,6 +294,11 @@
         }
     }
 
+    /// Whether its holder has not yet said how it ended
+    fn is_unsettled(&self) -> bool {
+        matches!(self.standing, KeyStanding::Open | KeyStanding::Unknown(UnknownReason::Lapsed))
+    }
+
     fn unknown(&self, key: &IdempotencyKey, reason: UnknownReason) -> UnknownOutcome {
         UnknownOutcome {
             key: *key,
@@ -428,7 +433,7 @@
             return ClaimOutcome::Ignored;
         }
         match &record.claim {
-            Some(claim) if claim.token == *token && claim.standing != KeyStanding::Open => {
+            Some(claim) if claim.token == *token && !claim.is_unsettled() => {
                 return ClaimOutcome::Ignored;
             }
             Some(claim) if claim.token == *token => record.claim = None,
@@ -464,7 +469,8 @@
     fn apply_carry(&mut self, unknowns: &[UnknownOutcome]) -> ClaimOutcome {
         for unknown in unknowns {
             let record = self.keys.entry(unknown.key).or_default();
-            if record.claim.is_none() && record.resolved.is_none() {
+            let is_settled = record.resolved.is_some() || record.released.contains(&unknown.token);
+            if record.claim.is_none() && !is_settled {
                 record.claim = Some(carried_claim(unknown));
             }
         }
