Serve the last connections before a draining listener closes

Connections that the system had taken but the instance had not accepted were reset when the listener closed, and connections not yet read were closed by the shutdown. Ruled out: a cut stream; the reset came before any byte of an answer. Change: after the pause the backlog is accepted to its end and the last connections get time for a first read. Conclusion: a planned stop resets no caller whose connection was taken.

--- a/crates/persimmonlift/src/server.rs
+++ b/crates/persimmonlift/src/server.rs
@@ -26,6 +26,10 @@
 const MAX_STREAMS: u32 = 256;
 /// Pause after an error of accepting, so that it can't spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Wait for one more connection that the system took before the listener closed.
+const BACKLOG_WAIT: Duration = Duration::from_millis(20);
+/// Time for the last connections to have their first request read.
+const FIRST_READ: Duration = Duration::from_millis(200);
 /// Interval of HTTP/2 pings, and the time for their answer.
 const PING_INTERVAL: Duration = Duration::from_secs(20);
 const PING_TIMEOUT: Duration = Duration::from_secs(10);
@@ -116,7 +120,15 @@
                 Some(_) = tasks.join_next() => {}
             }
         };
+        // Callers whose connection the system has taken believe that it is served. Closing
+        // the listener, or a connection before its first read, would reset them.
+        while let Ok(Ok((stream, _))) =
+            tokio::time::timeout(BACKLOG_WAIT, self.listener.accept()).await
+        {
+            self.serve(stream, graceful.watcher(), &mut tasks);
+        }
         drop(self.listener);
+        tokio::time::sleep(FIRST_READ).await;
         tokio::time::timeout(bound, graceful.shutdown()).await.is_ok()
     }
 
--- a/crates/persimmonlift/tests/whole_path.rs
+++ b/crates/persimmonlift/tests/whole_path.rs
@@ -5,8 +5,11 @@
 use googletest::prelude::*;
 use harness::*;
 use http::{Method, StatusCode};
+use persimmonlift::settings::NodeSettings;
 use serde_json::json;
 use standins::answer::service_text;
+use standins::deployment::DeploymentKind;
+use standins::fleet::FleetSettings;
 use std::sync::Arc;
 use testcases::cases;
 use uuid::Uuid;
@@ -74,6 +77,10 @@
             deployment.check_stream(number % 2, &prompt(number, size), tokens as u32).await
         });
     }
+    await_until("every call has reached an engine", || {
+        deployment.fleet.engine_executions().len() >= 200
+    })
+    .await?;
     let draining = deployment.clone();
     let drained = tokio::spawn(async move { draining.nodes[1].drain().await });
     while let Some(call) = calls.join_next().await {
@@ -82,6 +89,26 @@
     verify_that!(drained.await.or_fail()?.cut, eq(0))
 }
 
+/// An instance that was told to stop still serves callers whom the balancer sends late
+async fn check_late_calls() -> Result<()> {
+    let pause = |settings: &mut NodeSettings| settings.timeouts.drain_pause_ms = 1_500;
+    let fleet = FleetSettings::of(DeploymentKind::Trust);
+    let deployment = Arc::new(Deployment::start_with(1, fleet, pause).await?);
+    let draining = deployment.clone();
+    let drained = tokio::spawn(async move { draining.nodes[0].drain().await });
+    await_until("the instance is unready", || !deployment.nodes[0].context().standing.is_ready())
+        .await?;
+    let mut calls = tokio::task::JoinSet::new();
+    for number in 0..60 {
+        let deployment = deployment.clone();
+        calls.spawn(async move { deployment.check_stream(0, &prompt(number, 60), 40).await });
+    }
+    while let Some(call) = calls.join_next().await {
+        call.or_fail()??;
+    }
+    verify_that!(drained.await.or_fail()?.cut, eq(0))
+}
+
 cases! { async
     plain_completion => check_plain(),
     streamed_completion => check_streaming(),
@@ -90,4 +117,5 @@
     lookup_of_a_service => check_lookup(),
     once_only_call_and_its_retry => check_once(),
     drain_cuts_none_of_200 => check_drain_cuts_none(),
+    drain_serves_late_calls => check_late_calls(),
 }
