--- /dev/null
+++ b/crates/persimmonctl/src/error.rs
@@ -0,0 +1,122 @@
+//! Failures, their texts and their exit codes.
+
+use catalogue::EntryFault;
+use platform::http::HttpError;
+use smol_str::SmolStr;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Outcome of a command
+pub type CliResult<T = ()> = Result<T, CliError>;
+
+/// Failure of a command
+#[derive(Debug, displaydoc::Display)]
+pub enum CliError {
+    /// no command given, see persimmonctl --help
+    NoCommand,
+    /// no command '{0}', see persimmonctl --help
+    UnknownCommand(SmolStr),
+    /// {0}
+    Arguments(pico_args::Error),
+    /// argument '{0}' is not known
+    LeftOver(SmolStr),
+    /// {0} is missing
+    Missing(&'static str),
+    /// {0} must be ran or not_run
+    Resolution(SmolStr),
+    /// {0:?}: {1}
+    Unreadable(PathBuf, io::Error),
+    /// {0:?}: {1}
+    EntryForm(PathBuf, toml::de::Error),
+    /// {0}
+    Faulty(FaultList),
+    /// node {0} can't be reached: {1}
+    NodeAway(SocketAddr, HttpError),
+    /// node {0} gave no answer within {1:?}
+    NoAnswer(SocketAddr, Duration),
+    /// node {0} broke off: {1}
+    Broken(SocketAddr, HttpError),
+    /// {0}
+    Refused(NodeRefusal),
+    /// answer is not of the expected form: {0}
+    Answer(serde_json::Error),
+    /// entry can't be shown as TOML: {0}
+    Toml(toml::ser::Error),
+    /// can't write: {0}
+    Output(io::Error),
+}
+
+impl std::error::Error for CliError {}
+
+/// Every fault of the files that were checked
+#[derive(Debug)]
+pub struct FaultList(pub Vec<(PathBuf, EntryFault)>);
+
+impl fmt::Display for FaultList {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (number, (file, fault)) in self.0.iter().enumerate() {
+            let separator = if number == 0 { "" } else { "\n" };
+            write!(formatter, "{separator}{}: {fault}", file.display())?;
+        }
+        Ok(())
+    }
+}
+
+/// Refusal as a node answers it
+#[derive(Debug, Clone, PartialEq, Eq, serde::Deserialize)]
+pub struct NodeRefusal {
+    /// HTTP status
+    #[serde(skip)]
+    pub status: u16,
+    /// What went wrong, for programs
+    pub code: SmolStr,
+    /// What went wrong, for people
+    pub message: SmolStr,
+    /// Whether the call took effect: no, unknown or yes
+    #[serde(default)]
+    pub ran: SmolStr,
+}
+
+impl fmt::Display for NodeRefusal {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} ({} {})", self.message, self.status, self.code)
+    }
+}
+
+impl CliError {
+    /// Exit code, as listed in the usage of persimmonctl
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            CliError::NoCommand
+            | CliError::UnknownCommand(_)
+            | CliError::Arguments(_)
+            | CliError::LeftOver(_)
+            | CliError::Missing(_)
+            | CliError::Resolution(_)
+            | CliError::Unreadable(..)
+            | CliError::EntryForm(..)
+            | CliError::Faulty(_) => 2,
+            CliError::NodeAway(..) => 3,
+            CliError::NoAnswer(..) | CliError::Broken(..) => 8,
+            CliError::Refused(refusal) => refusal.exit_code(),
+            CliError::Answer(_) | CliError::Toml(_) | CliError::Output(_) => 1,
+        }
+    }
+}
+
+impl NodeRefusal {
+    fn exit_code(&self) -> u8 {
+        match self.status {
+            _ if self.ran == "unknown" => 8,
+            400 | 413 | 428 => 2,
+            401 | 403 => 6,
+            404 => 4,
+            409 | 412 => 5,
+            503 => 7,
+            _ => 1,
+        }
+    }
+}
