Connect instances: homes, relayed records, limits, strikes, confirmations

Cause: every instance appended all its claims itself, kept half of its share of each limit for good, knew only its own strikes, did not answer the planner's confirmations, and turned unready in a log outage although it reached its peers.

Change: the node starts the links to its peers before the rest and serves theirs. An instance counts as in touch while at least half of its heartbeat targets answer, so a small part that is cut off turns unready although its instances reach each other.

Conclusion: instances share what they have to. An instance that starts without the log is never ready, because only the log itself says where a stream ends.

--- a/crates/peer/src/membership.rs
+++ b/crates/peer/src/membership.rs
@@ -49,7 +49,7 @@
     pub me: InstanceId,
     /// All listed instances and `me`
     pub members: Vec<Member>,
-    /// When another instance last answered
+    /// When at least half of the targets of heartbeats had last answered
     pub last_contact: Option<Instant>,
 }
 
@@ -99,7 +99,7 @@
 pub struct MemberTable {
     me: Member,
     records: IndexMap<InstanceId, MemberRecord>,
-    last_contact: Option<Instant>,
+    targets: Vec<InstanceId>,
 }
 
 #[derive(Debug)]
@@ -115,7 +115,7 @@
 impl MemberTable {
     /// Table of an instance that knows only itself
     pub fn new(me: Member) -> MemberTable {
-        MemberTable { me, records: IndexMap::new(), last_contact: None }
+        MemberTable { me, records: IndexMap::new(), targets: Vec::new() }
     }
 
     /// Takes over the platform's list; lines of other kinds and deployments are left out
@@ -128,12 +128,12 @@
                 records.insert(line.id.clone(), MemberRecord::new(line, earlier));
             }
         }
+        self.targets = ring::targets(&self.me.id, records.keys().cloned());
         self.records = records;
     }
 
     /// Notes that an instance answered a call
     pub fn note_answer(&mut self, id: &str, now: Instant) {
-        self.last_contact = Some(now);
         if let Some(record) = self.records.get_mut(id) {
             record.answered = Some(now);
             record.failures = 0;
@@ -169,12 +169,19 @@
 
     /// Instances to send heartbeats to
     pub fn targets(&self) -> Vec<Member> {
-        let ids = self.records.keys().cloned();
-        ring::targets(&self.me.id, ids)
-            .iter()
-            .filter_map(|it| self.records.get(it))
-            .map(|it| it.member.clone())
-            .collect()
+        self.target_records().map(|it| it.member.clone()).collect()
+    }
+
+    fn target_records(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.targets.iter().filter_map(|it| self.records.get(it))
+    }
+
+    /// An instance that reaches only few others may be in a part that is cut off, which
+    /// its peers there can't tell either.
+    fn last_contact(&self) -> Option<Instant> {
+        let mut answers: Vec<_> = self.target_records().map(|it| it.answered).collect();
+        answers.sort_unstable_by(|a, b| b.cmp(a));
+        answers.get(answers.len().div_ceil(2).checked_sub(1)?).copied()?
     }
 
     /// Peer addresses of the listed instances
@@ -187,7 +194,7 @@
         let mut members: Vec<_> = self.records.values().map(|it| it.as_member(now)).collect();
         members.push(self.me.clone());
         members.sort_by(|a, b| a.id.cmp(&b.id));
-        MemberView { me: self.me.id.clone(), members, last_contact: self.last_contact }
+        MemberView { me: self.me.id.clone(), members, last_contact: self.last_contact() }
     }
 }
 
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -18,7 +18,7 @@
     Submit(SubmitRequest),
     /// Asks for records of a log stream that the sender can't read itself
     Relay(RelayRequest),
-    /// Asks the home of an entry for a share of its limits
+    /// Asks the home of entries for a share of their limits
     Grant(GrantRequest),
     /// Reports a request that was in flight when its endpoint crashed
     Strike(StrikeReport),
@@ -142,22 +142,42 @@
     pub in_flight: f64,
 }
 
-/// What an instance needs of an entry's limits
+/// What an instance needs of the limits of entries that have one home
 #[derive(Debug, Clone, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct GrantRequest {
-    /// Entry
-    pub entry: EntryName,
     /// Instance that asks
     pub instance: InstanceId,
-    /// What it saw asked for
-    pub demand: EntryRates,
+    /// Entries with demand
+    pub demands: Vec<EntryDemand>,
+}
+
+/// Demand for one entry
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct EntryDemand {
+    /// Entry
+    pub entry: EntryName,
+    /// What was asked for
+    pub rates: EntryRates,
+    /// Requests in flight
+    pub held: u32,
 }
 
-/// Share of an entry's limits
+/// Shares of the limits of entries
 #[derive(Debug, Clone, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct GrantReply {
+    /// One for each entry that the replier knows
+    pub grants: Vec<EntryGrant>,
+}
+
+/// Share of one entry's limits
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct EntryGrant {
+    /// Entry
+    pub entry: EntryName,
     /// What the instance may use
     pub rates: EntryRates,
     /// Time that the share holds, in milliseconds
--- a/crates/peer/tests/peer/members.rs
+++ b/crates/peer/tests/peer/members.rs
@@ -136,13 +136,22 @@
     verify_that!(live_count(&table, now), eq(3))
 }
 
+/// Contact counts from when half of the targets, two of three, had answered.
 fn check_last_contact() -> Result<()> {
-    let (mut table, now) = (table(3), Instant::now());
+    let (mut table, now) = (table(7), Instant::now());
+    let targets = table.targets();
+    verify_that!(targets.len(), eq(3))?;
     verify_that!(table.view(now).last_contact, none())?;
-    table.note_answer("i001", now);
+    table.note_answer(&targets[0].id, now + SECOND);
+    verify_that!(table.view(now + SECOND).last_contact, none())?;
+    table.note_answer(&targets[1].id, now);
     verify_that!(table.view(now + SECOND).last_contact, some(eq(now)))
 }
 
+fn check_alone() -> Result<()> {
+    verify_that!(table(1).view(Instant::now()).last_contact, none())
+}
+
 /// Homes are spread, and one instance less moves only its own keys.
 fn check_homes_stable() -> Result<()> {
     let (mut table, now) = (table(7), Instant::now());
@@ -217,7 +226,8 @@
     notice_of_stranger => check_notice_of_stranger(),
     notices_are_bounded => check_notice_bound(),
     replaced_at_other_address => check_replaced(),
-    last_contact => check_last_contact(),
+    contact_with_half_of_targets => check_last_contact(),
+    alone => check_alone(),
     homes_move_little => check_homes_stable(),
     homes_ranked => check_homes_ranked(),
     ring_alone => check_ring(1, 0),
--- a/crates/persimmonlift/src/context.rs
+++ b/crates/persimmonlift/src/context.rs
@@ -4,6 +4,7 @@
 use crate::gate::PoolGate;
 use crate::meters::EntryMeters;
 use crate::metrics::ServingMetrics;
+use crate::peers::{GrantHome, PeerLinks};
 use crate::planner::RolePlanner;
 use crate::pool::EndpointPool;
 use crate::registry::EndpointRegistry;
@@ -14,7 +15,6 @@
 use coordination::catalogue::CatalogueHandle;
 use coordination::once::OnceHandle;
 use indexmap::IndexMap;
-use peer::client::PeerClient;
 use platform::engine::EngineClient;
 use platform::service::ServiceClient;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -38,8 +38,6 @@
     pub once: OnceHandle,
     /// Planned changes of engines
     pub planner: RolePlanner,
-    /// Client of other instances
-    pub peers: PeerClient,
     /// Client of engines
     pub engines: EngineClient,
     /// Client of services for calls that may be repeated
@@ -48,6 +46,10 @@
     pub once_services: ServiceClient,
     /// Limits of entries
     pub meters: EntryMeters,
+    /// Limits given out to other instances
+    pub grants: GrantHome,
+    /// Other instances
+    pub peers: PeerLinks,
     /// Suspects
     pub suspects: Arc<SuspectRegister>,
     /// Metrics
--- a/crates/persimmonlift/src/lib.rs
+++ b/crates/persimmonlift/src/lib.rs
@@ -4,7 +4,7 @@
 //! goes on as a completion (`completions`, `generation`, `sse`) or as a service call
 //! (`services`, `once_calls`), and meets limits (`meters`), admission (`gate`) and
 //! routing (`route`, `pool`) on its way. `registry` keeps the endpoints up to date;
-//! `admin` is the operators' port.
+//! `admin` is the operators' port, `peers` that of other instances.
 
 pub mod access;
 pub mod admin;
@@ -21,6 +21,7 @@
 pub mod metrics;
 pub mod node;
 pub mod once_calls;
+pub mod peers;
 pub mod planner;
 pub mod pool;
 pub mod prompt;
--- a/crates/persimmonlift/src/node.rs
+++ b/crates/persimmonlift/src/node.rs
@@ -9,6 +9,7 @@
 use crate::callers;
 use crate::context::{HELD_UNIT_BYTES, NodeContext, PoolGates};
 use crate::metrics::ServingMetrics;
+use crate::peers::{self, PeerLinks};
 use crate::planner::{PlannerParts, RolePlanner};
 use crate::registry::{EndpointRegistry, RegistryActor, RegistryConfig, RegistryMessage};
 use crate::server::{AnswerFn, HttpServer, ServerRules};
@@ -17,12 +18,10 @@
 use crate::suspects::SuspectRegister;
 use catalogue::id::InstanceId;
 use coordination::catalogue::CatalogueHandle;
-use coordination::once::{HomeRoute, OnceHandle};
+use coordination::once::OnceHandle;
 use coordination::shared::{LogTiming, SharedLog};
 use http::Request;
 use hyper::body::Incoming;
-use peer::auth::PeerSecret;
-use peer::client::{LinkTimes, PeerClient};
 use platform::engine::EngineClient;
 use platform::instances::InstanceClient;
 use platform::log::LogClient;
@@ -39,6 +38,7 @@
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::{Mutex, Semaphore};
+use tokio::task::JoinHandle;
 
 /// Most worker threads of an instance.
 const MAX_WORKERS: usize = 4;
@@ -99,6 +99,7 @@
 struct NodeServers {
     caller: HttpServer,
     admin: HttpServer,
+    peer: JoinHandle<()>,
 }
 
 #[derive(Debug)]
@@ -201,6 +202,8 @@
         let cut = context.standing.in_flight();
         context.planner.release().await;
         servers.admin.abort();
+        servers.peer.abort();
+        context.peers.members().stop();
         self.registry.stop(None);
         let report = DrainReport { cut, took: started.elapsed() };
         log::info!("event=drained cut={cut} took_ms={}", report.took.as_millis());
@@ -219,7 +222,8 @@
 ) -> Result<NodeParts, StartError> {
     let listeners = listen(&settings).await?;
     let peer = address(&listeners.peer, settings.listen.peer)?;
-    let context = Arc::new(start_context(settings, secrets).await?);
+    let links = PeerLinks::start(&settings, &secrets, peer).await.map_err(StartError::Actor)?;
+    let context = Arc::new(start_context(settings, secrets, links).await?);
     let registry = start_registry(&context).await?;
     tokio::spawn(upkeep(context.clone()));
     let servers = start_servers(&context, listeners)?;
@@ -251,23 +255,23 @@
 async fn start_context(
     settings: NodeSettings,
     secrets: NodeSecrets,
+    links: PeerLinks,
 ) -> Result<NodeContext, StartError> {
     let limits = settings.limits.clone();
     let timeouts = &settings.timeouts;
     let log = LogClient::over_http(settings.platform.log, timeouts.platform());
-    let shared = SharedLog::new(log, settings.instance.id.clone(), LogTiming::default());
+    let shared = SharedLog::new(log, settings.instance.id.clone(), LogTiming::default())
+        .with_relay(links.relay());
     let catalogue = CatalogueHandle::start(shared.clone()).await.map_err(StartError::Actor)?;
     let metrics = ServingMetrics::start(settings.metrics.statsd).map_err(StartError::Metrics)?;
     let registry = Arc::<EndpointRegistry>::default();
     let engines = EngineClient::new();
-    let secret = PeerSecret::new(&secrets.peer_token);
-    let peers = PeerClient::new(secret, LinkTimes::default());
     let parts = PlannerParts {
         settings: settings.planner.clone(),
         shared: shared.clone(),
         catalogue: catalogue.clone(),
         registry: registry.clone(),
-        peers: peers.clone(),
+        peers: links.client(),
         engines: engines.clone(),
         weights: WeightClient::new(settings.platform.weights, timeouts.platform()),
     };
@@ -279,13 +283,14 @@
         secrets,
         registry,
         planner,
-        peers,
         catalogue,
-        once: OnceHandle::new(shared, HomeRoute::none()),
+        once: OnceHandle::new(shared, links.home_route()),
         engines,
         services: ServiceClient::new(limits.max_answer_bytes),
         once_services: ServiceClient::without_reuse(limits.max_answer_bytes),
         meters: Default::default(),
+        grants: Default::default(),
+        peers: links,
         suspects: Arc::new(SuspectRegister::default()),
         metrics,
         standing: NodeStanding::new(timeouts.isolation()),
@@ -327,7 +332,8 @@
             .map_err(|it| StartError::Listen(settings.listen.caller, it))?;
     let admin = HttpServer::start(listeners.admin, rules, answer_fn(context, admin::answer))
         .map_err(|it| StartError::Listen(settings.listen.admin, it))?;
-    Ok(NodeServers { caller, admin })
+    let peer = peers::start(context, listeners.peer);
+    Ok(NodeServers { caller, admin, peer })
 }
 
 fn answer_fn<F>(
--- /dev/null
+++ b/crates/persimmonlift/src/peers/links.rs
@@ -0,0 +1,166 @@
+//! What an instance needs to call others: a client, the members, and the routes
+//! that are made of both.
+
+use crate::settings::{NodeSecrets, NodeSettings};
+use coordination::once::HomeRoute;
+use coordination::peers::{forward_over, relay_over};
+use coordination::shared::RelayFn;
+use peer::client::LinkTimes;
+use peer::keeper::{HeartbeatTimes, KeeperArguments};
+use peer::{
+    Member, MemberHandle, MemberView, PeerClient, PeerError, PeerReply, PeerRequest, PeerSecret,
+    PeerTraffic,
+};
+use serde::Serialize;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+/// Links of an instance to others; clones share them
+#[derive(Clone)]
+pub struct PeerLinks {
+    secret: PeerSecret,
+    client: PeerClient,
+    members: MemberHandle,
+    load: Arc<AtomicU32>,
+    served: Arc<PeerTraffic>,
+}
+
+impl fmt::Debug for PeerLinks {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("PeerLinks").finish_non_exhaustive()
+    }
+}
+
+/// Another instance on the status page
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize)]
+struct PeerStatus<'a> {
+    id: &'a str,
+    zone: &'a str,
+    address: SocketAddr,
+    live: bool,
+}
+
+impl PeerLinks {
+    /// Links of the instance whose peer port is `address`
+    ///
+    /// # Errors
+    /// `SpawnErr` if the members' actor can't be started.
+    pub async fn start(
+        settings: &NodeSettings,
+        secrets: &NodeSecrets,
+        address: SocketAddr,
+    ) -> Result<PeerLinks, ractor::SpawnErr> {
+        let secret = PeerSecret::new(secrets.peer_token.as_bytes());
+        let client = PeerClient::new(secret.clone(), LinkTimes::default());
+        let load = Arc::new(AtomicU32::new(0));
+        let counted = load.clone();
+        let members = MemberHandle::start(KeeperArguments {
+            me: own_member(settings, address),
+            deployment: settings.instance.deployment.clone(),
+            times: HeartbeatTimes::default(),
+            client: client.clone(),
+            load: Arc::new(move || counted.load(Ordering::Relaxed)),
+        })
+        .await?;
+        Ok(PeerLinks { secret, client, members, load, served: Arc::default() })
+    }
+
+    /// Client that all links share
+    pub fn client(&self) -> PeerClient {
+        self.client.clone()
+    }
+
+    /// The members
+    pub fn members(&self) -> &MemberHandle {
+        &self.members
+    }
+
+    /// The members now
+    pub fn view(&self) -> Arc<MemberView> {
+        self.members.view()
+    }
+
+    /// Calls an instance and notes whether it answered
+    ///
+    /// # Errors
+    /// Any `PeerError`.
+    pub async fn call(
+        &self,
+        member: &Member,
+        request: PeerRequest,
+        timeout: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        let result = self.client.call(member.address, request, timeout).await;
+        self.members.note_call(&member.id, &result);
+        result
+    }
+
+    /// Route of once-only work to the homes of its streams
+    pub fn home_route(&self) -> HomeRoute {
+        let (homes, addresses) = (self.members.clone(), self.members.clone());
+        HomeRoute {
+            home: Arc::new(move |stream| {
+                homes.view().home(stream.as_bytes()).map(|it| it.id.clone())
+            }),
+            forward: forward_over(self.client.clone(), move |id| {
+                addresses.view().member(id).map(|it| it.address)
+            }),
+        }
+    }
+
+    /// Way to log records through live instances
+    pub fn relay(&self) -> Arc<RelayFn> {
+        let members = self.members.clone();
+        relay_over(self.client.clone(), move || {
+            members.view().live_peers().map(|it| it.address).collect()
+        })
+    }
+
+    /// Bytes of connections to other instances
+    pub fn client_traffic(&self) -> Arc<PeerTraffic> {
+        self.client.traffic()
+    }
+
+    /// Bytes of connections from other instances
+    pub fn served_traffic(&self) -> Arc<PeerTraffic> {
+        self.served.clone()
+    }
+
+    pub(super) fn secret(&self) -> PeerSecret {
+        self.secret.clone()
+    }
+
+    pub(super) fn set_load(&self, in_flight: u32) {
+        self.load.store(in_flight, Ordering::Relaxed);
+    }
+
+    /// Other instances, for the status page
+    pub(super) fn report(&self) -> serde_json::Value {
+        let view = self.view();
+        let others = view.members.iter().filter(|it| it.id != view.me);
+        let peers: Vec<_> = others
+            .map(|it| PeerStatus {
+                id: &it.id,
+                zone: &it.zone,
+                address: it.address,
+                live: it.is_live,
+            })
+            .collect();
+        peers.serialize(serde_json::value::Serializer).unwrap_or_default()
+    }
+}
+
+fn own_member(settings: &NodeSettings, address: SocketAddr) -> Member {
+    let instance = &settings.instance;
+    Member {
+        id: instance.id.clone(),
+        zone: instance.zone.clone(),
+        region: instance.region.clone(),
+        address,
+        is_live: true,
+    }
+}
--- a/crates/persimmonlift/src/suspects.rs
+++ b/crates/persimmonlift/src/suspects.rs
@@ -51,6 +51,11 @@
         self.lock().strike(notice.fingerprint, &notice.endpoint, Instant::now());
     }
 
+    /// Endpoints that crashed under a request, as far as is known here
+    pub fn count(&self, fingerprint: Fingerprint) -> u32 {
+        self.lock().count(fingerprint, Instant::now()) as u32
+    }
+
     /// Notes that a request ended without a crash
     pub fn clear(&self, fingerprint: Fingerprint) {
         self.lock().clear(fingerprint, Instant::now());
--- /dev/null
+++ b/crates/persimmonlift/tests/peers.rs
@@ -0,0 +1,173 @@
+//! Instances that deal with each other: members, strikes, relayed records, limits.
+
+mod harness;
+
+use googletest::prelude::*;
+use harness::*;
+use http::{Method, StatusCode};
+use peer::message::{EntryDemand, EntryRates, GrantRequest, PlanQuestion};
+use peer::{PeerError, PeerRefusal, PeerReply, PeerRequest};
+use persimmonlift::node::NodeHandle;
+use persimmonlift::settings::NodeSettings;
+use standins::deployment::DeploymentKind;
+use standins::fleet::FleetSettings;
+use std::time::Duration;
+use testcases::cases;
+use uuid::Uuid;
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without the log that the long poll of an instance in touch never takes.
+const CUT_OFF: Duration = Duration::from_secs(3);
+const FINGERPRINT: u64 = 0x5eed;
+
+fn live_peers(node: &NodeHandle) -> usize {
+    node.context().peers.view().live_peers().count()
+}
+
+async fn start(nodes: usize) -> Result<Deployment> {
+    start_with(nodes, |_| {}).await
+}
+
+async fn start_with(nodes: usize, change: impl Fn(&mut NodeSettings)) -> Result<Deployment> {
+    let fleet = FleetSettings { list_lag_ms: 50, ..FleetSettings::of(DeploymentKind::Trust) };
+    let deployment = Deployment::start_with(nodes, fleet, change).await?;
+    await_until("all instances know each other", || {
+        deployment.nodes.iter().all(|it| live_peers(it) == nodes - 1)
+    })
+    .await?;
+    Ok(deployment)
+}
+
+/// Calls node 1 from node 0.
+async fn call(
+    deployment: &Deployment,
+    request: PeerRequest,
+) -> Result<std::result::Result<PeerReply, PeerError>> {
+    let links = &deployment.nodes[0].context().peers;
+    let view = links.view();
+    let member = view.member(deployment.nodes[1].id()).or_fail()?;
+    Ok(links.call(member, request, CALL_TIMEOUT).await)
+}
+
+async fn check_status() -> Result<()> {
+    let deployment = start(3).await?;
+    let status = deployment.admin(Method::GET, "/admin/status", &[], "").await?.json()?;
+    let peers = status["peers"].as_array().or_fail()?;
+    verify_that!(peers.len(), eq(2))?;
+    verify_that!(peers.iter().all(|it| it["live"] == true), eq(true))
+}
+
+/// The list still names a killed instance; heartbeats tell, and its keys move on.
+async fn check_killed() -> Result<()> {
+    let mut deployment = start(3).await?;
+    deployment.nodes.remove(2).kill();
+    await_until("the killed instance is found down", || {
+        deployment.nodes.iter().all(|it| live_peers(it) == 1)
+    })
+    .await?;
+    for number in 0..8 {
+        let body = format!("dwelling {number}");
+        let answer = deployment.register(0, &Uuid::now_v7().to_string(), &body).await?;
+        verify_that!(answer.status, eq(StatusCode::OK))?;
+    }
+    Ok(())
+}
+
+async fn check_strike() -> Result<()> {
+    let deployment = start(3).await?;
+    deployment.nodes[0].context().suspects.strike(FINGERPRINT, &"summary-1".into());
+    await_until("the strike is known to all", || {
+        deployment.nodes.iter().all(|it| it.context().suspects.count(FINGERPRINT) == 1)
+    })
+    .await
+}
+
+/// The log is cut off from instance 3 alone, which gets edits from its peers.
+async fn check_relay() -> Result<()> {
+    let mut deployment = start(2).await?;
+    let own_log = deployment.fleet.log.serve().or_fail()?;
+    let mut settings = settings(&deployment.fleet, 2);
+    settings.platform.log = own_log.address();
+    deployment.add_node(settings).await?;
+    deployment.await_ready().await?;
+    drop(own_log);
+    let nodes = &deployment.nodes;
+    let cut_off = &nodes[2].context().catalogue;
+    await_until("the log is cut off", || {
+        cut_off.status().log_contact.is_some_and(|it| it.elapsed() > CUT_OFF)
+    })
+    .await?;
+    let view = nodes[0].context().catalogue.view();
+    let mut entry = (*view.entry("summaries").or_fail()?.entry).clone();
+    entry.limits.in_flight = 77;
+    let base = view.revision("summaries");
+    let put = nodes[0].context().catalogue.put(entry, base, "test".into());
+    let revision = put.await.or_fail()?;
+    await_until("the edit is in force on the instance without a log", || {
+        cut_off.view().revision("summaries") == revision
+    })
+    .await?;
+    let is_cut_off = cut_off.status().log_contact.is_some_and(|it| it.elapsed() > CUT_OFF);
+    verify_that!(is_cut_off, eq(true))?;
+    verify_that!(nodes[2].context().standing.is_ready(), eq(true))
+}
+
+/// With the log down for all, instances that reach each other stay ready.
+async fn check_log_down() -> Result<()> {
+    let deployment = start_with(3, |it| it.timeouts.isolation_ms = 2_500).await?;
+    await_until("all have contact", || {
+        deployment.nodes.iter().all(|it| it.context().peers.view().last_contact.is_some())
+    })
+    .await?;
+    deployment.fleet.log.set_down(true);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let is_ready = |it: &NodeHandle| it.context().standing.is_ready();
+    verify_that!(deployment.nodes.iter().all(is_ready), eq(true))?;
+    deployment.check_stream(0, &prompt(1, 50), 10).await
+}
+
+/// Without log and peers an instance turns unready.
+async fn check_isolated() -> Result<()> {
+    let mut deployment = start_with(3, |it| it.timeouts.isolation_ms = 1_500).await?;
+    deployment.fleet.log.set_down(true);
+    for node in deployment.nodes.drain(1..) {
+        node.kill();
+    }
+    let standing = &deployment.nodes[0].context().standing;
+    await_until("the last instance is isolated", || !standing.is_ready()).await
+}
+
+async fn check_grant() -> Result<()> {
+    let deployment = start(2).await?;
+    let rates = EntryRates { requests_per_s: 10.0, tokens_per_s: 1_000.0, in_flight: 4.0 };
+    let demands = ["summaries", "unheard-of"]
+        .map(|it| EntryDemand { entry: it.into(), rates, held: 1 })
+        .to_vec();
+    let request = GrantRequest { instance: "entry-1".into(), demands };
+    let reply = call(&deployment, PeerRequest::Grant(request)).await?.or_fail()?;
+    let PeerReply::Granted(reply) = reply else {
+        return fail!("another reply: {reply:?}");
+    };
+    verify_that!(reply.grants.len(), eq(1))?;
+    verify_that!(reply.grants[0].entry.as_str(), eq("summaries"))?;
+    verify_that!(reply.grants[0].rates.requests_per_s, gt(0.0))
+}
+
+/// A plan that the instance has not read is not confirmed.
+async fn check_plan_unread() -> Result<()> {
+    let deployment = start(2).await?;
+    let question = PlanQuestion { pool: "summary".into(), plan: 999, engine: "summary-1".into() };
+    let error = call(&deployment, PeerRequest::ConfirmPlan(question)).await?.unwrap_err();
+    verify_that!(matches!(error, PeerError::Refused(PeerRefusal::Behind)), eq(true))
+}
+
+cases! { async
+    status_names_peers => check_status(),
+    killed_instance_is_found_down => check_killed(),
+    strike_is_told_to_all => check_strike(),
+    edit_comes_through_peers => check_relay(),
+    log_down_for_all_keeps_serving => check_log_down(),
+    isolated_turns_unready => check_isolated(),
+    home_grants_limits => check_grant(),
+    unread_plan_is_not_confirmed => check_plan_unread(),
+}
