--- a/crates/persimmonlift/src/attempt.rs
+++ b/crates/persimmonlift/src/attempt.rs
@@ -110,7 +110,7 @@
     pub pool: &'a Arc<EndpointPool>,
     /// What is wanted
     pub route: RouteRequest<'a>,
-    /// For the head of the answer, and for reading a prompt
+    /// For the first token, and so for reading a prompt
     pub first_token: Duration,
 }
 
@@ -147,7 +147,10 @@
             deadline_ms: self.job.left_ms(),
         };
         let mut cancel = self.cancel_guard(chosen.address, &request.request);
-        let answer = self.context.engines.prefill(chosen.address, &request, self.first_token).await;
+        // The answer comes only once the prompt is read, so that a connection that has
+        // gone silent could not be told from a long prompt.
+        let answer =
+            self.context.fresh_engines.prefill(chosen.address, &request, self.first_token).await;
         cancel.is_ended = answer.is_ok();
         match answer {
             Ok(answer) => Ok(answer.cache),
@@ -172,8 +175,8 @@
             import,
         };
         let mut cancel = self.cancel_guard(chosen.address, &request.request);
-        let stream =
-            self.context.engines.generate(chosen.address, &request, self.first_token).await;
+        let head = self.context.settings.timeouts.engine_head().min(self.first_token);
+        let stream = self.engines().generate(chosen.address, &request, head).await;
         match stream {
             Ok(stream) => Ok(ServingAttempt {
                 stream,
@@ -189,13 +192,18 @@
         }
     }
 
+    /// Client for the attempt: after a failure, no connection is trusted that was open
+    fn engines(&self) -> &EngineClient {
+        if self.route.attempt == 1 { &self.context.engines } else { &self.context.fresh_engines }
+    }
+
     /// Id of this attempt's work, so that cancelling it never stops another attempt
     fn attempt_id(&self, part: &str) -> RequestId {
         smol_str::format_smolstr!("{}.{part}{}", self.job.request, self.route.attempt)
     }
 
     fn cancel_guard(&self, address: SocketAddr, request: &RequestId) -> CancelGuard {
-        let engines = self.context.engines.clone();
+        let engines = self.context.fresh_engines.clone();
         CancelGuard { engines, address, request: request.clone(), is_ended: false }
     }
 }
--- a/crates/persimmonlift/src/context.rs
+++ b/crates/persimmonlift/src/context.rs
@@ -40,6 +40,8 @@
     pub planner: RolePlanner,
     /// Client of engines
     pub engines: EngineClient,
+    /// Client of engines that never reuses a connection
+    pub fresh_engines: EngineClient,
     /// Client of services for calls that may be repeated
     pub services: ServiceClient,
     /// Client of services for calls that may not
--- a/crates/persimmonlift/src/generation.rs
+++ b/crates/persimmonlift/src/generation.rs
@@ -347,7 +347,7 @@
             FailureKind::Unavailable => self.pool.pause(&endpoint),
             FailureKind::Unreached => self.pool.note_unreachable(&endpoint),
             FailureKind::Lost => {
-                if crash_is_seen(&self.context.engines, address).await {
+                if crash_is_seen(&self.context.fresh_engines, address).await {
                     self.pool.note_unreachable(&endpoint);
                     self.strike(&endpoint);
                 }
--- a/crates/persimmonlift/src/node.rs
+++ b/crates/persimmonlift/src/node.rs
@@ -286,6 +286,7 @@
         catalogue,
         once: OnceHandle::new(shared, links.home_route()),
         engines,
+        fresh_engines: EngineClient::without_reuse(),
         services: ServiceClient::new(limits.max_answer_bytes),
         once_services: ServiceClient::without_reuse(limits.max_answer_bytes),
         meters: Default::default(),
@@ -308,7 +309,7 @@
     let config = RegistryConfig {
         registry: context.registry.clone(),
         instances: InstanceClient::new(settings.platform.instances, timeout),
-        engines: context.engines.clone(),
+        engines: EngineClient::new(),
         list_interval: settings.timeouts.list(),
         report_interval: settings.timeouts.report(),
         timeout,
--- a/crates/persimmonlift/src/services.rs
+++ b/crates/persimmonlift/src/services.rs
@@ -162,9 +162,8 @@
             Err(error) => error,
         };
         call.log_failure(&endpoint, &error, attempt);
-        if error.is_unsent() {
-            call.pool.pause(&endpoint);
-        } else {
+        call.pool.pause(&endpoint);
+        if !error.is_unsent() {
             ran = RanState::Unknown;
             if !call.pool.spend_retry() {
                 break;
--- a/crates/persimmonlift/src/settings.rs
+++ b/crates/persimmonlift/src/settings.rs
@@ -135,6 +135,8 @@
     pub body_ms: u64,
     /// For a caller to take anything of its answer
     pub write_stall_ms: u64,
+    /// For an engine to take or refuse a generation
+    pub engine_head_ms: u64,
     /// Between two tokens of a stream
     pub between_tokens_ms: u64,
     /// For a call of the platform
@@ -157,6 +159,7 @@
             head_ms: 5_000,
             body_ms: 15_000,
             write_stall_ms: 20_000,
+            engine_head_ms: 1_500,
             between_tokens_ms: 2_000,
             platform_ms: 1_000,
             list_ms: 500,
@@ -184,6 +187,11 @@
         Duration::from_millis(self.write_stall_ms)
     }
 
+    /// For an engine to take or refuse a generation
+    pub fn engine_head(&self) -> Duration {
+        Duration::from_millis(self.engine_head_ms)
+    }
+
     /// Between two tokens of a stream
     pub fn between_tokens(&self) -> Duration {
         Duration::from_millis(self.between_tokens_ms)
--- a/crates/persimmonlift/src/settings_check.rs
+++ b/crates/persimmonlift/src/settings_check.rs
@@ -96,7 +96,7 @@
 const MILLIS: KeyForm = KeyForm::Integer { min: 1, max: DAY_MS };
 const PAUSE_MILLIS: KeyForm = KeyForm::Integer { min: 0, max: DAY_MS };
 
-const KEY_RULES: [KeyRule; 42] = [
+const KEY_RULES: [KeyRule; 43] = [
     required("instance", "id", KeyForm::Name),
     required("instance", "zone", KeyForm::Name),
     required("instance", "region", KeyForm::Name),
@@ -118,6 +118,7 @@
     optional("timeouts", "head_ms", MILLIS),
     optional("timeouts", "body_ms", MILLIS),
     optional("timeouts", "write_stall_ms", MILLIS),
+    optional("timeouts", "engine_head_ms", MILLIS),
     optional("timeouts", "between_tokens_ms", MILLIS),
     optional("timeouts", "platform_ms", MILLIS),
     optional("timeouts", "list_ms", MILLIS),
--- /dev/null
+++ b/crates/persimmonlift/tests/crashes.rs
@@ -0,0 +1,65 @@
+//! Requests that crash the engines which run them.
+
+mod harness;
+
+use googletest::prelude::*;
+use harness::*;
+use std::sync::Arc;
+use std::time::Duration;
+use testcases::cases;
+
+const POISON: &str = "#poison#";
+
+async fn deployment() -> Result<Arc<Deployment>> {
+    let deployment = Deployment::start(1).await?;
+    for engine in deployment.fleet.engines.values() {
+        engine.set_poison(POISON);
+    }
+    Ok(Arc::new(deployment))
+}
+
+fn crashes(deployment: &Deployment) -> u32 {
+    deployment.fleet.engines.values().map(|it| it.crashes()).sum()
+}
+
+/// Sent again and again, it takes down at most two engines
+async fn check_resent() -> Result<()> {
+    let deployment = deployment().await?;
+    for _ in 0..5 {
+        let answer = deployment.complete(0, &format!("dossier {POISON}"), 20).await?;
+        verify_that!(answer.code()?, eq("crashes_endpoints"))?;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    verify_that!(crashes(&deployment), eq(2))
+}
+
+/// Requests beside it are answered whole and get clear again
+async fn check_neighbours() -> Result<()> {
+    let deployment = deployment().await?;
+    for engine in deployment.fleet.engines.values() {
+        engine.set_speed(0.5);
+    }
+    let mut calls = tokio::task::JoinSet::new();
+    for number in 0..30 {
+        let deployment = deployment.clone();
+        calls.spawn(async move { deployment.check_stream(0, &prompt(number, 60), 100).await });
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    deployment.complete(0, &format!("dossier {POISON}"), 20).await?;
+    while let Some(call) = calls.join_next().await {
+        call.or_fail()??;
+    }
+    verify_that!(crashes(&deployment), le(2))?;
+    let context = deployment.nodes[0].context();
+    for number in 0..30 {
+        let print = decide::fingerprint::fingerprint("summaries", &prompt(number, 60));
+        let verdict = context.suspects.verdict(print);
+        verify_that!(verdict, eq(decide::suspect::SuspectVerdict::Clear))?;
+    }
+    Ok(())
+}
+
+cases! { async
+    sent_again => check_resent(),
+    neighbours_are_answered => check_neighbours(),
+}
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -277,6 +277,11 @@
         EngineClient::default()
     }
 
+    /// Client that makes a connection for each request
+    pub fn without_reuse() -> EngineClient {
+        EngineClient { client: HttpClient::without_reuse() }
+    }
+
     /// Has an engine read a prompt and hold its cache for export
     ///
     /// # Errors
--- a/crates/standins/examples/shift/chart.rs
+++ b/crates/standins/examples/shift/chart.rs
@@ -67,8 +67,7 @@
         chart.draw_series([label]).map_err(failed)?;
     }
     for (name, colour, series) in lines {
-        let drawn =
-            chart.draw_series(LineSeries::new(series.clone(), *colour)).map_err(failed)?;
+        let drawn = chart.draw_series(LineSeries::new(series.clone(), *colour)).map_err(failed)?;
         let colour = *colour;
         let key = move |(x, y)| PathElement::new(vec![(x, y), (x + 15, y)], colour);
         drawn.label(*name).legend(key);
--- a/crates/standins/examples/shift/options.rs
+++ b/crates/standins/examples/shift/options.rs
@@ -99,8 +99,7 @@
     let mut arguments = Arguments::from_env();
     let deployment: String =
         arguments.opt_value_from_str("--deployment")?.unwrap_or_else(|| "trust".into());
-    let policy: String =
-        arguments.opt_value_from_str("--policy")?.unwrap_or_else(|| "lift".into());
+    let policy: String = arguments.opt_value_from_str("--policy")?.unwrap_or_else(|| "lift".into());
     let options = ShiftOptions {
         seed: arguments.opt_value_from_str("--seed")?.unwrap_or(1),
         deployment: DeploymentKind::parse(&deployment)
