Prove engine changes before several instances and with the holder killed

Cause: the planner was proved on one instance only; confirmations by peers and take-over by another holder were not. Change: the cases run before three instances; two new ones kill the holder after its first order, before engines that check fencing numbers and before engines that ignore them. Conclusion: a lost holder leaves nothing that the next one can't finish, once the platform's list has dropped it.

--- a/crates/persimmonlift/tests/planner.rs
+++ b/crates/persimmonlift/tests/planner.rs
@@ -9,10 +9,15 @@
 use catalogue::{CatalogueEntry, EntryKind};
 use googletest::prelude::*;
 use harness::*;
+use http::Request;
+use http_body_util::Full;
+use persimmonlift::node::NodeHandle;
 use persimmonlift::settings::NodeSettings;
+use platform::http::HttpClient;
 use smol_str::SmolStr;
 use standins::deployment::{DeploymentKind, NEXT_MODEL_VERSION};
 use standins::fleet::FleetSettings;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -81,36 +86,86 @@
 }
 
 /// Sends streams one after the other until told to stop; answers how many were whole
-async fn stream_on(deployment: Arc<Deployment>, stop: Arc<AtomicBool>, lane: usize) -> Result<u32> {
+async fn stream_on(caller: SocketAddr, stop: Arc<AtomicBool>, lane: usize) -> Result<u32> {
+    let client = HttpClient::new();
     let mut whole = 0;
     while !stop.load(Ordering::Relaxed) {
-        let node = lane % deployment.nodes.len();
-        deployment.check_stream(node, &prompt(lane * 1_000 + whole as usize, 200), 30).await?;
+        let prompt = prompt(lane * 1_000 + whole as usize, 200);
+        let request = Request::builder()
+            .method("POST")
+            .uri(format!("http://{caller}/v1/completions"))
+            .header("authorization", format!("Bearer {KEY}"))
+            .body(Full::new(completion_body("summaries", &prompt, 30, true).into()))
+            .or_fail()?;
+        check_streamed(&send(&client, request).await?, &prompt, 30)?;
         whole += 1;
     }
     Ok(whole)
 }
 
-async fn check_change(fault: ChangeFault, ignoring_fence: usize) -> Result<()> {
-    let deployment = Arc::new(Deployment::start_with(1, fleet(ignoring_fence), quick).await?);
-    let stop = Arc::new(AtomicBool::new(false));
-    let mut lanes = tokio::task::JoinSet::new();
-    for lane in 0..16 {
-        lanes.spawn(stream_on(deployment.clone(), stop.clone(), lane));
+/// Streams through some instances, to be ended by `whole`
+struct StreamLanes {
+    stop: Arc<AtomicBool>,
+    lanes: tokio::task::JoinSet<Result<u32>>,
+}
+
+impl StreamLanes {
+    fn start<'a>(nodes: impl Iterator<Item = &'a NodeHandle>) -> StreamLanes {
+        let stop = Arc::new(AtomicBool::new(false));
+        let mut lanes = tokio::task::JoinSet::new();
+        for (index, node) in nodes.enumerate() {
+            for lane in 0..16 {
+                lanes.spawn(stream_on(node.caller_address(), stop.clone(), index * 16 + lane));
+            }
+        }
+        StreamLanes { stop, lanes }
     }
-    ask_for_next_version(&deployment).await?;
-    let gone = strike(&deployment, fault).await?;
-    await_next_version(&deployment, &gone).await?;
-    stop.store(true, Ordering::Relaxed);
-    while let Some(lane) = lanes.join_next().await {
-        verify_that!(lane.or_fail()??, gt(0))?;
+
+    /// Checks that every stream was whole
+    async fn whole(mut self) -> Result<()> {
+        self.stop.store(true, Ordering::Relaxed);
+        while let Some(lane) = self.lanes.join_next().await {
+            verify_that!(lane.or_fail()??, gt(0))?;
+        }
+        Ok(())
     }
+}
+
+fn check_orders(deployment: &Deployment) -> Result<()> {
     verify_that!(deployment.fleet.conflicts(), is_empty())?;
     // Work that a crashed engine lost was not cut by the plan.
     let cut: u32 = deployment.fleet.orders().iter().map(|it| it.cut).sum();
     verify_that!(cut, eq(0))
 }
 
+async fn check_change(nodes: usize, fault: ChangeFault, ignoring_fence: usize) -> Result<()> {
+    let deployment = Deployment::start_with(nodes, fleet(ignoring_fence), quick).await?;
+    let lanes = StreamLanes::start(deployment.nodes.iter());
+    ask_for_next_version(&deployment).await?;
+    let gone = strike(&deployment, fault).await?;
+    await_next_version(&deployment, &gone).await?;
+    lanes.whole().await?;
+    check_orders(&deployment)
+}
+
+/// The instance that sent the first order is killed at once; another one goes on
+async fn check_holder_killed(ignoring_fence: usize) -> Result<()> {
+    let mut deployment = Deployment::start_with(3, fleet(ignoring_fence), quick).await?;
+    ask_for_next_version(&deployment).await?;
+    await_until("an engine is ordered", || !deployment.fleet.orders().is_empty()).await?;
+    let holder = deployment.fleet.orders().swap_remove(0).issuer;
+    let index = deployment.nodes.iter().position(|it| *it.id() == holder).or_fail()?;
+    deployment.nodes.remove(index).kill();
+    let lanes = StreamLanes::start(deployment.nodes.iter());
+    deployment.fleet.list.remove(&holder);
+    await_next_version(&deployment, &[]).await?;
+    lanes.whole().await?;
+    let orders = deployment.fleet.orders();
+    let others = orders.iter().filter(|it| it.issuer != holder);
+    verify_that!(others.count(), gt(0))?;
+    check_orders(&deployment)
+}
+
 /// Waits for a first order and brings the fault; answers engines that are gone for good
 async fn strike(deployment: &Deployment, fault: ChangeFault) -> Result<Vec<EndpointId>> {
     await_until("an engine is ordered", || !deployment.fleet.orders().is_empty()).await?;
@@ -157,10 +212,13 @@
 }
 
 cases! { async
-    change_cuts_no_stream => check_change(ChangeFault::None, 0),
-    change_of_engines_that_ignore_fences_cuts_no_stream => check_change(ChangeFault::None, 7),
-    engine_crash_half_way => check_change(ChangeFault::EngineCrash, 0),
-    engine_withdrawn_half_way => check_change(ChangeFault::EngineGone, 0),
-    log_outage_half_way => check_change(ChangeFault::LogOutage, 0),
+    change_cuts_no_stream => check_change(1, ChangeFault::None, 0),
+    change_before_three_instances_cuts_no_stream => check_change(3, ChangeFault::None, 0),
+    change_of_engines_that_ignore_fences_cuts_no_stream => check_change(3, ChangeFault::None, 7),
+    engine_crash_half_way => check_change(1, ChangeFault::EngineCrash, 0),
+    engine_withdrawn_half_way => check_change(3, ChangeFault::EngineGone, 0),
+    log_outage_half_way => check_change(3, ChangeFault::LogOutage, 0),
+    holder_killed_half_way => check_holder_killed(0),
+    holder_killed_half_way_before_engines_that_ignore_fences => check_holder_killed(7),
     unconfirmed_plan_orders_nothing => check_unconfirmed(),
 }
