--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -181,7 +181,7 @@
         let mut text = TextReader::new(response.into_body(), call.stream);
         let whole = text.read(started).await?;
         if !whole {
-            return Ok(CallOutcome::Cut(text.rest()));
+            return Ok(CallOutcome::Cut(text.last));
         }
         let expected = expected_text(&call.model, &call.prompt, call.max_tokens);
         if text.text != expected {
@@ -241,11 +241,20 @@
     buffer: BytesMut,
     text: String,
     first: Option<Duration>,
+    /// Event that is no part of an answer
+    last: SmolStr,
 }
 
 impl TextReader {
     fn new(body: Incoming, is_stream: bool) -> TextReader {
-        TextReader { body, is_stream, buffer: BytesMut::new(), text: String::new(), first: None }
+        TextReader {
+            body,
+            is_stream,
+            buffer: BytesMut::new(),
+            text: String::new(),
+            first: None,
+            last: SmolStr::default(),
+        }
     }
 
     /// Reads to the end; whether the answer came to its end mark
@@ -256,7 +265,7 @@
                 continue;
             };
             self.buffer.extend_from_slice(&data);
-            if self.is_stream && self.read_events(started)? {
+            if self.is_stream && self.read_events(started) {
                 return Ok(true);
             }
         }
@@ -269,17 +278,20 @@
     }
 
     /// Takes the whole events out of the buffer; whether the end mark came
-    fn read_events(&mut self, started: Instant) -> Result<bool, HttpError> {
+    fn read_events(&mut self, started: Instant) -> bool {
         while let Some(end) = self.buffer.windows(2).position(|it| it == b"\n\n") {
             let event = self.buffer.split_to(end + 2);
             let data = event[..end].strip_prefix(EVENT_START).unwrap_or(&event[..end]);
             if data == STREAM_END {
-                return Ok(true);
+                return true;
+            }
+            if self.push(data).is_err() {
+                self.last = String::from_utf8_lossy(data).into();
+                return false;
             }
-            self.push(data)?;
             self.first.get_or_insert_with(|| started.elapsed());
         }
-        Ok(false)
+        false
     }
 
     fn push(&mut self, data: &[u8]) -> Result<(), HttpError> {
@@ -287,8 +299,4 @@
         self.text.extend(answer.choices.into_iter().filter_map(|it| it.text));
         Ok(())
     }
-
-    fn rest(&self) -> SmolStr {
-        String::from_utf8_lossy(&self.buffer).into()
-    }
 }
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -101,12 +101,15 @@
         });
     }
 
-    /// Listens again after `stop`
+    /// Listens again after `stop`; no effect while it listens
     ///
     /// # Errors
     /// The error of the last try to listen.
     pub async fn restart(&self) -> io::Result<()> {
         let mut last = Ok(());
+        if self.with_state(|state| state.accept.is_some()) {
+            return last;
+        }
         for _ in 0..RELISTEN_TRIES {
             last = self.listen();
             if last.is_ok() {
--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -20,6 +20,7 @@
 use std::time::{Duration, Instant};
 
 pub mod admin;
+pub mod scene;
 
 /// Bearer key of the callers.
 pub const CALLER_KEY: &str = "caller-key";
@@ -74,15 +75,27 @@
     /// # Errors
     /// `ClusterError`.
     pub async fn start(settings: FleetSettings, instances: usize) -> Result<Cluster, ClusterError> {
-        let deployment = settings.deployment;
+        let entries = settings.deployment.entries(CALLER_KEY);
+        Cluster::start_with(settings, instances, &entries).await
+    }
+
+    /// The same with a catalogue of its own
+    ///
+    /// # Errors
+    /// `ClusterError`.
+    pub async fn start_with(
+        settings: FleetSettings,
+        instances: usize,
+        entries: &[CatalogueEntry],
+    ) -> Result<Cluster, ClusterError> {
         let fleet = Fleet::start(settings).map_err(ClusterError::Fleet)?;
         let caller = CallerClient::new(CALLER_KEY, CALL_TIMEOUT);
         let mut cluster = Cluster { fleet, nodes: IndexMap::new(), caller, started: 0 };
         for _ in 0..instances {
             cluster.add_node().await?;
         }
-        cluster.publish(&deployment.entries(CALLER_KEY)).await?;
-        cluster.wait_ready(deployment.entries(CALLER_KEY).len()).await?;
+        cluster.publish(entries).await?;
+        cluster.wait_ready(entries.len()).await?;
         Ok(cluster)
     }
 
--- /dev/null
+++ b/crates/standins/tests/common/scene.rs
@@ -0,0 +1,129 @@
+//! Calls and checks that the fault tests share.
+
+use super::{CALLER_KEY, Cluster, ClusterError};
+use bytes::Bytes;
+use catalogue::EntryKind;
+use catalogue::id::TokenCount;
+use googletest::prelude::*;
+use hyper::Method;
+use smol_str::{SmolStr, format_smolstr};
+use standins::caller::{CallOutcome, CompletionCall, ServiceCall};
+use standins::deployment::DeploymentKind;
+use standins::fleet::FleetSettings;
+use std::time::{Duration, Instant};
+use tokio::task::JoinHandle;
+
+/// Multiple of an engine's ordinary speed.
+const SPEED: f64 = 2.0;
+/// Time for a call of a service.
+const SERVICE_DEADLINE_MS: u64 = 2_500;
+const LIST_LAG_MS: u64 = 100;
+const POLL: Duration = Duration::from_millis(10);
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// The Trust's deployment with some instances
+pub async fn trust(instances: usize) -> std::result::Result<Cluster, ClusterError> {
+    let mut settings = FleetSettings::of(DeploymentKind::Trust);
+    settings.engine.speed.factor = SPEED;
+    settings.list_lag_ms = LIST_LAG_MS;
+    let mut entries = settings.deployment.entries(CALLER_KEY);
+    for entry in entries.iter_mut().filter(|it| it.kind == EntryKind::Service) {
+        entry.limits.deadline_ms = SERVICE_DEADLINE_MS;
+    }
+    Cluster::start_with(settings, instances, &entries).await
+}
+
+/// Streamed query with a prompt of its own
+pub fn query(name: &str, max_tokens: TokenCount) -> CompletionCall {
+    CompletionCall {
+        entry: "clerk-queries".into(),
+        model: "dossier".into(),
+        prompt: format!("question {name}"),
+        max_tokens,
+        stream: true,
+    }
+}
+
+/// Register entry that may run only once
+pub fn register() -> ServiceCall {
+    ServiceCall {
+        entry: "register-entries".into(),
+        method: Method::POST,
+        path: "/create".into(),
+        key: Some(format_smolstr!("{}", uuid::Uuid::now_v7())),
+        body: Bytes::from_static(b"{\"dwelling\":7}"),
+    }
+}
+
+impl Cluster {
+    /// Asks one instance in the background
+    pub fn start_query(&self, index: usize, call: CompletionCall) -> JoinHandle<CallOutcome> {
+        let caller = self.caller.clone();
+        let address = self.addresses()[index];
+        tokio::spawn(async move { caller.complete(address, &call).await })
+    }
+
+    /// Calls a service through one instance in the background
+    pub fn start_service(&self, index: usize, call: ServiceCall) -> JoinHandle<CallOutcome> {
+        let caller = self.caller.clone();
+        let address = self.addresses()[index];
+        tokio::spawn(async move { caller.call_service(address, &call).await })
+    }
+
+    /// Asks one instance
+    pub async fn ask(&self, index: usize, call: &CompletionCall) -> CallOutcome {
+        self.caller.complete(self.addresses()[index], call).await
+    }
+
+    /// Calls a service through one instance
+    pub async fn call(&self, index: usize, call: &ServiceCall) -> CallOutcome {
+        self.caller.call_service(self.addresses()[index], call).await
+    }
+
+    /// Engine that runs something, once there is one
+    pub async fn busy_engine(&self) -> Result<SmolStr> {
+        let busy = || self.fleet.engines.values().find(|it| it.state().in_flight > 0);
+        wait_for(|| busy().is_some()).await?;
+        busy().map(|it| it.id().clone()).or_fail()
+    }
+
+    /// Executions under the call's key
+    pub fn runs(&self, call: &ServiceCall) -> usize {
+        call.key.as_ref().map_or(0, |key| self.fleet.execution_count(key))
+    }
+}
+
+trait OrFail<T> {
+    fn or_fail(self) -> Result<T>;
+}
+
+impl<T> OrFail<T> for Option<T> {
+    fn or_fail(self) -> Result<T> {
+        match self {
+            Some(value) => Ok(value),
+            None => fail!("expected a value").map(|()| unreachable!()),
+        }
+    }
+}
+
+/// Waits until a condition holds
+pub async fn wait_for(condition: impl Fn() -> bool) -> Result<()> {
+    let deadline = Instant::now() + PATIENCE;
+    while !condition() {
+        if Instant::now() > deadline {
+            return fail!("condition did not come about in {PATIENCE:?}");
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    Ok(())
+}
+
+/// The call was answered whole and its own
+pub fn check_right(outcome: &CallOutcome) -> Result<()> {
+    if outcome.is_right() { Ok(()) } else { fail!("expected a whole answer, got {outcome:?}") }
+}
+
+/// The call was refused as not run
+pub fn check_not_run(outcome: &CallOutcome) -> Result<()> {
+    if outcome.is_not_run() { Ok(()) } else { fail!("expected a refusal, got {outcome:?}") }
+}
--- /dev/null
+++ b/crates/standins/tests/edit_faults.rs
@@ -0,0 +1,203 @@
+//! Faults at each step of a catalogue edit, against live instances.
+
+mod common;
+
+use catalogue::CatalogueEntry;
+use catalogue::id::Revision;
+use common::Cluster;
+use common::admin::AdminError;
+use common::scene::trust;
+use googletest::prelude::*;
+use standins::log::LostAnswer;
+use std::time::{Duration, Instant};
+use testcases::cases;
+
+const NAME: &str = "clerk-queries";
+/// Time within which an accepted edit is in force everywhere.
+const SPREAD_BOUND: Duration = Duration::from_secs(8);
+const POLL: Duration = Duration::from_millis(30);
+const RETRIES: usize = 20;
+
+/// Entry as one instance shows it, with another limit
+async fn edited(
+    cluster: &Cluster,
+    index: usize,
+    in_flight: u32,
+) -> Result<(CatalogueEntry, Revision)> {
+    let mut current = cluster.admin(index).get(&NAME.into()).await.or_fail()?;
+    current.entry.limits.in_flight = in_flight;
+    Ok((current.entry, current.revision))
+}
+
+async fn edit(cluster: &Cluster, index: usize, in_flight: u32) -> Result<Revision> {
+    let (entry, base) = edited(cluster, index, in_flight).await?;
+    cluster.admin(index).put(&entry, base).await.or_fail()
+}
+
+/// Waits until all instances show the limit
+async fn check_in_force(cluster: &Cluster, in_flight: u32) -> Result<()> {
+    let deadline = Instant::now() + SPREAD_BOUND;
+    for index in 0..cluster.nodes.len() {
+        loop {
+            let shown = cluster.admin(index).get(&NAME.into()).await;
+            if shown.is_ok_and(|it| it.entry.limits.in_flight == in_flight) {
+                break;
+            }
+            if Instant::now() > deadline {
+                return fail!("not in force at instance {index} within {SPREAD_BOUND:?}");
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+    Ok(())
+}
+
+/// An edit made under a fault is in force everywhere, once, when the fault is over
+async fn edit_under(
+    begin: impl AsyncFnOnce(&Cluster) -> Result<()>,
+    end: impl AsyncFnOnce(&Cluster) -> Result<()>,
+) -> Result<()> {
+    let cluster = trust(3).await.or_fail()?;
+    let (entry, base) = edited(&cluster, 0, 777).await?;
+    begin(&cluster).await?;
+    let mut accepted = cluster.admin(0).put(&entry, base).await.is_ok();
+    end(&cluster).await?;
+    for _ in 0..RETRIES {
+        if accepted {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        accepted = match cluster.admin(0).put(&entry, base).await {
+            Ok(_) => true,
+            // The first try took effect after all.
+            Err(AdminError::Conflict) => shows(&cluster, &entry).await,
+            Err(_) => false,
+        };
+    }
+    verify_that!(accepted, eq(true))?;
+    check_in_force(&cluster, 777).await
+}
+
+async fn shows(cluster: &Cluster, entry: &CatalogueEntry) -> bool {
+    cluster.admin(0).get(&NAME.into()).await.is_ok_and(|it| it.entry == *entry)
+}
+
+async fn nothing(_: &Cluster) -> Result<()> {
+    Ok(())
+}
+
+async fn log_up(cluster: &Cluster) -> Result<()> {
+    cluster.fleet.log.set_faults(|it| *it = standins::log::LogFaults::default());
+    Ok(())
+}
+
+async fn log_down(cluster: &Cluster) -> Result<()> {
+    cluster.fleet.log.set_down(true);
+    Ok(())
+}
+
+async fn log_slow(cluster: &Cluster) -> Result<()> {
+    cluster.fleet.log.set_faults(|it| {
+        it.delay = Duration::from_millis(700);
+        it.answer_delay = Duration::from_millis(700);
+    });
+    Ok(())
+}
+
+async fn lose(cluster: &Cluster, when: LostAnswer) -> Result<()> {
+    cluster.fleet.log.lose_answers(when, 2);
+    Ok(())
+}
+
+async fn log_silent(cluster: &Cluster) -> Result<()> {
+    cluster.fleet.log_server().silence();
+    Ok(())
+}
+
+async fn refused_without_effect() -> Result<()> {
+    let cluster = trust(2).await.or_fail()?;
+    let (entry, base) = edited(&cluster, 0, 778).await?;
+    cluster.fleet.log.set_down(true);
+    verify_that!(cluster.admin(0).put(&entry, base).await, err(anything()))?;
+    cluster.fleet.log.set_down(false);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    verify_that!(shows(&cluster, &entry).await, eq(false))
+}
+
+async fn racing_operators(fault: impl AsyncFnOnce(&Cluster) -> Result<()>) -> Result<()> {
+    let cluster = trust(3).await.or_fail()?;
+    let (first, base) = edited(&cluster, 0, 801).await?;
+    let (second, _) = edited(&cluster, 1, 802).await?;
+    fault(&cluster).await?;
+    let (one, two) = (cluster.admin(0), cluster.admin(1));
+    let (one, two) = tokio::join!(one.put(&first, base), two.put(&second, base));
+    log_up(&cluster).await?;
+    verify_that!(one.is_ok() && two.is_ok(), eq(false))?;
+    if let Some(winner) = [(one, 801), (two, 802)].into_iter().find(|(it, _)| it.is_ok()) {
+        check_in_force(&cluster, winner.1).await?;
+    }
+    let shown = edited(&cluster, 2, 0).await?.1;
+    for index in 0..2 {
+        verify_that!(edited(&cluster, index, 0).await?.1, ge(base.min(shown)))?;
+    }
+    Ok(())
+}
+
+async fn survives_kill_of_writer() -> Result<()> {
+    let mut cluster = trust(3).await.or_fail()?;
+    edit(&cluster, 0, 811).await?;
+    let writer = cluster.nodes.keys().next().cloned().unwrap_or_default();
+    cluster.kill(&writer);
+    check_in_force(&cluster, 811).await?;
+    cluster.add_node().await.or_fail()?;
+    check_in_force(&cluster, 811).await
+}
+
+async fn reaches_parted_instance() -> Result<()> {
+    let cluster = trust(3).await.or_fail()?;
+    // Heartbeats between the instances have to have begun.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    cluster.nodes[2].log.cut();
+    edit(&cluster, 0, 821).await?;
+    check_in_force(&cluster, 821).await
+}
+
+async fn spreads_with_list_down() -> Result<()> {
+    let mut cluster = trust(2).await.or_fail()?;
+    edit(&cluster, 0, 831).await?;
+    cluster.fleet.list.set_down(true);
+    check_in_force(&cluster, 831).await?;
+    cluster.fleet.list.set_down(false);
+    cluster.add_node().await.or_fail()?;
+    check_in_force(&cluster, 831).await
+}
+
+cases! { async
+    edit_in_calm => edit_under(nothing, nothing),
+    edit_with_log_down => edit_under(log_down, log_up),
+    edit_with_log_slow => edit_under(log_slow, log_up),
+    edit_with_answer_lost => edit_under(
+        async |it| lose(it, LostAnswer::AfterEffect).await,
+        nothing
+    ),
+    edit_with_append_lost => edit_under(
+        async |it| lose(it, LostAnswer::BeforeEffect).await,
+        nothing
+    ),
+    edit_on_silent_connection => edit_under(log_silent, nothing),
+    edit_with_log_slow_and_answer_lost => edit_under(
+        async |it| {
+            log_slow(it).await?;
+            lose(it, LostAnswer::AfterEffect).await
+        },
+        log_up
+    ),
+    edit_refused_has_no_effect => refused_without_effect(),
+    edits_race => racing_operators(nothing),
+    edits_race_with_answer_lost => racing_operators(
+        async |it| lose(it, LostAnswer::AfterEffect).await
+    ),
+    edit_outlives_its_writer => survives_kill_of_writer(),
+    edit_reaches_parted_instance => reaches_parted_instance(),
+    edit_with_list_down => spreads_with_list_down(),
+}
--- /dev/null
+++ b/crates/standins/tests/once_faults.rs
@@ -0,0 +1,259 @@
+//! Faults at each step of once-only work, against live instances.
+//!
+//! Whatever happens, a key runs at most once, an answer means that it ran, and
+//! "not run" means that it did not.
+
+mod common;
+
+use common::Cluster;
+use common::scene::{check_right, register, trust, wait_for};
+use googletest::prelude::*;
+use standins::caller::{CallOutcome, RanClaim, ServiceCall};
+use standins::log::LostAnswer;
+use std::time::Duration;
+use testcases::cases;
+
+/// Time that the service takes, so that a fault finds the call dispatched.
+const SERVICE_TIME: Duration = Duration::from_millis(400);
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+const RETRIES: usize = 6;
+const INSTANCES: usize = 3;
+
+/// Fault of the matrix
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OnceFault {
+    Kill,
+    LogPart,
+    LogDown,
+    LogSlow,
+    LogSilent,
+    LogAnswerLost,
+    LogAppendLost,
+    ServiceAnswerLost,
+    ServiceSilent,
+    ServiceCrash,
+    ListDown,
+}
+
+use OnceFault::*;
+
+const ALL: [OnceFault; 11] = [
+    Kill,
+    LogPart,
+    LogDown,
+    LogSlow,
+    LogSilent,
+    LogAnswerLost,
+    LogAppendLost,
+    ServiceAnswerLost,
+    ServiceSilent,
+    ServiceCrash,
+    ListDown,
+];
+
+fn strike(cluster: &mut Cluster, fault: OnceFault) {
+    let fleet = cluster.fleet.clone();
+    let services = || fleet.services.values();
+    match fault {
+        Kill => {
+            let id = cluster.nodes.keys().next().cloned().unwrap_or_default();
+            cluster.kill(&id);
+        }
+        LogPart => {
+            if let Some(node) = cluster.nodes.values().next() {
+                node.log.cut();
+            }
+        }
+        LogDown => fleet.log.set_down(true),
+        LogSlow => fleet.log.set_faults(|it| {
+            it.delay = Duration::from_millis(400);
+            it.answer_delay = Duration::from_millis(400);
+        }),
+        LogSilent => fleet.log_server().silence(),
+        LogAnswerLost => fleet.log.lose_answers(LostAnswer::AfterEffect, 2),
+        LogAppendLost => fleet.log.lose_answers(LostAnswer::BeforeEffect, 2),
+        ServiceAnswerLost => services().for_each(|it| it.set_faults(|it| it.cut_after = 1)),
+        ServiceSilent => services().for_each(|it| it.server().silence()),
+        ServiceCrash => services().for_each(|it| it.crash(Duration::from_millis(500))),
+        ListDown => fleet.list.set_down(true),
+    }
+}
+
+/// Ends what `strike` began
+async fn heal(cluster: &mut Cluster) -> Result<()> {
+    cluster.fleet.log.set_faults(|it| *it = standins::log::LogFaults::default());
+    cluster.fleet.list.set_down(false);
+    for service in cluster.fleet.services.values() {
+        service.set_faults(|it| *it = standins::service::ServiceFaults::default());
+    }
+    for node in cluster.nodes.values() {
+        node.log.mend().await.or_fail()?;
+    }
+    while cluster.nodes.len() < INSTANCES {
+        cluster.add_node().await.or_fail()?;
+    }
+    Ok(())
+}
+
+/// Repeats the call with its key at one instance after another until it is answered
+async fn retry(cluster: &Cluster, call: &ServiceCall, outcomes: &mut Vec<CallOutcome>) {
+    for index in 0..RETRIES {
+        if outcomes.last().is_some_and(CallOutcome::is_right) {
+            break;
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+        outcomes.push(cluster.call((index + 1) % cluster.nodes.len(), call).await);
+    }
+}
+
+fn check_truth(cluster: &Cluster, call: &ServiceCall, outcomes: &[CallOutcome]) -> Result<()> {
+    let runs = cluster.runs(call);
+    if runs > 1 {
+        return fail!("ran {runs} times: {outcomes:?}");
+    }
+    if runs == 0 && outcomes.iter().any(CallOutcome::is_right) {
+        return fail!("answered but never ran: {outcomes:?}");
+    }
+    if runs > 0 && outcomes.iter().all(CallOutcome::is_not_run) {
+        return fail!("ran though refused: {outcomes:?}");
+    }
+    Ok(())
+}
+
+/// Faults strike before the claim
+async fn at_claim(faults: &[OnceFault]) -> Result<()> {
+    let mut cluster = trust(INSTANCES).await.or_fail()?;
+    claim_under(&mut cluster, faults).await
+}
+
+async fn claim_under(cluster: &mut Cluster, faults: &[OnceFault]) -> Result<()> {
+    let call = register();
+    faults.iter().for_each(|it| strike(cluster, *it));
+    let mut outcomes = vec![cluster.call(0, &call).await];
+    check_truth(cluster, &call, &outcomes)?;
+    heal(cluster).await?;
+    retry(cluster, &call, &mut outcomes).await;
+    check_truth(cluster, &call, &outcomes)
+}
+
+/// Faults strike while the service runs the call, before its outcome is recorded
+async fn at_dispatch(faults: &[OnceFault]) -> Result<()> {
+    let mut cluster = trust(INSTANCES).await.or_fail()?;
+    dispatch_under(&mut cluster, faults).await
+}
+
+async fn dispatch_under(cluster: &mut Cluster, faults: &[OnceFault]) -> Result<()> {
+    for service in cluster.fleet.services.values() {
+        service.set_faults(|it| it.answer_delay = SERVICE_TIME);
+    }
+    let call = register();
+    let first = cluster.start_service(0, call.clone());
+    let fleet = cluster.fleet.clone();
+    let key = call.key.clone().unwrap_or_default();
+    wait_for(|| fleet.execution_count(&key) > 0 || first.is_finished()).await?;
+    faults.iter().for_each(|it| strike(cluster, *it));
+    let mut outcomes = vec![first.await.or_fail()?];
+    heal(cluster).await?;
+    retry(cluster, &call, &mut outcomes).await;
+    check_truth(cluster, &call, &outcomes)
+}
+
+/// One fault together with each of the others, at both steps
+async fn pairs_with(first: OnceFault) -> Result<()> {
+    let mut cluster = trust(INSTANCES).await.or_fail()?;
+    let later = ALL.into_iter().skip_while(|it| *it != first).skip(1);
+    for second in later {
+        claim_under(&mut cluster, &[first, second]).await?;
+        dispatch_under(&mut cluster, &[first, second]).await?;
+    }
+    Ok(())
+}
+
+/// Without the log nothing runs; an earlier try under the key can't be ruled out
+async fn refused_while_log_is_down() -> Result<()> {
+    let cluster = trust(1).await.or_fail()?;
+    cluster.fleet.log.set_down(true);
+    let call = register();
+    let refusal = cluster.call(0, &call).await;
+    let CallOutcome::Refused { status, ran, .. } = refusal else {
+        return fail!("expected a refusal, got {refusal:?}");
+    };
+    verify_that!(status.as_u16(), eq(503))?;
+    verify_that!(ran, any!(eq(RanClaim::No), eq(RanClaim::Unknown)))?;
+    verify_that!(cluster.runs(&call), eq(0))?;
+    cluster.fleet.log.set_down(false);
+    let mut outcomes = Vec::new();
+    retry(&cluster, &call, &mut outcomes).await;
+    verify_that!(outcomes.last().is_some_and(CallOutcome::is_right), eq(true))?;
+    verify_that!(cluster.runs(&call), eq(1))
+}
+
+async fn unknown_is_never_run_again() -> Result<()> {
+    let cluster = trust(2).await.or_fail()?;
+    for service in cluster.fleet.services.values() {
+        service.set_faults(|it| it.cut_after = 1);
+    }
+    let call = register();
+    let first = cluster.call(0, &call).await;
+    let second = cluster.call(1, &call).await;
+    for outcome in [first, second] {
+        verify_that!(outcome.is_right() || outcome.is_not_run(), eq(false))?;
+    }
+    verify_that!(cluster.runs(&call), eq(1))
+}
+
+async fn same_key_at_all_instances() -> Result<()> {
+    let cluster = trust(INSTANCES).await.or_fail()?;
+    let call = register();
+    let calls: Vec<_> =
+        (0..9).map(|it| cluster.start_service(it % INSTANCES, call.clone())).collect();
+    let mut rights = 0;
+    for call in calls {
+        rights += usize::from(call.await.or_fail()?.is_right());
+    }
+    verify_that!(rights, ge(1))?;
+    verify_that!(cluster.runs(&call), eq(1))
+}
+
+async fn answer_is_repeated_without_running() -> Result<()> {
+    let cluster = trust(2).await.or_fail()?;
+    let call = register();
+    check_right(&cluster.call(0, &call).await)?;
+    check_right(&cluster.call(1, &call).await)?;
+    verify_that!(cluster.runs(&call), eq(1))
+}
+
+cases! { async
+    claim_after_kill => at_claim(&[Kill]),
+    claim_while_parted_from_log => at_claim(&[LogPart]),
+    claim_with_log_down => at_claim(&[LogDown]),
+    claim_with_log_slow => at_claim(&[LogSlow]),
+    claim_on_silent_log_connection => at_claim(&[LogSilent]),
+    claim_with_answer_lost => at_claim(&[LogAnswerLost]),
+    claim_with_append_lost => at_claim(&[LogAppendLost]),
+    claim_with_list_down => at_claim(&[ListDown]),
+    claim_with_service_crashed => at_claim(&[ServiceCrash]),
+    dispatch_under_kill => at_dispatch(&[Kill]),
+    dispatch_while_parted_from_log => at_dispatch(&[LogPart]),
+    dispatch_with_log_down => at_dispatch(&[LogDown]),
+    dispatch_with_log_slow => at_dispatch(&[LogSlow]),
+    dispatch_on_silent_log_connection => at_dispatch(&[LogSilent]),
+    dispatch_with_log_answer_lost => at_dispatch(&[LogAnswerLost]),
+    dispatch_with_answer_lost => at_dispatch(&[ServiceAnswerLost]),
+    dispatch_on_silent_connection => at_dispatch(&[ServiceSilent]),
+    dispatch_under_service_crash => at_dispatch(&[ServiceCrash]),
+    once_pairs_with_kill => pairs_with(Kill),
+    once_pairs_with_log_part => pairs_with(LogPart),
+    once_pairs_with_log_down => pairs_with(LogDown),
+    once_pairs_with_log_slow => pairs_with(LogSlow),
+    once_pairs_with_log_silent => pairs_with(LogSilent),
+    once_pairs_with_log_answer_lost => pairs_with(LogAnswerLost),
+    once_pairs_with_log_append_lost => pairs_with(LogAppendLost),
+    once_pairs_with_service_answer_lost => pairs_with(ServiceAnswerLost),
+    once_pairs_with_service_silent => pairs_with(ServiceSilent),
+    once_pairs_with_service_crash => pairs_with(ServiceCrash),
+    log_down_runs_nothing => refused_while_log_is_down(),
+    unknown_outcome => unknown_is_never_run_again(),
+    racing_callers => same_key_at_all_instances(),
+    recorded_answer => answer_is_repeated_without_running(),
+}
--- a/crates/standins/tests/samples.rs
+++ b/crates/standins/tests/samples.rs
@@ -2,6 +2,7 @@
 
 use catalogue::CatalogueEntry;
 use googletest::prelude::*;
+use persimmonlift::settings::NodeSettings;
 use standins::deployment::DeploymentKind;
 use standins::fleet::FleetSettings;
 use std::path::PathBuf;
@@ -19,6 +20,18 @@
     verify_that!(settings.instances.iter().all(|it| zones.contains(&it.zone)), eq(true))
 }
 
+fn check_node(kind: DeploymentKind, name: &str, file: &str) -> Result<()> {
+    let settings = match NodeSettings::check(&sample(name, file)?) {
+        Ok(settings) => settings,
+        Err(faults) => return fail!("{faults:?}"),
+    };
+    let fleet: FleetSettings = toml::from_str(&sample(name, "standins.toml")?).or_fail()?;
+    let listed = fleet.instances.iter().find(|it| it.id == settings.instance.id);
+    verify_that!(listed.map(|it| it.peer), some(eq(settings.listen.peer)))?;
+    verify_that!(fleet.listen.log, eq(settings.platform.log))?;
+    verify_that!(settings.instance.deployment, eq(&kind.plan().name))
+}
+
 fn check_catalogue(kind: DeploymentKind, name: &str) -> Result<()> {
     let key = sample(name, "caller.key")?;
     for entry in kind.entries(key.trim()) {
@@ -32,6 +45,10 @@
 cases! {
     trust_fleet => check_fleet(DeploymentKind::Trust, "trust"),
     dongelek_fleet => check_fleet(DeploymentKind::Dongelek, "dongelek"),
+    trust_node_1 => check_node(DeploymentKind::Trust, "trust", "node-1.toml"),
+    trust_node_2 => check_node(DeploymentKind::Trust, "trust", "node-2.toml"),
+    dongelek_node_1 => check_node(DeploymentKind::Dongelek, "dongelek", "node-1.toml"),
+    dongelek_node_2 => check_node(DeploymentKind::Dongelek, "dongelek", "node-2.toml"),
     trust_catalogue => check_catalogue(DeploymentKind::Trust, "trust"),
     dongelek_catalogue => check_catalogue(DeploymentKind::Dongelek, "dongelek"),
 }
