Prune claims by the platform's clock and measure the shared state

Cause: each 256th record walked over all keys and copied the recorded answers, so the fold of a partition slowed with its length. The property test had never pruned; once it did it found a carried list that landed after its key's release had been forgotten, and that listed the released claim as unknown again.

Change: claims are pruned once a minute by the platform's clock, without copies. A carried list names the offset through which it was drawn up and has no effect if a claim was settled since; the home draws it up anew.

--- /dev/null
+++ b/crates/coordination/examples/fold_speed.rs
@@ -0,0 +1,171 @@
+//! Speed of the folds and start-up time against the length of a stream.
+//!
+//! `cargo run --release -p coordination --example fold_speed`: for each length, a
+//! stream of edits of 200 entries and one of claims with their outcomes is folded
+//! in memory, then read by a fresh instance over a socket.
+
+mod common;
+
+use catalogue::{CatalogueEntry, EntryKind, EntryLimits, RequestClass};
+use common::{AnyError, RunOptions, SharedStandin};
+use coordination::catalogue::CatalogueHandle;
+use coordination::stream::{StreamHandle, StreamRules, StreamStart};
+use platform::log::LogRecord;
+use state::catalogue::{CATALOGUE_STREAM, CatalogueItem, CatalogueView};
+use state::claims::{ClaimItem, ClaimOutcome, ClaimTable, RecordedAnswer, RunOutcome};
+use state::record::encode;
+use state::stream::{ItemPlace, RecordText, StreamBody, StreamFold};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use uuid::Uuid;
+
+const LENGTHS: [u64; 4] = [1_000, 10_000, 50_000, 200_000];
+const ENTRIES: u64 = 200;
+const CLAIMS_STREAM: &str = "claims.00";
+const UNLIMITED_APPENDS: f64 = 1e9;
+
+fn entry(name: &str, in_flight: u32) -> CatalogueEntry {
+    CatalogueEntry {
+        name: name.into(),
+        owner: "trust".into(),
+        class: RequestClass::Standard,
+        idempotent: false,
+        pool: "register".into(),
+        endpoints: Vec::new(),
+        caller_key_sha256: vec!["0".repeat(64).into()],
+        kind: EntryKind::Service,
+        limits: EntryLimits {
+            requests_per_s: 10.0,
+            tokens_per_s: 1.0,
+            in_flight,
+            prompt_tokens: 1,
+            output_tokens: 1,
+            deadline_ms: 1_000,
+            first_token_ms: 1_000,
+        },
+    }
+}
+
+/// Edit number `index`, which replaces the entry's edit of the round before
+fn edit(index: u64) -> CatalogueItem {
+    let name = format!("entry-{}", index % ENTRIES);
+    let base = (index + 1).saturating_sub(ENTRIES);
+    let entry = Arc::new(entry(&name, index as u32 + 1));
+    CatalogueItem::Put { entry, base, editor: "operator".into() }
+}
+
+/// Claim or, at odd numbers, the outcome of the claim before
+fn claim(index: u64, now_ms: u64) -> ClaimItem {
+    let random = (index / 2 + 1).to_be_bytes();
+    let mut bytes = [0; 10];
+    bytes[2..].copy_from_slice(&random);
+    let key = uuid::Builder::from_unix_timestamp_millis(now_ms, &bytes).into_uuid();
+    let token = Uuid::from_u128(u128::from(index / 2));
+    if index % 2 == 0 {
+        return ClaimItem::Claim {
+            key,
+            token,
+            digest: [0; 32],
+            entry: "register".into(),
+            holder: "entry-0".into(),
+            deadline_ms: 1_000,
+        };
+    }
+    let answer = RecordedAnswer::bounded(201, Vec::new(), vec![b'a'; 300]);
+    ClaimItem::Outcome { key, token, outcome: RunOutcome::Answered(answer) }
+}
+
+fn records<I: serde::Serialize>(
+    length: u64,
+    time_ms: u64,
+    item: impl Fn(u64) -> I,
+) -> Result<Vec<LogRecord>, AnyError> {
+    let record = |index: u64| {
+        let body = StreamBody::<(), I>::Items(vec![item(index)]);
+        let data = encode(&"entry-0/1".into(), index + 1, &body)?;
+        Ok(LogRecord { offset: index + 1, time_ms, data })
+    };
+    (0..length).map(record).collect()
+}
+
+/// Time to fold all records in memory
+fn fold<S, I, O>(
+    records: &[LogRecord],
+    apply: fn(&mut S, ItemPlace, &I) -> O,
+) -> Result<Duration, AnyError>
+where
+    S: Default + serde::Serialize + serde::de::DeserializeOwned,
+    I: serde::de::DeserializeOwned,
+{
+    let mut fold = StreamFold::<S>::default();
+    let start = Instant::now();
+    for record in records {
+        let LogRecord { offset, time_ms, data } = record;
+        fold.fold(RecordText { offset: *offset, time_ms: *time_ms, data }, apply)?;
+    }
+    Ok(start.elapsed())
+}
+
+async fn push(
+    standin: &SharedStandin,
+    stream: &str,
+    records: &[LogRecord],
+) -> Result<(), AnyError> {
+    let client = standin.log.client();
+    for record in records {
+        client.append(&stream.into(), record.data.clone()).await?;
+    }
+    Ok(())
+}
+
+/// Time for a fresh instance to read a stream to its end
+async fn start_up(standin: &SharedStandin, stream: &str) -> Result<Duration, AnyError> {
+    let shared = standin.shared(0);
+    let start = Instant::now();
+    if stream == CATALOGUE_STREAM {
+        CatalogueHandle::start(shared).await?.caught_up().await;
+        return Ok(start.elapsed());
+    }
+    let rules = StreamRules::<ClaimTable, ClaimItem, ClaimOutcome> {
+        stream: stream.into(),
+        start: StreamStart::Retained,
+        max_items: 1,
+        pacing: Duration::ZERO,
+        apply: ClaimTable::apply,
+        publish: Box::new(|_| ()),
+    };
+    StreamHandle::start(shared, rules).await?.caught_up().await;
+    Ok(start.elapsed())
+}
+
+async fn measure(options: RunOptions, length: u64) -> Result<(), AnyError> {
+    let standin = SharedStandin::start(options)?;
+    let now_ms = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as u64;
+    let edits = records(length, now_ms, edit)?;
+    let claims = records(length, now_ms, |index| claim(index, now_ms))?;
+    let per_s = |time: Duration| length as f64 / time.as_secs_f64();
+    let edit_fold = fold(&edits, CatalogueView::apply)?;
+    let claim_fold = fold(&claims, ClaimTable::apply)?;
+    push(&standin, CATALOGUE_STREAM, &edits).await?;
+    push(&standin, CLAIMS_STREAM, &claims).await?;
+    let edit_start = start_up(&standin, CATALOGUE_STREAM).await?;
+    let claim_start = start_up(&standin, CLAIMS_STREAM).await?;
+    println!(
+        "records={length} edits_per_s={:.0} claims_per_s={:.0} catalogue_start_ms={:.0} claims_start_ms={:.0}",
+        per_s(edit_fold),
+        per_s(claim_fold),
+        edit_start.as_secs_f64() * 1_000.0,
+        claim_start.as_secs_f64() * 1_000.0,
+    );
+    Ok(())
+}
+
+#[tokio::main]
+async fn main() -> Result<(), AnyError> {
+    let options = RunOptions::parse(&mut pico_args::Arguments::from_env())?;
+    let options = RunOptions { append_ms: 0.0, appends_per_s: UNLIMITED_APPENDS, ..options };
+    for length in LENGTHS {
+        measure(options, length).await?;
+    }
+    Ok(())
+}
--- a/crates/coordination/src/once/home.rs
+++ b/crates/coordination/src/once/home.rs
@@ -15,8 +15,8 @@
 const HOME_INTERVAL: Duration = Duration::from_secs(5);
 /// Unknown outcomes are repeated this often in a retention.
 const CARRIES_PER_RETENTION: u32 = 4;
-/// Most unknown outcomes in one item.
-const MAX_CARRIED: usize = 256;
+/// Tries to repeat unknown outcomes; one fails if a claim is settled meanwhile.
+const CARRY_TRIES: usize = 8;
 const CARRY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Item on its way to the home of its partition
@@ -109,14 +109,18 @@
         let Ok(stream) = self.stream(partition).await else {
             return;
         };
-        let now_ms = wall_clock_ms();
-        let Some(unknowns) = stream.inspect(move |table| table.unknowns(now_ms)).await else {
-            return;
-        };
-        for chunk in unknowns.chunks(MAX_CARRIED) {
-            let item = ClaimItem::Carry { unknowns: chunk.to_vec() };
-            if let Err(error) = stream.submit(item, Instant::now() + CARRY_TIMEOUT).await {
-                log::warn!("event=carry_failed partition={partition} error={error}");
+        for _ in 0..CARRY_TRIES {
+            let now_ms = wall_clock_ms();
+            let carry = stream.inspect(move |table| table.carry(now_ms)).await;
+            let Some(item) = carry.flatten() else {
+                return;
+            };
+            match stream.submit(item, Instant::now() + CARRY_TIMEOUT).await {
+                Ok(ClaimOutcome::Recorded) => return,
+                Ok(_) => {}
+                Err(error) => {
+                    log::warn!("event=carry_failed partition={partition} error={error}");
+                }
             }
         }
     }
--- a/crates/state/src/claims.rs
+++ b/crates/state/src/claims.rs
@@ -7,7 +7,7 @@
 //! records for longer than that.
 
 use crate::stream::ItemPlace;
-use catalogue::id::{EntryName, IdempotencyKey, InstanceId};
+use catalogue::id::{EntryName, IdempotencyKey, InstanceId, Offset};
 use indexmap::IndexMap;
 use smol_str::SmolStr;
 use std::time::Duration;
@@ -28,7 +28,8 @@
 pub const MAX_UNKNOWNS: usize = 10_000;
 /// Largest body of a recorded answer, in bytes.
 pub const MAX_RECORDED_BODY: usize = 64 * 1024;
-const PRUNE_OFFSETS: u64 = 256;
+/// Time between two prunings, in milliseconds by the platform's clock.
+const PRUNE_INTERVAL_MS: u64 = 60_000;
 
 /// Number of a partition, below `PARTITIONS`.
 pub type PartitionNumber = usize;
@@ -134,6 +135,8 @@
     },
     /// Repeats unknown outcomes before the log forgets them
     Carry {
+        /// Offset through which the list was drawn up
+        through: Offset,
         /// Unknown outcomes
         unknowns: Vec<UnknownOutcome>,
     },
@@ -326,6 +329,10 @@
 pub struct ClaimTable {
     keys: IndexMap<IdempotencyKey, KeyRecord>,
     now_ms: u64,
+    /// Last offset folded
+    through: Offset,
+    /// Offset of the last record that settled or freed a claim
+    settled: Offset,
 }
 
 impl ClaimTable {
@@ -357,9 +364,21 @@
         self.keys.iter().filter_map(unknown).collect()
     }
 
+    /// Item that repeats the unknown outcomes at a time by the platform's clock; none
+    /// if there are none
+    pub fn carry(&self, now_ms: u64) -> Option<ClaimItem> {
+        let unknowns = self.unknowns(now_ms);
+        (!unknowns.is_empty()).then_some(ClaimItem::Carry { through: self.through, unknowns })
+    }
+
     /// Folds one item
     pub fn apply(&mut self, place: ItemPlace, item: &ClaimItem) -> ClaimOutcome {
-        self.now_ms = self.now_ms.max(place.time_ms);
+        let before_ms = self.now_ms;
+        self.now_ms = before_ms.max(place.time_ms);
+        if self.now_ms / PRUNE_INTERVAL_MS != before_ms / PRUNE_INTERVAL_MS {
+            self.prune();
+        }
+        self.through = place.offset;
         let outcome = match item {
             ClaimItem::Claim { key, .. } => self.apply_claim(key, item),
             ClaimItem::Outcome { key, token, outcome } => self.apply_outcome(key, token, outcome),
@@ -367,10 +386,13 @@
             ClaimItem::Resolve { key, resolution, editor } => {
                 self.apply_resolution(key, *resolution, editor)
             }
-            ClaimItem::Carry { unknowns } => self.apply_carry(unknowns),
+            ClaimItem::Carry { through, unknowns } if self.settled <= *through => {
+                return self.apply_carry(unknowns);
+            }
+            ClaimItem::Carry { .. } => ClaimOutcome::Ignored,
         };
-        if place.offset.is_multiple_of(PRUNE_OFFSETS) {
-            self.prune();
+        if outcome == ClaimOutcome::Recorded {
+            self.settled = place.offset;
         }
         outcome
     }
@@ -469,8 +491,7 @@
     fn apply_carry(&mut self, unknowns: &[UnknownOutcome]) -> ClaimOutcome {
         for unknown in unknowns {
             let record = self.keys.entry(unknown.key).or_default();
-            let is_settled = record.resolved.is_some() || record.released.contains(&unknown.token);
-            if record.claim.is_none() && !is_settled {
+            if record.claim.is_none() {
                 record.claim = Some(carried_claim(unknown));
             }
         }
@@ -485,7 +506,9 @@
             let Some(claim) = &mut record.claim else {
                 continue;
             };
-            claim.standing = claim.standing_at(now_ms);
+            if claim.standing == KeyStanding::Open {
+                claim.standing = claim.standing_at(now_ms);
+            }
             unknowns += usize::from(matches!(claim.standing, KeyStanding::Unknown(_)));
         }
         let mut surplus = unknowns.saturating_sub(MAX_UNKNOWNS);
--- a/crates/state/tests/claim_properties.rs
+++ b/crates/state/tests/claim_properties.rs
@@ -115,8 +115,7 @@
                 self.pending.push(ClaimItem::Resolve { key, resolution, editor: "ann".into() });
             }
             Step::Carry => {
-                let unknowns = self.living.unknowns(self.now_ms);
-                self.pending.push(ClaimItem::Carry { unknowns });
+                self.pending.extend(self.living.carry(self.now_ms));
             }
             Step::Pass { seconds } => self.now_ms += 1_000 * seconds,
             Step::Restart => self.restart(),
