--- a/crates/persimmonlift/src/settings.rs
+++ b/crates/persimmonlift/src/settings.rs
@@ -13,6 +13,9 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+/// Worker threads of a small instance.
+const DEFAULT_WORKERS: usize = 4;
+
 /// Settings of one instance
 #[derive(Debug, Clone, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -109,6 +112,8 @@
     pub max_in_flight: usize,
     /// Most requests that wait for a pool
     pub queue_length: usize,
+    /// Worker threads
+    pub worker_threads: usize,
 }
 
 impl Default for LimitSettings {
@@ -120,6 +125,7 @@
             max_connections: 8_192,
             max_in_flight: 4_096,
             queue_length: 1_024,
+            worker_threads: DEFAULT_WORKERS,
         }
     }
 }
--- a/crates/persimmonlift/tests/harness/mod.rs
+++ b/crates/persimmonlift/tests/harness/mod.rs
@@ -93,6 +93,8 @@
         fleet: FleetSettings,
         change: impl Fn(&mut NodeSettings),
     ) -> Result<Deployment> {
+        // RUST_LOG shows what the instances decide.
+        let _ = env_logger::try_init();
         let fleet = Fleet::start(fleet).or_fail()?;
         let client = HttpClient::new();
         let mut deployment = Deployment { fleet, nodes: Vec::new(), client };
