--- a/crates/persimmonctl/src/cmd/history.rs
+++ b/crates/persimmonctl/src/cmd/history.rs
@@ -63,6 +63,6 @@
         line.base.to_string(),
         kind.into(),
         line.editor.to_string(),
-        line.time_ms.to_string(),
+        util::utc_time(line.time_ms),
     ]
 }
--- a/crates/persimmonctl/src/cmd/outcomes.rs
+++ b/crates/persimmonctl/src/cmd/outcomes.rs
@@ -102,7 +102,7 @@
         outcome.entry.to_string(),
         outcome.holder.to_string(),
         reason.into(),
-        outcome.time_ms.to_string(),
+        util::utc_time(outcome.time_ms),
     ]
 }
 
--- a/crates/persimmonctl/src/util.rs
+++ b/crates/persimmonctl/src/util.rs
@@ -5,6 +5,7 @@
 use smol_str::SmolStr;
 use std::io::{ErrorKind, Write};
 use std::path::{Path, PathBuf};
+use std::time::{Duration, UNIX_EPOCH};
 
 /// Space between two columns.
 const COLUMN_GAP: usize = 2;
@@ -67,6 +68,12 @@
     std::fs::read_to_string(file).map_err(|error| CliError::Unreadable(file.into(), error))
 }
 
+/// Time of a record for people, in UTC.
+pub fn utc_time(time_ms: u64) -> String {
+    let time = UNIX_EPOCH + Duration::from_millis(time_ms);
+    humantime::format_rfc3339_millis(time).to_string()
+}
+
 /// Prints text; a reader that has gone away is no failure.
 pub fn print_text(text: &str) -> CliResult {
     let mut stdout = std::io::stdout().lock();
--- a/crates/persimmonctl/tests/ctl/edits.rs
+++ b/crates/persimmonctl/tests/ctl/edits.rs
@@ -48,6 +48,8 @@
         .map(|it| (it["kind"].as_str().unwrap_or(""), it["editor"].as_str().unwrap_or("")))
         .collect();
     verify_that!(seen, eq(&vec![("put", "tester"), ("put", "ada"), ("remove", "tester")]))?;
+    let table = workdir.run_well(&["history", "summaries"]).await?.stdout;
+    verify_that!(table, contains_regex(r"ada +\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z"))?;
     workdir.run(&["get", "summaries"]).await?.check_code(4)
 }
 
