Prove planned changes under all pairs of nine faults

Cause: pairs of faults at a role change were not covered. Change: engines are changed in turn by an edit of the version, with two faults at an order and streams running through all instances. Conclusion: no conflicting orders, nothing cut.

--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -66,6 +66,7 @@
     pub nodes: IndexMap<InstanceId, ClusterNode>,
     /// Caller of the deployment
     pub caller: CallerClient,
+    tune: fn(&mut NodeSettings),
     started: usize,
 }
 
@@ -76,10 +77,10 @@
     /// `ClusterError`.
     pub async fn start(settings: FleetSettings, instances: usize) -> Result<Cluster, ClusterError> {
         let entries = settings.deployment.entries(CALLER_KEY);
-        Cluster::start_with(settings, instances, &entries).await
+        Cluster::start_with(settings, instances, &entries, |_| {}).await
     }
 
-    /// The same with a catalogue of its own
+    /// The same with a catalogue and with settings of the instances of its own
     ///
     /// # Errors
     /// `ClusterError`.
@@ -87,10 +88,11 @@
         settings: FleetSettings,
         instances: usize,
         entries: &[CatalogueEntry],
+        tune: fn(&mut NodeSettings),
     ) -> Result<Cluster, ClusterError> {
         let fleet = Fleet::start(settings).map_err(ClusterError::Fleet)?;
         let caller = CallerClient::new(CALLER_KEY, CALL_TIMEOUT);
-        let mut cluster = Cluster { fleet, nodes: IndexMap::new(), caller, started: 0 };
+        let mut cluster = Cluster { fleet, nodes: IndexMap::new(), caller, tune, started: 0 };
         for _ in 0..instances {
             cluster.add_node().await?;
         }
@@ -123,6 +125,7 @@
         };
         let mut settings = NodeSettings::new(instance, listen, platform);
         settings.timeouts.drain_pause_ms = SHORT_DRAIN_PAUSE_MS;
+        (self.tune)(&mut settings);
         let secrets =
             NodeSecrets { admin_token: ADMIN_TOKEN.into(), peer_token: PEER_TOKEN.into() };
         let handle = Node::start(settings, secrets).await.map_err(ClusterError::Node)?;
--- a/crates/standins/tests/common/scene.rs
+++ b/crates/standins/tests/common/scene.rs
@@ -20,6 +20,7 @@
 const LIST_LAG_MS: u64 = 100;
 const POLL: Duration = Duration::from_millis(10);
 const PATIENCE: Duration = Duration::from_secs(15);
+const LONG_PATIENCE: Duration = Duration::from_secs(60);
 
 /// The Trust's deployment with some instances
 pub async fn trust(instances: usize) -> std::result::Result<Cluster, ClusterError> {
@@ -30,7 +31,7 @@
     for entry in entries.iter_mut().filter(|it| it.kind == EntryKind::Service) {
         entry.limits.deadline_ms = SERVICE_DEADLINE_MS;
     }
-    Cluster::start_with(settings, instances, &entries).await
+    Cluster::start_with(settings, instances, &entries, |_| {}).await
 }
 
 /// Streamed query with a prompt of its own
@@ -118,6 +119,18 @@
     Ok(())
 }
 
+/// Waits longer until a condition of that name holds
+pub async fn wait_for_long(what: &str, condition: impl Fn() -> bool) -> Result<()> {
+    let deadline = Instant::now() + LONG_PATIENCE;
+    while !condition() {
+        if Instant::now() > deadline {
+            return fail!("not in {LONG_PATIENCE:?}: {what}");
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    Ok(())
+}
+
 /// The call was answered whole and its own
 pub fn check_right(outcome: &CallOutcome) -> Result<()> {
     if outcome.is_right() { Ok(()) } else { fail!("expected a whole answer, got {outcome:?}") }
--- /dev/null
+++ b/crates/standins/tests/role_faults.rs
@@ -0,0 +1,247 @@
+//! Pairs of faults that meet a planned change of engines, against live instances.
+//!
+//! A catalogue edit asks for another version of the model, so that every engine is
+//! changed in turn. Two faults strike at an order and end a little later. No engine
+//! takes conflicting orders, no change cuts a request, and in the end all engines
+//! serve the version asked for.
+
+mod common;
+
+use catalogue::EntryKind;
+use catalogue::id::{EndpointId, InstanceId};
+use common::scene::{query, wait_for_long};
+use common::{CALLER_KEY, Cluster};
+use googletest::prelude::*;
+use persimmonlift::settings::NodeSettings;
+use smol_str::SmolStr;
+use standins::caller::CallOutcome;
+use standins::deployment::{DeploymentKind, MODEL_VERSION, NEXT_MODEL_VERSION};
+use standins::fleet::{Fleet, FleetSettings};
+use standins::log::{LogFaults, LostAnswer};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use testcases::cases;
+use tokio::task::JoinSet;
+
+const INSTANCES: usize = 3;
+const LANES: usize = 9;
+const FAULT_TIME: Duration = Duration::from_millis(1_200);
+
+/// Fault that meets a change
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ChangeFault {
+    HolderKilled,
+    HolderParted,
+    LogDown,
+    LogSlow,
+    LogAnswerLost,
+    EngineCrash,
+    EngineSilent,
+    EnginePaused,
+    EngineWithdrawn,
+}
+
+use ChangeFault::*;
+
+const ALL: [ChangeFault; 9] = [
+    HolderKilled,
+    HolderParted,
+    LogDown,
+    LogSlow,
+    LogAnswerLost,
+    EngineCrash,
+    EngineSilent,
+    EnginePaused,
+    EngineWithdrawn,
+];
+
+fn fleet(ignoring_fence: usize) -> FleetSettings {
+    let mut fleet = FleetSettings::of(DeploymentKind::Trust);
+    fleet.engine.change_ms = 200;
+    fleet.engine.restart_ms = 300;
+    fleet.engine.report_lag_ms = 100;
+    fleet.engine.speed.factor = 2.0;
+    fleet.model_bytes = 20_000_000;
+    fleet.list_lag_ms = 100;
+    fleet.engines_ignoring_fence = ignoring_fence;
+    fleet
+}
+
+fn quick(settings: &mut NodeSettings) {
+    settings.planner.roles = false;
+    settings.planner.tick_ms = 50;
+    settings.planner.call_ms = 400;
+    settings.planner.confirm_ms = 1_000;
+    settings.planner.lease_term_ms = 1_500;
+    settings.planner.lease_renewal_ms = 400;
+    settings.planner.order_lifetime_ms = 1_000;
+}
+
+/// Order that the faults strike at
+struct StruckOrder {
+    engine: EndpointId,
+    holder: InstanceId,
+}
+
+fn strike(cluster: &mut Cluster, fault: ChangeFault, order: &StruckOrder, lanes: &StreamLanes) {
+    let fleet = cluster.fleet.clone();
+    let engine = &fleet.engines[&order.engine];
+    match fault {
+        HolderKilled => {
+            if let Some(node) = cluster.nodes.get(&order.holder) {
+                lanes.forgive(node.handle.caller_address());
+            }
+            cluster.kill(&order.holder);
+            cluster.forget(&order.holder);
+        }
+        HolderParted => {
+            if let Some(node) = cluster.nodes.get(&order.holder) {
+                node.log.cut();
+            }
+        }
+        LogDown => fleet.log.set_down(true),
+        LogSlow => fleet.log.set_faults(|it| {
+            it.delay = Duration::from_millis(300);
+            it.answer_delay = Duration::from_millis(300);
+        }),
+        LogAnswerLost => fleet.log.lose_answers(LostAnswer::AfterEffect, 2),
+        EngineCrash => engine.crash(),
+        EngineSilent => engine.silence(),
+        EnginePaused => engine.pause(true),
+        EngineWithdrawn => fleet.withdraw(&order.engine),
+    }
+}
+
+/// Ends what `strike` began
+async fn heal(cluster: &mut Cluster, order: &StruckOrder) -> Result<()> {
+    cluster.fleet.log.set_faults(|it| *it = LogFaults::default());
+    cluster.fleet.engines[&order.engine].pause(false);
+    cluster.fleet.readmit(&order.engine);
+    for node in cluster.nodes.values() {
+        node.log.mend().await.or_fail()?;
+    }
+    while cluster.nodes.len() < INSTANCES {
+        cluster.add_node().await.or_fail()?;
+    }
+    Ok(())
+}
+
+async fn ask_for(cluster: &Cluster, version: &str) -> Result<()> {
+    for entry in DeploymentKind::Trust.entries(CALLER_KEY) {
+        let mut current = cluster.admin(0).get(&entry.name).await.or_fail()?;
+        if let EntryKind::Engine { version: wanted, .. } = &mut current.entry.kind {
+            *wanted = version.into();
+            cluster.admin(0).put(&current.entry, current.revision).await.or_fail()?;
+        }
+    }
+    Ok(())
+}
+
+fn serve(fleet: &Fleet, version: &str) -> bool {
+    let states = fleet.engines.values().map(|it| it.state());
+    states.into_iter().all(|it| it.ready && it.target.version == version)
+}
+
+/// Streams through all instances until stopped
+struct StreamLanes {
+    stop: Arc<AtomicBool>,
+    killed: Arc<Mutex<Vec<SocketAddr>>>,
+    lanes: JoinSet<Vec<(SocketAddr, CallOutcome)>>,
+}
+
+impl StreamLanes {
+    fn start(cluster: &Cluster) -> StreamLanes {
+        let stop = Arc::new(AtomicBool::new(false));
+        let mut lanes = JoinSet::new();
+        for lane in 0..LANES {
+            let addresses = cluster.addresses();
+            let address = addresses[lane % addresses.len()];
+            let (caller, stop) = (cluster.caller.clone(), stop.clone());
+            lanes.spawn(async move {
+                let mut outcomes = Vec::new();
+                while !stop.load(Ordering::Relaxed) {
+                    let call = query(&format!("{lane} {}", outcomes.len()), 30);
+                    let outcome = caller.complete(address, &call).await;
+                    let is_right = outcome.is_right();
+                    outcomes.push((address, outcome));
+                    if !is_right {
+                        tokio::time::sleep(Duration::from_millis(100)).await;
+                    }
+                }
+                outcomes
+            });
+        }
+        StreamLanes { stop, killed: Arc::default(), lanes }
+    }
+
+    /// Calls at a killed instance may be cut
+    fn forgive(&self, address: SocketAddr) {
+        self.killed.lock().unwrap_or_else(PoisonError::into_inner).push(address);
+    }
+
+    /// Checks that no call was cut or answered wrongly
+    async fn check(mut self) -> Result<()> {
+        self.stop.store(true, Ordering::Relaxed);
+        let killed = self.killed.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        while let Some(outcomes) = self.lanes.join_next().await {
+            for (address, outcome) in outcomes.or_fail()? {
+                let is_kept = outcome.is_right() || outcome.is_not_run();
+                if !is_kept && !killed.contains(&address) {
+                    return fail!("cut: {outcome:?}");
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Asks for a version, strikes with two faults at an order, and sees it through
+async fn change_under(
+    cluster: &mut Cluster,
+    version: &SmolStr,
+    faults: [ChangeFault; 2],
+) -> Result<()> {
+    let lanes = StreamLanes::start(cluster);
+    let fleet = cluster.fleet.clone();
+    let before = fleet.orders().len();
+    ask_for(cluster, version).await?;
+    wait_for_long("an order", || fleet.orders().len() > before).await?;
+    let newest = fleet.engines.values().flat_map(|it| it.orders().pop()).max_by_key(|it| it.order);
+    let newest = newest.or_fail()?;
+    let order = StruckOrder { engine: newest.engine, holder: newest.issuer };
+    faults.iter().for_each(|it| strike(cluster, *it, &order, &lanes));
+    tokio::time::sleep(FAULT_TIME).await;
+    heal(cluster, &order).await?;
+    let what = format!("version {version} everywhere after {faults:?}");
+    wait_for_long(&what, || serve(&fleet, version)).await?;
+    lanes.check().await?;
+    verify_that!(fleet.conflicts(), is_empty())?;
+    let cut: u32 = fleet.orders().iter().map(|it| it.cut).sum();
+    verify_that!(cut, eq(0))
+}
+
+async fn pairs_with(first: ChangeFault, ignoring_fence: usize) -> Result<()> {
+    let entries = DeploymentKind::Trust.entries(CALLER_KEY);
+    let cluster = Cluster::start_with(fleet(ignoring_fence), INSTANCES, &entries, quick).await;
+    let mut cluster = cluster.or_fail()?;
+    let versions: [SmolStr; 2] = [NEXT_MODEL_VERSION.into(), MODEL_VERSION.into()];
+    let later = ALL.into_iter().skip_while(|it| *it != first).skip(1);
+    for (index, second) in later.enumerate() {
+        change_under(&mut cluster, &versions[index % 2], [first, second]).await?;
+    }
+    Ok(())
+}
+
+cases! { async
+    change_pairs_with_holder_killed => pairs_with(HolderKilled, 0),
+    change_pairs_with_holder_parted => pairs_with(HolderParted, 0),
+    change_pairs_with_log_down => pairs_with(LogDown, 0),
+    change_pairs_with_log_slow => pairs_with(LogSlow, 0),
+    change_pairs_with_log_answer_lost => pairs_with(LogAnswerLost, 0),
+    change_pairs_with_engine_crash => pairs_with(EngineCrash, 0),
+    change_pairs_with_engine_silent => pairs_with(EngineSilent, 0),
+    change_pairs_with_engine_paused => pairs_with(EnginePaused, 0),
+    change_pairs_with_holder_killed_ignoring_fence => pairs_with(HolderKilled, 7),
+}
