--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -56,6 +56,17 @@
     pub log: NetworkLink,
     /// Its link to the list
     pub list: NetworkLink,
+    /// Link of its peers to it
+    pub peer: NetworkLink,
+}
+
+impl ClusterNode {
+    /// Holds up all that it exchanges with the platform and its peers, or lets it go
+    pub fn pause(&self, paused: bool) {
+        for link in [&self.log, &self.list, &self.peer] {
+            link.pause(paused);
+        }
+    }
 }
 
 /// Stand-ins and instances
@@ -90,6 +101,8 @@
         entries: &[CatalogueEntry],
         tune: fn(&mut NodeSettings),
     ) -> Result<Cluster, ClusterError> {
+        // Another test of the process may have set it.
+        let _ = env_logger::try_init();
         let fleet = Fleet::start(settings).map_err(ClusterError::Fleet)?;
         let caller = CallerClient::new(CALLER_KEY, CALL_TIMEOUT);
         let mut cluster = Cluster { fleet, nodes: IndexMap::new(), caller, tune, started: 0 };
@@ -129,8 +142,9 @@
         let secrets =
             NodeSecrets { admin_token: ADMIN_TOKEN.into(), peer_token: PEER_TOKEN.into() };
         let handle = Node::start(settings, secrets).await.map_err(ClusterError::Node)?;
-        self.fleet.register_instance(id.clone(), zone, handle.peer_address());
-        self.nodes.insert(id.clone(), ClusterNode { handle, log, list });
+        let peer = NetworkLink::to(handle.peer_address()).map_err(ClusterError::Fleet)?;
+        self.fleet.register_instance(id.clone(), zone, peer.address());
+        self.nodes.insert(id.clone(), ClusterNode { handle, log, list, peer });
         Ok(id)
     }
 
--- a/crates/standins/tests/edit_faults.rs
+++ b/crates/standins/tests/edit_faults.rs
@@ -153,6 +153,16 @@
     check_in_force(&cluster, 811).await
 }
 
+/// An instance that was paused while edits were made shows the last one, none older
+async fn reaches_paused_instance() -> Result<()> {
+    let cluster = trust(3).await.or_fail()?;
+    cluster.nodes[2].pause(true);
+    edit(&cluster, 0, 841).await?;
+    edit(&cluster, 1, 842).await?;
+    cluster.nodes[2].pause(false);
+    check_in_force(&cluster, 842).await
+}
+
 async fn reaches_parted_instance() -> Result<()> {
     let cluster = trust(3).await.or_fail()?;
     // Heartbeats between the instances have to have begun.
@@ -198,6 +208,7 @@
         async |it| lose(it, LostAnswer::AfterEffect).await
     ),
     edit_outlives_its_writer => survives_kill_of_writer(),
+    edit_reaches_paused_instance => reaches_paused_instance(),
     edit_reaches_parted_instance => reaches_parted_instance(),
     edit_with_list_down => spreads_with_list_down(),
 }
--- a/crates/standins/tests/once_faults.rs
+++ b/crates/standins/tests/once_faults.rs
@@ -23,6 +23,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum OnceFault {
     Kill,
+    Pause,
     LogPart,
     LogDown,
     LogSlow,
@@ -37,8 +38,9 @@
 
 use OnceFault::*;
 
-const ALL: [OnceFault; 11] = [
+const ALL: [OnceFault; 12] = [
     Kill,
+    Pause,
     LogPart,
     LogDown,
     LogSlow,
@@ -59,6 +61,11 @@
             let id = cluster.nodes.keys().next().cloned().unwrap_or_default();
             cluster.kill(&id);
         }
+        Pause => {
+            if let Some(node) = cluster.nodes.values().next() {
+                node.pause(true);
+            }
+        }
         LogPart => {
             if let Some(node) = cluster.nodes.values().next() {
                 node.log.cut();
@@ -87,6 +94,7 @@
         service.set_faults(|it| *it = standins::service::ServiceFaults::default());
     }
     for node in cluster.nodes.values() {
+        node.pause(false);
         node.log.mend().await.or_fail()?;
     }
     while cluster.nodes.len() < INSTANCES {
@@ -163,8 +171,9 @@
     let mut cluster = trust(INSTANCES).await.or_fail()?;
     let later = ALL.into_iter().skip_while(|it| *it != first).skip(1);
     for second in later {
-        claim_under(&mut cluster, &[first, second]).await?;
-        dispatch_under(&mut cluster, &[first, second]).await?;
+        let pair = || format!("{first:?} with {second:?}");
+        claim_under(&mut cluster, &[first, second]).await.with_failure_message(pair)?;
+        dispatch_under(&mut cluster, &[first, second]).await.with_failure_message(pair)?;
     }
     Ok(())
 }
@@ -225,6 +234,7 @@
 
 cases! { async
     claim_after_kill => at_claim(&[Kill]),
+    claim_while_paused => at_claim(&[Pause]),
     claim_while_parted_from_log => at_claim(&[LogPart]),
     claim_with_log_down => at_claim(&[LogDown]),
     claim_with_log_slow => at_claim(&[LogSlow]),
@@ -234,6 +244,7 @@
     claim_with_list_down => at_claim(&[ListDown]),
     claim_with_service_crashed => at_claim(&[ServiceCrash]),
     dispatch_under_kill => at_dispatch(&[Kill]),
+    dispatch_while_paused => at_dispatch(&[Pause]),
     dispatch_while_parted_from_log => at_dispatch(&[LogPart]),
     dispatch_with_log_down => at_dispatch(&[LogDown]),
     dispatch_with_log_slow => at_dispatch(&[LogSlow]),
@@ -243,6 +254,7 @@
     dispatch_on_silent_connection => at_dispatch(&[ServiceSilent]),
     dispatch_under_service_crash => at_dispatch(&[ServiceCrash]),
     once_pairs_with_kill => pairs_with(Kill),
+    once_pairs_with_pause => pairs_with(Pause),
     once_pairs_with_log_part => pairs_with(LogPart),
     once_pairs_with_log_down => pairs_with(LogDown),
     once_pairs_with_log_slow => pairs_with(LogSlow),
--- a/crates/standins/tests/role_faults.rs
+++ b/crates/standins/tests/role_faults.rs
@@ -34,6 +34,7 @@
 enum ChangeFault {
     HolderKilled,
     HolderParted,
+    HolderPaused,
     LogDown,
     LogSlow,
     LogAnswerLost,
@@ -45,9 +46,10 @@
 
 use ChangeFault::*;
 
-const ALL: [ChangeFault; 9] = [
+const ALL: [ChangeFault; 10] = [
     HolderKilled,
     HolderParted,
+    HolderPaused,
     LogDown,
     LogSlow,
     LogAnswerLost,
@@ -101,6 +103,11 @@
                 node.log.cut();
             }
         }
+        HolderPaused => {
+            if let Some(node) = cluster.nodes.get(&order.holder) {
+                node.pause(true);
+            }
+        }
         LogDown => fleet.log.set_down(true),
         LogSlow => fleet.log.set_faults(|it| {
             it.delay = Duration::from_millis(300);
@@ -120,6 +127,7 @@
     cluster.fleet.engines[&order.engine].pause(false);
     cluster.fleet.readmit(&order.engine);
     for node in cluster.nodes.values() {
+        node.pause(false);
         node.log.mend().await.or_fail()?;
     }
     while cluster.nodes.len() < INSTANCES {
@@ -237,6 +245,7 @@
 cases! { async
     change_pairs_with_holder_killed => pairs_with(HolderKilled, 0),
     change_pairs_with_holder_parted => pairs_with(HolderParted, 0),
+    change_pairs_with_holder_paused => pairs_with(HolderPaused, 0),
     change_pairs_with_log_down => pairs_with(LogDown, 0),
     change_pairs_with_log_slow => pairs_with(LogSlow, 0),
     change_pairs_with_log_answer_lost => pairs_with(LogAnswerLost, 0),
--- a/crates/standins/tests/serving_faults.rs
+++ b/crates/standins/tests/serving_faults.rs
@@ -81,6 +81,11 @@
     Ok(())
 }
 
+async fn pause_first(cluster: &mut Cluster) -> Result<()> {
+    cluster.nodes[0].pause(true);
+    Ok(())
+}
+
 async fn part_from_log(cluster: &mut Cluster) -> Result<()> {
     cluster.nodes[0].log.cut();
     Ok(())
@@ -125,15 +130,32 @@
     Ok(())
 }
 
+/// Streams of a killed instance are cut; the others' are whole
+async fn kill_cuts_only_its_own() -> Result<()> {
+    let mut cluster = trust(2).await.or_fail()?;
+    let stream = |it| cluster.start_query(it % 2, query(&format!("stream {it}"), LONG_STREAM));
+    let streams: Vec<_> = (0..STREAMS).map(stream).collect();
+    cluster.busy_engine().await?;
+    kill_first(&mut cluster).await?;
+    for (index, stream) in streams.into_iter().enumerate() {
+        let outcome = stream.await.or_fail()?;
+        verify_that!(outcome.is_not_run(), eq(false))?;
+        if index % 2 == 1 {
+            check_right(&outcome)?;
+        }
+    }
+    check_right(&cluster.ask(0, &query("afterwards", 5)).await)
+}
+
 /// A drained instance ends every stream whole and is refused work
-async fn drain_cuts_nothing(fault: Option<FaultOrder>) -> Result<()> {
+async fn drain_cuts_nothing(faults: &[FaultOrder]) -> Result<()> {
     let cluster = trust(2).await.or_fail()?;
     let stream = |it| cluster.start_query(0, query(&format!("stream {it}"), LONG_STREAM));
     let streams: Vec<_> = (0..STREAMS).map(stream).collect();
     let flying = || cluster.fleet.engines.values().map(|it| it.state().in_flight).sum::<u32>();
     wait_for(|| flying() as usize == STREAMS).await?;
-    if let Some(fault) = fault {
-        apply(&cluster, fault).await?;
+    for fault in faults {
+        apply(&cluster, fault.clone()).await?;
     }
     let report = cluster.nodes[0].handle.drain().await;
     verify_that!(report.cut, eq(0))?;
@@ -147,6 +169,7 @@
 
 cases! { async
     call_after_kill_of_instance => calls_survive(kill_first),
+    call_while_paused => calls_survive(pause_first),
     call_after_engine_crash => calls_survive(async |it| {
         apply(it, crash("summary-1".into())).await
     }),
@@ -167,6 +190,7 @@
     stream_over_engine_crash => streams_survive(async |it| on_busy(it, crash).await),
     stream_over_silent_connection => streams_survive(async |it| on_busy(it, silent).await),
     stream_over_paused_engine => streams_survive(async |it| on_busy(it, pause).await),
+    stream_while_paused => streams_survive(pause_first),
     stream_over_withdrawn_engine => streams_survive(async |it| on_busy(it, leave).await),
     stream_with_late_reports => streams_survive(async |it| apply(it, REPORTS_LATE).await),
     stream_with_list_down => streams_survive(async |it| apply(it, LIST_DOWN).await),
@@ -178,8 +202,19 @@
         silence_all(it).await
     }),
     withdrawn_engine_is_left_alone => withdrawn_engine_gets_nothing_new(),
+    stream_over_kill_of_instance => kill_cuts_only_its_own(),
     crashing_request => crashing_request_is_refused(),
-    drain => drain_cuts_nothing(None),
-    drain_with_log_down => drain_cuts_nothing(Some(LOG_DOWN)),
-    drain_with_engine_crash => drain_cuts_nothing(Some(crash("summary-1".into()))),
+    drain => drain_cuts_nothing(&[]),
+    drain_with_log_down => drain_cuts_nothing(&[LOG_DOWN]),
+    drain_with_list_down => drain_cuts_nothing(&[LIST_DOWN]),
+    drain_with_log_slow => drain_cuts_nothing(&[LOG_SLOW]),
+    drain_with_late_reports => drain_cuts_nothing(&[REPORTS_LATE]),
+    drain_with_engine_silent => drain_cuts_nothing(&[silent("summary-1".into())]),
+    drain_with_engine_withdrawn => drain_cuts_nothing(&[leave("summary-1".into())]),
+    drain_with_engine_paused => drain_cuts_nothing(&[pause("summary-1".into())]),
+    drain_with_log_down_and_engine_crash => drain_cuts_nothing(&[
+        LOG_DOWN,
+        crash("summary-1".into()),
+    ]),
+    drain_with_engine_crash => drain_cuts_nothing(&[crash("summary-1".into())]),
 }
