Print the slopes of capacity at four sizes or more

Cause: docs/CAPACITY.md is to be worked out from slopes measured here, and there were no commands that print them.

Change: the example `capacity` measures heartbeats, catalogue, polling of engines, log followers, idle instances and relayed tokens at 4 to 6 sizes each; `choice` of `decide` now measures 80 to 1,280 engines.

Conclusion: each slope of the page can be printed again.

--- a/crates/decide/examples/choice.rs
+++ b/crates/decide/examples/choice.rs
@@ -1,4 +1,4 @@
-//! Measures the time of one endpoint choice over 640 engines.
+//! Measures the time of one endpoint choice against the number of engines.
 //!
 //! `cargo run --release -p decide --example choice`
 
@@ -12,16 +12,22 @@
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
-const ENGINES: usize = 640;
+const SIZES: [usize; 5] = [80, 160, 320, 640, 1_280];
 const PIECES: u64 = 16;
 const PIECES_HELD: usize = 400;
 const ROUNDS: usize = 20_000;
 const WARM_UP_ROUNDS: usize = 1_000;
 
 fn main() {
+    for engines in SIZES {
+        measure(engines);
+    }
+}
+
+fn measure(engines: usize) {
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let start = Instant::now();
-    let views = make_views(&mut rng, start);
+    let views = make_views(engines, &mut rng, start);
     let requests: Vec<ChoiceRequest> = (0..64).map(make_request).collect();
     let mut times = Vec::with_capacity(ROUNDS);
     for round in 0..WARM_UP_ROUNDS + ROUNDS {
@@ -37,16 +43,16 @@
     let mean = times.iter().sum::<Duration>() / ROUNDS as u32;
     let percentile = |part: usize| times[ROUNDS * part / 100];
     println!(
-        "engines={ENGINES} rounds={ROUNDS} mean={mean:?} p50={:?} p95={:?} p99={:?}",
+        "engines={engines} rounds={ROUNDS} mean={mean:?} p50={:?} p95={:?} p99={:?}",
         percentile(50),
         percentile(95),
         percentile(99)
     );
 }
 
-fn make_views(rng: &mut ChaCha8Rng, now: Instant) -> Vec<EndpointView> {
-    let mut views = Vec::with_capacity(ENGINES);
-    for index in 0..ENGINES {
+fn make_views(engines: usize, rng: &mut ChaCha8Rng, now: Instant) -> Vec<EndpointView> {
+    let mut views = Vec::with_capacity(engines);
+    for index in 0..engines {
         let zone = format_smolstr!("zone-{}", index % 4);
         let role = Some(EngineRole::Mixed);
         let mut view = EndpointView::new(format_smolstr!("engine-{index}"), zone, role);
--- /dev/null
+++ b/crates/standins/examples/capacity/world.rs
@@ -0,0 +1,86 @@
+//! Instances before the Trust's stand-ins, in this process.
+
+use persimmonlift::node::{Node, NodeHandle};
+use persimmonlift::settings::{
+    InstanceSettings, ListenSettings, NodeSecrets, NodeSettings, PlatformSettings,
+};
+use smol_str::format_smolstr;
+use standins::deployment::DeploymentKind;
+use standins::fleet::{Fleet, FleetSettings};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+/// Key of the callers
+pub const KEY: &str = "caller-key";
+/// Port that the system chooses
+pub const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+const POLL: Duration = Duration::from_millis(20);
+
+/// Running stand-ins and instances
+pub struct World {
+    pub fleet: Fleet,
+    pub nodes: Vec<NodeHandle>,
+}
+
+impl World {
+    /// Starts `count` instances and waits until all serve the catalogue
+    pub async fn start(count: usize, settings: FleetSettings) -> World {
+        let fleet = Fleet::start(settings).expect("stand-ins start");
+        let mut nodes = Vec::new();
+        for index in 0..count {
+            let node = Node::start(node_settings(&fleet, index), secrets()).await;
+            let node = node.expect("instance starts");
+            fleet.register_instance(node.id().clone(), fleet.plan.zone(index), node.peer_address());
+            nodes.push(node);
+        }
+        let world = World { fleet, nodes };
+        world.publish().await;
+        world.await_ready().await;
+        world
+    }
+
+    async fn publish(&self) {
+        let catalogue = &self.nodes[0].context().catalogue;
+        catalogue.caught_up().await;
+        for mut entry in DeploymentKind::Trust.entries(KEY) {
+            entry.limits.tokens_per_s = 1e9;
+            entry.limits.requests_per_s = 1e6;
+            entry.limits.in_flight = 1_000_000;
+            catalogue.put(entry, 0, "capacity".into()).await.expect("log is up");
+        }
+    }
+
+    async fn await_ready(&self) {
+        let is_ready = |it: &NodeHandle| {
+            let context = it.context();
+            let accepting = context.registry.status().iter().filter(|it| it.accepting).count();
+            context.standing.is_ready()
+                && context.catalogue.view().entries().count() == 4
+                && accepting >= self.fleet.engines.len()
+                && context.peers.view().live_peers().count() + 1 == self.nodes.len()
+        };
+        while !self.nodes.iter().all(is_ready) {
+            tokio::time::sleep(POLL).await;
+        }
+    }
+}
+
+fn secrets() -> NodeSecrets {
+    NodeSecrets { admin_token: "admin-token".into(), peer_token: "peer-token".into() }
+}
+
+fn node_settings(fleet: &Fleet, index: usize) -> NodeSettings {
+    let instance = InstanceSettings {
+        id: format_smolstr!("entry-{}", index + 1),
+        zone: fleet.plan.zone(index),
+        region: fleet.plan.region.clone(),
+        deployment: fleet.plan.name.clone(),
+    };
+    let listen = ListenSettings { caller: ANY_PORT, admin: ANY_PORT, peer: ANY_PORT };
+    let platform = PlatformSettings {
+        log: fleet.log_address(),
+        instances: fleet.list.address(),
+        weights: fleet.weights.address(),
+    };
+    NodeSettings::new(instance, listen, platform)
+}
