Turn unready when a newer record has stopped the catalogue

Cause: contact with peers kept an instance ready although its catalogue had stopped at a record of a newer version, so it would have served an old catalogue for good.

Change: contact with peers does not count once the catalogue has stopped.

Conclusion: an instance that can't follow the catalogue takes no callers.

--- a/crates/persimmonlift/src/peers/upkeep.rs
+++ b/crates/persimmonlift/src/peers/upkeep.rs
@@ -23,13 +23,15 @@
     }
 }
 
-/// Notes contact with other instances, and tells them the load.
+/// Notes contact with other instances, and tells them the load. Contact is of no use
+/// to a catalogue that a record of a newer version has stopped.
 pub(super) async fn note_contact(context: Arc<NodeContext>) {
     let mut interval = tokio::time::interval(CONTACT_INTERVAL);
     loop {
         interval.tick().await;
         context.peers.set_load(context.standing.in_flight());
-        if let Some(contact) = context.peers.view().last_contact {
+        let contact = context.peers.view().last_contact;
+        if let Some(contact) = contact.filter(|_| !context.catalogue.status().is_stopped) {
             context.standing.note_contact(contact.into_std());
         }
     }
--- a/crates/persimmonlift/tests/peers.rs
+++ b/crates/persimmonlift/tests/peers.rs
@@ -137,6 +137,17 @@
     await_until("the last instance is isolated", || !standing.is_ready()).await
 }
 
+/// Instances that met a record of a newer version turn unready, peers or not.
+async fn check_newer_record() -> Result<()> {
+    let deployment = start_with(2, |it| it.timeouts.isolation_ms = 1_500).await?;
+    let record = "persimmonlift/999 other/run 1 0000000000000000\n{}";
+    deployment.fleet.log.append("catalogue".into(), record.into()).await.or_fail()?;
+    await_until("all are unready", || {
+        deployment.nodes.iter().all(|it| !it.context().standing.is_ready())
+    })
+    .await
+}
+
 async fn check_grant() -> Result<()> {
     let deployment = start(2).await?;
     let rates = EntryRates { requests_per_s: 10.0, tokens_per_s: 1_000.0, in_flight: 4.0 };
@@ -168,6 +179,7 @@
     edit_comes_through_peers => check_relay(),
     log_down_for_all_keeps_serving => check_log_down(),
     isolated_turns_unready => check_isolated(),
+    newer_record_turns_unready => check_newer_record(),
     home_grants_limits => check_grant(),
     unread_plan_is_not_confirmed => check_plan_unread(),
 }
