--- a/crates/coordination/examples/common/mod.rs
+++ b/crates/coordination/examples/common/mod.rs
@@ -1,6 +1,7 @@
 //! Instances on one stand-in log, over sockets, and figures of what they do.
 #![allow(dead_code)]
 
+use catalogue::{CatalogueEntry, EntryKind, EntryLimits, RequestClass};
 use coordination::once::{HomeRoute, OnceHandle};
 use coordination::peers::{answer_submit, forward_over};
 use coordination::shared::{LogTiming, SharedLog};
@@ -13,7 +14,7 @@
 use standins::server::StandinServer;
 use std::error::Error;
 use std::net::SocketAddr;
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 
@@ -109,12 +110,11 @@
 }
 
 async fn serve(listener: TcpListener, secret: PeerSecret, handle: OnceHandle) {
-    let handle: Arc<OnceLock<OnceHandle>> = Arc::new(OnceLock::from(handle));
     peer::server::serve(listener, secret, move |request| {
-        let handle = handle.clone();
+        let once = handle.clone();
         Box::pin(async move {
-            match (request, handle.get()) {
-                (PeerRequest::Submit(submit), Some(once)) => answer_submit(once, submit).await,
+            match request {
+                PeerRequest::Submit(submit) => answer_submit(&once, submit).await,
                 _ => Err(PeerRefusal::Unsupported),
             }
         })
@@ -122,6 +122,29 @@
     .await;
 }
 
+/// Entry of a service.
+pub fn service_entry(name: &str, in_flight: u32) -> CatalogueEntry {
+    CatalogueEntry {
+        name: name.into(),
+        owner: "trust".into(),
+        class: RequestClass::Standard,
+        idempotent: false,
+        pool: "register".into(),
+        endpoints: Vec::new(),
+        caller_key_sha256: vec!["0".repeat(64).into()],
+        kind: EntryKind::Service,
+        limits: EntryLimits {
+            requests_per_s: 10.0,
+            tokens_per_s: 1.0,
+            in_flight,
+            prompt_tokens: 1,
+            output_tokens: 1,
+            deadline_ms: 1_000,
+            first_token_ms: 1_000,
+        },
+    }
+}
+
 /// Latencies, in microseconds
 pub struct LatencyTable {
     histogram: Histogram<u64>,
--- a/crates/coordination/examples/edit_latency.rs
+++ b/crates/coordination/examples/edit_latency.rs
@@ -5,8 +5,7 @@
 
 mod common;
 
-use catalogue::{CatalogueEntry, EntryKind, EntryLimits, RequestClass};
-use common::{AnyError, LatencyTable, RunOptions, SharedStandin};
+use common::{AnyError, LatencyTable, RunOptions, SharedStandin, service_entry};
 use coordination::catalogue::{CatalogueHandle, EditError};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -25,28 +24,6 @@
     since_accepted: Duration,
 }
 
-fn entry(in_flight: u32) -> CatalogueEntry {
-    CatalogueEntry {
-        name: ENTRY.into(),
-        owner: "trust".into(),
-        class: RequestClass::Standard,
-        idempotent: false,
-        pool: "register".into(),
-        endpoints: Vec::new(),
-        caller_key_sha256: vec!["0".repeat(64).into()],
-        kind: EntryKind::Service,
-        limits: EntryLimits {
-            requests_per_s: 10.0,
-            tokens_per_s: 1.0,
-            in_flight,
-            prompt_tokens: 1,
-            output_tokens: 1,
-            deadline_ms: 1_000,
-            first_token_ms: 1_000,
-        },
-    }
-}
-
 /// Edits at one instance, always from the revision that it shows
 async fn operate(
     handles: Arc<Vec<CatalogueHandle>>,
@@ -58,7 +35,7 @@
     for round in 1.. {
         let base = handle.view().revision(ENTRY);
         let asked = Instant::now();
-        match handle.put(entry(round), base, "operator".into()).await {
+        match handle.put(service_entry(ENTRY, round), base, "operator".into()).await {
             Ok(revision) => {
                 let accepted = Instant::now();
                 tokio::spawn(watch(handles.clone(), revision, asked, accepted, times.clone()));
--- a/crates/coordination/examples/fold_speed.rs
+++ b/crates/coordination/examples/fold_speed.rs
@@ -6,8 +6,7 @@
 
 mod common;
 
-use catalogue::{CatalogueEntry, EntryKind, EntryLimits, RequestClass};
-use common::{AnyError, RunOptions, SharedStandin};
+use common::{AnyError, RunOptions, SharedStandin, service_entry};
 use coordination::catalogue::CatalogueHandle;
 use coordination::stream::{StreamHandle, StreamRules, StreamStart};
 use platform::log::LogRecord;
@@ -24,33 +23,11 @@
 const CLAIMS_STREAM: &str = "claims.00";
 const UNLIMITED_APPENDS: f64 = 1e9;
 
-fn entry(name: &str, in_flight: u32) -> CatalogueEntry {
-    CatalogueEntry {
-        name: name.into(),
-        owner: "trust".into(),
-        class: RequestClass::Standard,
-        idempotent: false,
-        pool: "register".into(),
-        endpoints: Vec::new(),
-        caller_key_sha256: vec!["0".repeat(64).into()],
-        kind: EntryKind::Service,
-        limits: EntryLimits {
-            requests_per_s: 10.0,
-            tokens_per_s: 1.0,
-            in_flight,
-            prompt_tokens: 1,
-            output_tokens: 1,
-            deadline_ms: 1_000,
-            first_token_ms: 1_000,
-        },
-    }
-}
-
 /// Edit number `index`, which replaces the entry's edit of the round before
 fn edit(index: u64) -> CatalogueItem {
     let name = format!("entry-{}", index % ENTRIES);
     let base = (index + 1).saturating_sub(ENTRIES);
-    let entry = Arc::new(entry(&name, index as u32 + 1));
+    let entry = Arc::new(service_entry(&name, index as u32 + 1));
     CatalogueItem::Put { entry, base, editor: "operator".into() }
 }
 
@@ -61,7 +38,7 @@
     bytes[2..].copy_from_slice(&random);
     let key = uuid::Builder::from_unix_timestamp_millis(now_ms, &bytes).into_uuid();
     let token = Uuid::from_u128(u128::from(index / 2));
-    if index % 2 == 0 {
+    if index.is_multiple_of(2) {
         return ClaimItem::Claim {
             key,
             token,
--- a/crates/coordination/src/stream/mod.rs
+++ b/crates/coordination/src/stream/mod.rs
@@ -7,6 +7,7 @@
 mod queue;
 mod reader;
 mod rebuild;
+mod recent;
 mod worker;
 
 use crate::shared::{RelayError, SharedLog};
--- /dev/null
+++ b/crates/coordination/src/stream/recent.rs
@@ -0,0 +1,45 @@
+//! Recent records, kept for peers that can't reach the log.
+
+use crate::shared::RelayError;
+use catalogue::id::Offset;
+use platform::log::LogRecord;
+use std::collections::VecDeque;
+
+const MAX_RECORDS: usize = 4_096;
+
+/// Newest records of a stream, without a gap
+#[derive(Debug, Default)]
+pub(super) struct RecentRecords {
+    records: VecDeque<LogRecord>,
+}
+
+impl RecentRecords {
+    /// Adds the next record
+    pub(super) fn push(&mut self, record: LogRecord) {
+        if self.records.back().is_some_and(|it| it.offset + 1 != record.offset) {
+            self.records.clear();
+        }
+        self.records.push_back(record);
+        if self.records.len() > MAX_RECORDS {
+            self.records.pop_front();
+        }
+    }
+
+    /// At most `max` records from an offset on, of a stream folded through `through`
+    ///
+    /// # Errors
+    /// `OutOfTouch` if the offset has been folded and isn't kept any more.
+    pub(super) fn since(
+        &self,
+        from: Offset,
+        max: u32,
+        through: Offset,
+    ) -> Result<Vec<LogRecord>, RelayError> {
+        let is_kept = self.records.front().is_some_and(|it| it.offset <= from);
+        if !is_kept && from <= through {
+            return Err(RelayError::OutOfTouch);
+        }
+        let wanted = self.records.iter().filter(|it| it.offset >= from);
+        Ok(wanted.take(max as usize).cloned().collect())
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/peers.rs
@@ -0,0 +1,106 @@
+//! Items to homes and records past the log, over peer connections.
+
+mod common;
+
+use catalogue::id::IdempotencyKey;
+use common::FakeLog;
+use coordination::once::{HomeRoute, OnceBegin, OnceHandle, OnceRequest};
+use coordination::peers::{answer_relay, answer_submit, forward_over, relay_over};
+use googletest::prelude::*;
+use peer::client::LinkTimes;
+use peer::{PeerClient, PeerRefusal, PeerRequest, PeerSecret};
+use state::claims::{partition_of, stream_name};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use testcases::cases;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+fn secret() -> PeerSecret {
+    PeerSecret::new("a secret of the test instances only")
+}
+
+fn client() -> PeerClient {
+    PeerClient::new(secret(), LinkTimes::default())
+}
+
+/// Serves an instance's peers
+async fn serve(once: OnceHandle) -> Result<(SocketAddr, JoinHandle<()>)> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.or_fail()?;
+    let address = listener.local_addr().or_fail()?;
+    let server = peer::server::serve(listener, secret(), move |request| {
+        let once = once.clone();
+        Box::pin(async move {
+            match request {
+                PeerRequest::Submit(submit) => answer_submit(&once, submit).await,
+                PeerRequest::Relay(relay) => {
+                    let records = once.relay(&relay.stream, relay.from, relay.max).await;
+                    answer_relay(relay.from, records)
+                }
+                _ => Err(PeerRefusal::Unsupported),
+            }
+        })
+    });
+    Ok((address, tokio::spawn(server)))
+}
+
+fn request(key: IdempotencyKey) -> OnceRequest {
+    let deadline = Instant::now() + Duration::from_secs(5);
+    OnceRequest { key, digest: [7; 32], entry: "register".into(), deadline }
+}
+
+/// A claim goes to the home, which lives or not; the key is claimed once either way
+async fn check_home(is_live: bool) -> Result<()> {
+    let log = FakeLog::new();
+    let (shared, _) = log.shared("h");
+    let home = OnceHandle::new(shared, HomeRoute::none());
+    let (address, server) = serve(home.clone()).await?;
+    if !is_live {
+        server.abort();
+        let _ = server.await;
+    }
+    let (shared, link) = log.shared("a");
+    let writer = if is_live { "h/" } else { "a/" };
+    let route = HomeRoute {
+        home: Arc::new(|_| Some("h".into())),
+        forward: forward_over(client(), move |_| Some(address)),
+    };
+    if is_live {
+        link.cut();
+    }
+    let first = OnceHandle::new(shared, route);
+    let key = IdempotencyKey::now_v7();
+    let begin = first.begin(request(key)).await.or_fail()?;
+    verify_that!(begin, matches_pattern!(OnceBegin::Run(_)))?;
+    let records = log.records(&stream_name(partition_of(&key)));
+    verify_that!(records.len(), eq(1))?;
+    verify_that!(records[0].data.contains(&format!(" {writer}")), eq(true))?;
+    let retried = home.begin(request(key)).await.or_fail()?;
+    verify_that!(retried, matches_pattern!(OnceBegin::InProgress))
+}
+
+/// Records reach an instance that is cut off from the log
+async fn check_relay() -> Result<()> {
+    let log = FakeLog::new();
+    let (shared, _) = log.shared("h");
+    let home = OnceHandle::new(shared, HomeRoute::none());
+    let (address, _server) = serve(home.clone()).await?;
+    let key = IdempotencyKey::now_v7();
+    let begin = home.begin(request(key)).await.or_fail()?;
+    verify_that!(begin, matches_pattern!(OnceBegin::Run(_)))?;
+    let relay = relay_over(client(), move || vec![address]);
+    let stream = stream_name(partition_of(&key));
+    let records = relay(stream.clone(), 1, 10).await.or_fail()?;
+    verify_that!(records, eq(&log.records(&stream)))?;
+    verify_that!(relay(stream, 2, 10).await.or_fail()?, is_empty())?;
+    let unknown_stream = relay("other".into(), 1, 10).await;
+    verify_that!(unknown_stream.is_err(), eq(true))
+}
+
+cases! { async
+    claim_through_home => check_home(true),
+    claim_past_dead_home => check_home(false),
+    records_through_peer => check_relay(),
+}
