Part mixed engines into readers and writers by the measured mix

Cause: on mixed engines each long prompt slows down all streams beside it; at high prompt shares tokens came every 36 ms in place of 9 and answers missed their time. The cost of a place counts what others lose. The planner prefers a change to mixed, which the next mix does not undo.

--- a/crates/decide/examples/choice.rs
+++ b/crates/decide/examples/choice.rs
@@ -88,6 +88,7 @@
         pieces: (0..PIECES).map(|it| piece(prompt * PIECES + it)).collect(),
         excluded: Vec::new(),
         suspect: false,
+        prompt_share: None,
     }
 }
 
--- a/crates/decide/src/choice.rs
+++ b/crates/decide/src/choice.rs
@@ -7,6 +7,7 @@
 //! as long as that one is not loaded far above the mean.
 
 use crate::endpoint::EndpointView;
+use crate::parts::retain_meant;
 use catalogue::id::{EndpointId, TokenCount, ZoneName};
 use catalogue::prefix::PieceHash;
 use catalogue::{EngineRole, RequestClass};
@@ -28,6 +29,8 @@
 const DEFAULT_DECODE_TOKENS_PER_S: f64 = 1_000.0;
 /// Batch assumed of an engine that has not reported yet.
 const DEFAULT_BATCH_LIMIT: f64 = 16.0;
+/// Weight of the seconds that others lose against those of the request.
+const OTHERS_WEIGHT: f64 = 0.3;
 /// Part of its time that an output loses when it joins a batch that is nearly full.
 const CROWDING: f64 = 0.3;
 /// Time assumed for one request of a plain service.
@@ -50,8 +53,8 @@
     fn fits(self, role: Option<EngineRole>) -> bool {
         match self {
             ServingPart::Whole => role == Some(EngineRole::Mixed),
-            ServingPart::Prefill => role == Some(EngineRole::Prefill),
-            ServingPart::Decode => role == Some(EngineRole::Decode),
+            ServingPart::Prefill => role.is_some_and(EngineRole::prefills),
+            ServingPart::Decode => role.is_some_and(EngineRole::decodes),
             ServingPart::Service => role.is_none(),
         }
     }
@@ -76,6 +79,8 @@
     pub excluded: Vec<EndpointId>,
     /// Whether the request is suspected of crashing endpoints
     pub suspect: bool,
+    /// Measured share of prompt work, by which mixed engines are parted; `None` to use all alike
+    pub prompt_share: Option<f64>,
 }
 
 /// Rule that decided a choice
@@ -110,8 +115,10 @@
     pub index: usize,
     /// Rule that decided
     pub rule: ChoiceRule,
-    /// Cost in seconds, lower is better; also the time the part is expected to take
+    /// Cost in seconds, lower is better: the time and what others lose
     pub score: f64,
+    /// Time that the part is expected to take, in seconds
+    pub time: f64,
     /// Next best that was compared, with its cost
     pub runner_up: Option<(usize, f64)>,
     /// Tokens of the prompt expected to be held there
@@ -121,7 +128,7 @@
 impl EndpointChoice {
     /// Time the part is expected to take there
     pub fn expected(&self) -> Duration {
-        Duration::try_from_secs_f64(self.score.max(0.0)).unwrap_or(Duration::MAX)
+        Duration::try_from_secs_f64(self.time.max(0.0)).unwrap_or(Duration::MAX)
     }
 }
 
@@ -132,6 +139,8 @@
     /// Seconds of work ahead of the request
     wait: f64,
     /// Seconds until the part is served
+    time: f64,
+    /// The same with what others lose
     cost: f64,
 }
 
@@ -150,6 +159,9 @@
             usable.push(index);
         }
     }
+    if let Some(share) = request.prompt_share {
+        retain_meant(&mut usable, views, request.part, request.prompt_tokens, share);
+    }
     let cost = |index: usize| candidate(request, &views[index], index, now);
     match usable.as_slice() {
         [] => None,
@@ -213,8 +225,9 @@
     };
     let wait = wait_seconds(request, view, now);
     let distance = if view.zone == request.zone { 0.0 } else { OTHER_ZONE_COST.as_secs_f64() };
-    let cost = wait + work_seconds(request, view, matched) + distance;
-    Candidate { index, matched, wait, cost }
+    let time = wait + work_seconds(request, view, matched) + distance;
+    let cost = time + OTHERS_WEIGHT * delay_of_others(request, view, matched, now);
+    Candidate { index, matched, wait, time, cost }
 }
 
 /// Seconds of work there that goes ahead of the request
@@ -229,7 +242,10 @@
             let share = view.share_ahead(request.class);
             share * view.prompt_backlog(now) / prefill_speed(view)
         }
-        ServingPart::Decode => place_seconds(request, view, now),
+        ServingPart::Decode => {
+            let prompt = view.prompt_backlog(now) / prefill_speed(view);
+            prompt + place_seconds(request, view, now)
+        }
         ServingPart::Service => f64::from(view.in_flight()) * SERVICE_TIME_S,
     }
 }
@@ -244,6 +260,21 @@
     ahead * mean / decode_speed(view) + crowding
 }
 
+/// Seconds that the streams which generate there lose together while the prompt is read
+fn delay_of_others(
+    request: &ChoiceRequest,
+    view: &EndpointView,
+    matched: TokenCount,
+    now: Instant,
+) -> f64 {
+    if view.role != Some(EngineRole::Mixed) || request.part == ServingPart::Decode {
+        return 0.0;
+    }
+    let unread = request.prompt_tokens.saturating_sub(matched);
+    let streams = view.occupied(now).min(batch_limit(view));
+    f64::from(unread) / prefill_speed(view) * streams
+}
+
 /// Seconds that the request itself takes there
 fn work_seconds(request: &ChoiceRequest, view: &EndpointView, matched: TokenCount) -> f64 {
     let unread = request.prompt_tokens.saturating_sub(matched);
@@ -323,6 +354,7 @@
         index: chosen.index,
         rule,
         score: chosen.cost,
+        time: chosen.time,
         runner_up: runner_up.map(|it| (it.index, it.cost)),
         matched_tokens: chosen.matched,
     }
--- a/crates/decide/src/mix.rs
+++ b/crates/decide/src/mix.rs
@@ -23,7 +23,7 @@
 }
 
 /// Arrival counts turned into smoothed rates
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct MixMeter {
     window: Duration,
     prompt_per_s: f64,
@@ -53,6 +53,20 @@
         (self.prompt_per_s / weight, self.output_per_s / weight)
     }
 
+    /// Share of prompt work among the engine time asked for, at these speeds; `None` without work
+    pub fn prompt_share(
+        &mut self,
+        prefill_per_s: f64,
+        decode_per_s: f64,
+        now: Instant,
+    ) -> Option<f64> {
+        self.decay(now);
+        let prompt = self.prompt_per_s / prefill_per_s;
+        let output = self.output_per_s / decode_per_s;
+        let share = prompt / (prompt + output);
+        share.is_finite().then_some(share)
+    }
+
     fn decay(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.updated).as_secs_f64();
         let kept = (-elapsed / self.window.as_secs_f64()).exp();
--- a/crates/decide/src/path.rs
+++ b/crates/decide/src/path.rs
@@ -1,14 +1,20 @@
 //! Choice between one mixed engine and a prefill engine followed by a decode engine.
 //!
-//! Both ways are costed with the same figures and the one that is expected to end
-//! sooner is taken. The decode engine is chosen anew once the prompt is read; here
+//! A mixed engine may also play one of the two parts, so that long prompts are read
+//! away from the streams that they would slow down. All ways are costed with the same
+//! figures and the cheaper one is taken. The decode engine is chosen anew once the prompt is read; here
 //! it only has to exist and to be costed.
 
 use crate::choice::{ChoiceRequest, EndpointChoice, ServingPart, choose};
 use crate::endpoint::EndpointView;
+use crate::parts::is_split;
+use catalogue::EngineRole;
 use rand::Rng;
 use std::time::{Duration, Instant};
 
+/// Time that the cache takes from one engine to the other.
+const HANDOVER_S: f64 = 0.03;
+
 /// Way through the engines
 #[derive(Debug, Clone, PartialEq)]
 pub enum EnginePath {
@@ -35,6 +41,15 @@
     }
 }
 
+impl EnginePath {
+    fn score(&self) -> f64 {
+        match self {
+            EnginePath::Whole(choice) => choice.score,
+            EnginePath::Split { prefill, decode } => prefill.score + decode.score + HANDOVER_S,
+        }
+    }
+}
+
 /// Chooses the way for a request to engines, whatever its `part` says; `None` when there is none
 pub fn choose_path(
     request: &ChoiceRequest,
@@ -51,9 +66,18 @@
     let decode = choose(&part, views, now, rng);
     let split = prefill.zip(decode);
     let split = split.map(|(prefill, decode)| EnginePath::Split { prefill, decode });
+    let is_parted = request.prompt_share.is_some() && views.iter().all(is_undivided);
+    let wants_split = is_split(request.prompt_tokens, request.output_tokens);
     match (whole, split) {
-        (Some(whole), Some(split)) if split.expected() < whole.expected() => Some(split),
+        (Some(_), Some(split)) if is_parted && wants_split => Some(split),
+        (Some(whole), Some(_)) if is_parted => Some(whole),
+        (Some(whole), Some(split)) if split.score() < whole.score() => Some(split),
         (Some(whole), _) => Some(whole),
         (None, split) => split,
     }
 }
+
+/// Whether an engine can play both parts, or doesn't count
+fn is_undivided(view: &EndpointView) -> bool {
+    !view.accepting || matches!(view.role, Some(EngineRole::Mixed) | None)
+}
--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -3,8 +3,10 @@
 //! The measured mix gives the seconds of prefill and of decode work that arrive each
 //! second. A division of the engines into roles is as good as its most loaded side.
 //! A change is worth it when the work that would overflow during the horizon without
-//! it exceeds, by a margin, what overflows with it while the engine is away. Nothing
-//! depends on the time of day.
+//! it exceeds, by a margin, what overflows with it while the engine is away. Mixed
+//! engines serve any mix, as routing parts them into readers and writers, so a change
+//! to mixed is preferred to one that the next mix would undo. Nothing depends on the
+//! time of day.
 
 use crate::mix::MixFigures;
 use catalogue::EngineRole;
@@ -17,8 +19,9 @@
 const MIN_GAIN_ENGINE_S: f64 = 1.0;
 /// Factor by which the gain must exceed the cost of being away.
 const GAIN_FACTOR: f64 = 1.5;
-/// Part of its speed that a mixed engine keeps when it does both kinds of work.
-const MIXED_EFFICIENCY: f64 = 0.7;
+/// Load by which a mixed engine may be worse and still be taken, since it serves the next
+/// mix as well.
+const MIXED_ADVANTAGE: f64 = 0.1;
 
 /// Engine as the planner sees it
 #[derive(Debug, Clone, PartialEq)]
@@ -174,8 +177,8 @@
                 sum.decodes += 1;
             }
             EngineRole::Mixed => {
-                sum.mixed_prefill += engine.prefill_tokens_per_s * MIXED_EFFICIENCY;
-                sum.mixed_decode += engine.decode_tokens_per_s * MIXED_EFFICIENCY;
+                sum.mixed_prefill += engine.prefill_tokens_per_s;
+                sum.mixed_decode += engine.decode_tokens_per_s;
                 sum.prefills += 1;
                 sum.decodes += 1;
             }
@@ -280,14 +283,16 @@
         let engine = input.engines.iter().find(|it| it.engine == change.engine);
         engine.map_or(0, |it| it.in_flight)
     };
+    let load_of = |change| load(&speeds(&input.engines, Some(change)), &input.mix, input.horizon);
     let mut best: Option<(&RoleChange, f64)> = None;
     for change in changes {
-        let after = load(&speeds(&input.engines, Some(change)), &input.mix, input.horizon);
+        let advantage = if change.to == EngineRole::Mixed { MIXED_ADVANTAGE } else { 0.0 };
+        let after = load_of(change) - advantage;
         let is_better = best
             .is_none_or(|(other, least)| (after, in_flight(change)) < (least, in_flight(other)));
         if is_better {
             best = Some((change, after));
         }
     }
-    best.map(|(change, after)| (change.clone(), after))
+    best.map(|(change, _)| (change.clone(), load_of(change)))
 }
--- a/crates/persimmonlift/src/attempt.rs
+++ b/crates/persimmonlift/src/attempt.rs
@@ -134,7 +134,7 @@
     }
 
     fn choose(&self, part: ServingPart) -> Result<RoutedEndpoint, StartFault> {
-        self.route.choose(self.pool, part).ok_or(StartFault::NoEndpoint)
+        self.route.choose(part).ok_or(StartFault::NoEndpoint)
     }
 
     async fn prefill(&self) -> Result<CacheHandle, StartFault> {
--- a/crates/persimmonlift/src/planner/pool.rs
+++ b/crates/persimmonlift/src/planner/pool.rs
@@ -7,12 +7,14 @@
 use super::change::{ChangeDesk, StepEnd};
 use super::figures::{MixTracker, plan_input, wanted_change, wanted_models};
 use super::gate::PlanGate;
+use super::settings::RoleRule;
 use crate::pool::EndpointPool;
 use catalogue::id::{EndpointId, PoolName};
 use catalogue::{EngineRole, InstanceKind, InstanceState, ListedInstance, ModelTarget};
 use coordination::control::ControlHandle;
 use coordination::lease::{HeldLease, LeaseKeeper};
 use decide::plan::{PlanReason, plan_roles};
+use decide::threshold::threshold_roles;
 use platform::engine::LoadReport;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use smol_str::format_smolstr;
@@ -213,7 +215,10 @@
         let since_last = self.last_change.map(|it| it.elapsed());
         let view = desk.control.view();
         let input = plan_input(&desk.pool, &view, mix, &desk.parts.settings, since_last);
-        let decision = plan_roles(&input);
+        let decision = match desk.parts.settings.rule {
+            RoleRule::Cost => plan_roles(&input),
+            RoleRule::Threshold => threshold_roles(&input),
+        };
         if decision.change.is_some() || self.last_reason != Some(decision.reason) {
             log::info!(
                 "event=plan_roles pool={} engines={} prompt_per_s={:.0} output_per_s={:.0} load={:.2} load_after={:.2} reason=\"{}\"",
--- a/crates/persimmonlift/src/planner/settings.rs
+++ b/crates/persimmonlift/src/planner/settings.rs
@@ -5,6 +5,18 @@
 use decide::plan::RoleFloors;
 use std::time::Duration;
 
+/// Rule by which roles follow the mix
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RoleRule {
+    /// By cost over a horizon
+    #[default]
+    Cost,
+    /// By thresholds, to compare with
+    Threshold,
+}
+
 /// Section `planner` of the settings
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -12,6 +24,8 @@
 pub struct PlannerSettings {
     /// Whether roles follow the mix; plans that exist are carried out in any case
     pub roles: bool,
+    /// Rule by which they do
+    pub rule: RoleRule,
     /// Between two steps
     pub tick_ms: u64,
     /// Time over which a change must pay
@@ -42,6 +56,7 @@
     fn default() -> PlannerSettings {
         PlannerSettings {
             roles: true,
+            rule: RoleRule::default(),
             tick_ms: 500,
             horizon_ms: 120_000,
             away_ms: 8_000,
--- a/crates/persimmonlift/src/services.rs
+++ b/crates/persimmonlift/src/services.rs
@@ -202,6 +202,7 @@
             pieces: Vec::new(),
             excluded: excluded.to_vec(),
             suspect: false,
+            prompt_share: None,
         };
         let work = SentWork { class, prompt_tokens: 0, output_tokens: 0 };
         let (chosen, endpoint_use) = self.pool.choose(&request, work)?;
--- a/crates/persimmonlift/src/settings_check.rs
+++ b/crates/persimmonlift/src/settings_check.rs
@@ -130,6 +130,7 @@
     optional("timeouts", "drain_bound_ms", MILLIS),
     optional("metrics", "statsd", KeyForm::Address),
     optional("planner", "roles", KeyForm::Switch),
+    optional("planner", "rule", KeyForm::Name),
     optional("planner", "tick_ms", MILLIS),
     optional("planner", "horizon_ms", MILLIS),
     optional("planner", "away_ms", MILLIS),
--- a/crates/standins/examples/shift/options.rs
+++ b/crates/standins/examples/shift/options.rs
@@ -11,8 +11,9 @@
 
   --seed N              seed of arrivals and sizes (1)
   --deployment D        trust or dongelek (trust)
-  --policy P            lift, threshold, mixed, static (best split), or static:K with
-                        K prefill engines (lift)
+  --policy P            lift (starts all mixed), lift-split (starts as the best split of
+                        the morning), threshold (the same start), mixed (no planner),
+                        static (best split), or static:K with K prefill engines (lift)
   --load F              offered part of what the fleet can do (0.85)
   --out DIR             folder for JSON lines and SVG (out)
   --compare             all policies in turn with the same seed, and their ratios
@@ -24,6 +25,8 @@
 pub enum RolePolicy {
     /// The system's planner
     Lift,
+    /// The system's planner, from the split that is best in the morning
+    LiftFromSplit,
     /// The threshold rule in the system's planner
     Threshold,
     /// All engines mixed throughout
@@ -39,6 +42,7 @@
     pub fn name(self) -> String {
         match self {
             RolePolicy::Lift => "lift".into(),
+            RolePolicy::LiftFromSplit => "lift-split".into(),
             RolePolicy::Threshold => "threshold".into(),
             RolePolicy::Mixed => "mixed".into(),
             RolePolicy::BestStatic => "static".into(),
@@ -49,6 +53,7 @@
     fn parse(name: &str) -> Result<RolePolicy, OptionError> {
         match name {
             "lift" => Ok(RolePolicy::Lift),
+            "lift-split" => Ok(RolePolicy::LiftFromSplit),
             "threshold" => Ok(RolePolicy::Threshold),
             "mixed" => Ok(RolePolicy::Mixed),
             "static" => Ok(RolePolicy::BestStatic),
--- a/crates/standins/examples/shift/world.rs
+++ b/crates/standins/examples/shift/world.rs
@@ -6,6 +6,7 @@
 use catalogue::{CatalogueEntry, EngineRole};
 use displaydoc::Display;
 use persimmonlift::node::{Node, NodeHandle, StartError};
+use persimmonlift::planner::settings::RoleRule;
 use persimmonlift::settings::{
     InstanceSettings, ListenSettings, NodeSecrets, NodeSettings, PlatformSettings,
 };
@@ -23,6 +24,10 @@
 const REPORT_LAG: Duration = Duration::from_secs(2);
 /// Time that a change of role takes an engine away at its own speed.
 const CHANGE_TIME: Duration = Duration::from_secs(4);
+/// Settings of the planner, shortened as the day is.
+const TICK: Duration = Duration::from_millis(250);
+const AWAY: Duration = Duration::from_secs(3);
+const HORIZON: Duration = Duration::from_secs(15);
 
 /// Stand-ins and instances
 pub struct ShiftWorld {
@@ -150,11 +155,11 @@
     settings
 }
 
-/// Roles at the start of the day, when prompts are few
+/// Roles at the start of the day, when prompts are few; engines come as mixed
 fn assign_roles(fleet: &Fleet, policy: RolePolicy) {
     let prefill = match policy {
-        RolePolicy::Mixed => return,
-        RolePolicy::Lift | RolePolicy::Threshold | RolePolicy::BestStatic => 2,
+        RolePolicy::Lift | RolePolicy::Mixed => return,
+        RolePolicy::LiftFromSplit | RolePolicy::Threshold | RolePolicy::BestStatic => 2,
         RolePolicy::Static(count) => count,
     };
     for (index, engine) in fleet.engines.values().enumerate() {
@@ -163,7 +168,18 @@
     }
 }
 
-fn set_planner(_settings: &mut NodeSettings, _policy: RolePolicy) {}
+fn set_planner(settings: &mut NodeSettings, policy: RolePolicy) {
+    let planner = &mut settings.planner;
+    planner.roles =
+        matches!(policy, RolePolicy::Lift | RolePolicy::LiftFromSplit | RolePolicy::Threshold);
+    planner.rule = match policy {
+        RolePolicy::Threshold => RoleRule::Threshold,
+        _ => RoleRule::Cost,
+    };
+    planner.tick_ms = TICK.as_millis() as u64;
+    planner.away_ms = AWAY.as_millis() as u64;
+    planner.horizon_ms = HORIZON.as_millis() as u64;
+}
 
 fn secrets() -> NodeSecrets {
     NodeSecrets { admin_token: "shift-admin".into(), peer_token: "shift-peer".into() }
