--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -21,8 +21,12 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{Method, Request};
+use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::task::Poll;
 use std::time::Duration;
+use tokio::time::{Instant, Sleep, sleep_until};
 
 /// Longest line of a token stream, in bytes.
 pub const MAX_LINE_BYTES: usize = 64 * 1024;
@@ -340,6 +344,7 @@
             ended: false,
             pending: Vec::new(),
             fault: None,
+            timer: SilenceTimer::default(),
         })
     }
 
@@ -446,6 +451,7 @@
     /// Lines that came together with one returned by `next`
     pending: Vec<StreamLine>,
     fault: Option<EngineError>,
+    timer: SilenceTimer,
 }
 
 impl TokenStream {
@@ -497,10 +503,10 @@
         if self.ended {
             return Ok(());
         }
-        match tokio::time::timeout(silence, self.read_lines(lines)).await {
-            Ok(read) => read,
-            Err(_) => Err(EngineError::Silent(silence)),
-        }
+        let mut timer = std::mem::take(&mut self.timer);
+        let read = timer.bound(silence, self.read_lines(lines)).await;
+        self.timer = timer;
+        read.unwrap_or(Err(EngineError::Silent(silence)))
     }
 
     async fn read_lines(&mut self, lines: &mut Vec<StreamLine>) -> Result<(), EngineError> {
@@ -558,3 +564,34 @@
         }
     }
 }
+
+/// Timer that is set anew only when it fires, since most waits end long before
+#[derive(Debug, Default)]
+struct SilenceTimer {
+    sleep: Option<Pin<Box<Sleep>>>,
+}
+
+impl SilenceTimer {
+    /// Output of a future, `None` if it takes longer than `silence`
+    async fn bound<T>(&mut self, silence: Duration, future: impl Future<Output = T>) -> Option<T> {
+        let due = Instant::now() + silence;
+        let sleep = self.sleep.get_or_insert_with(|| Box::pin(sleep_until(due)));
+        if sleep.deadline() > due {
+            sleep.as_mut().reset(due);
+        }
+        let mut future = pin!(future);
+        poll_fn(|context| {
+            if let Poll::Ready(output) = future.as_mut().poll(context) {
+                return Poll::Ready(Some(output));
+            }
+            while sleep.as_mut().poll(context).is_ready() {
+                if Instant::now() >= due {
+                    return Poll::Ready(None);
+                }
+                sleep.as_mut().reset(due);
+            }
+            Poll::Pending
+        })
+        .await
+    }
+}
