Prove that a claim unheard of from the home is released

Change: a case in which the home claims, its answer is lost and the log is out of reach: the try is unconfirmed and unknown, and the key is free again after the log's return.

--- a/crates/coordination/tests/once.rs
+++ b/crates/coordination/tests/once.rs
@@ -359,6 +359,33 @@
     verify_that!(begin(&first, key).await?, matches_pattern!(OnceBegin::Answered(_)))
 }
 
+/// The home claimed and its answer was lost, and the log is out of reach from here
+async fn check_home_claimed_unheard() -> Result<()> {
+    let log = FakeLog::new();
+    let (home, _) = instance(&log, "h");
+    let (shared, link) = log.shared("a");
+    let server = home.clone();
+    let route = HomeRoute {
+        home: Arc::new(|_| Some("h".into())),
+        forward: Arc::new(move |_, item| {
+            let home = server.clone();
+            Box::pin(async move {
+                let _ = home.serve(item).await;
+                Err(ForwardError::Unknown)
+            })
+        }),
+    };
+    link.cut();
+    let first = OnceHandle::new(shared, route);
+    let key = IdempotencyKey::now_v7();
+    let error = first.begin(request(key)).await.err().or_fail()?;
+    verify_that!(error, eq(OnceError::Unconfirmed(SubmitError::Unknown)))?;
+    link.mend();
+    sleep(Duration::from_secs(30)).await;
+    dispatched(&home, key).await?;
+    Ok(())
+}
+
 /// Claims that arrive together share appends
 async fn check_batching() -> Result<()> {
     let log = FakeLog::new();
@@ -417,5 +444,6 @@
     home_unreached => check_home(HomeFault::Unreached),
     home_silent => check_home(HomeFault::Silent),
     home_answer_lost => check_home(HomeFault::AnswerLost),
+    home_claimed_unheard => check_home_claimed_unheard(),
     claims_share_appends => check_batching(),
 }
