Give each test deployment a peer token of its own

Cause: once_pairs_with_kill failed now and then with a key that ran twice. The log of the second run held no claim for it: a killed instance's port had gone to an instance of another test's deployment, which shared the peer token, took the forwarded claim into its own log and answered that it won. Ruled out: a release after the kill (none in the log), a resent request (one dispatch logged), a fold that forgot the claim (three claims in order). Change: a random peer token for each cluster.

--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -10,7 +10,7 @@
 use persimmonlift::settings::{
     InstanceSettings, ListenSettings, NodeSecrets, NodeSettings, PlatformSettings,
 };
-use smol_str::format_smolstr;
+use smol_str::{SmolStr, format_smolstr};
 use standins::caller::CallerClient;
 use standins::fleet::{Fleet, FleetSettings};
 use standins::link::NetworkLink;
@@ -26,7 +26,6 @@
 pub const CALLER_KEY: &str = "caller-key";
 /// Token of the operators' port.
 pub const ADMIN_TOKEN: &str = "admin-token";
-const PEER_TOKEN: &str = "peer-token";
 const CALL_TIMEOUT: Duration = Duration::from_secs(40);
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 const READY_POLL: Duration = Duration::from_millis(20);
@@ -78,6 +77,8 @@
     /// Caller of the deployment
     pub caller: CallerClient,
     tune: fn(&mut NodeSettings),
+    // Of its own, since a killed instance's port may go to another deployment's.
+    peer_token: SmolStr,
     started: usize,
 }
 
@@ -105,7 +106,9 @@
         let _ = env_logger::try_init();
         let fleet = Fleet::start(settings).map_err(ClusterError::Fleet)?;
         let caller = CallerClient::new(CALLER_KEY, CALL_TIMEOUT);
-        let mut cluster = Cluster { fleet, nodes: IndexMap::new(), caller, tune, started: 0 };
+        let peer_token = format_smolstr!("{}", uuid::Uuid::now_v7());
+        let mut cluster =
+            Cluster { fleet, nodes: IndexMap::new(), caller, tune, peer_token, started: 0 };
         for _ in 0..instances {
             cluster.add_node().await?;
         }
@@ -140,7 +143,7 @@
         settings.timeouts.drain_pause_ms = SHORT_DRAIN_PAUSE_MS;
         (self.tune)(&mut settings);
         let secrets =
-            NodeSecrets { admin_token: ADMIN_TOKEN.into(), peer_token: PEER_TOKEN.into() };
+            NodeSecrets { admin_token: ADMIN_TOKEN.into(), peer_token: self.peer_token.clone() };
         let handle = Node::start(settings, secrets).await.map_err(ClusterError::Node)?;
         let peer = NetworkLink::to(handle.peer_address()).map_err(ClusterError::Fleet)?;
         self.fleet.register_instance(id.clone(), zone, peer.address());
