Be ready only after the control streams are read, and ask idle instances once

Cause: reading the code: an instance that starts while a plan is open was ready as soon as it had the catalogue, and could send work to the engine under the plan. Before that, calls were refused as for an unknown entry. Change: readiness waits for the control streams of all pools of engines; until then calls are refused with 503 'starting', not run. An instance that confirmed with nothing in flight is not asked again for that plan, since it sends the engine nothing more. Conclusion: what a confirmation says holds for replaced instances too.

--- a/crates/persimmonlift/src/callers.rs
+++ b/crates/persimmonlift/src/callers.rs
@@ -111,6 +111,10 @@
 }
 
 fn enter(context: &NodeContext) -> Result<CallPlaces, CallerRefusal> {
+    if !context.standing.is_started() {
+        let refusal = CallerRefusal::not_run(RefusalCause::Starting);
+        return Err(refusal.retry_after(BUSY_RETRY_AFTER));
+    }
     if context.standing.is_isolated() {
         let refusal = CallerRefusal::not_run(RefusalCause::Isolated);
         return Err(refusal.retry_after(BUSY_RETRY_AFTER));
--- a/crates/persimmonlift/src/node.rs
+++ b/crates/persimmonlift/src/node.rs
@@ -354,7 +354,7 @@
         if let Some(contact) = status.contact {
             context.standing.note_contact(contact.into_std());
         }
-        if status.is_caught_up {
+        if status.is_caught_up && context.planner.is_caught_up(&context.registry) {
             context.standing.set_started();
         }
         context.metrics.gauge("in_flight", u64::from(context.standing.in_flight()));
--- a/crates/persimmonlift/src/planner/change.rs
+++ b/crates/persimmonlift/src/planner/change.rs
@@ -3,12 +3,13 @@
 use super::PlannerParts;
 use super::gate::PlanGate;
 use crate::pool::EndpointPool;
-use catalogue::id::{Fence, OrderId};
+use catalogue::id::{Fence, InstanceId, OrderId};
 use catalogue::{InstanceKind, ListedInstance};
 use coordination::control::{ControlError, ControlHandle};
 use coordination::lease::{HeldLease, LeaseKeeper};
 use decide::change::{ChangeFacts, ChangeStep, ConfirmCount, EngineFacts, OrderFacts, next_step};
 use futures_util::future::join_all;
+use indexmap::IndexSet;
 use peer::message::{PeerReply, PeerRequest, PlanQuestion};
 use platform::engine::{EngineError, EngineOrder, EngineState, RefusalReason};
 use state::control::{
@@ -16,7 +17,7 @@
     lapse_proof,
 };
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 /// What changes of a pool's engines are carried out with
@@ -32,6 +33,38 @@
     pub duty: DutyName,
     /// Own gate of the pool
     pub gate: PlanGate,
+    /// Instances that need not be asked again
+    pub idle: IdleInstances,
+}
+
+/// Instances that have confirmed a plan with nothing in flight
+///
+/// Once an instance has read the plan it sends the engine nothing more, so it stays
+/// idle there. A replaced one reads the plan before it is ready.
+#[derive(Debug, Clone, Default)]
+pub struct IdleInstances {
+    table: Arc<Mutex<IdleTable>>,
+}
+
+#[derive(Debug, Default)]
+struct IdleTable {
+    plan: OrderId,
+    instances: IndexSet<(InstanceId, SocketAddr)>,
+}
+
+impl IdleInstances {
+    fn has(&self, plan: OrderId, instance: &ListedInstance) -> bool {
+        let table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
+        table.plan == plan && table.instances.contains(&(instance.id.clone(), instance.address))
+    }
+
+    fn note(&self, plan: OrderId, instance: &ListedInstance) {
+        let mut table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
+        if table.plan != plan {
+            *table = IdleTable { plan, instances: IndexSet::new() };
+        }
+        table.instances.insert((instance.id.clone(), instance.address));
+    }
 }
 
 /// How a step ended
@@ -227,8 +260,14 @@
         };
         let entries = self.entries();
         let others = entries.iter().filter(|it| it.id != *self.control.instance());
-        let asked = others.map(|it| self.ask(it.address, question.clone()));
+        let busy: Vec<&ListedInstance> = others.filter(|it| !self.idle.has(plan.id, it)).collect();
+        let asked = busy.iter().map(|it| self.ask(it.address, question.clone()));
         let mut answers = join_all(asked).await;
+        for (instance, answer) in busy.iter().zip(&answers) {
+            if *answer == Some(0) {
+                self.idle.note(plan.id, instance);
+            }
+        }
         answers.push(self.gate.confirm(&question).ok().map(|it| it.in_flight));
         // Without a list nobody knows who has to confirm.
         let unlisted = u32::from(entries.is_empty());
--- a/crates/persimmonlift/src/planner/mod.rs
+++ b/crates/persimmonlift/src/planner/mod.rs
@@ -13,6 +13,7 @@
 pub mod pool;
 pub mod settings;
 
+use crate::pool::EndpointPool;
 use crate::registry::EndpointRegistry;
 use catalogue::InstanceKind;
 use catalogue::id::PoolName;
@@ -99,6 +100,17 @@
         pool.gate().confirm(question)
     }
 
+    /// Whether the control stream of every listed pool of engines has been read
+    ///
+    /// Before that, an open plan may be unknown here, and its engine would get work.
+    pub fn is_caught_up(&self, registry: &EndpointRegistry) -> bool {
+        let pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_read = |pool: &Arc<EndpointPool>| {
+            pools.get(pool.name()).is_some_and(|it| it.control().status().is_caught_up)
+        };
+        registry.pools().iter().filter(|it| has_engine(it)).all(is_read)
+    }
+
     /// Control streams by pool, for operators and for relays to peers
     pub fn controls(&self) -> Vec<(PoolName, ControlHandle)> {
         let pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
@@ -180,8 +192,7 @@
     /// Starts a planner for each new pool with engines
     async fn look(&mut self) {
         for pool in self.parts.registry.pools() {
-            let has_engine = pool.reports().iter().any(|it| it.0.kind == InstanceKind::Engine);
-            if !has_engine || self.lock().contains_key(pool.name()) {
+            if !has_engine(&pool) || self.lock().contains_key(pool.name()) {
                 continue;
             }
             match PoolPlanner::start(self.parts.clone(), pool.clone()).await {
@@ -203,6 +214,10 @@
     }
 }
 
+fn has_engine(pool: &EndpointPool) -> bool {
+    pool.reports().iter().any(|it| it.0.kind == InstanceKind::Engine)
+}
+
 impl PoolPlannerHandle {
     fn gate(&self) -> &PlanGate {
         &self.gate
--- a/crates/persimmonlift/src/planner/pool.rs
+++ b/crates/persimmonlift/src/planner/pool.rs
@@ -4,7 +4,7 @@
 //! overlaps the next, and each step reads its facts anew.
 
 use super::PlannerParts;
-use super::change::{ChangeDesk, StepEnd};
+use super::change::{ChangeDesk, IdleInstances, StepEnd};
 use super::figures::{MixTracker, plan_input, wanted_change, wanted_models};
 use super::gate::PlanGate;
 use super::settings::RoleRule;
@@ -88,7 +88,14 @@
             LeaseKeeper::start(control.clone(), duty.clone(), parts.settings.lease()).await?;
         let gate = PlanGate::new(control.clone(), pool.clone());
         tokio::spawn(gate.clone().follow());
-        let desk = ChangeDesk { parts, pool, control: control.clone(), duty, gate: gate.clone() };
+        let desk = ChangeDesk {
+            parts,
+            pool,
+            control: control.clone(),
+            duty,
+            gate: gate.clone(),
+            idle: IdleInstances::default(),
+        };
         let state = PoolState {
             desk,
             keeper: keeper.clone(),
--- a/crates/persimmonlift/src/refusal.rs
+++ b/crates/persimmonlift/src/refusal.rs
@@ -74,6 +74,8 @@
     Admission(RefuseReason),
     /// no endpoint takes the request now
     NoEndpoint,
+    /// instance has just started and does not know the catalogue yet
+    Starting,
     /// instance reaches neither the log nor other instances
     Isolated,
     /// instance is stopping
@@ -219,6 +221,7 @@
             RefusalCause::Busy
             | RefusalCause::Admission(_)
             | RefusalCause::NoEndpoint
+            | RefusalCause::Starting
             | RefusalCause::Isolated
             | RefusalCause::Draining
             | RefusalCause::OnceUnclaimed
@@ -259,6 +262,7 @@
             RefusalCause::Limit(it) => it.name(),
             RefusalCause::Admission(it) => it.name(),
             RefusalCause::NoEndpoint => "no_endpoint",
+            RefusalCause::Starting => "starting",
             RefusalCause::Isolated => "isolated",
             RefusalCause::Draining => "draining",
             RefusalCause::CrashesEndpoints => "crashes_endpoints",
--- a/crates/persimmonlift/src/standing.rs
+++ b/crates/persimmonlift/src/standing.rs
@@ -38,11 +38,16 @@
         }
     }
 
-    /// Notes that the catalogue has been read
+    /// Notes that the catalogue and the control streams have been read
     pub fn set_started(&self) {
         self.is_started.store(true, Ordering::Relaxed);
     }
 
+    /// Whether the catalogue and the control streams have been read
+    pub fn is_started(&self) -> bool {
+        self.is_started.load(Ordering::Relaxed)
+    }
+
     /// Notes that the instance is stopping; true the first time
     pub fn set_draining(&self) -> bool {
         !self.is_draining.swap(true, Ordering::Relaxed)
@@ -67,7 +72,7 @@
 
     /// Whether new callers should be sent here
     pub fn is_ready(&self) -> bool {
-        self.is_started.load(Ordering::Relaxed) && !self.is_draining() && !self.is_isolated()
+        self.is_started() && !self.is_draining() && !self.is_isolated()
     }
 
     /// Counts a request as in flight
--- a/crates/persimmonlift/tests/planner.rs
+++ b/crates/persimmonlift/tests/planner.rs
@@ -211,7 +211,56 @@
     await_next_version(&deployment, &[]).await
 }
 
+/// An instance that starts while a plan is open is not ready before it has read it
+async fn check_start_under_plan() -> Result<()> {
+    let patient = |settings: &mut NodeSettings| {
+        quick(settings);
+        settings.planner.confirm_ms = 60_000;
+    };
+    let mut deployment = Deployment::start_with(1, fleet(0), patient).await?;
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").or_fail()?;
+    let address = silent.local_addr().or_fail()?;
+    deployment.fleet.register_instance("entry-9".into(), "south-a".into(), address);
+    await_until("the silent instance is listed", || {
+        let entries = deployment.nodes[0].context().registry.entry_instances();
+        entries.borrow().len() == 2
+    })
+    .await?;
+    ask_for_next_version(&deployment).await?;
+    await_until("a plan is open", || planned_engine(&deployment).is_some()).await?;
+    let engine = planned_engine(&deployment).or_fail()?;
+    let mut settings = settings(&deployment.fleet, 1);
+    patient(&mut settings);
+    deployment.add_node(settings).await?;
+    let context = deployment.nodes[1].context().clone();
+    await_until("the new instance is ready", || context.standing.is_ready()).await?;
+    let controls = context.planner.controls();
+    let known = controls.iter().any(|it| it.1.view().plan_of(&engine).is_some());
+    verify_that!(known, eq(true))
+}
+
+fn planned_engine(deployment: &Deployment) -> Option<EndpointId> {
+    let controls = deployment.nodes[0].context().planner.controls();
+    controls.iter().find_map(|it| it.1.view().plans().next().map(|it| it.engine.clone()))
+}
+
+/// Before the log is read, a call is refused as not run rather than as unknown
+async fn check_call_while_starting() -> Result<()> {
+    let mut deployment = Deployment::start_with(1, fleet(0), quick).await?;
+    deployment.fleet.log.set_down(true);
+    deployment.fleet.list.set_down(true);
+    let mut settings = settings(&deployment.fleet, 1);
+    quick(&mut settings);
+    deployment.add_node(settings).await?;
+    let answer = deployment.complete(1, &prompt(1, 20), 5).await?;
+    verify_that!(answer.code()?.as_str(), eq("starting"))?;
+    verify_that!(answer.header("persimmon-ran"), eq("no"))?;
+    verify_that!(answer.header("retry-after"), not(eq("")))
+}
+
 cases! { async
+    start_under_an_open_plan => check_start_under_plan(),
+    call_while_starting => check_call_while_starting(),
     change_cuts_no_stream => check_change(1, ChangeFault::None, 0),
     change_before_three_instances_cuts_no_stream => check_change(3, ChangeFault::None, 0),
     change_of_engines_that_ignore_fences_cuts_no_stream => check_change(3, ChangeFault::None, 7),
