--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod instances;
 pub mod log;
 pub mod service;
+mod token_stream;
 pub mod weights;
