Bind peers to their deployment and keep unlike suspects on unlike engines

Cause: two faults found by the fault tests. A claim forwarded to a killed instance reached another deployment that had taken its address and shares the token; it was claimed in that deployment's log, and the key ran twice. And an innocent neighbour of a crashing request, on another instance, resumed on the engine that the crashing one took next, and was refused with it. Change: the secret of peers is made of token and deployment name, so that a call to another deployment is refused unsent. Suspects that crashed an engine before their first token are run on one half of the engines, those that were under way on the other; all instances know the halves by the ids. Ruled out for the second: telling strikes faster, since both crashes can come before any word arrives; more strikes before a refusal, since that would cost a third engine. Conclusion: a neighbour without a token can still meet the cause; halves make it rarer, they don't exclude it.

--- a/crates/peer/src/auth.rs
+++ b/crates/peer/src/auth.rs
@@ -35,14 +35,28 @@
     }
 }
 
+fn keyed(key: &[u8]) -> Hmac<Sha256> {
+    Hmac::<Sha256>::new_from_slice(key).expect("HMAC takes any key length")
+}
+
 impl PeerSecret {
     /// Secret of the given bytes
     pub fn new(bytes: impl AsRef<[u8]>) -> PeerSecret {
         PeerSecret(bytes.as_ref().into())
     }
 
+    /// Secret of one deployment, made of the instances' token and the deployment's name
+    ///
+    /// An address may pass to an instance of another deployment with the same token,
+    /// which must not act on calls that were meant for this one.
+    pub fn of_deployment(token: impl AsRef<[u8]>, deployment: &str) -> PeerSecret {
+        let mut mac = keyed(token.as_ref());
+        mac.update(deployment.as_bytes());
+        PeerSecret::new(mac.finalize().into_bytes())
+    }
+
     fn mac(&self, part: &[u8], client: &PeerNonce, server: &PeerNonce) -> Hmac<Sha256> {
-        let mut mac = Hmac::<Sha256>::new_from_slice(&self.0).expect("HMAC takes any key length");
+        let mut mac = keyed(&self.0);
         mac.update(&[FRAME_VERSION]);
         mac.update(part);
         mac.update(client);
--- a/crates/peer/tests/peer/calls.rs
+++ b/crates/peer/tests/peer/calls.rs
@@ -3,7 +3,7 @@
 use crate::net::*;
 use googletest::prelude::*;
 use peer::message::{PeerNews, RelayRequest, RelayedBatch, RelayedRecord};
-use peer::{PeerError, PeerRefusal, PeerReply, PeerRequest};
+use peer::{PeerError, PeerRefusal, PeerReply, PeerRequest, PeerSecret};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -53,6 +53,17 @@
     verify_that!(peer.calls.load(Ordering::Relaxed), eq(0))
 }
 
+/// An address that passed to another deployment with the same token takes no call
+async fn check_other_deployment() -> Result<()> {
+    let peer = TestPeer::start_as(PeerSecret::of_deployment("token", "trust")).await;
+    let stranger = client_as(PeerSecret::of_deployment("token", "dongelek"));
+    let error = stranger.call(peer.address, ping(), CALL_TIMEOUT).await.unwrap_err();
+    verify_that!(error.is_unsent(), eq(true))?;
+    verify_that!(peer.calls.load(Ordering::Relaxed), eq(0))?;
+    let member = client_as(PeerSecret::of_deployment("token", "trust"));
+    verify_that!(member.call(peer.address, ping(), CALL_TIMEOUT).await, ok(anything()))
+}
+
 /// A server that doesn't know the secret can't make a client talk to it, not even
 /// by sending the client's own bytes back.
 async fn check_false_server() -> Result<()> {
@@ -169,6 +180,7 @@
     calls_share_a_connection => check_one_connection(),
     refusal_is_typed => check_refusal(),
     wrong_secret => check_wrong_secret(),
+    other_deployment => check_other_deployment(),
     false_server => check_false_server(),
     garbage_caller => check_garbage_caller(),
     silent_connection => check_silent(),
--- a/crates/peer/tests/peer/net.rs
+++ b/crates/peer/tests/peer/net.rs
@@ -24,7 +24,12 @@
 
 /// Client with short bounds on silence
 pub fn client(secret: &str) -> PeerClient {
-    PeerClient::new(PeerSecret::new(secret), SHORT_TIMES)
+    client_as(PeerSecret::new(secret))
+}
+
+/// The same with a secret made in another way
+pub fn client_as(secret: PeerSecret) -> PeerClient {
+    PeerClient::new(secret, SHORT_TIMES)
 }
 
 /// Request that `TestPeer` never answers
@@ -45,10 +50,18 @@
 
 impl TestPeer {
     pub async fn start(secret: &str) -> TestPeer {
-        TestPeer::start_at(([127, 0, 0, 1], 0).into(), secret).await
+        TestPeer::start_as(PeerSecret::new(secret)).await
+    }
+
+    pub async fn start_as(secret: PeerSecret) -> TestPeer {
+        TestPeer::serve_at(([127, 0, 0, 1], 0).into(), secret).await
     }
 
     pub async fn start_at(address: SocketAddr, secret: &str) -> TestPeer {
+        TestPeer::serve_at(address, PeerSecret::new(secret)).await
+    }
+
+    async fn serve_at(address: SocketAddr, secret: PeerSecret) -> TestPeer {
         let listener = TcpListener::bind(address).await.expect("free port");
         let address = listener.local_addr().expect("bound");
         let calls = Arc::new(AtomicUsize::new(0));
@@ -59,7 +72,7 @@
             let batch = kept.lock().expect("no panic").clone();
             answer(request, batch).boxed()
         };
-        let task = tokio::spawn(server::serve(listener, PeerSecret::new(secret), handler));
+        let task = tokio::spawn(server::serve(listener, secret, handler));
         TestPeer { address, calls, batch, task }
     }
 
--- a/crates/persimmonctl/tests/ctl/workdir.rs
+++ b/crates/persimmonctl/tests/ctl/workdir.rs
@@ -134,14 +134,15 @@
 
     pub async fn await_endpoints(&self) -> Result<()> {
         let all = self.fleet.engines.len() + self.fleet.services.len();
-        let is_listed = || self.node.context().registry.status().len() == all;
+        let context = self.node.context();
+        let is_ready = || context.registry.status().len() == all && context.standing.is_ready();
         for _ in 0..500 {
-            if is_listed() {
+            if is_ready() {
                 return Ok(());
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        fail!("endpoints were never listed")
+        fail!("endpoints were never listed, or the node never ready")
     }
 
     /// Calls a once-only entry and returns the answer's status and body
--- a/crates/persimmonlift/src/peers/links.rs
+++ b/crates/persimmonlift/src/peers/links.rs
@@ -54,7 +54,8 @@
         secrets: &NodeSecrets,
         address: SocketAddr,
     ) -> Result<PeerLinks, ractor::SpawnErr> {
-        let secret = PeerSecret::new(secrets.peer_token.as_bytes());
+        let deployment = &settings.instance.deployment;
+        let secret = PeerSecret::of_deployment(&secrets.peer_token, deployment);
         let client = PeerClient::new(secret.clone(), LinkTimes::default());
         let load = Arc::new(AtomicU32::new(0));
         let counted = load.clone();
--- a/crates/persimmonlift/src/pool.rs
+++ b/crates/persimmonlift/src/pool.rs
@@ -260,6 +260,13 @@
         ids.filter(|it| !entry.admits_endpoint(it)).cloned().collect()
     }
 
+    /// Every second endpoint by id, from the first or from the second on
+    pub fn half(&self, from_first: bool) -> Vec<EndpointId> {
+        let mut ids: Vec<EndpointId> = self.lock().views.iter().map(|it| it.id.clone()).collect();
+        ids.sort_unstable();
+        ids.into_iter().skip(usize::from(!from_first)).step_by(2).collect()
+    }
+
     /// Own requests in flight on an endpoint
     pub fn in_flight(&self, id: &str) -> u32 {
         let state = self.lock();
--- a/crates/persimmonlift/src/route.rs
+++ b/crates/persimmonlift/src/route.rs
@@ -47,7 +47,8 @@
 impl RouteRequest<'_> {
     /// Cheaper way, with the time that it is expected to take; `None` if none is open
     pub fn way(&self) -> Option<(RouteWay, Duration)> {
-        let path = self.pool.path(&self.choice_request(ServingPart::Whole))?;
+        let apart = self.pool.path(&self.apart_request(ServingPart::Whole));
+        let path = apart.or_else(|| self.pool.path(&self.choice_request(ServingPart::Whole)))?;
         let way = match path {
             EnginePath::Whole(_) => RouteWay::Whole,
             EnginePath::Split { .. } => RouteWay::Split,
@@ -57,8 +58,9 @@
 
     /// Chooses the endpoint of a part, counts the work there and logs the decision
     pub fn choose(&self, part: ServingPart) -> Option<RoutedEndpoint> {
-        let request = self.choice_request(part);
-        let routed = self.pool.choose(&request, self.work(part));
+        let apart = self.pool.choose(&self.apart_request(part), self.work(part));
+        let routed =
+            apart.or_else(|| self.pool.choose(&self.choice_request(part), self.work(part)));
         match &routed {
             Some((chosen, _)) => self.log(part, chosen),
             None => log::info!(
@@ -71,6 +73,19 @@
         routed
     }
 
+    /// Request that keeps suspects of unlike sorts apart, over all instances
+    ///
+    /// A request that crashed its engine before its first token is more likely to be
+    /// the cause than one that was under way. All instances know the engines by the same
+    /// ids, so no word between them is needed for the two sorts not to meet.
+    fn apart_request(&self, part: ServingPart) -> ChoiceRequest {
+        let mut request = self.choice_request(part);
+        if self.suspect {
+            request.excluded.extend(self.pool.half(self.from_token > 0));
+        }
+        request
+    }
+
     fn choice_request(&self, part: ServingPart) -> ChoiceRequest {
         let is_read = matches!(part, ServingPart::Whole | ServingPart::Prefill);
         ChoiceRequest {
