Cut an instance's room when answers near their deadlines, and check the log's retention

Cause: at 150% load 4,553 of 9,248 answers were broken off at their deadline, since admission looked at places in batches only. And retention was assumed to be an hour, though once-only claims need at least 20 minutes of it. Change: decide::pace cuts the part of a pool's room that an instance uses when answers take more than 9/10 of their time and gives it back by steps, apart for long prompts and for others. timeouts.log_retention_ms is a setting, refused below what claims need.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod grant;
 pub mod limits;
 pub mod mix;
+pub mod pace;
 pub mod parts;
 pub mod path;
 pub mod plan;
--- /dev/null
+++ b/crates/decide/tests/pace.rs
@@ -0,0 +1,49 @@
+//! Room of an instance by how much of their time its answers take.
+
+use decide::pace::AdmissionPace;
+use googletest::prelude::*;
+use std::time::Duration;
+use testcases::cases;
+
+const ALLOWED: Duration = Duration::from_secs(10);
+
+fn after(answers: usize, took_s: u64, mut pace: AdmissionPace) -> AdmissionPace {
+    for _ in 0..answers {
+        pace.ended(Duration::from_secs(took_s), ALLOWED);
+    }
+    pace
+}
+
+fn check_in_time() -> Result<()> {
+    verify_that!(after(500, 5, AdmissionPace::default()).room(), eq(1.0))
+}
+
+fn check_late() -> Result<()> {
+    let pace = after(200, 12, AdmissionPace::default());
+    verify_that!(pace.room(), gt(0.0))?;
+    verify_that!(pace.room(), lt(0.2))
+}
+
+fn check_recovery() -> Result<()> {
+    let pace = after(200, 12, AdmissionPace::default());
+    verify_that!(after(200, 5, pace).room(), eq(1.0))
+}
+
+fn check_single_late_answer() -> Result<()> {
+    let pace = after(50, 5, AdmissionPace::default());
+    verify_that!(after(1, 12, pace).room(), eq(1.0))
+}
+
+fn check_no_time() -> Result<()> {
+    let mut pace = AdmissionPace::default();
+    pace.ended(ALLOWED, Duration::ZERO);
+    verify_that!(pace, eq(AdmissionPace::default()))
+}
+
+cases! {
+    answers_in_time_keep_the_room => check_in_time(),
+    late_answers_cut_the_room_but_not_to_nothing => check_late(),
+    room_comes_back => check_recovery(),
+    one_late_answer_cuts_nothing => check_single_late_answer(),
+    no_time_allowed_counts_nothing => check_no_time(),
+}
--- a/crates/persimmonlift/src/completions.rs
+++ b/crates/persimmonlift/src/completions.rs
@@ -65,7 +65,7 @@
     let instances = context.registry.instance_count();
     let tokens = job.prompt_tokens.saturating_add(job.max_tokens);
     let meter = context.meters.start(&entry, instances, tokens)?;
-    let gate = context.gates.gate(&pool);
+    let gate = context.gates.gate(&pool, job.prompt_tokens);
     gate.set_instances(instances);
     let arriving = ArrivingRequest {
         class: entry.class,
--- a/crates/persimmonlift/src/context.rs
+++ b/crates/persimmonlift/src/context.rs
@@ -11,12 +11,14 @@
 use crate::settings::{NodeSecrets, NodeSettings};
 use crate::standing::NodeStanding;
 use crate::suspects::SuspectRegister;
-use catalogue::id::PoolName;
+use catalogue::id::{PoolName, TokenCount};
 use coordination::catalogue::CatalogueHandle;
 use coordination::once::OnceHandle;
+use decide::parts::LONG_PROMPT_TOKENS;
 use indexmap::IndexMap;
 use platform::engine::EngineClient;
 use platform::service::ServiceClient;
+use smol_str::format_smolstr;
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::Semaphore;
 
@@ -81,11 +83,17 @@
         PoolGates { gates: Mutex::default(), capacity }
     }
 
-    /// Gate of a pool
-    pub fn gate(&self, pool: &Arc<EndpointPool>) -> Arc<PoolGate> {
+    /// Gate of a pool, for long prompts or for the others
+    ///
+    /// Long prompts hold each other up at the engines that read them, long before the
+    /// places of the batches are taken; others must not wait for that.
+    pub fn gate(&self, pool: &Arc<EndpointPool>, prompt_tokens: TokenCount) -> Arc<PoolGate> {
+        let is_long = prompt_tokens >= LONG_PROMPT_TOKENS;
+        let name =
+            if is_long { format_smolstr!("{}.long", pool.name()) } else { pool.name().clone() };
         let mut gates = self.gates.lock().unwrap_or_else(PoisonError::into_inner);
         let start = || PoolGate::start(pool.clone(), self.capacity);
-        gates.entry(pool.name().clone()).or_insert_with(start).clone()
+        gates.entry(name).or_insert_with(start).clone()
     }
 
     /// All gates with their pools' names
--- a/crates/persimmonlift/src/gate.rs
+++ b/crates/persimmonlift/src/gate.rs
@@ -8,6 +8,7 @@
 use catalogue::id::TokenCount;
 use decide::admission::{AdmissionQueue, ArrivingRequest, RefuseReason, Ticket};
 use decide::admission::{bounded, service_time};
+use decide::pace::AdmissionPace;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::{Duration, Instant};
@@ -28,24 +29,35 @@
     queue: Mutex<AdmissionQueue<TurnSender>>,
     admitted: Arc<AtomicU32>,
     instances: AtomicU32,
+    pace: Arc<Mutex<AdmissionPace>>,
 }
 
 /// Place of an admitted request, given back when dropped
 #[derive(Debug)]
 pub struct GatePass {
     admitted: Arc<AtomicU32>,
+    pace: Arc<Mutex<AdmissionPace>>,
+    since: Instant,
+    deadline: Instant,
 }
 
 impl GatePass {
-    fn new(admitted: &Arc<AtomicU32>) -> GatePass {
-        admitted.fetch_add(1, Ordering::Relaxed);
-        GatePass { admitted: admitted.clone() }
+    fn new(gate: &PoolGate, deadline: Instant) -> GatePass {
+        gate.admitted.fetch_add(1, Ordering::Relaxed);
+        GatePass {
+            admitted: gate.admitted.clone(),
+            pace: gate.pace.clone(),
+            since: Instant::now(),
+            deadline,
+        }
     }
 }
 
 impl Drop for GatePass {
     fn drop(&mut self) {
         self.admitted.fetch_sub(1, Ordering::Relaxed);
+        let mut pace = self.pace.lock().unwrap_or_else(PoisonError::into_inner);
+        pace.ended(self.since.elapsed(), self.deadline.saturating_duration_since(self.since));
     }
 }
 
@@ -57,6 +69,7 @@
             queue: Mutex::new(AdmissionQueue::new(capacity)),
             admitted: Arc::default(),
             instances: AtomicU32::new(1),
+            pace: Arc::default(),
         });
         tokio::spawn(pump(Arc::downgrade(&gate)));
         gate
@@ -108,7 +121,7 @@
         let now = Instant::now();
         let mut queue = self.lock();
         if queue.is_empty() && self.has_room() {
-            return Ok(GateEntry::Passed(GatePass::new(&self.admitted)));
+            return Ok(GateEntry::Passed(GatePass::new(self, request.deadline)));
         }
         let (sender, turn) = oneshot::channel();
         let ticket = queue.push(request, sender, now)?;
@@ -124,8 +137,9 @@
         let PoolRoom { places, reported, .. } = self.pool.room();
         let admitted = self.admitted();
         let instances = f64::from(self.instances.load(Ordering::Relaxed));
-        let share = f64::from(places) * SHARE_FACTOR / instances;
-        f64::from(admitted) < share || admitted.max(reported) < places
+        let usable = f64::from(places) * self.pace().room();
+        let share = usable * SHARE_FACTOR / instances;
+        f64::from(admitted) < share || f64::from(admitted.max(reported)) < usable
     }
 
     fn hand_out(&self) {
@@ -143,10 +157,15 @@
             let Some(next) = queue.pop(now) else {
                 return;
             };
-            let _ = next.item.send(Ok(GatePass::new(&self.admitted)));
+            let _ = next.item.send(Ok(GatePass::new(self, next.request.deadline)));
         }
     }
 
+    /// Part of the pool's room that is used now
+    pub fn pace(&self) -> AdmissionPace {
+        *self.pace.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, AdmissionQueue<TurnSender>> {
         self.queue.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/persimmonlift/src/node.rs
+++ b/crates/persimmonlift/src/node.rs
@@ -256,8 +256,9 @@
     let limits = settings.limits.clone();
     let timeouts = &settings.timeouts;
     let log = LogClient::over_http(settings.platform.log, timeouts.platform());
-    let shared = SharedLog::new(log, settings.instance.id.clone(), LogTiming::default())
-        .with_relay(links.relay());
+    let timing = LogTiming { retention: timeouts.log_retention(), ..LogTiming::default() };
+    let shared =
+        SharedLog::new(log, settings.instance.id.clone(), timing).with_relay(links.relay());
     let catalogue = CatalogueHandle::start(shared.clone()).await.map_err(StartError::Actor)?;
     let metrics = ServingMetrics::start(settings.metrics.statsd).map_err(StartError::Metrics)?;
     let registry = Arc::<EndpointRegistry>::default();
--- a/crates/persimmonlift/src/settings.rs
+++ b/crates/persimmonlift/src/settings.rs
@@ -147,6 +147,8 @@
     pub between_tokens_ms: u64,
     /// For a call of the platform
     pub platform_ms: u64,
+    /// Time for which the platform's log keeps records
+    pub log_retention_ms: u64,
     /// Between two reads of the instance list
     pub list_ms: u64,
     /// Between two reads of an engine's report
@@ -168,6 +170,7 @@
             engine_head_ms: 1_500,
             between_tokens_ms: 2_000,
             platform_ms: 1_000,
+            log_retention_ms: 3_600_000,
             list_ms: 500,
             report_ms: 250,
             isolation_ms: 5_000,
@@ -208,6 +211,11 @@
         Duration::from_millis(self.platform_ms)
     }
 
+    /// Time for which the platform's log keeps records
+    pub fn log_retention(&self) -> Duration {
+        Duration::from_millis(self.log_retention_ms)
+    }
+
     /// Between two reads of the instance list
     pub fn list(&self) -> Duration {
         Duration::from_millis(self.list_ms)
--- a/crates/persimmonlift/src/settings_check.rs
+++ b/crates/persimmonlift/src/settings_check.rs
@@ -4,6 +4,7 @@
 //! the first fault; walking the table finds all of them.
 
 use smol_str::{SmolStr, format_smolstr};
+use state::claims::MIN_RETENTION;
 use std::io;
 use std::net::SocketAddr;
 use toml::Value;
@@ -95,6 +96,9 @@
 const COUNT: KeyForm = KeyForm::Integer { min: 1, max: MAX_COUNT };
 const WORKERS: KeyForm = KeyForm::Integer { min: 1, max: 256 };
 const MILLIS: KeyForm = KeyForm::Integer { min: 1, max: DAY_MS };
+/// Once-only claims must outlast the window of their keys in the log.
+const RETENTION_MILLIS: KeyForm =
+    KeyForm::Integer { min: MIN_RETENTION.as_millis() as i64, max: 366 * DAY_MS };
 const PAUSE_MILLIS: KeyForm = KeyForm::Integer { min: 0, max: DAY_MS };
 
 const KEY_RULES: &[KeyRule] = &[
@@ -123,6 +127,7 @@
     optional("timeouts", "engine_head_ms", MILLIS),
     optional("timeouts", "between_tokens_ms", MILLIS),
     optional("timeouts", "platform_ms", MILLIS),
+    optional("timeouts", "log_retention_ms", RETENTION_MILLIS),
     optional("timeouts", "list_ms", MILLIS),
     optional("timeouts", "report_ms", MILLIS),
     optional("timeouts", "isolation_ms", MILLIS),
--- a/crates/persimmonlift/tests/binary.rs
+++ b/crates/persimmonlift/tests/binary.rs
@@ -61,6 +61,13 @@
     )
 }
 
+/// A log that forgets claims before their keys are too old would let a key run twice
+fn check_short_retention() -> Result<()> {
+    let text = format!("{SOUND}[timeouts]\nlog_retention_ms = 1199999\n");
+    let faults = NodeSettings::check(&text).err().or_fail()?;
+    verify_that!(keys(&faults), elements_are![eq(&"timeouts.log_retention_ms")])
+}
+
 fn check_syntax() -> Result<()> {
     let faults = NodeSettings::check("[instance").err().or_fail()?;
     verify_that!(faults.len(), eq(1))?;
@@ -223,6 +230,7 @@
 cases! {
     sound_settings => check_sound(),
     every_fault_at_once => check_every_fault(),
+    retention_shorter_than_claims_need => check_short_retention(),
     broken_syntax => check_syntax(),
     check_command_line => check_command(),
     secrets_missing => check_missing_secrets(),
