Serve clients on the users' platform through one forwarding path

Cause: the product did not run on the users' machines at all. Change: a package platform-adapter (platform/) decodes settings, store, configuration, endpoint entries and headers; decide::serving holds routes, roster, load, choice, budget; crate gateway forwards; persimmonlift gateway runs it; deploy/system.toml names the role. Conclusion: the thin path stands; rules are not proved yet.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod path;
 pub mod plan;
 pub mod retry;
+pub mod serving;
 pub mod suspect;
 pub mod threshold;
--- /dev/null
+++ b/crates/decide/src/serving/load.rs
@@ -0,0 +1,106 @@
+//! Work in flight at the endpoints, from all instances.
+//!
+//! An instance knows its own work exactly and hears of the others' work a moment
+//! late. What an instance said last counts until it has been silent for a while.
+
+use catalogue::id::{EndpointId, InstanceId};
+use indexmap::IndexMap;
+use std::time::{Duration, Instant};
+
+/// Time after which a silent instance's work no longer counts.
+pub const PEER_SILENCE: Duration = Duration::from_secs(2);
+
+/// Work of one kind at one endpoint
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WorkCount {
+    /// Requests in flight
+    pub requests: u32,
+    /// Prompt tokens of those that have not answered yet
+    pub unread_tokens: u64,
+}
+
+impl WorkCount {
+    fn plus(self, other: WorkCount) -> WorkCount {
+        WorkCount {
+            requests: self.requests + other.requests,
+            unread_tokens: self.unread_tokens + other.unread_tokens,
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct PeerLoad {
+    heard_at: Instant,
+    work: IndexMap<EndpointId, WorkCount>,
+}
+
+/// Work by endpoint
+#[derive(Debug, Clone, Default)]
+pub struct FleetLoad {
+    own: IndexMap<EndpointId, WorkCount>,
+    peers: IndexMap<InstanceId, PeerLoad>,
+}
+
+impl FleetLoad {
+    /// Notes a request that is sent now
+    pub fn sent(&mut self, endpoint: &EndpointId, unread_tokens: u64) {
+        let count = self.own.entry(endpoint.clone()).or_default();
+        count.requests += 1;
+        count.unread_tokens += unread_tokens;
+    }
+
+    /// Notes that the endpoint has read the prompt of a request
+    pub fn read(&mut self, endpoint: &EndpointId, unread_tokens: u64) {
+        if let Some(count) = self.own.get_mut(endpoint) {
+            count.unread_tokens = count.unread_tokens.saturating_sub(unread_tokens);
+        }
+    }
+
+    /// Notes that a request has left the endpoint
+    pub fn ended(&mut self, endpoint: &EndpointId) {
+        if let Some(count) = self.own.get_mut(endpoint) {
+            count.requests = count.requests.saturating_sub(1);
+            if *count == WorkCount::default() {
+                self.own.swap_remove(endpoint);
+            }
+        }
+    }
+
+    /// Takes in what another instance says of its work
+    pub fn heard(
+        &mut self,
+        instance: InstanceId,
+        work: IndexMap<EndpointId, WorkCount>,
+        now: Instant,
+    ) {
+        self.peers.insert(instance, PeerLoad { heard_at: now, work });
+    }
+
+    /// Drops instances that have been silent
+    pub fn expire(&mut self, now: Instant) {
+        self.peers.retain(|_, it| now.saturating_duration_since(it.heard_at) < PEER_SILENCE);
+    }
+
+    /// Instances heard of lately, this one included
+    pub fn instances(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// This instance's work
+    pub fn own(&self) -> &IndexMap<EndpointId, WorkCount> {
+        &self.own
+    }
+
+    /// This instance's work at an endpoint
+    pub fn own_at(&self, endpoint: &EndpointId) -> WorkCount {
+        self.own.get(endpoint).copied().unwrap_or_default()
+    }
+
+    /// All instances' work at an endpoint
+    pub fn total_at(&self, endpoint: &EndpointId) -> WorkCount {
+        self.peers
+            .values()
+            .filter_map(|it| it.work.get(endpoint))
+            .fold(self.own_at(endpoint), |sum, it| sum.plus(*it))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,174 @@
+//! One send of a request to one endpoint.
+
+use crate::connections::{EndpointConnection, ExchangeError};
+use crate::state::{Gateway, WorkTicket};
+use bytes::Bytes;
+use decide::serving::roster::ListedEndpoint;
+use decide::serving::verdict::RunKnowledge;
+use http::request::Parts;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use platform_adapter::answer::{AnswerHead, decode_answer};
+use platform_adapter::head::{SendTerms, endpoint_headers};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Largest answer that is held whole, in bytes; plain services answer with about a kilobyte.
+const MAX_WHOLE_ANSWER: usize = 4 * 1024 * 1024;
+
+/// Request as it came from the client
+pub struct ClientRequest {
+    /// Head
+    pub parts: Parts,
+    /// Whole body
+    pub body: Bytes,
+    /// Id of the client's attempt
+    pub id: smol_str::SmolStr,
+}
+
+/// Why a send has failed
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
+pub enum SendError {
+    /// {0}
+    Exchange(ExchangeError),
+    /// endpoint stated that it didn't run it ({0})
+    Declined(StatusCode),
+    /// answer belongs to another request or bears no signature
+    Foreign,
+    /// answer broke off
+    BrokenOff,
+    /// no answer in time
+    TimedOut,
+    /// endpoint's address or the request can't be used
+    Unusable,
+}
+
+impl std::error::Error for SendError {}
+
+impl SendError {
+    /// What is known of the request
+    pub fn knowledge(&self) -> RunKnowledge {
+        match self {
+            SendError::Declined(_) | SendError::Unusable => RunKnowledge::NotRun,
+            SendError::Exchange(ExchangeError::Broken(_))
+            | SendError::Foreign
+            | SendError::BrokenOff
+            | SendError::TimedOut => RunKnowledge::MayHaveRun,
+            SendError::Exchange(_) => RunKnowledge::NotRun,
+        }
+    }
+}
+
+/// Answer whose body is still to be read
+pub struct OpenAnswer {
+    /// Head as decoded
+    pub head: AnswerHead,
+    /// Headers as they came
+    pub headers: HeaderMap,
+    /// Body
+    pub body: Incoming,
+    /// Connection it comes on
+    pub connection: EndpointConnection,
+    /// Work at the endpoint
+    pub ticket: WorkTicket,
+}
+
+/// Answer as a whole
+pub struct WholeAnswer {
+    /// Status
+    pub status: StatusCode,
+    /// Headers as they came
+    pub headers: HeaderMap,
+    /// Body
+    pub body: Bytes,
+}
+
+/// Sends a request and waits for the head of its answer, until `deadline`
+///
+/// # Errors
+/// `SendError`; its `knowledge` says whether the request may have run.
+pub async fn send(
+    gateway: &Rc<Gateway>,
+    endpoint: &ListedEndpoint,
+    request: &ClientRequest,
+    terms: &SendTerms,
+    unread_tokens: u64,
+    once: bool,
+    deadline: Instant,
+) -> Result<OpenAnswer, SendError> {
+    let ticket = WorkTicket::new(gateway.clone(), endpoint.id.clone(), unread_tokens);
+    let mut connection = match timeout_at(deadline, gateway.connections.take(endpoint, once)).await
+    {
+        Ok(connection) => connection.map_err(SendError::Exchange)?,
+        Err(_) => return Err(SendError::Exchange(ExchangeError::ConnectTimedOut)),
+    };
+    if !connection.is_reused {
+        gateway.meters.connections_opened.inc();
+    }
+    let outgoing = outgoing(request, terms).ok_or(SendError::Unusable)?;
+    let response = match timeout_at(deadline, connection.exchange(outgoing)).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) => return Err(SendError::Exchange(error)),
+        Err(_) => return Err(SendError::TimedOut),
+    };
+    let (parts, body) = response.into_parts();
+    let head = decode_answer(&parts);
+    // An answer without an id can only come from an endpoint that has not read the request's.
+    if head.request_id.as_ref().is_some_and(|it| *it != request.id) {
+        return Err(SendError::Foreign);
+    }
+    if head.is_not_run {
+        let status = head.status;
+        let answer = OpenAnswer { head, headers: parts.headers, body, connection, ticket };
+        // The rest only matters for keeping the connection.
+        if let Err(error) = read_whole(gateway, answer, deadline).await {
+            log::debug!("event=declined_answer_broken id={} error={error}", request.id);
+        }
+        return Err(SendError::Declined(status));
+    }
+    if !head.is_signed {
+        return Err(SendError::Foreign);
+    }
+    Ok(OpenAnswer { head, headers: parts.headers, body, connection, ticket })
+}
+
+/// Reads an answer to its end and keeps its connection
+///
+/// # Errors
+/// `BrokenOff` or `TimedOut`.
+pub async fn read_whole(
+    gateway: &Gateway,
+    answer: OpenAnswer,
+    deadline: Instant,
+) -> Result<WholeAnswer, SendError> {
+    let OpenAnswer { head, headers, body, connection, ticket } = answer;
+    let body = Limited::new(body, MAX_WHOLE_ANSWER);
+    let body = match timeout_at(deadline, body.collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(_)) => return Err(SendError::BrokenOff),
+        Err(_) => return Err(SendError::TimedOut),
+    };
+    drop(ticket);
+    if !head.closes {
+        gateway.connections.give_back(connection, head.keeps_for);
+    }
+    Ok(WholeAnswer { status: head.status, headers, body })
+}
+
+fn outgoing(request: &ClientRequest, terms: &SendTerms) -> Option<Request<Full<Bytes>>> {
+    let path = request.parts.uri.path_and_query()?.as_str();
+    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    *outgoing.method_mut() = request.parts.method.clone();
+    *outgoing.uri_mut() = path.parse().ok()?;
+    *outgoing.headers_mut() = endpoint_headers(&request.parts.headers, terms);
+    Some(outgoing)
+}
+
+/// Whole milliseconds until an instant
+pub fn time_left(deadline: Instant) -> Duration {
+    let left = deadline.saturating_duration_since(Instant::now());
+    Duration::from_millis(u64::try_from(left.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/gateway/src/body.rs
@@ -0,0 +1,69 @@
+//! Bodies of answers to clients.
+
+use crate::error::RelayError;
+use crate::state::RequestGuard;
+use bytes::Bytes;
+use futures_util::Stream;
+use http_body::{Body, Frame, SizeHint};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// Events as they are relayed
+pub type EventStream = Pin<Box<dyn Stream<Item = Result<Bytes, RelayError>>>>;
+
+enum BodyContent {
+    Whole(Bytes),
+    Events(EventStream),
+}
+
+/// Body of an answer; the request counts as open until it is dropped
+pub struct AnswerBody {
+    content: BodyContent,
+    _guard: Option<RequestGuard>,
+}
+
+impl AnswerBody {
+    /// Body that is known whole
+    pub fn whole(bytes: Bytes) -> AnswerBody {
+        AnswerBody { content: BodyContent::Whole(bytes), _guard: None }
+    }
+
+    /// Body that comes event by event
+    pub fn events(stream: EventStream) -> AnswerBody {
+        AnswerBody { content: BodyContent::Events(stream), _guard: None }
+    }
+
+    /// The same body, keeping the request open
+    pub fn guarded(self, guard: RequestGuard) -> AnswerBody {
+        AnswerBody { _guard: Some(guard), ..self }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = RelayError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        match &mut self.content {
+            BodyContent::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            BodyContent::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            BodyContent::Events(stream) => {
+                stream.as_mut().poll_next(context).map(|it| it.map(|it| it.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(&self.content, BodyContent::Whole(bytes) if bytes.is_empty())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.content {
+            BodyContent::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            BodyContent::Events(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,187 @@
+//! Followers of the platform's store: the configuration and the endpoints.
+//!
+//! The configuration is waited for, so that a change is in force at once; the wait is
+//! short, since a connection may have gone silent. The endpoints change with every
+//! heartbeat, so they are read at a fixed pace. While the store is away both keep what
+//! they have.
+
+use crate::state::Gateway;
+use decide::serving::roster::ListOffset;
+use platform_adapter::config::{CONFIG_KEY, decode_config};
+use platform_adapter::roster::decode_entry;
+use platform_adapter::store::{
+    ENDPOINT_TOPIC, KeyedRecord, OPERATOR_TOPIC, RecordBatch, StoreError,
+};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+/// Longest wait for a change of the configuration, as a part of the time in which it is to be in force.
+const CONFIG_WAIT_PART: f64 = 0.5;
+/// Pause between readings of the endpoints, as a part of the time in which a leaving one may still get requests.
+const ENDPOINT_PAUSE_PART: f64 = 0.4;
+/// Pause after a failed call; doubles up to the longest.
+const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(100);
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
+/// Time without a reading after which entries may have lapsed; endpoints write every 1.2 s.
+const OUTAGE_AFTER: Duration = Duration::from_millis(1500);
+
+/// Contact with the store, as one follower sees it
+struct StoreContact {
+    topic: &'static str,
+    failures: u32,
+}
+
+impl StoreContact {
+    fn new(topic: &'static str) -> StoreContact {
+        StoreContact { topic, failures: 0 }
+    }
+
+    fn succeeded(&mut self) {
+        if self.failures > 0 {
+            log::info!("event=store_regained topic={} failures={}", self.topic, self.failures);
+            self.failures = 0;
+        }
+    }
+
+    fn failed(&mut self, error: &StoreError) -> Duration {
+        if self.failures == 0 {
+            log::warn!("event=store_lost topic={} error={error}", self.topic);
+        }
+        let pause = FIRST_RETRY_PAUSE * (1 << self.failures.min(4));
+        self.failures += 1;
+        pause.min(MAX_RETRY_PAUSE)
+    }
+}
+
+/// Keeps the configuration up to date for the life of the process
+pub async fn follow_config(gateway: Rc<Gateway>) {
+    let wait = gateway.settings.config_bound.mul_f64(CONFIG_WAIT_PART);
+    let mut contact = StoreContact::new(OPERATOR_TOPIC);
+    let mut position = None;
+    loop {
+        let result = read_from(&gateway, OPERATOR_TOPIC, position, wait).await;
+        match result {
+            Ok(batch) => {
+                contact.succeeded();
+                gateway.config_read_at.set(Some(Instant::now()));
+                position = Some(next_position(&batch, position));
+                for record in &batch.records {
+                    apply_config(&gateway, record);
+                }
+            }
+            Err(StoreError::Expired { first }) => {
+                log::info!("event=store_history_gone topic={OPERATOR_TOPIC} first={first}");
+                position = None;
+                sleep(FIRST_RETRY_PAUSE).await;
+            }
+            Err(error) => sleep(contact.failed(&error)).await,
+        }
+    }
+}
+
+/// Keeps the endpoints up to date for the life of the process
+pub async fn follow_endpoints(gateway: Rc<Gateway>) {
+    let pause = gateway.settings.drain_bound.mul_f64(ENDPOINT_PAUSE_PART);
+    let mut contact = StoreContact::new(ENDPOINT_TOPIC);
+    let mut position = None;
+    loop {
+        let result = read_from(&gateway, ENDPOINT_TOPIC, position, Duration::ZERO).await;
+        match result {
+            Ok(batch) => {
+                contact.succeeded();
+                apply_endpoints(&gateway, &batch, position.is_none());
+                position = Some(next_position(&batch, position));
+                sleep(pause).await;
+            }
+            Err(StoreError::Expired { first }) => {
+                log::info!("event=store_history_gone topic={ENDPOINT_TOPIC} first={first}");
+                position = None;
+                sleep(FIRST_RETRY_PAUSE).await;
+            }
+            Err(error) => {
+                let pause = contact.failed(&error);
+                gateway.roster.borrow_mut().expire(Instant::now());
+                sleep(pause).await;
+            }
+        }
+    }
+}
+
+async fn read_from(
+    gateway: &Gateway,
+    topic: &'static str,
+    position: Option<ListOffset>,
+    wait: Duration,
+) -> Result<RecordBatch, StoreError> {
+    let (call, result) = match position {
+        Some(from) => ("read", gateway.store.read(topic, from, wait).await),
+        None => ("newest", gateway.store.newest(topic).await),
+    };
+    gateway.meters.store_call(call, if result.is_ok() { "ok" } else { "failed" });
+    result
+}
+
+/// Offset to read from next: after the last record, or the end of a whole reading
+fn next_position(batch: &RecordBatch, position: Option<ListOffset>) -> ListOffset {
+    match (position, batch.records.last()) {
+        (Some(_), Some(record)) => record.offset + 1,
+        (Some(from), None) => from,
+        (None, _) => batch.end,
+    }
+}
+
+fn apply_config(gateway: &Gateway, record: &KeyedRecord) {
+    let Some(value) = record.value.as_ref().filter(|_| record.key == CONFIG_KEY) else {
+        return;
+    };
+    let config = match decode_config(value) {
+        Ok(config) => config,
+        Err(error) => {
+            log::error!("event=config_unreadable offset={} error={error}", record.offset);
+            return;
+        }
+    };
+    let mut current = gateway.config.borrow_mut();
+    let before = current.as_ref().map(|it| it.version);
+    if !config.replaces(current.as_deref()) {
+        log::debug!("event=config_ignored version={} in_force={before:?}", config.version);
+        return;
+    }
+    log::info!(
+        "event=config_applied version={} before={before:?} offset={} routes={}",
+        config.version,
+        record.offset,
+        config.routes.len()
+    );
+    gateway.meters.config_version.set(i64::try_from(config.version).unwrap_or(i64::MAX));
+    *current = Some(Rc::new(config));
+}
+
+fn apply_endpoints(gateway: &Gateway, batch: &RecordBatch, is_whole: bool) {
+    let now = Instant::now();
+    let mut roster = gateway.roster.borrow_mut();
+    let last = gateway.roster_read_at.replace(Some(now));
+    if last.is_some_and(|it| now.saturating_duration_since(it) > OUTAGE_AFTER) {
+        log::info!("event=endpoints_regained offset={}", batch.end);
+        roster.list_returned(now);
+    }
+    roster.expire(now);
+    let before = roster.ready().map(|it| it.id.clone()).collect::<Vec<_>>();
+    for record in &batch.records {
+        let change = decode_entry(&record.key, record.value.as_deref());
+        roster.apply(record.key.clone(), change, record.offset, now);
+    }
+    if is_whole {
+        let listed = batch.records.iter().map(|it| &it.key).collect::<indexmap::IndexSet<_>>();
+        roster.retain_listed(batch.end, |it| listed.contains(it), now);
+    }
+    let after = roster.ready().map(|it| it.id.clone()).collect::<Vec<_>>();
+    if before != after {
+        let gone = before.iter().filter(|it| !after.contains(it)).collect::<Vec<_>>();
+        let new = after.iter().filter(|it| !before.contains(it)).collect::<Vec<_>>();
+        log::info!("event=endpoints_changed offset={} new={new:?} gone={gone:?}", batch.end);
+    }
+    gateway.meters.endpoints_ready.set(i64::try_from(after.len()).unwrap_or(i64::MAX));
+    gateway.connections.expire(now);
+}
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,335 @@
+//! Path of a request: head, route, body, then the sends.
+
+use crate::attempt::{ClientRequest, SendError, WholeAnswer, read_whole, send, time_left};
+use crate::body::AnswerBody;
+use crate::generation;
+use crate::state::Gateway;
+use bytes::Bytes;
+use catalogue::id::{EndpointId, PoolName};
+use decide::serving::pick::pick_service;
+use decide::serving::prompt::PromptShape;
+use decide::serving::route::{RepeatRule, ServiceRoute};
+use decide::serving::verdict::{NextStep, RunKnowledge, SendHistory};
+use http::header::{CONNECTION, HeaderValue};
+use http::{Request, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use platform_adapter::answer::{OwnAnswer, client_headers};
+use platform_adapter::head::{EnginePart, SendTerms, decode_head};
+use smol_str::SmolStr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Shortest time after which a refused client may come back; a place becomes free about as soon.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Time over which the returns of refused clients are spread.
+const RETRY_SPREAD: Duration = Duration::from_millis(200);
+/// Time after which a client may come back to an instance that is starting.
+const START_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Failed connections after which a request is given up; none of them reached an endpoint.
+const MAX_FAILED_CONNECTS: u32 = 3;
+
+/// Request on its way
+pub struct ServingCall {
+    /// Request as it came
+    pub request: ClientRequest,
+    /// Route that takes it
+    pub route: ServiceRoute,
+    /// Pool that serves it
+    pub pool: PoolName,
+    /// Shape of its prompt
+    pub prompt: Option<PromptShape>,
+    /// Event that the client has already
+    pub last_event: Option<SmolStr>,
+    /// When it came
+    pub arrived: Instant,
+    /// When its final answer is due
+    pub deadline: Instant,
+    /// Sends so far
+    pub history: SendHistory,
+    /// Endpoints not to be tried again
+    pub excluded: Vec<EndpointId>,
+    failed_connects: u32,
+}
+
+/// Answer in an endpoint's place, and why
+#[derive(Debug, Clone, Copy)]
+pub struct Refusal {
+    /// Answer
+    pub answer: OwnAnswer,
+    /// Reason for the log
+    pub reason: &'static str,
+}
+
+impl ServingCall {
+    /// Whether another send is allowed and there is time for it
+    pub fn may_send(&self) -> bool {
+        self.history.may_send(self.route.repeat, self.route.max_attempts)
+            && self.failed_connects < MAX_FAILED_CONNECTS
+            && Instant::now() < self.deadline
+    }
+
+    /// Notes a failed send to an endpoint
+    pub fn note_failure(&mut self, gateway: &Gateway, endpoint: &EndpointId, error: &SendError) {
+        let knowledge = error.knowledge();
+        log::info!(
+            "event=send_failed id={} endpoint={endpoint} knowledge={knowledge:?} sends={} error=\"{error}\"",
+            self.request.id,
+            self.history.sends + 1,
+        );
+        gateway.meters.sent(&self.pool, failure_name(error));
+        self.excluded.push(endpoint.clone());
+        match (error, knowledge) {
+            (SendError::Exchange(_), RunKnowledge::NotRun) => self.failed_connects += 1,
+            _ => self.history.note(knowledge),
+        }
+    }
+
+    /// Takes the right to send; a repeated send needs the budget
+    pub fn take_send(&self, gateway: &Gateway) -> bool {
+        self.history.sends == 0 || gateway.take_repeat(&self.pool, std::time::Instant::now())
+    }
+
+    /// Refusal when nothing more is sent
+    pub fn give_up(&self, reason: &'static str) -> Refusal {
+        let answer = match self.history.give_up() {
+            NextStep::Fail if Instant::now() >= self.deadline => OwnAnswer::TimedOut,
+            NextStep::Fail => OwnAnswer::Failed,
+            NextStep::Refuse | NextStep::SendAgain => OwnAnswer::NotRun,
+        };
+        Refusal { answer, reason }
+    }
+
+    /// Terms of a send to an endpoint
+    pub fn terms(&self, endpoint: &EndpointId, part: EnginePart) -> SendTerms {
+        SendTerms {
+            endpoint: endpoint.clone(),
+            time_left: time_left(self.deadline),
+            urgency: self.prompt.is_some().then(|| self.route.rank.min(9)),
+            part,
+            resume_after: None,
+            parts_source: None,
+        }
+    }
+}
+
+fn failure_name(error: &SendError) -> &'static str {
+    match error {
+        SendError::Exchange(_) => "broken",
+        SendError::Declined(_) => "declined",
+        SendError::Foreign => "foreign",
+        SendError::BrokenOff => "broken_off",
+        SendError::TimedOut => "timed_out",
+        SendError::Unusable => "unusable",
+    }
+}
+
+/// Serves a request; always gives an answer
+pub async fn serve(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let arrived = Instant::now();
+    let (parts, body) = request.into_parts();
+    let head = match decode_head(&parts) {
+        Ok(head) => head,
+        Err(fault) => {
+            log::info!("event=refused reason=malformed error=\"{fault}\"");
+            gateway.meters.answered(&SmolStr::default(), OwnAnswer::Malformed.name());
+            return closing(own_answer(gateway, None, OwnAnswer::Malformed));
+        }
+    };
+    let id = head.id.clone();
+    let is_chunked = head.is_chunked;
+    let mut record = RequestRecord::new(gateway.clone(), id.clone(), arrived);
+    let result = match accept(gateway, &mut record, parts, body, head, arrived).await {
+        Ok(call) => {
+            if call.route.is_stream {
+                generation::serve(gateway, call, record).await
+            } else {
+                serve_plain(gateway, call, record).await
+            }
+        }
+        Err(refusal) => Err((refusal, record)),
+    };
+    let response = match result {
+        Ok(response) => response,
+        Err((refusal, mut record)) => {
+            record.finish(refusal.answer.name(), refusal.reason);
+            own_answer(gateway, Some(&id), refusal.answer)
+        }
+    };
+    // Heads that hold a length beside the chunks can't be told here; nothing after them is read.
+    if is_chunked { closing(response) } else { response }
+}
+
+fn own_answer(gateway: &Gateway, id: Option<&str>, answer: OwnAnswer) -> Response<AnswerBody> {
+    let retry_after = match answer {
+        OwnAnswer::NotRun if !gateway.is_ready() => Some(START_RETRY_AFTER),
+        OwnAnswer::NotRun => Some(MIN_RETRY_AFTER + RETRY_SPREAD.mul_f64(rand::random::<f64>())),
+        _ => None,
+    };
+    answer.response(id, retry_after).map(|()| AnswerBody::whole(Bytes::new()))
+}
+
+fn closing(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+async fn accept(
+    gateway: &Rc<Gateway>,
+    record: &mut RequestRecord,
+    parts: http::request::Parts,
+    body: Incoming,
+    head: platform_adapter::head::RequestHead,
+    arrived: Instant,
+) -> Result<ServingCall, Refusal> {
+    let config = gateway.config.borrow().clone();
+    let Some(config) = config.filter(|_| gateway.is_ready()) else {
+        return Err(Refusal { answer: OwnAnswer::NotRun, reason: "starting" });
+    };
+    let Some(route) = config.route(&head.host, parts.uri.path()) else {
+        return Err(Refusal { answer: OwnAnswer::NoRoute, reason: "no_route" });
+    };
+    record.route = route.name.clone();
+    let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = arrived + patience;
+    let body = read_body(body, config.limits.max_body_bytes, deadline).await?;
+    let target = route.target(rand::random::<f64>());
+    gateway.note_request(&target.pool, arrived.into_std());
+    Ok(ServingCall {
+        pool: target.pool.clone(),
+        route: route.clone(),
+        prompt: head.prompt,
+        last_event: head.last_event,
+        arrived,
+        deadline,
+        history: SendHistory::new(),
+        excluded: Vec::new(),
+        failed_connects: 0,
+        request: ClientRequest { parts, body, id: head.id },
+    })
+}
+
+async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
+    match timeout_at(deadline, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(Refusal { answer: OwnAnswer::TooLarge, reason: "body_too_large" })
+        }
+        Ok(Err(_)) => Err(Refusal { answer: OwnAnswer::Malformed, reason: "body_broken" }),
+        Err(_) => Err(Refusal { answer: OwnAnswer::BodyTimedOut, reason: "body_timed_out" }),
+    }
+}
+
+async fn serve_plain(
+    gateway: &Rc<Gateway>,
+    mut call: ServingCall,
+    mut record: RequestRecord,
+) -> Result<Response<AnswerBody>, (Refusal, RequestRecord)> {
+    let once = call.route.repeat == RepeatRule::Once;
+    let mut failed: Option<WholeAnswer> = None;
+    let mut reason = "no_endpoint";
+    while call.may_send() {
+        let endpoints = gateway.ready_endpoints(&call.pool);
+        let picked = {
+            let load = gateway.load.borrow();
+            let draw = rand::random();
+            pick_service(endpoints.iter(), &load, &gateway.settings.zone, &call.excluded, draw)
+        };
+        let Some(endpoint) = picked else { break };
+        if !call.take_send(gateway) {
+            reason = "no_budget";
+            break;
+        }
+        let terms = call.terms(&endpoint.id, EnginePart::Whole);
+        let sent = send(gateway, endpoint, &call.request, &terms, 0, once, call.deadline).await;
+        let answer = match sent {
+            Ok(answer) => read_whole(gateway, answer, call.deadline).await,
+            Err(error) => Err(error),
+        };
+        match answer {
+            Ok(answer)
+                if answer.status.is_server_error() && call.route.repeat.allows_second_run() =>
+            {
+                gateway.meters.sent(&call.pool, "server_error");
+                call.history.note(RunKnowledge::MayHaveRun);
+                call.excluded.push(endpoint.id.clone());
+                failed = Some(answer);
+            }
+            Ok(answer) => {
+                gateway.meters.sent(&call.pool, "answered");
+                record.endpoint = endpoint.id.clone();
+                record.finish("answered", answer.status.as_str());
+                return Ok(relayed(answer));
+            }
+            Err(error) => {
+                reason = failure_name(&error);
+                call.note_failure(gateway, &endpoint.id, &error);
+            }
+        }
+    }
+    match failed {
+        Some(answer) => {
+            record.finish("answered", answer.status.as_str());
+            Ok(relayed(answer))
+        }
+        None => Err((call.give_up(reason), record)),
+    }
+}
+
+/// Response to the client from an endpoint's whole answer
+pub fn relayed(answer: WholeAnswer) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = client_headers(&answer.headers);
+    response
+}
+
+/// Log line and metrics of a request; one that is dropped unfinished was left by its client
+pub struct RequestRecord {
+    gateway: Rc<Gateway>,
+    id: SmolStr,
+    arrived: Instant,
+    is_finished: bool,
+    /// Route, once it is known
+    pub route: SmolStr,
+    /// Endpoint that answered
+    pub endpoint: EndpointId,
+}
+
+impl RequestRecord {
+    fn new(gateway: Rc<Gateway>, id: SmolStr, arrived: Instant) -> RequestRecord {
+        let route = SmolStr::default();
+        let endpoint = EndpointId::default();
+        RequestRecord { gateway, id, arrived, is_finished: false, route, endpoint }
+    }
+
+    /// Notes the first byte of the answer
+    pub fn first_byte(&self) {
+        self.gateway.meters.first_byte(&self.route, self.arrived.elapsed().as_secs_f64());
+    }
+
+    /// Notes the outcome
+    pub fn finish(&mut self, outcome: &'static str, detail: &str) {
+        self.is_finished = true;
+        let took = self.arrived.elapsed();
+        let config = self.gateway.config.borrow().as_ref().map_or(0, |it| it.version);
+        log::info!(
+            "event=done id={} route={} outcome={outcome} detail={detail} endpoint={} took_ms={} config={config}",
+            self.id,
+            self.route,
+            self.endpoint,
+            took.as_millis(),
+        );
+        self.gateway.meters.answered(&self.route, outcome);
+        self.gateway.meters.whole_answer(&self.route, took.as_secs_f64());
+    }
+}
+
+impl Drop for RequestRecord {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            self.finish("client_left", "");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/meters.rs
@@ -0,0 +1,122 @@
+//! Counters and histograms of an instance, served as text.
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+use smol_str::SmolStr;
+
+/// Bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 11] = [0.01, 0.03, 0.06, 0.1, 0.12, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
+
+type LabelSet = Vec<(&'static str, String)>;
+type HistogramFamily = Family<LabelSet, Histogram, fn() -> Histogram>;
+
+/// Metrics of an instance
+pub struct GatewayMeters {
+    registry: Registry,
+    answers: Family<LabelSet, Counter>,
+    sends: Family<LabelSet, Counter>,
+    store_calls: Family<LabelSet, Counter>,
+    first_byte: HistogramFamily,
+    whole: HistogramFamily,
+    /// Connections opened to endpoints
+    pub connections_opened: Counter,
+    /// Repeated sends that the budget did not allow
+    pub budget_empty: Counter,
+    /// Log lines dropped
+    pub lines_dropped: Gauge,
+    /// Endpoints that take work
+    pub endpoints_ready: Gauge,
+    /// Version of the configuration in force
+    pub config_version: Gauge,
+    /// Instances heard of, this one included
+    pub instances: Gauge,
+}
+
+impl Default for GatewayMeters {
+    fn default() -> GatewayMeters {
+        let mut meters = GatewayMeters {
+            registry: Registry::with_prefix("persimmonlift"),
+            answers: Family::default(),
+            sends: Family::default(),
+            store_calls: Family::default(),
+            first_byte: Family::new_with_constructor(latency_histogram),
+            whole: Family::new_with_constructor(latency_histogram),
+            connections_opened: Counter::default(),
+            budget_empty: Counter::default(),
+            lines_dropped: Gauge::default(),
+            endpoints_ready: Gauge::default(),
+            config_version: Gauge::default(),
+            instances: Gauge::default(),
+        };
+        meters.register();
+        meters
+    }
+}
+
+impl GatewayMeters {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("answers", "Answers to clients", self.answers.clone());
+        registry.register("sends", "Sends to endpoints", self.sends.clone());
+        registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register("first_byte_seconds", "Time to the first byte", self.first_byte.clone());
+        registry.register("answer_seconds", "Time to the whole answer", self.whole.clone());
+        let opened = self.connections_opened.clone();
+        registry.register("connections_opened", "Connections opened to endpoints", opened);
+        let empty = self.budget_empty.clone();
+        registry.register("budget_empty", "Repeated sends without budget", empty);
+        let dropped = self.lines_dropped.clone();
+        registry.register("log_lines_dropped", "Log lines dropped", dropped);
+        let ready = self.endpoints_ready.clone();
+        registry.register("endpoints_ready", "Endpoints that take work", ready);
+        let version = self.config_version.clone();
+        registry.register("config_version", "Version of the configuration in force", version);
+        registry.register("instances", "Instances heard of", self.instances.clone());
+    }
+
+    /// Notes an answer to a client
+    pub fn answered(&self, route: &SmolStr, outcome: &'static str) {
+        let labels = vec![("route", route.to_string()), ("outcome", outcome.into())];
+        self.answers.get_or_create(&labels).inc();
+    }
+
+    /// Notes a send to an endpoint
+    pub fn sent(&self, pool: &SmolStr, outcome: &'static str) {
+        let labels = vec![("pool", pool.to_string()), ("outcome", outcome.into())];
+        self.sends.get_or_create(&labels).inc();
+    }
+
+    /// Notes a call to the store
+    pub fn store_call(&self, call: &'static str, outcome: &'static str) {
+        let labels = vec![("call", call.into()), ("outcome", outcome.into())];
+        self.store_calls.get_or_create(&labels).inc();
+    }
+
+    /// Notes the time to the first byte of an answer, in seconds
+    pub fn first_byte(&self, route: &SmolStr, seconds: f64) {
+        self.first_byte.get_or_create(&vec![("route", route.to_string())]).observe(seconds);
+    }
+
+    /// Notes the time to a whole answer, in seconds
+    pub fn whole_answer(&self, route: &SmolStr, seconds: f64) {
+        self.whole.get_or_create(&vec![("route", route.to_string())]).observe(seconds);
+    }
+
+    /// All metrics as text
+    ///
+    /// # Errors
+    /// The formatting error.
+    pub fn page(&self) -> Result<String, std::fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(LATENCY_BUCKETS)
+}
--- /dev/null
+++ b/crates/gateway/src/ready.rs
@@ -0,0 +1,85 @@
+//! Answers whether the instance takes new connections, and its metrics page.
+
+use crate::body::AnswerBody;
+use crate::state::Gateway;
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// Longest time for the head of a question; the balancer asks once a second.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers the balancer
+pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
+    serve_page(listener, move || {
+        let is_ready = gateway.is_ready() && !gateway.stopping.get();
+        let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        page(status, Bytes::new())
+    })
+    .await;
+}
+
+/// Serves the metrics
+pub async fn serve_metrics(
+    gateway: Rc<Gateway>,
+    listener: TcpListener,
+    dropped_lines: impl Fn() -> usize + 'static,
+) {
+    serve_page(listener, move || {
+        gateway.meters.lines_dropped.set(i64::try_from(dropped_lines()).unwrap_or(i64::MAX));
+        metrics_page(&gateway)
+    })
+    .await;
+}
+
+fn metrics_page(gateway: &Gateway) -> Response<AnswerBody> {
+    match gateway.meters.page() {
+        Ok(text) => page(StatusCode::OK, Bytes::from(text)),
+        Err(error) => {
+            log::warn!("event=metrics_failed error={error}");
+            page(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+        }
+    }
+}
+
+fn page(status: StatusCode, body: Bytes) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(body));
+    *response.status_mut() = status;
+    response
+}
+
+async fn serve_page(listener: TcpListener, answer: impl Fn() -> Response<AnswerBody> + 'static) {
+    let answer = Rc::new(answer);
+    loop {
+        let socket = match listener.accept().await {
+            Ok((socket, _)) => socket,
+            Err(error) => {
+                log::warn!("event=accept_failed error={error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let answer = answer.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |_| {
+                let response = answer();
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
+                .serve_connection(TokioIo::new(socket), service);
+            if let Err(error) = connection.await {
+                log::debug!("event=page_connection_ended error={error}");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,153 @@
+//! What all tasks of an instance share.
+//!
+//! Everything runs on one thread, so plain cells do. No borrow is held across an
+//! `await`.
+
+use crate::connections::EndpointConnections;
+use crate::meters::GatewayMeters;
+use catalogue::id::{EndpointId, PoolName};
+use decide::serving::budget::RepeatBudget;
+use decide::serving::load::FleetLoad;
+use decide::serving::roster::{EndpointRoster, ListedEndpoint};
+use decide::serving::route::ServingConfig;
+use indexmap::IndexMap;
+use platform_adapter::settings::InstanceSettings;
+use platform_adapter::store::StoreClient;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Instant;
+use tokio::sync::Notify;
+
+/// Shared state of an instance
+pub struct Gateway {
+    /// Settings
+    pub settings: InstanceSettings,
+    /// Client of the platform's store
+    pub store: StoreClient,
+    /// Configuration in force
+    pub config: RefCell<Option<Rc<ServingConfig>>>,
+    /// When the configuration was last confirmed by the store
+    pub config_read_at: Cell<Option<Instant>>,
+    /// Endpoints
+    pub roster: RefCell<EndpointRoster>,
+    /// When the endpoints were last read
+    pub roster_read_at: Cell<Option<Instant>>,
+    /// Work in flight
+    pub load: RefCell<FleetLoad>,
+    /// Budgets of repeated sends by pool
+    pub budgets: RefCell<IndexMap<PoolName, RepeatBudget>>,
+    /// Kept connections to endpoints
+    pub connections: EndpointConnections,
+    /// Counters and histograms
+    pub meters: GatewayMeters,
+    /// Whether SIGTERM has come
+    pub stopping: Cell<bool>,
+    /// Whether connections are closed as soon as they are idle
+    pub is_closing: Cell<bool>,
+    /// Tells client connections to close once idle
+    pub close_idle: Notify,
+    /// Requests without a whole answer
+    pub open_requests: Cell<usize>,
+    /// Connections of clients
+    pub open_connections: Cell<usize>,
+}
+
+impl Gateway {
+    /// State of an instance that knows nothing yet
+    pub fn new(settings: InstanceSettings) -> Gateway {
+        Gateway {
+            store: StoreClient::new(settings.store_address),
+            settings,
+            config: RefCell::default(),
+            config_read_at: Cell::default(),
+            roster: RefCell::default(),
+            roster_read_at: Cell::default(),
+            load: RefCell::default(),
+            budgets: RefCell::default(),
+            connections: EndpointConnections::default(),
+            meters: GatewayMeters::default(),
+            stopping: Cell::default(),
+            is_closing: Cell::default(),
+            close_idle: Notify::new(),
+            open_requests: Cell::default(),
+            open_connections: Cell::default(),
+        }
+    }
+
+    /// Whether requests can be served: configuration and endpoints are known
+    pub fn is_ready(&self) -> bool {
+        self.config.borrow().is_some() && self.roster_read_at.get().is_some()
+    }
+
+    /// Endpoints of a pool that take new work
+    pub fn ready_endpoints(&self, pool: &PoolName) -> Vec<ListedEndpoint> {
+        let roster = self.roster.borrow();
+        roster.ready().filter(|it| it.pool == *pool).cloned().collect()
+    }
+
+    /// Notes a first send to a pool
+    pub fn note_request(&self, pool: &PoolName, now: Instant) {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(pool.clone()).or_default();
+        budget.request(&self.settings.repeat_budget, now);
+    }
+
+    /// Takes a repeated send to a pool, if there is one left
+    pub fn take_repeat(&self, pool: &PoolName, now: Instant) -> bool {
+        let instances = self.load.borrow().instances();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(pool.clone()).or_default();
+        let has_one = budget.take(&self.settings.repeat_budget, instances, now);
+        if !has_one {
+            self.meters.budget_empty.inc();
+        }
+        has_one
+    }
+}
+
+/// Counts a request as open until dropped
+pub struct RequestGuard {
+    gateway: Rc<Gateway>,
+}
+
+impl RequestGuard {
+    /// Opens a request
+    pub fn new(gateway: Rc<Gateway>) -> RequestGuard {
+        gateway.open_requests.set(gateway.open_requests.get() + 1);
+        RequestGuard { gateway }
+    }
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.gateway.open_requests.set(self.gateway.open_requests.get() - 1);
+    }
+}
+
+/// Counts a request as work at an endpoint until dropped
+pub struct WorkTicket {
+    gateway: Rc<Gateway>,
+    endpoint: EndpointId,
+    unread_tokens: u64,
+}
+
+impl WorkTicket {
+    /// Notes work that is sent now
+    pub fn new(gateway: Rc<Gateway>, endpoint: EndpointId, unread_tokens: u64) -> WorkTicket {
+        gateway.load.borrow_mut().sent(&endpoint, unread_tokens);
+        WorkTicket { gateway, endpoint, unread_tokens }
+    }
+
+    /// Notes that the endpoint has read the prompt
+    pub fn read(&mut self) {
+        let tokens = std::mem::take(&mut self.unread_tokens);
+        self.gateway.load.borrow_mut().read(&self.endpoint, tokens);
+    }
+}
+
+impl Drop for WorkTicket {
+    fn drop(&mut self) {
+        self.read();
+        self.gateway.load.borrow_mut().ended(&self.endpoint);
+    }
+}
