Give the gateway a small binary of its own

Cause: as a subcommand of persimmonlift it pulled the whole node into the binary and its build. Change: persimmonlift-gateway, built from crate gateway alone.

--- /dev/null
+++ b/crates/gateway/src/main.rs
@@ -0,0 +1,85 @@
+//! Entry instance on the users' platform: reads its settings, serves until told to stop.
+
+use gateway::journal::JournalWriter;
+use platform_adapter::settings::{InstanceSettings, settings_path};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+const USAGE: &str = "\
+Entry instance of persimmonlift on the users' platform.
+
+Usage:
+    persimmonlift-gateway [--settings FILE] [--check]
+    persimmonlift-gateway --help | --version
+
+Options:
+    --settings FILE   settings that the platform wrote, in TOML; without it the
+                      file that PERSIMMONLIFT_NODE_FILE names
+    --check           report every fault of the settings and stop
+    --help            show this text
+    --version         show the version
+
+Exit codes: 0 stopped in good order, 1 could not start, 2 faulty settings or
+command line.
+";
+const FAULTY: u8 = 2;
+
+/// Command line
+#[derive(Debug)]
+struct CommandLine {
+    settings: Option<PathBuf>,
+    is_check: bool,
+}
+
+fn main() -> ExitCode {
+    let mut arguments = pico_args::Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        print!("{USAGE}");
+        return ExitCode::SUCCESS;
+    }
+    if arguments.contains(["-V", "--version"]) {
+        println!("persimmonlift-gateway {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    match parse(arguments) {
+        Ok(command) => run(command),
+        Err(error) => {
+            eprintln!("persimmonlift-gateway: {error}\n\n{USAGE}");
+            ExitCode::from(FAULTY)
+        }
+    }
+}
+
+fn parse(mut arguments: pico_args::Arguments) -> Result<CommandLine, pico_args::Error> {
+    let is_check = arguments.contains("--check");
+    let settings = arguments.opt_value_from_str("--settings")?;
+    match arguments.finish().first() {
+        None => Ok(CommandLine { settings, is_check }),
+        Some(extra) => Err(pico_args::Error::ArgumentParsingFailed {
+            cause: format!("unknown argument {}", extra.display()),
+        }),
+    }
+}
+
+fn run(command: CommandLine) -> ExitCode {
+    let settings = match settings_path(command.settings).and_then(|it| InstanceSettings::read(&it))
+    {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("persimmonlift-gateway: {error}");
+            return ExitCode::from(FAULTY);
+        }
+    };
+    if command.is_check {
+        println!("{}: sound", settings.instance);
+        return ExitCode::SUCCESS;
+    }
+    let journal = JournalWriter::start();
+    match gateway::run(settings, move || journal.dropped()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("event=start_failed error=\"{error}\"");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/persimmonlift/src/main.rs
+++ b/crates/persimmonlift/src/main.rs
@@ -1,7 +1,5 @@
 //! Entry instance: reads its settings, serves until told to stop.
 
-mod gateway_command;
-
 use persimmonlift::SettingFault;
 use persimmonlift::node::{Node, NodeHandle, StartError};
 use persimmonlift::settings::{NodeSecrets, NodeSettings};
@@ -14,13 +12,8 @@
 
 Usage:
     persimmonlift --settings FILE [--check]
-    persimmonlift gateway [--settings FILE] [--check]
     persimmonlift --help | --version
 
-Commands:
-    gateway           serve on the users' platform; without --settings the
-                      file that PERSIMMONLIFT_NODE_FILE names is read
-
 Options:
     --settings FILE   settings of the instance, in TOML
     --check           report every fault of the settings and stop
@@ -40,6 +33,7 @@
 }
 
 fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let mut arguments = pico_args::Arguments::from_env();
     if arguments.contains(["-h", "--help"]) {
         print!("{USAGE}");
@@ -49,24 +43,13 @@
         println!("persimmonlift {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let result = match arguments.subcommand() {
-        Ok(Some(name)) if name == "gateway" => gateway_command::run(arguments),
-        Ok(Some(name)) => Err(unknown_argument(&name)),
-        Ok(None) => parse(arguments).map(|command| {
-            let environment = env_logger::Env::default().default_filter_or("info");
-            env_logger::Builder::from_env(environment).init();
-            run(&command)
-        }),
-        Err(error) => Err(error),
-    };
-    result.unwrap_or_else(|error| {
-        eprintln!("persimmonlift: {error}\n\n{USAGE}");
-        ExitCode::from(FAULTY)
-    })
-}
-
-fn unknown_argument(argument: &str) -> pico_args::Error {
-    pico_args::Error::ArgumentParsingFailed { cause: format!("unknown argument {argument}") }
+    match parse(arguments) {
+        Ok(command) => run(&command),
+        Err(error) => {
+            eprintln!("persimmonlift: {error}\n\n{USAGE}");
+            ExitCode::from(FAULTY)
+        }
+    }
 }
 
 fn parse(mut arguments: pico_args::Arguments) -> Result<CommandLine, pico_args::Error> {
@@ -74,7 +57,9 @@
     let settings = arguments.value_from_str("--settings")?;
     match arguments.finish().first() {
         None => Ok(CommandLine { settings, is_check }),
-        Some(extra) => Err(unknown_argument(&extra.display().to_string())),
+        Some(extra) => Err(pico_args::Error::ArgumentParsingFailed {
+            cause: format!("unknown argument {}", extra.display()),
+        }),
     }
 }
 
