Read long prompts at prefill engines, fetch shared parts, refuse by the expected first token

Cause: engines read each prompt between their steps of generation, and shared parts again where the preferred engine was not used; nothing was refused until engines were full. Change: plan_generation costs one engine against prefill and decode apart; the holder of shared parts is named to others; a request that can't be in time is refused at once.

--- a/crates/decide/src/serving/pick.rs
+++ b/crates/decide/src/serving/pick.rs
@@ -1,10 +1,15 @@
 //! Choice of the endpoint for a request.
 //!
 //! A plain service's endpoint is the one with the least work, the own availability
-//! zone first. An engine is chosen by the time until the first token: the work that
-//! waits there, and the part of the prompt that it isn't thought to hold. Requests
-//! that share a prompt prefer the same engines in the same order, worked out by each
-//! instance alone.
+//! zone first. A generation with a long prompt is read by a prefill engine and goes on
+//! at a decode engine; without one, or when it is quicker, one engine does both. The
+//! time until the first token is estimated for each way. When the quickest takes longer
+//! than the objective allows, the request is refused at once: it would only make
+//! others late too.
+//!
+//! Requests that share a prompt prefer the same engines in the same order, worked out
+//! by each instance alone. Another engine fetches the shared parts from the preferred
+//! one.
 
 use super::load::{FleetLoad, WorkCount};
 use super::prompt::PromptShape;
@@ -12,32 +17,113 @@
 use catalogue::EngineRole;
 use catalogue::id::{EndpointId, ZoneName};
 use std::hash::Hasher;
+use std::time::Duration;
 use twox_hash::XxHash3_64;
 
 /// Requests in flight that an endpoint in another zone has to be ahead by.
 const OTHER_ZONE_REQUESTS: u32 = 2;
-/// Engines that are expected to hold a shared prompt.
-const HOLDERS: usize = 1;
-/// Prompt tokens that an engine reads in a millisecond between the tokens of others.
-const MIXED_TOKENS_PER_MS: f64 = 471.0;
-/// Time that each request in flight adds until the first token of the next, in milliseconds.
-const SLOT_DELAY_MS: f64 = 8.0;
-/// Time until a place is free, for each request beyond the places of an engine, in milliseconds.
-const QUEUE_DELAY_MS: f64 = 30.0;
-
-/// Engine picked for a generation
+/// Prompts shorter than this are read where they are answered, in tokens.
+const MIN_SPLIT_TOKENS: u32 = 1024;
+/// Outputs longer than this hold a place for seconds, in tokens.
+const LONG_OUTPUT_TOKENS: u32 = 1000;
+/// Prompt tokens that a prefill engine reads in a millisecond; from the engines' sheet.
+const PREFILL_TOKENS_PER_MS: f64 = 942.0;
+/// Prompt tokens that an engine reads in a millisecond between its steps of generation; from the sheet.
+const MIXED_TOKENS_PER_MS: f64 = 300.0;
+/// Time from the prompt's last token to the first event at the client, in milliseconds; from the sheet.
+const FIRST_TOKEN_MS: f64 = 14.0;
+/// Time to hand a cache over and to call a second engine, in milliseconds; from the sheet.
+const HANDOVER_MS: f64 = 8.0;
+/// Time to fetch shared parts from another engine, in milliseconds; from the sheet.
+const FETCH_MS: f64 = 2.0;
+/// Time until a place is free, for each request beyond the places, in milliseconds.
+const QUEUE_DELAY_MS: f64 = 15.0;
+/// Time that a full batch adds to the first token, in milliseconds.
+const FULL_BATCH_MS: f64 = 4.0;
+/// Part of the reading time that counts for each request which it holds up.
+const HARM_PART: f64 = 0.3;
+/// Distance to another zone in a choice of engines, in milliseconds; the way there and the price of bytes.
+const OTHER_ZONE_MS: f64 = 4.0;
+/// Part of the objective that the estimate may take.
+const OBJECTIVE_PART: f64 = 0.75;
+
+/// Engine picked for a part of a generation
 #[derive(Debug, Clone, PartialEq)]
 pub struct EnginePick {
     /// Engine
     pub endpoint: EndpointId,
-    /// Rank among the engines preferred for the prompt, 0 first
-    pub affinity: usize,
-    /// Expected time until the first token, in milliseconds
-    pub first_token_ms: f64,
     /// All instances' work there
     pub work: WorkCount,
     /// Tokens of the prompt that are expected to be read there
     pub unread_tokens: u64,
+    /// Engine that is expected to hold the shared parts, if it is another
+    pub holder: Option<EndpointId>,
+    /// Expected time of this part, in milliseconds
+    pub expected_ms: f64,
+}
+
+/// Way of a generation through the engines
+#[derive(Debug, Clone, PartialEq)]
+pub enum GenerationPlan {
+    /// One engine reads and generates
+    Whole(EnginePick),
+    /// One engine reads, another generates
+    Split {
+        /// Engine that reads the prompt
+        prefill: EnginePick,
+        /// Engine that generates
+        decode: EnginePick,
+    },
+}
+
+impl GenerationPlan {
+    /// Expected time until the first token, in milliseconds
+    pub fn expected_ms(&self) -> f64 {
+        match self {
+            GenerationPlan::Whole(pick) => pick.expected_ms + FIRST_TOKEN_MS,
+            GenerationPlan::Split { prefill, decode } => {
+                prefill.expected_ms + HANDOVER_MS + decode.expected_ms + FIRST_TOKEN_MS
+            }
+        }
+    }
+}
+
+/// Result of planning
+#[derive(Debug, Clone, PartialEq)]
+pub enum PlanOutcome {
+    /// Way to take
+    Plan(GenerationPlan),
+    /// Every way takes longer than allowed; the quickest in milliseconds
+    Full(f64),
+    /// No engine is usable
+    NoEngine,
+}
+
+/// Generation that a way is wanted for
+#[derive(Debug, Clone)]
+pub struct GenerationRequest<'a> {
+    /// Prompt
+    pub prompt: &'a PromptShape,
+    /// Availability zone of the instance
+    pub zone: &'a ZoneName,
+    /// Engines not to be tried again
+    pub excluded: &'a [EndpointId],
+    /// Time within which the first token is wanted
+    pub objective: Duration,
+}
+
+impl GenerationRequest<'_> {
+    fn is_long(&self) -> bool {
+        self.prompt.output_tokens > LONG_OUTPUT_TOKENS
+    }
+
+    fn may_split(&self) -> bool {
+        !self.is_long() && self.prompt.prompt_tokens >= MIN_SPLIT_TOKENS
+    }
+
+    fn allowed_ms(&self) -> f64 {
+        self.objective.as_secs_f64() * 1000.0 * OBJECTIVE_PART
+    }
 }
 
 /// Picks an endpoint of a plain service; `None` if there is none
@@ -54,38 +140,123 @@
     })
 }
 
-/// Picks an engine that reads the prompt and generates; `None` if there is none
-pub fn pick_engine<'a>(
-    endpoints: impl Iterator<Item = &'a ListedEndpoint>,
+/// Plans the way of a generation through the engines of its pool
+pub fn plan_generation(
+    request: &GenerationRequest<'_>,
+    endpoints: &[ListedEndpoint],
+    load: &FleetLoad,
+) -> PlanOutcome {
+    let whole = best_whole(request, endpoints, load).map(GenerationPlan::Whole);
+    let split = if request.may_split() { best_split(request, endpoints, load) } else { None };
+    let ways = [whole, split].into_iter().flatten();
+    let Some(best) = ways.min_by(|one, other| one.expected_ms().total_cmp(&other.expected_ms()))
+    else {
+        return PlanOutcome::NoEngine;
+    };
+    if best.expected_ms() > request.allowed_ms() {
+        return PlanOutcome::Full(best.expected_ms());
+    }
+    PlanOutcome::Plan(best)
+}
+
+fn best_split(
+    request: &GenerationRequest<'_>,
+    endpoints: &[ListedEndpoint],
+    load: &FleetLoad,
+) -> Option<GenerationPlan> {
+    let readers = usable(request, endpoints, EngineRole::Prefill);
+    let holder = preferred(request.prompt, &readers);
+    let reads = readers.iter().map(|it| read_pick(request, it, holder, load, prefill_ms));
+    let prefill = quickest(reads)?;
+    let writers = usable(request, endpoints, EngineRole::Mixed);
+    let decodes = writers.iter().map(|it| decode_pick(request, it, load));
+    let decode = quickest(decodes)?;
+    Some(GenerationPlan::Split { prefill, decode })
+}
+
+fn best_whole(
+    request: &GenerationRequest<'_>,
+    endpoints: &[ListedEndpoint],
     load: &FleetLoad,
-    prompt: &PromptShape,
-    excluded: &[EndpointId],
 ) -> Option<EnginePick> {
+    let engines = usable(request, endpoints, EngineRole::Mixed);
+    let holder = preferred(request.prompt, &engines);
+    quickest(engines.iter().map(|it| read_pick(request, it, holder, load, whole_ms)))
+}
+
+fn usable<'a>(
+    request: &GenerationRequest<'_>,
+    endpoints: &'a [ListedEndpoint],
+    role: EngineRole,
+) -> Vec<&'a ListedEndpoint> {
+    let is_usable =
+        |it: &&ListedEndpoint| it.role == Some(role) && !request.excluded.contains(&it.id);
+    endpoints.iter().filter(is_usable).collect()
+}
+
+/// Engine that all instances prefer for a prompt
+fn preferred<'a>(
+    prompt: &PromptShape,
+    engines: &[&'a ListedEndpoint],
+) -> Option<&'a ListedEndpoint> {
     let key = prompt.affinity_key();
-    let mut usable = endpoints
-        .filter(|it| it.role != Some(EngineRole::Prefill) && !excluded.contains(&it.id))
-        .collect::<Vec<_>>();
-    usable.sort_by_key(|it| std::cmp::Reverse(weight(key, &it.id)));
-    let mut best: Option<EnginePick> = None;
-    for (affinity, endpoint) in usable.into_iter().enumerate() {
-        let work = load.total_at(&endpoint.id);
-        let held = if affinity < HOLDERS { prompt.shared_tokens() } else { 0 };
-        let unread_tokens = u64::from(prompt.prompt_tokens).saturating_sub(held);
-        let first_token_ms = first_token_ms(endpoint.slots, work, unread_tokens);
-        if best.as_ref().is_none_or(|it| first_token_ms < it.first_token_ms) {
-            let endpoint = endpoint.id.clone();
-            best = Some(EnginePick { endpoint, affinity, first_token_ms, work, unread_tokens });
-        }
-    }
-    best
+    engines.iter().copied().max_by_key(|it| weight(key, &it.id))
 }
 
-fn first_token_ms(slots: u32, work: WorkCount, unread_tokens: u64) -> f64 {
-    let running = work.requests.min(slots);
+fn quickest(picks: impl Iterator<Item = EnginePick>) -> Option<EnginePick> {
+    picks.min_by(|one, other| one.expected_ms.total_cmp(&other.expected_ms))
+}
+
+fn read_pick(
+    request: &GenerationRequest<'_>,
+    engine: &ListedEndpoint,
+    holder: Option<&ListedEndpoint>,
+    load: &FleetLoad,
+    time_ms: impl Fn(&ListedEndpoint, WorkCount, u64) -> f64,
+) -> EnginePick {
+    let work = load.total_at(&engine.id);
+    let holder = holder.filter(|it| it.id != engine.id).map(|it| it.id.clone());
+    let unread_tokens =
+        u64::from(request.prompt.prompt_tokens).saturating_sub(request.prompt.shared_tokens());
+    let fetch = if holder.is_some() { FETCH_MS } else { 0.0 };
+    let expected_ms = time_ms(engine, work, unread_tokens) + fetch + distance_ms(request, engine);
+    EnginePick { endpoint: engine.id.clone(), work, unread_tokens, holder, expected_ms }
+}
+
+fn decode_pick(
+    request: &GenerationRequest<'_>,
+    engine: &ListedEndpoint,
+    load: &FleetLoad,
+) -> EnginePick {
+    let work = load.total_at(&engine.id);
+    let expected_ms = place_ms(engine, work)
+        + work.unread_tokens as f64 / MIXED_TOKENS_PER_MS
+        + distance_ms(request, engine);
+    let endpoint = engine.id.clone();
+    EnginePick { endpoint, work, unread_tokens: 0, holder: None, expected_ms }
+}
+
+fn distance_ms(request: &GenerationRequest<'_>, engine: &ListedEndpoint) -> f64 {
+    if engine.zone == *request.zone { 0.0 } else { OTHER_ZONE_MS }
+}
+
+/// Time until a place in the batch is free, and what a fuller batch costs
+fn place_ms(engine: &ListedEndpoint, work: WorkCount) -> f64 {
+    let slots = engine.slots.max(1);
     let queued = (work.requests + 1).saturating_sub(slots);
-    (work.unread_tokens + unread_tokens) as f64 / MIXED_TOKENS_PER_MS
-        + f64::from(running) * SLOT_DELAY_MS
-        + f64::from(queued) * QUEUE_DELAY_MS
+    let taken = f64::from(work.requests.min(slots)) / f64::from(slots);
+    taken * FULL_BATCH_MS + f64::from(queued) * QUEUE_DELAY_MS
+}
+
+fn prefill_ms(_engine: &ListedEndpoint, work: WorkCount, unread_tokens: u64) -> f64 {
+    (work.unread_tokens + unread_tokens) as f64 / PREFILL_TOKENS_PER_MS
+}
+
+fn whole_ms(engine: &ListedEndpoint, work: WorkCount, unread_tokens: u64) -> f64 {
+    let read = (work.unread_tokens + unread_tokens) as f64 / MIXED_TOKENS_PER_MS;
+    let running = f64::from(work.requests.min(engine.slots));
+    let harm = unread_tokens as f64 / MIXED_TOKENS_PER_MS * running * HARM_PART;
+    place_ms(engine, work) + read + harm
 }
 
 /// Weight of an endpoint for a key; the same on every instance
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -44,6 +44,8 @@
     TimedOut,
     /// endpoint's address or the request can't be used
     Unusable,
+    /// prompt was not read: {0}
+    Prefill(Box<SendError>),
 }
 
 impl std::error::Error for SendError {}
@@ -52,7 +54,10 @@
     /// What is known of the request
     pub fn knowledge(&self) -> RunKnowledge {
         match self {
-            SendError::Declined(_) | SendError::Unusable => RunKnowledge::NotRun,
+            // A call that only has the prompt read runs nothing.
+            SendError::Declined(_) | SendError::Unusable | SendError::Prefill(_) => {
+                RunKnowledge::NotRun
+            }
             SendError::Exchange(ExchangeError::Broken(_))
             | SendError::Foreign
             | SendError::BrokenOff
@@ -86,20 +91,30 @@
     pub body: Bytes,
 }
 
+/// Where a request is sent
+pub struct SendTarget<'a> {
+    /// Endpoint
+    pub endpoint: &'a ListedEndpoint,
+    /// Its work, counted until the answer is whole
+    pub ticket: WorkTicket,
+    /// Whether a connection that may just be closing is to be avoided
+    pub once: bool,
+    /// Whether the answer is the client's, which bears a signature
+    pub is_signed: bool,
+}
+
 /// Sends a request and waits for the head of its answer, until `deadline`
 ///
 /// # Errors
 /// `SendError`; its `knowledge` says whether the request may have run.
 pub async fn send(
     gateway: &Rc<Gateway>,
-    endpoint: &ListedEndpoint,
+    target: SendTarget<'_>,
     request: &ClientRequest,
     terms: &SendTerms,
-    unread_tokens: u64,
-    once: bool,
     deadline: Instant,
 ) -> Result<OpenAnswer, SendError> {
-    let ticket = WorkTicket::new(gateway.clone(), endpoint.id.clone(), unread_tokens);
+    let SendTarget { endpoint, ticket, once, is_signed } = target;
     let mut connection = match timeout_at(deadline, gateway.connections.take(endpoint, once)).await
     {
         Ok(connection) => connection.map_err(SendError::Exchange)?,
@@ -129,7 +144,7 @@
         }
         return Err(SendError::Declined(status));
     }
-    if !head.is_signed {
+    if is_signed && !head.is_signed {
         return Err(SendError::Foreign);
     }
     Ok(OpenAnswer { head, headers: parts.headers, body, connection, ticket })
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,9 +1,11 @@
 //! Path of a request: head, route, body, then the sends.
 
-use crate::attempt::{ClientRequest, SendError, WholeAnswer, read_whole, send, time_left};
+use crate::attempt::{
+    ClientRequest, SendError, SendTarget, WholeAnswer, read_whole, send, time_left,
+};
 use crate::body::AnswerBody;
 use crate::generation;
-use crate::state::Gateway;
+use crate::state::{Gateway, WorkTicket};
 use bytes::Bytes;
 use catalogue::id::{EndpointId, PoolName};
 use decide::serving::pick::pick_service;
@@ -122,6 +124,7 @@
         SendError::BrokenOff => "broken_off",
         SendError::TimedOut => "timed_out",
         SendError::Unusable => "unusable",
+        SendError::Prefill(_) => "prefill",
     }
 }
 
@@ -242,8 +245,9 @@
             break;
         }
         let terms = call.terms(&endpoint.id, EnginePart::Whole);
-        let sent = send(gateway, endpoint, &call.request, &terms, 0, once, call.deadline).await;
-        let answer = match sent {
+        let ticket = WorkTicket::new(gateway.clone(), endpoint.id.clone(), 0);
+        let target = SendTarget { endpoint, ticket, once, is_signed: true };
+        let answer = match send(gateway, target, &call.request, &terms, call.deadline).await {
             Ok(answer) => read_whole(gateway, answer, call.deadline).await,
             Err(error) => Err(error),
         };
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -5,23 +5,27 @@
 //! continued on another engine where the route allows it, else the client's connection
 //! is broken too.
 
-use crate::attempt::{OpenAnswer, SendError, read_whole, send};
+use crate::attempt::{OpenAnswer, SendError, SendTarget, read_whole, send};
 use crate::body::AnswerBody;
 use crate::error::RelayError;
 use crate::events::EventSplitter;
 use crate::forward::{Refusal, RequestRecord, ServingCall, relayed};
-use crate::state::Gateway;
+use crate::state::{Gateway, WorkTicket};
 use async_stream::try_stream;
 use bytes::Bytes;
-use decide::serving::pick::pick_engine;
+use catalogue::id::EndpointId;
+use decide::serving::pick::{
+    EnginePick, GenerationPlan, GenerationRequest, PlanOutcome, plan_generation,
+};
 use decide::serving::roster::ListedEndpoint;
 use decide::serving::route::RepeatRule;
 use decide::serving::verdict::RunKnowledge;
 use http::Response;
 use http_body_util::BodyExt;
 use platform_adapter::answer::client_headers;
+use platform_adapter::engine::decode_cache_source;
 use platform_adapter::head::EnginePart;
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 use std::rc::Rc;
 use tokio::time::{Instant, timeout_at};
 
@@ -78,29 +82,35 @@
 ) -> Result<Response<AnswerBody>, (Refusal, RequestRecord)> {
     let mut reason = "no_endpoint";
     while call.may_send() {
-        let Some((endpoint, unread)) = pick(gateway, &call) else { break };
+        let way = match plan(gateway, &call) {
+            Ok(way) => way,
+            Err(full) => {
+                reason = full;
+                break;
+            }
+        };
         if !call.take_send(gateway) {
             reason = "no_budget";
             break;
         }
-        match start(gateway, &call, &endpoint, unread, None).await {
-            Ok(Started::Failed(response)) => {
+        match start(gateway, &call, way, None).await {
+            Ok((engine, Started::Failed(response))) => {
                 gateway.meters.sent(&call.pool, "server_error");
-                record.endpoint = endpoint.id.clone();
+                record.endpoint = engine;
                 record.finish("answered", response.status().as_str());
                 return Ok(response);
             }
-            Ok(Started::Streaming(stream, first)) => {
+            Ok((engine, Started::Streaming(stream, first))) => {
                 gateway.meters.sent(&call.pool, "answered");
-                record.endpoint = endpoint.id.clone();
+                record.endpoint = engine.clone();
                 record.first_byte();
                 call.history.note(RunKnowledge::MayHaveRun);
-                call.excluded.push(endpoint.id.clone());
+                call.excluded.push(engine);
                 return Ok(respond(gateway.clone(), call, record, stream, first));
             }
-            Err(error) => {
+            Err((engine, error)) => {
                 reason = "send_failed";
-                call.note_failure(gateway, &endpoint.id, &error);
+                call.note_failure(gateway, &engine, &error);
             }
         }
     }
@@ -112,38 +122,129 @@
     Failed(Response<AnswerBody>),
 }
 
-fn pick(gateway: &Gateway, call: &ServingCall) -> Option<(ListedEndpoint, u64)> {
+/// Engine of a plan, with the work that it will have
+struct EngineStep {
+    engine: ListedEndpoint,
+    parts_source: Option<SmolStr>,
+    ticket: WorkTicket,
+}
+
+/// Way of a request through the engines
+struct EngineWay {
+    prefill: Option<EngineStep>,
+    generate: EngineStep,
+}
+
+fn plan(gateway: &Rc<Gateway>, call: &ServingCall) -> Result<EngineWay, &'static str> {
     let endpoints = gateway.ready_endpoints(&call.pool);
     let prompt = call.prompt.clone().unwrap_or_default();
-    let load = gateway.load.borrow();
-    let pick = pick_engine(endpoints.iter(), &load, &prompt, &call.excluded)?;
+    let request = GenerationRequest {
+        prompt: &prompt,
+        zone: &gateway.settings.zone,
+        excluded: &call.excluded,
+        objective: call.route.objective,
+    };
+    let outcome = plan_generation(&request, &endpoints, &gateway.load.borrow());
+    let plan = match outcome {
+        PlanOutcome::Plan(plan) => plan,
+        PlanOutcome::Full(expected_ms) => {
+            log::info!("event=full id={} expected_ms={expected_ms:.0}", call.request.id);
+            return Err("full");
+        }
+        PlanOutcome::NoEngine => return Err("no_endpoint"),
+    };
     log::info!(
-        "event=engine_picked id={} endpoint={} affinity={} expected_ms={:.0} requests={} unread={} instances={}",
+        "event=engine_picked id={} expected_ms={:.0} instances={} {}",
         call.request.id,
-        pick.endpoint,
-        pick.affinity,
-        pick.first_token_ms,
-        pick.work.requests,
-        pick.unread_tokens,
-        load.instances(),
+        plan.expected_ms(),
+        gateway.load.borrow().instances(),
+        describe(&plan),
     );
-    let endpoint = endpoints.into_iter().find(|it| it.id == pick.endpoint)?;
-    Some((endpoint, pick.unread_tokens))
+    let find = |id: &EndpointId| endpoints.iter().find(|it| it.id == *id).cloned();
+    let step = |pick: &EnginePick| {
+        let holder = pick.holder.as_ref().and_then(find);
+        let ticket = WorkTicket::new(gateway.clone(), pick.endpoint.clone(), pick.unread_tokens);
+        let parts_source = holder.map(|it| format_smolstr!("{}", it.address));
+        find(&pick.endpoint).map(|engine| EngineStep { engine, parts_source, ticket })
+    };
+    let (prefill, generate) = match &plan {
+        GenerationPlan::Whole(pick) => (None, step(pick)),
+        GenerationPlan::Split { prefill, decode } => (step(prefill), step(decode)),
+    };
+    generate.map(|generate| EngineWay { prefill, generate }).ok_or("no_endpoint")
 }
 
-/// Sends to an engine and waits for the first event
+fn describe(plan: &GenerationPlan) -> String {
+    let engine = |part: &str, it: &EnginePick| {
+        format!(
+            "{part}={} {part}_requests={} {part}_unread={}+{}",
+            it.endpoint, it.work.requests, it.work.unread_tokens, it.unread_tokens
+        )
+    };
+    match plan {
+        GenerationPlan::Whole(pick) => engine("whole", pick),
+        GenerationPlan::Split { prefill, decode } => {
+            format!("{} {}", engine("prefill", prefill), engine("decode", decode))
+        }
+    }
+}
+
+/// Sends on a way and waits for the first event; the engine that it came to goes with the result
 async fn start(
     gateway: &Rc<Gateway>,
     call: &ServingCall,
-    endpoint: &ListedEndpoint,
-    unread_tokens: u64,
+    way: EngineWay,
+    resume_after: Option<SmolStr>,
+) -> Result<(EndpointId, Started), (EndpointId, SendError)> {
+    let part = match way.prefill {
+        None => EnginePart::Whole,
+        Some(step) => {
+            let engine = step.engine.id.clone();
+            match prefill(gateway, call, step).await {
+                Ok(source) => EnginePart::Decode { source },
+                Err(error) => return Err((engine, SendError::Prefill(Box::new(error)))),
+            }
+        }
+    };
+    let engine = way.generate.engine.id.clone();
+    match generate(gateway, call, way.generate, part, resume_after).await {
+        Ok(started) => Ok((engine, started)),
+        Err(error) => Err((engine, error)),
+    }
+}
+
+/// Has an engine read the prompt; returns where the cache lies
+async fn prefill(
+    gateway: &Rc<Gateway>,
+    call: &ServingCall,
+    step: EngineStep,
+) -> Result<SmolStr, SendError> {
+    let mut terms = call.terms(&step.engine.id, EnginePart::Prefill);
+    terms.parts_source = step.parts_source;
+    let engine = step.engine;
+    let target =
+        SendTarget { endpoint: &engine, ticket: step.ticket, once: false, is_signed: false };
+    let answer = send(gateway, target, &call.request, &terms, call.deadline).await;
+    let answer = match answer {
+        Ok(answer) => read_whole(gateway, answer, call.deadline).await?,
+        Err(error) => return Err(error),
+    };
+    decode_cache_source(&engine, &answer.body).map_err(|_| SendError::Foreign)
+}
+
+async fn generate(
+    gateway: &Rc<Gateway>,
+    call: &ServingCall,
+    step: EngineStep,
+    part: EnginePart,
     resume_after: Option<SmolStr>,
 ) -> Result<Started, SendError> {
     let once = call.route.repeat == RepeatRule::Once;
-    let mut terms = call.terms(&endpoint.id, EnginePart::Whole);
+    let mut terms = call.terms(&step.engine.id, part);
     terms.resume_after = resume_after;
-    let sent = send(gateway, endpoint, &call.request, &terms, unread_tokens, once, call.deadline);
-    let answer = sent.await?;
+    terms.parts_source = step.parts_source;
+    let target = SendTarget { endpoint: &step.engine, ticket: step.ticket, once, is_signed: true };
+    let answer = send(gateway, target, &call.request, &terms, call.deadline).await?;
     if !answer.head.status.is_success() {
         let answer = read_whole(gateway, answer, call.deadline).await?;
         return Ok(Started::Failed(relayed(answer)));
@@ -222,18 +323,18 @@
         call.history.sends,
     );
     while call.may_send() {
-        let (endpoint, unread) = pick(gateway, call)?;
+        let way = plan(gateway, call).ok()?;
         if !call.take_send(gateway) {
             return None;
         }
-        match start(gateway, call, &endpoint, unread, last.clone()).await {
-            Ok(Started::Streaming(stream, part)) => {
+        match start(gateway, call, way, last.clone()).await {
+            Ok((engine, Started::Streaming(stream, part))) => {
                 call.history.note(RunKnowledge::MayHaveRun);
-                call.excluded.push(endpoint.id);
+                call.excluded.push(engine);
                 return Some((stream, part));
             }
-            Ok(Started::Failed(_)) => return None,
-            Err(error) => call.note_failure(gateway, &endpoint.id, &error),
+            Ok((_, Started::Failed(_))) => return None,
+            Err((engine, error)) => call.note_failure(gateway, &engine, &error),
         }
     }
     None
