--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -295,6 +295,7 @@
     id: SmolStr,
     arrived: Instant,
     is_finished: bool,
+    first_byte_after: Option<Duration>,
     /// Route, once it is known
     pub route: SmolStr,
     /// Endpoint that answered
@@ -305,12 +306,22 @@
     fn new(gateway: Rc<Gateway>, id: SmolStr, arrived: Instant) -> RequestRecord {
         let route = SmolStr::default();
         let endpoint = EndpointId::default();
-        RequestRecord { gateway, id, arrived, is_finished: false, route, endpoint }
+        RequestRecord {
+            gateway,
+            id,
+            arrived,
+            is_finished: false,
+            first_byte_after: None,
+            route,
+            endpoint,
+        }
     }
 
     /// Notes the first byte of the answer
-    pub fn first_byte(&self) {
-        self.gateway.meters.first_byte(&self.route, self.arrived.elapsed().as_secs_f64());
+    pub fn first_byte(&mut self) {
+        let after = self.arrived.elapsed();
+        self.first_byte_after = Some(after);
+        self.gateway.meters.first_byte(&self.route, after.as_secs_f64());
     }
 
     /// Notes the outcome
@@ -319,10 +330,11 @@
         let took = self.arrived.elapsed();
         let config = self.gateway.config.borrow().as_ref().map_or(0, |it| it.version);
         log::info!(
-            "event=done id={} route={} outcome={outcome} detail={detail} endpoint={} took_ms={} config={config}",
+            "event=done id={} route={} outcome={outcome} detail={detail} endpoint={} first_ms={} took_ms={} config={config}",
             self.id,
             self.route,
             self.endpoint,
+            self.first_byte_after.unwrap_or(took).as_millis(),
             took.as_millis(),
         );
         self.gateway.meters.answered(&self.route, outcome);
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -154,8 +154,11 @@
         PlanOutcome::NoEngine => return Err("no_endpoint"),
     };
     log::info!(
-        "event=engine_picked id={} expected_ms={:.0} instances={} {}",
+        "event=engine_picked id={} prompt={} shared={} key={:x} expected_ms={:.0} instances={} {}",
         call.request.id,
+        prompt.prompt_tokens,
+        prompt.shared_tokens(),
+        prompt.affinity_key(),
         plan.expected_ms(),
         gateway.load.borrow().instances(),
         describe(&plan),
@@ -222,6 +225,7 @@
     let mut terms = call.terms(&step.engine.id, EnginePart::Prefill);
     terms.parts_source = step.parts_source;
     let engine = step.engine;
+    let sent_at = Instant::now();
     let target =
         SendTarget { endpoint: &engine, ticket: step.ticket, once: false, is_signed: false };
     let answer = send(gateway, target, &call.request, &terms, call.deadline).await;
@@ -229,6 +233,12 @@
         Ok(answer) => read_whole(gateway, answer, call.deadline).await?,
         Err(error) => return Err(error),
     };
+    log::info!(
+        "event=prompt_read id={} engine={} took_ms={}",
+        call.request.id,
+        engine.id,
+        sent_at.elapsed().as_millis(),
+    );
     decode_cache_source(&engine, &answer.body).map_err(|_| SendError::Foreign)
 }
 
