Pause endpoints by the outcomes of sends, and keep the budget when peers are out of reach

Change: decide::serving::health pauses unreachable or failing endpoints and drops an incarnation whose address answers for another; a prompt that was read is kept for the next engine and freed when no engine takes it; a second reading apart is not planned; the slack is shared by the most instances ever heard of or listed.

--- a/crates/decide/src/serving/budget.rs
+++ b/crates/decide/src/serving/budget.rs
@@ -7,8 +7,10 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-/// Part of the allowed share that is used; requests of the window's edges may not count.
-const SHARE_USED: f64 = 0.8;
+/// Part of the allowed share that is used; requests at the window's edges may not count.
+const SHARE_USED: f64 = 0.75;
+/// Part of the slack that is used; an instance that starts again has forgotten what it spent.
+const SLACK_USED: f64 = 0.4;
 
 /// Terms of the deployment
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -40,7 +42,7 @@
         expire(&mut self.requests, terms.window, now);
         expire(&mut self.repeats, terms.window, now);
         let share = terms.ratio * SHARE_USED * self.requests.len() as f64;
-        let slack = terms.slack * SHARE_USED / instances.max(1) as f64;
+        let slack = terms.slack * SLACK_USED / instances.max(1) as f64;
         let has_one = (self.repeats.len() as f64) + 1.0 <= share + slack;
         if has_one {
             self.repeats.push_back(now);
--- a/crates/decide/src/serving/load.rs
+++ b/crates/decide/src/serving/load.rs
@@ -39,6 +39,7 @@
 pub struct FleetLoad {
     own: IndexMap<EndpointId, WorkCount>,
     peers: IndexMap<InstanceId, PeerLoad>,
+    most_instances: usize,
 }
 
 impl FleetLoad {
@@ -74,6 +75,12 @@
         now: Instant,
     ) {
         self.peers.insert(instance, PeerLoad { heard_at: now, work });
+        self.most_instances = self.most_instances.max(self.instances());
+    }
+
+    /// Notes how many instances are listed, this one included
+    pub fn listed(&mut self, instances: usize) {
+        self.most_instances = self.most_instances.max(instances);
     }
 
     /// Drops instances that have been silent
@@ -86,6 +93,11 @@
         self.peers.len() + 1
     }
 
+    /// Most instances ever heard of or listed; one that is cut off doesn't take the others for gone
+    pub fn most_instances(&self) -> usize {
+        self.most_instances.max(1)
+    }
+
     /// This instance's work
     pub fn own(&self) -> &IndexMap<EndpointId, WorkCount> {
         &self.own
--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -4,6 +4,7 @@
 //! knows how they travel, reads a clock or draws a random number of its own.
 
 pub mod budget;
+pub mod health;
 pub mod load;
 pub mod pick;
 pub mod prompt;
--- a/crates/decide/src/serving/pick.rs
+++ b/crates/decide/src/serving/pick.rs
@@ -74,6 +74,8 @@
         /// Engine that generates
         decode: EnginePick,
     },
+    /// The prompt has been read already; this engine generates
+    Decode(EnginePick),
 }
 
 impl GenerationPlan {
@@ -84,6 +86,7 @@
             GenerationPlan::Split { prefill, decode } => {
                 prefill.expected_ms + HANDOVER_MS + decode.expected_ms + FIRST_TOKEN_MS
             }
+            GenerationPlan::Decode(pick) => HANDOVER_MS + pick.expected_ms + FIRST_TOKEN_MS,
         }
     }
 }
@@ -99,6 +102,17 @@
     NoEngine,
 }
 
+/// What has been done of a generation's prompt
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum PromptProgress {
+    /// Nothing
+    Unread,
+    /// An engine has read it and holds its cache
+    Held,
+    /// An engine has read it for nothing; a second reading apart would count as a repeated send
+    Lost,
+}
+
 /// Generation that a way is wanted for
 #[derive(Debug, Clone)]
 pub struct GenerationRequest<'a> {
@@ -110,6 +124,8 @@
     pub excluded: &'a [EndpointId],
     /// Time within which the first token is wanted
     pub objective: Duration,
+    /// What has been done of the prompt
+    pub progress: PromptProgress,
 }
 
 impl GenerationRequest<'_> {
@@ -118,7 +134,9 @@
     }
 
     fn may_split(&self) -> bool {
-        !self.is_long() && self.prompt.prompt_tokens >= MIN_SPLIT_TOKENS
+        self.progress == PromptProgress::Unread
+            && !self.is_long()
+            && self.prompt.prompt_tokens >= MIN_SPLIT_TOKENS
     }
 
     fn allowed_ms(&self) -> f64 {
@@ -146,7 +164,10 @@
     endpoints: &[ListedEndpoint],
     load: &FleetLoad,
 ) -> PlanOutcome {
-    let whole = best_whole(request, endpoints, load).map(GenerationPlan::Whole);
+    let whole = match request.progress {
+        PromptProgress::Held => best_decode(request, endpoints, load).map(GenerationPlan::Decode),
+        _ => best_whole(request, endpoints, load).map(GenerationPlan::Whole),
+    };
     let split = if request.may_split() { best_split(request, endpoints, load) } else { None };
     let ways = [whole, split].into_iter().flatten();
     let Some(best) = ways.min_by(|one, other| one.expected_ms().total_cmp(&other.expected_ms()))
@@ -168,12 +189,19 @@
     let holder = preferred(request.prompt, &readers);
     let reads = readers.iter().map(|it| read_pick(request, it, holder, load, prefill_ms));
     let prefill = quickest(reads)?;
-    let writers = usable(request, endpoints, EngineRole::Mixed);
-    let decodes = writers.iter().map(|it| decode_pick(request, it, load));
-    let decode = quickest(decodes)?;
+    let decode = best_decode(request, endpoints, load)?;
     Some(GenerationPlan::Split { prefill, decode })
 }
 
+fn best_decode(
+    request: &GenerationRequest<'_>,
+    endpoints: &[ListedEndpoint],
+    load: &FleetLoad,
+) -> Option<EnginePick> {
+    let engines = usable(request, endpoints, EngineRole::Mixed);
+    quickest(engines.iter().map(|it| decode_pick(request, it, load)))
+}
+
 fn best_whole(
     request: &GenerationRequest<'_>,
     endpoints: &[ListedEndpoint],
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,21 +3,26 @@
 use crate::connections::{EndpointConnection, ExchangeError};
 use crate::state::{Gateway, WorkTicket};
 use bytes::Bytes;
+use decide::serving::health::SendResult;
 use decide::serving::roster::ListedEndpoint;
 use decide::serving::verdict::RunKnowledge;
 use http::request::Parts;
-use http::{HeaderMap, Request, StatusCode};
+use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use platform_adapter::answer::{AnswerHead, decode_answer};
+use platform_adapter::engine::{cache_path, call_headers};
 use platform_adapter::head::{SendTerms, endpoint_headers};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Largest answer that is held whole, in bytes; plain services answer with about a kilobyte.
 const MAX_WHOLE_ANSWER: usize = 4 * 1024 * 1024;
 
+/// Longest time for a call that serves no client.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Request as it came from the client
 pub struct ClientRequest {
     /// Head
@@ -51,6 +56,23 @@
 impl std::error::Error for SendError {}
 
 impl SendError {
+    /// What the failure says of the endpoint; `None` if it only was full
+    pub fn result(&self) -> Option<SendResult> {
+        match self {
+            SendError::Declined(StatusCode::MISDIRECTED_REQUEST) => Some(SendResult::Misdirected),
+            SendError::Declined(_) | SendError::Unusable => None,
+            SendError::Exchange(ExchangeError::Unsent) => None,
+            SendError::Exchange(ExchangeError::Connect(_) | ExchangeError::ConnectTimedOut) => {
+                Some(SendResult::Unreachable)
+            }
+            SendError::Exchange(ExchangeError::Broken(_))
+            | SendError::Foreign
+            | SendError::BrokenOff
+            | SendError::TimedOut => Some(SendResult::Failed),
+            SendError::Prefill(error) => error.result(),
+        }
+    }
+
     /// What is known of the request
     pub fn knowledge(&self) -> RunKnowledge {
         match self {
@@ -173,6 +195,29 @@
     Ok(WholeAnswer { status: head.status, headers, body })
 }
 
+/// Frees the cache of a prompt that no engine will fetch
+///
+/// # Errors
+/// `SendError`; the engine frees it by itself later.
+pub async fn free_cache(
+    gateway: &Gateway,
+    engine: &ListedEndpoint,
+    source: &str,
+) -> Result<(), SendError> {
+    let path = cache_path(source).ok_or(SendError::Unusable)?;
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.method_mut() = Method::DELETE;
+    *request.uri_mut() = path.parse().map_err(|_| SendError::Unusable)?;
+    *request.headers_mut() = call_headers(engine);
+    let mut connection =
+        gateway.connections.take(engine, false).await.map_err(SendError::Exchange)?;
+    let answer = timeout(CALL_TIMEOUT, connection.exchange(request))
+        .await
+        .map_err(|_| SendError::TimedOut)?
+        .map_err(SendError::Exchange)?;
+    if answer.status().is_success() { Ok(()) } else { Err(SendError::Declined(answer.status())) }
+}
+
 fn outgoing(request: &ClientRequest, terms: &SendTerms) -> Option<Request<Full<Bytes>>> {
     let path = request.parts.uri.path_and_query()?.as_str();
     let mut outgoing = Request::new(Full::new(request.body.clone()));
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -183,5 +183,6 @@
         log::info!("event=endpoints_changed offset={} new={new:?} gone={gone:?}", batch.end);
     }
     gateway.meters.endpoints_ready.set(i64::try_from(after.len()).unwrap_or(i64::MAX));
+    gateway.health.borrow_mut().retain(|id| after.contains(id));
     gateway.connections.expire(now);
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -8,8 +8,10 @@
 use crate::state::{Gateway, WorkTicket};
 use bytes::Bytes;
 use catalogue::id::{EndpointId, PoolName};
-use decide::serving::pick::pick_service;
+use decide::serving::health::SendResult;
+use decide::serving::pick::{PromptProgress, pick_service};
 use decide::serving::prompt::PromptShape;
+use decide::serving::roster::ListedEndpoint;
 use decide::serving::route::{RepeatRule, ServiceRoute};
 use decide::serving::verdict::{NextStep, RunKnowledge, SendHistory};
 use http::header::{CONNECTION, HeaderValue};
@@ -52,6 +54,8 @@
     pub history: SendHistory,
     /// Endpoints not to be tried again
     pub excluded: Vec<EndpointId>,
+    /// What has been done of its prompt
+    pub progress: PromptProgress,
     failed_connects: u32,
 }
 
@@ -73,8 +77,17 @@
     }
 
     /// Notes a failed send to an endpoint
-    pub fn note_failure(&mut self, gateway: &Gateway, endpoint: &EndpointId, error: &SendError) {
+    pub fn note_failure(
+        &mut self,
+        gateway: &Gateway,
+        endpoint: &ListedEndpoint,
+        error: &SendError,
+    ) {
         let knowledge = error.knowledge();
+        if let Some(result) = error.result() {
+            gateway.note_result(endpoint, result);
+        }
+        let endpoint = &endpoint.id;
         log::info!(
             "event=send_failed id={} endpoint={endpoint} knowledge={knowledge:?} sends={} error=\"{error}\"",
             self.request.id,
@@ -208,6 +221,7 @@
         deadline,
         history: SendHistory::new(),
         excluded: Vec::new(),
+        progress: PromptProgress::Unread,
         failed_connects: 0,
         request: ClientRequest { parts, body, id: head.id },
     })
@@ -256,19 +270,23 @@
                 if answer.status.is_server_error() && call.route.repeat.allows_second_run() =>
             {
                 gateway.meters.sent(&call.pool, "server_error");
+                gateway.note_result(endpoint, SendResult::Failed);
                 call.history.note(RunKnowledge::MayHaveRun);
                 call.excluded.push(endpoint.id.clone());
                 failed = Some(answer);
             }
             Ok(answer) => {
                 gateway.meters.sent(&call.pool, "answered");
+                let is_error = answer.status.is_server_error();
+                let result = if is_error { SendResult::Failed } else { SendResult::Answered };
+                gateway.note_result(endpoint, result);
                 record.endpoint = endpoint.id.clone();
                 record.finish("answered", answer.status.as_str());
                 return Ok(relayed(answer));
             }
             Err(error) => {
                 reason = failure_name(&error);
-                call.note_failure(gateway, &endpoint.id, &error);
+                call.note_failure(gateway, endpoint, &error);
             }
         }
     }
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -5,7 +5,7 @@
 //! continued on another engine where the route allows it, else the client's connection
 //! is broken too.
 
-use crate::attempt::{OpenAnswer, SendError, SendTarget, read_whole, send};
+use crate::attempt::{OpenAnswer, SendError, SendTarget, free_cache, read_whole, send};
 use crate::body::AnswerBody;
 use crate::error::RelayError;
 use crate::events::EventSplitter;
@@ -14,13 +14,14 @@
 use async_stream::try_stream;
 use bytes::Bytes;
 use catalogue::id::EndpointId;
+use decide::serving::health::SendResult;
 use decide::serving::pick::{
-    EnginePick, GenerationPlan, GenerationRequest, PlanOutcome, plan_generation,
+    EnginePick, GenerationPlan, GenerationRequest, PlanOutcome, PromptProgress, plan_generation,
 };
 use decide::serving::roster::ListedEndpoint;
 use decide::serving::route::RepeatRule;
 use decide::serving::verdict::RunKnowledge;
-use http::Response;
+use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use platform_adapter::answer::client_headers;
 use platform_adapter::engine::decode_cache_source;
@@ -81,6 +82,7 @@
     mut record: RequestRecord,
 ) -> Result<Response<AnswerBody>, (Refusal, RequestRecord)> {
     let mut reason = "no_endpoint";
+    let mut cache = None;
     while call.may_send() {
         let way = match plan(gateway, &call) {
             Ok(way) => way,
@@ -93,19 +95,21 @@
             reason = "no_budget";
             break;
         }
-        match start(gateway, &call, way, None).await {
+        match start(gateway, &mut call, &mut cache, way, None).await {
             Ok((engine, Started::Failed(response))) => {
                 gateway.meters.sent(&call.pool, "server_error");
-                record.endpoint = engine;
+                gateway.note_result(&engine, SendResult::Failed);
+                record.endpoint = engine.id;
                 record.finish("answered", response.status().as_str());
                 return Ok(response);
             }
             Ok((engine, Started::Streaming(stream, first))) => {
                 gateway.meters.sent(&call.pool, "answered");
-                record.endpoint = engine.clone();
+                gateway.note_result(&engine, SendResult::Answered);
+                record.endpoint = engine.id.clone();
                 record.first_byte();
                 call.history.note(RunKnowledge::MayHaveRun);
-                call.excluded.push(engine);
+                call.excluded.push(engine.id);
                 return Ok(respond(gateway.clone(), call, record, stream, first));
             }
             Err((engine, error)) => {
@@ -143,6 +147,7 @@
         zone: &gateway.settings.zone,
         excluded: &call.excluded,
         objective: call.route.objective,
+        progress: call.progress,
     };
     let outcome = plan_generation(&request, &endpoints, &gateway.load.borrow());
     let plan = match outcome {
@@ -171,7 +176,7 @@
         find(&pick.endpoint).map(|engine| EngineStep { engine, parts_source, ticket })
     };
     let (prefill, generate) = match &plan {
-        GenerationPlan::Whole(pick) => (None, step(pick)),
+        GenerationPlan::Whole(pick) | GenerationPlan::Decode(pick) => (None, step(pick)),
         GenerationPlan::Split { prefill, decode } => (step(prefill), step(decode)),
     };
     generate.map(|generate| EngineWay { prefill, generate }).ok_or("no_endpoint")
@@ -186,6 +191,7 @@
     };
     match plan {
         GenerationPlan::Whole(pick) => engine("whole", pick),
+        GenerationPlan::Decode(pick) => engine("decode", pick),
         GenerationPlan::Split { prefill, decode } => {
             format!("{} {}", engine("prefill", prefill), engine("decode", decode))
         }
@@ -195,51 +201,95 @@
 /// Sends on a way and waits for the first event; the engine that it came to goes with the result
 async fn start(
     gateway: &Rc<Gateway>,
-    call: &ServingCall,
+    call: &mut ServingCall,
+    cache: &mut Option<HeldCache>,
     way: EngineWay,
     resume_after: Option<SmolStr>,
-) -> Result<(EndpointId, Started), (EndpointId, SendError)> {
-    let part = match way.prefill {
-        None => EnginePart::Whole,
-        Some(step) => {
-            let engine = step.engine.id.clone();
-            match prefill(gateway, call, step).await {
-                Ok(source) => EnginePart::Decode { source },
-                Err(error) => return Err((engine, SendError::Prefill(Box::new(error)))),
+) -> Result<(ListedEndpoint, Started), (ListedEndpoint, SendError)> {
+    if let Some(step) = way.prefill {
+        let engine = step.engine.clone();
+        match prefill(gateway, call, step).await {
+            Ok(held) => {
+                gateway.note_result(&engine, SendResult::Answered);
+                *cache = Some(held);
+                call.progress = PromptProgress::Held;
             }
+            Err(error) => return Err((engine, SendError::Prefill(Box::new(error)))),
         }
+    }
+    let part = match cache.as_ref() {
+        Some(held) => EnginePart::Decode { source: held.source.clone() },
+        None => EnginePart::Whole,
     };
-    let engine = way.generate.engine.id.clone();
-    match generate(gateway, call, way.generate, part, resume_after).await {
+    let engine = way.generate.engine.clone();
+    let started = generate(gateway, call, way.generate, part, resume_after).await;
+    let is_untouched = started.as_ref().is_err_and(|it| {
+        it.knowledge() == RunKnowledge::NotRun
+            && !matches!(it, SendError::Declined(StatusCode::SERVICE_UNAVAILABLE))
+    });
+    if !is_untouched && let Some(held) = cache.take() {
+        call.progress = PromptProgress::Lost;
+        held.taken();
+    }
+    match started {
         Ok(started) => Ok((engine, started)),
         Err(error) => Err((engine, error)),
     }
 }
 
-/// Has an engine read the prompt; returns where the cache lies
+/// Cache of a prompt at the engine that read it; freed when dropped untaken
+struct HeldCache {
+    gateway: Rc<Gateway>,
+    engine: ListedEndpoint,
+    source: SmolStr,
+    is_taken: bool,
+}
+
+impl HeldCache {
+    /// Notes that another engine has fetched it, or that it is gone
+    fn taken(mut self) {
+        self.is_taken = true;
+    }
+}
+
+impl Drop for HeldCache {
+    fn drop(&mut self) {
+        if self.is_taken {
+            return;
+        }
+        let gateway = self.gateway.clone();
+        let engine = self.engine.clone();
+        let source = self.source.clone();
+        tokio::task::spawn_local(async move {
+            if let Err(error) = free_cache(&gateway, &engine, &source).await {
+                log::info!("event=cache_not_freed engine={} error=\"{error}\"", engine.id);
+            }
+        });
+    }
+}
+
+/// Has an engine read the prompt; returns its cache
 async fn prefill(
     gateway: &Rc<Gateway>,
     call: &ServingCall,
     step: EngineStep,
-) -> Result<SmolStr, SendError> {
+) -> Result<HeldCache, SendError> {
     let mut terms = call.terms(&step.engine.id, EnginePart::Prefill);
     terms.parts_source = step.parts_source;
     let engine = step.engine;
     let sent_at = Instant::now();
     let target =
         SendTarget { endpoint: &engine, ticket: step.ticket, once: false, is_signed: false };
-    let answer = send(gateway, target, &call.request, &terms, call.deadline).await;
-    let answer = match answer {
-        Ok(answer) => read_whole(gateway, answer, call.deadline).await?,
-        Err(error) => return Err(error),
-    };
+    let answer = send(gateway, target, &call.request, &terms, call.deadline).await?;
+    let answer = read_whole(gateway, answer, call.deadline).await?;
     log::info!(
         "event=prompt_read id={} engine={} took_ms={}",
         call.request.id,
         engine.id,
         sent_at.elapsed().as_millis(),
     );
-    decode_cache_source(&engine, &answer.body).map_err(|_| SendError::Foreign)
+    let source = decode_cache_source(&engine, &answer.body).map_err(|_| SendError::Foreign)?;
+    Ok(HeldCache { gateway: gateway.clone(), engine, source, is_taken: false })
 }
 
 async fn generate(
@@ -327,6 +377,7 @@
     error: &SendError,
     last: Option<SmolStr>,
 ) -> Option<(LiveStream, StreamPart)> {
+    let mut cache = None;
     log::info!(
         "event=stream_broken id={} after={last:?} sends={} error=\"{error}\"",
         call.request.id,
@@ -337,10 +388,10 @@
         if !call.take_send(gateway) {
             return None;
         }
-        match start(gateway, call, way, last.clone()).await {
+        match start(gateway, call, &mut cache, way, last.clone()).await {
             Ok((engine, Started::Streaming(stream, part))) => {
                 call.history.note(RunKnowledge::MayHaveRun);
-                call.excluded.push(engine);
+                call.excluded.push(engine.id);
                 return Some((stream, part));
             }
             Ok((_, Started::Failed(_))) => return None,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -109,6 +109,7 @@
                 peers.borrow_mut().insert(record.key.clone(), peer);
             }
         }
+        gateway.load.borrow_mut().listed(peers.borrow().len() + 1);
         if is_listed {
             sleep(ADDRESS_PAUSE).await;
             continue;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,6 +7,7 @@
 use crate::meters::GatewayMeters;
 use catalogue::id::{EndpointId, PoolName};
 use decide::serving::budget::RepeatBudget;
+use decide::serving::health::{EndpointHealth, SendResult};
 use decide::serving::load::FleetLoad;
 use decide::serving::roster::{EndpointRoster, ListedEndpoint};
 use decide::serving::route::ServingConfig;
@@ -32,6 +33,8 @@
     pub roster: RefCell<EndpointRoster>,
     /// When the endpoints were last read
     pub roster_read_at: Cell<Option<Instant>>,
+    /// Endpoints that are left alone for a while
+    pub health: RefCell<EndpointHealth>,
     /// Work in flight
     pub load: RefCell<FleetLoad>,
     /// Budgets of repeated sends by pool
@@ -62,6 +65,7 @@
             config_read_at: Cell::default(),
             roster: RefCell::default(),
             roster_read_at: Cell::default(),
+            health: RefCell::default(),
             load: RefCell::default(),
             budgets: RefCell::default(),
             connections: EndpointConnections::default(),
@@ -82,7 +86,15 @@
     /// Endpoints of a pool that take new work
     pub fn ready_endpoints(&self, pool: &PoolName) -> Vec<ListedEndpoint> {
         let roster = self.roster.borrow();
-        roster.ready().filter(|it| it.pool == *pool).cloned().collect()
+        let endpoints = roster.ready().filter(|it| it.pool == *pool).cloned().collect();
+        self.health.borrow().usable(endpoints, Instant::now())
+    }
+
+    /// Notes what came of a send
+    pub fn note_result(&self, endpoint: &ListedEndpoint, result: SendResult) {
+        if self.health.borrow_mut().note(endpoint, result, Instant::now()) {
+            log::info!("event=endpoint_paused endpoint={} result={result:?}", endpoint.id);
+        }
     }
 
     /// Notes a first send to a pool
@@ -94,7 +106,7 @@
 
     /// Takes a repeated send to a pool, if there is one left
     pub fn take_repeat(&self, pool: &PoolName, now: Instant) -> bool {
-        let instances = self.load.borrow().instances();
+        let instances = self.load.borrow().most_instances();
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(pool.clone()).or_default();
         let has_one = budget.take(&self.settings.repeat_budget, instances, now);
