Let requests that have waited before take what first attempts leave

Cause: under overload four in ten served requests were returns whose answer was late already, in the places of first attempts that could still be in time. Ruled out: more capacity from placement; engines were near what their sheet allows. Change: decide::serving::patience tells returns by their time left against the most seen lately; they are admitted up to 0.35 of the objective instead of 0.75. Retry-After is 350 to 550 ms, since a shorter one met the same overload. Tests: returning_wave_yields_to_first_attempts, returning_wave_is_served_while_there_is_room, first_attempts_vary_but_returns_stand_out, and the other patterns of serving_choice.

--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -6,6 +6,7 @@
 pub mod budget;
 pub mod health;
 pub mod load;
+pub mod patience;
 pub mod pick;
 pub mod prompt;
 pub mod roster;
--- a/crates/decide/src/serving/pick.rs
+++ b/crates/decide/src/serving/pick.rs
@@ -46,6 +46,8 @@
 const OTHER_ZONE_MS: f64 = 4.0;
 /// Part of the objective that the estimate may take.
 const OBJECTIVE_PART: f64 = 0.75;
+/// The same for a request that is late already: it takes what first attempts leave.
+const LATE_OBJECTIVE_PART: f64 = 0.35;
 
 /// Engine picked for a part of a generation
 #[derive(Debug, Clone, PartialEq)]
@@ -126,6 +128,8 @@
     pub objective: Duration,
     /// What has been done of the prompt
     pub progress: PromptProgress,
+    /// Whether the client was refused before, so that its answer is late already
+    pub has_waited: bool,
 }
 
 impl GenerationRequest<'_> {
@@ -140,7 +144,8 @@
     }
 
     fn allowed_ms(&self) -> f64 {
-        self.objective.as_secs_f64() * 1000.0 * OBJECTIVE_PART
+        let part = if self.has_waited { LATE_OBJECTIVE_PART } else { OBJECTIVE_PART };
+        self.objective.as_secs_f64() * 1000.0 * part
     }
 }
 
--- /dev/null
+++ b/crates/decide/tests/serving_choice.rs
@@ -0,0 +1,274 @@
+//! Choice of endpoints under load, pattern by pattern.
+
+use catalogue::EngineRole;
+use catalogue::id::EndpointId;
+use decide::serving::load::{FleetLoad, WorkCount};
+use decide::serving::patience::PatiencePeak;
+use decide::serving::pick::{
+    GenerationPlan, GenerationRequest, PlanOutcome, PromptProgress, pick_service, plan_generation,
+};
+use decide::serving::prompt::{PromptPart, PromptShape};
+use decide::serving::roster::ListedEndpoint;
+use googletest::prelude::*;
+use indexmap::IndexMap;
+use std::time::{Duration, Instant};
+use testcases::cases;
+
+cases! {
+    idle_engines_share_prompts_by_affinity => affinity_is_stable(),
+    prompts_with_one_start_spread_by_their_own_parts => affinity_spreads(),
+    long_prompt_burst_goes_to_prefill_engines => burst_is_split(),
+    short_prompts_stay_on_one_engine => short_is_whole(),
+    long_outputs_stay_on_one_engine => long_output_is_whole(),
+    overload_is_refused_at_once => overload_is_refused(),
+    returning_wave_yields_to_first_attempts => returning_wave(),
+    returning_wave_is_served_while_there_is_room => returning_wave_with_room(),
+    queue_of_another_instance_is_avoided => peers_work_counts(),
+    silent_instance_no_longer_counts => silent_peer(),
+    read_prompt_goes_to_the_freest_engine => held_prompt(),
+    read_prompt_is_not_read_apart_again => lost_prompt(),
+    no_engine_is_told_apart_from_full_engines => no_engine(),
+    excluded_engine_is_not_tried_again => excluded(),
+    service_in_the_own_zone_goes_first => own_zone_first(),
+    busy_service_in_the_own_zone_is_passed_over => other_zone_when_busy(),
+    first_attempts_vary_but_returns_stand_out => patience(),
+}
+
+fn engine(id: &str, role: EngineRole) -> ListedEndpoint {
+    ListedEndpoint {
+        id: id.into(),
+        pool: "engines".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "zone-a".into(),
+        slots: 6,
+        is_ready: true,
+        role: Some(role),
+        started_at_ms: 1,
+    }
+}
+
+fn service(id: &str, zone: &str) -> ListedEndpoint {
+    ListedEndpoint { zone: zone.into(), role: None, ..engine(id, EngineRole::Mixed) }
+}
+
+/// Engines as on a site: five that generate, two that only read
+fn fleet() -> Vec<ListedEndpoint> {
+    let mut engines =
+        (0..5).map(|it| engine(&format!("m{it}"), EngineRole::Mixed)).collect::<Vec<_>>();
+    engines.extend((0..2).map(|it| engine(&format!("p{it}"), EngineRole::Prefill)));
+    engines
+}
+
+fn prompt(session: usize, own: u32, output: u32) -> PromptShape {
+    let part = |id: String, tokens| PromptPart { id: id.into(), tokens };
+    PromptShape {
+        prompt_tokens: 6300 + own,
+        output_tokens: output,
+        parts: vec![
+            part("start".into(), 2520),
+            part(format!("session-{session}"), 3780),
+            part(format!("own-{session}"), own),
+        ],
+    }
+}
+
+fn plan_with(
+    load: &FleetLoad,
+    prompt: &PromptShape,
+    change: impl Fn(&mut GenerationRequest<'_>),
+) -> PlanOutcome {
+    let zone = "zone-a".into();
+    let mut request = GenerationRequest {
+        prompt,
+        zone: &zone,
+        excluded: &[],
+        objective: Duration::from_millis(120),
+        progress: PromptProgress::Unread,
+        has_waited: false,
+    };
+    change(&mut request);
+    plan_generation(&request, &fleet(), load)
+}
+
+fn plan(load: &FleetLoad, prompt: &PromptShape) -> PlanOutcome {
+    plan_with(load, prompt, |_| {})
+}
+
+/// Load with the same work on every engine
+fn even_load(requests: u32, unread_tokens: u64) -> FleetLoad {
+    let mut load = FleetLoad::default();
+    for engine in fleet() {
+        for _ in 0..requests {
+            load.sent(&engine.id, unread_tokens / u64::from(requests));
+        }
+    }
+    load
+}
+
+fn whole(outcome: PlanOutcome) -> EndpointId {
+    match outcome {
+        PlanOutcome::Plan(GenerationPlan::Whole(pick)) => pick.endpoint,
+        other => panic!("not on one engine: {other:?}"),
+    }
+}
+
+fn affinity_is_stable() -> Result<()> {
+    let load = FleetLoad::default();
+    let first = whole(plan(&load, &prompt(1, 500, 390)));
+    for _ in 0..10 {
+        verify_that!(whole(plan(&load, &prompt(1, 500, 390))), eq(&first))?;
+    }
+    Ok(())
+}
+
+fn affinity_spreads() -> Result<()> {
+    let load = FleetLoad::default();
+    let mut counts = IndexMap::<EndpointId, usize>::new();
+    for session in 0..500 {
+        *counts.entry(whole(plan(&load, &prompt(session, 500, 390)))).or_default() += 1;
+    }
+    verify_that!(counts.len(), eq(5))?;
+    verify_that!(counts.values().max(), some(le(&160)))
+}
+
+fn burst_is_split() -> Result<()> {
+    let load = even_load(3, 1500);
+    let outcome = plan(&load, &prompt(1, 6000, 390));
+    let PlanOutcome::Plan(GenerationPlan::Split { prefill, decode }) = outcome else {
+        return fail!("not split: {outcome:?}");
+    };
+    verify_that!(prefill.endpoint.as_str(), starts_with("p"))?;
+    verify_that!(decode.endpoint.as_str(), starts_with("m"))
+}
+
+fn short_is_whole() -> Result<()> {
+    let load = even_load(3, 1500);
+    let short = PromptShape { prompt_tokens: 220, output_tokens: 390, parts: Vec::new() };
+    verify_that!(whole(plan(&load, &short)).as_str(), starts_with("m"))
+}
+
+fn long_output_is_whole() -> Result<()> {
+    let load = even_load(3, 1500);
+    verify_that!(whole(plan(&load, &prompt(1, 6000, 13_845))).as_str(), starts_with("m"))
+}
+
+fn overload_is_refused() -> Result<()> {
+    let load = even_load(12, 60_000);
+    verify_that!(plan(&load, &prompt(1, 2890, 390)), matches_pattern!(PlanOutcome::Full(gt(&90.0))))
+}
+
+fn returning_wave() -> Result<()> {
+    let load = even_load(7, 14_000);
+    let first = plan(&load, &prompt(1, 500, 390));
+    verify_that!(first, matches_pattern!(PlanOutcome::Plan(anything())))?;
+    let back = plan_with(&load, &prompt(1, 500, 390), |it| it.has_waited = true);
+    verify_that!(back, matches_pattern!(PlanOutcome::Full(anything())))
+}
+
+fn returning_wave_with_room() -> Result<()> {
+    let back = plan_with(&even_load(1, 0), &prompt(1, 2890, 390), |it| it.has_waited = true);
+    verify_that!(back, matches_pattern!(PlanOutcome::Plan(anything())))
+}
+
+fn peers_work_counts() -> Result<()> {
+    let mut load = FleetLoad::default();
+    let home = whole(plan(&load, &prompt(1, 500, 390)));
+    let work = WorkCount { requests: 9, unread_tokens: 20_000 };
+    load.heard("peer".into(), [(home.clone(), work)].into_iter().collect(), Instant::now());
+    verify_that!(whole(plan(&load, &prompt(1, 500, 390))), not(eq(&home)))
+}
+
+fn silent_peer() -> Result<()> {
+    let mut load = FleetLoad::default();
+    let now = Instant::now();
+    let work = WorkCount { requests: 9, unread_tokens: 0 };
+    load.heard("peer".into(), [("m0".into(), work)].into_iter().collect(), now);
+    verify_that!(load.total_at(&"m0".into()).requests, eq(9))?;
+    load.expire(now + Duration::from_secs(3));
+    verify_that!(load.total_at(&"m0".into()).requests, eq(0))?;
+    verify_that!(load.most_instances(), eq(2))
+}
+
+fn held_prompt() -> Result<()> {
+    let mut load = even_load(3, 0);
+    load.ended(&"m2".into());
+    let held = plan_with(&load, &prompt(1, 9000, 390), |it| it.progress = PromptProgress::Held);
+    let PlanOutcome::Plan(GenerationPlan::Decode(pick)) = held else {
+        return fail!("not generated from the cache: {held:?}");
+    };
+    verify_that!(pick.endpoint.as_str(), eq("m2"))
+}
+
+fn lost_prompt() -> Result<()> {
+    let load = even_load(3, 1500);
+    let lost = plan_with(&load, &prompt(1, 6000, 390), |it| it.progress = PromptProgress::Lost);
+    verify_that!(whole(lost).as_str(), starts_with("m"))
+}
+
+fn no_engine() -> Result<()> {
+    let zone = "zone-a".into();
+    let prompt = prompt(1, 500, 390);
+    let request = GenerationRequest {
+        prompt: &prompt,
+        zone: &zone,
+        excluded: &[],
+        objective: Duration::from_millis(120),
+        progress: PromptProgress::Unread,
+        has_waited: false,
+    };
+    let readers = [engine("p0", EngineRole::Prefill)];
+    verify_that!(
+        plan_generation(&request, &readers, &FleetLoad::default()),
+        eq(&PlanOutcome::NoEngine)
+    )
+}
+
+fn excluded() -> Result<()> {
+    let load = FleetLoad::default();
+    let prompt = prompt(1, 500, 390);
+    let home = whole(plan(&load, &prompt));
+    let zone = "zone-a".into();
+    let request = GenerationRequest {
+        prompt: &prompt,
+        zone: &zone,
+        excluded: std::slice::from_ref(&home),
+        objective: Duration::from_millis(120),
+        progress: PromptProgress::Unread,
+        has_waited: false,
+    };
+    verify_that!(whole(plan_generation(&request, &fleet(), &load)), not(eq(&home)))
+}
+
+fn own_zone_first() -> Result<()> {
+    let services = [service("s1", "zone-b"), service("s2", "zone-a"), service("s3", "zone-c")];
+    let load = FleetLoad::default();
+    for draw in 0..20 {
+        let picked = pick_service(services.iter(), &load, &"zone-a".into(), &[], draw);
+        verify_that!(picked.expect("one").id.as_str(), eq("s2"))?;
+    }
+    Ok(())
+}
+
+fn other_zone_when_busy() -> Result<()> {
+    let services = [service("s1", "zone-b"), service("s2", "zone-a")];
+    let mut load = FleetLoad::default();
+    for _ in 0..4 {
+        load.sent(&"s2".into(), 0);
+    }
+    let picked = pick_service(services.iter(), &load, &"zone-a".into(), &[], 1);
+    verify_that!(picked.expect("one").id.as_str(), eq("s1"))
+}
+
+fn patience() -> Result<()> {
+    let mut peak = PatiencePeak::default();
+    let now = Instant::now();
+    let milliseconds = Duration::from_millis;
+    for left in [1900, 1720, 2000, 1700, 1999] {
+        verify_that!(peak.has_waited(milliseconds(left), now), eq(false))?;
+    }
+    verify_that!(peak.has_waited(milliseconds(1640), now), eq(true))?;
+    // Clients with less time throughout are not taken for returning ones for long.
+    let later = now + Duration::from_secs(21);
+    verify_that!(peak.has_waited(milliseconds(1000), later), eq(false))?;
+    verify_that!(peak.has_waited(milliseconds(900), later), eq(false))
+}
--- /dev/null
+++ b/crates/decide/tests/serving_state.rs
@@ -0,0 +1,322 @@
+//! Routes, endpoints, health, budgets and what may be said of a request.
+
+use catalogue::EngineRole;
+use decide::serving::budget::{BudgetTerms, RepeatBudget};
+use decide::serving::health::{EndpointHealth, SendResult};
+use decide::serving::roster::{EndpointRoster, LAPSE_GRACE, ListedEndpoint, RosterChange};
+use decide::serving::route::{ClientLimits, RepeatRule, RouteTarget, ServiceRoute, ServingConfig};
+use decide::serving::verdict::{NextStep, RunKnowledge, SendHistory};
+use googletest::prelude::*;
+use proptest::prelude::{ProptestConfig, any, prop};
+use proptest::{prop_assert, proptest};
+use std::time::{Duration, Instant};
+use testcases::cases;
+
+cases! {
+    longest_prefix_wins => route_of("host.example", "/a/b/c", Some("long")),
+    shorter_prefix_takes_the_rest => route_of("host.example", "/a/x", Some("short")),
+    host_is_told_apart => route_of("other.example", "/a/x", None),
+    host_ignores_case_and_port => route_of("HOST.example:8080", "/a/x", Some("short")),
+    path_outside_all_prefixes_has_no_route => route_of("host.example", "/b/", None),
+    path_without_the_closing_slash_has_no_route => route_of("host.example", "/a", None),
+    older_configuration_replaces_nothing => versions(),
+    targets_are_drawn_by_weight => weights(),
+    older_record_changes_nothing => older_record(),
+    unusable_record_names_no_endpoint => unusable_record(),
+    removed_endpoint_is_gone_at_once => removed(),
+    lapsed_endpoint_has_a_grace_time => lapsed(),
+    lapsed_endpoint_that_comes_back_stays => lapsed_and_back(),
+    endpoint_missing_from_a_whole_reading_is_gone => missing(),
+    entry_newer_than_the_whole_reading_stays => newer_than_reading(),
+    unreachable_endpoint_is_paused_for_longer_each_time => pauses_double(),
+    answer_ends_a_pause => answer_ends_pause(),
+    misdirected_incarnation_is_gone_until_another_comes => misdirected(),
+    grey_endpoint_is_paused => grey(),
+    few_errors_pause_nobody => few_errors(),
+    many_paused_endpoints_are_used_all_the_same => too_many_paused(),
+    budget_is_shared_by_instances => budget_shared(),
+    budget_window_slides => budget_slides(),
+    declined_request_may_be_refused => verdict(&[RunKnowledge::NotRun], NextStep::Refuse),
+    request_that_may_have_run_is_never_refused =>
+        verdict(&[RunKnowledge::MayHaveRun, RunKnowledge::NotRun], NextStep::Fail),
+    once_only_request_is_not_sent_after_a_possible_run => once(),
+    attempts_are_bounded => attempts(),
+}
+
+fn route(name: &str, prefix: &str) -> ServiceRoute {
+    ServiceRoute {
+        name: name.into(),
+        host: "host.example".into(),
+        path_prefix: prefix.into(),
+        is_stream: false,
+        repeat: RepeatRule::Once,
+        timeout: Duration::from_secs(2),
+        objective: Duration::from_millis(100),
+        rank: 0,
+        targets: vec![RouteTarget { pool: "pool".into(), weight: 1 }],
+        max_attempts: 2,
+    }
+}
+
+fn config(version: u64) -> ServingConfig {
+    ServingConfig {
+        version,
+        routes: vec![route("short", "/a/"), route("long", "/a/b/")],
+        pools: Default::default(),
+        limits: ClientLimits {
+            max_head_bytes: 1,
+            max_body_bytes: 1,
+            head_timeout: Duration::ZERO,
+            idle_timeout: Duration::ZERO,
+        },
+    }
+}
+
+fn route_of(host: &str, path: &str, expected: Option<&str>) -> Result<()> {
+    let config = config(1);
+    verify_that!(config.route(host, path).map(|it| it.name.as_str()), eq(expected))
+}
+
+fn versions() -> Result<()> {
+    let current = config(5);
+    verify_that!(config(4).replaces(Some(&current)), eq(false))?;
+    verify_that!(config(5).replaces(Some(&current)), eq(false))?;
+    verify_that!(config(9).replaces(Some(&current)), eq(true))?;
+    verify_that!(config(1).replaces(None), eq(true))
+}
+
+fn weights() -> Result<()> {
+    let mut split = route("split", "/s/");
+    split.targets = vec![
+        RouteTarget { pool: "large".into(), weight: 90 },
+        RouteTarget { pool: "small".into(), weight: 10 },
+    ];
+    let large = (0..1000).filter(|it| split.target(f64::from(*it) / 1000.0).pool == "large");
+    verify_that!(large.count(), eq(900))
+}
+
+fn endpoint(id: &str) -> ListedEndpoint {
+    ListedEndpoint {
+        id: id.into(),
+        pool: "pool".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "zone-a".into(),
+        slots: 6,
+        is_ready: true,
+        role: Some(EngineRole::Mixed),
+        started_at_ms: 7,
+    }
+}
+
+fn listed(id: &str) -> RosterChange {
+    RosterChange::Listed(endpoint(id))
+}
+
+fn ids(roster: &EndpointRoster) -> Vec<&str> {
+    roster.ready().map(|it| it.id.as_str()).collect()
+}
+
+fn older_record() -> Result<()> {
+    let mut roster = EndpointRoster::default();
+    let now = Instant::now();
+    roster.apply("a".into(), listed("a"), 5, now);
+    verify_that!(roster.apply("a".into(), RosterChange::Removed, 4, now), eq(false))?;
+    verify_that!(ids(&roster), eq(&vec!["a"]))
+}
+
+fn unusable_record() -> Result<()> {
+    let mut roster = EndpointRoster::default();
+    let now = Instant::now();
+    roster.apply("a".into(), listed("a"), 1, now);
+    roster.apply("a".into(), RosterChange::Unusable, 2, now);
+    verify_that!(ids(&roster).len(), eq(0))
+}
+
+fn removed() -> Result<()> {
+    let mut roster = EndpointRoster::default();
+    let now = Instant::now();
+    roster.apply("a".into(), listed("a"), 1, now);
+    roster.apply("a".into(), RosterChange::Removed, 2, now);
+    verify_that!(ids(&roster).len(), eq(0))
+}
+
+fn lapsed() -> Result<()> {
+    let mut roster = EndpointRoster::default();
+    let now = Instant::now();
+    roster.apply("a".into(), listed("a"), 1, now);
+    roster.list_returned(now);
+    roster.apply("a".into(), RosterChange::Removed, 2, now);
+    verify_that!(ids(&roster), eq(&vec!["a"]))?;
+    roster.expire(now + LAPSE_GRACE);
+    verify_that!(ids(&roster).len(), eq(0))
+}
+
+fn lapsed_and_back() -> Result<()> {
+    let mut roster = EndpointRoster::default();
+    let now = Instant::now();
+    roster.apply("a".into(), listed("a"), 1, now);
+    roster.list_returned(now);
+    roster.apply("a".into(), RosterChange::Removed, 2, now);
+    roster.apply("a".into(), listed("a"), 3, now + Duration::from_secs(1));
+    roster.expire(now + LAPSE_GRACE);
+    verify_that!(ids(&roster), eq(&vec!["a"]))
+}
+
+fn missing() -> Result<()> {
+    let mut roster = EndpointRoster::default();
+    let now = Instant::now();
+    roster.apply("a".into(), listed("a"), 1, now);
+    roster.apply("b".into(), listed("b"), 2, now);
+    roster.retain_listed(9, |it| it == "b", now);
+    verify_that!(ids(&roster), eq(&vec!["b"]))
+}
+
+fn newer_than_reading() -> Result<()> {
+    let mut roster = EndpointRoster::default();
+    let now = Instant::now();
+    roster.apply("a".into(), listed("a"), 12, now);
+    roster.retain_listed(9, |_| false, now);
+    verify_that!(ids(&roster), eq(&vec!["a"]))
+}
+
+fn pool_of(count: usize) -> Vec<ListedEndpoint> {
+    (0..count).map(|it| endpoint(&format!("e{it}"))).collect()
+}
+
+fn usable(health: &EndpointHealth, now: Instant) -> usize {
+    health.usable(pool_of(6), now).len()
+}
+
+fn pauses_double() -> Result<()> {
+    let mut health = EndpointHealth::default();
+    let now = Instant::now();
+    let mut last = Duration::ZERO;
+    for _ in 0..3 {
+        health.note(&endpoint("e0"), SendResult::Unreachable, now);
+        let mut pause = Duration::ZERO;
+        while usable(&health, now + pause) < 6 {
+            pause += Duration::from_millis(50);
+        }
+        verify_that!(pause, gt(last))?;
+        last = pause;
+    }
+    verify_that!(last, le(Duration::from_secs(3)))
+}
+
+fn answer_ends_pause() -> Result<()> {
+    let mut health = EndpointHealth::default();
+    let now = Instant::now();
+    health.note(&endpoint("e0"), SendResult::Unreachable, now);
+    verify_that!(usable(&health, now), eq(5))?;
+    health.note(&endpoint("e0"), SendResult::Answered, now);
+    verify_that!(usable(&health, now), eq(6))
+}
+
+fn misdirected() -> Result<()> {
+    let mut health = EndpointHealth::default();
+    let now = Instant::now();
+    health.note(&endpoint("e0"), SendResult::Misdirected, now);
+    verify_that!(usable(&health, now + Duration::from_secs(60)), eq(5))?;
+    let next = ListedEndpoint { started_at_ms: 8, ..endpoint("e0") };
+    verify_that!(health.usable(vec![next], now).len(), eq(1))
+}
+
+fn grey() -> Result<()> {
+    let mut health = EndpointHealth::default();
+    let now = Instant::now();
+    for number in 0..40 {
+        let result = if number % 5 < 2 { SendResult::Answered } else { SendResult::Failed };
+        health.note(&endpoint("e0"), result, now);
+    }
+    verify_that!(usable(&health, now), eq(5))
+}
+
+fn few_errors() -> Result<()> {
+    let mut health = EndpointHealth::default();
+    let now = Instant::now();
+    for number in 0..200 {
+        let result = if number % 7 == 0 { SendResult::Failed } else { SendResult::Answered };
+        verify_that!(health.note(&endpoint("e0"), result, now), eq(false))?;
+    }
+    Ok(())
+}
+
+fn too_many_paused() -> Result<()> {
+    let mut health = EndpointHealth::default();
+    let now = Instant::now();
+    for id in ["e0", "e1", "e2"] {
+        health.note(&endpoint(id), SendResult::Unreachable, now);
+    }
+    verify_that!(usable(&health, now), eq(6))
+}
+
+const TERMS: BudgetTerms = BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), slack: 54.0 };
+
+fn budget_shared() -> Result<()> {
+    let now = Instant::now();
+    let mut taken = 0;
+    for _ in 0..7 {
+        let mut budget = RepeatBudget::default();
+        while budget.take(&TERMS, 7, now) {
+            taken += 1;
+        }
+    }
+    verify_that!(taken, all!(gt(7), le(54)))
+}
+
+fn budget_slides() -> Result<()> {
+    let now = Instant::now();
+    let mut budget = RepeatBudget::default();
+    while budget.take(&TERMS, 7, now) {}
+    verify_that!(budget.take(&TERMS, 7, now + Duration::from_secs(9)), eq(false))?;
+    verify_that!(budget.take(&TERMS, 7, now + Duration::from_secs(11)), eq(true))
+}
+
+fn verdict(sends: &[RunKnowledge], expected: NextStep) -> Result<()> {
+    let mut history = SendHistory::new();
+    for knowledge in sends {
+        history.note(*knowledge);
+    }
+    verify_that!(history.give_up(), eq(expected))
+}
+
+fn once() -> Result<()> {
+    let mut history = SendHistory::new();
+    history.note(RunKnowledge::NotRun);
+    verify_that!(history.may_send(RepeatRule::Once, 3), eq(true))?;
+    history.note(RunKnowledge::MayHaveRun);
+    verify_that!(history.may_send(RepeatRule::Once, 3), eq(false))?;
+    verify_that!(history.may_send(RepeatRule::Repeatable, 3), eq(true))
+}
+
+fn attempts() -> Result<()> {
+    let mut history = SendHistory::new();
+    history.note(RunKnowledge::NotRun);
+    history.note(RunKnowledge::NotRun);
+    verify_that!(history.may_send(RepeatRule::Repeatable, 2), eq(false))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// In any window, repeats stay under the ratio of its requests and the slack.
+    #[test]
+    fn budget_is_never_exceeded(steps in prop::collection::vec((any::<bool>(), 0..400u64), 1..400)) {
+        let mut budget = RepeatBudget::default();
+        let mut now = Instant::now();
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        for (is_request, pause) in steps {
+            now += Duration::from_millis(pause);
+            if is_request {
+                budget.request(&TERMS, now);
+                requests.push(now);
+            } else if budget.take(&TERMS, 7, now) {
+                repeats.push(now);
+                let recent = |times: &[Instant]| {
+                    times.iter().filter(|it| now.duration_since(**it) <= TERMS.window).count() as f64
+                };
+                prop_assert!(recent(&repeats) <= 0.2 * recent(&requests) + 54.0 / 7.0);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -25,8 +25,8 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// Shortest time after which a refused client may come back; a place becomes free about as soon.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Shortest time after which a refused client may come back; shorter ones meet the same overload.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(350);
 /// Time over which the returns of refused clients are spread.
 const RETRY_SPREAD: Duration = Duration::from_millis(200);
 /// Time after which a client may come back to an instance that is starting.
@@ -56,6 +56,8 @@
     pub excluded: Vec<EndpointId>,
     /// What has been done of its prompt
     pub progress: PromptProgress,
+    /// Whether its client was refused before
+    pub has_waited: bool,
     failed_connects: u32,
 }
 
@@ -222,6 +224,7 @@
         history: SendHistory::new(),
         excluded: Vec::new(),
         progress: PromptProgress::Unread,
+        has_waited: gateway.has_waited(&route.name, patience, arrived.into_std()),
         failed_connects: 0,
         request: ClientRequest { parts, body, id: head.id },
     })
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -110,7 +110,7 @@
                 record.first_byte();
                 call.history.note(RunKnowledge::MayHaveRun);
                 call.excluded.push(engine.id);
-                return Ok(respond(gateway.clone(), call, record, stream, first));
+                return Ok(respond(gateway.clone(), call, record, *stream, first));
             }
             Err((engine, error)) => {
                 reason = "send_failed";
@@ -122,7 +122,7 @@
 }
 
 enum Started {
-    Streaming(LiveStream, StreamPart),
+    Streaming(Box<LiveStream>, StreamPart),
     Failed(Response<AnswerBody>),
 }
 
@@ -148,12 +148,17 @@
         excluded: &call.excluded,
         objective: call.route.objective,
         progress: call.progress,
+        has_waited: call.has_waited,
     };
     let outcome = plan_generation(&request, &endpoints, &gateway.load.borrow());
     let plan = match outcome {
         PlanOutcome::Plan(plan) => plan,
         PlanOutcome::Full(expected_ms) => {
-            log::info!("event=full id={} expected_ms={expected_ms:.0}", call.request.id);
+            log::info!(
+                "event=full id={} expected_ms={expected_ms:.0} has_waited={}",
+                call.request.id,
+                call.has_waited,
+            );
             return Err("full");
         }
         PlanOutcome::NoEngine => return Err("no_endpoint"),
@@ -311,7 +316,7 @@
     }
     let mut stream = LiveStream::new(answer);
     let first = stream.next(call.deadline).await?;
-    Ok(Started::Streaming(stream, first))
+    Ok(Started::Streaming(Box::new(stream), first))
 }
 
 fn respond(
@@ -392,7 +397,7 @@
             Ok((engine, Started::Streaming(stream, part))) => {
                 call.history.note(RunKnowledge::MayHaveRun);
                 call.excluded.push(engine.id);
-                return Some((stream, part));
+                return Some((*stream, part));
             }
             Ok((_, Started::Failed(_))) => return None,
             Err((engine, error)) => call.note_failure(gateway, &engine, &error),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,14 +9,15 @@
 use decide::serving::budget::RepeatBudget;
 use decide::serving::health::{EndpointHealth, SendResult};
 use decide::serving::load::FleetLoad;
+use decide::serving::patience::PatiencePeak;
 use decide::serving::roster::{EndpointRoster, ListedEndpoint};
-use decide::serving::route::ServingConfig;
+use decide::serving::route::{RouteName, ServingConfig};
 use indexmap::IndexMap;
 use platform_adapter::settings::InstanceSettings;
 use platform_adapter::store::StoreClient;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
 /// Shared state of an instance
@@ -39,6 +40,8 @@
     pub load: RefCell<FleetLoad>,
     /// Budgets of repeated sends by pool
     pub budgets: RefCell<IndexMap<PoolName, RepeatBudget>>,
+    /// Most time that clients have, by route
+    pub patience: RefCell<IndexMap<RouteName, PatiencePeak>>,
     /// Kept connections to endpoints
     pub connections: EndpointConnections,
     /// Counters and histograms
@@ -68,6 +71,7 @@
             health: RefCell::default(),
             load: RefCell::default(),
             budgets: RefCell::default(),
+            patience: RefCell::default(),
             connections: EndpointConnections::default(),
             meters: GatewayMeters::default(),
             stopping: Cell::default(),
@@ -104,6 +108,12 @@
         budget.request(&self.settings.repeat_budget, now);
     }
 
+    /// Whether a request with this time left has been refused before
+    pub fn has_waited(&self, route: &RouteName, time_left: Duration, now: Instant) -> bool {
+        let mut patience = self.patience.borrow_mut();
+        patience.entry(route.clone()).or_default().has_waited(time_left, now)
+    }
+
     /// Takes a repeated send to a pool, if there is one left
     pub fn take_repeat(&self, pool: &PoolName, now: Instant) -> bool {
         let instances = self.load.borrow().most_instances();
