Wait for changes of the endpoints instead of polling them

Cause: endpoints' records only change when more than their heartbeat does, so a wait costs no more calls than a poll, and a gone endpoint is known at once instead of after up to 0.8 s. Change: both followers wait up to 0.9 of their bound; a lapsed entry ends by the clock of the reader, not of the next reading; an outage is what calls failed, not a gap of time.

--- a/crates/decide/src/serving/roster.rs
+++ b/crates/decide/src/serving/roster.rs
@@ -124,18 +124,10 @@
         self.grace_until = Some(now + LAPSE_GRACE);
     }
 
-    /// Drops the lapsed entries whose grace is over
-    pub fn expire(&mut self, now: Instant) {
-        for entry in self.entries.values_mut() {
-            if entry.lapses_at.is_some_and(|it| it <= now) {
-                entry.endpoint = None;
-                entry.lapses_at = None;
-            }
-        }
-    }
-
     /// Endpoints that take new work
-    pub fn ready(&self) -> impl Iterator<Item = &ListedEndpoint> {
-        self.entries.values().filter_map(|it| it.endpoint.as_ref()).filter(|it| it.is_ready)
+    pub fn ready(&self, now: Instant) -> impl Iterator<Item = &ListedEndpoint> {
+        let has_lapsed = move |it: &RosterEntry| it.lapses_at.is_some_and(|it| it <= now);
+        let entries = self.entries.values().filter(move |it| !has_lapsed(it));
+        entries.filter_map(|it| it.endpoint.as_ref()).filter(|it| it.is_ready)
     }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,9 +1,8 @@
 //! Followers of the platform's store: the configuration and the endpoints.
 //!
-//! The configuration is waited for, so that a change is in force at once; the wait is
-//! short, since a connection may have gone silent. The endpoints change with every
-//! heartbeat, so they are read at a fixed pace. While the store is away both keep what
-//! they have.
+//! Changes are waited for, so that they are in force at once. A wait is short enough
+//! that a connection which has gone silent is noticed in time. While the store is away
+//! both followers keep what they have.
 
 use crate::state::Gateway;
 use decide::serving::roster::ListOffset;
@@ -16,15 +15,11 @@
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
-/// Longest wait for a change of the configuration, as a part of the time in which it is to be in force.
-const CONFIG_WAIT_PART: f64 = 0.5;
-/// Pause between readings of the endpoints, as a part of the time in which a leaving one may still get requests.
-const ENDPOINT_PAUSE_PART: f64 = 0.4;
+/// Longest wait for a change, as a part of the time in which it is to be in force.
+const WAIT_PART: f64 = 0.9;
 /// Pause after a failed call; doubles up to the longest.
 const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(100);
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
-/// Time without a reading after which entries may have lapsed; endpoints write every 1.2 s.
-const OUTAGE_AFTER: Duration = Duration::from_millis(1500);
 
 /// Contact with the store, as one follower sees it
 struct StoreContact {
@@ -37,11 +32,14 @@
         StoreContact { topic, failures: 0 }
     }
 
-    fn succeeded(&mut self) {
-        if self.failures > 0 {
+    /// Notes a call that succeeded; whether the store had been away
+    fn succeeded(&mut self) -> bool {
+        let was_away = self.failures > 0;
+        if was_away {
             log::info!("event=store_regained topic={} failures={}", self.topic, self.failures);
             self.failures = 0;
         }
+        was_away
     }
 
     fn failed(&mut self, error: &StoreError) -> Duration {
@@ -56,7 +54,7 @@
 
 /// Keeps the configuration up to date for the life of the process
 pub async fn follow_config(gateway: Rc<Gateway>) {
-    let wait = gateway.settings.config_bound.mul_f64(CONFIG_WAIT_PART);
+    let wait = gateway.settings.config_bound.mul_f64(WAIT_PART);
     let mut contact = StoreContact::new(OPERATOR_TOPIC);
     let mut position = None;
     loop {
@@ -82,17 +80,16 @@
 
 /// Keeps the endpoints up to date for the life of the process
 pub async fn follow_endpoints(gateway: Rc<Gateway>) {
-    let pause = gateway.settings.drain_bound.mul_f64(ENDPOINT_PAUSE_PART);
+    let wait = gateway.settings.drain_bound.mul_f64(WAIT_PART);
     let mut contact = StoreContact::new(ENDPOINT_TOPIC);
     let mut position = None;
     loop {
-        let result = read_from(&gateway, ENDPOINT_TOPIC, position, Duration::ZERO).await;
+        let result = read_from(&gateway, ENDPOINT_TOPIC, position, wait).await;
         match result {
             Ok(batch) => {
-                contact.succeeded();
-                apply_endpoints(&gateway, &batch, position.is_none());
+                let was_away = contact.succeeded();
+                apply_endpoints(&gateway, &batch, position.is_none(), was_away);
                 position = Some(next_position(&batch, position));
-                sleep(pause).await;
             }
             Err(StoreError::Expired { first }) => {
                 log::info!("event=store_history_gone topic={ENDPOINT_TOPIC} first={first}");
@@ -101,7 +98,6 @@
             }
             Err(error) => {
                 let pause = contact.failed(&error);
-                gateway.roster.borrow_mut().expire(Instant::now());
                 sleep(pause).await;
             }
         }
@@ -158,16 +154,15 @@
     *current = Some(Rc::new(config));
 }
 
-fn apply_endpoints(gateway: &Gateway, batch: &RecordBatch, is_whole: bool) {
+fn apply_endpoints(gateway: &Gateway, batch: &RecordBatch, is_whole: bool, was_away: bool) {
     let now = Instant::now();
     let mut roster = gateway.roster.borrow_mut();
-    let last = gateway.roster_read_at.replace(Some(now));
-    if last.is_some_and(|it| now.saturating_duration_since(it) > OUTAGE_AFTER) {
+    gateway.roster_read_at.set(Some(now));
+    if was_away {
         log::info!("event=endpoints_regained offset={}", batch.end);
         roster.list_returned(now);
     }
-    roster.expire(now);
-    let before = roster.ready().map(|it| it.id.clone()).collect::<Vec<_>>();
+    let before = roster.ready(now).map(|it| it.id.clone()).collect::<Vec<_>>();
     for record in &batch.records {
         let change = decode_entry(&record.key, record.value.as_deref());
         roster.apply(record.key.clone(), change, record.offset, now);
@@ -176,7 +171,7 @@
         let listed = batch.records.iter().map(|it| &it.key).collect::<indexmap::IndexSet<_>>();
         roster.retain_listed(batch.end, |it| listed.contains(it), now);
     }
-    let after = roster.ready().map(|it| it.id.clone()).collect::<Vec<_>>();
+    let after = roster.ready(now).map(|it| it.id.clone()).collect::<Vec<_>>();
     if before != after {
         let gone = before.iter().filter(|it| !after.contains(it)).collect::<Vec<_>>();
         let new = after.iter().filter(|it| !before.contains(it)).collect::<Vec<_>>();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -89,9 +89,10 @@
 
     /// Endpoints of a pool that take new work
     pub fn ready_endpoints(&self, pool: &PoolName) -> Vec<ListedEndpoint> {
+        let now = Instant::now();
         let roster = self.roster.borrow();
-        let endpoints = roster.ready().filter(|it| it.pool == *pool).cloned().collect();
-        self.health.borrow().usable(endpoints, Instant::now())
+        let endpoints = roster.ready(now).filter(|it| it.pool == *pool).cloned().collect();
+        self.health.borrow().usable(endpoints, now)
     }
 
     /// Notes what came of a send
