--- a/crates/decide/src/suspect.rs
+++ b/crates/decide/src/suspect.rs
@@ -2,7 +2,9 @@
 //!
 //! Every request in flight on an endpoint that crashes gains a strike, the innocent
 //! beside the guilty. A suspect is then run only where no other suspect runs; one
-//! that ends is cleared, and one that sees a second endpoint crash is refused.
+//! that ends is cleared, and one that sees a second endpoint crash is refused. One that
+//! goes on at another endpoint after a crash is cleared too, but only once, so that a
+//! request which crashes its endpoints late is still found.
 
 use crate::fingerprint::Fingerprint;
 use catalogue::id::EndpointId;
@@ -33,10 +35,23 @@
     at: Instant,
 }
 
+#[derive(Debug, Clone, Default)]
+struct SuspectEntry {
+    strikes: Vec<Strike>,
+    progressed_at: Option<Instant>,
+}
+
+impl SuspectEntry {
+    fn is_recent(&self, now: Instant) -> bool {
+        let has_progressed = self.progressed_at.is_some_and(|it| is_fresh(it, now));
+        has_progressed || self.strikes.iter().any(|it| is_recent(it, now))
+    }
+}
+
 /// Strikes by fingerprint
 #[derive(Debug, Clone, Default)]
 pub struct SuspectTable {
-    strikes: IndexMap<Fingerprint, Vec<Strike>>,
+    entries: IndexMap<Fingerprint, SuspectEntry>,
 }
 
 impl SuspectTable {
@@ -50,7 +65,7 @@
         now: Instant,
     ) -> SuspectVerdict {
         self.make_room();
-        let strikes = self.strikes.entry(fingerprint).or_default();
+        let strikes = &mut self.entries.entry(fingerprint).or_default().strikes;
         strikes.retain(|it| is_recent(it, now));
         if !strikes.iter().any(|it| it.endpoint == *endpoint) {
             strikes.push(Strike { endpoint: endpoint.clone(), at: now });
@@ -70,36 +85,54 @@
     /// Notes that the request ended without a crash; a refused one stays refused
     pub fn clear(&mut self, fingerprint: Fingerprint, now: Instant) {
         if self.count(fingerprint, now) < MAX_STRIKES {
-            self.strikes.shift_remove(&fingerprint);
+            self.entries.shift_remove(&fingerprint);
+        }
+    }
+
+    /// Notes that the request goes on at another endpoint after a crash
+    pub fn progress(&mut self, fingerprint: Fingerprint, now: Instant) {
+        if self.count(fingerprint, now) >= MAX_STRIKES {
+            return;
+        }
+        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+            return;
+        };
+        if !entry.progressed_at.is_some_and(|it| is_fresh(it, now)) {
+            entry.progressed_at = Some(now);
+            entry.strikes.clear();
         }
     }
 
     /// Strikes that still count
     pub fn count(&self, fingerprint: Fingerprint, now: Instant) -> usize {
-        let Some(strikes) = self.strikes.get(&fingerprint) else {
+        let Some(entry) = self.entries.get(&fingerprint) else {
             return 0;
         };
-        strikes.iter().filter(|it| is_recent(it, now)).count()
+        entry.strikes.iter().filter(|it| is_recent(it, now)).count()
     }
 
     /// Endpoints that crashed under the request
     pub fn endpoints(&self, fingerprint: Fingerprint) -> Vec<EndpointId> {
-        let strikes = self.strikes.get(&fingerprint);
-        strikes.into_iter().flatten().map(|it| it.endpoint.clone()).collect()
+        let entry = self.entries.get(&fingerprint);
+        entry.into_iter().flat_map(|it| &it.strikes).map(|it| it.endpoint.clone()).collect()
     }
 
     /// Drops the strikes that no longer count
     pub fn expire(&mut self, now: Instant) {
-        self.strikes.retain(|_, strikes| strikes.iter().any(|it| is_recent(it, now)));
+        self.entries.retain(|_, entry| entry.is_recent(now));
     }
 
     fn make_room(&mut self) {
-        if self.strikes.len() >= MAX_FINGERPRINTS {
-            self.strikes.shift_remove_index(0);
+        if self.entries.len() >= MAX_FINGERPRINTS {
+            self.entries.shift_remove_index(0);
         }
     }
 }
 
 fn is_recent(strike: &Strike, now: Instant) -> bool {
-    now.saturating_duration_since(strike.at) < STRIKE_LIFETIME
+    is_fresh(strike.at, now)
+}
+
+fn is_fresh(at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(at) < STRIKE_LIFETIME
 }
--- a/crates/persimmonlift/src/generation.rs
+++ b/crates/persimmonlift/src/generation.rs
@@ -227,6 +227,10 @@
     }
 
     fn take_lines(&mut self, texts: &mut Vec<String>) {
+        let has_token = self.lines.iter().any(|it| matches!(it, StreamLine::Token { .. }));
+        if has_token && self.attempts > 1 {
+            self.context.suspects.progress(self.job.fingerprint);
+        }
         for line in self.lines.drain(..) {
             match line {
                 StreamLine::Token { n, text } => {
--- a/crates/persimmonlift/src/suspects.rs
+++ b/crates/persimmonlift/src/suspects.rs
@@ -61,6 +61,11 @@
         self.lock().clear(fingerprint, Instant::now());
     }
 
+    /// Notes that a request goes on at another endpoint after a crash
+    pub fn progress(&self, fingerprint: Fingerprint) {
+        self.lock().progress(fingerprint, Instant::now());
+    }
+
     /// Strikes seen here from now on
     pub fn notices(&self) -> broadcast::Receiver<StrikeNotice> {
         self.notices.subscribe()
