Let zone leads sum up the work in flight where instances are many

Change: beyond 12 instances each tells the lead of its zone, leads tell each other, and a lead answers its members with the work of all others; a silent lead is passed over. Small sites are untouched.

--- a/crates/decide/src/serving/load.rs
+++ b/crates/decide/src/serving/load.rs
@@ -1,7 +1,8 @@
 //! Work in flight at the endpoints, from all instances.
 //!
 //! An instance knows its own work exactly and hears of the others' work a moment
-//! late. What an instance said last counts until it has been silent for a while.
+//! late: from each of them, or summed up by the lead of its zone. What was said last
+//! counts until its sender has been silent for a while.
 
 use catalogue::id::{EndpointId, InstanceId};
 use indexmap::IndexMap;
@@ -28,10 +29,13 @@
     }
 }
 
+/// Work by endpoint.
+pub type EndpointWork = IndexMap<EndpointId, WorkCount>;
+
 #[derive(Debug, Clone)]
 struct PeerLoad {
     heard_at: Instant,
-    work: IndexMap<EndpointId, WorkCount>,
+    work: EndpointWork,
 }
 
 /// Work by endpoint
@@ -39,6 +43,7 @@
 pub struct FleetLoad {
     own: IndexMap<EndpointId, WorkCount>,
     peers: IndexMap<InstanceId, PeerLoad>,
+    rest: Option<PeerLoad>,
     most_instances: usize,
 }
 
@@ -68,16 +73,32 @@
     }
 
     /// Takes in what another instance says of its work
-    pub fn heard(
-        &mut self,
-        instance: InstanceId,
-        work: IndexMap<EndpointId, WorkCount>,
-        now: Instant,
-    ) {
+    pub fn heard(&mut self, instance: InstanceId, work: EndpointWork, now: Instant) {
         self.peers.insert(instance, PeerLoad { heard_at: now, work });
         self.most_instances = self.most_instances.max(self.instances());
     }
 
+    /// Takes in the work of all other instances, as a lead sums it up
+    pub fn heard_rest(&mut self, work: EndpointWork, now: Instant) {
+        self.rest = Some(PeerLoad { heard_at: now, work });
+    }
+
+    /// Work that a member of this lead doesn't know: all but its own
+    pub fn rest_for(&self, member: &InstanceId) -> EndpointWork {
+        self.sum_with(|id| id != member)
+    }
+
+    /// Work of this instance and of some others together
+    pub fn sum_with(&self, is_included: impl Fn(&InstanceId) -> bool) -> EndpointWork {
+        let mut sum = self.own.clone();
+        let included = self.peers.iter().filter(|(id, _)| is_included(id));
+        for (endpoint, count) in included.flat_map(|(_, it)| &it.work) {
+            let total = sum.entry(endpoint.clone()).or_default();
+            *total = total.plus(*count);
+        }
+        sum
+    }
+
     /// Notes how many instances are listed, this one included
     pub fn listed(&mut self, instances: usize) {
         self.most_instances = self.most_instances.max(instances);
@@ -85,7 +106,9 @@
 
     /// Drops instances that have been silent
     pub fn expire(&mut self, now: Instant) {
-        self.peers.retain(|_, it| now.saturating_duration_since(it.heard_at) < PEER_SILENCE);
+        let is_heard = |it: &PeerLoad| now.saturating_duration_since(it.heard_at) < PEER_SILENCE;
+        self.peers.retain(|_, it| is_heard(it));
+        self.rest = self.rest.take().filter(is_heard);
     }
 
     /// Instances heard of lately, this one included
@@ -110,6 +133,10 @@
 
     /// All instances' work at an endpoint
     pub fn total_at(&self, endpoint: &EndpointId) -> WorkCount {
+        if let Some(rest) = &self.rest {
+            let rest = rest.work.get(endpoint).copied().unwrap_or_default();
+            return self.own_at(endpoint).plus(rest);
+        }
         self.peers
             .values()
             .filter_map(|it| it.work.get(endpoint))
--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod budget;
 pub mod health;
+pub mod lead;
 pub mod load;
 pub mod patience;
 pub mod pick;
--- /dev/null
+++ b/crates/gateway/src/peers/listing.rs
@@ -0,0 +1,70 @@
+//! Addresses of instances, kept in the platform's store.
+
+use super::SharedTable;
+use crate::state::Gateway;
+use decide::serving::lead::ListedInstance;
+use platform_adapter::store::INSTANCE_TOPIC;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Pause between readings of the addresses; new instances make themselves known by messages.
+const ADDRESS_PAUSE: Duration = Duration::from_secs(30);
+/// Pause after a failed call to the store, and until the own entry is looked for.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+
+/// Keeps this instance listed and reads the others
+pub async fn keep_listed(gateway: Rc<Gateway>, table: SharedTable) {
+    let settings = &gateway.settings;
+    let own = ListedInstance {
+        address: SocketAddr::new(settings.ip, settings.peer_port),
+        zone: settings.zone.clone(),
+        power: settings.power,
+    };
+    let entry = format_entry(&own);
+    loop {
+        let records = match gateway.store.newest(INSTANCE_TOPIC).await {
+            Ok(batch) => batch.records,
+            Err(error) => {
+                log::debug!("event=instances_unread error={error}");
+                Vec::new()
+            }
+        };
+        let mut is_listed = false;
+        for record in &records {
+            let Some(instance) = record.value.as_deref().and_then(parse_entry) else {
+                continue;
+            };
+            if record.key == settings.instance {
+                is_listed = instance == own;
+            } else {
+                table.borrow_mut().insert(record.key.clone(), instance);
+            }
+        }
+        gateway.load.borrow_mut().listed(table.borrow().len() + 1);
+        if is_listed {
+            sleep(ADDRESS_PAUSE).await;
+            continue;
+        }
+        match gateway.store.append(INSTANCE_TOPIC, &settings.instance, entry.as_bytes()).await {
+            Ok(()) => log::info!("event=listed entry=\"{entry}\" peers={}", table.borrow().len()),
+            Err(error) => log::warn!("event=not_listed error={error}"),
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Entry of an instance: address, zone and power
+pub fn format_entry(instance: &ListedInstance) -> String {
+    format!("{} {} {}", instance.address, instance.zone, instance.power)
+}
+
+/// Parses an entry; `None` for one of another writer
+pub fn parse_entry(value: &[u8]) -> Option<ListedInstance> {
+    let mut parts = std::str::from_utf8(value).ok()?.split(' ');
+    let address = parts.next()?.parse().ok()?;
+    let zone = parts.next()?.into();
+    let power = parts.next()?.parse().ok()?;
+    Some(ListedInstance { address, zone, power })
+}
--- /dev/null
+++ b/crates/gateway/src/peers/mod.rs
@@ -0,0 +1,203 @@
+//! Messages between instances: what each has in flight.
+//!
+//! An instance lists its address in the platform's store and reads the others' there.
+//! Messages are datagrams, since only the newest matters and a lost one is replaced by
+//! the next. Few instances tell each other; many tell the lead of their zone, which
+//! answers with the work of all others.
+
+mod listing;
+mod message;
+
+pub use listing::{format_entry, parse_entry};
+pub use message::{LoadMessage, MAX_MESSAGE_BYTES, WorkScope};
+
+use crate::error::GatewayError;
+use crate::state::Gateway;
+use catalogue::id::InstanceId;
+use decide::serving::lead::InstanceTable;
+use decide::serving::load::EndpointWork;
+use indexmap::IndexMap;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::UdpSocket;
+use tokio::time::interval;
+
+/// Pause between messages while work changes; requests take about 80 ms.
+const MESSAGE_PAUSE: Duration = Duration::from_millis(40);
+/// Pause between messages while nothing changes.
+const QUIET_PAUSE: Duration = Duration::from_millis(500);
+/// Time after its last message at which an instance is no longer a member of this lead.
+const MEMBER_SILENCE: Duration = Duration::from_secs(2);
+
+type SharedTable = Rc<RefCell<InstanceTable>>;
+
+/// Instance that has told this one its work as its lead
+struct LeadMember {
+    address: SocketAddr,
+    heard_at: Instant,
+}
+
+/// Exchange of messages on one socket
+struct PeerExchange {
+    gateway: Rc<Gateway>,
+    socket: UdpSocket,
+    table: SharedTable,
+    members: RefCell<IndexMap<InstanceId, LeadMember>>,
+    /// Whether others' work has changed since it was last told on
+    has_news: Cell<bool>,
+}
+
+/// Starts the exchange of messages
+///
+/// # Errors
+/// `Bind` if the port is taken.
+pub async fn start(gateway: Rc<Gateway>) -> Result<(), GatewayError> {
+    let address = SocketAddr::new(gateway.settings.ip, gateway.settings.peer_port);
+    let socket =
+        UdpSocket::bind(address).await.map_err(|error| GatewayError::Bind { address, error })?;
+    let table = SharedTable::default();
+    tokio::task::spawn_local(listing::keep_listed(gateway.clone(), table.clone()));
+    let exchange = Rc::new(PeerExchange {
+        gateway,
+        socket,
+        table,
+        members: RefCell::default(),
+        has_news: Cell::default(),
+    });
+    tokio::task::spawn_local(receive(exchange.clone()));
+    tokio::task::spawn_local(tell(exchange));
+    Ok(())
+}
+
+async fn receive(exchange: Rc<PeerExchange>) {
+    let mut buffer = vec![0; MAX_MESSAGE_BYTES];
+    loop {
+        match exchange.socket.recv_from(&mut buffer).await {
+            Ok((length, address)) => match LoadMessage::decode(&buffer[..length]) {
+                Some(message) => exchange.take(message, address),
+                None => log::debug!("event=peer_message_unreadable from={address}"),
+            },
+            Err(error) => log::debug!("event=peer_message_lost error={error}"),
+        }
+    }
+}
+
+impl PeerExchange {
+    fn take(&self, message: LoadMessage, address: SocketAddr) {
+        let now = Instant::now();
+        let instance = message.instance.clone();
+        let mut table = self.table.borrow_mut();
+        if table.insert(instance.clone(), message.sender(address)) {
+            log::info!("event=peer_found instance={instance} address={address}");
+        }
+        table.heard(&instance);
+        let mut load = self.gateway.load.borrow_mut();
+        match message.scope {
+            WorkScope::Rest => load.heard_rest(message.into_work(), now),
+            scope => {
+                if scope == WorkScope::Own && !table.is_direct() {
+                    let member = LeadMember { address, heard_at: now };
+                    self.members.borrow_mut().insert(instance.clone(), member);
+                }
+                load.heard(instance, message.into_work(), now);
+                self.has_news.set(true);
+            }
+        }
+    }
+
+    async fn send(&self, scope: WorkScope, work: &EndpointWork, address: SocketAddr) {
+        let settings = &self.gateway.settings;
+        let (instance, zone) = (settings.instance.clone(), settings.zone.clone());
+        let message = LoadMessage::new(instance, zone, settings.power, scope, work);
+        let bytes = match message.encode() {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::warn!("event=peer_message_failed error={error}");
+                return;
+            }
+        };
+        if let Err(error) = self.socket.send_to(&bytes, address).await {
+            log::debug!("event=peer_message_failed to={address} error={error}");
+        }
+    }
+
+    /// Tells all other instances the own work
+    async fn tell_all(&self, work: &EndpointWork) {
+        let addresses = self.table.borrow().iter().map(|it| it.1.address).collect::<Vec<_>>();
+        for address in addresses {
+            self.send(WorkScope::Own, work, address).await;
+        }
+    }
+
+    /// Lead of the own zone; `None` if it is this instance
+    fn own_lead(&self, now: Instant) -> Option<(InstanceId, SocketAddr)> {
+        let settings = &self.gateway.settings;
+        let own = Some((&settings.instance, settings.power));
+        let table = self.table.borrow();
+        table.lead(&settings.zone, own, now).map(|(id, it)| (id.clone(), it.address))
+    }
+
+    /// Answers the members of this lead, and tells the leads of other zones
+    async fn lead(&self, now: Instant) {
+        let members = {
+            let mut members = self.members.borrow_mut();
+            members.retain(|_, it| now.saturating_duration_since(it.heard_at) < MEMBER_SILENCE);
+            members.iter().map(|(id, it)| (id.clone(), it.address)).collect::<IndexMap<_, _>>()
+        };
+        for (member, address) in &members {
+            let rest = self.gateway.load.borrow().rest_for(member);
+            self.send(WorkScope::Rest, &rest, *address).await;
+        }
+        let zone = self.gateway.load.borrow().sum_with(|it| members.contains_key(it));
+        let leads = {
+            let mut table = self.table.borrow_mut();
+            let zones = table.zones().into_iter().filter(|it| *it != self.gateway.settings.zone);
+            let leads = zones
+                .filter_map(|it| {
+                    table.lead(&it, None, now).map(|(id, it)| (id.clone(), it.address))
+                })
+                .collect::<Vec<_>>();
+            for (id, _) in &leads {
+                table.told(id, now);
+            }
+            leads
+        };
+        for (_, address) in leads {
+            self.send(WorkScope::Zone, &zone, address).await;
+        }
+    }
+}
+
+async fn tell(exchange: Rc<PeerExchange>) {
+    let gateway = exchange.gateway.clone();
+    let mut ticks = interval(MESSAGE_PAUSE);
+    let mut told = EndpointWork::new();
+    let mut told_at = Instant::now();
+    loop {
+        ticks.tick().await;
+        let now = Instant::now();
+        gateway.load.borrow_mut().expire(now);
+        let work = gateway.load.borrow().own().clone();
+        let is_due = work != told || now.saturating_duration_since(told_at) >= QUIET_PAUSE;
+        if exchange.table.borrow().is_direct() {
+            if is_due {
+                exchange.tell_all(&work).await;
+            }
+        } else if let Some((lead, address)) = exchange.own_lead(now) {
+            if is_due {
+                exchange.table.borrow_mut().told(&lead, now);
+                exchange.send(WorkScope::Own, &work, address).await;
+            }
+        } else if is_due || exchange.has_news.take() {
+            exchange.lead(now).await;
+        }
+        if is_due {
+            let instances = gateway.load.borrow().most_instances();
+            gateway.meters.instances.set(i64::try_from(instances).unwrap_or(i64::MAX));
+            told = work;
+            told_at = now;
+        }
+    }
+}
