--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -25,8 +25,6 @@
 const DEFAULT_IDLE: Duration = Duration::from_secs(2);
 /// Time before an endpoint's own bound at which a connection is no longer used.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
-/// Longest idle time of a connection that carries a request that may not run twice.
-const ONCE_IDLE: Duration = Duration::from_millis(500);
 /// Idle connections kept for an endpoint; engines accept 100 and more from all callers.
 const MAX_IDLE: usize = 8;
 
@@ -107,7 +105,10 @@
 }
 
 impl EndpointConnections {
-    /// Connection to an endpoint, a kept one if there is a fresh one
+    /// Connection to an endpoint: a kept one, but a new one for a request that may run once only
+    ///
+    /// An endpoint may have dropped a kept connection without notice; whether it ran what is
+    /// sent there can't be known.
     ///
     /// # Errors
     /// `Connect` or `ConnectTimedOut`.
@@ -116,22 +117,20 @@
         endpoint: &ListedEndpoint,
         once: bool,
     ) -> Result<EndpointConnection, ExchangeError> {
-        match self.take_idle(endpoint, once) {
+        let kept = if once { None } else { self.take_idle(endpoint) };
+        match kept {
             Some(connection) => Ok(connection),
             None => connect(endpoint).await,
         }
     }
 
-    fn take_idle(&self, endpoint: &ListedEndpoint, once: bool) -> Option<EndpointConnection> {
+    fn take_idle(&self, endpoint: &ListedEndpoint) -> Option<EndpointConnection> {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&EndpointKey::from(endpoint))?;
         let now = Instant::now();
         kept.retain(|it| now < it.idle_since + it.idle_bound && !it.sender.is_closed());
-        let is_fresh = |it: &EndpointConnection| {
-            it.sender.is_ready() && (!once || now < it.idle_since + ONCE_IDLE)
-        };
         // The latest is the freshest.
-        let place = kept.iter().rposition(is_fresh)?;
+        let place = kept.iter().rposition(|it| it.sender.is_ready())?;
         Some(kept.remove(place))
     }
 
--- a/crates/gateway/tests/gateway/endpoint.rs
+++ b/crates/gateway/tests/gateway/endpoint.rs
@@ -30,6 +30,8 @@
     pub headers: Vec<(String, String)>,
     /// Body
     pub body: Vec<u8>,
+    /// Number of its connection
+    pub connection: usize,
     /// Whether its connection was closed before the script ended
     pub was_left: bool,
 }
@@ -69,9 +71,11 @@
         };
         let accepting = endpoint.clone();
         tokio::spawn(async move {
+            let mut number = 0;
             while let Ok((socket, _)) = listener.accept().await {
                 let endpoint = accepting.clone();
-                tokio::spawn(async move { endpoint.serve(socket).await });
+                number += 1;
+                tokio::spawn(async move { endpoint.serve(socket, number).await });
             }
         });
         endpoint
@@ -82,9 +86,10 @@
         self.arrivals.lock().expect("no panic").clone()
     }
 
-    async fn serve(&self, mut socket: TcpStream) {
+    async fn serve(&self, mut socket: TcpStream, connection: usize) {
         let mut buffer = Vec::new();
         while let Some(arrival) = read_request(&mut socket, &mut buffer).await {
+            let arrival = Arrival { connection, ..arrival };
             let steps = (self.script)(&arrival);
             let place = {
                 let mut arrivals = self.arrivals.lock().expect("no panic");
@@ -152,7 +157,7 @@
         }
     }
     let body = buffer.drain(..length).collect();
-    Some(Arrival { line, headers, body, was_left: false })
+    Some(Arrival { line, headers, body, connection: 0, was_left: false })
 }
 
 /// Whole answer with the request's id and a signature
--- a/crates/gateway/tests/gateway/plain.rs
+++ b/crates/gateway/tests/gateway/plain.rs
@@ -23,6 +23,7 @@
     error_of_an_endpoint_keeps_status_and_signature => error_is_relayed(),
     bytes_after_an_answer_reach_nobody => extra_answer(),
     engine_without_length_that_resets_is_not_whole => unframed_reset(),
+    entry_takes_a_connection_of_its_own => own_connection(),
     silent_endpoint_is_left_for_another => silent_endpoint(),
     client_that_leaves_takes_its_request_along => client_leaves(),
 }
@@ -154,6 +155,23 @@
     verify_that!(got.status, eq(502))
 }
 
+async fn own_connection() -> Result<()> {
+    let desk = endpoint("desk-1", good).await;
+    let deployment = Deployment::start(&[&desk]).await;
+    for number in 0..3 {
+        deployment.call(get("lookups", &format!("lookup-{number}"))).await;
+        deployment.call(post("entries", &format!("entry-{number}"), "once")).await;
+    }
+    let arrivals = desk.arrivals();
+    for (place, entry) in arrivals.iter().enumerate().filter(|it| it.1.line.starts_with("POST")) {
+        let is_used = arrivals[..place].iter().any(|it| it.connection == entry.connection);
+        verify_that!(is_used, eq(false))?;
+    }
+    // Lookups do share connections.
+    let connections = arrivals.iter().map(|it| it.connection).collect::<Vec<_>>();
+    verify_that!(connections.iter().max(), some(lt(&6)))
+}
+
 async fn silent_endpoint() -> Result<()> {
     let dark = endpoint("desk-1", |_| vec![Step::Hang]).await;
     let sound = endpoint("desk-2", good).await;
