--- a/crates/decide/src/serving/load.rs
+++ b/crates/decide/src/serving/load.rs
@@ -99,6 +99,15 @@
         sum
     }
 
+    /// Age of the oldest message that counts; zero if none does
+    pub fn age(&self, now: Instant) -> Duration {
+        let age = |it: &PeerLoad| now.saturating_duration_since(it.heard_at);
+        match &self.rest {
+            Some(rest) => age(rest),
+            None => self.peers.values().map(age).max().unwrap_or_default(),
+        }
+    }
+
     /// Notes how many instances are listed, this one included
     pub fn listed(&mut self, instances: usize) {
         self.most_instances = self.most_instances.max(instances);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -284,6 +284,13 @@
             reason = "no_budget";
             break;
         }
+        log::info!(
+            "event=service_picked id={} endpoint={} requests={} {}",
+            call.request.id,
+            endpoint.id,
+            gateway.load.borrow().total_at(&endpoint.id).requests,
+            gateway.choice_inputs(),
+        );
         let terms = call.terms(&endpoint.id, EnginePart::Whole);
         let ticket = WorkTicket::new(gateway.clone(), endpoint.id.clone(), 0);
         let target = SendTarget { endpoint, ticket, once, is_signed: true };
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -156,22 +156,23 @@
         PlanOutcome::Plan(plan) => plan,
         PlanOutcome::Full(expected_ms) => {
             log::info!(
-                "event=full id={} expected_ms={expected_ms:.0} has_waited={}",
+                "event=full id={} expected_ms={expected_ms:.0} has_waited={} {}",
                 call.request.id,
                 call.has_waited,
+                gateway.choice_inputs(),
             );
             return Err("full");
         }
         PlanOutcome::NoEngine => return Err("no_endpoint"),
     };
     log::info!(
-        "event=engine_picked id={} prompt={} shared={} key={:x} expected_ms={:.0} instances={} {}",
+        "event=engine_picked id={} prompt={} shared={} key={:x} expected_ms={:.0} {} {}",
         call.request.id,
         prompt.prompt_tokens,
         prompt.shared_tokens(),
         prompt.affinity_key(),
         plan.expected_ms(),
-        gateway.load.borrow().instances(),
+        gateway.choice_inputs(),
         describe(&plan),
     );
     let find = |id: &EndpointId| endpoints.iter().find(|it| it.id == *id).cloned();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -112,6 +112,13 @@
         self.health.borrow().usable(endpoints, now)
     }
 
+    /// Age and version of what a choice of endpoints rests on, for its log line
+    pub fn choice_inputs(&self) -> String {
+        let load_age = self.load.borrow().age(Instant::now()).as_millis();
+        let endpoints = self.roster_position.get().unwrap_or_default();
+        format!("load_age_ms={load_age} endpoints_offset={endpoints}")
+    }
+
     /// Notes what came of a send
     pub fn note_result(&self, endpoint: &ListedEndpoint, result: SendResult) {
         if self.health.borrow_mut().note(endpoint, result, Instant::now()) {
