--- a/crates/gateway/tests/gateway/deployment.rs
+++ b/crates/gateway/tests/gateway/deployment.rs
@@ -42,10 +42,21 @@
 
 /// Puts an endpoint's entry into the store
 pub fn list(store: &FakeStore, endpoint: &FakeEndpoint, state: &str, stage: Option<&str>) {
+    list_as(store, endpoint, state, stage, 1);
+}
+
+/// Puts the entry of an endpoint's incarnation, told by its start, into the store
+pub fn list_as(
+    store: &FakeStore,
+    endpoint: &FakeEndpoint,
+    state: &str,
+    stage: Option<&str>,
+    started_at_ms: u64,
+) {
     let pool = if endpoint.id.starts_with("engine") { "engines" } else { "desk" };
     let mut entry = json!({
         "service": pool, "address": endpoint.address, "zone": "zone-a", "version": "v1",
-        "slots": 6, "state": state, "cold_left_ms": 0, "sequence": 1, "born": 1
+        "slots": 6, "state": state, "cold_left_ms": 0, "sequence": 1, "born": started_at_ms
     });
     if let Some(stage) = stage {
         entry["stage"] = stage.into();
--- a/crates/gateway/tests/gateway/endpoint.rs
+++ b/crates/gateway/tests/gateway/endpoint.rs
@@ -32,6 +32,8 @@
     pub body: Vec<u8>,
     /// Number of its connection
     pub connection: usize,
+    /// Whether the script stated that it was not run
+    pub was_declined: bool,
     /// Whether its connection was closed before the script ended
     pub was_left: bool,
 }
@@ -89,8 +91,9 @@
     async fn serve(&self, mut socket: TcpStream, connection: usize) {
         let mut buffer = Vec::new();
         while let Some(arrival) = read_request(&mut socket, &mut buffer).await {
-            let arrival = Arrival { connection, ..arrival };
+            let mut arrival = Arrival { connection, ..arrival };
             let steps = (self.script)(&arrival);
+            arrival.was_declined = steps.first().is_some_and(declines);
             let place = {
                 let mut arrivals = self.arrivals.lock().expect("no panic");
                 arrivals.push(arrival);
@@ -132,6 +135,11 @@
     }
 }
 
+fn declines(step: &Step) -> bool {
+    let mark = b"X-Not-Run";
+    matches!(step, Step::Write(bytes) if bytes.windows(mark.len()).any(|it| it == mark))
+}
+
 async fn read_request(socket: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Arrival> {
     let head_end = loop {
         if let Some(end) = buffer.windows(4).position(|it| it == b"\r\n\r\n") {
@@ -157,7 +165,7 @@
         }
     }
     let body = buffer.drain(..length).collect();
-    Some(Arrival { line, headers, body, connection: 0, was_left: false })
+    Some(Arrival { line, headers, body, connection: 0, was_declined: false, was_left: false })
 }
 
 /// Whole answer with the request's id and a signature
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod malformed;
 mod plain;
 mod process;
+mod soak;
 mod store;
 mod streams;
 mod zone;
--- a/crates/gateway/tests/gateway/process.rs
+++ b/crates/gateway/tests/gateway/process.rs
@@ -95,8 +95,14 @@
 
     /// Sends SIGTERM
     pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Sends a signal by its name
+    pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        let status = Command::new("kill").args(["-TERM", &id]).status().expect("kill runs");
+        let signal = format!("-{name}");
+        let status = Command::new("kill").args([&signal, &id]).status().expect("kill runs");
         assert!(status.success(), "process {id} is gone");
     }
 
