Learn the times of engines instead of stating one customer's

Cause: the choice of engines rested on constants of engines that read 942 tokens a millisecond.

Change: decide::serving::timing fits a line (fixed time, time per token) to each of four stages by the Theil-Sen estimator, from sends to engines with little other work; engines that differ have a factor, which fades. Samples travel with the prompt reads that instances send anyway. Waits by counted work are scaled by what they turn out to be, as their upper quartile. The harm of reading beside streams is weighed by the slack of their pauses, not by a constant; slots are waited for by how long short generations hold them. A prompt that is late at any engine is served late behind a short queue. A failed prefill no longer uses up the only attempt of a route, so the request goes on at another engine.

GenerationRequest and plan_generation take more inputs, so the tests of serving_choice are given the measured times of their engines; no bound of them changed.

--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -14,3 +14,4 @@
 pub mod retry_window;
 pub mod route;
 pub mod send_history;
+pub mod timing;
--- a/crates/decide/src/serving/prompt.rs
+++ b/crates/decide/src/serving/prompt.rs
@@ -6,6 +6,9 @@
 use std::hash::Hasher;
 use twox_hash::XxHash3_64;
 
+/// Output length in tokens above which a request occupies a batch slot for seconds.
+const LONG_OUTPUT_TOKENS: TokenCount = 1000;
+
 /// Id of a prompt part; parts with equal ids have the same text.
 pub type PartId = SmolStr;
 
@@ -43,6 +46,11 @@
 }
 
 impl PromptShape {
+    /// Whether it may occupy a batch slot for seconds
+    pub fn has_long_output(&self) -> bool {
+        self.output_tokens > LONG_OUTPUT_TOKENS
+    }
+
     /// Parts that other requests may share: all but the last
     pub fn shared_parts(&self) -> &[PromptPart] {
         &self.parts[..self.parts.len().saturating_sub(1)]
--- a/crates/decide/src/serving/route.rs
+++ b/crates/decide/src/serving/route.rs
@@ -57,6 +57,8 @@
     pub objective: Duration,
     /// Priority; 0 is the highest
     pub rank: u8,
+    /// Longest pause between two events of an answer in time; `None` if the route states none
+    pub pause_limit: Option<Duration>,
     /// Pools that serve the route; never empty
     pub targets: Vec<RouteTarget>,
     /// Maximum number of endpoints that one request may be sent to
--- a/crates/decide/tests/serving_choice.rs
+++ b/crates/decide/tests/serving_choice.rs
@@ -7,10 +7,11 @@
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::load::{FleetLoad, WorkCount};
 use decide::serving::pick::{
-    EnginePick, GenerationPlan, GenerationRequest, PlanOutcome, PromptProgress, pick_service,
-    plan_generation,
+    EnginePick, EngineView, GenerationPlan, GenerationRequest, PlanOutcome, PromptProgress,
+    pick_service, plan_generation,
 };
 use decide::serving::prompt::{PromptPart, PromptShape};
+use decide::serving::timing::{PoolTiming, StageSample, TimedStage};
 use googletest::prelude::*;
 use indexmap::IndexMap;
 use std::time::{Duration, Instant};
@@ -86,6 +87,44 @@
     }
 }
 
+/// Times of engines that read 660 tokens in a millisecond, 290 beside decoding
+fn register_timing(now: Instant) -> PoolTiming {
+    let mut timing = PoolTiming::default();
+    let engine = EndpointId::from("any");
+    for number in 0..80 {
+        let at = now + Duration::from_millis(20 * number);
+        let tokens = 150 * number as u32;
+        let lines = [
+            (TimedStage::Whole, 8.5, 290.0),
+            (TimedStage::Prefill, 7.4, 660.0),
+            (TimedStage::Decode, 6.0, 3400.0),
+            (TimedStage::Fetch, 2.0, 6000.0),
+        ];
+        for (stage, fixed_ms, tokens_per_ms) in lines {
+            let took_ms = fixed_ms + f64::from(tokens) / tokens_per_ms;
+            timing.record(
+                &engine,
+                StageSample { stage, tokens, took_ms: took_ms as f32, is_loaded: false },
+                at,
+            );
+        }
+    }
+    timing
+}
+
+fn planned(
+    request: &GenerationRequest<'_>,
+    endpoints: &[ListedEndpoint],
+    load: &FleetLoad,
+    caches: &PromptCaches,
+) -> PlanOutcome {
+    let now = Instant::now();
+    let timing = register_timing(now);
+    let view =
+        EngineView { endpoints, load, caches, timing: &timing, now: now + Duration::from_secs(2) };
+    plan_generation(request, &view)
+}
+
 fn plan_with(
     load: &FleetLoad,
     prompt: &PromptShape,
@@ -97,12 +136,14 @@
         zone: &zone,
         excluded: &[],
         objective: Duration::from_millis(120),
+        pause_limit: Some(Duration::from_millis(120)),
+        time_left: Duration::from_secs(2),
         progress: PromptProgress::Unread,
         has_waited: false,
         draw: 1,
     };
     change(&mut request);
-    plan_generation(&request, &fleet(), load, &warm_caches(prompt))
+    planned(&request, &fleet(), load, &warm_caches(prompt))
 }
 
 /// Caches of a fleet in which every engine holds the shared parts of a prompt
@@ -123,11 +164,13 @@
         zone: &zone,
         excluded: &[],
         objective: Duration::from_millis(120),
+        pause_limit: Some(Duration::from_millis(120)),
+        time_left: Duration::from_secs(2),
         progress: PromptProgress::Unread,
         has_waited: false,
         draw: 1,
     };
-    plan_generation(&request, &fleet(), load, caches)
+    planned(&request, &fleet(), load, caches)
 }
 
 /// Caches of a fleet in which one engine has read a prompt
@@ -279,13 +322,15 @@
         zone: &zone,
         excluded: &[],
         objective: Duration::from_millis(120),
+        pause_limit: Some(Duration::from_millis(120)),
+        time_left: Duration::from_secs(2),
         progress: PromptProgress::Unread,
         has_waited: false,
         draw: 1,
     };
     let readers = [engine("p0", EngineRole::Prefill)];
     verify_that!(
-        plan_generation(&request, &readers, &FleetLoad::default(), &PromptCaches::default()),
+        planned(&request, &readers, &FleetLoad::default(), &PromptCaches::default()),
         eq(&PlanOutcome::NoEngine)
     )
 }
@@ -300,14 +345,13 @@
         zone: &zone,
         excluded: std::slice::from_ref(&home),
         objective: Duration::from_millis(120),
+        pause_limit: Some(Duration::from_millis(120)),
+        time_left: Duration::from_secs(2),
         progress: PromptProgress::Unread,
         has_waited: false,
         draw: 1,
     };
-    verify_that!(
-        whole(plan_generation(&request, &fleet(), &load, &warm_caches(&prompt))),
-        not(eq(&home))
-    )
+    verify_that!(whole(planned(&request, &fleet(), &load, &warm_caches(&prompt))), not(eq(&home)))
 }
 
 fn own_zone_first() -> Result<()> {
@@ -450,11 +494,13 @@
             zone: &zone,
             excluded: &[],
             objective: Duration::from_millis(120),
+            pause_limit: Some(Duration::from_millis(120)),
+            time_left: Duration::from_secs(2),
             progress: PromptProgress::Held,
             has_waited: false,
             draw: number as u64,
         };
-        let outcome = plan_generation(&request, &engines, &load, &PromptCaches::default());
+        let outcome = planned(&request, &engines, &load, &PromptCaches::default());
         let PlanOutcome::Plan(GenerationPlan::Decode(pick)) = outcome else {
             return fail!("plan does not decode from the cache: {outcome:?}");
         };
--- a/crates/decide/tests/serving_state.rs
+++ b/crates/decide/tests/serving_state.rs
@@ -58,6 +58,7 @@
         objective: Duration::from_millis(100),
         rank: 0,
         targets: vec![RouteTarget { pool: "pool".into(), weight: 1 }],
+        pause_limit: None,
         max_attempts: 2,
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -42,6 +42,8 @@
 const ANSWER_TIMEOUT_OBJECTIVES: f64 = 3.0;
 /// Time to wait for an engine's prefill, in multiples of the route's objective.
 const PREFILL_TIMEOUT_OBJECTIVES: f64 = 2.0;
+/// The same in multiples of the expected time, for prompts that take longer than the objective.
+const PREFILL_TIMEOUT_FACTOR: f64 = 3.0;
 
 /// Request being served
 pub struct ServingCall {
@@ -151,6 +153,8 @@
         self.excluded.push(endpoint.clone());
         match (error, status) {
             (SendError::Exchange(_), RunStatus::NotRun) => self.failed_connects += 1,
+            // An accepted prefill doesn't count as a send, so one engine may still do both.
+            (SendError::Prefill(_), _) if self.progress == PromptProgress::Lost => {}
             _ => self.history.record_send(status),
         }
     }
@@ -173,9 +177,10 @@
         self.deadline.min(Instant::now() + self.route.objective.mul_f64(ANSWER_TIMEOUT_OBJECTIVES))
     }
 
-    /// Time until which to wait for an engine to read the prompt
-    pub fn prefill_deadline(&self) -> Instant {
-        self.deadline.min(Instant::now() + self.route.objective.mul_f64(PREFILL_TIMEOUT_OBJECTIVES))
+    /// Time until which to wait for an engine to read the prompt, which is expected to take `expected`
+    pub fn prefill_deadline(&self, expected: Duration) -> Instant {
+        let limit = self.route.objective.mul_f64(PREFILL_TIMEOUT_OBJECTIVES);
+        self.deadline.min(Instant::now() + limit.max(expected.mul_f64(PREFILL_TIMEOUT_FACTOR)))
     }
 
     /// Chooses the answer to the client when no further send is made
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -17,7 +17,8 @@
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::health::SendResult;
 use decide::serving::pick::{
-    EnginePick, GenerationPlan, GenerationRequest, PlanOutcome, PromptProgress, plan_generation,
+    EnginePick, EngineView, GenerationPlan, GenerationRequest, PlanOutcome, PromptProgress,
+    plan_generation,
 };
 use decide::serving::route::RetryRule;
 use decide::serving::send_history::RunStatus;
@@ -28,11 +29,15 @@
 use platform_adapter::head::EngineStage;
 use smol_str::{SmolStr, format_smolstr};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
 /// Event stream of an engine's answer
 struct EngineStream {
     answer: OpenAnswer,
+    /// Time that the engine worked on the request before its first event, without any wait
+    own_time: Duration,
+    first_event_at: Instant,
     splitter: EventSplitter,
 }
 
@@ -43,8 +48,9 @@
 }
 
 impl EngineStream {
-    fn new(answer: OpenAnswer) -> EngineStream {
-        EngineStream { answer, splitter: EventSplitter::default() }
+    fn new(answer: OpenAnswer, own_time: Duration) -> EngineStream {
+        let first_event_at = Instant::now();
+        EngineStream { answer, own_time, first_event_at, splitter: EventSplitter::default() }
     }
 
     /// Reads the next complete events, or the end
@@ -68,6 +74,11 @@
         }
     }
 
+    /// Time that it has held a slot of its engine
+    fn held(&self) -> Duration {
+        self.own_time + self.first_event_at.elapsed()
+    }
+
     fn release_connection(self, gateway: &Gateway) {
         if !self.answer.head.closes_connection {
             gateway.connections.release(self.answer.connection, self.answer.head.idle_timeout);
@@ -112,7 +123,6 @@
                 record.endpoint = engine.id.clone();
                 record.first_byte();
                 call.history.record_send(RunStatus::MayHaveRun);
-                record_prompt_read(gateway, &call, &engine);
                 call.excluded.push(engine.id);
                 return Ok(stream_response(gateway.clone(), call, record, *stream, first));
             }
@@ -134,6 +144,7 @@
 /// One engine of a path; the work_guard counts the request in its load
 struct EngineStep {
     engine: ListedEndpoint,
+    pick: EnginePick,
     parts_source: Option<SmolStr>,
     work_guard: WorkGuard,
 }
@@ -153,12 +164,23 @@
         zone: &gateway.settings.zone,
         excluded: &call.excluded,
         objective: call.route.objective,
+        pause_limit: call.route.pause_limit,
+        time_left: call.deadline.saturating_duration_since(Instant::now()),
         progress: call.progress,
         has_waited: call.has_waited,
         draw: rand::random(),
     };
-    let outcome =
-        plan_generation(&request, &endpoints, &gateway.load.borrow(), &gateway.caches.borrow());
+    let outcome = {
+        let mut timings = gateway.timings.borrow_mut();
+        let view = EngineView {
+            endpoints: &endpoints,
+            load: &gateway.load.borrow(),
+            caches: &gateway.caches.borrow(),
+            timing: timings.entry(call.pool.clone()).or_default(),
+            now: Instant::now().into_std(),
+        };
+        plan_generation(&request, &view)
+    };
     let plan = match outcome {
         PlanOutcome::Plan(plan) => plan,
         PlanOutcome::Full(expected_ms) => {
@@ -187,7 +209,8 @@
         let holder = pick.holder.as_ref().and_then(find);
         let work_guard = WorkGuard::new(gateway.clone(), pick.endpoint.clone(), pick.unread_tokens);
         let parts_source = holder.map(|it| format_smolstr!("{}", it.address));
-        find(&pick.endpoint).map(|engine| EngineStep { engine, parts_source, work_guard })
+        let pick = pick.clone();
+        find(&pick.endpoint).map(|engine| EngineStep { engine, pick, parts_source, work_guard })
     };
     let (prefill, generate) = match &plan {
         GenerationPlan::Whole(pick) | GenerationPlan::Decode(pick) => (None, step(pick)),
@@ -196,9 +219,17 @@
     generate.map(|generate| EnginePath { prefill, generate }).ok_or("no_endpoint")
 }
 
-fn record_prompt_read(gateway: &Gateway, call: &ServingCall, engine: &ListedEndpoint) {
+/// Records that the engine of a pick has read the prompt, and how long that took
+fn record_prompt_read(
+    gateway: &Gateway,
+    call: &ServingCall,
+    engine: &ListedEndpoint,
+    pick: &EnginePick,
+    took: Duration,
+) {
+    gateway.record_wait(&call.pool, pick, took);
     if let Some(prompt) = &call.prompt {
-        gateway.record_prompt_read(engine, prompt.prefixes());
+        gateway.record_prompt_read(engine, prompt.prefixes(), pick.sample(took));
     }
 }
 
@@ -236,7 +267,6 @@
         match prefill(gateway, call, step).await {
             Ok(held) => {
                 gateway.record_result(&engine, SendResult::Answered);
-                record_prompt_read(gateway, call, &engine);
                 *cache = Some(held);
                 call.progress = PromptProgress::Held;
             }
@@ -315,15 +345,19 @@
         once: false,
         expects_signature: false,
     };
-    let deadline = call.prefill_deadline();
+    let expected = milliseconds(step.pick.expected_ms);
+    let deadline = call.prefill_deadline(expected);
     let answer = send(gateway, target, &call.request, &parameters, deadline).await?;
     let answer = read_whole(gateway, answer, deadline).await?;
+    let took = sent_at.elapsed();
     log::info!(
-        "event=prompt_read id={} engine={} took_ms={}",
+        "event=prompt_read id={} engine={} expected_ms={:.0} took_ms={}",
         call.request.id,
         engine.id,
-        sent_at.elapsed().as_millis(),
+        step.pick.expected_ms,
+        took.as_millis(),
     );
+    record_prompt_read(gateway, call, &engine, &step.pick, took);
     let source = decode_cache_source(&engine, &answer.body).map_err(|_| SendError::Mismatched)?;
     Ok(HeldCache { gateway: gateway.clone(), engine, source, is_taken: false })
 }
@@ -347,16 +381,23 @@
         expects_signature: true,
     };
     let deadline = call.answer_deadline(gateway);
+    let sent_at = Instant::now();
     let answer = send(gateway, target, &call.request, &parameters, deadline).await?;
     if !answer.head.status.is_success() {
         let answer = read_whole(gateway, answer, call.deadline).await?;
         return Ok(Started::Failed(relay_whole(answer)));
     }
-    let mut stream = EngineStream::new(answer);
+    let mut stream = EngineStream::new(answer, milliseconds(step.pick.own_ms));
     let first = stream.next(deadline).await?;
+    stream.first_event_at = Instant::now();
+    record_prompt_read(gateway, call, &step.engine, &step.pick, sent_at.elapsed());
     Ok(Started::Streaming(Box::new(stream), first))
 }
 
+fn milliseconds(time: f64) -> Duration {
+    Duration::try_from_secs_f64(time / 1000.0).unwrap_or_default()
+}
+
 fn stream_response(
     gateway: Rc<Gateway>,
     call: ServingCall,
@@ -386,14 +427,23 @@
             match item {
                 StreamItem::Events(events) => yield events,
                 StreamItem::End => {
+                    if call.prompt.as_ref().is_some_and(|it| !it.has_long_output()) {
+                        gateway.record_hold(&call.pool, stream.held());
+                    }
                     stream.release_connection(&gateway);
                     call.record_completion(&gateway);
                     record.finish("answered", "200");
                     break;
                 }
             }
+            let paused_at = Instant::now();
             item = match stream.next(call.deadline).await {
-                Ok(next) => next,
+                Ok(next) => {
+                    if matches!(next, StreamItem::Events(_)) {
+                        gateway.record_pause(&call.pool, paused_at.elapsed());
+                    }
+                    next
+                }
                 Err(error) => {
                     let last = stream.splitter.last_id().cloned().or(call.last_event.clone());
                     // Closes the connection, so that this engine stops before another one resumes.
@@ -439,7 +489,6 @@
         match start_stream(gateway, call, &mut cache, path, last.clone()).await {
             Ok((engine, Started::Streaming(stream, item))) => {
                 call.history.record_send(RunStatus::MayHaveRun);
-                record_prompt_read(gateway, call, &engine);
                 call.excluded.push(engine.id);
                 return Some((*stream, item));
             }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -8,13 +8,14 @@
 use decide::serving::load::{EndpointWork, WorkCount};
 use decide::serving::prompt::PromptPrefix;
 use decide::serving::route::ConfigVersion;
+use decide::serving::timing::StageSample;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// Maximum size of a message; the work at 60 endpoints takes about 1,000 bytes, at 640 about 11,000.
 pub const MAX_MESSAGE_BYTES: usize = 32 * 1024;
 /// Version of the message format; messages of other versions are ignored.
-const MESSAGE_VERSION: u8 = 6;
+const MESSAGE_VERSION: u8 = 7;
 /// Maximum number of prompt reads in one update; about 60 bytes each, well below
 /// `MAX_MESSAGE_BYTES`.
 const MAX_UPDATE_READS: usize = 200;
@@ -45,6 +46,8 @@
     pub started_at_ms: u64,
     /// Prefixes of the prompt that the engine now holds in its cache
     pub prefixes: Vec<PromptPrefix>,
+    /// Time that it took; `None` if that doesn't show the engine's speed
+    pub sample: Option<StageSample>,
 }
 
 /// Disconnect of an endpoint while it may have run a request
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,9 +14,11 @@
 use decide::serving::endpoint_list::{EndpointList, ListOffset, ListedEndpoint};
 use decide::serving::health::{EndpointHealth, SendResult};
 use decide::serving::load::FleetLoad;
+use decide::serving::pick::EnginePick;
 use decide::serving::prompt::PromptPrefix;
 use decide::serving::retry_window::RetryWindow;
 use decide::serving::route::{RetryRule, RouteName, ServingConfig};
+use decide::serving::timing::{PoolTiming, StageSample};
 use decide::suspect::SuspectTable;
 use indexmap::IndexMap;
 use lru::LruCache;
@@ -63,6 +65,8 @@
     pub load: RefCell<FleetLoad>,
     /// Known contents of the engines' prompt caches
     pub caches: RefCell<PromptCaches>,
+    /// Learned times of the engines by pool
+    pub timings: RefCell<IndexMap<PoolName, PoolTiming>>,
     /// Requests suspected of crashing endpoints
     pub suspects: RefCell<SuspectTable>,
     /// Recently completed requests; a disconnect during one of them has another cause
@@ -105,6 +109,7 @@
             health: RefCell::default(),
             load: RefCell::default(),
             caches: RefCell::default(),
+            timings: RefCell::default(),
             suspects: RefCell::default(),
             completed: RefCell::new(LruCache::new(MAX_COMPLETED_REQUESTS)),
             pending_update: RefCell::default(),
@@ -174,11 +179,16 @@
         }
     }
 
-    /// Records that an engine has read a prompt
-    pub fn record_prompt_read(&self, engine: &ListedEndpoint, prefixes: Vec<PromptPrefix>) {
+    /// Records that an engine has read a prompt, and the time that this shows
+    pub fn record_prompt_read(
+        &self,
+        engine: &ListedEndpoint,
+        prefixes: Vec<PromptPrefix>,
+        sample: Option<StageSample>,
+    ) {
         let started_at_ms = engine.started_at_ms;
-        let read = PromptRead { engine: engine.id.clone(), started_at_ms, prefixes };
-        self.apply_prompt_read(engine, &read.prefixes);
+        let read = PromptRead { engine: engine.id.clone(), started_at_ms, prefixes, sample };
+        self.apply_prompt_read(engine, &read);
         let update = ServingUpdate { reads: vec![read], ..Default::default() };
         self.pending_update.borrow_mut().extend(update);
     }
@@ -226,16 +236,38 @@
         for read in &update.reads {
             let engine = list.get(&read.engine);
             if let Some(engine) = engine.filter(|it| it.started_at_ms == read.started_at_ms) {
-                self.apply_prompt_read(engine, &read.prefixes);
+                self.apply_prompt_read(engine, read);
             }
         }
     }
 
-    fn apply_prompt_read(&self, engine: &ListedEndpoint, prefixes: &[PromptPrefix]) {
+    /// Records how long a generation with a short output held a slot of an engine
+    pub fn record_hold(&self, pool: &PoolName, took: Duration) {
+        self.timings.borrow_mut().entry(pool.clone()).or_default().record_hold(took);
+    }
+
+    /// Records how long the send of a pick took until its first event or the end of its prompt
+    pub fn record_wait(&self, pool: &PoolName, pick: &EnginePick, took: Duration) {
+        let mut timings = self.timings.borrow_mut();
+        let timing = timings.entry(pool.clone()).or_default();
+        timing.record_wait(pick.own_ms, pick.wait_ms, took);
+    }
+
+    /// Records a pause between two events of a stream
+    pub fn record_pause(&self, pool: &PoolName, took: Duration) {
+        self.timings.borrow_mut().entry(pool.clone()).or_default().record_pause(took);
+    }
+
+    fn apply_prompt_read(&self, engine: &ListedEndpoint, read: &PromptRead) {
+        if let Some(sample) = read.sample {
+            let mut timings = self.timings.borrow_mut();
+            let timing = timings.entry(engine.pool.clone()).or_default();
+            timing.record(&engine.id, sample, Instant::now());
+        }
         let config = self.config.borrow();
         let pool = config.as_ref().and_then(|it| it.pools.get(&engine.pool));
         if let Some(capacity) = pool.and_then(|it| it.engine) {
-            self.caches.borrow_mut().record_prompt(engine, prefixes, capacity.cache_tokens);
+            self.caches.borrow_mut().record_prompt(engine, &read.prefixes, capacity.cache_tokens);
         }
     }
 
--- a/crates/gateway/tests/gateway/deployment.rs
+++ b/crates/gateway/tests/gateway/deployment.rs
@@ -90,6 +90,7 @@
             route("entries", "non_idempotent", "plain", 2),
             route("resumed", "stream", "engines", 2),
             route("streams", "stream", "engines", 2),
+            route("single-streams", "stream", "engines", 1),
         ],
         "services": [
             {"name": "plain", "health_path": "/healthz", "max_conns": 100},
--- a/crates/gateway/tests/gateway/generations.rs
+++ b/crates/gateway/tests/gateway/generations.rs
@@ -12,8 +12,10 @@
     cached_prompt_is_used_by_the_next_engine => reused_after_misdirection(),
     unused_prompt_cache_is_freed => freed(),
     prompt_is_prefilled_only_once => single_prefill(),
-    failed_prefill_does_not_count_as_a_run => failed_prefill(vec![Step::Reset]),
-    unresponsive_prefill_engine_is_given_up => failed_prefill(vec![Step::Hang]),
+    failed_prefill_does_not_count_as_a_run => failed_prefill("streams", vec![Step::Reset]),
+    unresponsive_prefill_engine_is_given_up => failed_prefill("streams", vec![Step::Hang]),
+    failed_prefill_leaves_the_only_attempt => failed_prefill("single-streams", vec![Step::Reset]),
+    unresponsive_prefill_engine_leaves_the_only_attempt => failed_prefill("single-streams", vec![Step::Hang]),
 }
 
 /// Generation whose prompt is long enough that a separate prefill is faster
@@ -100,10 +102,12 @@
     verify_that!(prefills, eq(1))
 }
 
-async fn failed_prefill(steps: Vec<Step>) -> Result<()> {
+/// Checks that another engine still serves a request whose separate prefill failed; on routes that
+/// allow one attempt only, too, since an accepted prefill is none
+async fn failed_prefill(route: &str, steps: Vec<Step>) -> Result<()> {
     let prefill = endpoint("engine-p", move |_| steps.clone()).await;
     let decode = endpoint("engine-1", decode_script).await;
     let deployment = Deployment::start(&[&prefill, &decode]).await;
-    let got = deployment.call(generation("streams", "id-1")).await;
+    let got = deployment.call(generation(route, "id-1")).await;
     verify_that!((got.status, got.is_whole), eq((200, true)))
 }
--- a/crates/loadmodel/src/arrivals.rs
+++ b/crates/loadmodel/src/arrivals.rs
@@ -1,6 +1,7 @@
 //! Random arrivals of requests, by kind and load pattern.
 
 use crate::SimTime;
+use crate::engine::EngineSpec;
 use decide::serving::prompt::{PromptPart, PromptShape};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -68,6 +69,17 @@
     ]
 }
 
+/// The usual kinds for engines of another speed: fewer requests and longer objectives for slower ones
+pub fn scaled_kinds(spec: &EngineSpec, engines: usize) -> [RequestKind; 2] {
+    let scale = spec.time_scale();
+    usual_kinds(engines).map(|kind| RequestKind {
+        rate: kind.rate / scale,
+        objective: kind.objective.mul_f64(scale),
+        client_timeout: kind.client_timeout.mul_f64(scale),
+        ..kind
+    })
+}
+
 /// Change of the load over time
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LoadPattern {
--- a/crates/loadmodel/src/engine.rs
+++ b/crates/loadmodel/src/engine.rs
@@ -9,17 +9,56 @@
 
 /// Maximum number of requests waiting at an engine; further ones are declined. From the engine specification.
 const MAX_WAITING: usize = 18;
-/// Time of a step and extra time per running request, in milliseconds; from the engine specification.
-const STEP_MS: f64 = 0.592;
-const STEP_MS_PER_REQUEST: f64 = 0.0077;
-/// Prompt tokens that a prefill engine reads per millisecond, and per step; from the engine
-/// specification. Mixed engines read at half the speed and a quarter of the tokens per step.
-const READ_TOKENS_PER_MS: f64 = 942.0;
+/// Prompt tokens that a prefill engine reads per step; from the engine specification. Mixed engines
+/// read at half the speed and a quarter of the tokens per step.
 const PIECE_TOKENS: u64 = 2048;
-/// Time that the engine needs from the last piece to the first token, in milliseconds; from the specification.
-const FIRST_TOKEN_MS: f64 = 4.3;
-/// Time to fetch cached tokens from another engine, in milliseconds; from the engine specification.
-const FETCH_MS: f64 = 2.0;
+
+/// Speed and size of an engine
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EngineSpec {
+    /// Prompt tokens that a prefill engine reads per millisecond
+    pub read_tokens_per_ms: f64,
+    /// Batch slots
+    pub slots: u32,
+    /// Time of a step and extra time per running request, in milliseconds
+    pub step_ms: f64,
+    pub step_ms_per_request: f64,
+    /// Time from the last piece of a prompt to the first token, in milliseconds
+    pub first_token_ms: f64,
+    /// Time to fetch cached tokens from another engine, in milliseconds
+    pub fetch_ms: f64,
+}
+
+impl EngineSpec {
+    /// Engine of the users' first specification
+    pub const REGISTER: EngineSpec = EngineSpec {
+        read_tokens_per_ms: 942.0,
+        slots: 6,
+        step_ms: 0.592,
+        step_ms_per_request: 0.0077,
+        first_token_ms: 4.3,
+        fetch_ms: 2.0,
+    };
+
+    /// Engine that reads this number of tokens per millisecond; its other times are scaled alike
+    pub fn at_speed(read_tokens_per_ms: f64, slots: u32) -> EngineSpec {
+        let base = EngineSpec::REGISTER;
+        let scale = base.read_tokens_per_ms / read_tokens_per_ms;
+        EngineSpec {
+            read_tokens_per_ms,
+            slots,
+            step_ms: base.step_ms * scale,
+            step_ms_per_request: base.step_ms_per_request * scale,
+            first_token_ms: base.first_token_ms * scale,
+            fetch_ms: base.fetch_ms * scale,
+        }
+    }
+
+    /// Times of this engine relative to those of `REGISTER`
+    pub fn time_scale(&self) -> f64 {
+        EngineSpec::REGISTER.read_tokens_per_ms / self.read_tokens_per_ms
+    }
+}
 
 /// Work of an engine for one request
 #[derive(Debug, Clone, PartialEq)]
@@ -60,6 +99,7 @@
 pub struct SimEngine {
     /// Entry in the instances' endpoint list
     pub listed: ListedEndpoint,
+    spec: EngineSpec,
     running: Vec<RunningJob>,
     waiting: VecDeque<EngineJob>,
     caches: PromptCaches,
@@ -72,9 +112,10 @@
 
 impl SimEngine {
     /// Creates an idle engine with an empty cache of `cache_tokens`
-    pub fn new(listed: ListedEndpoint, cache_tokens: u64) -> SimEngine {
+    pub fn new(listed: ListedEndpoint, spec: EngineSpec, cache_tokens: u64) -> SimEngine {
         SimEngine {
             listed,
+            spec,
             running: Vec::new(),
             waiting: VecDeque::new(),
             caches: PromptCaches::default(),
@@ -113,19 +154,19 @@
         if self.running.is_empty() {
             return None;
         }
-        time_ms += STEP_MS + STEP_MS_PER_REQUEST * self.running.len() as f64;
+        time_ms += self.spec.step_ms + self.spec.step_ms_per_request * self.running.len() as f64;
         let is_reader = self.listed.role == Some(EngineRole::Prefill);
         let (speed, piece) = if is_reader {
-            (READ_TOKENS_PER_MS, PIECE_TOKENS)
+            (self.spec.read_tokens_per_ms, PIECE_TOKENS)
         } else {
-            (READ_TOKENS_PER_MS / 2.0, PIECE_TOKENS / 4)
+            (self.spec.read_tokens_per_ms / 2.0, PIECE_TOKENS / 4)
         };
         if let Some(reading) = self.running.iter_mut().find(|it| it.unread_tokens > 0) {
             let tokens = reading.unread_tokens.min(piece);
             reading.unread_tokens -= tokens;
             time_ms += tokens as f64 / speed;
             if reading.unread_tokens == 0 {
-                time_ms += FIRST_TOKEN_MS;
+                time_ms += self.spec.first_token_ms;
             }
         }
         self.is_busy = true;
@@ -149,7 +190,7 @@
             remaining_output_tokens,
             has_read_prompt: false,
         });
-        if is_fetched { FETCH_MS } else { 0.0 }
+        if is_fetched { self.spec.fetch_ms } else { 0.0 }
     }
 
     /// Ends the current step and returns its events
--- a/crates/loadmodel/src/fleet.rs
+++ b/crates/loadmodel/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::SimTime;
 use crate::arrivals::SimRequest;
-use crate::engine::{EngineEvent, EngineJob, SimEngine};
+use crate::engine::{EngineEvent, EngineJob, EngineSpec, SimEngine};
 use crate::policy::{ChoicePolicy, InstanceView};
 use crate::report::{CallOutcome, RunReport};
 use catalogue::EngineRole;
@@ -14,6 +14,7 @@
     EnginePick, GenerationPlan, GenerationRequest, PlanOutcome, PromptProgress,
 };
 use decide::serving::prompt::PromptPrefix;
+use decide::serving::timing::{PoolTiming, StageSample};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use smol_str::format_smolstr;
@@ -31,7 +32,6 @@
 const CLIENT_RETRY_SPREAD_MS: SimTime = 200.0;
 /// Cache capacity of an engine, in tokens; from the engine specification.
 const CACHE_TOKENS: u64 = 2_000_000;
-const SLOTS: u32 = 6;
 
 #[derive(Debug, Clone, Copy)]
 pub struct FleetSize {
@@ -40,6 +40,7 @@
     pub readers: usize,
     /// Number of mixed engines
     pub mixed: usize,
+    pub engine: EngineSpec,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -49,12 +50,21 @@
     Messages,
 }
 
+/// Prompt that an engine has read, for the next message to the other instances
+#[derive(Clone)]
+struct PendingRead {
+    engine: usize,
+    prefixes: Vec<PromptPrefix>,
+    sample: Option<StageSample>,
+}
+
 /// View of a simulated instance
 #[derive(Default)]
 struct SimInstance {
     load: FleetLoad,
     caches: PromptCaches,
-    pending_reads: Vec<(usize, Vec<PromptPrefix>)>,
+    timing: PoolTiming,
+    pending_reads: Vec<PendingRead>,
 }
 
 struct SimCall {
@@ -65,6 +75,11 @@
     decode_pick: Option<EnginePick>,
     /// Engine that works on the call, and the unread tokens that count there
     work: Option<(usize, u64)>,
+    /// Pick and time of the current send
+    sent: Option<(EnginePick, SimTime)>,
+    /// Expected time until the first token, whether two engines serve the call, and time of the choice
+    planned: Option<(f64, bool, SimTime)>,
+    first_token_at: SimTime,
 }
 
 struct FleetRun<'a> {
@@ -95,7 +110,10 @@
     let cache_tokens = if policy.is_warm { u64::MAX } else { CACHE_TOKENS };
     let mut run = FleetRun {
         policy,
-        engines: listed.iter().map(|it| SimEngine::new(it.clone(), cache_tokens)).collect(),
+        engines: listed
+            .iter()
+            .map(|it| SimEngine::new(it.clone(), size.engine, cache_tokens))
+            .collect(),
         listed,
         instances: (0..size.instances).map(|_| SimInstance::default()).collect(),
         actual: SimInstance::default(),
@@ -120,6 +138,9 @@
             has_waited: false,
             decode_pick: None,
             work: None,
+            sent: None,
+            planned: None,
+            first_token_at: 0.0,
         });
     }
     run.schedule(MESSAGE_INTERVAL_MS, SimEvent::Messages);
@@ -142,7 +163,7 @@
         pool: "engines".into(),
         address: ([127, 0, 0, 1], 1).into(),
         zone: "zone".into(),
-        slots: SLOTS,
+        slots: size.engine.slots,
         is_ready: true,
         role: Some(role),
         started_at_ms: 1,
@@ -174,6 +195,8 @@
             zone: &zone,
             excluded: &[],
             objective: state.request.objective,
+            pause_limit: None,
+            time_left: state.request.client_timeout,
             progress: PromptProgress::Unread,
             has_waited: state.has_waited,
             draw: self.rng.random(),
@@ -183,9 +206,16 @@
             engines: &self.listed,
             load: &instance.load,
             caches: &instance.caches,
+            timing: &instance.timing,
+            now: self.base + Duration::from_secs_f64(now / 1000.0),
             actual: (&self.actual.load, &self.actual.caches),
         };
-        match (self.policy.plan)(&request, &view) {
+        let outcome = (self.policy.plan)(&request, &view);
+        if let PlanOutcome::Plan(plan) = &outcome {
+            let is_split = matches!(plan, GenerationPlan::Split { .. });
+            self.calls[call].planned = Some((plan.expected_ms(), is_split, now));
+        }
+        match outcome {
             PlanOutcome::Plan(GenerationPlan::Split { prefill, decode }) => {
                 self.calls[call].decode_pick = Some(decode);
                 self.send(call, &prefill, true, now);
@@ -224,6 +254,7 @@
             load.record_sent(&pick.endpoint, pick.unread_tokens);
         }
         self.calls[call].work = Some((engine, pick.unread_tokens));
+        self.calls[call].sent = Some((pick.clone(), now));
         self.start_step(engine, now);
     }
 
@@ -270,11 +301,25 @@
             self.actual.load.record_read(&listed.id, tokens);
         }
         instance.caches.record_prompt(listed, &state.prefixes, self.cache_tokens);
-        instance.pending_reads.push((engine, state.prefixes.clone()));
+        let at = self.base + Duration::from_secs_f64(now / 1000.0);
+        let sample = state.sent.take().and_then(|(pick, sent_at)| {
+            let took = Duration::from_secs_f64((now + ROUND_TRIP_MS - sent_at) / 1000.0);
+            instance.timing.record_wait(pick.own_ms, pick.wait_ms, took);
+            pick.sample(took)
+        });
+        if let Some(sample) = sample {
+            instance.timing.record(&listed.id, sample, at);
+        }
+        let prefixes = state.prefixes.clone();
+        instance.pending_reads.push(PendingRead { engine, prefixes, sample });
         self.actual.caches.record_prompt(listed, &state.prefixes, self.cache_tokens);
         if state.decode_pick.as_ref().is_some_and(|it| it.endpoint != listed.id) {
             return;
         }
+        state.first_token_at = now;
+        if let Some((expected_ms, is_split, planned_at)) = state.planned.take() {
+            self.report.record_estimate(is_split, (now + ROUND_TRIP_MS - planned_at) / expected_ms);
+        }
         let took = now + ROUND_TRIP_MS - state.request.arrived_at;
         let milliseconds = |it: Duration| it.as_secs_f64() * 1000.0;
         let outcome = if took <= milliseconds(state.request.objective) {
@@ -293,6 +338,11 @@
         self.instances[instance].load.record_ended(&id);
         self.actual.load.record_ended(&id);
         self.calls[call].work = None;
+        let state = &self.calls[call];
+        if state.first_token_at > 0.0 && !state.request.prompt.has_long_output() {
+            let held = Duration::from_secs_f64((now - state.first_token_at) / 1000.0);
+            self.instances[instance].timing.record_hold(held);
+        }
         let decode_pick = self.calls[call].decode_pick.clone().filter(|it| it.endpoint != id);
         if let Some(pick) = decode_pick {
             self.send(call, &pick, false, now);
@@ -308,12 +358,12 @@
             let receivers = self.instances.iter_mut().enumerate().filter(|it| it.0 != sender);
             for (_, receiver) in receivers {
                 receiver.load.apply_report(name.clone(), work.clone(), at);
-                for (engine, prefixes) in &reads {
-                    receiver.caches.record_prompt(
-                        &self.listed[*engine],
-                        prefixes,
-                        self.cache_tokens,
-                    );
+                for read in &reads {
+                    let engine = &self.listed[read.engine];
+                    receiver.caches.record_prompt(engine, &read.prefixes, self.cache_tokens);
+                    if let Some(sample) = read.sample {
+                        receiver.timing.record(&engine.id, sample, at);
+                    }
                 }
             }
         }
--- a/crates/loadmodel/src/main.rs
+++ b/crates/loadmodel/src/main.rs
@@ -1,8 +1,9 @@
 //! Compares policies that choose engines, over patterns of load.
 
 use displaydoc::Display;
-use loadmodel::arrivals::{LoadPattern, draw_arrivals, usual_kinds};
+use loadmodel::arrivals::{LoadPattern, draw_arrivals, scaled_kinds};
 use loadmodel::chart::{self, ChartError, PatternBars};
+use loadmodel::engine::EngineSpec;
 use loadmodel::fleet::{self, FleetSize};
 use loadmodel::policy::{POLICIES, policy};
 use rand::SeedableRng;
@@ -23,6 +24,8 @@
     --instances N      number of instances (7)
     --readers N        number of prefill engines (2)
     --mixed N          number of mixed engines (5)
+    --speed N          prompt tokens that an engine reads per millisecond (942)
+    --slots N          batch slots of an engine (6)
     --seconds N        length of a run in seconds (20)
     --seeds N          runs of each policy and pattern (3)
     --svg FILE         draw the fractions served in time
@@ -72,7 +75,15 @@
         Some(name) => vec![policy(&name).ok_or(CommandError::Policy(name))?],
         None => POLICIES.to_vec(),
     };
+    let speed = arguments.opt_value_from_str("--speed")?;
+    let slots = arguments.opt_value_from_str("--slots")?;
+    let register = EngineSpec::REGISTER;
+    let engine = EngineSpec::at_speed(
+        speed.unwrap_or(register.read_tokens_per_ms),
+        slots.unwrap_or(register.slots),
+    );
     let size = FleetSize {
+        engine,
         instances: arguments.opt_value_from_str("--instances")?.unwrap_or(7),
         readers: arguments.opt_value_from_str("--readers")?.unwrap_or(2),
         mixed: arguments.opt_value_from_str("--mixed")?.unwrap_or(5),
@@ -83,10 +94,12 @@
     if let Some(extra) = arguments.finish().first() {
         return Err(CommandError::Unknown(extra.display().to_string()));
     }
-    let kinds = usual_kinds(size.readers + size.mixed);
+    let kinds = scaled_kinds(&size.engine, size.readers + size.mixed);
     println!(
         "pattern       policy           kind     asked  in_time  late  refused  p50_ms  p99_ms  read_again_k"
     );
+    // Slower engines take as many requests as the usual ones, over a longer time.
+    let length = seconds * 1000.0 * size.engine.time_scale();
     let mut charts = Vec::new();
     for pattern in LoadPattern::ALL {
         let mut bars = Vec::new();
@@ -94,8 +107,7 @@
             let mut mean_fraction = 0.0;
             for seed in 0..seeds {
                 let mut rng = ChaCha8Rng::seed_from_u64(seed);
-                let arrivals =
-                    draw_arrivals(&kinds, pattern, size.instances, seconds * 1000.0, &mut rng);
+                let arrivals = draw_arrivals(&kinds, pattern, size.instances, length, &mut rng);
                 let report = fleet::run(*policy, size, kinds.len(), arrivals, &mut rng);
                 for (kind, it) in kinds.iter().zip(&report.kinds) {
                     println!(
--- a/crates/loadmodel/src/policy.rs
+++ b/crates/loadmodel/src/policy.rs
@@ -4,8 +4,10 @@
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::load::FleetLoad;
 use decide::serving::pick::{
-    EnginePick, GenerationPlan, GenerationRequest, PlanOutcome, plan_generation,
+    EnginePick, EngineView, GenerationPlan, GenerationRequest, PlanOutcome, plan_generation,
 };
+use decide::serving::timing::PoolTiming;
+use std::time::Instant;
 
 /// View of an instance when a request arrives
 pub struct InstanceView<'a> {
@@ -15,10 +17,21 @@
     pub load: &'a FleetLoad,
     /// Cached prompts by engine, as last received
     pub caches: &'a PromptCaches,
+    /// Times of the engines as the instance has learned them
+    pub timing: &'a PoolTiming,
+    pub now: Instant,
     /// Exact work and caches, without the delay of messages
     pub actual: (&'a FleetLoad, &'a PromptCaches),
 }
 
+impl<'a> InstanceView<'a> {
+    /// View for the gateway's policy, with these caches
+    pub fn with_caches(&self, caches: &'a PromptCaches) -> EngineView<'a> {
+        let &InstanceView { engines, load, timing, now, .. } = self;
+        EngineView { endpoints: engines, load, caches, timing, now }
+    }
+}
+
 /// Named policy
 #[derive(Clone, Copy)]
 pub struct ChoicePolicy {
@@ -36,14 +49,12 @@
     ChoicePolicy {
         name: "unknown_holders",
         is_warm: false,
-        plan: |request, view| {
-            plan_generation(request, view.engines, view.load, &PromptCaches::default())
-        },
+        plan: |request, view| plan_generation(request, &view.with_caches(&PromptCaches::default())),
     },
     ChoicePolicy {
         name: "known_holders",
         is_warm: false,
-        plan: |request, view| plan_generation(request, view.engines, view.load, view.caches),
+        plan: |request, view| plan_generation(request, &view.with_caches(view.caches)),
     },
     ChoicePolicy { name: "fresh_view", is_warm: false, plan: fresh_view },
     ChoicePolicy { name: "warm_fresh_view", is_warm: true, plan: fresh_view },
@@ -55,7 +66,8 @@
 }
 
 fn fresh_view(request: &GenerationRequest<'_>, view: &InstanceView<'_>) -> PlanOutcome {
-    plan_generation(request, view.engines, view.actual.0, view.actual.1)
+    let engines = EngineView { load: view.actual.0, ..view.with_caches(view.actual.1) };
+    plan_generation(request, &engines)
 }
 
 fn random(request: &GenerationRequest<'_>, view: &InstanceView<'_>) -> PlanOutcome {
@@ -91,6 +103,9 @@
         unread_tokens: u64::from(request.prompt.prompt_tokens),
         holder: None,
         expected_ms: 0.0,
+        own_ms: 0.0,
+        wait_ms: 0.0,
         cost_ms: 0.0,
+        timed: None,
     })
 }
--- a/crates/loadmodel/src/report.rs
+++ b/crates/loadmodel/src/report.rs
@@ -54,12 +54,19 @@
     pub kinds: Vec<KindReport>,
     /// Shared prompt tokens that engines read because they were not cached
     pub read_again: u64,
+    /// Ratios of observed to expected time until the first token, on one engine and on two
+    pub ratios: [Vec<f64>; 2],
 }
 
 impl RunReport {
     /// Creates an empty report
     pub fn new(kinds: usize) -> RunReport {
-        RunReport { kinds: vec![KindReport::default(); kinds], read_again: 0 }
+        RunReport { kinds: vec![KindReport::default(); kinds], ..RunReport::default() }
+    }
+
+    /// Records how an estimate compares with what was observed
+    pub fn record_estimate(&mut self, is_split: bool, ratio: f64) {
+        self.ratios[usize::from(is_split)].push(ratio);
     }
 
     /// Records the outcome of a request
--- a/crates/loadmodel/tests/patterns.rs
+++ b/crates/loadmodel/tests/patterns.rs
@@ -2,7 +2,8 @@
 
 use decide::serving::pick::{GenerationRequest, PlanOutcome, plan_generation};
 use googletest::prelude::*;
-use loadmodel::arrivals::{LoadPattern, draw_arrivals, usual_kinds};
+use loadmodel::arrivals::{LoadPattern, draw_arrivals, scaled_kinds};
+use loadmodel::engine::EngineSpec;
 use loadmodel::fleet::{FleetSize, run};
 use loadmodel::policy::{ChoicePolicy, InstanceView, policy};
 use loadmodel::report::RunReport;
@@ -17,18 +18,34 @@
     delayed_views_do_not_herd => views_are_late(),
     steady_load_is_served_in_time => steady_is_served(),
     queries_are_served_beside_summaries => queries_are_served(),
+    times_of_engines_of_20_tokens_a_millisecond_are_learned => times_are_learned(20.0, 8),
+    times_of_engines_of_112_tokens_a_millisecond_are_learned => times_are_learned(112.0, 128),
+    times_of_engines_of_942_tokens_a_millisecond_are_learned => times_are_learned(942.0, 6),
+    times_of_engines_of_3000_tokens_a_millisecond_are_learned => times_are_learned(3000.0, 8),
     one_seed_gives_one_result => runs_repeat(),
 }
 
-const SIZE: FleetSize = FleetSize { instances: 7, readers: 2, mixed: 5 };
+const SIZE: FleetSize =
+    FleetSize { instances: 7, readers: 2, mixed: 5, engine: EngineSpec::REGISTER };
 const SECONDS: f64 = 15.0;
 const SEEDS: u64 = 3;
 
 fn simulate(policy: ChoicePolicy, pattern: LoadPattern, seed: u64) -> RunReport {
-    let kinds = usual_kinds(SIZE.readers + SIZE.mixed);
+    simulate_engines(SIZE.engine, policy, pattern, seed)
+}
+
+fn simulate_engines(
+    engine: EngineSpec,
+    policy: ChoicePolicy,
+    pattern: LoadPattern,
+    seed: u64,
+) -> RunReport {
+    let size = FleetSize { engine, ..SIZE };
+    let kinds = scaled_kinds(&engine, size.readers + size.mixed);
+    let length = SECONDS * 1000.0 * engine.time_scale();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let arrivals = draw_arrivals(&kinds, pattern, SIZE.instances, SECONDS * 1000.0, &mut rng);
-    run(policy, SIZE, kinds.len(), arrivals, &mut rng)
+    let arrivals = draw_arrivals(&kinds, pattern, size.instances, length, &mut rng);
+    run(policy, size, kinds.len(), arrivals, &mut rng)
 }
 
 fn named(name: &str) -> ChoicePolicy {
@@ -54,7 +71,7 @@
 
 fn ignore_client_retry(request: &GenerationRequest<'_>, view: &InstanceView<'_>) -> PlanOutcome {
     let request = GenerationRequest { has_waited: false, ..request.clone() };
-    plan_generation(&request, view.engines, view.load, view.caches)
+    plan_generation(&request, &view.with_caches(view.caches))
 }
 
 /// Client retries leave free capacity to first attempts, which can still be in time
@@ -89,6 +106,19 @@
     Ok(())
 }
 
+/// Engines differ in speed and batch size; instances learn their times without being told
+fn times_are_learned(read_tokens_per_ms: f64, slots: u32) -> Result<()> {
+    let engine = EngineSpec::at_speed(read_tokens_per_ms, slots);
+    let report = simulate_engines(engine, named("known_holders"), LoadPattern::Steady, 1);
+    verify_that!(report.kinds[0].in_time_fraction(), gt(0.9))?;
+    for mut ratios in report.ratios {
+        ratios.sort_by(f64::total_cmp);
+        verify_that!(ratios.len(), gt(100))?;
+        verify_that!(ratios[ratios.len() / 2], all!(ge(0.7), le(1.4)))?;
+    }
+    Ok(())
+}
+
 fn runs_repeat() -> Result<()> {
     let simulate = || simulate(named("known_holders"), LoadPattern::PromptSwing, 1);
     verify_that!(simulate(), eq(&simulate()))
