Wait for the first edit before basing a second one on it

Cause: edit_reaches_paused_instance (KNOWN-RED) read the base of its second edit from instance 1 right after instance 0 had accepted the first. An edit on an older base is a conflict by design, as edits_race checks, so the case is allowed. Ruled out: an edit lost or reordered; every run ended with the revision that it should. Change: the test waits, within the stated bound, until both running instances show the first edit, and checks that too, so it checks more than before.

--- a/crates/standins/tests/edit_faults.rs
+++ b/crates/standins/tests/edit_faults.rs
@@ -36,8 +36,17 @@
 
 /// Waits up to `PROPAGATION_BOUND` until all instances show the limit
 async fn check_in_force(cluster: &Cluster, in_flight: u32) -> Result<()> {
+    check_in_force_at(cluster, 0..cluster.instances.len(), in_flight).await
+}
+
+/// Waits up to `PROPAGATION_BOUND` until these instances show the limit
+async fn check_in_force_at(
+    cluster: &Cluster,
+    instances: std::ops::Range<usize>,
+    in_flight: u32,
+) -> Result<()> {
     let deadline = Instant::now() + PROPAGATION_BOUND;
-    for index in 0..cluster.instances.len() {
+    for index in instances {
         loop {
             let shown = cluster.admin(index).get(&NAME.into()).await;
             if shown.is_ok_and(|it| it.entry.limits.in_flight == in_flight) {
@@ -158,6 +167,8 @@
     let cluster = start_trust(3).await.or_fail()?;
     cluster.instances[2].pause(true);
     edit(&cluster, 0, 841).await?;
+    // An edit that is based on an older revision is a conflict.
+    check_in_force_at(&cluster, 0..2, 841).await?;
     edit(&cluster, 1, 842).await?;
     cluster.instances[2].pause(false);
     check_in_force(&cluster, 842).await
