Earn retries by time too, so that a draining instance completes its streams

Requests that have no token yet need a retry of the budget, which is earned by arrivals only: a draining instance has none, so of 12 streams whose engines were paused at the start all but two or three were given up after about a second. drain_with_most_engines_paused_at_the_start shows it each time. Ruled out: the limit of attempts and of resumes; the log showed neither used up.

--- a/crates/persimmonlift/src/generation.rs
+++ b/crates/persimmonlift/src/generation.rs
@@ -26,9 +26,7 @@
 const MAX_ATTEMPTS: u32 = 16;
 /// Maximum number of times that an answer resumes after its first token.
 const MAX_RESUMES: u32 = 6;
-/// Maximum number of waits for the retry budget before the request is refused.
-const MAX_BUDGET_WAITS: u32 = 5;
-/// How long a request waits for an endpoint that accepts it.
+/// How long a request waits for an endpoint that accepts it, and for the retry budget.
 const ENDPOINT_WAIT_TIMEOUT: Duration = Duration::from_secs(5);
 /// `Retry-After` of a request that found no endpoint.
 const ENDPOINT_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -378,7 +376,7 @@
         );
     }
 
-    /// Takes a retry from the budget, waiting a few times if it is empty
+    /// Takes a retry from the budget, waiting up to `ENDPOINT_WAIT_TIMEOUT` if it is empty
     ///
     /// An answer with at least one token resumes even without budget, up to `MAX_RESUMES`.
     async fn allow_retry(&mut self) -> Result<(), CallerRefusal> {
@@ -390,11 +388,14 @@
             }
             return Err(self.refusal(RefusalCause::EndpointsFailed));
         }
-        for pause in 1..=MAX_BUDGET_WAITS {
+        let wait_started = Instant::now();
+        let mut waits = 0;
+        while wait_started.elapsed() < ENDPOINT_WAIT_TIMEOUT && !self.job.time_left().is_zero() {
             if std::mem::take(&mut self.is_retry_reserved) || self.pool.spend_retry() {
                 return Ok(());
             }
-            self.pause(pause + 2).await;
+            waits += 1;
+            self.pause(waits + 2).await;
         }
         let refusal = self.refusal(RefusalCause::EndpointsFailed);
         Err(refusal.retry_after(ENDPOINT_RETRY_AFTER))
--- a/crates/persimmonlift/src/pool.rs
+++ b/crates/persimmonlift/src/pool.rs
@@ -284,7 +284,7 @@
 
     /// Takes one retry from the budget; false if it is empty
     pub fn spend_retry(&self) -> bool {
-        self.lock().budget.spend()
+        self.lock().budget.spend(Instant::now())
     }
 
     /// Adds to the retry budget for a first attempt
--- a/crates/standins/tests/serving_faults.rs
+++ b/crates/standins/tests/serving_faults.rs
@@ -174,6 +174,24 @@
     check_right(&cluster.complete_call(1, &query_call("elsewhere", 5)).await)
 }
 
+/// Checks that a draining instance completes its streams although several engines were paused before
+/// they answered, so that more of them start again than an instance without arrivals has retries
+async fn drain_retries_all(paused: usize) -> Result<()> {
+    let cluster = start_trust(2).await.or_fail()?;
+    check_right(&cluster.complete_call(0, &query_call("first", 5)).await)?;
+    for engine in cluster.fleet.engines.keys().take(paused) {
+        apply(&cluster, pause(engine.clone())).await?;
+    }
+    let stream = |it| cluster.start_completion(0, query_call(&format!("stream {it}"), 20));
+    let streams: Vec<_> = (0..2 * STREAMS).map(stream).collect();
+    let report = cluster.instances[0].handle.drain().await;
+    verify_that!(report.cut, eq(0))?;
+    for stream in streams {
+        check_right(&stream.await.or_fail()?)?;
+    }
+    Ok(())
+}
+
 cases! { async
     call_after_instance_kill => calls_survive(kill_first),
     call_with_instance_paused => calls_survive(pause_first),
@@ -223,6 +241,7 @@
     drain_with_engine_unresponsive => drain_cuts_nothing(&[make_unresponsive("summary-1".into())]),
     drain_with_engine_withdrawn => drain_cuts_nothing(&[leave("summary-1".into())]),
     drain_with_engine_paused => drain_cuts_nothing(&[pause("summary-1".into())]),
+    drain_with_most_engines_paused_at_the_start => drain_retries_all(5),
     drain_with_log_down_and_engine_crash => drain_cuts_nothing(&[
         LOG_DOWN,
         crash("summary-1".into()),
