Take back the strikes of requests that ran beside a refused one

A stream that is resumed on an engine to which the crashing request is sent next gets a strike for each crash, and only the first is forgiven. By the table's own rules a neighbour in three crashes is refused; the new cases in decide/tests/suspect.rs failed before. Change: a crash is explained by a request that is refused and ran there; the others lose their strikes for it and get none that is reported later.

--- a/crates/decide/src/suspect.rs
+++ b/crates/decide/src/suspect.rs
@@ -6,6 +6,10 @@
 //! refused. A suspect that continues at another endpoint after a crash is also cleared, but
 //! only once per `STRIKE_LIFETIME`, so that a request that crashes its endpoints late is
 //! still detected.
+//!
+//! A crash is explained once a request is refused that ran on the endpoint at that time: the
+//! other requests there lose their strikes for it, and get none that is reported later. A
+//! request that is refused already stays refused.
 
 use crate::fingerprint::Fingerprint;
 use catalogue::id::EndpointId;
@@ -16,6 +20,8 @@
 pub const MAX_STRIKES: usize = 2;
 /// Time after which a strike no longer counts.
 pub const STRIKE_LIFETIME: Duration = Duration::from_secs(600);
+/// Maximum time between the reports of one crash by the requests that ran there.
+const SAME_CRASH_WINDOW: Duration = Duration::from_secs(2);
 /// Maximum number of tracked fingerprints; the oldest entry is evicted first.
 const MAX_FINGERPRINTS: usize = 10_000;
 
@@ -43,6 +49,10 @@
 }
 
 impl SuspectEntry {
+    fn is_refused(&self, now: Instant) -> bool {
+        self.strikes.iter().filter(|it| is_recent(it, now)).count() >= MAX_STRIKES
+    }
+
     fn is_recent(&self, now: Instant) -> bool {
         let has_progressed = self.progressed_at.is_some_and(|it| is_fresh(it, now));
         has_progressed || self.strikes.iter().any(|it| is_recent(it, now))
@@ -66,12 +76,39 @@
         now: Instant,
     ) -> SuspectDecision {
         self.evict_oldest();
+        let is_refused = self.strike_count(fingerprint, now) >= MAX_STRIKES;
+        if !is_refused && self.is_explained(endpoint, now) {
+            return self.decision(fingerprint, now);
+        }
         let strikes = &mut self.entries.entry(fingerprint).or_default().strikes;
         strikes.retain(|it| is_recent(it, now));
         if !strikes.iter().any(|it| it.endpoint == *endpoint) {
             strikes.push(Strike { endpoint: endpoint.clone(), at: now });
         }
-        self.decision(fingerprint, now)
+        let decision = self.decision(fingerprint, now);
+        if decision == SuspectDecision::Refuse {
+            self.explain_crashes(fingerprint, now);
+        }
+        decision
+    }
+
+    /// Whether a refused request ran on the endpoint when it crashed just now
+    fn is_explained(&self, endpoint: &EndpointId, now: Instant) -> bool {
+        self.entries.values().any(|entry| {
+            entry.is_refused(now) && entry.strikes.iter().any(|it| is_same_crash(it, endpoint, now))
+        })
+    }
+
+    /// Takes back the strikes of other requests for the crashes of a refused one
+    fn explain_crashes(&mut self, refused: Fingerprint, now: Instant) {
+        let Some(crashes) = self.entries.get(&refused).map(|it| it.strikes.clone()) else {
+            return;
+        };
+        for entry in self.entries.values_mut().filter(|it| !it.is_refused(now)) {
+            entry.strikes.retain(|strike| {
+                !crashes.iter().any(|it| is_same_crash(it, &strike.endpoint, strike.at))
+            });
+        }
     }
 
     /// Whether no request is suspected
@@ -135,6 +172,12 @@
     }
 }
 
+/// Whether a strike is for the crash of an endpoint that was reported at a time
+fn is_same_crash(strike: &Strike, endpoint: &EndpointId, at: Instant) -> bool {
+    let distance = strike.at.max(at).saturating_duration_since(strike.at.min(at));
+    strike.endpoint == *endpoint && distance < SAME_CRASH_WINDOW
+}
+
 fn is_recent(strike: &Strike, now: Instant) -> bool {
     is_fresh(strike.at, now)
 }
--- a/crates/decide/tests/suspect.rs
+++ b/crates/decide/tests/suspect.rs
@@ -3,7 +3,7 @@
 use decide::fingerprint::fingerprint;
 use decide::suspect::{STRIKE_LIFETIME, SuspectDecision, SuspectTable};
 use googletest::prelude::*;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use testcases::cases;
 
 fn check_strikes(endpoints: &[&str], decision: SuspectDecision) -> Result<()> {
@@ -65,7 +65,43 @@
     verify_that!(table.decision(1, now), eq(SuspectDecision::Refuse))
 }
 
+/// Plays crashes in which request 1, which crashes endpoints, ran beside request 2; each crash is
+/// reported for these requests in this order
+fn check_neighbour(
+    crashes: &[(&str, &[u64])],
+    between: Duration,
+    decision: SuspectDecision,
+) -> Result<()> {
+    let mut now = Instant::now();
+    let mut table = SuspectTable::default();
+    for (endpoint, reports) in crashes {
+        for fingerprint in *reports {
+            table.strike(*fingerprint, &(*endpoint).into(), now);
+        }
+        // The unrelated request continues elsewhere after each crash.
+        table.record_progress(2, now);
+        now += between;
+    }
+    verify_that!(table.decision(1, now), eq(SuspectDecision::Refuse))?;
+    verify_that!(table.decision(2, now), eq(decision))
+}
+
 cases! {
+    neighbour_in_three_crashes_is_served => check_neighbour(
+        &[("e1", &[1, 2]), ("e2", &[1, 2]), ("e3", &[1, 2])],
+        Duration::from_millis(300),
+        SuspectDecision::Clear
+    ),
+    neighbour_reported_first_is_served => check_neighbour(
+        &[("e1", &[2, 1]), ("e2", &[2, 1]), ("e3", &[2, 1])],
+        Duration::from_millis(300),
+        SuspectDecision::Clear
+    ),
+    crash_of_a_recovered_endpoint_is_another_one => check_neighbour(
+        &[("e1", &[1]), ("e2", &[1]), ("e1", &[2]), ("e2", &[2]), ("e3", &[2])],
+        Duration::from_secs(30),
+        SuspectDecision::Refuse
+    ),
     unrelated_request_that_continues_is_cleared => check_progress(&[], SuspectDecision::Clear),
     unrelated_request_in_two_crashes_is_served => check_progress(&["e2"], SuspectDecision::Isolate),
     late_crashing_request_is_refused_at_the_third_crash => check_progress(&["e2", "e3"], SuspectDecision::Refuse),
