Read the store once at a start, and send configurations with the leaders' updates

Change: at the first start an instance appends its entry without reading the list before, and reads it half a second later. After a full read, it waits for its leader's updates for 0.6 of the bound; whoever still has to read then does so without a long poll, so that leaders have something to send before the others' wait ends. Leaders send a new configuration itself if it has 24 KB or less; who misses it reads the store as before. Rules as before: a read is at most 0.6 of the bound old when the next one starts, and a leader that is dead, paused or cut off sends nothing.

--- a/crates/gateway/src/coverage.rs
+++ b/crates/gateway/src/coverage.rs
@@ -18,6 +18,9 @@
 /// must stay below 1.
 pub const COVERAGE_FRACTION: f64 = 0.3;
 
+/// Time after a full read at the start in which an instance waits for the updates of its leader.
+pub const START_FRACTION: f64 = 0.6;
+
 /// Coverage of one topic by updates from another instance
 #[derive(Debug, Default)]
 pub struct TopicCoverage {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -2,10 +2,11 @@
 //!
 //! They use long polling, so that changes take effect at once. The poll timeout is
 //! short enough to detect an unresponsive connection in time. An instance that
-//! receives updates from another instance doesn't read the store itself. While the
-//! store is unavailable, both tasks keep the last known state.
+//! receives updates from another instance doesn't read the store itself, and after a full
+//! read it waits for such updates first. While the store is unavailable, both tasks keep
+//! the last known state.
 
-use crate::coverage::LEADER_WAIT_FRACTION;
+use crate::coverage::{LEADER_WAIT_FRACTION, START_FRACTION};
 use crate::peers::EndpointUpdate;
 use crate::state::Gateway;
 use bytes::Bytes;
@@ -24,6 +25,8 @@
 const UPDATE_PAUSE_FRACTION: f64 = 0.08;
 /// Size limit of the records in one update, in bytes; others read larger changes themselves.
 const MAX_UPDATE_BYTES: usize = 4096;
+/// Size limit of a configuration in an update, in bytes; below the size limit of messages.
+const MAX_CONFIG_BYTES: usize = 24 * 1024;
 /// Pause after the first failed call; doubles up to `MAX_RETRY_PAUSE`.
 const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(100);
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
@@ -65,16 +68,27 @@
     let bound = gateway.settings.config_bound;
     let mut backoff = StoreBackoff::new(OPERATOR_TOPIC);
     let mut offset = None;
+    let mut is_started = false;
     loop {
         let has_missed = gateway.config_coverage.wait_until_due().await;
-        let wait = if has_missed { Duration::ZERO } else { bound.mul_f64(LEADER_WAIT_FRACTION) };
+        let wait = poll_time(bound, has_missed || is_started);
+        is_started = false;
+        let is_first = offset.is_none();
         match read_from(&gateway, OPERATOR_TOPIC, offset, wait).await {
             Ok(batch) => {
                 backoff.succeeded();
                 gateway.config_read_at.set(Some(Instant::now()));
                 offset = Some(next_offset(&batch, offset));
-                for record in &batch.records {
-                    apply_config(&gateway, record);
+                for record in batch.records.iter().filter(|it| it.key == CONFIG_KEY) {
+                    if let Some(value) = &record.value
+                        && apply_config(&gateway, value, "store")
+                    {
+                        queue_config(&gateway, value);
+                    }
+                }
+                if is_first {
+                    is_started = true;
+                    gateway.config_coverage.extend(bound.mul_f64(START_FRACTION), Instant::now());
                 }
                 if has_missed {
                     sleep(bound.mul_f64(UPDATE_PAUSE_FRACTION)).await;
@@ -95,9 +109,11 @@
     let bound = gateway.settings.drain_bound;
     let mut backoff = StoreBackoff::new(ENDPOINT_TOPIC);
     let mut needs_full_read = false;
+    let mut is_started = false;
     loop {
         let has_missed = gateway.endpoints_coverage.wait_until_due().await;
-        let wait = if has_missed { Duration::ZERO } else { bound.mul_f64(LEADER_WAIT_FRACTION) };
+        let wait = poll_time(bound, has_missed || is_started);
+        is_started = false;
         let offset = gateway.endpoints_offset.get().filter(|_| !needs_full_read);
         match read_from(&gateway, ENDPOINT_TOPIC, offset, wait).await {
             Ok(batch) => {
@@ -110,6 +126,12 @@
                 let last = gateway.endpoints_offset.get().filter(|_| offset.is_some());
                 gateway.endpoints_offset.set(last.max(Some(to)));
                 queue_update(&gateway, &batch, offset, to);
+                if offset.is_none() {
+                    is_started = true;
+                    gateway
+                        .endpoints_coverage
+                        .extend(bound.mul_f64(START_FRACTION), Instant::now());
+                }
             }
             Err(StoreError::Expired { first }) => {
                 log::info!("event=store_history_gone topic={ENDPOINT_TOPIC} first={first}");
@@ -154,6 +176,11 @@
     gateway.update_ready.notify_one();
 }
 
+/// Longest wait of a read for a change; none if changes may have been missed or updates to others are due
+fn poll_time(bound: Duration, is_due: bool) -> Duration {
+    if is_due { Duration::ZERO } else { bound.mul_f64(LEADER_WAIT_FRACTION) }
+}
+
 async fn read_from(
     gateway: &Gateway,
     topic: &'static str,
@@ -177,32 +204,36 @@
     }
 }
 
-fn apply_config(gateway: &Gateway, record: &KeyedRecord) {
-    let Some(value) = record.value.as_ref().filter(|_| record.key == CONFIG_KEY) else {
-        return;
-    };
+/// Queues a configuration to be sent to other instances; they read a larger one themselves
+fn queue_config(gateway: &Gateway, value: &[u8]) {
+    let is_small = value.len() <= MAX_CONFIG_BYTES;
+    *gateway.config_update.borrow_mut() = is_small.then(|| value.to_vec());
+    gateway.update_ready.notify_one();
+}
+
+/// Applies a configuration if it is newer than the one in force; `true` if it is
+pub fn apply_config(gateway: &Gateway, value: &[u8], source: &str) -> bool {
     let config = match decode_config(value) {
         Ok(config) => config,
         Err(error) => {
-            log::error!("event=config_unreadable offset={} error={error}", record.offset);
-            return;
+            log::error!("event=config_unreadable source={source} error={error}");
+            return false;
         }
     };
     let mut current = gateway.config.borrow_mut();
     let before = current.as_ref().map(|it| it.version);
     if !config.replaces(current.as_deref()) {
         log::debug!("event=config_ignored version={} in_force={before:?}", config.version);
-        return;
+        return false;
     }
     log::info!(
-        "event=config_applied version={} before={before:?} offset={} routes={}",
+        "event=config_applied version={} before={before:?} source={source} routes={}",
         config.version,
-        record.offset,
         config.routes.len()
     );
     gateway.metrics.config_version.set(i64::try_from(config.version).unwrap_or(i64::MAX));
     *current = Some(Rc::new(config));
-    gateway.update_ready.notify_one();
+    true
 }
 
 fn apply_endpoints(
--- a/crates/gateway/src/peers/listing.rs
+++ b/crates/gateway/src/peers/listing.rs
@@ -3,7 +3,7 @@
 use super::SharedTable;
 use crate::state::Gateway;
 use decide::serving::leader::PeerInstance;
-use platform_adapter::store::INSTANCE_TOPIC;
+use platform_adapter::store::{INSTANCE_TOPIC, KeyedRecord};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +11,10 @@
 
 /// Interval between reads of the instance list; new instances also become known by their messages.
 const LIST_INTERVAL: Duration = Duration::from_secs(30);
-/// Pause after appending the own entry, before it is verified, and after a failed call.
+/// Pause from appending the own entry at the first start to reading the list. By then, the others, which
+/// start within 300 ms, have appended theirs.
+const START_PAUSE: Duration = Duration::from_millis(500);
+/// Pause after appending the own entry, before the list is read, and after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
 /// Keeps this instance listed and reads the addresses of the others
@@ -23,36 +26,53 @@
         power: settings.power,
     };
     let entry = format_entry(&own);
+    if settings.is_first_start {
+        append_entry(&gateway, &entry).await;
+        sleep(START_PAUSE).await;
+    }
     loop {
-        let records = match gateway.store.newest(INSTANCE_TOPIC).await {
-            Ok(batch) => batch.records,
-            Err(error) => {
-                log::debug!("event=instances_unread error={error}");
-                Vec::new()
-            }
-        };
-        let mut is_listed = false;
-        for record in &records {
-            let Some(instance) = record.value.as_deref().and_then(parse_entry) else {
-                continue;
-            };
-            if record.key == settings.instance {
-                is_listed = instance == own;
-            } else {
-                table.borrow_mut().insert(record.key.clone(), instance);
+        match gateway.store.newest(INSTANCE_TOPIC).await {
+            Ok(batch) => {
+                if apply_entries(&gateway, &table, &own, &batch.records) {
+                    sleep(LIST_INTERVAL).await;
+                    continue;
+                }
+                append_entry(&gateway, &entry).await;
             }
+            Err(error) => log::debug!("event=instances_unread error={error}"),
         }
-        gateway.load.borrow_mut().record_listed(table.borrow().len() + 1);
-        if is_listed {
-            sleep(LIST_INTERVAL).await;
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Appends the own entry; if that fails, the next read of the list shows it
+async fn append_entry(gateway: &Gateway, entry: &str) {
+    match gateway.store.append(INSTANCE_TOPIC, &gateway.settings.instance, entry.as_bytes()).await {
+        Ok(()) => log::info!("event=listed entry=\"{entry}\""),
+        Err(error) => log::warn!("event=not_listed error={error}"),
+    }
+}
+
+/// Adds the listed instances to the table; `true` if the own entry is listed as it should be
+fn apply_entries(
+    gateway: &Gateway,
+    table: &SharedTable,
+    own: &PeerInstance,
+    records: &[KeyedRecord],
+) -> bool {
+    let mut is_listed = false;
+    for record in records {
+        let Some(instance) = record.value.as_deref().and_then(parse_entry) else {
             continue;
+        };
+        if record.key == gateway.settings.instance {
+            is_listed = instance == *own;
+        } else {
+            table.borrow_mut().insert(record.key.clone(), instance);
         }
-        match gateway.store.append(INSTANCE_TOPIC, &settings.instance, entry.as_bytes()).await {
-            Ok(()) => log::info!("event=listed entry=\"{entry}\" peers={}", table.borrow().len()),
-            Err(error) => log::warn!("event=not_listed error={error}"),
-        }
-        sleep(RETRY_PAUSE).await;
     }
+    gateway.load.borrow_mut().record_listed(table.borrow().len() + 1);
+    is_listed
 }
 
 /// Formats the entry of an instance: address, zone and power, separated by spaces
--- a/crates/gateway/src/peers/store_updates.rs
+++ b/crates/gateway/src/peers/store_updates.rs
@@ -2,7 +2,7 @@
 
 use super::{EndpointUpdate, MessageBody, PeerExchange, StoreUpdate};
 use crate::coverage::{COVERAGE_FRACTION, LEADER_READ_AGE_FRACTION};
-use crate::follow::apply_endpoint_update;
+use crate::follow::{apply_config, apply_endpoint_update};
 use crate::state::Gateway;
 use decide::serving::leader::PeerInstance;
 use std::net::SocketAddr;
@@ -22,6 +22,7 @@
         let _ = timeout(interval, gateway.update_ready.notified()).await;
         let now = Instant::now();
         let endpoints = gateway.endpoint_update.take();
+        let config = gateway.config_update.take();
         if !exchange.reads_for_others(now) || !has_recent_reads(&gateway, now) {
             continue;
         }
@@ -30,7 +31,7 @@
             continue;
         };
         let endpoints = endpoints.unwrap_or(EndpointUpdate { from: to, to, records: Vec::new() });
-        let update = StoreUpdate { config_version, endpoints };
+        let update = StoreUpdate { config_version, config, endpoints };
         for address in recipients(&exchange) {
             exchange.send(MessageBody::Store(update.clone()), address).await;
         }
@@ -39,6 +40,9 @@
 
 /// Applies an update from the instance that reads the store
 pub fn apply(gateway: &Gateway, update: StoreUpdate, now: Instant) {
+    if let Some(config) = &update.config {
+        apply_config(gateway, config, "peer");
+    }
     let version = gateway.config.borrow().as_ref().map(|it| it.version);
     gateway.config_coverage.extend(coverage_time(gateway), now);
     if version < Some(update.config_version) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -57,6 +57,8 @@
     pub endpoints_coverage: TopicCoverage,
     /// Endpoint records read last, to be sent to other instances
     pub endpoint_update: RefCell<Option<EndpointUpdate>>,
+    /// Configuration read last, as the store holds it, to be sent to other instances
+    pub config_update: RefCell<Option<Vec<u8>>>,
     /// Notified when a store update is ready to be sent
     pub update_ready: Notify,
     /// Health of the endpoints, including pauses after failures
@@ -105,6 +107,7 @@
             endpoints_offset: Cell::default(),
             endpoints_coverage: TopicCoverage::default(),
             endpoint_update: RefCell::default(),
+            config_update: RefCell::default(),
             update_ready: Notify::new(),
             health: RefCell::default(),
             load: RefCell::default(),
--- a/crates/gateway/tests/gateway/process.rs
+++ b/crates/gateway/tests/gateway/process.rs
@@ -139,6 +139,7 @@
 zone = "{zone}"
 port_range = [{PEER_PORT},{last_port}]
 unknown_field = true
+bootstrap = true
 [bind]
 front_addr = "{ip}:{CLIENT_PORT}"
 ready_addr = "{ip}:{READY_PORT}"
--- a/crates/gateway/tests/gateway/zone.rs
+++ b/crates/gateway/tests/gateway/zone.rs
@@ -12,6 +12,8 @@
     one_instance_of_a_zone_reads_the_store => one_reads(&["a", "b", "c", "d"]),
     one_of_few_instances_reads_for_all_zones => one_reads(&["a", "far-b", "c", "far-d"]),
     changes_reach_the_other_instances => changes_relayed(),
+    configuration_is_sent_to_many_instances => config_relayed(),
+    starting_instances_read_the_store_once => few_calls_at_start(),
     others_read_when_the_leader_is_gone => leader_killed(),
     many_instances_serve_through_leaders => many(),
     prompt_holder_is_known_among_few_instances => holder_is_known(2),
@@ -67,6 +69,29 @@
     verify_that!(start.elapsed(), lt(Duration::from_millis(1500)))
 }
 
+/// The leader sends the configuration itself, so that the other instances need not read it
+async fn config_relayed() -> Result<()> {
+    let (store, _service, instances) = zone_of(14).await;
+    let before = store.calls();
+    store.put("keyed.op", "config", config(2, 1500).to_string().as_bytes());
+    for instance in &instances {
+        instance.wait_line("event=config_applied version=2").await;
+    }
+    // The leader's reads; one read by each of the others would make 13 more.
+    verify_that!(store.calls() - before, le(6))
+}
+
+/// Instances that start together wait for their leader's updates after reading each topic once
+async fn few_calls_at_start() -> Result<()> {
+    const INSTANCES: usize = 14;
+    let (store, _service, _instances) = zone_of(INSTANCES).await;
+    // Each reads the configuration and the endpoints, reads the list of instances, appends its entry
+    // and reads the list again. The leader also follows two topics.
+    const CALLS: usize = 5;
+    const LEADER_CALLS: usize = 12;
+    verify_that!(store.calls(), le(INSTANCES * CALLS + LEADER_CALLS))
+}
+
 async fn leader_killed() -> Result<()> {
     let (store, _service, mut instances) = zone_of(3).await;
     drop(instances.remove(0));
