--- a/crates/decide/src/serving/timing.rs
+++ b/crates/decide/src/serving/timing.rs
@@ -7,8 +7,9 @@
 //! Sends to loaded engines count only while there are no others, since engines that are
 //! much slower than the initial estimate would be flooded and never found idle. The wait is
 //! added by the caller, from counted work. Without any recent sample, the initial estimate
-//! holds again, so that a wrong estimate that refuses everything doesn't last. The fit is the Theil-Sen estimator,
-//! the median of the slopes between samples, so that a quarter of outliers doesn't move it.
+//! holds again, so that a wrong estimate that refuses everything doesn't last. The fit is
+//! the Theil-Sen estimator, the median of the slopes between samples, so that a quarter of
+//! outliers doesn't move it.
 //!
 //! Engines of a pool that are faster or slower than the others have a factor each. It
 //! returns to 1 by itself, so that a slow engine is tried again after it has recovered.
