Count preemption in full, and read the instance list every two minutes

Cause: clerk queries, whose answers last seconds, are preempted at full engines by summaries, which are more urgent; the cost of that was weighed down by the slack of pauses, but a preempted stream loses its place altogether. Change: the whole time that a generation holds a slot counts as added delay at a full engine; the list is read every 120 s. Tests: full_engines_are_avoided_since_they_preempt fails without the change.

--- a/crates/decide/src/serving/pick.rs
+++ b/crates/decide/src/serving/pick.rs
@@ -438,12 +438,12 @@
         (FULL_DELAY_SLACK_MS / slack_ms.max(FULL_DELAY_SLACK_MS)).min(1.0)
     }
 
-    /// Weighted delay of a running request that a full engine preempts, in milliseconds
+    /// Delay of a running request that a full engine preempts for this one, in milliseconds
     fn preemption_ms(&self, engine: &ListedEndpoint, work: WorkCount) -> f64 {
         if work.requests < engine.slots {
             return 0.0;
         }
-        self.view.timing.hold_ms() * self.delay_weight()
+        self.view.timing.hold_ms()
     }
 
     /// Number of tokens from which they are fetched
--- a/crates/decide/tests/serving_timing.rs
+++ b/crates/decide/tests/serving_timing.rs
@@ -30,6 +30,7 @@
     largest_prompts_on_slow_engines_are_served_late => large_is_served_late(),
     largest_prompts_yield_to_a_queue => large_yields(),
     reading_beside_streams_with_short_pauses_is_avoided => pauses_are_kept(),
+    full_engines_are_avoided_since_they_preempt => preemption_is_avoided(),
     full_batch_waits_as_long_as_generations_hold_slots => slots_are_waited_for(),
 }
 
@@ -302,6 +303,20 @@
     )
 }
 
+/// A full engine preempts a running stream for a more urgent request, so one with a free slot is
+/// preferred although it has more to read
+fn preemption_is_avoided() -> Result<()> {
+    let now = Instant::now();
+    let engines = [engine("m0", EngineRole::Mixed, 8), engine("m1", EngineRole::Mixed, 8)];
+    let mut load = FleetLoad::default();
+    (0..8).for_each(|_| load.record_sent(&"m0".into(), 0));
+    (0..7).for_each(|_| load.record_sent(&"m1".into(), 200));
+    let mut timing = slow_timing(now);
+    (0..200).for_each(|_| timing.record_hold(Duration::from_millis(100)));
+    let picked = whole(plan(&engines, &load, &timing, &prompt(1000), (1000, now)));
+    verify_that!(picked.as_str(), eq("m1"))
+}
+
 fn slots_are_waited_for() -> Result<()> {
     let now = Instant::now();
     let engines = [engine("m0", EngineRole::Mixed, 8)];
--- a/crates/gateway/src/peers/listing.rs
+++ b/crates/gateway/src/peers/listing.rs
@@ -9,8 +9,9 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Interval between reads of the instance list; new instances also become known by their messages.
-const LIST_INTERVAL: Duration = Duration::from_secs(30);
+/// Interval between reads of the instance list. Instances that come later become known by their messages
+/// to those that need them: all of a full mesh, otherwise the leader of their zone.
+const LIST_INTERVAL: Duration = Duration::from_secs(120);
 /// Pause from appending the own entry at the first start to reading the list. By then, the others, which
 /// start within 300 ms, have appended theirs.
 const START_PAUSE: Duration = Duration::from_millis(500);
