--- a/crates/loadmodel/tests/patterns.rs
+++ b/crates/loadmodel/tests/patterns.rs
@@ -106,7 +106,7 @@
     Ok(())
 }
 
-/// Engines differ in speed and batch size; instances learn their times without being told
+/// Engines differ in speed and batch size; instances know neither and learn their times
 fn times_are_learned(read_tokens_per_ms: f64, slots: u32) -> Result<()> {
     let engine = EngineSpec::at_speed(read_tokens_per_ms, slots);
     let report = simulate_engines(engine, named("known_holders"), LoadPattern::Steady, 1);
