Log how far a read of the store got when it failed

Change: errors of reads and the new lines store_read and store_failed carry bytes, first_byte_ms and took_ms; a counter sums the bytes by outcome. No logic changes.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -14,7 +14,7 @@
 use platform_adapter::config::{CONFIG_KEY, decode_config};
 use platform_adapter::endpoint_list::decode_entry;
 use platform_adapter::store::{
-    ENDPOINT_TOPIC, KeyedRecord, OPERATOR_TOPIC, RecordBatch, StoreError,
+    ENDPOINT_TOPIC, KeyedRecord, OPERATOR_TOPIC, RecordBatch, StoreError, TransferProgress,
 };
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -27,6 +27,8 @@
 const MAX_UPDATE_BYTES: usize = 4096;
 /// Size limit of a configuration in an update, in bytes; below the size limit of messages.
 const MAX_CONFIG_BYTES: usize = 24 * 1024;
+/// Size from which a read is logged, in bytes.
+const MIN_LOGGED_BYTES: usize = 64 * 1024;
 /// Pause after the first failed call; doubles up to `MAX_RETRY_PAUSE`.
 const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(100);
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
@@ -54,8 +56,12 @@
 
     /// Records a failed call; returns the pause before the next one
     fn failed(&mut self, error: &StoreError) -> Duration {
+        let topic = self.topic;
         if self.failures == 0 {
-            log::warn!("event=store_lost topic={} error={error}", self.topic);
+            log::warn!("event=store_lost topic={topic} error=\"{error}\"");
+        } else {
+            let failures = self.failures + 1;
+            log::info!("event=store_failed topic={topic} failures={failures} error=\"{error}\"");
         }
         let pause = FIRST_RETRY_PAUSE * (1 << self.failures.min(4));
         self.failures += 1;
@@ -191,8 +197,18 @@
         Some(from) => ("read", gateway.store.read(topic, from, wait).await),
         None => ("newest", gateway.store.newest(topic).await),
     };
-    gateway.metrics.store_call(call, if result.is_ok() { "ok" } else { "failed" });
-    result
+    let (outcome, progress) = match &result {
+        Ok((_, progress)) => ("ok", *progress),
+        Err(StoreError::Http { progress, .. }) => ("failed", *progress),
+        Err(_) => ("failed", TransferProgress::default()),
+    };
+    gateway.metrics.store_call(call, outcome, progress.bytes);
+    let (batch, progress) = result?;
+    if progress.bytes >= MIN_LOGGED_BYTES {
+        let records = batch.records.len();
+        log::info!("event=store_read topic={topic} call={call} records={records} {progress}");
+    }
+    Ok(batch)
 }
 
 /// Offset of the next read: after the last record, or the topic's end after a full read
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,7 @@
     answers: Family<LabelSet, Counter>,
     sends: Family<LabelSet, Counter>,
     store_calls: Family<LabelSet, Counter>,
+    store_bytes: Family<LabelSet, Counter>,
     first_byte: HistogramFamily,
     whole: HistogramFamily,
     /// Connections opened to endpoints
@@ -43,6 +44,7 @@
             answers: Family::default(),
             sends: Family::default(),
             store_calls: Family::default(),
+            store_bytes: Family::default(),
             first_byte: Family::new_with_constructor(latency_histogram),
             whole: Family::new_with_constructor(latency_histogram),
             connections_opened: Counter::default(),
@@ -63,6 +65,7 @@
         registry.register("answers", "Answers to clients", self.answers.clone());
         registry.register("sends", "Sends to endpoints", self.sends.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register("store_bytes", "Bytes read from the store", self.store_bytes.clone());
         registry.register("first_byte_seconds", "Time to the first byte", self.first_byte.clone());
         registry.register("answer_seconds", "Time to the end of the answer", self.whole.clone());
         let opened = self.connections_opened.clone();
@@ -94,10 +97,11 @@
         self.sends.get_or_create(&labels).inc();
     }
 
-    /// Counts a call to the store
-    pub fn store_call(&self, call: &'static str, outcome: &'static str) {
+    /// Counts a call to the store and the bytes that it received
+    pub fn store_call(&self, call: &'static str, outcome: &'static str, bytes: usize) {
         let labels = vec![("call", call.into()), ("outcome", outcome.into())];
         self.store_calls.get_or_create(&labels).inc();
+        self.store_bytes.get_or_create(&labels).inc_by(bytes as u64);
     }
 
     /// Records the time to the first byte of an answer
--- a/crates/gateway/src/peers/listing.rs
+++ b/crates/gateway/src/peers/listing.rs
@@ -33,7 +33,7 @@
     }
     loop {
         match gateway.store.newest(INSTANCE_TOPIC).await {
-            Ok(batch) => {
+            Ok((batch, _)) => {
                 if apply_entries(&gateway, &table, &own, &batch.records) {
                     sleep(LIST_INTERVAL).await;
                     continue;
