--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod endpoint;
 mod generations;
+mod large_config;
 mod malformed;
 mod plain;
 mod process;
--- a/crates/gateway/tests/gateway/process.rs
+++ b/crates/gateway/tests/gateway/process.rs
@@ -17,6 +17,23 @@
 
 static NEXT_ADDRESS: AtomicU8 = AtomicU8::new(1);
 
+/// Settings in which instances may differ
+#[derive(Debug, Clone, Copy)]
+pub struct InstanceSize {
+    /// Time in which a configuration must be in force, in milliseconds
+    pub config_ms: u64,
+    /// Share of a core
+    pub cpu_share: f64,
+    /// Bandwidth of the instance's link, in Mbit/s
+    pub bandwidth_mbps: f64,
+}
+
+impl Default for InstanceSize {
+    fn default() -> InstanceSize {
+        InstanceSize { config_ms: 2000, cpu_share: 0.25, bandwidth_mbps: 1000.0 }
+    }
+}
+
 /// Instance that is killed when dropped
 pub struct Instance {
     child: Child,
@@ -37,13 +54,19 @@
 
     /// Starts an instance without waiting; it is in another zone if its name begins with `far`
     pub fn launch(store: SocketAddr, name: &str) -> Instance {
+        Instance::launch_sized(store, name, InstanceSize::default())
+    }
+
+    /// Starts an instance of this size without waiting
+    pub fn launch_sized(store: SocketAddr, name: &str, size: InstanceSize) -> Instance {
         // Each instance needs its own address, since the metrics port is fixed. The process id keeps
         // parallel test binaries apart.
         let last = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
         let pid = std::process::id();
         let ip = format!("127.{}.{}.{last}", 1 + (pid >> 8) % 254, pid % 256);
         let settings = std::env::temp_dir().join(format!("persimmonlift-{pid}-{last}.toml"));
-        std::fs::write(&settings, settings_text(&ip, store, name)).expect("temporary directory");
+        std::fs::write(&settings, settings_text(&ip, store, name, size))
+            .expect("temporary directory");
         let mut child = Command::new(env!("CARGO_BIN_EXE_persimmonlift-gateway"))
             .env("PERSIMMONLIFT_NODE_FILE", &settings)
             .stdout(Stdio::piped())
@@ -129,7 +152,8 @@
     }
 }
 
-fn settings_text(ip: &str, store: SocketAddr, name: &str) -> String {
+fn settings_text(ip: &str, store: SocketAddr, name: &str, size: InstanceSize) -> String {
+    let InstanceSize { config_ms, cpu_share, bandwidth_mbps } = size;
     let last_port = PEER_PORT + 8;
     let zone = if name.starts_with("far") { "zone-b" } else { "zone-a" };
     format!(
@@ -143,10 +167,13 @@
 [bind]
 front_addr = "{ip}:{CLIENT_PORT}"
 ready_addr = "{ip}:{READY_PORT}"
+[limits]
+cpu_share = {cpu_share:.2}
+bandwidth_mbps = {bandwidth_mbps:.1}
 [bounds]
 drain_ms = 2000
 grace_s = 8
-config_ms = 2000
+config_ms = {config_ms}
 budget_ratio = 0.2
 budget_window_s = 10
 retry_slack = 54
--- a/crates/gateway/tests/gateway/proxy.rs
+++ b/crates/gateway/tests/gateway/proxy.rs
@@ -1,11 +1,13 @@
 //! Loopback TCP proxy that injects faults into connections.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Size of the copy buffer.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -29,6 +31,28 @@
     HoldBoth,
 }
 
+/// Link with limited bandwidth, possibly shared by several proxies
+#[derive(Debug)]
+pub struct LimitedLink {
+    bytes_per_s: f64,
+    is_free_at: Mutex<Instant>,
+}
+
+impl LimitedLink {
+    /// Idle link of this bandwidth
+    pub fn new(bytes_per_s: f64) -> Arc<LimitedLink> {
+        Arc::new(LimitedLink { bytes_per_s, is_free_at: Mutex::new(Instant::now()) })
+    }
+
+    /// Adds bytes to those that wait for the link; returns when the last one has passed
+    fn reserve(&self, bytes: usize) -> Instant {
+        let mut is_free_at = self.is_free_at.lock().expect("no panic");
+        let time = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+        *is_free_at = Instant::now().max(*is_free_at) + time;
+        *is_free_at
+    }
+}
+
 /// Direction of bytes through the proxy
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Direction {
@@ -45,12 +69,17 @@
 impl FaultProxy {
     /// Starts a proxy to a server
     pub async fn start(server: SocketAddr) -> FaultProxy {
+        FaultProxy::start_limited(server, Vec::new()).await
+    }
+
+    /// Starts a proxy to a server whose answers pass all of these links
+    pub async fn start_limited(server: SocketAddr, links: Vec<Arc<LimitedLink>>) -> FaultProxy {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
         let address = listener.local_addr().expect("bound");
         let (mode, modes) = watch::channel(ProxyMode::Forward);
         tokio::spawn(async move {
             while let Ok((socket, _)) = listener.accept().await {
-                tokio::spawn(proxy_connection(socket, server, modes.clone()));
+                tokio::spawn(proxy_connection(socket, server, modes.clone(), links.clone()));
             }
         });
         FaultProxy { address, mode }
@@ -66,6 +95,7 @@
     client: TcpStream,
     server: SocketAddr,
     mut modes: watch::Receiver<ProxyMode>,
+    links: Vec<Arc<LimitedLink>>,
 ) {
     if *modes.borrow_and_update() == ProxyMode::Reset {
         client.set_zero_linger().expect("open socket");
@@ -80,8 +110,8 @@
     let (from_client, to_client) = client.into_split();
     let (from_server, to_server) = server.into_split();
     let tasks = [
-        tokio::spawn(copy(from_client, to_server, modes.clone(), Direction::ToServer)),
-        tokio::spawn(copy(from_server, to_client, modes.clone(), Direction::ToClient)),
+        tokio::spawn(copy(from_client, to_server, modes.clone(), Direction::ToServer, Vec::new())),
+        tokio::spawn(copy(from_server, to_client, modes.clone(), Direction::ToClient, links)),
     ];
     let aborts = tasks.each_ref().map(|it| it.abort_handle());
     let [to_server, to_client] = tasks;
@@ -99,11 +129,15 @@
     mut sink: OwnedWriteHalf,
     modes: watch::Receiver<ProxyMode>,
     direction: Direction,
+    links: Vec<Arc<LimitedLink>>,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let count = source.read(&mut buffer).await.unwrap_or(0);
         let mode = *modes.borrow();
+        if let Some(passed_at) = links.iter().map(|it| it.reserve(count)).max() {
+            tokio::time::sleep_until(passed_at).await;
+        }
         if let ProxyMode::Delay(delay) = mode {
             tokio::time::sleep(delay).await;
         }
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -17,6 +17,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
+/// Size limit of the records in an answer, in bytes; the first record is sent in any case.
+const MAX_READ_BYTES: usize = 1024 * 1024;
+
 /// How the store answers
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StoreMode {
@@ -182,6 +185,9 @@
         body.extend_from_slice(&topic.first.to_be_bytes());
         let skipped = usize::try_from(from.saturating_sub(topic.first)).expect("small");
         for (key, value) in topic.records.iter().skip(skipped) {
+            if body.len() > 16 && body.len() + value.len() > MAX_READ_BYTES {
+                break;
+            }
             let length = u32::try_from(1 + key.len() + value.len()).expect("small");
             body.extend_from_slice(&length.to_be_bytes());
             body.push(u8::try_from(key.len()).expect("short key"));
