End reads of the store by silence, not by their total time

What callers saw: 1,400 routes were added, and three seconds after the store had acknowledged them instances still answered 404 on them or used the older version (CONFIG). Found beside it: an instance that restarts with such a configuration is never ready. Cause: a read had 0.8 s in all, wait aside. A configuration of 0.8 to 0.9 MB takes 0.6 to 0.75 s of a link of 10 Mbit/s alone, and longer while 83 instances share the store's 80 MB/s. Each read was cut before its end and began again from its first byte, so that the store also sent five times what was needed. Change: the limit of 0.8 s holds for the time until the head (and the wait of a long poll) and for each pause in the body. What is received is kept as long as bytes arrive; a dead connection is noticed as soon as before. Why it works: the time of a transfer depends on size and bandwidth, which no fixed limit fits; only silence tells a dead connection from a slow one.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -11,10 +11,11 @@
 use crate::state::Gateway;
 use bytes::Bytes;
 use decide::serving::endpoint_list::ListOffset;
+use platform::transfer::TransferProgress;
 use platform_adapter::config::{CONFIG_KEY, decode_config};
 use platform_adapter::endpoint_list::decode_entry;
 use platform_adapter::store::{
-    ENDPOINT_TOPIC, KeyedRecord, OPERATOR_TOPIC, RecordBatch, StoreError, TransferProgress,
+    ENDPOINT_TOPIC, KeyedRecord, OPERATOR_TOPIC, RecordBatch, StoreError,
 };
 use std::rc::Rc;
 use std::time::{Duration, Instant};
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod log;
 pub mod service;
 mod token_stream;
+pub mod transfer;
 pub mod weights;
