--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,7 +7,7 @@
 //! the last known state.
 
 use crate::coverage::{LEADER_WAIT_FRACTION, START_FRACTION};
-use crate::peers::EndpointUpdate;
+use crate::peers::{EndpointUpdate, config_transfer};
 use crate::state::Gateway;
 use bytes::Bytes;
 use decide::serving::endpoint_list::ListOffset;
@@ -26,8 +26,6 @@
 const UPDATE_PAUSE_FRACTION: f64 = 0.08;
 /// Size limit of the records in one update, in bytes; others read larger changes themselves.
 const MAX_UPDATE_BYTES: usize = 4096;
-/// Size limit of a configuration in an update, in bytes; below the size limit of messages.
-const MAX_CONFIG_BYTES: usize = 24 * 1024;
 /// Size from which a read is logged, in bytes.
 const MIN_LOGGED_BYTES: usize = 64 * 1024;
 /// Pause after the first failed call; doubles up to `MAX_RETRY_PAUSE`.
@@ -74,10 +72,13 @@
 pub async fn follow_config(gateway: Rc<Gateway>) {
     let bound = gateway.settings.config_bound;
     let mut backoff = StoreBackoff::new(OPERATOR_TOPIC);
-    let mut offset = None;
     let mut is_started = false;
     loop {
         let has_missed = gateway.config_coverage.wait_until_due().await;
+        if has_missed && has_announced_config(&gateway).await {
+            continue;
+        }
+        let offset = gateway.config_offset.get();
         let wait = poll_time(bound, has_missed || is_started);
         is_started = false;
         let is_first = offset.is_none();
@@ -85,12 +86,14 @@
             Ok(batch) => {
                 backoff.succeeded();
                 gateway.config_read_at.set(Some(Instant::now()));
-                offset = Some(next_offset(&batch, offset));
+                let to = next_offset(&batch, offset);
+                gateway.config_offset.set(gateway.config_offset.get().max(Some(to)));
                 for record in batch.records.iter().filter(|it| it.key == CONFIG_KEY) {
                     if let Some(value) = &record.value
                         && apply_config(&gateway, value, "store")
                     {
-                        queue_config(&gateway, value);
+                        *gateway.config_update.borrow_mut() = Some(value.clone());
+                        gateway.update_ready.notify_one();
                     }
                 }
                 if is_first {
@@ -103,7 +106,7 @@
             }
             Err(StoreError::Expired { first }) => {
                 log::info!("event=store_history_gone topic={OPERATOR_TOPIC} first={first}");
-                offset = None;
+                gateway.config_offset.set(None);
                 sleep(FIRST_RETRY_PAUSE).await;
             }
             Err(error) => sleep(backoff.failed(&error)).await,
@@ -221,11 +224,29 @@
     }
 }
 
-/// Queues a configuration to be sent to other instances; they read a larger one themselves
-fn queue_config(gateway: &Gateway, value: &[u8]) {
-    let is_small = value.len() <= MAX_CONFIG_BYTES;
-    *gateway.config_update.borrow_mut() = is_small.then(|| value.to_vec());
-    gateway.update_ready.notify_one();
+/// Whether the configuration announced last is in force, after a transfer if another instance offers one
+async fn has_announced_config(gateway: &Gateway) -> bool {
+    let Some(announced) = gateway.announced_config.take() else { return false };
+    let is_in_force = || {
+        let config = gateway.config.borrow();
+        config.as_ref().is_some_and(|it| it.version >= announced.version)
+    };
+    if is_in_force() {
+        return true;
+    }
+    let Some(source) = announced.source else { return false };
+    match config_transfer::fetch(source).await {
+        Ok(value) => {
+            apply_config(gateway, &value, "peer");
+        }
+        Err(error) => {
+            log::info!("event=config_not_transferred source={source} error=\"{error}\"");
+        }
+    }
+    if is_in_force() {
+        gateway.config_offset.set(gateway.config_offset.get().max(Some(announced.end)));
+    }
+    is_in_force()
 }
 
 /// Applies a configuration if it is newer than the one in force; `true` if it is
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -15,7 +15,7 @@
 /// Maximum size of a message; the work at 60 endpoints takes about 1,000 bytes, at 640 about 11,000.
 pub const MAX_MESSAGE_BYTES: usize = 32 * 1024;
 /// Version of the message format; messages of other versions are ignored.
-const MESSAGE_VERSION: u8 = 8;
+const MESSAGE_VERSION: u8 = 9;
 /// Maximum number of prompt reads in one update; about 60 bytes each, well below
 /// `MAX_MESSAGE_BYTES`.
 const MAX_UPDATE_READS: usize = 200;
@@ -102,8 +102,12 @@
 pub struct StoreUpdate {
     /// Version of the configuration in force
     pub config_version: ConfigVersion,
+    /// Offset after the records of configurations that the sender has read
+    pub config_end: ListOffset,
     /// That configuration as the store holds it, if it is new and fits into a message
     pub config: Option<Vec<u8>>,
+    /// Whether the sender transfers that configuration to whoever asks
+    pub offers_config: bool,
     /// Endpoint records, possibly none
     pub endpoints: EndpointUpdate,
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -5,12 +5,15 @@
 //! full mesh and send their work directly to each other. With many, each sends it to the
 //! leader of its zone, which replies with the work of all others. The overall leader of a
 //! full mesh, or the leader of each zone, also sends what it reads from the store, so that
-//! the others needn't read it.
+//! the others needn't read it. A configuration that is too large for a datagram is
+//! transferred over TCP to those that ask for it.
 
+pub mod config_transfer;
 mod listing;
 mod message;
 mod store_updates;
 
+pub use config_transfer::{ConfigAnnouncement, PackedConfig};
 pub use listing::{format_entry, parse_entry};
 pub use message::{
     CrashStrike, EndpointUpdate, MAX_MESSAGE_BYTES, MessageBody, PeerMessage, PromptRead,
@@ -27,7 +30,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::sleep;
 
 /// Interval of messages while work changes. Requests take about 30 ms; in the load model, 20 ms instead
@@ -61,7 +64,7 @@
     has_received_work: Cell<bool>,
 }
 
-/// Starts sending and receiving messages
+/// Starts sending and receiving messages, and answering transfers
 ///
 /// # Errors
 /// `GatewayError::Bind` if the port is in use.
@@ -69,6 +72,9 @@
     let address = SocketAddr::new(gateway.settings.ip, gateway.settings.peer_port);
     let socket =
         UdpSocket::bind(address).await.map_err(|error| GatewayError::Bind { address, error })?;
+    let listener =
+        TcpListener::bind(address).await.map_err(|error| GatewayError::Bind { address, error })?;
+    tokio::task::spawn_local(config_transfer::serve(gateway.clone(), listener));
     let table = SharedTable::default();
     tokio::task::spawn_local(listing::keep_listed(gateway.clone(), table.clone()));
     let exchange = Rc::new(PeerExchange {
@@ -116,7 +122,7 @@
             MessageBody::Store(update)
                 if is_full_mesh || message.zone == self.gateway.settings.zone =>
             {
-                store_updates::apply(&self.gateway, update, now);
+                store_updates::apply(&self.gateway, update, address, now);
             }
             MessageBody::Store(_) => {}
             MessageBody::Work(WorkScope::Rest, work, update) => {
--- a/crates/gateway/src/peers/store_updates.rs
+++ b/crates/gateway/src/peers/store_updates.rs
@@ -1,15 +1,21 @@
 //! Updates of the store, sent to the others by the instance that reads it.
 
-use super::{EndpointUpdate, MessageBody, PeerExchange, StoreUpdate};
+use super::{
+    ConfigAnnouncement, EndpointUpdate, MessageBody, PackedConfig, PeerExchange, StoreUpdate,
+};
 use crate::coverage::{COVERAGE_FRACTION, LEADER_READ_AGE_FRACTION};
 use crate::follow::{apply_config, apply_endpoint_update};
 use crate::state::Gateway;
+use bytes::Bytes;
 use decide::serving::leader::PeerInstance;
+use decide::serving::route::ConfigVersion;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::timeout;
 
+/// Size limit of a configuration in an update, in bytes; below the size limit of messages.
+const MAX_CONFIG_BYTES: usize = 24 * 1024;
 /// Interval of updates while nothing changes, as a fraction of the time that one update covers.
 const INTERVAL_FRACTION: f64 = 0.3;
 
@@ -22,7 +28,7 @@
         let _ = timeout(interval, gateway.update_ready.notified()).await;
         let now = Instant::now();
         let endpoints = gateway.endpoint_update.take();
-        let config = gateway.config_update.take();
+        let read_config = gateway.config_update.take();
         if !exchange.reads_for_others(now) || !has_recent_reads(&gateway, now) {
             continue;
         }
@@ -31,21 +37,42 @@
             continue;
         };
         let endpoints = endpoints.unwrap_or(EndpointUpdate { from: to, to, records: Vec::new() });
-        let update = StoreUpdate { config_version, config, endpoints };
-        for address in recipients(&exchange) {
+        let Some(config_end) = gateway.config_offset.get() else { continue };
+        let recipients = recipients(&exchange);
+        let config = read_config.and_then(|it| message_config(&gateway, config_version, it));
+        let packed = gateway.packed_config.borrow().clone();
+        let offers_config = packed.is_some_and(|it| {
+            it.version == config_version && it.can_be_sent_to(recipients.len(), &gateway.settings)
+        });
+        let update = StoreUpdate { config_version, config_end, config, offers_config, endpoints };
+        for address in recipients {
             exchange.send(MessageBody::Store(update.clone()), address).await;
         }
     }
 }
 
+/// Configuration as the content of a message; a larger one is packed for transfers instead
+fn message_config(gateway: &Gateway, version: ConfigVersion, value: Bytes) -> Option<Vec<u8>> {
+    if value.len() <= MAX_CONFIG_BYTES {
+        return Some(value.to_vec());
+    }
+    *gateway.packed_config.borrow_mut() = PackedConfig::pack(version, &value);
+    None
+}
+
 /// Applies an update from the instance that reads the store
-pub fn apply(gateway: &Gateway, update: StoreUpdate, now: Instant) {
+pub fn apply(gateway: &Gateway, update: StoreUpdate, sender: SocketAddr, now: Instant) {
     if let Some(config) = &update.config {
         apply_config(gateway, config, "peer");
     }
     let version = gateway.config.borrow().as_ref().map(|it| it.version);
     gateway.config_coverage.extend(coverage_time(gateway), now);
     if version < Some(update.config_version) {
+        gateway.announced_config.set(Some(ConfigAnnouncement {
+            version: update.config_version,
+            end: update.config_end,
+            source: update.offers_config.then_some(sender),
+        }));
         gateway.config_coverage.record_missed();
     }
     gateway.endpoints_coverage.extend(coverage_time(gateway), now);
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -50,13 +50,18 @@
     }
 }
 
-fn page(status: StatusCode, body: Bytes) -> Response<AnswerBody> {
+/// Answer that consists of a whole body
+pub fn page(status: StatusCode, body: Bytes) -> Response<AnswerBody> {
     let mut response = Response::new(AnswerBody::whole(body));
     *response.status_mut() = status;
     response
 }
 
-async fn serve_page(listener: TcpListener, answer: impl Fn() -> Response<AnswerBody> + 'static) {
+/// Answers each request on any path with the same page
+pub async fn serve_page(
+    listener: TcpListener,
+    answer: impl Fn() -> Response<AnswerBody> + 'static,
+) {
     let answer = Rc::new(answer);
     loop {
         let socket = match listener.accept().await {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,7 +6,10 @@
 use crate::connections::{EndpointConnections, connection_share};
 use crate::coverage::TopicCoverage;
 use crate::metrics::GatewayMetrics;
-use crate::peers::{CrashStrike, EndpointUpdate, PromptRead, ServingUpdate};
+use crate::peers::{
+    ConfigAnnouncement, CrashStrike, EndpointUpdate, PackedConfig, PromptRead, ServingUpdate,
+};
+use bytes::Bytes;
 use catalogue::id::{EndpointId, PoolName};
 use decide::fingerprint::Fingerprint;
 use decide::serving::cache::PromptCaches;
@@ -58,7 +61,13 @@
     /// Endpoint records read last, to be sent to other instances
     pub endpoint_update: RefCell<Option<EndpointUpdate>>,
     /// Configuration read last, as the store holds it, to be sent to other instances
-    pub config_update: RefCell<Option<Vec<u8>>>,
+    pub config_update: RefCell<Option<Bytes>>,
+    /// Configuration that this instance transfers to others
+    pub packed_config: RefCell<Option<PackedConfig>>,
+    /// Newest configuration that another instance has announced
+    pub announced_config: Cell<Option<ConfigAnnouncement>>,
+    /// Offset of the next read of the configuration
+    pub config_offset: Cell<Option<ListOffset>>,
     /// Notified when a store update is ready to be sent
     pub update_ready: Notify,
     /// Health of the endpoints, including pauses after failures
@@ -108,6 +117,9 @@
             endpoints_coverage: TopicCoverage::default(),
             endpoint_update: RefCell::default(),
             config_update: RefCell::default(),
+            packed_config: RefCell::default(),
+            announced_config: Cell::default(),
+            config_offset: Cell::default(),
             update_ready: Notify::new(),
             health: RefCell::default(),
             load: RefCell::default(),
--- a/crates/gateway/tests/gateway/large_config.rs
+++ b/crates/gateway/tests/gateway/large_config.rs
@@ -40,6 +40,9 @@
     large_configuration_is_in_force_in_time_through_weak_leaders => in_force_in_time(Leader::Weak),
     // The same while the instance that reads the store for the others stops responding.
     large_configuration_is_in_force_in_time_without_the_leader => in_force_in_time(Leader::Paused),
+    // Guards against a change that each instance reads from the store itself, which fills small links
+    // so that callers' answers come late.
+    large_configuration_is_read_from_the_store_once => read_once(),
     // Guards against an instance that refuses everything after a restart, since it gives up each read
     // of a large configuration before its end.
     instance_starts_with_a_large_configuration => starts(),
@@ -81,6 +84,21 @@
         instance
     }
 
+    /// Starts instances, of which only the first may have a large link, and waits until they know each other
+    async fn launch_all(&mut self, count: usize, leader: Leader) -> Vec<Instance> {
+        let mut instances = Vec::new();
+        for number in 0..count {
+            let size = if number == 0 && leader != Leader::Weak { STRONG } else { WEAK };
+            instances.push(self.launch(&format!("instance-{number:02}"), size).await);
+        }
+        for instance in &instances {
+            instance.wait_ready().await;
+        }
+        // Time for all instances to receive messages from each other.
+        tokio::time::sleep(Duration::from_millis(2500)).await;
+        instances
+    }
+
     fn configure(&self, config: &Value) {
         self.store.put("keyed.op", "config", config.to_string().as_bytes());
     }
@@ -112,22 +130,26 @@
     prefix.trim_matches('/').to_owned()
 }
 
+async fn read_once() -> Result<()> {
+    let mut links = SmallLinks::start(INSTANCES).await;
+    links.configure(&config(14, 2000));
+    let instances = links.launch_all(INSTANCES, Leader::Strong).await;
+    let before = links.store.calls();
+    links.configure(&large_config(17, ROUTES));
+    for instance in &instances {
+        instance.wait_line("event=config_applied version=17").await;
+    }
+    // The leader's reads; one read by each of the others would make 13 more.
+    verify_that!(links.store.calls() - before, le(6))
+}
+
 /// 1,400 routes are added, then the idle timeout changes while the routes are still being read
 async fn in_force_in_time(leader: Leader) -> Result<()> {
     let count = std::env::var("LARGE_CONFIG_INSTANCES");
     let count = count.map_or(INSTANCES, |it| it.parse().expect("a number"));
     let mut links = SmallLinks::start(count).await;
     links.configure(&config(14, 2000));
-    let mut instances = Vec::new();
-    for number in 0..count {
-        let size = if number == 0 && leader != Leader::Weak { STRONG } else { WEAK };
-        instances.push(links.launch(&format!("instance-{number:02}"), size).await);
-    }
-    for instance in &instances {
-        instance.wait_ready().await;
-    }
-    // Time for all instances to receive messages from each other.
-    tokio::time::sleep(Duration::from_millis(2500)).await;
+    let mut instances = links.launch_all(count, leader).await;
     links.configure(&large_config(15, ROUTES_BEFORE));
     for instance in &instances {
         instance.wait_line("event=config_applied version=15").await;
