Void all positions when the store comes back from a copy

Cause: an offset was taken as valid for good. After a return from a copy the store gives out offsets again: a version could get the offset of a lost one and was never read, without a 410; an endpoint's new entry with a lower offset than its old one was ignored, so that it got requests after it had said that it leaves; an instance's own entry stayed lost for two minutes or more. Change: positions carry the store's era (decide::serving::store_era). Each answer and each update from another instance passes one place, Gateway::observe_era: a rise voids all positions, drops what was to be sent, has every topic read in full and every instance write its entry again; answers of an earlier era and answers to an offset of an earlier era are dropped, and updates of another era are ignored. Entries known before a return are compared with the copy by incarnation, leaving and sequence; those that the copy lacks are kept for the grace period. A leaving incarnation is never taken as ready again. A missing or unreadable header is the era seen last; a lower era that lasts for 6 s is accepted, so that one wrong answer can't stop all reads. Messages have format 10. Ruled out: trusting a new full read alone (a copy lists endpoints that have left); comparing times of records (the store has none).

--- a/crates/decide/src/serving/endpoint_list.rs
+++ b/crates/decide/src/serving/endpoint_list.rs
@@ -3,6 +3,11 @@
 //! Each entry carries the offset of its record, and an older record never replaces a
 //! newer one. An entry that disappears while the platform's list is unreachable may only
 //! have expired, so its endpoint stays in use for a grace period after the list recovers.
+//!
+//! When the list comes back from a copy, offsets start again and the copy may show what
+//! was true before. Entries carried over from before are then compared by what they say:
+//! an endpoint that was leaving or gone stays so until a new incarnation is listed, or, for
+//! one that was gone, until a record is written after the return.
 
 use catalogue::EngineRole;
 use catalogue::id::{EndpointId, PoolName, ZoneName};
@@ -34,6 +39,8 @@
     pub role: Option<EngineRole>,
     /// Start of this incarnation, in Unix milliseconds
     pub started_at_ms: u64,
+    /// Number of orders that this incarnation has accepted
+    pub sequence: u64,
 }
 
 /// Change of an endpoint by a record
@@ -52,6 +59,31 @@
     endpoint: Option<ListedEndpoint>,
     offset: ListOffset,
     expires_at: Option<Instant>,
+    /// Whether its offset is from before the list came back from a copy
+    is_carried: bool,
+    /// Start of the last incarnation that was listed, in Unix milliseconds
+    last_started_at_ms: u64,
+}
+
+impl ListEntry {
+    /// Whether this incarnation was leaving before; late entries may still call it ready
+    fn has_left(&self, listed: &ListedEndpoint) -> bool {
+        let is_same = |it: &ListedEndpoint| it.started_at_ms == listed.started_at_ms;
+        let known = self.endpoint.as_ref().filter(|it| it.started_at_ms > 0 && is_same(it));
+        listed.is_ready && known.is_some_and(|it| !it.is_ready)
+    }
+
+    /// Whether an entry of a copy is older than this one, which was known before
+    fn outdates(&self, listed: &ListedEndpoint, now: Instant) -> bool {
+        let is_gone = self.expires_at.is_some_and(|it| it <= now);
+        match &self.endpoint {
+            Some(known) if !is_gone => {
+                let version = |it: &ListedEndpoint| (it.started_at_ms, !it.is_ready, it.sequence);
+                version(listed) < version(known)
+            }
+            _ => listed.started_at_ms <= self.last_started_at_ms,
+        }
+    }
 }
 
 /// Listed endpoints by id
@@ -72,11 +104,14 @@
     ) -> bool {
         let grace = self.grace_until.filter(|it| *it > now);
         match self.entries.get_mut(&id) {
-            Some(entry) if entry.offset > offset => return false,
+            Some(entry) if entry.offset > offset && !entry.is_carried => return false,
             Some(entry) => {
                 entry.offset = offset;
+                entry.is_carried = false;
                 match change {
+                    ListChange::Listed(endpoint) if entry.has_left(&endpoint) => return false,
                     ListChange::Listed(endpoint) => {
+                        entry.last_started_at_ms = endpoint.started_at_ms;
                         entry.endpoint = Some(endpoint);
                         entry.expires_at = None;
                     }
@@ -92,12 +127,51 @@
                     ListChange::Listed(endpoint) => Some(endpoint),
                     ListChange::Unusable | ListChange::Removed => None,
                 };
-                self.entries.insert(id, ListEntry { endpoint, offset, expires_at: None });
+                let last_started_at_ms = endpoint.as_ref().map_or(0, |it| it.started_at_ms);
+                let entry = ListEntry {
+                    endpoint,
+                    offset,
+                    expires_at: None,
+                    is_carried: false,
+                    last_started_at_ms,
+                };
+                self.entries.insert(id, entry);
             }
         }
         true
     }
 
+    /// Applies a record of a complete snapshot, which may show a carried entry as it was before
+    pub fn apply_snapshot(
+        &mut self,
+        id: EndpointId,
+        change: ListChange,
+        offset: ListOffset,
+        now: Instant,
+    ) -> bool {
+        if let (Some(entry), ListChange::Listed(listed)) = (self.entries.get_mut(&id), &change)
+            && entry.is_carried
+            && entry.outdates(listed, now)
+        {
+            entry.offset = offset;
+            entry.is_carried = false;
+            return false;
+        }
+        self.apply(id, change, offset, now)
+    }
+
+    /// Records that the list came back from a copy: the offsets of all entries are void
+    pub fn start_era(&mut self) {
+        for entry in self.entries.values_mut() {
+            entry.is_carried = true;
+        }
+    }
+
+    /// Whether entries are left from before the list came back from a copy
+    pub fn is_from_other_era(&self) -> bool {
+        self.entries.values().any(|it| it.is_carried)
+    }
+
     /// Removes the endpoints that are missing from a complete snapshot of the list
     ///
     /// `end` is the end of the list at the snapshot; entries from later records stay.
@@ -109,7 +183,8 @@
     ) {
         let grace = self.grace_until.filter(|it| *it > now);
         for (id, entry) in &mut self.entries {
-            if entry.offset < end && !is_listed(id) && entry.expires_at.is_none() {
+            let is_covered = entry.is_carried || entry.offset < end;
+            if is_covered && !is_listed(id) && entry.expires_at.is_none() {
                 match grace {
                     Some(until) => entry.expires_at = Some(until),
                     None => entry.endpoint = None,
--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -14,4 +14,5 @@
 pub mod retry_window;
 pub mod route;
 pub mod send_history;
+pub mod store_era;
 pub mod timing;
--- a/crates/decide/tests/serving_choice.rs
+++ b/crates/decide/tests/serving_choice.rs
@@ -59,6 +59,7 @@
         is_ready: true,
         role: Some(role),
         started_at_ms: 1,
+        sequence: 0,
     }
 }
 
--- a/crates/decide/tests/serving_state.rs
+++ b/crates/decide/tests/serving_state.rs
@@ -6,6 +6,7 @@
 use decide::serving::retry_window::{RetryLimits, RetryWindow};
 use decide::serving::route::{ClientLimits, RetryRule, RouteConfig, RouteTarget, ServingConfig};
 use decide::serving::send_history::{NextStep, RunStatus, SendHistory};
+use decide::serving::store_era::{EraChange, EraTracker, StoreEra};
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, any, prop};
 use proptest::{prop_assert, proptest};
@@ -28,6 +29,28 @@
     expired_endpoint_that_is_listed_again_stays => expired_and_listed_again(),
     endpoint_missing_from_a_snapshot_is_removed => missing(),
     entry_newer_than_the_snapshot_stays => newer_than_snapshot(),
+    leaving_incarnation_does_not_become_ready_again => left(7, 0),
+    next_incarnation_after_a_leaving_one_is_ready => left(8, 1),
+    leaving_endpoint_stays_so_in_a_copy => in_copy(ListChange::Listed(leaving()), 7, 0),
+    gone_endpoint_stays_so_in_a_copy => in_copy(ListChange::Removed, 7, 0),
+    next_incarnation_in_a_copy_is_used => in_copy(ListChange::Removed, 8, 1),
+    older_incarnation_in_a_copy_is_ignored => in_copy(listed("a"), 6, 1),
+    order_is_not_taken_back_by_a_copy => order_in_copy(),
+    record_after_a_return_replaces_one_with_a_higher_offset => after_return(),
+    endpoint_that_a_copy_lacks_has_a_grace_period => lacking_in_copy(),
+    first_era_voids_nothing_known => eras(&[(Some(3), EraChange::Returned { from: None })]),
+    higher_era_is_a_return => eras(&[
+        (Some(3), EraChange::Returned { from: None }),
+        (Some(3), EraChange::None),
+        (Some(5), EraChange::Returned { from: Some(3) }),
+    ]),
+    lower_era_is_outdated => eras(&[
+        (Some(3), EraChange::Returned { from: None }),
+        (Some(2), EraChange::Outdated),
+        (None, EraChange::None),
+        (Some(3), EraChange::None),
+    ]),
+    lower_era_that_stays_is_accepted => lower_era_stays(),
     unreachable_endpoint_is_paused_for_longer_each_time => pauses_double(),
     answer_ends_a_pause => answer_ends_pause(),
     misdirected_incarnation_is_gone_until_another_comes => misdirected(),
@@ -110,6 +133,7 @@
         is_ready: true,
         role: Some(EngineRole::Mixed),
         started_at_ms: 7,
+        sequence: 0,
     }
 }
 
@@ -184,6 +208,85 @@
     verify_that!(ids(&list, now), eq(&vec!["a"]))
 }
 
+fn leaving() -> ListedEndpoint {
+    ListedEndpoint { is_ready: false, ..endpoint("a") }
+}
+
+fn incarnation(started_at_ms: u64) -> ListChange {
+    ListChange::Listed(ListedEndpoint { started_at_ms, ..endpoint("a") })
+}
+
+/// A leaving endpoint is listed as ready, possibly as the next incarnation
+fn left(started_at_ms: u64, ready: usize) -> Result<()> {
+    let mut list = EndpointList::default();
+    let now = Instant::now();
+    list.apply("a".into(), ListChange::Listed(leaving()), 1, now);
+    list.apply("a".into(), incarnation(started_at_ms), 2, now);
+    verify_that!(ids(&list, now).len(), eq(ready))
+}
+
+/// The copy lists the endpoint as ready, though the last record before it said something else
+fn in_copy(last: ListChange, started_at_ms: u64, ready: usize) -> Result<()> {
+    let mut list = EndpointList::default();
+    let now = Instant::now();
+    list.apply("a".into(), listed("a"), 4, now);
+    list.apply("a".into(), last, 5, now);
+    list.start_era();
+    list.apply_snapshot("a".into(), incarnation(started_at_ms), 4, now);
+    list.retain_listed(5, |it| it == "a", now);
+    verify_that!(ids(&list, now).len(), eq(ready))
+}
+
+fn order_in_copy() -> Result<()> {
+    let ordered = ListedEndpoint { role: Some(EngineRole::Prefill), sequence: 1, ..endpoint("a") };
+    let mut list = EndpointList::default();
+    let now = Instant::now();
+    list.apply("a".into(), ListChange::Listed(ordered), 5, now);
+    list.start_era();
+    list.apply_snapshot("a".into(), listed("a"), 4, now);
+    let role = list.get(&"a".into()).and_then(|it| it.role);
+    verify_that!(role, some(eq(EngineRole::Prefill)))
+}
+
+fn after_return() -> Result<()> {
+    let mut list = EndpointList::default();
+    let now = Instant::now();
+    list.apply("a".into(), listed("a"), 9, now);
+    list.start_era();
+    verify_that!(list.apply("a".into(), ListChange::Listed(leaving()), 3, now), eq(true))?;
+    verify_that!(ids(&list, now).len(), eq(0))
+}
+
+fn lacking_in_copy() -> Result<()> {
+    let mut list = EndpointList::default();
+    let now = Instant::now();
+    list.apply("a".into(), listed("a"), 9, now);
+    list.start_era();
+    list.start_grace_period(now);
+    list.retain_listed(3, |_| false, now);
+    verify_that!(ids(&list, now), eq(&vec!["a"]))?;
+    let now = now + EXPIRY_GRACE;
+    verify_that!(ids(&list, now).len(), eq(0))
+}
+
+fn eras(steps: &[(Option<StoreEra>, EraChange)]) -> Result<()> {
+    let mut tracker = EraTracker::default();
+    for (era, change) in steps {
+        verify_that!(tracker.observe(*era, Instant::now()), eq(*change))?;
+    }
+    Ok(())
+}
+
+/// A store whose era was read wrongly once must not be ignored for good
+fn lower_era_stays() -> Result<()> {
+    let mut tracker = EraTracker::default();
+    let now = Instant::now();
+    tracker.observe(Some(u64::MAX), now);
+    verify_that!(tracker.observe(Some(2), now), eq(EraChange::Outdated))?;
+    let change = tracker.observe(Some(2), now + Duration::from_secs(6));
+    verify_that!(change, eq(EraChange::Returned { from: Some(u64::MAX) }))
+}
+
 fn pool_of(count: usize) -> Vec<ListedEndpoint> {
     (0..count).map(|it| endpoint(&format!("e{it}"))).collect()
 }
--- a/crates/decide/tests/serving_timing.rs
+++ b/crates/decide/tests/serving_timing.rs
@@ -129,6 +129,7 @@
         is_ready: true,
         role: Some(role),
         started_at_ms: 1,
+        sequence: 0,
     }
 }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -11,6 +11,7 @@
 use crate::state::Gateway;
 use bytes::Bytes;
 use decide::serving::endpoint_list::ListOffset;
+use decide::serving::store_era::{EraChange, TopicPosition};
 use platform::transfer::TransferProgress;
 use platform_adapter::config::{CONFIG_KEY, decode_config};
 use platform_adapter::endpoint_list::decode_entry;
@@ -32,6 +33,12 @@
 const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(100);
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
 
+/// Failed read, with how far it came
+struct ReadFailure {
+    error: StoreError,
+    progress: TransferProgress,
+}
+
 /// Tracks failed reads of one topic for backoff and logging
 struct StoreBackoff {
     topic: &'static str,
@@ -54,13 +61,16 @@
     }
 
     /// Records a failed call; returns the pause before the next one
-    fn failed(&mut self, error: &StoreError) -> Duration {
+    fn failed(&mut self, failure: &ReadFailure) -> Duration {
+        let ReadFailure { error, progress } = failure;
         let topic = self.topic;
         if self.failures == 0 {
-            log::warn!("event=store_lost topic={topic} error=\"{error}\"");
+            log::warn!("event=store_lost topic={topic} error=\"{error}\" {progress}");
         } else {
             let failures = self.failures + 1;
-            log::info!("event=store_failed topic={topic} failures={failures} error=\"{error}\"");
+            log::info!(
+                "event=store_failed topic={topic} failures={failures} error=\"{error}\" {progress}"
+            );
         }
         let pause = FIRST_RETRY_PAUSE * (1 << self.failures.min(4));
         self.failures += 1;
@@ -75,19 +85,19 @@
     let mut is_started = false;
     loop {
         let has_missed = gateway.config_coverage.wait_until_due().await;
-        if has_missed && has_announced_config(&gateway).await {
+        let is_known = gateway.config_position().is_some();
+        if has_missed && is_known && has_announced_config(&gateway).await {
             continue;
         }
-        let offset = gateway.config_offset.get();
+        let position = gateway.config_position();
         let wait = poll_time(bound, has_missed || is_started);
         is_started = false;
-        let is_first = offset.is_none();
-        match read_from(&gateway, OPERATOR_TOPIC, offset, wait).await {
-            Ok(batch) => {
+        let is_first = position.is_none();
+        match read_from(&gateway, OPERATOR_TOPIC, position, wait).await {
+            Ok((batch, to)) => {
                 backoff.succeeded();
                 gateway.config_read_at.set(Some(Instant::now()));
-                let to = next_offset(&batch, offset);
-                gateway.config_offset.set(gateway.config_offset.get().max(Some(to)));
+                gateway.record_config_read(to);
                 for record in batch.records.iter().filter(|it| it.key == CONFIG_KEY) {
                     if let Some(value) = &record.value
                         && apply_config(&gateway, value, "store")
@@ -104,12 +114,13 @@
                     sleep(bound.mul_f64(UPDATE_PAUSE_FRACTION)).await;
                 }
             }
-            Err(StoreError::Expired { first }) => {
+            Err(ReadFailure { error: StoreError::Expired { first }, .. }) => {
                 log::info!("event=store_history_gone topic={OPERATOR_TOPIC} first={first}");
-                gateway.config_offset.set(None);
+                gateway.void_config_position();
                 sleep(FIRST_RETRY_PAUSE).await;
             }
-            Err(error) => sleep(backoff.failed(&error)).await,
+            Err(ReadFailure { error: StoreError::OtherEra, .. }) => sleep(FIRST_RETRY_PAUSE).await,
+            Err(failure) => sleep(backoff.failed(&failure)).await,
         }
     }
 }
@@ -118,37 +129,33 @@
 pub async fn follow_endpoints(gateway: Rc<Gateway>) {
     let bound = gateway.settings.drain_bound;
     let mut backoff = StoreBackoff::new(ENDPOINT_TOPIC);
-    let mut needs_full_read = false;
     let mut is_started = false;
     loop {
         let has_missed = gateway.endpoints_coverage.wait_until_due().await;
         let wait = poll_time(bound, has_missed || is_started);
         is_started = false;
-        let offset = gateway.endpoints_offset.get().filter(|_| !needs_full_read);
-        match read_from(&gateway, ENDPOINT_TOPIC, offset, wait).await {
-            Ok(batch) => {
-                needs_full_read = false;
+        let position = gateway.endpoints_position();
+        match read_from(&gateway, ENDPOINT_TOPIC, position, wait).await {
+            Ok((batch, to)) => {
                 let was_unavailable = backoff.succeeded();
                 gateway.endpoints_read_at.set(Some(Instant::now()));
-                apply_endpoints(&gateway, &batch, offset.is_none(), was_unavailable);
-                let to = next_offset(&batch, offset);
-                // An update from another instance may have arrived meanwhile and be newer.
-                let last = gateway.endpoints_offset.get().filter(|_| offset.is_some());
-                gateway.endpoints_offset.set(last.max(Some(to)));
-                queue_update(&gateway, &batch, offset, to);
-                if offset.is_none() {
+                apply_endpoints(&gateway, &batch, position.is_none(), was_unavailable);
+                gateway.record_endpoints_read(to);
+                queue_update(&gateway, &batch, position, to);
+                if position.is_none() {
                     is_started = true;
                     gateway
                         .endpoints_coverage
                         .extend(bound.mul_f64(START_FRACTION), Instant::now());
                 }
             }
-            Err(StoreError::Expired { first }) => {
+            Err(ReadFailure { error: StoreError::Expired { first }, .. }) => {
                 log::info!("event=store_history_gone topic={ENDPOINT_TOPIC} first={first}");
-                needs_full_read = true;
+                gateway.void_endpoints_position();
                 sleep(FIRST_RETRY_PAUSE).await;
             }
-            Err(error) => sleep(backoff.failed(&error)).await,
+            Err(ReadFailure { error: StoreError::OtherEra, .. }) => sleep(FIRST_RETRY_PAUSE).await,
+            Err(failure) => sleep(backoff.failed(&failure)).await,
         }
     }
 }
@@ -159,9 +166,9 @@
         let value = value.map(Bytes::from);
         KeyedRecord { key, value, offset }
     });
-    let batch = RecordBatch { records: records.collect(), end: update.to };
-    log::debug!("event=endpoints_told from={} to={}", update.from, update.to);
-    gateway.endpoints_offset.set(Some(update.to));
+    let batch = RecordBatch { records: records.collect(), end: update.to.offset };
+    log::debug!("event=endpoints_told from={} to={}", update.from.offset, update.to.offset);
+    gateway.record_endpoints_read(update.to);
     apply_endpoints(gateway, &batch, false, false);
 }
 
@@ -169,12 +176,12 @@
 fn queue_update(
     gateway: &Gateway,
     batch: &RecordBatch,
-    offset: Option<ListOffset>,
-    to: ListOffset,
+    position: Option<TopicPosition>,
+    to: TopicPosition,
 ) {
     let size: usize =
         batch.records.iter().map(|it| it.key.len() + it.value.as_ref().map_or(0, Bytes::len)).sum();
-    let Some(from) = offset.filter(|from| *from < to && size <= MAX_UPDATE_BYTES) else {
+    let Some(from) = position.filter(|from| *from < to && size <= MAX_UPDATE_BYTES) else {
         return;
     };
     let records = batch.records.iter().map(|it| {
@@ -191,35 +198,41 @@
     if is_due { Duration::ZERO } else { bound.mul_f64(LEADER_WAIT_FRACTION) }
 }
 
+/// Reads a topic from a position on, or in full; also returns the position of the next read
 async fn read_from(
     gateway: &Gateway,
     topic: &'static str,
-    offset: Option<ListOffset>,
+    position: Option<TopicPosition>,
     wait: Duration,
-) -> Result<RecordBatch, StoreError> {
-    let (call, result) = match offset {
-        Some(from) => ("read", gateway.store.read(topic, from, wait).await),
+) -> Result<(RecordBatch, TopicPosition), ReadFailure> {
+    let (call, reply) = match position {
+        Some(from) => ("read", gateway.store.read(topic, from.offset, wait).await),
         None => ("newest", gateway.store.newest(topic).await),
     };
-    let (outcome, progress) = match &result {
-        Ok((_, progress)) => ("ok", *progress),
-        Err(StoreError::Http { progress, .. }) => ("failed", *progress),
-        Err(_) => ("failed", TransferProgress::default()),
-    };
+    let progress = reply.progress;
+    let outcome = if reply.result.is_ok() { "ok" } else { "failed" };
     gateway.metrics.store_call(call, outcome, progress.bytes);
-    let (batch, progress) = result?;
+    let change = gateway.observe_era(reply.era);
+    let era = gateway.store_era.borrow().era();
+    // The store may have returned from a copy during the read, whose offset is then void.
+    if change == EraChange::Outdated || position.is_some_and(|it| it.era != era) {
+        log::info!("event=store_answer_dropped topic={topic} call={call} era={:?}", reply.era);
+        return Err(ReadFailure { error: StoreError::OtherEra, progress });
+    }
+    let batch = reply.result.map_err(|error| ReadFailure { error, progress })?;
     if progress.bytes >= MIN_LOGGED_BYTES {
         let records = batch.records.len();
         log::info!("event=store_read topic={topic} call={call} records={records} {progress}");
     }
-    Ok(batch)
+    let offset = next_offset(&batch, position);
+    Ok((batch, TopicPosition { era, offset }))
 }
 
 /// Offset of the next read: after the last record, or the topic's end after a full read
-fn next_offset(batch: &RecordBatch, offset: Option<ListOffset>) -> ListOffset {
-    match (offset, batch.records.last()) {
+fn next_offset(batch: &RecordBatch, position: Option<TopicPosition>) -> ListOffset {
+    match (position, batch.records.last()) {
         (Some(_), Some(record)) => record.offset + 1,
-        (Some(from), None) => from,
+        (Some(from), None) => from.offset,
         (None, _) => batch.end,
     }
 }
@@ -244,7 +257,7 @@
         }
     }
     if is_in_force() {
-        gateway.config_offset.set(gateway.config_offset.get().max(Some(announced.end)));
+        gateway.record_config_read(announced.end);
     }
     is_in_force()
 }
@@ -284,12 +297,18 @@
     let mut list = gateway.endpoints.borrow_mut();
     if was_unavailable {
         log::info!("event=endpoints_regained offset={}", batch.end);
+    }
+    if was_unavailable || (is_full_read && list.is_from_other_era()) {
         list.start_grace_period(now);
     }
     let before = list.ready(now).map(|it| it.id.clone()).collect::<Vec<_>>();
     for record in &batch.records {
         let change = decode_entry(&record.key, record.value.as_deref());
-        list.apply(record.key.clone(), change, record.offset, now);
+        if is_full_read {
+            list.apply_snapshot(record.key.clone(), change, record.offset, now);
+        } else {
+            list.apply(record.key.clone(), change, record.offset, now);
+        }
     }
     if is_full_read {
         let listed = batch.records.iter().map(|it| &it.key).collect::<indexmap::IndexSet<_>>();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -35,6 +35,10 @@
     pub config_version: Gauge,
     /// Known instances, including this one
     pub instances: Gauge,
+    /// Era of the store
+    pub store_era: Gauge,
+    /// Returns of the store from a copy
+    pub store_returns: Counter,
 }
 
 impl Default for GatewayMetrics {
@@ -53,6 +57,8 @@
             endpoints_ready: Gauge::default(),
             config_version: Gauge::default(),
             instances: Gauge::default(),
+            store_era: Gauge::default(),
+            store_returns: Counter::default(),
         };
         metrics.register();
         metrics
@@ -78,6 +84,9 @@
         registry.register("endpoints_ready", "Endpoints that accept new requests", ready);
         let version = self.config_version.clone();
         registry.register("config_version", "Version of the configuration in force", version);
+        registry.register("store_era", "Era of the store", self.store_era.clone());
+        let returns = self.store_returns.clone();
+        registry.register("store_returns", "Returns of the store from a copy", returns);
         registry.register(
             "instances",
             "Known instances, including this one",
--- a/crates/gateway/src/peers/config_transfer.rs
+++ b/crates/gateway/src/peers/config_transfer.rs
@@ -9,8 +9,8 @@
 use crate::ready::{page, serve_page};
 use crate::state::Gateway;
 use bytes::Bytes;
-use decide::serving::endpoint_list::ListOffset;
 use decide::serving::route::ConfigVersion;
+use decide::serving::store_era::TopicPosition;
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
@@ -51,8 +51,8 @@
 pub struct ConfigAnnouncement {
     /// Version of the configuration
     pub version: ConfigVersion,
-    /// Offset after its record
-    pub end: ListOffset,
+    /// Position after its record
+    pub end: TopicPosition,
     /// Instance that transfers it; `None` if it has to be read from the store
     pub source: Option<SocketAddr>,
 }
@@ -120,9 +120,9 @@
     let mut meter = TransferMeter::start();
     let client = HttpClient::without_reuse();
     let answer = transfer(&client, request, limits, &mut meter).await;
-    let (status, body) = answer.map_err(TransferError::Http)?;
-    if status != StatusCode::OK {
-        return Err(TransferError::Status(status));
+    let (parts, body) = answer.map_err(TransferError::Http)?;
+    if parts.status != StatusCode::OK {
+        return Err(TransferError::Status(parts.status));
     }
     log::info!("event=config_transferred source={source} {}", meter.progress());
     PackedConfig::unpack(&body)
--- a/crates/gateway/src/peers/listing.rs
+++ b/crates/gateway/src/peers/listing.rs
@@ -3,11 +3,12 @@
 use super::SharedTable;
 use crate::state::Gateway;
 use decide::serving::leader::PeerInstance;
+use decide::serving::store_era::EraChange;
 use platform_adapter::store::{INSTANCE_TOPIC, KeyedRecord};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Interval between reads of the instance list. Instances that come later become known by their messages
 /// to those that need them: all of a full mesh, otherwise the leader of their zone.
@@ -27,19 +28,25 @@
         power: settings.power,
     };
     let entry = format_entry(&own);
+    let mut eras = gateway.era_changes.subscribe();
     if settings.is_first_start {
         append_entry(&gateway, &entry).await;
         sleep(START_PAUSE).await;
     }
     loop {
-        match gateway.store.newest(INSTANCE_TOPIC).await {
-            Ok((batch, _)) => {
+        eras.mark_unchanged();
+        let reply = gateway.store.newest(INSTANCE_TOPIC).await;
+        let is_outdated = gateway.observe_era(reply.era) == EraChange::Outdated;
+        match reply.result {
+            Ok(batch) if !is_outdated => {
                 if apply_entries(&gateway, &table, &own, &batch.records) {
-                    sleep(LIST_INTERVAL).await;
+                    // A store that came back from a copy may have lost the entry.
+                    let _ = timeout(LIST_INTERVAL, eras.changed()).await;
                     continue;
                 }
                 append_entry(&gateway, &entry).await;
             }
+            Ok(_) => log::debug!("event=instances_unread error=outdated"),
             Err(error) => log::debug!("event=instances_unread error={error}"),
         }
         sleep(RETRY_PAUSE).await;
@@ -48,7 +55,10 @@
 
 /// Appends the own entry; if that fails, the next read of the list shows it
 async fn append_entry(gateway: &Gateway, entry: &str) {
-    match gateway.store.append(INSTANCE_TOPIC, &gateway.settings.instance, entry.as_bytes()).await {
+    let instance = &gateway.settings.instance;
+    let reply = gateway.store.append(INSTANCE_TOPIC, instance, entry.as_bytes()).await;
+    gateway.observe_era(reply.era);
+    match reply.result {
         Ok(()) => log::info!("event=listed entry=\"{entry}\""),
         Err(error) => log::warn!("event=not_listed error={error}"),
     }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -8,6 +8,7 @@
 use decide::serving::load::{EndpointWork, WorkCount};
 use decide::serving::prompt::PromptPrefix;
 use decide::serving::route::ConfigVersion;
+use decide::serving::store_era::TopicPosition;
 use decide::serving::timing::StageSample;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -15,7 +16,7 @@
 /// Maximum size of a message; the work at 60 endpoints takes about 1,000 bytes, at 640 about 11,000.
 pub const MAX_MESSAGE_BYTES: usize = 32 * 1024;
 /// Version of the message format; messages of other versions are ignored.
-const MESSAGE_VERSION: u8 = 9;
+const MESSAGE_VERSION: u8 = 10;
 /// Maximum number of prompt reads in one update; about 60 bytes each, well below
 /// `MAX_MESSAGE_BYTES`.
 const MAX_UPDATE_READS: usize = 200;
@@ -84,14 +85,14 @@
     }
 }
 
-/// Endpoint records that the sender has read from the store
+/// Endpoint records that the sender has read from the store in one era
 #[derive(Debug, Clone, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct EndpointUpdate {
-    /// Offset of the first record
-    pub from: ListOffset,
-    /// Offset after the last one
-    pub to: ListOffset,
+    /// Position of the first record
+    pub from: TopicPosition,
+    /// Position after the last one
+    pub to: TopicPosition,
     /// Key, value (`None` if the key was deleted) and offset of each record
     pub records: Vec<(EndpointId, Option<Vec<u8>>, ListOffset)>,
 }
@@ -102,8 +103,8 @@
 pub struct StoreUpdate {
     /// Version of the configuration in force
     pub config_version: ConfigVersion,
-    /// Offset after the records of configurations that the sender has read
-    pub config_end: ListOffset,
+    /// Position after the configurations that the sender has read, in the same era as the endpoint records
+    pub config_end: TopicPosition,
     /// That configuration as the store holds it, if it is new and fits into a message
     pub config: Option<Vec<u8>>,
     /// Whether the sender transfers that configuration to whoever asks
--- a/crates/gateway/src/peers/store_updates.rs
+++ b/crates/gateway/src/peers/store_updates.rs
@@ -32,12 +32,12 @@
         if !exchange.reads_for_others(now) || !has_recent_reads(&gateway, now) {
             continue;
         }
-        let Some(to) = gateway.endpoints_offset.get() else { continue };
+        let Some(to) = gateway.endpoints_position() else { continue };
+        let Some(config_end) = gateway.config_position() else { continue };
         let Some(config_version) = gateway.config.borrow().as_ref().map(|it| it.version) else {
             continue;
         };
         let endpoints = endpoints.unwrap_or(EndpointUpdate { from: to, to, records: Vec::new() });
-        let Some(config_end) = gateway.config_offset.get() else { continue };
         let recipients = recipients(&exchange);
         let config = read_config.and_then(|it| message_config(&gateway, config_version, it));
         let packed = gateway.packed_config.borrow().clone();
@@ -60,8 +60,15 @@
     None
 }
 
-/// Applies an update from the instance that reads the store
+/// Applies an update from the instance that reads the store; one of an earlier era is ignored
 pub fn apply(gateway: &Gateway, update: StoreUpdate, sender: SocketAddr, now: Instant) {
+    let era = update.config_end.era;
+    // A sender that knows no era yet has 0.
+    gateway.observe_era(Some(era).filter(|it| *it > 0));
+    if !gateway.store_era.borrow().is_current(&update.config_end) {
+        log::debug!("event=update_outdated sender={sender} era={era}");
+        return;
+    }
     if let Some(config) = &update.config {
         apply_config(gateway, config, "peer");
     }
@@ -77,11 +84,14 @@
     }
     gateway.endpoints_coverage.extend(coverage_time(gateway), now);
     let endpoints = update.endpoints;
-    match gateway.endpoints_offset.get() {
-        Some(offset) if endpoints.to <= offset => {}
-        Some(offset) if endpoints.from <= offset => apply_endpoint_update(gateway, endpoints),
+    match gateway.endpoints_position() {
+        Some(position) if endpoints.to <= position => {}
+        Some(position) if endpoints.from <= position => apply_endpoint_update(gateway, endpoints),
         _ => gateway.endpoints_coverage.record_missed(),
     }
+    if gateway.config_position().is_none() {
+        gateway.config_coverage.record_missed();
+    }
 }
 
 fn coverage_time(gateway: &Gateway) -> Duration {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,24 +14,25 @@
 use decide::fingerprint::Fingerprint;
 use decide::serving::cache::PromptCaches;
 use decide::serving::deadline::DeadlinePeak;
-use decide::serving::endpoint_list::{EndpointList, ListOffset, ListedEndpoint};
+use decide::serving::endpoint_list::{EndpointList, ListedEndpoint};
 use decide::serving::health::{EndpointHealth, SendResult};
 use decide::serving::load::FleetLoad;
 use decide::serving::pick::EnginePick;
 use decide::serving::prompt::PromptPrefix;
 use decide::serving::retry_window::RetryWindow;
 use decide::serving::route::{RetryRule, RouteName, ServingConfig};
+use decide::serving::store_era::{EraChange, EraTracker, StoreEra, TopicPosition};
 use decide::serving::timing::{PoolTiming, StageSample};
 use decide::suspect::SuspectTable;
 use indexmap::IndexMap;
 use lru::LruCache;
 use platform_adapter::settings::InstanceSettings;
-use platform_adapter::store::StoreClient;
+use platform_adapter::store::{ENDPOINT_TOPIC, INSTANCE_TOPIC, OPERATOR_TOPIC, StoreClient};
 use std::cell::{Cell, RefCell};
 use std::num::NonZeroUsize;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 /// Strikes from which a request is refused; the users' rules count retries from the third crash on.
 const MAX_STRIKES: usize = 3;
@@ -54,8 +55,6 @@
     pub endpoints: RefCell<EndpointList>,
     /// Time of the last successful read of the endpoints
     pub endpoints_read_at: Cell<Option<Instant>>,
-    /// Offset of the next read of the endpoints
-    pub endpoints_offset: Cell<Option<ListOffset>>,
     /// Whether this instance has to read the endpoints itself
     pub endpoints_coverage: TopicCoverage,
     /// Endpoint records read last, to be sent to other instances
@@ -66,8 +65,12 @@
     pub packed_config: RefCell<Option<PackedConfig>>,
     /// Newest configuration that another instance has announced
     pub announced_config: Cell<Option<ConfigAnnouncement>>,
-    /// Offset of the next read of the configuration
-    pub config_offset: Cell<Option<ListOffset>>,
+    /// Era of the store
+    pub store_era: RefCell<EraTracker>,
+    /// Sends each era in which the store has come back from a copy
+    pub era_changes: watch::Sender<StoreEra>,
+    config_read_to: Cell<Option<TopicPosition>>,
+    endpoints_read_to: Cell<Option<TopicPosition>>,
     /// Notified when a store update is ready to be sent
     pub update_ready: Notify,
     /// Health of the endpoints, including pauses after failures
@@ -113,13 +116,15 @@
             endpoints: RefCell::default(),
             endpoints_read_at: Cell::default(),
             config_coverage: TopicCoverage::default(),
-            endpoints_offset: Cell::default(),
             endpoints_coverage: TopicCoverage::default(),
             endpoint_update: RefCell::default(),
             config_update: RefCell::default(),
             packed_config: RefCell::default(),
             announced_config: Cell::default(),
-            config_offset: Cell::default(),
+            store_era: RefCell::default(),
+            era_changes: watch::Sender::default(),
+            config_read_to: Cell::default(),
+            endpoints_read_to: Cell::default(),
             update_ready: Notify::new(),
             health: RefCell::default(),
             load: RefCell::default(),
@@ -145,6 +150,71 @@
         self.config.borrow().is_some() && self.endpoints_read_at.get().is_some()
     }
 
+    /// Records the era of an answer or an update
+    ///
+    /// A new era voids all positions, and every topic is read again.
+    pub fn observe_era(&self, seen: Option<StoreEra>) -> EraChange {
+        let change = self.store_era.borrow_mut().observe(seen, Instant::now());
+        let EraChange::Returned { from } = change else { return change };
+        let era = self.store_era.borrow().era();
+        self.metrics.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
+        if let Some(from) = from {
+            log::warn!(
+                "event=store_era from={from} to={era} reread={OPERATOR_TOPIC},{ENDPOINT_TOPIC},{INSTANCE_TOPIC}"
+            );
+            self.metrics.store_returns.inc();
+            self.era_changes.send_replace(era);
+        }
+        self.endpoints.borrow_mut().start_era();
+        self.endpoint_update.take();
+        for (read_to, coverage) in [
+            (&self.config_read_to, &self.config_coverage),
+            (&self.endpoints_read_to, &self.endpoints_coverage),
+        ] {
+            if read_to.take().is_some() {
+                coverage.record_missed();
+            }
+        }
+        change
+    }
+
+    /// Position of the next read of the configuration; `None` if it has to be read in full
+    pub fn config_position(&self) -> Option<TopicPosition> {
+        self.config_read_to.get()
+    }
+
+    /// Records that the configuration was read up to a position; void if it is of an earlier era
+    pub fn record_config_read(&self, to: TopicPosition) {
+        self.advance(&self.config_read_to, to);
+    }
+
+    /// Position of the next read of the endpoints; `None` if they have to be read in full
+    pub fn endpoints_position(&self) -> Option<TopicPosition> {
+        self.endpoints_read_to.get()
+    }
+
+    /// Records that the endpoints were read up to a position; void if it is of an earlier era
+    pub fn record_endpoints_read(&self, to: TopicPosition) {
+        self.advance(&self.endpoints_read_to, to);
+    }
+
+    fn advance(&self, read_to: &Cell<Option<TopicPosition>>, to: TopicPosition) {
+        if self.store_era.borrow().is_current(&to) {
+            // An update from another instance may have arrived during a read and be newer.
+            read_to.set(read_to.get().max(Some(to)));
+        }
+    }
+
+    /// Has the configuration read in full, since its history is gone
+    pub fn void_config_position(&self) {
+        self.config_read_to.set(None);
+    }
+
+    /// Has the endpoints read in full, since their history is gone
+    pub fn void_endpoints_position(&self) {
+        self.endpoints_read_to.set(None);
+    }
+
     /// Endpoints of a pool that accept new requests of routes with this retry rule
     pub fn ready_endpoints(&self, pool: &PoolName, rule: RetryRule) -> Vec<ListedEndpoint> {
         let now = Instant::now();
@@ -171,7 +241,7 @@
     /// Ages and versions of the inputs to an endpoint choice, formatted for the log
     pub fn choice_inputs(&self) -> String {
         let load_age = self.load.borrow().age(Instant::now()).as_millis();
-        let endpoints = self.endpoints_offset.get().unwrap_or_default();
+        let endpoints = self.endpoints_position().map_or(0, |it| it.offset);
         let config = self.config.borrow().as_ref().map_or(0, |it| it.version);
         format!("load_age_ms={load_age} endpoints_offset={endpoints} config={config}")
     }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod deployment;
 mod drain;
 mod endpoint;
+mod era;
 mod generations;
 mod large_config;
 mod malformed;
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -31,7 +31,7 @@
     Unresponsive,
 }
 
-#[derive(Default)]
+#[derive(Debug, Clone, Default)]
 struct Topic {
     first: u64,
     records: Vec<(String, Vec<u8>)>,
@@ -54,12 +54,20 @@
     }
 }
 
+/// Number of times that the store has come back from a copy, plus one; `None` if it says nothing
+type StoreEra = Option<String>;
+
 struct StoreState {
     topics: IndexMap<String, Topic>,
     mode: StoreMode,
+    era: StoreEra,
     calls: usize,
 }
 
+/// Content of the store at some time
+#[derive(Debug, Clone)]
+pub struct StoreCopy(IndexMap<String, Topic>);
+
 /// Store that runs until the test ends
 #[derive(Clone)]
 pub struct FakeStore {
@@ -73,7 +81,12 @@
     pub async fn start() -> FakeStore {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
         let address = listener.local_addr().expect("bound");
-        let state = StoreState { topics: IndexMap::new(), mode: StoreMode::Normal, calls: 0 };
+        let state = StoreState {
+            topics: IndexMap::new(),
+            mode: StoreMode::Normal,
+            era: Some("1".to_owned()),
+            calls: 0,
+        };
         let store = FakeStore {
             address,
             state: Arc::new(Mutex::new(state)),
@@ -113,6 +126,32 @@
         topic.records.clear();
     }
 
+    /// Copies the content, for a later return from it
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.lock().expect("no panic").topics.clone())
+    }
+
+    /// Returns from a copy: what was written since is gone, and the era rises
+    pub fn return_from(&self, copy: StoreCopy) {
+        let mut state = self.state.lock().expect("no panic");
+        state.topics = copy.0;
+        let era = state.era.as_ref().and_then(|it| it.parse::<u64>().ok());
+        state.era = era.map(|it| (it + 1).to_string());
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Sets the header of the era; `None` for no header
+    pub fn set_era(&self, era: Option<&str>) {
+        self.state.lock().expect("no panic").era = era.map(str::to_owned);
+    }
+
+    /// Whether a key has a value in a topic
+    pub fn has_key(&self, topic: &str, key: &str) -> bool {
+        let state = self.state.lock().expect("no panic");
+        state.topics.get(topic).is_some_and(|it| it.newest.contains_key(key))
+    }
+
     /// Sets how the store answers from now on
     pub fn set_mode(&self, mode: StoreMode) {
         self.state.lock().expect("no panic").mode = mode;
@@ -125,6 +164,14 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let mut response = self.answer_in_mode(request).await;
+        if let Some(era) = &self.state.lock().expect("no panic").era {
+            response.headers_mut().insert("Store-Era", era.parse().expect("a header value"));
+        }
+        response
+    }
+
+    async fn answer_in_mode(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let mode = {
             let mut state = self.state.lock().expect("no panic");
             state.calls += 1;
@@ -165,7 +212,7 @@
         loop {
             let changed = self.changed.notified();
             let (first, end, body) = self.records(&query["topic"], from);
-            if from < first {
+            if from < first || from > end {
                 let body = serde_json::json!({"first": first}).to_string();
                 let mut response = Response::new(Full::from(body));
                 *response.status_mut() = StatusCode::GONE;
--- a/crates/loadmodel/src/fleet.rs
+++ b/crates/loadmodel/src/fleet.rs
@@ -167,6 +167,7 @@
         is_ready: true,
         role: Some(role),
         started_at_ms: 1,
+        sequence: 0,
     };
     let readers = (0..size.readers).map(|it| engine(format_smolstr!("p{it}"), EngineRole::Prefill));
     let mixed = (0..size.mixed).map(|it| engine(format_smolstr!("m{it}"), EngineRole::Mixed));
--- a/crates/platform/src/transfer.rs
+++ b/crates/platform/src/transfer.rs
@@ -7,7 +7,8 @@
 use crate::http::{HttpClient, HttpError, MAX_ANSWER_BYTES};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, StatusCode};
+use hyper::Request;
+use hyper::http::response::Parts;
 use std::fmt;
 use std::time::{Duration, Instant};
 use tokio::time::timeout;
@@ -74,17 +75,17 @@
     request: Request<Full<Bytes>>,
     limits: SilenceLimits,
     meter: &mut TransferMeter,
-) -> Result<(StatusCode, Bytes), HttpError> {
+) -> Result<(Parts, Bytes), HttpError> {
     let response = timeout(limits.head, client.send(request))
         .await
         .map_err(|_| HttpError::TimedOut(limits.head))??;
-    let status = response.status();
-    let mut body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+    let (parts, body) = response.into_parts();
+    let mut body = Limited::new(body, MAX_ANSWER_BYTES);
     let mut received = BytesMut::new();
     loop {
         let frame = timeout(limits.body, body.frame()).await;
         match frame.map_err(|_| HttpError::TimedOut(limits.body))? {
-            None => return Ok((status, received.freeze())),
+            None => return Ok((parts, received.freeze())),
             Some(frame) => {
                 if let Ok(data) = frame.map_err(HttpError::Body)?.into_data() {
                     meter.record(data.len());
