Send nothing to endpoints that say they leave or want no requests

Cause: two new contracts. An endpoint that leaves says so in its answers (the list may be late), and one that turns a request away with 503 may state for how long it wants nothing. Both were ignored. Change: decide::serving::notice keeps what each incarnation has said. What an instance was told itself is binding: the endpoint is left out of every choice (first sends, repeats, resumes, prompts read apart, sources of shared parts), and each send checks once more when its connection is ready; a decode that follows a prompt is planned again. Other instances get a report that it leaves with the messages that they exchange anyway, and prefer the others by it, since a report may be wrong. A pause ends with jitter after its end; a very long one with the incarnation. If all that could serve a request are paused, it waits if the first pause ends within a quarter of the objective, else it is refused at once with the shortest remaining time as Retry-After. An engine that wants nothing isn't asked to free a cache either. Ruled out: sharing pauses (what one instance was told binds it alone by the rule; whether it would serve as a hint was not measured); waiting longer than a quarter (the answer itself takes half of the objective).

--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -9,6 +9,7 @@
 pub mod health;
 pub mod leader;
 pub mod load;
+pub mod notice;
 pub mod pick;
 pub mod prompt;
 pub mod retry_window;
--- /dev/null
+++ b/crates/decide/src/serving/notice.rs
@@ -0,0 +1,163 @@
+//! What endpoints say of themselves in their answers: that they leave, or that they
+//! want no requests for a while.
+//!
+//! Both hold for one incarnation of an endpoint, whatever the list says of it, and end
+//! with it. What an endpoint has said to this instance is binding. What another instance
+//! reports only makes this one prefer the other endpoints, since a report may be wrong.
+
+use super::endpoint_list::ListedEndpoint;
+use catalogue::id::EndpointId;
+use indexmap::IndexMap;
+use std::time::{Duration, Instant};
+
+/// Start of an endpoint's incarnation, in Unix milliseconds.
+pub type IncarnationStart = u64;
+
+/// Jitter after the end of a pause, as a fraction of the pause, and its bounds. Instances that were told the
+/// same return one after the other.
+const JITTER_FRACTION: f64 = 0.1;
+const MIN_JITTER: Duration = Duration::from_millis(10);
+const MAX_JITTER: Duration = Duration::from_millis(400);
+/// Fraction of the objective that a request may wait for the end of a pause. Within it an answer in time is
+/// likely; after it a refusal serves the caller better, since it can come back when the pause is over.
+const WAIT_FRACTION: f64 = 0.25;
+
+/// End of a pause that an endpoint has asked for
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PauseEnd {
+    At(Instant),
+    /// With the incarnation
+    Never,
+}
+
+impl PauseEnd {
+    fn is_over(self, now: Instant) -> bool {
+        matches!(self, PauseEnd::At(end) if end <= now)
+    }
+}
+
+/// What one incarnation has said
+#[derive(Debug, Clone, Copy)]
+struct EndpointNotice {
+    started_at_ms: IncarnationStart,
+    leaves: bool,
+    /// Whether another instance was told that it leaves
+    is_reported: bool,
+    pause_end: Option<PauseEnd>,
+}
+
+/// What to do with a request while all endpoints that could serve it are paused
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PauseStep {
+    /// Wait for the first one to accept requests again
+    Wait(Duration),
+    /// Refuse the request; it may come back after this time
+    Refuse(Duration),
+}
+
+/// What endpoints have said, by endpoint
+#[derive(Debug, Clone, Default)]
+pub struct EndpointNotices {
+    notices: IndexMap<EndpointId, EndpointNotice>,
+}
+
+impl EndpointNotices {
+    /// Records that an endpoint has said that it leaves; `true` if that is new
+    pub fn record_leaving(&mut self, id: &EndpointId, started_at_ms: IncarnationStart) -> bool {
+        let notice = self.notice(id, started_at_ms);
+        notice.is_some_and(|it| !std::mem::replace(&mut it.leaves, true))
+    }
+
+    /// Records that another instance was told that an endpoint leaves; `true` if that is new
+    pub fn record_report(&mut self, id: &EndpointId, started_at_ms: IncarnationStart) -> bool {
+        let notice = self.notice(id, started_at_ms);
+        notice.is_some_and(|it| !std::mem::replace(&mut it.is_reported, true))
+    }
+
+    /// Records that an endpoint wants no requests for a time; `draw` is uniform in 0..1
+    pub fn record_pause(
+        &mut self,
+        endpoint: &ListedEndpoint,
+        pause: Duration,
+        draw: f64,
+        now: Instant,
+    ) {
+        let jitter = pause.mul_f64(JITTER_FRACTION).clamp(MIN_JITTER, MAX_JITTER).mul_f64(draw);
+        let end = pause.checked_add(jitter).and_then(|it| now.checked_add(it));
+        let end = end.map_or(PauseEnd::Never, PauseEnd::At);
+        if let Some(notice) = self.notice(&endpoint.id, endpoint.started_at_ms) {
+            notice.pause_end = Some(match (notice.pause_end, end) {
+                (Some(PauseEnd::Never), _) | (_, PauseEnd::Never) => PauseEnd::Never,
+                (Some(PauseEnd::At(before)), PauseEnd::At(end)) => PauseEnd::At(before.max(end)),
+                (None, end) => end,
+            });
+        }
+    }
+
+    /// Whether an endpoint accepts requests by what it has said to this instance
+    pub fn accepts(&self, endpoint: &ListedEndpoint, now: Instant) -> bool {
+        let Some(notice) = self.current(endpoint) else { return true };
+        !notice.leaves && notice.pause_end.is_none_or(|it| it.is_over(now))
+    }
+
+    /// Endpoints that accept requests, without those that are reported to leave unless all are
+    pub fn accepting(&self, endpoints: Vec<ListedEndpoint>, now: Instant) -> Vec<ListedEndpoint> {
+        if self.notices.is_empty() {
+            return endpoints;
+        }
+        let accepting = endpoints.into_iter().filter(|it| self.accepts(it, now));
+        let is_reported = |it: &ListedEndpoint| self.current(it).is_some_and(|it| it.is_reported);
+        let (reported, others): (Vec<_>, Vec<_>) = accepting.partition(is_reported);
+        if others.is_empty() { reported } else { others }
+    }
+
+    /// What to do while none of the endpoints accepts requests; `None` if none of them is paused
+    ///
+    /// `candidates` are the endpoints that could still serve the request; `all` includes those that have
+    /// turned it away. A request that has taken `elapsed` of its `objective` waits only for candidates.
+    pub fn pause_step<'a>(
+        &self,
+        candidates: impl Iterator<Item = &'a ListedEndpoint>,
+        all: impl Iterator<Item = &'a ListedEndpoint>,
+        elapsed: Duration,
+        objective: Duration,
+        now: Instant,
+    ) -> Option<PauseStep> {
+        let shortest = candidates.filter_map(|it| self.remaining(it, now)).min();
+        match shortest {
+            Some(pause) if elapsed + pause <= objective.mul_f64(WAIT_FRACTION) => {
+                Some(PauseStep::Wait(pause))
+            }
+            _ => all.filter_map(|it| self.remaining(it, now)).min().map(PauseStep::Refuse),
+        }
+    }
+
+    /// Time until a paused endpoint accepts requests again; `None` if it isn't paused, or leaves
+    fn remaining(&self, endpoint: &ListedEndpoint, now: Instant) -> Option<Duration> {
+        let notice = self.current(endpoint).filter(|it| !it.leaves)?;
+        match notice.pause_end? {
+            PauseEnd::At(end) if end > now => Some(end - now),
+            _ => None,
+        }
+    }
+
+    fn current(&self, endpoint: &ListedEndpoint) -> Option<&EndpointNotice> {
+        let notice = self.notices.get(&endpoint.id)?;
+        Some(notice).filter(|it| it.started_at_ms == endpoint.started_at_ms)
+    }
+
+    /// Notice of an incarnation; `None` if a later one is known
+    fn notice(
+        &mut self,
+        id: &EndpointId,
+        started_at_ms: IncarnationStart,
+    ) -> Option<&mut EndpointNotice> {
+        let empty =
+            EndpointNotice { started_at_ms, leaves: false, is_reported: false, pause_end: None };
+        let notice = self.notices.entry(id.clone()).or_insert(empty);
+        if notice.started_at_ms < started_at_ms {
+            *notice = empty;
+        }
+        Some(notice).filter(|it| it.started_at_ms == started_at_ms)
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/serving_notice.rs
@@ -0,0 +1,161 @@
+//! What endpoints say of themselves: that they leave, or that they want no requests for a while.
+
+use decide::serving::endpoint_list::ListedEndpoint;
+use decide::serving::notice::{EndpointNotices, PauseStep};
+use googletest::prelude::*;
+use proptest::prelude::ProptestConfig;
+use proptest::{prop_assert, proptest};
+use std::time::{Duration, Instant};
+use testcases::cases;
+
+cases! {
+    leaving_incarnation_accepts_nothing => leaving(7, false),
+    next_incarnation_accepts_requests => leaving(8, true),
+    late_notice_of_an_earlier_incarnation_is_ignored => late_notice(),
+    reported_endpoint_yields_to_others => reported(),
+    wrong_report_of_all_endpoints_changes_nothing => all_reported(),
+    pause_ends_after_the_time_and_its_jitter => pause_with_jitter(),
+    later_and_shorter_pause_does_not_shorten_the_first => shorter_pause(),
+    longest_pause_lasts_for_the_incarnation => longest_pause(),
+    long_pause_is_refused_with_its_end => step(2000, 0, PauseStep::Refuse(ms(2000))),
+    short_pause_is_waited_for => step(50, 0, PauseStep::Wait(ms(50))),
+    short_pause_late_in_the_objective_is_refused => step(50, 90, PauseStep::Refuse(ms(50))),
+    no_pause_needs_no_step => no_pause(),
+    request_does_not_wait_for_an_endpoint_that_turned_it_away => turned_away(),
+    shortest_pause_counts => shortest(),
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    /// An endpoint gets nothing before the end of its pause, and something soon after it
+    #[test]
+    fn pause_is_kept_and_ends(pause_ms in 0_u64..100_000, draw in 0.0..1.0_f64) {
+        let now = Instant::now();
+        let mut notices = EndpointNotices::default();
+        notices.record_pause(&endpoint("a", 7), ms(pause_ms), draw, now);
+        if pause_ms > 0 {
+            let before = now + ms(pause_ms) - Duration::from_micros(1);
+            prop_assert!(!notices.accepts(&endpoint("a", 7), before));
+        }
+        prop_assert!(notices.accepts(&endpoint("a", 7), now + ms(pause_ms) + ms(400)));
+    }
+}
+
+const OBJECTIVE: Duration = Duration::from_millis(400);
+
+fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+fn endpoint(id: &str, started_at_ms: u64) -> ListedEndpoint {
+    ListedEndpoint {
+        id: id.into(),
+        pool: "pool".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "zone-a".into(),
+        slots: 6,
+        is_ready: true,
+        role: None,
+        started_at_ms,
+        sequence: 0,
+    }
+}
+
+fn leaving(started_at_ms: u64, accepts: bool) -> Result<()> {
+    let mut notices = EndpointNotices::default();
+    verify_that!(notices.record_leaving(&"a".into(), 7), eq(true))?;
+    verify_that!(notices.record_leaving(&"a".into(), 7), eq(false))?;
+    verify_that!(notices.accepts(&endpoint("a", started_at_ms), Instant::now()), eq(accepts))
+}
+
+fn late_notice() -> Result<()> {
+    let mut notices = EndpointNotices::default();
+    notices.record_leaving(&"a".into(), 8);
+    verify_that!(notices.record_leaving(&"a".into(), 7), eq(false))?;
+    verify_that!(notices.accepts(&endpoint("a", 8), Instant::now()), eq(false))
+}
+
+fn reported() -> Result<()> {
+    let mut notices = EndpointNotices::default();
+    notices.record_report(&"a".into(), 7);
+    let accepting = notices.accepting(vec![endpoint("a", 7), endpoint("b", 7)], Instant::now());
+    verify_that!(accepting.iter().map(|it| it.id.as_str()).collect::<Vec<_>>(), eq(&vec!["b"]))?;
+    // A report of an earlier incarnation says nothing about the next one.
+    let accepting = notices.accepting(vec![endpoint("a", 8), endpoint("b", 7)], Instant::now());
+    verify_that!(accepting.len(), eq(2))
+}
+
+fn all_reported() -> Result<()> {
+    let mut notices = EndpointNotices::default();
+    notices.record_report(&"a".into(), 7);
+    let accepting = notices.accepting(vec![endpoint("a", 7)], Instant::now());
+    verify_that!(accepting.len(), eq(1))
+}
+
+fn pause_with_jitter() -> Result<()> {
+    let now = Instant::now();
+    let mut notices = EndpointNotices::default();
+    notices.record_pause(&endpoint("a", 7), ms(1000), 0.5, now);
+    verify_that!(notices.accepts(&endpoint("a", 7), now + ms(1049)), eq(false))?;
+    verify_that!(notices.accepts(&endpoint("a", 7), now + ms(1050)), eq(true))
+}
+
+fn shorter_pause() -> Result<()> {
+    let now = Instant::now();
+    let mut notices = EndpointNotices::default();
+    notices.record_pause(&endpoint("a", 7), ms(1000), 0.0, now);
+    notices.record_pause(&endpoint("a", 7), ms(100), 0.0, now);
+    verify_that!(notices.accepts(&endpoint("a", 7), now + ms(999)), eq(false))
+}
+
+fn longest_pause() -> Result<()> {
+    let now = Instant::now();
+    let mut notices = EndpointNotices::default();
+    notices.record_pause(&endpoint("a", 7), Duration::MAX, 0.9, now);
+    notices.record_pause(&endpoint("a", 7), ms(1), 0.0, now);
+    let later = now + Duration::from_secs(1_000_000);
+    verify_that!(notices.accepts(&endpoint("a", 7), later), eq(false))?;
+    verify_that!(notices.accepts(&endpoint("a", 8), later), eq(true))
+}
+
+fn paused(pauses: &[(&str, u64)], now: Instant) -> EndpointNotices {
+    let mut notices = EndpointNotices::default();
+    for (id, pause) in pauses {
+        notices.record_pause(&endpoint(id, 7), ms(*pause), 0.0, now);
+    }
+    notices
+}
+
+fn step(pause: u64, elapsed: u64, expected: PauseStep) -> Result<()> {
+    let now = Instant::now();
+    let notices = paused(&[("a", pause)], now);
+    let all = [endpoint("a", 7)];
+    let step = notices.pause_step(all.iter(), all.iter(), ms(elapsed), OBJECTIVE, now);
+    verify_that!(step, some(eq(expected)))
+}
+
+fn no_pause() -> Result<()> {
+    let now = Instant::now();
+    let mut notices = paused(&[("a", 50)], now);
+    let all = [endpoint("a", 7), endpoint("b", 7)];
+    notices.record_leaving(&"a".into(), 7);
+    let step = notices.pause_step(all.iter(), all.iter(), ms(0), OBJECTIVE, now);
+    verify_that!(step, none())
+}
+
+fn turned_away() -> Result<()> {
+    let now = Instant::now();
+    let notices = paused(&[("a", 50)], now);
+    let all = [endpoint("a", 7)];
+    let step = notices.pause_step([].iter(), all.iter(), ms(0), OBJECTIVE, now);
+    verify_that!(step, some(eq(PauseStep::Refuse(ms(50)))))
+}
+
+fn shortest() -> Result<()> {
+    let now = Instant::now();
+    let notices = paused(&[("a", 9000), ("b", 3000)], now);
+    let all = [endpoint("a", 7), endpoint("b", 7)];
+    let step = notices.pause_step(all.iter(), all.iter(), ms(0), OBJECTIVE, now);
+    verify_that!(step, some(eq(PauseStep::Refuse(ms(3000)))))
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -49,6 +49,8 @@
     TimedOut,
     /// request or the endpoint's address is invalid
     Unusable,
+    /// endpoint accepts no requests by what it has said
+    NotAccepted,
     /// engine did not read the prompt: {0}
     Prefill(Box<SendError>),
 }
@@ -60,7 +62,7 @@
     pub fn result(&self) -> Option<SendResult> {
         match self {
             SendError::Declined(StatusCode::MISDIRECTED_REQUEST) => Some(SendResult::Misdirected),
-            SendError::Declined(_) | SendError::Unusable => None,
+            SendError::Declined(_) | SendError::Unusable | SendError::NotAccepted => None,
             // A healthy endpoint may drop an idle connection at any time.
             SendError::Exchange(ExchangeError::Unsent | ExchangeError::Stale(_)) => None,
             SendError::Exchange(ExchangeError::Connect(_) | ExchangeError::ConnectTimedOut) => {
@@ -84,13 +86,23 @@
         }
     }
 
+    /// Whether nothing was sent, since the endpoint accepts no requests
+    pub fn is_withheld(&self) -> bool {
+        match self {
+            SendError::NotAccepted => true,
+            SendError::Prefill(error) => error.is_withheld(),
+            _ => false,
+        }
+    }
+
     /// Whether the request may have run at the endpoint
     pub fn run_status(&self) -> RunStatus {
         match self {
             // Prefill has no side effects: the request counts as not run.
-            SendError::Declined(_) | SendError::Unusable | SendError::Prefill(_) => {
-                RunStatus::NotRun
-            }
+            SendError::Declined(_)
+            | SendError::Unusable
+            | SendError::NotAccepted
+            | SendError::Prefill(_) => RunStatus::NotRun,
             SendError::Exchange(ExchangeError::Broken(_) | ExchangeError::Stale(_))
             | SendError::Mismatched
             | SendError::Truncated
@@ -152,6 +164,10 @@
         Ok(connection) => connection.map_err(SendError::Exchange)?,
         Err(_) => return Err(SendError::Exchange(ExchangeError::ConnectTimedOut)),
     };
+    // The endpoint may have said something in another answer since it was picked.
+    if !gateway.accepts(endpoint) {
+        return Err(SendError::NotAccepted);
+    }
     if !connection.is_reused {
         gateway.metrics.connections_opened.inc();
     }
@@ -167,6 +183,7 @@
     if head.request_id.as_ref().is_some_and(|it| *it != request.id) {
         return Err(SendError::Mismatched);
     }
+    gateway.record_notices(endpoint, &head);
     if head.has_not_run {
         let status = head.status;
         let answer = OpenAnswer { head, headers: parts.headers, body, connection, work_guard };
@@ -208,12 +225,16 @@
 /// Frees the cache of a prompt that no engine is going to fetch
 ///
 /// # Errors
-/// `SendError`; the engine then frees the cache after its own timeout.
+/// `SendError`; the engine then frees the cache after its own timeout. An engine that wants no requests
+/// isn't asked.
 pub async fn free_cache(
     gateway: &Gateway,
     engine: &ListedEndpoint,
     source: &str,
 ) -> Result<(), SendError> {
+    if !gateway.accepts(engine) {
+        return Err(SendError::NotAccepted);
+    }
     let path = cache_path(source).ok_or(SendError::Unusable)?;
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.method_mut() = Method::DELETE;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -11,6 +11,7 @@
 use decide::fingerprint::{Fingerprint, fingerprint};
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::health::SendResult;
+use decide::serving::notice::PauseStep;
 use decide::serving::pick::{PromptProgress, pick_service};
 use decide::serving::prompt::PromptShape;
 use decide::serving::route::{RetryRule, RouteConfig};
@@ -25,7 +26,7 @@
 use smol_str::{SmolStr, format_smolstr};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// Shortest `Retry-After` of a refused request; clients that retry sooner meet the same overload.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(350);
@@ -69,6 +70,10 @@
     pub progress: PromptProgress,
     /// Whether it is a client's retry after a refusal
     pub has_waited: bool,
+    /// Time of arrival
+    pub arrived_at: Instant,
+    /// Time after which the client may come back, if that is known
+    retry_after: Option<Duration>,
     failed_connects: u32,
 }
 
@@ -79,6 +84,14 @@
     pub answer: GatewayAnswer,
     /// Reason written to the log
     pub reason: &'static str,
+    /// Time after which the client may come back; `None` for that of the answer
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    fn new(answer: GatewayAnswer, reason: &'static str) -> Refusal {
+        Refusal { answer, reason, retry_after: None }
+    }
 }
 
 impl ServingCall {
@@ -153,6 +166,7 @@
         self.excluded.push(endpoint.clone());
         match (error, status) {
             (SendError::Exchange(_), RunStatus::NotRun) => self.failed_connects += 1,
+            _ if error.is_withheld() => {}
             // An accepted prefill doesn't count as a send, so one engine may still do both.
             (SendError::Prefill(_), _) if self.progress == PromptProgress::Lost => {}
             _ => self.history.record_send(status),
@@ -186,14 +200,30 @@
     /// Chooses the answer to the client when no further send is made
     pub fn give_up(&self, gateway: &Gateway, reason: &'static str) -> Refusal {
         if self.is_suspected(gateway) && !self.history.may_have_run {
-            return Refusal { answer: GatewayAnswer::Suspected, reason: "suspected" };
+            return Refusal::new(GatewayAnswer::Suspected, "suspected");
         }
         let answer = match self.history.final_step() {
             NextStep::Fail if Instant::now() >= self.deadline => GatewayAnswer::TimedOut,
             NextStep::Fail => GatewayAnswer::Failed,
             NextStep::Refuse | NextStep::Retry => GatewayAnswer::NotRun,
         };
-        Refusal { answer, reason }
+        Refusal { answer, reason, retry_after: self.retry_after }
+    }
+
+    /// Waits for a paused endpoint if none accepts requests; `false` if the request is to be refused
+    pub async fn wait_for_pause(&mut self, gateway: &Gateway) -> bool {
+        match gateway.pause_step(self) {
+            Some(PauseStep::Wait(pause)) => {
+                log::info!("event=pause_awaited id={} ms={}", self.request.id, pause.as_millis());
+                sleep(pause).await;
+                true
+            }
+            Some(PauseStep::Refuse(pause)) => {
+                self.retry_after = Some(pause);
+                false
+            }
+            None => false,
+        }
     }
 
     /// Parameters of a send to an endpoint
@@ -217,6 +247,7 @@
         SendError::Truncated => "broken_off",
         SendError::TimedOut => "timed_out",
         SendError::Unusable => "unusable",
+        SendError::NotAccepted => "not_accepted",
         SendError::Prefill(_) => "prefill",
     }
 }
@@ -230,7 +261,11 @@
         Err(fault) => {
             log::info!("event=refused reason=malformed error=\"{fault}\"");
             gateway.metrics.answered(&SmolStr::default(), GatewayAnswer::Malformed.name());
-            return with_connection_close(gateway_answer(gateway, None, GatewayAnswer::Malformed));
+            return with_connection_close(gateway_answer(
+                gateway,
+                None,
+                &Refusal::new(GatewayAnswer::Malformed, "malformed"),
+            ));
         }
     };
     let id = head.id.clone();
@@ -250,7 +285,7 @@
         Ok(response) => response,
         Err((refusal, mut record)) => {
             record.finish(refusal.answer.name(), refusal.reason);
-            gateway_answer(gateway, Some(&id), refusal.answer)
+            gateway_answer(gateway, Some(&id), &refusal)
         }
     };
     // The HTTP library hides a `Content-Length` beside chunked encoding, which allows request
@@ -258,12 +293,10 @@
     if is_chunked { with_connection_close(response) } else { response }
 }
 
-fn gateway_answer(
-    gateway: &Gateway,
-    id: Option<&str>,
-    answer: GatewayAnswer,
-) -> Response<AnswerBody> {
+fn gateway_answer(gateway: &Gateway, id: Option<&str>, refusal: &Refusal) -> Response<AnswerBody> {
+    let answer = refusal.answer;
     let retry_after = match answer {
+        GatewayAnswer::NotRun if refusal.retry_after.is_some() => refusal.retry_after,
         GatewayAnswer::NotRun if !gateway.is_ready() => Some(START_RETRY_AFTER),
         GatewayAnswer::Suspected => Some(STRIKE_LIFETIME),
         GatewayAnswer::NotRun => {
@@ -290,10 +323,10 @@
 ) -> Result<ServingCall, Refusal> {
     let config = gateway.config.borrow().clone();
     let Some(config) = config.filter(|_| gateway.is_ready()) else {
-        return Err(Refusal { answer: GatewayAnswer::NotRun, reason: "starting" });
+        return Err(Refusal::new(GatewayAnswer::NotRun, "starting"));
     };
     let Some(route) = config.route(&head.host, parts.uri.path()) else {
-        return Err(Refusal { answer: GatewayAnswer::NoRoute, reason: "no_route" });
+        return Err(Refusal::new(GatewayAnswer::NoRoute, "no_route"));
     };
     record.route = route.name.clone();
     let time_left = head.time_left.unwrap_or(route.timeout).min(route.timeout);
@@ -312,6 +345,8 @@
         excluded: Vec::new(),
         progress: PromptProgress::Unread,
         has_waited: gateway.has_waited(&route.name, time_left, arrived_at.into_std()),
+        arrived_at,
+        retry_after: None,
         failed_connects: 0,
         request: ClientRequest { parts, body, id: head.id },
     })
@@ -321,10 +356,10 @@
     match timeout_at(deadline, Limited::new(body, limit).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(Refusal { answer: GatewayAnswer::TooLarge, reason: "body_too_large" })
+            Err(Refusal::new(GatewayAnswer::TooLarge, "body_too_large"))
         }
-        Ok(Err(_)) => Err(Refusal { answer: GatewayAnswer::Malformed, reason: "body_broken" }),
-        Err(_) => Err(Refusal { answer: GatewayAnswer::BodyTimedOut, reason: "body_timed_out" }),
+        Ok(Err(_)) => Err(Refusal::new(GatewayAnswer::Malformed, "body_broken")),
+        Err(_) => Err(Refusal::new(GatewayAnswer::BodyTimedOut, "body_timed_out")),
     }
 }
 
@@ -344,7 +379,12 @@
             let draw = rand::random();
             pick_service(endpoints.iter(), &load, &gateway.settings.zone, &call.excluded, draw)
         };
-        let Some(endpoint) = picked else { break };
+        let Some(endpoint) = picked else {
+            if call.wait_for_pause(gateway).await {
+                continue;
+            }
+            break;
+        };
         if !call.try_start_send(gateway) {
             reason = "no_budget";
             break;
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -32,6 +32,9 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
+/// Reason of a refusal while no endpoint accepts the request
+const NO_ENDPOINT: &str = "no_endpoint";
+
 /// Event stream of an engine's answer
 struct EngineStream {
     answer: OpenAnswer,
@@ -95,11 +98,12 @@
     mut call: ServingCall,
     mut record: RequestRecord,
 ) -> Result<Response<AnswerBody>, (Refusal, RequestRecord)> {
-    let mut reason = "no_endpoint";
+    let mut reason = NO_ENDPOINT;
     let mut cache = None;
     while call.may_send(gateway) {
         let path = match plan_path(gateway, &call) {
             Ok(path) => path,
+            Err(NO_ENDPOINT) if call.wait_for_pause(gateway).await => continue,
             Err(failure) => {
                 reason = failure;
                 break;
@@ -192,7 +196,7 @@
             );
             return Err("full");
         }
-        PlanOutcome::NoEngine => return Err("no_endpoint"),
+        PlanOutcome::NoEngine => return Err(NO_ENDPOINT),
     };
     log::info!(
         "event=engine_picked id={} prompt={} shared={} key={:x} expected_ms={:.0} {} {}",
@@ -216,7 +220,7 @@
         GenerationPlan::Whole(pick) | GenerationPlan::Decode(pick) => (None, step(pick)),
         GenerationPlan::Split { prefill, decode } => (step(prefill), step(decode)),
     };
-    generate.map(|generate| EnginePath { prefill, generate }).ok_or("no_endpoint")
+    generate.map(|generate| EnginePath { prefill, generate }).ok_or(NO_ENDPOINT)
 }
 
 /// Records that the engine of a pick has read the prompt, and how long that took
@@ -281,12 +285,21 @@
             }
         }
     }
+    let generate = match path.generate {
+        // It may have said that it leaves or wants no requests while the prompt was read.
+        step if cache.is_some() && !gateway.accepts(&step.engine) => {
+            let engine = step.engine;
+            let replanned = plan_path(gateway, call);
+            replanned.map_err(|_| (engine, SendError::NotAccepted))?.generate
+        }
+        step => step,
+    };
     let stage = match cache.as_ref() {
         Some(held) => EngineStage::Decode { source: held.source.clone() },
         None => EngineStage::Whole,
     };
-    let engine = path.generate.engine.clone();
-    let started = generate(gateway, call, path.generate, stage, resume_after).await;
+    let engine = generate.engine.clone();
+    let started = send_generation(gateway, call, generate, stage, resume_after).await;
     let is_cache_unused = started.as_ref().is_err_and(|it| {
         it.run_status() == RunStatus::NotRun
             && !matches!(it, SendError::Declined(StatusCode::SERVICE_UNAVAILABLE))
@@ -366,7 +379,7 @@
 }
 
 /// Sends a request to the engine that generates and waits for the first event
-async fn generate(
+async fn send_generation(
     gateway: &Rc<Gateway>,
     call: &ServingCall,
     step: EngineStep,
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -6,6 +6,7 @@
 use decide::serving::health::HealthUpdate;
 use decide::serving::leader::PeerInstance;
 use decide::serving::load::{EndpointWork, WorkCount};
+use decide::serving::notice::IncarnationStart;
 use decide::serving::prompt::PromptPrefix;
 use decide::serving::route::ConfigVersion;
 use decide::serving::store_era::TopicPosition;
@@ -16,7 +17,7 @@
 /// Maximum size of a message; the work at 60 endpoints takes about 1,000 bytes, at 640 about 11,000.
 pub const MAX_MESSAGE_BYTES: usize = 32 * 1024;
 /// Version of the message format; messages of other versions are ignored.
-const MESSAGE_VERSION: u8 = 10;
+const MESSAGE_VERSION: u8 = 11;
 /// Maximum number of prompt reads in one update; about 60 bytes each, well below
 /// `MAX_MESSAGE_BYTES`.
 const MAX_UPDATE_READS: usize = 200;
@@ -24,6 +25,8 @@
 const MAX_UPDATE_STRIKES: usize = 100;
 /// Maximum number of health changes in one update; about 20 bytes each.
 const MAX_UPDATE_HEALTH: usize = 100;
+/// Maximum number of leaving endpoints in one update; about 20 bytes each.
+const MAX_UPDATE_LEAVING: usize = 100;
 
 /// Instances whose work a message contains
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -71,6 +74,8 @@
     pub strikes: Vec<CrashStrike>,
     /// Changes in the health of endpoints
     pub health: Vec<(EndpointId, HealthUpdate)>,
+    /// Incarnations of endpoints that have said that they leave
+    pub leaving: Vec<(EndpointId, IncarnationStart)>,
 }
 
 impl ServingUpdate {
@@ -82,6 +87,8 @@
         self.strikes.truncate(MAX_UPDATE_STRIKES);
         self.health.extend(other.health);
         self.health.truncate(MAX_UPDATE_HEALTH);
+        self.leaving.extend(other.leaving);
+        self.leaving.truncate(MAX_UPDATE_LEAVING);
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,7 @@
 
 use crate::connections::{EndpointConnections, connection_share};
 use crate::coverage::TopicCoverage;
+use crate::forward::ServingCall;
 use crate::metrics::GatewayMetrics;
 use crate::peers::{
     ConfigAnnouncement, CrashStrike, EndpointUpdate, PackedConfig, PromptRead, ServingUpdate,
@@ -17,6 +18,7 @@
 use decide::serving::endpoint_list::{EndpointList, ListedEndpoint};
 use decide::serving::health::{EndpointHealth, SendResult};
 use decide::serving::load::FleetLoad;
+use decide::serving::notice::{EndpointNotices, PauseStep};
 use decide::serving::pick::EnginePick;
 use decide::serving::prompt::PromptPrefix;
 use decide::serving::retry_window::RetryWindow;
@@ -26,6 +28,7 @@
 use decide::suspect::SuspectTable;
 use indexmap::IndexMap;
 use lru::LruCache;
+use platform_adapter::answer::AnswerHead;
 use platform_adapter::settings::InstanceSettings;
 use platform_adapter::store::{ENDPOINT_TOPIC, INSTANCE_TOPIC, OPERATOR_TOPIC, StoreClient};
 use std::cell::{Cell, RefCell};
@@ -75,6 +78,8 @@
     pub update_ready: Notify,
     /// Health of the endpoints, including pauses after failures
     pub health: RefCell<EndpointHealth>,
+    /// What endpoints have said of themselves
+    pub notices: RefCell<EndpointNotices>,
     /// Work in flight at the endpoints, of all instances
     pub load: RefCell<FleetLoad>,
     /// Known contents of the engines' prompt caches
@@ -127,6 +132,7 @@
             endpoints_read_to: Cell::default(),
             update_ready: Notify::new(),
             health: RefCell::default(),
+            notices: RefCell::default(),
             load: RefCell::default(),
             caches: RefCell::default(),
             timings: RefCell::default(),
@@ -220,6 +226,7 @@
         let now = Instant::now();
         let list = self.endpoints.borrow();
         let endpoints = list.ready(now).filter(|it| it.pool == *pool).cloned().collect();
+        let endpoints = self.notices.borrow().accepting(endpoints, now);
         let health = self.health.borrow();
         let mut usable = health.usable(endpoints, now);
         if rule == RetryRule::Once {
@@ -230,6 +237,52 @@
         usable
     }
 
+    /// Whether an endpoint accepts requests by what it has said to this instance
+    pub fn accepts(&self, endpoint: &ListedEndpoint) -> bool {
+        self.notices.borrow().accepts(endpoint, Instant::now())
+    }
+
+    /// Records what an endpoint says of itself in an answer
+    pub fn record_notices(&self, endpoint: &ListedEndpoint, head: &AnswerHead) {
+        let list = self.endpoints.borrow();
+        // Another endpoint may have taken over the address.
+        let speaker = match &head.endpoint {
+            Some(id) if *id != endpoint.id => list.get(id),
+            _ => Some(endpoint),
+        };
+        let Some(speaker) = speaker.filter(|it| it.address == endpoint.address) else { return };
+        let mut notices = self.notices.borrow_mut();
+        if head.leaves && notices.record_leaving(&speaker.id, speaker.started_at_ms) {
+            log::info!("event=endpoint_leaves endpoint={} source=own", speaker.id);
+            let leaving = vec![(speaker.id.clone(), speaker.started_at_ms)];
+            let update = ServingUpdate { leaving, ..Default::default() };
+            self.pending_update.borrow_mut().extend(update);
+        }
+        if let Some(pause) = head.pause {
+            notices.record_pause(speaker, pause, rand::random(), Instant::now());
+            log::info!(
+                "event=endpoint_sheds endpoint={} pause_ms={}",
+                speaker.id,
+                pause.as_millis()
+            );
+        }
+    }
+
+    /// What to do with a request if the endpoints of its pool are paused
+    pub fn pause_step(&self, call: &ServingCall) -> Option<PauseStep> {
+        let now = Instant::now();
+        let list = self.endpoints.borrow();
+        let pool = list.ready(now).filter(|it| it.pool == call.pool).collect::<Vec<_>>();
+        let candidates = pool.iter().filter(|it| !call.excluded.contains(&it.id));
+        self.notices.borrow().pause_step(
+            candidates.copied(),
+            pool.iter().copied(),
+            call.arrived_at.elapsed(),
+            call.route.objective,
+            now,
+        )
+    }
+
     /// Maximum number of connections of this instance to one endpoint of a pool
     pub fn connection_share(&self, pool: &PoolName) -> usize {
         let config = self.config.borrow();
@@ -317,6 +370,11 @@
                 );
             }
         }
+        for (endpoint, started_at_ms) in &update.leaving {
+            if self.notices.borrow_mut().record_report(endpoint, *started_at_ms) {
+                log::info!("event=endpoint_leaves endpoint={endpoint} source=told");
+            }
+        }
         let list = self.endpoints.borrow();
         for read in &update.reads {
             let engine = list.get(&read.engine);
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod generations;
 mod large_config;
 mod malformed;
+mod notices;
 mod plain;
 mod process;
 mod proxy;
