Soak returns from copies, leaving and shedding endpoints, series of faults; keep notices through reports

Cause: the soak played none of the new contracts, and its faults came one at a time. Change: reports are kept apart from what an instance was told itself, a notice holds for every incarnation up to the one that gave it, and one that started before the time of the notice counts as the one that gave it. The soak adds returns of the store, endpoints that leave, shed and come back, large configurations, SIGHUP, pauses that overlap other faults and series of three; it checks that nothing reaches an endpoint that said so through an instance, that the last configuration is in force after the faults, and that none goes back. A failed seed writes its logs to a folder.

--- a/crates/decide/src/serving/notice.rs
+++ b/crates/decide/src/serving/notice.rs
@@ -2,7 +2,8 @@
 //! want no requests for a while.
 //!
 //! Both hold for one incarnation of an endpoint, whatever the list says of it, and end
-//! with it. What an endpoint has said to this instance is binding. What another instance
+//! with it. The list may be late, so that an incarnation that started before the endpoint
+//! said it counts as the one that said it. What an endpoint has said to this instance is binding. What another instance
 //! reports only makes this one prefer the other endpoints, since a report may be wrong.
 
 use super::endpoint_list::ListedEndpoint;
@@ -13,6 +14,15 @@
 /// Start of an endpoint's incarnation, in Unix milliseconds.
 pub type IncarnationStart = u64;
 
+/// Time of an answer
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerTime {
+    /// Steady time
+    pub at: Instant,
+    /// Time of day in Unix milliseconds, to compare with starts of incarnations
+    pub unix_ms: u64,
+}
+
 /// Jitter after the end of a pause, as a fraction of the pause, and its bounds. Instances that were told the
 /// same return one after the other.
 const JITTER_FRACTION: f64 = 0.1;
@@ -40,9 +50,9 @@
 #[derive(Debug, Clone, Copy)]
 struct EndpointNotice {
     started_at_ms: IncarnationStart,
+    /// Time of day at which it said so last, in Unix milliseconds
+    said_at_ms: u64,
     leaves: bool,
-    /// Whether another instance was told that it leaves
-    is_reported: bool,
     pause_end: Option<PauseEnd>,
 }
 
@@ -59,19 +69,25 @@
 #[derive(Debug, Clone, Default)]
 pub struct EndpointNotices {
     notices: IndexMap<EndpointId, EndpointNotice>,
+    /// Last incarnation that has told another instance that it leaves
+    reports: IndexMap<EndpointId, IncarnationStart>,
 }
 
 impl EndpointNotices {
     /// Records that an endpoint has said that it leaves; `true` if that is new
-    pub fn record_leaving(&mut self, id: &EndpointId, started_at_ms: IncarnationStart) -> bool {
-        let notice = self.notice(id, started_at_ms);
-        notice.is_some_and(|it| !std::mem::replace(&mut it.leaves, true))
+    pub fn record_leaving(&mut self, endpoint: &ListedEndpoint, time: AnswerTime) -> bool {
+        let Some(notice) = self.notice(&endpoint.id, endpoint.started_at_ms) else { return false };
+        notice.said_at_ms = notice.said_at_ms.max(time.unix_ms);
+        !std::mem::replace(&mut notice.leaves, true)
     }
 
     /// Records that another instance was told that an endpoint leaves; `true` if that is new
     pub fn record_report(&mut self, id: &EndpointId, started_at_ms: IncarnationStart) -> bool {
-        let notice = self.notice(id, started_at_ms);
-        notice.is_some_and(|it| !std::mem::replace(&mut it.is_reported, true))
+        let is_new = self.reports.get(id).is_none_or(|it| *it < started_at_ms);
+        if is_new {
+            self.reports.insert(id.clone(), started_at_ms);
+        }
+        is_new
     }
 
     /// Records that an endpoint wants no requests for a time; `draw` is uniform in 0..1
@@ -80,12 +96,13 @@
         endpoint: &ListedEndpoint,
         pause: Duration,
         draw: f64,
-        now: Instant,
+        time: AnswerTime,
     ) {
         let jitter = pause.mul_f64(JITTER_FRACTION).clamp(MIN_JITTER, MAX_JITTER).mul_f64(draw);
-        let end = pause.checked_add(jitter).and_then(|it| now.checked_add(it));
+        let end = pause.checked_add(jitter).and_then(|it| time.at.checked_add(it));
         let end = end.map_or(PauseEnd::Never, PauseEnd::At);
         if let Some(notice) = self.notice(&endpoint.id, endpoint.started_at_ms) {
+            notice.said_at_ms = notice.said_at_ms.max(time.unix_ms);
             notice.pause_end = Some(match (notice.pause_end, end) {
                 (Some(PauseEnd::Never), _) | (_, PauseEnd::Never) => PauseEnd::Never,
                 (Some(PauseEnd::At(before)), PauseEnd::At(end)) => PauseEnd::At(before.max(end)),
@@ -102,11 +119,10 @@
 
     /// Endpoints that accept requests, without those that are reported to leave unless all are
     pub fn accepting(&self, endpoints: Vec<ListedEndpoint>, now: Instant) -> Vec<ListedEndpoint> {
-        if self.notices.is_empty() {
-            return endpoints;
-        }
         let accepting = endpoints.into_iter().filter(|it| self.accepts(it, now));
-        let is_reported = |it: &ListedEndpoint| self.current(it).is_some_and(|it| it.is_reported);
+        let is_reported = |it: &ListedEndpoint| {
+            self.reports.get(&it.id).is_some_and(|start| it.started_at_ms <= *start)
+        };
         let (reported, others): (Vec<_>, Vec<_>) = accepting.partition(is_reported);
         if others.is_empty() { reported } else { others }
     }
@@ -141,9 +157,11 @@
         }
     }
 
+    /// Notice that holds for a listed incarnation; an earlier one than that of the notice has ended
     fn current(&self, endpoint: &ListedEndpoint) -> Option<&EndpointNotice> {
         let notice = self.notices.get(&endpoint.id)?;
-        Some(notice).filter(|it| it.started_at_ms == endpoint.started_at_ms)
+        let last = notice.started_at_ms.max(notice.said_at_ms);
+        Some(notice).filter(|_| endpoint.started_at_ms <= last)
     }
 
     /// Notice of an incarnation; `None` if a later one is known
@@ -152,11 +170,11 @@
         id: &EndpointId,
         started_at_ms: IncarnationStart,
     ) -> Option<&mut EndpointNotice> {
-        let empty =
-            EndpointNotice { started_at_ms, leaves: false, is_reported: false, pause_end: None };
+        let empty = EndpointNotice { started_at_ms, said_at_ms: 0, leaves: false, pause_end: None };
         let notice = self.notices.entry(id.clone()).or_insert(empty);
         if notice.started_at_ms < started_at_ms {
-            *notice = empty;
+            let is_same = started_at_ms <= notice.said_at_ms;
+            *notice = if is_same { EndpointNotice { started_at_ms, ..*notice } } else { empty };
         }
         Some(notice).filter(|it| it.started_at_ms == started_at_ms)
     }
--- a/crates/decide/tests/serving_notice.rs
+++ b/crates/decide/tests/serving_notice.rs
@@ -1,7 +1,7 @@
 //! What endpoints say of themselves: that they leave, or that they want no requests for a while.
 
 use decide::serving::endpoint_list::ListedEndpoint;
-use decide::serving::notice::{EndpointNotices, PauseStep};
+use decide::serving::notice::{AnswerTime, EndpointNotices, PauseStep};
 use googletest::prelude::*;
 use proptest::prelude::ProptestConfig;
 use proptest::{prop_assert, proptest};
@@ -10,9 +10,13 @@
 
 cases! {
     leaving_incarnation_accepts_nothing => leaving(7, false),
-    next_incarnation_accepts_requests => leaving(8, true),
+    next_incarnation_accepts_requests => leaving(SAID_AT_MS + 1, true),
+    // Guards against requests to an endpoint whose restart became known only after it said that it leaves.
+    incarnation_that_started_before_the_notice_accepts_nothing => leaving(8, false),
     late_notice_of_an_earlier_incarnation_is_ignored => late_notice(),
     reported_endpoint_yields_to_others => reported(),
+    // Guards against requests to an endpoint whose next incarnation leaves, too, by another's report.
+    report_of_the_next_incarnation_ends_no_notice => next_reported(),
     wrong_report_of_all_endpoints_changes_nothing => all_reported(),
     pause_ends_after_the_time_and_its_jitter => pause_with_jitter(),
     later_and_shorter_pause_does_not_shorten_the_first => shorter_pause(),
@@ -33,7 +37,7 @@
     fn pause_is_kept_and_ends(pause_ms in 0_u64..100_000, draw in 0.0..1.0_f64) {
         let now = Instant::now();
         let mut notices = EndpointNotices::default();
-        notices.record_pause(&endpoint("a", 7), ms(pause_ms), draw, now);
+        notices.record_pause(&endpoint("a", 7), ms(pause_ms), draw, answered(now));
         if pause_ms > 0 {
             let before = now + ms(pause_ms) - Duration::from_micros(1);
             prop_assert!(!notices.accepts(&endpoint("a", 7), before));
@@ -42,12 +46,18 @@
     }
 }
 
+/// Time of day at which endpoints say something.
+const SAID_AT_MS: u64 = 100;
 const OBJECTIVE: Duration = Duration::from_millis(400);
 
 fn ms(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
 }
 
+fn answered(at: Instant) -> AnswerTime {
+    AnswerTime { at, unix_ms: SAID_AT_MS }
+}
+
 fn endpoint(id: &str, started_at_ms: u64) -> ListedEndpoint {
     ListedEndpoint {
         id: id.into(),
@@ -64,15 +74,15 @@
 
 fn leaving(started_at_ms: u64, accepts: bool) -> Result<()> {
     let mut notices = EndpointNotices::default();
-    verify_that!(notices.record_leaving(&"a".into(), 7), eq(true))?;
-    verify_that!(notices.record_leaving(&"a".into(), 7), eq(false))?;
+    verify_that!(notices.record_leaving(&endpoint("a", 7), answered(Instant::now())), eq(true))?;
+    verify_that!(notices.record_leaving(&endpoint("a", 7), answered(Instant::now())), eq(false))?;
     verify_that!(notices.accepts(&endpoint("a", started_at_ms), Instant::now()), eq(accepts))
 }
 
 fn late_notice() -> Result<()> {
     let mut notices = EndpointNotices::default();
-    notices.record_leaving(&"a".into(), 8);
-    verify_that!(notices.record_leaving(&"a".into(), 7), eq(false))?;
+    notices.record_leaving(&endpoint("a", 8), answered(Instant::now()));
+    verify_that!(notices.record_leaving(&endpoint("a", 7), answered(Instant::now())), eq(false))?;
     verify_that!(notices.accepts(&endpoint("a", 8), Instant::now()), eq(false))
 }
 
@@ -86,6 +96,13 @@
     verify_that!(accepting.len(), eq(2))
 }
 
+fn next_reported() -> Result<()> {
+    let mut notices = EndpointNotices::default();
+    notices.record_leaving(&endpoint("a", 7), answered(Instant::now()));
+    notices.record_report(&"a".into(), SAID_AT_MS + 1);
+    verify_that!(notices.accepts(&endpoint("a", 7), Instant::now()), eq(false))
+}
+
 fn all_reported() -> Result<()> {
     let mut notices = EndpointNotices::default();
     notices.record_report(&"a".into(), 7);
@@ -96,7 +113,7 @@
 fn pause_with_jitter() -> Result<()> {
     let now = Instant::now();
     let mut notices = EndpointNotices::default();
-    notices.record_pause(&endpoint("a", 7), ms(1000), 0.5, now);
+    notices.record_pause(&endpoint("a", 7), ms(1000), 0.5, answered(now));
     verify_that!(notices.accepts(&endpoint("a", 7), now + ms(1049)), eq(false))?;
     verify_that!(notices.accepts(&endpoint("a", 7), now + ms(1050)), eq(true))
 }
@@ -104,25 +121,25 @@
 fn shorter_pause() -> Result<()> {
     let now = Instant::now();
     let mut notices = EndpointNotices::default();
-    notices.record_pause(&endpoint("a", 7), ms(1000), 0.0, now);
-    notices.record_pause(&endpoint("a", 7), ms(100), 0.0, now);
+    notices.record_pause(&endpoint("a", 7), ms(1000), 0.0, answered(now));
+    notices.record_pause(&endpoint("a", 7), ms(100), 0.0, answered(now));
     verify_that!(notices.accepts(&endpoint("a", 7), now + ms(999)), eq(false))
 }
 
 fn longest_pause() -> Result<()> {
     let now = Instant::now();
     let mut notices = EndpointNotices::default();
-    notices.record_pause(&endpoint("a", 7), Duration::MAX, 0.9, now);
-    notices.record_pause(&endpoint("a", 7), ms(1), 0.0, now);
+    notices.record_pause(&endpoint("a", 7), Duration::MAX, 0.9, answered(now));
+    notices.record_pause(&endpoint("a", 7), ms(1), 0.0, answered(now));
     let later = now + Duration::from_secs(1_000_000);
     verify_that!(notices.accepts(&endpoint("a", 7), later), eq(false))?;
-    verify_that!(notices.accepts(&endpoint("a", 8), later), eq(true))
+    verify_that!(notices.accepts(&endpoint("a", SAID_AT_MS + 1), later), eq(true))
 }
 
 fn paused(pauses: &[(&str, u64)], now: Instant) -> EndpointNotices {
     let mut notices = EndpointNotices::default();
     for (id, pause) in pauses {
-        notices.record_pause(&endpoint(id, 7), ms(*pause), 0.0, now);
+        notices.record_pause(&endpoint(id, 7), ms(*pause), 0.0, answered(now));
     }
     notices
 }
@@ -139,7 +156,7 @@
     let now = Instant::now();
     let mut notices = paused(&[("a", 50)], now);
     let all = [endpoint("a", 7), endpoint("b", 7)];
-    notices.record_leaving(&"a".into(), 7);
+    notices.record_leaving(&endpoint("a", 7), answered(Instant::now()));
     let step = notices.pause_step(all.iter(), all.iter(), ms(0), OBJECTIVE, now);
     verify_that!(step, none())
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,7 +18,7 @@
 use decide::serving::endpoint_list::{EndpointList, ListedEndpoint};
 use decide::serving::health::{EndpointHealth, SendResult};
 use decide::serving::load::FleetLoad;
-use decide::serving::notice::{EndpointNotices, PauseStep};
+use decide::serving::notice::{AnswerTime, EndpointNotices, PauseStep};
 use decide::serving::pick::EnginePick;
 use decide::serving::prompt::PromptPrefix;
 use decide::serving::retry_window::RetryWindow;
@@ -34,7 +34,7 @@
 use std::cell::{Cell, RefCell};
 use std::num::NonZeroUsize;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, watch};
 
 /// Strikes from which a request is refused; the users' rules count retries from the third crash on.
@@ -252,14 +252,17 @@
         };
         let Some(speaker) = speaker.filter(|it| it.address == endpoint.address) else { return };
         let mut notices = self.notices.borrow_mut();
-        if head.leaves && notices.record_leaving(&speaker.id, speaker.started_at_ms) {
+        let unix_time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let unix_ms = u64::try_from(unix_time.as_millis()).unwrap_or(u64::MAX);
+        let time = AnswerTime { at: Instant::now(), unix_ms };
+        if head.leaves && notices.record_leaving(speaker, time) {
             log::info!("event=endpoint_leaves endpoint={} source=own", speaker.id);
             let leaving = vec![(speaker.id.clone(), speaker.started_at_ms)];
             let update = ServingUpdate { leaving, ..Default::default() };
             self.pending_update.borrow_mut().extend(update);
         }
         if let Some(pause) = head.pause {
-            notices.record_pause(speaker, pause, rand::random(), Instant::now());
+            notices.record_pause(speaker, pause, rand::random(), time);
             log::info!(
                 "event=endpoint_sheds endpoint={} pause_ms={}",
                 speaker.id,
--- a/crates/gateway/tests/gateway/deployment.rs
+++ b/crates/gateway/tests/gateway/deployment.rs
@@ -5,6 +5,7 @@
 use crate::process::Instance;
 use crate::store::FakeStore;
 use serde_json::{Value, json};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Deployment of one instance
 pub struct Deployment {
@@ -40,6 +41,12 @@
     FakeEndpoint::start(id, script).await
 }
 
+/// Time of day in Unix milliseconds, as the start of an incarnation
+pub fn unix_ms() -> u64 {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
+    u64::try_from(time.as_millis()).expect("small")
+}
+
 /// Puts an endpoint's entry into the store
 pub fn list(store: &FakeStore, endpoint: &FakeEndpoint, state: &str, stage: Option<&str>) {
     list_as(store, endpoint, state, stage, 1);
--- a/crates/gateway/tests/gateway/endpoint.rs
+++ b/crates/gateway/tests/gateway/endpoint.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -31,6 +31,8 @@
     pub headers: Vec<(String, String)>,
     /// Body, fully read
     pub body: Vec<u8>,
+    /// When it was received
+    pub at: Instant,
     /// Number of the connection, from 1
     pub connection: usize,
     /// Whether the script answers that the request has not run
@@ -193,7 +195,15 @@
         }
     }
     let body = buffer.drain(..length).collect();
-    Some(Arrival { line, headers, body, connection: 0, was_declined: false, was_abandoned: false })
+    Some(Arrival {
+        line,
+        headers,
+        body,
+        at: Instant::now(),
+        connection: 0,
+        was_declined: false,
+        was_abandoned: false,
+    })
 }
 
 /// Complete answer with the request's id and a signature
@@ -214,6 +224,12 @@
         .into_bytes()
 }
 
+/// Adds a header to an answer
+pub fn with_header(answer: &[u8], header: &str) -> Vec<u8> {
+    let end = answer.windows(2).position(|it| it == b"\r\n").expect("a status line") + 2;
+    [&answer[..end], header.as_bytes(), b"\r\n", &answer[end..]].concat()
+}
+
 /// Head of a streamed answer
 pub fn stream_head(arrival: &Arrival) -> Vec<u8> {
     let id = arrival.header("x-request-id").unwrap_or_default();
--- a/crates/gateway/tests/gateway/large_config.rs
+++ b/crates/gateway/tests/gateway/large_config.rs
@@ -105,7 +105,7 @@
 }
 
 /// Configuration of many routes with random paths, all served by the plain service
-fn large_config(version: u64, routes: usize) -> Value {
+pub fn large_config(version: u64, routes: usize) -> Value {
     let mut rng = SmallRng::seed_from_u64(1);
     let mut word = |letters: usize| -> String {
         (0..letters).map(|_| char::from(rng.random_range(b'a'..=b'z'))).collect()
--- a/crates/gateway/tests/gateway/notices.rs
+++ b/crates/gateway/tests/gateway/notices.rs
@@ -2,10 +2,11 @@
 
 use crate::client::{RawAnswer, call};
 use crate::deployment::{
-    Deployment, config, endpoint, generation, generation_of, get, list, list_as, post,
+    Deployment, config, endpoint, generation, generation_of, get, list, list_as, post, unix_ms,
 };
 use crate::endpoint::{
     Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, not_run, stream_head,
+    with_header,
 };
 use crate::process::Instance;
 use crate::store::FakeStore;
@@ -45,12 +46,6 @@
     short_pause_is_waited_for => short_pause(),
 }
 
-/// Adds a header to an answer
-fn with_header(bytes: &[u8], header: &str) -> Vec<u8> {
-    let end = bytes.windows(2).position(|it| it == b"\r\n").expect("a status line") + 2;
-    [&bytes[..end], header.as_bytes(), b"\r\n", &bytes[end..]].concat()
-}
-
 fn right(arrival: &Arrival) -> Vec<Step> {
     vec![Step::Write(answer(arrival, "200 OK", "right"))]
 }
@@ -163,7 +158,7 @@
     let deployment = Deployment::start(&[&leaving]).await;
     call_many(&deployment, 3).await;
     verify_that!(requests(&leaving), eq(1))?;
-    list_as(&deployment.store, &leaving, "ready", None, 2);
+    list_as(&deployment.store, &leaving, "ready", None, unix_ms());
     tokio::time::sleep(LIST_TIME).await;
     call_many(&deployment, 3).await;
     verify_that!(requests(&leaving), eq(2))
@@ -217,7 +212,7 @@
     let deployment = Deployment::start(&[&shedding]).await;
     call_many(&deployment, 10).await;
     verify_that!(requests(&shedding), eq(1))?;
-    list_as(&deployment.store, &shedding, "ready", None, 2);
+    list_as(&deployment.store, &shedding, "ready", None, unix_ms());
     tokio::time::sleep(LIST_TIME).await;
     call_many(&deployment, 10).await;
     verify_that!(requests(&shedding), eq(2))
--- a/crates/gateway/tests/gateway/process.rs
+++ b/crates/gateway/tests/gateway/process.rs
@@ -17,6 +17,9 @@
 
 static NEXT_ADDRESS: AtomicU8 = AtomicU8::new(1);
 
+/// Lines that an instance has logged so far
+pub type InstanceLog = Arc<Mutex<Vec<String>>>;
+
 /// Settings in which instances may differ
 #[derive(Debug, Clone, Copy)]
 pub struct InstanceSize {
@@ -40,7 +43,7 @@
     /// Address for clients
     pub clients: SocketAddr,
     ready: SocketAddr,
-    lines: Arc<Mutex<Vec<String>>>,
+    lines: InstanceLog,
     settings: PathBuf,
 }
 
@@ -72,7 +75,7 @@
             .stdout(Stdio::piped())
             .spawn()
             .expect("binary starts");
-        let lines = Arc::<Mutex<Vec<String>>>::default();
+        let lines = InstanceLog::default();
         let output = BufReader::new(child.stdout.take().expect("piped"));
         let collected = lines.clone();
         std::thread::spawn(move || {
@@ -108,6 +111,11 @@
         self.lines.lock().expect("no panic").clone()
     }
 
+    /// Log that outlives the instance
+    pub fn log(&self) -> InstanceLog {
+        self.lines.clone()
+    }
+
     /// Waits until a log line contains a text
     pub async fn wait_line(&self, text: &str) {
         let until = Instant::now() + START_TIMEOUT;
@@ -130,6 +138,16 @@
         assert!(status.success(), "process {id} is gone");
     }
 
+    /// Pauses the process for some time without waiting; it may have ended by then
+    pub fn pause(&self, time: Duration) {
+        self.signal("STOP");
+        let id = self.child.id().to_string();
+        tokio::spawn(async move {
+            tokio::time::sleep(time).await;
+            let _ = Command::new("kill").args(["-CONT", &id]).stderr(Stdio::null()).status();
+        });
+    }
+
     /// Waits for the process to exit; returns its exit code
     pub async fn wait_exit(&mut self) -> Option<i32> {
         let until = Instant::now() + START_TIMEOUT;
--- a/crates/gateway/tests/gateway/soak.rs
+++ b/crates/gateway/tests/gateway/soak.rs
@@ -1,32 +1,37 @@
 //! Injects random faults into a few instances and checks the guarantees to clients.
 //!
-//! A seed determines the faults and their times: instances are stopped, killed, paused
-//! and replaced; the store is unavailable or loses its history; endpoints fail in all
-//! modes; entries and configurations change; proxies delay, reset or hold back the
-//! connections to the store and to endpoints. Clients send requests throughout and
+//! A seed determines the faults and their times: instances are stopped, killed, paused,
+//! signalled and replaced; the store is unavailable, loses its history or returns from a
+//! copy; endpoints fail in all modes, leave, shed requests and come back as new
+//! incarnations; entries and configurations change; proxies delay, reset or hold back the
+//! connections to the store and to endpoints. Faults overlap, and some come in series. Clients send requests throughout and
 //! reuse connections until these are closed. `SOAK_SEEDS=FROM..TO` selects the seeds,
 //! `SOAK_INSTANCES` and `SOAK_CLIENTS` the size:
 //! `SOAK_SEEDS=1..51 cargo test -p gateway --test gateway soak -- --nocapture`.
 
 use crate::client::{RawAnswer, RawClient, call};
-use crate::deployment::{config, generation, get, list, list_as, post, stage_of};
+use crate::deployment::{config, generation, get, list_as, post, stage_of, unix_ms};
 use crate::endpoint::{
     Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, not_run, stream_head,
+    with_header,
 };
-use crate::process::Instance;
+use crate::large_config::large_config;
+use crate::process::{Instance, InstanceLog};
 use crate::proxy::{FaultProxy, ProxyMode};
-use crate::store::{FakeStore, StoreMode};
+use crate::store::{FakeStore, StoreCopy, StoreMode};
 use googletest::prelude::*;
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
+use serde_json::Value;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 use testcases::cases;
 use tokio::task::LocalSet;
 use tokio::time::{sleep, timeout};
@@ -39,6 +44,14 @@
 const INSTANCES: usize = 3;
 const CLIENTS: usize = 12;
 const DEFAULT_SEEDS: &str = "3..4";
+/// Fraction of faults that come as a series, and number of faults in a series.
+const SERIES_FRACTION: f64 = 0.25;
+const SERIES_FAULTS: usize = 3;
+/// Time for which a shedding endpoint wants no requests, and part of it from which arrivals count.
+const SHED_TIME: Duration = Duration::from_millis(1200);
+const SHED_NOTICE_TIME: Duration = Duration::from_millis(500);
+/// Arrivals at a shedding endpoint from one instance that the users' rule allows.
+const MAX_SHED_ARRIVALS: usize = 2;
 /// Fraction of requests that use a new connection.
 const NEW_CONNECTION_FRACTION: f64 = 0.3;
 /// Timeout for an answer; above the timeouts of all routes.
@@ -72,9 +85,11 @@
     Mismatch,
     Misdirect,
     Slow,
+    Leave,
+    Shed,
 }
 
-const MODES: [EndpointMode; 8] = [
+const MODES: [EndpointMode; 10] = [
     EndpointMode::Normal,
     EndpointMode::Reset,
     EndpointMode::Truncate,
@@ -83,6 +98,8 @@
     EndpointMode::Mismatch,
     EndpointMode::Misdirect,
     EndpointMode::Slow,
+    EndpointMode::Leave,
+    EndpointMode::Shed,
 ];
 
 fn size(variable: &str, default: usize) -> usize {
@@ -90,24 +107,85 @@
     given.map_or(default, |it| it.parse().expect("a number"))
 }
 
+/// Answer by which an endpoint said that it leaves or wants no requests
+#[derive(Debug, Clone)]
+struct GivenNotice {
+    at: Instant,
+    /// Request that was answered
+    id: String,
+    /// Whether it leaves; otherwise it wants no requests for `SHED_TIME`
+    leaves: bool,
+}
+
 /// Endpoint behind a proxy, both with switchable faults
 struct FaultyEndpoint {
     /// Endpoint, listed with the proxy's address
     endpoint: FakeEndpoint,
     proxy: FaultProxy,
     mode: Arc<AtomicU8>,
+    notices: Arc<Mutex<Vec<GivenNotice>>>,
+    /// Start of each incarnation, also in Unix milliseconds
+    incarnations: RefCell<Vec<(Instant, u64)>>,
+    /// Times at which the connections to it were disturbed or restored
+    disturbances: RefCell<Vec<(Instant, ProxyMode)>>,
 }
 
 impl FaultyEndpoint {
     async fn start(id: &str) -> FaultyEndpoint {
         let mode = Arc::new(AtomicU8::new(0));
         let current = mode.clone();
-        let script =
-            move |it: &Arrival| steps(it, MODES[usize::from(current.load(Ordering::Relaxed))]);
+        let notices = Arc::<Mutex<Vec<GivenNotice>>>::default();
+        let given = notices.clone();
+        let script = move |it: &Arrival| {
+            let mode = MODES[usize::from(current.load(Ordering::Relaxed))];
+            if matches!(mode, EndpointMode::Leave | EndpointMode::Shed) {
+                let id = it.header("x-request-id").unwrap_or_default().to_owned();
+                let leaves = mode == EndpointMode::Leave;
+                given.lock().expect("no panic").push(GivenNotice {
+                    at: Instant::now(),
+                    id,
+                    leaves,
+                });
+            }
+            steps(it, mode)
+        };
         let endpoint = FakeEndpoint::start(id, script).await;
         let proxy = FaultProxy::start(endpoint.address).await;
         let endpoint = endpoint.behind(proxy.address);
-        FaultyEndpoint { endpoint, proxy, mode }
+        FaultyEndpoint {
+            endpoint,
+            proxy,
+            mode,
+            notices,
+            incarnations: RefCell::new(vec![(Instant::now(), unix_ms())]),
+            disturbances: RefCell::default(),
+        }
+    }
+
+    fn disturb(&self, mode: ProxyMode) {
+        self.disturbances.borrow_mut().push((Instant::now(), mode));
+        self.proxy.set(mode);
+    }
+
+    /// Lists the current incarnation
+    fn list(&self, store: &FakeStore, state: &str) {
+        let (_, started_at_ms) = *self.incarnations.borrow().last().expect("an incarnation");
+        list_as(store, &self.endpoint, state, stage_of(&self.endpoint), started_at_ms);
+    }
+
+    /// Comes back as a new incarnation without faults
+    fn restart(&self, store: &FakeStore) {
+        self.set(EndpointMode::Normal);
+        self.incarnations.borrow_mut().push((Instant::now(), unix_ms()));
+        self.list(store, "ready");
+    }
+
+    /// Whether connections to it were undisturbed for the whole time
+    fn is_undisturbed(&self, from: Instant, to: Instant) -> bool {
+        let disturbances = self.disturbances.borrow();
+        let before = disturbances.iter().rev().find(|it| it.0 <= from);
+        before.is_none_or(|it| it.1 == ProxyMode::Forward)
+            && !disturbances.iter().any(|it| from < it.0 && it.0 < to)
     }
 
     fn set(&self, mode: EndpointMode) {
@@ -132,6 +210,16 @@
         EndpointMode::Truncate => vec![Step::Write(whole[..whole.len() - 9].to_vec()), Step::Close],
         EndpointMode::Hang => vec![Step::Hang],
         EndpointMode::Decline => vec![Step::Write(not_run(arrival, "503 Service Unavailable"))],
+        EndpointMode::Leave => {
+            let endpoint = arrival.header("x-expect-instance").unwrap_or_default();
+            let headers = format!("X-Instance-Id: {endpoint}\r\nServer-Leaving: 1");
+            vec![Step::Write(with_header(&whole, &headers))]
+        }
+        EndpointMode::Shed => {
+            let refusal = not_run(arrival, "503 Service Unavailable");
+            let header = format!("Retry-After: {:.1}", SHED_TIME.as_secs_f64());
+            vec![Step::Write(with_header(&refusal, &header))]
+        }
         EndpointMode::Misdirect => vec![Step::Write(not_run(arrival, "421 Misdirected Request"))],
         EndpointMode::Mismatch => {
             let mut other = arrival.clone();
@@ -154,6 +242,10 @@
 /// Request of a client and its answer, if any
 struct ClientRecord {
     id: String,
+    /// Instance that it was sent to
+    address: SocketAddr,
+    sent_at: Instant,
+    answered_at: Instant,
     route: &'static str,
     answer: Option<RawAnswer>,
 }
@@ -166,6 +258,9 @@
     is_over: Cell<bool>,
     version: Cell<u64>,
     launched: Cell<usize>,
+    logs: RefCell<Vec<(SocketAddr, InstanceLog)>>,
+    /// Copies that the store may return from
+    copies: RefCell<Vec<StoreCopy>>,
     /// Proxies between instances and the store
     store_proxies: RefCell<Vec<FaultProxy>>,
 }
@@ -177,18 +272,44 @@
         let instance =
             Instance::launch(proxy.address, &format!("instance-{}", self.launched.get()));
         self.store_proxies.borrow_mut().push(proxy);
+        self.logs.borrow_mut().push((instance.clients, instance.log()));
         instance
     }
 
+    /// Writes the logs of all instances to files; returns their folder
+    fn save_logs(&self, seed: u64) -> Result<PathBuf> {
+        let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        for (address, log) in self.logs.borrow().iter() {
+            let lines = log.lock().expect("no panic").join("\n");
+            std::fs::write(folder.join(format!("{}.log", address.ip())), lines)?;
+        }
+        Ok(folder)
+    }
+
     fn list_all(&self) {
         for it in &self.endpoints {
-            list(&self.store, &it.endpoint, "ready", stage_of(&it.endpoint));
+            it.list(&self.store, "ready");
+        }
+    }
+
+    /// Returns the store from a random copy; operators and endpoints write their records again
+    fn return_store(&self, rng: &mut SmallRng) {
+        let copy = self.copies.borrow().choose(rng).cloned();
+        if let Some(copy) = copy {
+            self.store.return_from(copy);
+            self.configure(rng.random_range(1500..2200));
+            self.list_all();
         }
     }
 
     fn configure(&self, timeout_ms: u64) {
+        self.put_config(|version| config(version, timeout_ms));
+    }
+
+    fn put_config(&self, config: impl Fn(u64) -> Value) {
         self.version.set(self.version.get() + 3);
-        let config = config(self.version.get(), timeout_ms).to_string();
+        let config = config(self.version.get()).to_string();
         self.store.put("keyed.op", "config", config.as_bytes());
     }
 }
@@ -211,6 +332,8 @@
         is_over: Cell::new(false),
         version: Cell::new(0),
         launched: Cell::new(0),
+        logs: RefCell::default(),
+        copies: RefCell::default(),
         store_proxies: RefCell::default(),
     });
     run.configure(2000);
@@ -229,35 +352,46 @@
     }
     let until = tokio::time::Instant::now() + FAULT_TIME;
     while tokio::time::Instant::now() < until {
-        inject(&run, &mut instances, &mut rng).await;
+        let faults = if rng.random_bool(SERIES_FRACTION) { SERIES_FAULTS } else { 1 };
+        for _ in 0..faults {
+            inject(&run, &mut instances, &mut rng).await;
+        }
         sleep(Duration::from_millis(rng.random_range(50..400))).await;
     }
-    recover(&run, &instances).await?;
+    let recovered = recover(&run, &instances).await;
     run.is_over.set(true);
     sleep(ANSWER_TIMEOUT).await;
-    check(&run)
+    let result = recovered.and_then(|()| check(&run));
+    if result.is_err() {
+        println!("logs of seed {seed}: {}", run.save_logs(seed)?.display());
+    }
+    result
 }
 
 async fn inject(run: &Rc<SoakRun>, instances: &mut [Instance], rng: &mut SmallRng) {
     let endpoint = run.endpoints.choose(rng).expect("not empty");
     let index = rng.random_range(0..instances.len());
-    match rng.random_range(0..16) {
-        0..=4 => endpoint.set(*MODES.choose(rng).expect("not empty")),
-        5 => {
+    match rng.random_range(0..22) {
+        0..=5 => endpoint.set(*MODES.choose(rng).expect("not empty")),
+        16 | 17 => endpoint.restart(&run.store),
+        18 => run.copies.borrow_mut().push(run.store.copy()),
+        19 => run.return_store(rng),
+        20 => {
+            let routes = rng.random_range(200..3000);
+            run.put_config(|it| large_config(it, routes));
+        }
+        21 => instances[index].signal("HUP"),
+        6 => {
             let modes = [StoreMode::Normal, StoreMode::Unavailable, StoreMode::Unresponsive];
             run.store.set_mode(*modes.choose(rng).expect("not empty"));
         }
-        6 => run.store.forget_history("keyed.servers"),
-        7 => list(&run.store, &endpoint.endpoint, "draining", stage_of(&endpoint.endpoint)),
-        8 => run.list_all(),
-        9 => run.configure(rng.random_range(1500..2200)),
-        10 => {
-            instances[index].signal("STOP");
-            sleep(Duration::from_millis(rng.random_range(100..900))).await;
-            instances[index].signal("CONT");
-        }
-        11 | 12 => endpoint.proxy.set(random_proxy_mode(rng)),
-        13 | 14 => {
+        7 => run.store.forget_history("keyed.servers"),
+        8 => endpoint.list(&run.store, "draining"),
+        9 => run.list_all(),
+        10 => run.configure(rng.random_range(1500..2200)),
+        11 => instances[index].pause(Duration::from_millis(rng.random_range(100..900))),
+        12 | 13 => endpoint.disturb(random_proxy_mode(rng)),
+        14 => {
             let proxies = run.store_proxies.borrow();
             proxies.choose(rng).expect("not empty").set(random_proxy_mode(rng));
         }
@@ -294,10 +428,9 @@
         proxy.set(ProxyMode::Forward);
     }
     for endpoint in &run.endpoints {
-        endpoint.set(EndpointMode::Normal);
-        endpoint.proxy.set(ProxyMode::Forward);
-        // Endpoints that answered 421 are excluded until a new incarnation is listed.
-        list_as(&run.store, &endpoint.endpoint, "ready", stage_of(&endpoint.endpoint), 2);
+        endpoint.disturb(ProxyMode::Forward);
+        // Endpoints that answered 421 or leave are excluded until a new incarnation is listed.
+        endpoint.restart(&run.store);
     }
     let until = tokio::time::Instant::now() + RECOVERY_TIME;
     for (number, instance) in instances.iter().enumerate() {
@@ -310,10 +443,24 @@
             verify_that!(tokio::time::Instant::now(), lt(until))?;
             sleep(Duration::from_millis(50)).await;
         }
+        let last = run.version.get();
+        while config_versions(instance).last() != Some(&last) {
+            verify_that!(tokio::time::Instant::now(), lt(until))?;
+            sleep(Duration::from_millis(50)).await;
+        }
+        // A configuration never goes back.
+        verify_that!(config_versions(instance).is_sorted(), eq(true))?;
     }
     Ok(())
 }
 
+/// Versions that an instance has had in force, in this order
+fn config_versions(instance: &Instance) -> Vec<u64> {
+    let lines = instance.lines();
+    let versions = lines.iter().filter_map(|it| it.split_once("event=config_applied version="));
+    versions.filter_map(|it| it.1.split(' ').next()?.parse().ok()).collect()
+}
+
 async fn send_requests(run: Rc<SoakRun>, client: usize, mut rng: SmallRng) {
     let mut number = 0;
     let mut kept = None;
@@ -329,17 +476,23 @@
         };
         let is_new = rng.random_bool(NEW_CONNECTION_FRACTION);
         let address = *run.addresses.borrow().choose(&mut rng).expect("not empty");
-        let client = kept.take().filter(|_| !is_new);
+        let (address, client) = match kept.take().filter(|_| !is_new) {
+            Some((address, client)) => (address, Some(client)),
+            None => (address, None),
+        };
+        let sent_at = Instant::now();
         let exchange = exchange(client, address, request);
         let answer = match timeout(ANSWER_TIMEOUT, exchange).await.ok().flatten() {
             Some((client, answer)) => {
                 let closes = answer.header("connection") == Some("close");
-                kept = Some(client).filter(|_| answer.is_whole && !closes);
+                kept = Some((address, client)).filter(|_| answer.is_whole && !closes);
                 Some(answer)
             }
             None => None,
         };
-        run.records.borrow_mut().push(ClientRecord { id, route, answer });
+        let answered_at = Instant::now();
+        let record = ClientRecord { id, address, sent_at, answered_at, route, answer };
+        run.records.borrow_mut().push(record);
         sleep(Duration::from_millis(rng.random_range(5..40))).await;
     }
 }
@@ -369,7 +522,7 @@
     }
     let records = run.records.borrow();
     let mut served = 0;
-    for ClientRecord { id, route, answer } in records.iter() {
+    for ClientRecord { id, route, answer, .. } in records.iter() {
         let count = runs.get(id).copied().unwrap_or_default();
         let once = matches!(*route, "entries" | "streams");
         if once && count > 1 {
@@ -388,6 +541,64 @@
             verify_that!(answer.body, eq(&expected))?;
         }
     }
+    check_notices(run, &records)?;
     println!("{served} of {} requests served", records.len());
     verify_that!(served, gt(records.len() / 10))
 }
+
+/// Checks that endpoints got nothing from instances that they had told so, unless connections were disturbed
+fn check_notices(run: &SoakRun, records: &[ClientRecord]) -> Result<()> {
+    let by_id = records.iter().map(|it| (it.id.as_str(), it)).collect::<IndexMap<_, _>>();
+    let by_id = &by_id;
+    for endpoint in &run.endpoints {
+        let arrivals = &endpoint.endpoint.arrivals();
+        // Requests that an instance sent to this endpoint, with the client's record.
+        let sent_by = move |address: SocketAddr| {
+            arrivals.iter().filter_map(move |it| {
+                let record = by_id.get(it.header("x-request-id")?)?;
+                (record.address == address).then_some((it, *record))
+            })
+        };
+        for notice in endpoint.notices.lock().expect("no panic").iter() {
+            let Some(told) = records.iter().find(|it| it.id == notice.id) else { continue };
+            let incarnations = endpoint.incarnations.borrow();
+            let next = incarnations.iter().map(|it| it.0).find(|it| *it > notice.at);
+            let is_same = |at: Instant| next.is_none_or(|it| at < it);
+            if notice.leaves {
+                // The answer with the notice was passed on before.
+                let was_passed_on = told.answer.as_ref().is_some_and(|it| {
+                    it.header("server-leaving").is_some()
+                        && it.header("x-instance-id") == Some(&endpoint.endpoint.id)
+                });
+                let later = sent_by(told.address).find(|(arrival, record)| {
+                    was_passed_on && record.sent_at > told.answered_at && is_same(arrival.at)
+                });
+                if let Some((arrival, record)) = later {
+                    return fail!(
+                        "{} of {} reached {} {:?} after {} had been told by {} that it leaves",
+                        record.id,
+                        arrival.line,
+                        endpoint.endpoint.id,
+                        arrival.at - notice.at,
+                        told.address,
+                        notice.id
+                    );
+                }
+            } else if endpoint.is_undisturbed(notice.at, notice.at + SHED_NOTICE_TIME) {
+                let window = notice.at + SHED_NOTICE_TIME..notice.at + SHED_TIME;
+                let count = sent_by(told.address)
+                    .filter(|(arrival, _)| window.contains(&arrival.at) && is_same(arrival.at))
+                    .count();
+                if count > MAX_SHED_ARRIVALS {
+                    return fail!(
+                        "{count} requests reached {} from {} after it shed {}",
+                        endpoint.endpoint.id,
+                        told.address,
+                        notice.id
+                    );
+                }
+            }
+        }
+    }
+    Ok(())
+}
