Tell the shortest pause also to requests that every endpoint has turned away

Cause: the log of a request that both endpoints of a pool had shed showed the usual Retry-After of half a second, though the pool accepts nothing for three: only a request that found all paused on arrival got the remaining time. Change: each refusal as not run states the shortest remaining time if no endpoint of the pool accepts requests, and its reason is paused; if one does, the usual time. Test: all_shedding_is_refused_at_once_with_the_shortest_time now checks the first request, too; it failed before.

--- a/crates/decide/src/serving/notice.rs
+++ b/crates/decide/src/serving/notice.rs
@@ -127,25 +127,29 @@
         if others.is_empty() { reported } else { others }
     }
 
-    /// What to do while none of the endpoints accepts requests; `None` if none of them is paused
+    /// What to do with a request that can't be sent now; `None` if that isn't due to pauses
     ///
-    /// `candidates` are the endpoints that could still serve the request; `all` includes those that have
-    /// turned it away. A request that has taken `elapsed` of its `objective` waits only for candidates.
-    pub fn pause_step<'a>(
+    /// `has_turned_away` tells which of the endpoints have turned it away; it doesn't wait for these. It has
+    /// taken `elapsed` of its `objective`.
+    pub fn pause_step(
         &self,
-        candidates: impl Iterator<Item = &'a ListedEndpoint>,
-        all: impl Iterator<Item = &'a ListedEndpoint>,
+        endpoints: &[&ListedEndpoint],
+        has_turned_away: impl Fn(&ListedEndpoint) -> bool,
         elapsed: Duration,
         objective: Duration,
         now: Instant,
     ) -> Option<PauseStep> {
+        let candidates = endpoints.iter().filter(|it| !has_turned_away(it));
         let shortest = candidates.filter_map(|it| self.remaining(it, now)).min();
-        match shortest {
-            Some(pause) if elapsed + pause <= objective.mul_f64(WAIT_FRACTION) => {
-                Some(PauseStep::Wait(pause))
-            }
-            _ => all.filter_map(|it| self.remaining(it, now)).min().map(PauseStep::Refuse),
+        if let Some(pause) = shortest
+            && elapsed + pause <= objective.mul_f64(WAIT_FRACTION)
+        {
+            return Some(PauseStep::Wait(pause));
         }
+        if endpoints.iter().any(|it| self.accepts(it, now)) {
+            return None;
+        }
+        endpoints.iter().filter_map(|it| self.remaining(it, now)).min().map(PauseStep::Refuse)
     }
 
     /// Time until a paused endpoint accepts requests again; `None` if it isn't paused, or leaves
--- a/crates/decide/tests/serving_notice.rs
+++ b/crates/decide/tests/serving_notice.rs
@@ -147,32 +147,35 @@
 fn step(pause: u64, elapsed: u64, expected: PauseStep) -> Result<()> {
     let now = Instant::now();
     let notices = paused(&[("a", pause)], now);
-    let all = [endpoint("a", 7)];
-    let step = notices.pause_step(all.iter(), all.iter(), ms(elapsed), OBJECTIVE, now);
+    let all = endpoint("a", 7);
+    let step = notices.pause_step(&[&all], |_| false, ms(elapsed), OBJECTIVE, now);
     verify_that!(step, some(eq(expected)))
 }
 
 fn no_pause() -> Result<()> {
     let now = Instant::now();
     let mut notices = paused(&[("a", 50)], now);
-    let all = [endpoint("a", 7), endpoint("b", 7)];
+    let [first, second] = [endpoint("a", 7), endpoint("b", 7)];
     notices.record_leaving(&endpoint("a", 7), answered(Instant::now()));
-    let step = notices.pause_step(all.iter(), all.iter(), ms(0), OBJECTIVE, now);
+    let step = notices.pause_step(&[&first, &second], |_| false, ms(0), OBJECTIVE, now);
     verify_that!(step, none())
 }
 
 fn turned_away() -> Result<()> {
     let now = Instant::now();
     let notices = paused(&[("a", 50)], now);
-    let all = [endpoint("a", 7)];
-    let step = notices.pause_step([].iter(), all.iter(), ms(0), OBJECTIVE, now);
+    let all = endpoint("a", 7);
+    let step = notices.pause_step(&[&all], |_| true, ms(0), OBJECTIVE, now);
     verify_that!(step, some(eq(PauseStep::Refuse(ms(50)))))
 }
 
 fn shortest() -> Result<()> {
     let now = Instant::now();
     let notices = paused(&[("a", 9000), ("b", 3000)], now);
-    let all = [endpoint("a", 7), endpoint("b", 7)];
-    let step = notices.pause_step(all.iter(), all.iter(), ms(0), OBJECTIVE, now);
-    verify_that!(step, some(eq(PauseStep::Refuse(ms(3000)))))
+    let [first, second, third] = ["a", "b", "c"].map(|it| endpoint(it, 7));
+    let step = notices.pause_step(&[&first, &second], |_| false, ms(0), OBJECTIVE, now);
+    verify_that!(step, some(eq(PauseStep::Refuse(ms(3000)))))?;
+    // Another one accepts requests, so that nobody has to wait for the pauses.
+    let step = notices.pause_step(&[&first, &second, &third], |_| false, ms(0), OBJECTIVE, now);
+    verify_that!(step, none())
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -72,8 +72,6 @@
     pub has_waited: bool,
     /// Time of arrival
     pub arrived_at: Instant,
-    /// Time after which the client may come back, if that is known
-    retry_after: Option<Duration>,
     failed_connects: u32,
 }
 
@@ -207,25 +205,22 @@
             NextStep::Fail => GatewayAnswer::Failed,
             NextStep::Refuse | NextStep::Retry => GatewayAnswer::NotRun,
         };
-        Refusal { answer, reason, retry_after: self.retry_after }
-    }
-
-    /// Waits for a paused endpoint if none accepts requests; `false` if the request is to be refused
-    pub async fn wait_for_pause(&mut self, gateway: &Gateway) -> bool {
         match gateway.pause_step(self) {
-            Some(PauseStep::Wait(pause)) => {
-                log::info!("event=pause_awaited id={} ms={}", self.request.id, pause.as_millis());
-                sleep(pause).await;
-                true
-            }
-            Some(PauseStep::Refuse(pause)) => {
-                self.retry_after = Some(pause);
-                false
+            Some(PauseStep::Refuse(pause)) if answer == GatewayAnswer::NotRun => {
+                Refusal { answer, reason: "paused", retry_after: Some(pause) }
             }
-            None => false,
+            _ => Refusal::new(answer, reason),
         }
     }
 
+    /// Waits for a paused endpoint if none accepts requests; `false` if the request is to be refused
+    pub async fn wait_for_pause(&self, gateway: &Gateway) -> bool {
+        let Some(PauseStep::Wait(pause)) = gateway.pause_step(self) else { return false };
+        log::info!("event=pause_awaited id={} ms={}", self.request.id, pause.as_millis());
+        sleep(pause).await;
+        true
+    }
+
     /// Parameters of a send to an endpoint
     pub fn parameters(&self, endpoint: &EndpointId, stage: EngineStage) -> SendParameters {
         SendParameters {
@@ -346,7 +341,6 @@
         progress: PromptProgress::Unread,
         has_waited: gateway.has_waited(&route.name, time_left, arrived_at.into_std()),
         arrived_at,
-        retry_after: None,
         failed_connects: 0,
         request: ClientRequest { parts, body, id: head.id },
     })
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -276,10 +276,9 @@
         let now = Instant::now();
         let list = self.endpoints.borrow();
         let pool = list.ready(now).filter(|it| it.pool == call.pool).collect::<Vec<_>>();
-        let candidates = pool.iter().filter(|it| !call.excluded.contains(&it.id));
         self.notices.borrow().pause_step(
-            candidates.copied(),
-            pool.iter().copied(),
+            &pool,
+            |it| call.excluded.contains(&it.id),
             call.arrived_at.elapsed(),
             call.route.objective,
             now,
--- a/crates/gateway/tests/gateway/notices.rs
+++ b/crates/gateway/tests/gateway/notices.rs
@@ -244,13 +244,15 @@
     let long = endpoint("service-1", |it| shed(it, "9")).await;
     let short = endpoint("service-2", |it| shed(it, "3")).await;
     let deployment = Deployment::start(&[&long, &short]).await;
-    while requests(&long) == 0 || requests(&short) == 0 {
-        call_many(&deployment, 1).await;
-    }
+    // Both turn the first request away, which then has no other to go to.
+    let got = deployment.call(get("lookups", "id-0")).await;
+    let after: f64 = got.header("retry-after").expect("a time").parse()?;
+    verify_that!(after, all!(ge(2.0), le(3.5)))?;
     let start = Instant::now();
     let got = deployment.call(post("entries", "id-1", "once")).await;
     verify_that!(got.status, eq(503))?;
     verify_that!(start.elapsed(), lt(Duration::from_millis(100)))?;
+    verify_that!(requests(&long) + requests(&short), eq(2))?;
     let after: f64 = got.header("retry-after").expect("a time").parse()?;
     verify_that!(after, all!(ge(2.0), le(3.5)))
 }
