--- a/crates/loadmodel/src/engine.rs
+++ b/crates/loadmodel/src/engine.rs
@@ -110,6 +110,15 @@
     pub is_busy: bool,
 }
 
+/// When engines turn requests away and ask for none for a while
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ShedRule {
+    /// Number of waiting requests from which an engine sheds
+    pub waiting: usize,
+    /// Time for which it then wants no requests, in milliseconds
+    pub pause_ms: u64,
+}
+
 impl SimEngine {
     /// Creates an idle engine with an empty cache of `cache_tokens`
     pub fn new(listed: ListedEndpoint, spec: EngineSpec, cache_tokens: u64) -> SimEngine {
@@ -134,6 +143,11 @@
         has_capacity
     }
 
+    /// Number of requests that wait for a slot
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Number of leading prompt tokens in its cache
     pub fn held_tokens(&self, prefixes: &[PromptPrefix]) -> u64 {
         u64::from(self.caches.held_tokens(&self.listed, prefixes))
--- a/crates/loadmodel/src/fleet.rs
+++ b/crates/loadmodel/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::SimTime;
 use crate::arrivals::SimRequest;
-use crate::engine::{EngineEvent, EngineJob, EngineSpec, SimEngine};
+use crate::engine::{EngineEvent, EngineJob, EngineSpec, ShedRule, SimEngine};
 use crate::policy::{ChoicePolicy, InstanceView};
 use crate::report::{CallOutcome, RunReport};
 use catalogue::EngineRole;
@@ -10,6 +10,7 @@
 use decide::serving::cache::PromptCaches;
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::load::FleetLoad;
+use decide::serving::notice::{AnswerTime, EndpointNotices};
 use decide::serving::pick::{
     EnginePick, GenerationPlan, GenerationRequest, PlanOutcome, PromptProgress,
 };
@@ -30,6 +31,8 @@
 /// gateway.
 const CLIENT_RETRY_MS: SimTime = 350.0;
 const CLIENT_RETRY_SPREAD_MS: SimTime = 200.0;
+/// Number of engines that a request may be sent to when engines shed it.
+const MAX_SENDS: usize = 2;
 /// Cache capacity of an engine, in tokens; from the engine specification.
 const CACHE_TOKENS: u64 = 2_000_000;
 
@@ -41,6 +44,8 @@
     /// Number of mixed engines
     pub mixed: usize,
     pub engine: EngineSpec,
+    /// When engines shed requests; `None` if only when their queue is full, without asking for a pause
+    pub shed: Option<ShedRule>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -64,6 +69,7 @@
     load: FleetLoad,
     caches: PromptCaches,
     timing: PoolTiming,
+    notices: EndpointNotices,
     pending_reads: Vec<PendingRead>,
 }
 
@@ -71,6 +77,8 @@
     request: SimRequest,
     prefixes: Vec<PromptPrefix>,
     has_waited: bool,
+    /// Engines that have shed it
+    excluded: Vec<EndpointId>,
     /// Engine that decodes after another has read the prompt
     decode_pick: Option<EnginePick>,
     /// Engine that works on the call, and the unread tokens that count there
@@ -93,6 +101,7 @@
     events: BinaryHeap<Reverse<(u64, usize, SimEvent)>>,
     scheduled: usize,
     cache_tokens: u64,
+    shed: Option<ShedRule>,
     base: Instant,
     rng: &'a mut ChaCha8Rng,
     report: RunReport,
@@ -121,6 +130,7 @@
         events: BinaryHeap::new(),
         scheduled: 0,
         cache_tokens,
+        shed: size.shed,
         base: Instant::now(),
         rng,
         report: RunReport::new(kinds),
@@ -136,6 +146,7 @@
             request,
             prefixes,
             has_waited: false,
+            excluded: Vec::new(),
             decode_pick: None,
             work: None,
             sent: None,
@@ -191,10 +202,17 @@
     fn choose(&mut self, call: usize, now: SimTime) {
         let zone = ZoneName::from("zone");
         let state = &self.calls[call];
+        let at = self.base + Duration::from_secs_f64(now / 1000.0);
+        let instance = &self.instances[state.request.instance];
+        let accepting = if self.shed.is_some() {
+            instance.notices.accepting(self.listed.clone(), at)
+        } else {
+            Vec::new()
+        };
         let request = GenerationRequest {
             prompt: &state.request.prompt,
             zone: &zone,
-            excluded: &[],
+            excluded: &state.excluded,
             objective: state.request.objective,
             pause_limit: None,
             time_left: state.request.client_timeout,
@@ -202,13 +220,12 @@
             has_waited: state.has_waited,
             draw: self.rng.random(),
         };
-        let instance = &self.instances[state.request.instance];
         let view = InstanceView {
-            engines: &self.listed,
+            engines: if self.shed.is_some() { &accepting } else { &self.listed },
             load: &instance.load,
             caches: &instance.caches,
             timing: &instance.timing,
-            now: self.base + Duration::from_secs_f64(now / 1000.0),
+            now: at,
             actual: (&self.actual.load, &self.actual.caches),
         };
         let outcome = (self.policy.plan)(&request, &view);
@@ -231,6 +248,10 @@
     /// Sends a job to an engine; `is_prefill` if the job ends when the prompt is read
     fn send(&mut self, call: usize, pick: &EnginePick, is_prefill: bool, now: SimTime) {
         let engine = self.engine_index(&pick.endpoint);
+        if let Some(rule) = self.shed.filter(|it| self.engines[engine].waiting() >= it.waiting) {
+            self.turn_away(call, engine, rule, now);
+            return;
+        }
         let state = &self.calls[call];
         let is_prefilled = !is_prefill && state.decode_pick.is_some();
         let holder = pick.holder.as_ref().map(|it| self.engine_index(it));
@@ -259,10 +280,33 @@
         self.start_step(engine, now);
     }
 
+    /// Sheds a call, which is sent to another engine if it may be
+    fn turn_away(&mut self, call: usize, engine: usize, rule: ShedRule, now: SimTime) {
+        self.report.turned_away += 1;
+        let listed = &self.listed[engine];
+        let state = &mut self.calls[call];
+        if !self.policy.ignores_pauses {
+            let at = self.base + Duration::from_secs_f64(now / 1000.0);
+            let time = AnswerTime { at, unix_ms: 0 };
+            let pause = Duration::from_millis(rule.pause_ms);
+            let notices = &mut self.instances[state.request.instance].notices;
+            notices.record_pause(listed, pause, self.rng.random(), time);
+        }
+        state.excluded.push(listed.id.clone());
+        // A prompt that was read elsewhere is read again if its decode is shed.
+        state.decode_pick = None;
+        if state.excluded.len() < MAX_SENDS {
+            self.choose(call, now);
+        } else {
+            self.refuse(call, now);
+        }
+    }
+
     fn refuse(&mut self, call: usize, now: SimTime) {
         let retries_at = now + CLIENT_RETRY_MS + self.rng.random_range(0.0..CLIENT_RETRY_SPREAD_MS);
         let state = &mut self.calls[call];
         state.decode_pick = None;
+        state.excluded.clear();
         let disconnects_at =
             state.request.arrived_at + state.request.client_timeout.as_secs_f64() * 1000.0;
         if state.has_waited || retries_at >= disconnects_at {
--- a/crates/loadmodel/src/main.rs
+++ b/crates/loadmodel/src/main.rs
@@ -3,7 +3,7 @@
 use displaydoc::Display;
 use loadmodel::arrivals::{LoadPattern, draw_arrivals, scaled_kinds};
 use loadmodel::chart::{self, ChartError, PatternBars};
-use loadmodel::engine::EngineSpec;
+use loadmodel::engine::{EngineSpec, ShedRule};
 use loadmodel::fleet::{self, FleetSize};
 use loadmodel::policy::{POLICIES, policy};
 use rand::SeedableRng;
@@ -19,13 +19,16 @@
 
 Options:
     --policy NAME      only this policy: random, least_work, unknown_holders,
-                       known_holders (the gateway's), fresh_view,
-                       warm_fresh_view
+                       known_holders (the gateway's), ignored_pauses,
+                       fresh_view, warm_fresh_view
     --instances N      number of instances (7)
     --readers N        number of prefill engines (2)
     --mixed N          number of mixed engines (5)
     --speed N          prompt tokens that an engine reads per millisecond (942)
     --slots N          batch slots of an engine (6)
+    --shed N           engines turn requests away while N wait, and want none
+                       for a while
+    --shed-ms N        length of that while in milliseconds (300)
     --seconds N        length of a run in seconds (20)
     --seeds N          runs of each policy and pattern (3)
     --svg FILE         draw the fractions served in time
@@ -82,8 +85,11 @@
         speed.unwrap_or(register.read_tokens_per_ms),
         slots.unwrap_or(register.slots),
     );
+    let shed: Option<usize> = arguments.opt_value_from_str("--shed")?;
+    let pause_ms = arguments.opt_value_from_str("--shed-ms")?.unwrap_or(300);
     let size = FleetSize {
         engine,
+        shed: shed.map(|waiting| ShedRule { waiting, pause_ms }),
         instances: arguments.opt_value_from_str("--instances")?.unwrap_or(7),
         readers: arguments.opt_value_from_str("--readers")?.unwrap_or(2),
         mixed: arguments.opt_value_from_str("--mixed")?.unwrap_or(5),
@@ -96,7 +102,7 @@
     }
     let kinds = scaled_kinds(&size.engine, size.readers + size.mixed);
     println!(
-        "pattern       policy           kind     asked  in_time  late  refused  p50_ms  p99_ms  read_again_k"
+        "pattern       policy           kind     asked  in_time  late  refused  p50_ms  p99_ms  read_again_k  shed"
     );
     // Slower engines take as many requests as the usual ones, over a longer time.
     let length = seconds * 1000.0 * size.engine.time_scale();
@@ -111,7 +117,7 @@
                 let report = fleet::run(*policy, size, kinds.len(), arrivals, &mut rng);
                 for (kind, it) in kinds.iter().zip(&report.kinds) {
                     println!(
-                        "{:13} {:16} {:8} {:5}  {:7.3} {:5.3}  {:7.3}  {:6.0}  {:6.0}  {:12}",
+                        "{:13} {:16} {:8} {:5}  {:7.3} {:5.3}  {:7.3}  {:6.0}  {:6.0}  {:12}  {:4}",
                         pattern.name(),
                         policy.name,
                         kind.name,
@@ -122,6 +128,7 @@
                         it.quantile_ms(0.5),
                         it.quantile_ms(0.99),
                         report.read_again / 1000,
+                        report.turned_away,
                     );
                 }
                 mean_fraction += report.kinds[0].in_time_fraction() / seeds as f64;
--- a/crates/loadmodel/src/policy.rs
+++ b/crates/loadmodel/src/policy.rs
@@ -39,25 +39,31 @@
     pub name: &'static str,
     /// Whether engines have cached all sessions from the start and never evict any
     pub is_warm: bool,
+    /// Whether requests go to engines that want none for a while
+    pub ignores_pauses: bool,
     pub plan: fn(&GenerationRequest<'_>, &InstanceView<'_>) -> PlanOutcome,
 }
 
+const GATEWAY: ChoicePolicy = ChoicePolicy {
+    name: "known_holders",
+    is_warm: false,
+    ignores_pauses: false,
+    plan: |request, view| plan_generation(request, &view.with_caches(view.caches)),
+};
+
 /// All policies; `known_holders` is the gateway's, the last two are upper bounds
-pub const POLICIES: [ChoicePolicy; 6] = [
-    ChoicePolicy { name: "random", is_warm: false, plan: random },
-    ChoicePolicy { name: "least_work", is_warm: false, plan: least_work },
+pub const POLICIES: [ChoicePolicy; 7] = [
+    ChoicePolicy { name: "random", plan: random, ..GATEWAY },
+    ChoicePolicy { name: "least_work", plan: least_work, ..GATEWAY },
     ChoicePolicy {
         name: "unknown_holders",
-        is_warm: false,
         plan: |request, view| plan_generation(request, &view.with_caches(&PromptCaches::default())),
+        ..GATEWAY
     },
-    ChoicePolicy {
-        name: "known_holders",
-        is_warm: false,
-        plan: |request, view| plan_generation(request, &view.with_caches(view.caches)),
-    },
-    ChoicePolicy { name: "fresh_view", is_warm: false, plan: fresh_view },
-    ChoicePolicy { name: "warm_fresh_view", is_warm: true, plan: fresh_view },
+    GATEWAY,
+    ChoicePolicy { name: "ignored_pauses", ignores_pauses: true, ..GATEWAY },
+    ChoicePolicy { name: "fresh_view", plan: fresh_view, ..GATEWAY },
+    ChoicePolicy { name: "warm_fresh_view", is_warm: true, plan: fresh_view, ..GATEWAY },
 ];
 
 /// Finds a policy by name
--- a/crates/loadmodel/tests/patterns.rs
+++ b/crates/loadmodel/tests/patterns.rs
@@ -3,7 +3,7 @@
 use decide::serving::pick::{GenerationRequest, PlanOutcome, plan_generation};
 use googletest::prelude::*;
 use loadmodel::arrivals::{LoadPattern, draw_arrivals, scaled_kinds};
-use loadmodel::engine::EngineSpec;
+use loadmodel::engine::{EngineSpec, ShedRule};
 use loadmodel::fleet::{FleetSize, run};
 use loadmodel::policy::{ChoicePolicy, InstanceView, policy};
 use loadmodel::report::RunReport;
@@ -22,11 +22,13 @@
     times_of_engines_of_112_tokens_a_millisecond_are_learned => times_are_learned(112.0, 128),
     times_of_engines_of_942_tokens_a_millisecond_are_learned => times_are_learned(942.0, 6),
     times_of_engines_of_3000_tokens_a_millisecond_are_learned => times_are_learned(3000.0, 8),
+    pauses_spare_sends_under_overload => pauses_spare_sends(LoadPattern::Overload),
+    pauses_spare_sends_in_a_burst => pauses_spare_sends(LoadPattern::Burst),
     one_seed_gives_one_result => runs_repeat(),
 }
 
 const SIZE: FleetSize =
-    FleetSize { instances: 7, readers: 2, mixed: 5, engine: EngineSpec::REGISTER };
+    FleetSize { instances: 7, readers: 2, mixed: 5, engine: EngineSpec::REGISTER, shed: None };
 const SECONDS: f64 = 15.0;
 const SEEDS: u64 = 3;
 
@@ -40,14 +42,33 @@
     pattern: LoadPattern,
     seed: u64,
 ) -> RunReport {
-    let size = FleetSize { engine, ..SIZE };
-    let kinds = scaled_kinds(&engine, size.readers + size.mixed);
-    let length = SECONDS * 1000.0 * engine.time_scale();
+    simulate_fleet(FleetSize { engine, ..SIZE }, policy, pattern, seed)
+}
+
+fn simulate_fleet(
+    size: FleetSize,
+    policy: ChoicePolicy,
+    pattern: LoadPattern,
+    seed: u64,
+) -> RunReport {
+    let kinds = scaled_kinds(&size.engine, size.readers + size.mixed);
+    let length = SECONDS * 1000.0 * size.engine.time_scale();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let arrivals = draw_arrivals(&kinds, pattern, size.instances, length, &mut rng);
     run(policy, size, kinds.len(), arrivals, &mut rng)
 }
 
+/// Engines shed requests and want none for a while; honouring that spares sends that they would turn away
+fn pauses_spare_sends(pattern: LoadPattern) -> Result<()> {
+    const SHED: ShedRule = ShedRule { waiting: 6, pause_ms: 300 };
+    let size = FleetSize { shed: Some(SHED), ..SIZE };
+    let turned_away = |name: &str| -> usize {
+        let reports = (0..SEEDS).map(|it| simulate_fleet(size, named(name), pattern, it));
+        reports.map(|it| it.turned_away).sum()
+    };
+    verify_that!(turned_away("known_holders"), lt(turned_away("ignored_pauses")))
+}
+
 fn named(name: &str) -> ChoicePolicy {
     policy(name).expect("a policy of that name")
 }
@@ -77,7 +98,7 @@
 /// Client retries leave free capacity to first attempts, which can still be in time
 fn retries_yield() -> Result<()> {
     let without_yielding =
-        ChoicePolicy { name: "retries_equal", is_warm: false, plan: ignore_client_retry };
+        ChoicePolicy { name: "retries_equal", plan: ignore_client_retry, ..named("known_holders") };
     let with_yielding = in_time(named("known_holders"), LoadPattern::Overload);
     verify_that!(with_yielding, gt(in_time(without_yielding, LoadPattern::Overload)))
 }
