Refuse to resolve the outcome of a key that was never claimed; give the soak example a usage text

Change: the key must be among the unknown outcomes of its partition before anything is appended. The fold of records stays as it is, so that instances of both builds agree on the same log. Tests: unclaimed_key_has_no_outcome_to_resolve got 200 before.

--- a/crates/coordination/src/once/mod.rs
+++ b/crates/coordination/src/once/mod.rs
@@ -213,13 +213,8 @@
     /// `Down` if a partition can't be read in time.
     pub async fn unknown_outcomes(&self) -> Result<Vec<UnknownOutcome>, SubmitError> {
         let mut outcomes = Vec::new();
-        let now_ms = wall_clock_ms();
         for partition in 0..PARTITIONS {
-            let stream = self.state.stream(partition).await?;
-            let caught_up = tokio::time::timeout(OPERATOR_TIMEOUT, stream.caught_up());
-            caught_up.await.map_err(|_| SubmitError::Down)?;
-            let found = stream.inspect(move |table| table.unknowns(now_ms)).await;
-            outcomes.extend(found.ok_or(SubmitError::Stopped)?);
+            outcomes.extend(self.state.unknowns(partition).await?);
         }
         outcomes.sort_by_key(|it| it.time_ms);
         Ok(outcomes)
@@ -237,6 +232,11 @@
         editor: SmolStr,
     ) -> Result<(), ResolveError> {
         log::info!("event=resolve key={key} resolution=\"{resolution}\" editor={editor}");
+        let partition = claims::partition_of(&key);
+        let unknowns = self.state.unknowns(partition).await.map_err(ResolveError::Submit)?;
+        if !unknowns.iter().any(|it| it.key == key) {
+            return Err(ResolveError::NotUnknown);
+        }
         let item = ClaimItem::Resolve { key, resolution, editor };
         let deadline = Instant::now() + OPERATOR_TIMEOUT;
         match self.state.submit(&key, item, deadline).await {
@@ -248,6 +248,19 @@
 }
 
 impl OnceState {
+    /// Claims of a partition whose outcome is unknown, once all its records are read
+    async fn unknowns(
+        &self,
+        partition: PartitionNumber,
+    ) -> Result<Vec<UnknownOutcome>, SubmitError> {
+        let now_ms = wall_clock_ms();
+        let stream = self.stream(partition).await?;
+        let caught_up = tokio::time::timeout(OPERATOR_TIMEOUT, stream.caught_up());
+        caught_up.await.map_err(|_| SubmitError::Down)?;
+        let found = stream.inspect(move |table| table.unknowns(now_ms)).await;
+        found.ok_or(SubmitError::Stopped)
+    }
+
     async fn stream(&self, partition: PartitionNumber) -> Result<ClaimStream, SubmitError> {
         let start = || StreamHandle::start(self.shared.clone(), self.options(partition));
         let stream = self.streams[partition].get_or_try_init(start).await;
--- a/crates/persimmonlift/tests/once_only.rs
+++ b/crates/persimmonlift/tests/once_only.rs
@@ -66,6 +66,19 @@
     verify_that!(absent.status.as_u16(), eq(404))
 }
 
+/// A key that nobody has claimed has no outcome to resolve, and can be claimed afterwards
+async fn check_unclaimed_resolution() -> Result<()> {
+    let deployment = Deployment::start(1).await?;
+    let key = new_key();
+    let path = format!("/admin/outcomes/{key}");
+    let body = json!({"resolution": "ran"}).to_string();
+    let absent = deployment.admin(Method::POST, &path, &[], body).await?;
+    verify_that!(absent.status.as_u16(), eq(404))?;
+    let answer = deployment.register(0, &key, "dwelling 7").await?;
+    verify_that!(answer.status.as_u16(), eq(200))?;
+    verify_that!(deployment.fleet.execution_count(&key), eq(1))
+}
+
 /// An endpoint that is down is skipped under the same claim.
 async fn check_down_endpoint() -> Result<()> {
     let deployment = Deployment::start(1).await?;
@@ -169,6 +182,8 @@
     key_of_another_request => check_mismatch(),
     answer_lost_after_the_run => check_lost_answer(),
     operator_resolves_an_outcome => check_resolution(),
+    // Guards against an operator's typing error that answers 200 and blocks a key that was never claimed.
+    unclaimed_key_has_no_outcome_to_resolve => check_unclaimed_resolution(),
     endpoints_down => check_down_endpoint(),
     every_endpoint_down => check_all_down(),
     caller_disconnects => check_caller_disconnects(),
--- a/crates/standins/examples/soak/main.rs
+++ b/crates/standins/examples/soak/main.rs
@@ -24,6 +24,21 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
+const USAGE: &str = "\
+Plays a mixed load under random, seeded faults and checks the promises at the end.
+
+Usage:
+    soak [--seconds N] [--seed N] [--deployment trust|dongelek]
+    soak --help
+
+Options:
+    --seconds N         length of the load (300)
+    --seed N            seed of the load, the faults and the edits (1)
+    --deployment NAME   deployment to start (trust)
+    --help              show this text
+
+Exit codes: 0 no invariant was violated, 1 otherwise.
+";
 const INSTANCES: usize = 4;
 const SETTLE_TIME: Duration = Duration::from_secs(8);
 /// Text in a prompt that crashes the engine.
@@ -43,6 +58,10 @@
 async fn main() -> Result<ExitCode, Box<dyn Error>> {
     env_logger::init();
     let mut arguments = pico_args::Arguments::from_env();
+    if arguments.contains("--help") {
+        print!("{USAGE}");
+        return Ok(ExitCode::SUCCESS);
+    }
     let seconds = arguments.opt_value_from_str("--seconds")?.unwrap_or(300);
     let seed = arguments.opt_value_from_str("--seed")?.unwrap_or(1);
     let name: String = arguments.opt_value_from_str("--deployment")?.unwrap_or("trust".into());
