Test that instances start together with a large configuration

Change: the start over small links is tested with one and with 14 instances. The case of one instance never got ready before reads ended by silence.

--- a/crates/gateway/tests/gateway/large_config.rs
+++ b/crates/gateway/tests/gateway/large_config.rs
@@ -45,7 +45,9 @@
     large_configuration_is_read_from_the_store_once => read_once(),
     // Guards against an instance that refuses everything after a restart, since it gives up each read
     // of a large configuration before its end.
-    instance_starts_with_a_large_configuration => starts(),
+    instance_starts_with_a_large_configuration => starts(1),
+    // The same when all instances restart at once.
+    instances_start_together_with_a_large_configuration => starts(instance_count()),
 }
 
 /// Which instances could read the store for the others
@@ -123,6 +125,11 @@
     config
 }
 
+fn instance_count() -> usize {
+    let count = std::env::var("LARGE_CONFIG_INSTANCES");
+    count.map_or(INSTANCES, |it| it.parse().expect("a number"))
+}
+
 /// First part of the path of a configuration's last route
 fn last_route(config: &Value) -> String {
     let routes = config["routes"].as_array().expect("routes");
@@ -145,8 +152,7 @@
 
 /// 1,400 routes are added, then the idle timeout changes while the routes are still being read
 async fn in_force_in_time(leader: Leader) -> Result<()> {
-    let count = std::env::var("LARGE_CONFIG_INSTANCES");
-    let count = count.map_or(INSTANCES, |it| it.parse().expect("a number"));
+    let count = instance_count();
     let mut links = SmallLinks::start(count).await;
     links.configure(&config(14, 2000));
     let mut instances = links.launch_all(count, leader).await;
@@ -186,16 +192,22 @@
     verify_that!(late, is_empty())
 }
 
-async fn starts() -> Result<()> {
-    let mut links = SmallLinks::start(INSTANCES).await;
+async fn starts(count: usize) -> Result<()> {
+    let mut links = SmallLinks::start(INSTANCES.max(count)).await;
     links.configure(&large_config(17, ROUTES));
-    let instance = links.launch("instance-1", WEAK).await;
     let start = Instant::now();
-    while instance.ready_status().await != 200 {
-        if start.elapsed() > RECOVERY_BOUND {
-            return fail!("not ready after {RECOVERY_BOUND:?}: {:?}", instance.lines());
+    let mut instances = Vec::new();
+    for number in 0..count {
+        instances.push(links.launch(&format!("instance-{number:02}"), WEAK).await);
+    }
+    for instance in &instances {
+        while instance.ready_status().await != 200 {
+            if start.elapsed() > RECOVERY_BOUND {
+                return fail!("not ready after {RECOVERY_BOUND:?}: {:?}", instance.lines());
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
         }
-        tokio::time::sleep(Duration::from_millis(50)).await;
     }
+    println!("{count} instances ready after {:?}", start.elapsed());
     Ok(())
 }
