Move positions of the store and notices of endpoints out of the shared state

Cause: on reading the diff, state.rs had grown by a third and imported forward, which imports it. Change: Gateway's methods on positions and eras are in positions.rs, those on notices in notices.rs, both moved unchanged; a function that fetches says so in its name; a script that three tests repeated has a name.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -86,7 +86,7 @@
     loop {
         let has_missed = gateway.config_coverage.wait_until_due().await;
         let is_known = gateway.config_position().is_some();
-        if has_missed && is_known && has_announced_config(&gateway).await {
+        if has_missed && is_known && fetch_announced_config(&gateway).await {
             continue;
         }
         let position = gateway.config_position();
@@ -237,8 +237,8 @@
     }
 }
 
-/// Whether the configuration announced last is in force, after a transfer if another instance offers one
-async fn has_announced_config(gateway: &Gateway) -> bool {
+/// Fetches the configuration announced last if another instance offers it; `true` if it is in force now
+async fn fetch_announced_config(gateway: &Gateway) -> bool {
     let Some(announced) = gateway.announced_config.take() else { return false };
     let is_in_force = || {
         let config = gateway.config.borrow();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,7 +17,9 @@
 pub mod listen;
 pub mod log_writer;
 pub mod metrics;
+pub mod notices;
 pub mod peers;
+pub mod positions;
 pub mod ready;
 pub mod state;
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,7 +5,6 @@
 
 use crate::connections::{EndpointConnections, connection_share};
 use crate::coverage::TopicCoverage;
-use crate::forward::ServingCall;
 use crate::metrics::GatewayMetrics;
 use crate::peers::{
     ConfigAnnouncement, CrashStrike, EndpointUpdate, PackedConfig, PromptRead, ServingUpdate,
@@ -18,23 +17,22 @@
 use decide::serving::endpoint_list::{EndpointList, ListedEndpoint};
 use decide::serving::health::{EndpointHealth, SendResult};
 use decide::serving::load::FleetLoad;
-use decide::serving::notice::{AnswerTime, EndpointNotices, PauseStep};
+use decide::serving::notice::EndpointNotices;
 use decide::serving::pick::EnginePick;
 use decide::serving::prompt::PromptPrefix;
 use decide::serving::retry_window::RetryWindow;
 use decide::serving::route::{RetryRule, RouteName, ServingConfig};
-use decide::serving::store_era::{EraChange, EraTracker, StoreEra, TopicPosition};
+use decide::serving::store_era::{EraTracker, StoreEra, TopicPosition};
 use decide::serving::timing::{PoolTiming, StageSample};
 use decide::suspect::SuspectTable;
 use indexmap::IndexMap;
 use lru::LruCache;
-use platform_adapter::answer::AnswerHead;
 use platform_adapter::settings::InstanceSettings;
-use platform_adapter::store::{ENDPOINT_TOPIC, INSTANCE_TOPIC, OPERATOR_TOPIC, StoreClient};
+use platform_adapter::store::StoreClient;
 use std::cell::{Cell, RefCell};
 use std::num::NonZeroUsize;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::sync::{Notify, watch};
 
 /// Strikes from which a request is refused; the users' rules count retries from the third crash on.
@@ -72,8 +70,10 @@
     pub store_era: RefCell<EraTracker>,
     /// Sends each era in which the store has come back from a copy
     pub era_changes: watch::Sender<StoreEra>,
-    config_read_to: Cell<Option<TopicPosition>>,
-    endpoints_read_to: Cell<Option<TopicPosition>>,
+    /// Position of the next read of the configuration, see `positions`
+    pub config_read_to: Cell<Option<TopicPosition>>,
+    /// Position of the next read of the endpoints, see `positions`
+    pub endpoints_read_to: Cell<Option<TopicPosition>>,
     /// Notified when a store update is ready to be sent
     pub update_ready: Notify,
     /// Health of the endpoints, including pauses after failures
@@ -156,71 +156,6 @@
         self.config.borrow().is_some() && self.endpoints_read_at.get().is_some()
     }
 
-    /// Records the era of an answer or an update
-    ///
-    /// A new era voids all positions, and every topic is read again.
-    pub fn observe_era(&self, seen: Option<StoreEra>) -> EraChange {
-        let change = self.store_era.borrow_mut().observe(seen, Instant::now());
-        let EraChange::Returned { from } = change else { return change };
-        let era = self.store_era.borrow().era();
-        self.metrics.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
-        if let Some(from) = from {
-            log::warn!(
-                "event=store_era from={from} to={era} reread={OPERATOR_TOPIC},{ENDPOINT_TOPIC},{INSTANCE_TOPIC}"
-            );
-            self.metrics.store_returns.inc();
-            self.era_changes.send_replace(era);
-        }
-        self.endpoints.borrow_mut().start_era();
-        self.endpoint_update.take();
-        for (read_to, coverage) in [
-            (&self.config_read_to, &self.config_coverage),
-            (&self.endpoints_read_to, &self.endpoints_coverage),
-        ] {
-            if read_to.take().is_some() {
-                coverage.record_missed();
-            }
-        }
-        change
-    }
-
-    /// Position of the next read of the configuration; `None` if it has to be read in full
-    pub fn config_position(&self) -> Option<TopicPosition> {
-        self.config_read_to.get()
-    }
-
-    /// Records that the configuration was read up to a position; void if it is of an earlier era
-    pub fn record_config_read(&self, to: TopicPosition) {
-        self.advance(&self.config_read_to, to);
-    }
-
-    /// Position of the next read of the endpoints; `None` if they have to be read in full
-    pub fn endpoints_position(&self) -> Option<TopicPosition> {
-        self.endpoints_read_to.get()
-    }
-
-    /// Records that the endpoints were read up to a position; void if it is of an earlier era
-    pub fn record_endpoints_read(&self, to: TopicPosition) {
-        self.advance(&self.endpoints_read_to, to);
-    }
-
-    fn advance(&self, read_to: &Cell<Option<TopicPosition>>, to: TopicPosition) {
-        if self.store_era.borrow().is_current(&to) {
-            // An update from another instance may have arrived during a read and be newer.
-            read_to.set(read_to.get().max(Some(to)));
-        }
-    }
-
-    /// Has the configuration read in full, since its history is gone
-    pub fn void_config_position(&self) {
-        self.config_read_to.set(None);
-    }
-
-    /// Has the endpoints read in full, since their history is gone
-    pub fn void_endpoints_position(&self) {
-        self.endpoints_read_to.set(None);
-    }
-
     /// Endpoints of a pool that accept new requests of routes with this retry rule
     pub fn ready_endpoints(&self, pool: &PoolName, rule: RetryRule) -> Vec<ListedEndpoint> {
         let now = Instant::now();
@@ -237,54 +172,6 @@
         usable
     }
 
-    /// Whether an endpoint accepts requests by what it has said to this instance
-    pub fn accepts(&self, endpoint: &ListedEndpoint) -> bool {
-        self.notices.borrow().accepts(endpoint, Instant::now())
-    }
-
-    /// Records what an endpoint says of itself in an answer
-    pub fn record_notices(&self, endpoint: &ListedEndpoint, head: &AnswerHead) {
-        let list = self.endpoints.borrow();
-        // Another endpoint may have taken over the address.
-        let speaker = match &head.endpoint {
-            Some(id) if *id != endpoint.id => list.get(id),
-            _ => Some(endpoint),
-        };
-        let Some(speaker) = speaker.filter(|it| it.address == endpoint.address) else { return };
-        let mut notices = self.notices.borrow_mut();
-        let unix_time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let unix_ms = u64::try_from(unix_time.as_millis()).unwrap_or(u64::MAX);
-        let time = AnswerTime { at: Instant::now(), unix_ms };
-        if head.leaves && notices.record_leaving(speaker, time) {
-            log::info!("event=endpoint_leaves endpoint={} source=own", speaker.id);
-            let leaving = vec![(speaker.id.clone(), speaker.started_at_ms)];
-            let update = ServingUpdate { leaving, ..Default::default() };
-            self.pending_update.borrow_mut().extend(update);
-        }
-        if let Some(pause) = head.pause {
-            notices.record_pause(speaker, pause, rand::random(), time);
-            log::info!(
-                "event=endpoint_sheds endpoint={} pause_ms={}",
-                speaker.id,
-                pause.as_millis()
-            );
-        }
-    }
-
-    /// What to do with a request if the endpoints of its pool are paused
-    pub fn pause_step(&self, call: &ServingCall) -> Option<PauseStep> {
-        let now = Instant::now();
-        let list = self.endpoints.borrow();
-        let pool = list.ready(now).filter(|it| it.pool == call.pool).collect::<Vec<_>>();
-        self.notices.borrow().pause_step(
-            &pool,
-            |it| call.excluded.contains(&it.id),
-            call.arrived_at.elapsed(),
-            call.route.objective,
-            now,
-        )
-    }
-
     /// Maximum number of connections of this instance to one endpoint of a pool
     pub fn connection_share(&self, pool: &PoolName) -> usize {
         let config = self.config.borrow();
--- a/crates/gateway/tests/gateway/notices.rs
+++ b/crates/gateway/tests/gateway/notices.rs
@@ -50,6 +50,10 @@
     vec![Step::Write(answer(arrival, "200 OK", "right"))]
 }
 
+fn right_and_leaving(arrival: &Arrival) -> Vec<Step> {
+    vec![Step::Write(with_header(&answer(arrival, "200 OK", "right"), LEAVING))]
+}
+
 fn shed(arrival: &Arrival, retry_after: &str) -> Vec<Step> {
     let answer = not_run(arrival, "503 Service Unavailable");
     vec![Step::Write(with_header(&answer, &format!("Retry-After: {retry_after}")))]
@@ -127,9 +131,7 @@
 async fn known_to_others() -> Result<()> {
     let store = FakeStore::start().await;
     store.put("keyed.op", "config", config(1, 2000).to_string().as_bytes());
-    let script =
-        |it: &Arrival| vec![Step::Write(with_header(&answer(it, "200 OK", "right"), LEAVING))];
-    let leaving = endpoint("service-1", script).await;
+    let leaving = endpoint("service-1", right_and_leaving).await;
     let staying = endpoint("service-2", right).await;
     for service in [&leaving, &staying] {
         list(&store, service, "ready", None);
@@ -152,9 +154,7 @@
 }
 
 async fn successor() -> Result<()> {
-    let script =
-        |it: &Arrival| vec![Step::Write(with_header(&answer(it, "200 OK", "right"), LEAVING))];
-    let leaving = endpoint("service-1", script).await;
+    let leaving = endpoint("service-1", right_and_leaving).await;
     let deployment = Deployment::start(&[&leaving]).await;
     call_many(&deployment, 3).await;
     verify_that!(requests(&leaving), eq(1))?;
@@ -165,9 +165,7 @@
 }
 
 async fn all_leaving() -> Result<()> {
-    let script =
-        |it: &Arrival| vec![Step::Write(with_header(&answer(it, "200 OK", "right"), LEAVING))];
-    let leaving = endpoint("service-1", script).await;
+    let leaving = endpoint("service-1", right_and_leaving).await;
     let deployment = Deployment::start(&[&leaving]).await;
     call_many(&deployment, 1).await;
     let start = Instant::now();
