Start the next incarnation of a test in a later millisecond than the notice

The test listed the successor with the time of day as its start, often in the millisecond in which the first incarnation had said that it leaves; an incarnation that started no later than the notice counts as the one that gave it. Change: the tests list a start in a later millisecond, as a successor's is, since its predecessor answered before it ended; the equal case is a unit case of its own, which pins what the code does.

--- a/crates/decide/tests/serving_notice.rs
+++ b/crates/decide/tests/serving_notice.rs
@@ -13,6 +13,7 @@
     next_incarnation_accepts_requests => leaving(SAID_AT_MS + 1, true),
     // Guards against requests to an endpoint whose restart became known only after it said that it leaves.
     incarnation_that_started_before_the_notice_accepts_nothing => leaving(8, false),
+    incarnation_that_started_with_the_notice_accepts_nothing => leaving(SAID_AT_MS, false),
     late_notice_of_an_earlier_incarnation_is_ignored => late_notice(),
     reported_endpoint_yields_to_others => reported(),
     // Guards against requests to an endpoint whose next incarnation leaves, too, by another's report.
--- a/crates/gateway/tests/gateway/notices.rs
+++ b/crates/gateway/tests/gateway/notices.rs
@@ -72,6 +72,16 @@
     answers
 }
 
+/// Start of an incarnation in a later millisecond than what was said before; one that started in the same
+/// millisecond counts as the one that said it
+async fn later_start() -> u64 {
+    let now = unix_ms();
+    while unix_ms() == now {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    unix_ms()
+}
+
 /// Requests other than calls of the gateway's own
 fn requests(endpoint: &FakeEndpoint) -> usize {
     endpoint.arrivals().iter().filter(|it| !it.line.starts_with("DELETE")).count()
@@ -158,7 +168,7 @@
     let deployment = Deployment::start(&[&leaving]).await;
     call_many(&deployment, 3).await;
     verify_that!(requests(&leaving), eq(1))?;
-    list_as(&deployment.store, &leaving, "ready", None, unix_ms());
+    list_as(&deployment.store, &leaving, "ready", None, later_start().await);
     tokio::time::sleep(LIST_TIME).await;
     call_many(&deployment, 3).await;
     verify_that!(requests(&leaving), eq(2))
@@ -210,7 +220,7 @@
     let deployment = Deployment::start(&[&shedding]).await;
     call_many(&deployment, 10).await;
     verify_that!(requests(&shedding), eq(1))?;
-    list_as(&deployment.store, &shedding, "ready", None, unix_ms());
+    list_as(&deployment.store, &shedding, "ready", None, later_start().await);
     tokio::time::sleep(LIST_TIME).await;
     call_many(&deployment, 10).await;
     verify_that!(requests(&shedding), eq(2))
