Name notices and reports by the terms of the field

Cause: on reading the diff again, notices of endpoints were described in figurative words (told, said, wants, turned away), two flags by what the caller does with them, and the soak's check of notices was one function of fifty lines. Change: notices are received, reported and requested; is_leaving, noticed_at_ms, has_declined, sender, is_from_earlier_era; constants with their unit; the log line endpoint_leaves has source=peer where it had source=told; the check is split by kind of notice.

--- a/crates/coordination/src/stream/reader.rs
+++ b/crates/coordination/src/stream/reader.rs
@@ -9,28 +9,28 @@
 
 /// Number of records in one read, by how long earlier reads took
 ///
-/// A call has a fixed time, but the transfer of its records depends on their size and on the link. After
-/// a read without an answer fewer records are asked for, so that one that is too slow isn't repeated.
+/// The time of a call is fixed, but the transfer of its records depends on their size and on the link.
+/// Fewer records are requested after a read without an answer, so that the same read isn't repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct BatchLimit(u32);
 
 impl BatchLimit {
-    const MIN: u32 = 16;
-    const MAX: u32 = 4_096;
+    const MIN_RECORDS: u32 = 16;
+    const MAX_RECORDS: u32 = 4_096;
 
     /// Limit of the first read
     pub(super) fn new() -> BatchLimit {
-        BatchLimit(BatchLimit::MAX)
+        BatchLimit(BatchLimit::MAX_RECORDS)
     }
 
     /// Lowers the limit after a read without an answer
     pub(super) fn record_unanswered(&mut self) {
-        self.0 = (self.0 / 4).max(BatchLimit::MIN);
+        self.0 = (self.0 / 4).max(BatchLimit::MIN_RECORDS);
     }
 
     /// Raises the limit after a batch
     pub(super) fn record_batch(&mut self) {
-        self.0 = (self.0 * 2).min(BatchLimit::MAX);
+        self.0 = (self.0 * 2).min(BatchLimit::MAX_RECORDS);
     }
 }
 
--- a/crates/coordination/tests/catalogue.rs
+++ b/crates/coordination/tests/catalogue.rs
@@ -359,8 +359,8 @@
     retention_with_instances_replaced => check_retention(false),
     retention_overrun => check_overrun(),
     start_without_checkpoint => check_no_checkpoint(),
-    // Guards against an instance that never catches up, since it gives up each read of a long history
-    // before its end and asks for the same records again.
+    // Guards against an instance that never catches up, since each read of a long history times out
+    // before its end and is repeated.
     long_history_is_read_over_a_slow_link => check_slow_link(),
     damaged_records => check_damage(),
     newer_version_stops => check_newer("persimmonlift/2 z 1 0\n{}"),
--- a/crates/decide/src/serving/endpoint_list.rs
+++ b/crates/decide/src/serving/endpoint_list.rs
@@ -5,7 +5,7 @@
 //! have expired, so its endpoint stays in use for a grace period after the list recovers.
 //!
 //! When the list comes back from a copy, offsets start again and the copy may show what
-//! was true before. Entries carried over from before are then compared by what they say:
+//! was true before. Entries carried over from before are then compared by their content:
 //! an endpoint that was leaving or gone stays so until a new incarnation is listed, or, for
 //! one that was gone, until a record is written after the return.
 
@@ -60,7 +60,7 @@
     offset: ListOffset,
     expires_at: Option<Instant>,
     /// Whether its offset is from before the list came back from a copy
-    is_carried: bool,
+    is_from_earlier_era: bool,
     /// Start of the last incarnation that was listed, in Unix milliseconds
     last_started_at_ms: u64,
 }
@@ -104,10 +104,10 @@
     ) -> bool {
         let grace = self.grace_until.filter(|it| *it > now);
         match self.entries.get_mut(&id) {
-            Some(entry) if entry.offset > offset && !entry.is_carried => return false,
+            Some(entry) if entry.offset > offset && !entry.is_from_earlier_era => return false,
             Some(entry) => {
                 entry.offset = offset;
-                entry.is_carried = false;
+                entry.is_from_earlier_era = false;
                 match change {
                     ListChange::Listed(endpoint) if entry.has_left(&endpoint) => return false,
                     ListChange::Listed(endpoint) => {
@@ -132,7 +132,7 @@
                     endpoint,
                     offset,
                     expires_at: None,
-                    is_carried: false,
+                    is_from_earlier_era: false,
                     last_started_at_ms,
                 };
                 self.entries.insert(id, entry);
@@ -150,11 +150,11 @@
         now: Instant,
     ) -> bool {
         if let (Some(entry), ListChange::Listed(listed)) = (self.entries.get_mut(&id), &change)
-            && entry.is_carried
+            && entry.is_from_earlier_era
             && entry.outdates(listed, now)
         {
             entry.offset = offset;
-            entry.is_carried = false;
+            entry.is_from_earlier_era = false;
             return false;
         }
         self.apply(id, change, offset, now)
@@ -163,13 +163,13 @@
     /// Records that the list came back from a copy: the offsets of all entries are void
     pub fn start_era(&mut self) {
         for entry in self.entries.values_mut() {
-            entry.is_carried = true;
+            entry.is_from_earlier_era = true;
         }
     }
 
     /// Whether entries are left from before the list came back from a copy
-    pub fn is_from_other_era(&self) -> bool {
-        self.entries.values().any(|it| it.is_carried)
+    pub fn has_earlier_entries(&self) -> bool {
+        self.entries.values().any(|it| it.is_from_earlier_era)
     }
 
     /// Removes the endpoints that are missing from a complete snapshot of the list
@@ -183,7 +183,7 @@
     ) {
         let grace = self.grace_until.filter(|it| *it > now);
         for (id, entry) in &mut self.entries {
-            let is_covered = entry.is_carried || entry.offset < end;
+            let is_covered = entry.is_from_earlier_era || entry.offset < end;
             if is_covered && !is_listed(id) && entry.expires_at.is_none() {
                 match grace {
                     Some(until) => entry.expires_at = Some(until),
--- a/crates/decide/src/serving/notice.rs
+++ b/crates/decide/src/serving/notice.rs
@@ -1,10 +1,11 @@
-//! What endpoints say of themselves in their answers: that they leave, or that they
-//! want no requests for a while.
+//! Notices in the answers of endpoints: that the endpoint is leaving, or that it accepts
+//! no requests for some time.
 //!
-//! Both hold for one incarnation of an endpoint, whatever the list says of it, and end
-//! with it. The list may be late, so that an incarnation that started before the endpoint
-//! said it counts as the one that said it. What an endpoint has said to this instance is binding. What another instance
-//! reports only makes this one prefer the other endpoints, since a report may be wrong.
+//! A notice holds for one incarnation of an endpoint, whatever its entry in the list, and
+//! ends with it. The list may be late, so an incarnation that started no later than a
+//! notice counts as the one that sent it. A notice that this instance has received is
+//! binding. A report of another instance only makes this one prefer other endpoints, since
+//! a report may be wrong.
 
 use super::endpoint_list::ListedEndpoint;
 use catalogue::id::EndpointId;
@@ -23,8 +24,8 @@
     pub unix_ms: u64,
 }
 
-/// Jitter after the end of a pause, as a fraction of the pause, and its bounds. Instances that were told the
-/// same return one after the other.
+/// Jitter after the end of a pause, as a fraction of the pause, and its bounds. It keeps instances that
+/// received the same pause from resuming at the same time.
 const JITTER_FRACTION: f64 = 0.1;
 const MIN_JITTER: Duration = Duration::from_millis(10);
 const MAX_JITTER: Duration = Duration::from_millis(400);
@@ -32,7 +33,7 @@
 /// likely; after it a refusal serves the caller better, since it can come back when the pause is over.
 const WAIT_FRACTION: f64 = 0.25;
 
-/// End of a pause that an endpoint has asked for
+/// End of a pause that an endpoint has requested
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum PauseEnd {
     At(Instant),
@@ -46,13 +47,13 @@
     }
 }
 
-/// What one incarnation has said
+/// Notices of one incarnation
 #[derive(Debug, Clone, Copy)]
 struct EndpointNotice {
     started_at_ms: IncarnationStart,
-    /// Time of day at which it said so last, in Unix milliseconds
-    said_at_ms: u64,
-    leaves: bool,
+    /// Time of day of the last notice, in Unix milliseconds
+    noticed_at_ms: u64,
+    is_leaving: bool,
     pause_end: Option<PauseEnd>,
 }
 
@@ -65,23 +66,23 @@
     Refuse(Duration),
 }
 
-/// What endpoints have said, by endpoint
+/// Notices by endpoint
 #[derive(Debug, Clone, Default)]
 pub struct EndpointNotices {
     notices: IndexMap<EndpointId, EndpointNotice>,
-    /// Last incarnation that has told another instance that it leaves
+    /// Last incarnation that another instance has reported as leaving
     reports: IndexMap<EndpointId, IncarnationStart>,
 }
 
 impl EndpointNotices {
-    /// Records that an endpoint has said that it leaves; `true` if that is new
+    /// Records that an endpoint is leaving by its own notice; `true` if that is new
     pub fn record_leaving(&mut self, endpoint: &ListedEndpoint, time: AnswerTime) -> bool {
         let Some(notice) = self.notice(&endpoint.id, endpoint.started_at_ms) else { return false };
-        notice.said_at_ms = notice.said_at_ms.max(time.unix_ms);
-        !std::mem::replace(&mut notice.leaves, true)
+        notice.noticed_at_ms = notice.noticed_at_ms.max(time.unix_ms);
+        !std::mem::replace(&mut notice.is_leaving, true)
     }
 
-    /// Records that another instance was told that an endpoint leaves; `true` if that is new
+    /// Records another instance's report that an endpoint is leaving; `true` if that is new
     pub fn record_report(&mut self, id: &EndpointId, started_at_ms: IncarnationStart) -> bool {
         let is_new = self.reports.get(id).is_none_or(|it| *it < started_at_ms);
         if is_new {
@@ -90,7 +91,7 @@
         is_new
     }
 
-    /// Records that an endpoint wants no requests for a time; `draw` is uniform in 0..1
+    /// Records that an endpoint accepts no requests for some time; `draw` is uniform in 0..1
     pub fn record_pause(
         &mut self,
         endpoint: &ListedEndpoint,
@@ -102,7 +103,7 @@
         let end = pause.checked_add(jitter).and_then(|it| time.at.checked_add(it));
         let end = end.map_or(PauseEnd::Never, PauseEnd::At);
         if let Some(notice) = self.notice(&endpoint.id, endpoint.started_at_ms) {
-            notice.said_at_ms = notice.said_at_ms.max(time.unix_ms);
+            notice.noticed_at_ms = notice.noticed_at_ms.max(time.unix_ms);
             notice.pause_end = Some(match (notice.pause_end, end) {
                 (Some(PauseEnd::Never), _) | (_, PauseEnd::Never) => PauseEnd::Never,
                 (Some(PauseEnd::At(before)), PauseEnd::At(end)) => PauseEnd::At(before.max(end)),
@@ -111,13 +112,13 @@
         }
     }
 
-    /// Whether an endpoint accepts requests by what it has said to this instance
+    /// Whether an endpoint accepts requests by the notices that this instance has received
     pub fn accepts(&self, endpoint: &ListedEndpoint, now: Instant) -> bool {
         let Some(notice) = self.current(endpoint) else { return true };
-        !notice.leaves && notice.pause_end.is_none_or(|it| it.is_over(now))
+        !notice.is_leaving && notice.pause_end.is_none_or(|it| it.is_over(now))
     }
 
-    /// Endpoints that accept requests, without those that are reported to leave unless all are
+    /// Endpoints that accept requests, without those that are reported as leaving unless all are
     pub fn accepting(&self, endpoints: Vec<ListedEndpoint>, now: Instant) -> Vec<ListedEndpoint> {
         let accepting = endpoints.into_iter().filter(|it| self.accepts(it, now));
         let is_reported = |it: &ListedEndpoint| {
@@ -129,17 +130,17 @@
 
     /// What to do with a request that can't be sent now; `None` if that isn't due to pauses
     ///
-    /// `has_turned_away` tells which of the endpoints have turned it away; it doesn't wait for these. It has
-    /// taken `elapsed` of its `objective`.
+    /// `has_declined` selects the endpoints that have declined the request, which it doesn't wait for. The
+    /// request has taken `elapsed` of its `objective`.
     pub fn pause_step(
         &self,
         endpoints: &[&ListedEndpoint],
-        has_turned_away: impl Fn(&ListedEndpoint) -> bool,
+        has_declined: impl Fn(&ListedEndpoint) -> bool,
         elapsed: Duration,
         objective: Duration,
         now: Instant,
     ) -> Option<PauseStep> {
-        let candidates = endpoints.iter().filter(|it| !has_turned_away(it));
+        let candidates = endpoints.iter().filter(|it| !has_declined(it));
         let shortest = candidates.filter_map(|it| self.remaining(it, now)).min();
         if let Some(pause) = shortest
             && elapsed + pause <= objective.mul_f64(WAIT_FRACTION)
@@ -152,9 +153,9 @@
         endpoints.iter().filter_map(|it| self.remaining(it, now)).min().map(PauseStep::Refuse)
     }
 
-    /// Time until a paused endpoint accepts requests again; `None` if it isn't paused, or leaves
+    /// Time until a paused endpoint accepts requests again; `None` if it isn't paused, or is leaving
     fn remaining(&self, endpoint: &ListedEndpoint, now: Instant) -> Option<Duration> {
-        let notice = self.current(endpoint).filter(|it| !it.leaves)?;
+        let notice = self.current(endpoint).filter(|it| !it.is_leaving)?;
         match notice.pause_end? {
             PauseEnd::At(end) if end > now => Some(end - now),
             _ => None,
@@ -164,7 +165,7 @@
     /// Notice that holds for a listed incarnation; an earlier one than that of the notice has ended
     fn current(&self, endpoint: &ListedEndpoint) -> Option<&EndpointNotice> {
         let notice = self.notices.get(&endpoint.id)?;
-        let last = notice.started_at_ms.max(notice.said_at_ms);
+        let last = notice.started_at_ms.max(notice.noticed_at_ms);
         Some(notice).filter(|_| endpoint.started_at_ms <= last)
     }
 
@@ -174,10 +175,11 @@
         id: &EndpointId,
         started_at_ms: IncarnationStart,
     ) -> Option<&mut EndpointNotice> {
-        let empty = EndpointNotice { started_at_ms, said_at_ms: 0, leaves: false, pause_end: None };
+        let empty =
+            EndpointNotice { started_at_ms, noticed_at_ms: 0, is_leaving: false, pause_end: None };
         let notice = self.notices.entry(id.clone()).or_insert(empty);
         if notice.started_at_ms < started_at_ms {
-            let is_same = started_at_ms <= notice.said_at_ms;
+            let is_same = started_at_ms <= notice.noticed_at_ms;
             *notice = if is_same { EndpointNotice { started_at_ms, ..*notice } } else { empty };
         }
         Some(notice).filter(|it| it.started_at_ms == started_at_ms)
--- a/crates/decide/tests/serving_notice.rs
+++ b/crates/decide/tests/serving_notice.rs
@@ -1,4 +1,4 @@
-//! What endpoints say of themselves: that they leave, or that they want no requests for a while.
+//! Notices of endpoints: that they are leaving, or accept no requests for some time.
 
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::notice::{AnswerTime, EndpointNotices, PauseStep};
@@ -10,10 +10,10 @@
 
 cases! {
     leaving_incarnation_accepts_nothing => leaving(7, false),
-    next_incarnation_accepts_requests => leaving(SAID_AT_MS + 1, true),
-    // Guards against requests to an endpoint whose restart became known only after it said that it leaves.
+    next_incarnation_accepts_requests => leaving(NOTICED_AT_MS + 1, true),
+    // Guards against requests to an endpoint whose restart became known only after its leaving notice.
     incarnation_that_started_before_the_notice_accepts_nothing => leaving(8, false),
-    incarnation_that_started_with_the_notice_accepts_nothing => leaving(SAID_AT_MS, false),
+    incarnation_that_started_with_the_notice_accepts_nothing => leaving(NOTICED_AT_MS, false),
     late_notice_of_an_earlier_incarnation_is_ignored => late_notice(),
     reported_endpoint_yields_to_others => reported(),
     // Guards against requests to an endpoint whose next incarnation leaves, too, by another's report.
@@ -26,7 +26,7 @@
     short_pause_is_waited_for => step(50, 0, PauseStep::Wait(ms(50))),
     short_pause_late_in_the_objective_is_refused => step(50, 90, PauseStep::Refuse(ms(50))),
     no_pause_needs_no_step => no_pause(),
-    request_does_not_wait_for_an_endpoint_that_turned_it_away => turned_away(),
+    request_does_not_wait_for_an_endpoint_that_declined_it => declined(),
     shortest_pause_counts => shortest(),
 }
 
@@ -47,8 +47,8 @@
     }
 }
 
-/// Time of day at which endpoints say something.
-const SAID_AT_MS: u64 = 100;
+/// Time of day of all notices, in Unix milliseconds.
+const NOTICED_AT_MS: u64 = 100;
 const OBJECTIVE: Duration = Duration::from_millis(400);
 
 fn ms(milliseconds: u64) -> Duration {
@@ -56,7 +56,7 @@
 }
 
 fn answered(at: Instant) -> AnswerTime {
-    AnswerTime { at, unix_ms: SAID_AT_MS }
+    AnswerTime { at, unix_ms: NOTICED_AT_MS }
 }
 
 fn endpoint(id: &str, started_at_ms: u64) -> ListedEndpoint {
@@ -92,7 +92,7 @@
     notices.record_report(&"a".into(), 7);
     let accepting = notices.accepting(vec![endpoint("a", 7), endpoint("b", 7)], Instant::now());
     verify_that!(accepting.iter().map(|it| it.id.as_str()).collect::<Vec<_>>(), eq(&vec!["b"]))?;
-    // A report of an earlier incarnation says nothing about the next one.
+    // A report of an earlier incarnation doesn't affect the next one.
     let accepting = notices.accepting(vec![endpoint("a", 8), endpoint("b", 7)], Instant::now());
     verify_that!(accepting.len(), eq(2))
 }
@@ -100,7 +100,7 @@
 fn next_reported() -> Result<()> {
     let mut notices = EndpointNotices::default();
     notices.record_leaving(&endpoint("a", 7), answered(Instant::now()));
-    notices.record_report(&"a".into(), SAID_AT_MS + 1);
+    notices.record_report(&"a".into(), NOTICED_AT_MS + 1);
     verify_that!(notices.accepts(&endpoint("a", 7), Instant::now()), eq(false))
 }
 
@@ -134,7 +134,7 @@
     notices.record_pause(&endpoint("a", 7), ms(1), 0.0, answered(now));
     let later = now + Duration::from_secs(1_000_000);
     verify_that!(notices.accepts(&endpoint("a", 7), later), eq(false))?;
-    verify_that!(notices.accepts(&endpoint("a", SAID_AT_MS + 1), later), eq(true))
+    verify_that!(notices.accepts(&endpoint("a", NOTICED_AT_MS + 1), later), eq(true))
 }
 
 fn paused(pauses: &[(&str, u64)], now: Instant) -> EndpointNotices {
@@ -162,7 +162,7 @@
     verify_that!(step, none())
 }
 
-fn turned_away() -> Result<()> {
+fn declined() -> Result<()> {
     let now = Instant::now();
     let notices = paused(&[("a", 50)], now);
     let all = endpoint("a", 7);
@@ -176,7 +176,7 @@
     let [first, second, third] = ["a", "b", "c"].map(|it| endpoint(it, 7));
     let step = notices.pause_step(&[&first, &second], |_| false, ms(0), OBJECTIVE, now);
     verify_that!(step, some(eq(PauseStep::Refuse(ms(3000)))))?;
-    // Another one accepts requests, so that nobody has to wait for the pauses.
+    // Another one accepts requests, so that no pause has to be awaited.
     let step = notices.pause_step(&[&first, &second, &third], |_| false, ms(0), OBJECTIVE, now);
     verify_that!(step, none())
 }
--- a/crates/decide/tests/serving_state.rs
+++ b/crates/decide/tests/serving_state.rs
@@ -225,7 +225,7 @@
     verify_that!(ids(&list, now).len(), eq(ready))
 }
 
-/// The copy lists the endpoint as ready, though the last record before it said something else
+/// The copy lists the endpoint as ready, though the last record before it has another state
 fn in_copy(last: ListChange, started_at_ms: u64, ready: usize) -> Result<()> {
     let mut list = EndpointList::default();
     let now = Instant::now();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -49,7 +49,7 @@
     TimedOut,
     /// request or the endpoint's address is invalid
     Unusable,
-    /// endpoint accepts no requests by what it has said
+    /// endpoint accepts no requests by its notices
     NotAccepted,
     /// engine did not read the prompt: {0}
     Prefill(Box<SendError>),
@@ -164,7 +164,7 @@
         Ok(connection) => connection.map_err(SendError::Exchange)?,
         Err(_) => return Err(SendError::Exchange(ExchangeError::ConnectTimedOut)),
     };
-    // The endpoint may have said something in another answer since it was picked.
+    // A notice may have arrived in another answer since the endpoint was picked.
     if !gateway.accepts(endpoint) {
         return Err(SendError::NotAccepted);
     }
@@ -225,8 +225,8 @@
 /// Frees the cache of a prompt that no engine is going to fetch
 ///
 /// # Errors
-/// `SendError`; the engine then frees the cache after its own timeout. An engine that wants no requests
-/// isn't asked.
+/// `SendError`; the engine then frees the cache after its own timeout. Nothing is sent to an engine that
+/// accepts no requests.
 pub async fn free_cache(
     gateway: &Gateway,
     engine: &ListedEndpoint,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -298,7 +298,7 @@
     if was_unavailable {
         log::info!("event=endpoints_regained offset={}", batch.end);
     }
-    if was_unavailable || (is_full_read && list.is_from_other_era()) {
+    if was_unavailable || (is_full_read && list.has_earlier_entries()) {
         list.start_grace_period(now);
     }
     let before = list.ready(now).map(|it| it.id.clone()).collect::<Vec<_>>();
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -286,7 +286,7 @@
         }
     }
     let generate = match path.generate {
-        // It may have said that it leaves or wants no requests while the prompt was read.
+        // Its notice may have arrived while the prompt was read.
         step if cache.is_some() && !gateway.accepts(&step.engine) => {
             let engine = step.engine;
             let replanned = plan_path(gateway, call);
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -74,7 +74,7 @@
     pub strikes: Vec<CrashStrike>,
     /// Changes in the health of endpoints
     pub health: Vec<(EndpointId, HealthUpdate)>,
-    /// Incarnations of endpoints that have said that they leave
+    /// Incarnations of endpoints that are leaving by their own notices
     pub leaving: Vec<(EndpointId, IncarnationStart)>,
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -78,7 +78,7 @@
     pub update_ready: Notify,
     /// Health of the endpoints, including pauses after failures
     pub health: RefCell<EndpointHealth>,
-    /// What endpoints have said of themselves
+    /// Notices received from endpoints
     pub notices: RefCell<EndpointNotices>,
     /// Work in flight at the endpoints, of all instances
     pub load: RefCell<FleetLoad>,
@@ -261,7 +261,7 @@
         }
         for (endpoint, started_at_ms) in &update.leaving {
             if self.notices.borrow_mut().record_report(endpoint, *started_at_ms) {
-                log::info!("event=endpoint_leaves endpoint={endpoint} source=told");
+                log::info!("event=endpoint_leaves endpoint={endpoint} source=peer");
             }
         }
         let list = self.endpoints.borrow();
--- a/crates/gateway/tests/gateway/era.rs
+++ b/crates/gateway/tests/gateway/era.rs
@@ -146,7 +146,7 @@
     verify_that!(deployment.send_to_all().await?[0], eq(0))
 }
 
-/// An endpoint leaves after the copy was made, and says so again only later
+/// An endpoint leaves after the copy was made, and its entry is written again only later
 async fn left_before_return(how: &str) -> Result<()> {
     let deployment = EraDeployment::start(1).await;
     let copy = deployment.store.copy();
--- a/crates/gateway/tests/gateway/large_config.rs
+++ b/crates/gateway/tests/gateway/large_config.rs
@@ -43,8 +43,8 @@
     // Guards against a change that each instance reads from the store itself, which fills small links
     // so that callers' answers come late.
     large_configuration_is_read_from_the_store_once => read_once(),
-    // Guards against an instance that refuses everything after a restart, since it gives up each read
-    // of a large configuration before its end.
+    // Guards against an instance that refuses everything after a restart, since it ends each read
+    // of a large configuration before its last byte.
     instance_starts_with_a_large_configuration => starts(1),
     // The same when all instances restart at once.
     instances_start_together_with_a_large_configuration => starts(instance_count()),
--- a/crates/gateway/tests/gateway/notices.rs
+++ b/crates/gateway/tests/gateway/notices.rs
@@ -1,4 +1,4 @@
-//! Endpoints that say in their answers that they leave, or that they want nothing for a while.
+//! Notices in answers of endpoints: that they are leaving, or accept no requests for some time.
 
 use crate::client::{RawAnswer, call};
 use crate::deployment::{
@@ -22,7 +22,7 @@
 const OBJECTIVE: Duration = Duration::from_millis(400);
 
 cases! { async
-    // Guard against requests to an endpoint that has said that it leaves, while the list calls it ready.
+    // Guard against requests to an endpoint after its leaving notice, while the list shows it as ready.
     leaving_endpoint_gets_nothing_more => leaving(|it| answer(it, "200 OK", "right")),
     leaving_endpoint_that_fails_gets_nothing_more => leaving(|it| answer(it, "500 Error", "wrong")),
     leaving_endpoint_that_declines_gets_nothing_more =>
@@ -33,7 +33,7 @@
     leaving_endpoint_is_known_to_other_instances => known_to_others(),
     next_incarnation_of_a_leaving_endpoint_is_used => successor(),
     all_leaving_is_refused_at_once => all_leaving(),
-    // Guard against requests to an endpoint that has asked for none.
+    // Guard against requests to an endpoint during the pause that it has requested.
     endpoint_that_sheds_gets_nothing_until_the_time_is_over => shedding("1.2", 1200),
     endpoint_that_sheds_for_seconds_gets_nothing => shedding("2", 2000),
     unreadable_retry_after_is_ignored => ignored_pause("soon"),
@@ -72,8 +72,8 @@
     answers
 }
 
-/// Start of an incarnation in a later millisecond than what was said before; one that started in the same
-/// millisecond counts as the one that said it
+/// Start of an incarnation in a later millisecond than the notices so far; one that started in the same
+/// millisecond counts as their sender
 async fn later_start() -> u64 {
     let now = unix_ms();
     while unix_ms() == now {
@@ -94,7 +94,7 @@
     let deployment = Deployment::start(&[&leaving, &staying]).await;
     call_many(&deployment, 30).await;
     verify_that!(requests(&leaving), eq(1))?;
-    // The list calls it ready again, as the same incarnation.
+    // The list shows it as ready again, in the same incarnation.
     list(&deployment.store, &leaving, "ready", None);
     tokio::time::sleep(LIST_TIME).await;
     call_many(&deployment, 30).await;
--- a/crates/gateway/tests/gateway/soak.rs
+++ b/crates/gateway/tests/gateway/soak.rs
@@ -47,7 +47,7 @@
 /// Fraction of faults that come as a series, and number of faults in a series.
 const SERIES_FRACTION: f64 = 0.25;
 const SERIES_FAULTS: usize = 3;
-/// Time for which a shedding endpoint wants no requests, and part of it from which arrivals count.
+/// Pause that a shedding endpoint requests, and time after its answer from which arrivals count.
 const SHED_TIME: Duration = Duration::from_millis(1200);
 const SHED_NOTICE_TIME: Duration = Duration::from_millis(500);
 /// Arrivals at a shedding endpoint from one instance that the users' rule allows.
@@ -107,13 +107,13 @@
     given.map_or(default, |it| it.parse().expect("a number"))
 }
 
-/// Answer by which an endpoint said that it leaves or wants no requests
+/// Answer with a leaving notice or a requested pause
 #[derive(Debug, Clone)]
-struct GivenNotice {
+struct SentNotice {
     at: Instant,
     /// Request that was answered
     id: String,
-    /// Whether it leaves; otherwise it wants no requests for `SHED_TIME`
+    /// Whether it is a leaving notice; otherwise it requests a pause of `SHED_TIME`
     leaves: bool,
 }
 
@@ -123,7 +123,7 @@
     endpoint: FakeEndpoint,
     proxy: FaultProxy,
     mode: Arc<AtomicU8>,
-    notices: Arc<Mutex<Vec<GivenNotice>>>,
+    notices: Arc<Mutex<Vec<SentNotice>>>,
     /// Start of each incarnation, also in Unix milliseconds
     incarnations: RefCell<Vec<(Instant, u64)>>,
     /// Times at which the connections to it were disturbed or restored
@@ -134,18 +134,14 @@
     async fn start(id: &str) -> FaultyEndpoint {
         let mode = Arc::new(AtomicU8::new(0));
         let current = mode.clone();
-        let notices = Arc::<Mutex<Vec<GivenNotice>>>::default();
-        let given = notices.clone();
+        let notices = Arc::<Mutex<Vec<SentNotice>>>::default();
+        let sent = notices.clone();
         let script = move |it: &Arrival| {
             let mode = MODES[usize::from(current.load(Ordering::Relaxed))];
             if matches!(mode, EndpointMode::Leave | EndpointMode::Shed) {
                 let id = it.header("x-request-id").unwrap_or_default().to_owned();
                 let leaves = mode == EndpointMode::Leave;
-                given.lock().expect("no panic").push(GivenNotice {
-                    at: Instant::now(),
-                    id,
-                    leaves,
-                });
+                sent.lock().expect("no panic").push(SentNotice { at: Instant::now(), id, leaves });
             }
             steps(it, mode)
         };
@@ -546,59 +542,78 @@
     verify_that!(served, gt(records.len() / 10))
 }
 
-/// Checks that endpoints got nothing from instances that they had told so, unless connections were disturbed
+/// Checks that endpoints received nothing from instances that had received their notices
 fn check_notices(run: &SoakRun, records: &[ClientRecord]) -> Result<()> {
     let by_id = records.iter().map(|it| (it.id.as_str(), it)).collect::<IndexMap<_, _>>();
-    let by_id = &by_id;
     for endpoint in &run.endpoints {
-        let arrivals = &endpoint.endpoint.arrivals();
-        // Requests that an instance sent to this endpoint, with the client's record.
-        let sent_by = move |address: SocketAddr| {
-            arrivals.iter().filter_map(move |it| {
-                let record = by_id.get(it.header("x-request-id")?)?;
-                (record.address == address).then_some((it, *record))
-            })
-        };
         for notice in endpoint.notices.lock().expect("no panic").iter() {
-            let Some(told) = records.iter().find(|it| it.id == notice.id) else { continue };
-            let incarnations = endpoint.incarnations.borrow();
-            let next = incarnations.iter().map(|it| it.0).find(|it| *it > notice.at);
-            let is_same = |at: Instant| next.is_none_or(|it| at < it);
+            let Some(notified) = by_id.get(notice.id.as_str()) else { continue };
+            let later = later_requests(endpoint, notice, &by_id, notified.address);
             if notice.leaves {
-                // The answer with the notice was passed on before.
-                let was_passed_on = told.answer.as_ref().is_some_and(|it| {
-                    it.header("server-leaving").is_some()
-                        && it.header("x-instance-id") == Some(&endpoint.endpoint.id)
-                });
-                let later = sent_by(told.address).find(|(arrival, record)| {
-                    was_passed_on && record.sent_at > told.answered_at && is_same(arrival.at)
-                });
-                if let Some((arrival, record)) = later {
-                    return fail!(
-                        "{} of {} reached {} {:?} after {} had been told by {} that it leaves",
-                        record.id,
-                        arrival.line,
-                        endpoint.endpoint.id,
-                        arrival.at - notice.at,
-                        told.address,
-                        notice.id
-                    );
-                }
-            } else if endpoint.is_undisturbed(notice.at, notice.at + SHED_NOTICE_TIME) {
-                let window = notice.at + SHED_NOTICE_TIME..notice.at + SHED_TIME;
-                let count = sent_by(told.address)
-                    .filter(|(arrival, _)| window.contains(&arrival.at) && is_same(arrival.at))
-                    .count();
-                if count > MAX_SHED_ARRIVALS {
-                    return fail!(
-                        "{count} requests reached {} from {} after it shed {}",
-                        endpoint.endpoint.id,
-                        told.address,
-                        notice.id
-                    );
-                }
+                check_leaving(endpoint, notice, notified, &later)?;
+            } else {
+                check_pause(endpoint, notice, notified, &later)?;
             }
         }
     }
     Ok(())
 }
+
+/// Requests of one instance that reached an incarnation after its notice, with the clients' records
+fn later_requests<'a>(
+    endpoint: &FaultyEndpoint,
+    notice: &SentNotice,
+    by_id: &IndexMap<&str, &'a ClientRecord>,
+    address: SocketAddr,
+) -> Vec<(Arrival, &'a ClientRecord)> {
+    let incarnations = endpoint.incarnations.borrow();
+    let next = incarnations.iter().map(|it| it.0).find(|it| *it > notice.at);
+    let arrivals = endpoint.endpoint.arrivals().into_iter();
+    let later = arrivals.filter(|it| it.at > notice.at && next.is_none_or(|next| it.at < next));
+    let requests = later.filter_map(|it| {
+        let record = *by_id.get(it.header("x-request-id")?)?;
+        (record.address == address).then_some((it, record))
+    });
+    requests.collect()
+}
+
+/// Nothing that a client sent after it had received the notice may reach the endpoint
+fn check_leaving(
+    endpoint: &FaultyEndpoint,
+    notice: &SentNotice,
+    notified: &ClientRecord,
+    later: &[(Arrival, &ClientRecord)],
+) -> Result<()> {
+    let id = &endpoint.endpoint.id;
+    let was_passed_on = notified.answer.as_ref().is_some_and(|it| {
+        it.header("server-leaving").is_some() && it.header("x-instance-id") == Some(id)
+    });
+    let unexpected = later.iter().find(|it| it.1.sent_at > notified.answered_at);
+    match unexpected.filter(|_| was_passed_on) {
+        None => Ok(()),
+        Some((arrival, record)) => fail!(
+            "{} of {} reached {id} {:?} after {} had received its leaving notice with {}",
+            record.id,
+            arrival.line,
+            arrival.at - notice.at,
+            notified.address,
+            notice.id
+        ),
+    }
+}
+
+/// Few requests may reach the endpoint during its pause, unless connections to it were disturbed
+fn check_pause(
+    endpoint: &FaultyEndpoint,
+    notice: &SentNotice,
+    notified: &ClientRecord,
+    later: &[(Arrival, &ClientRecord)],
+) -> Result<()> {
+    let window = notice.at + SHED_NOTICE_TIME..notice.at + SHED_TIME;
+    let count = later.iter().filter(|it| window.contains(&it.0.at)).count();
+    if count <= MAX_SHED_ARRIVALS || !endpoint.is_undisturbed(notice.at, window.start) {
+        return Ok(());
+    }
+    let (id, address) = (&endpoint.endpoint.id, notified.address);
+    fail!("{count} requests reached {id} from {address} after it shed {}", notice.id)
+}
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -54,7 +54,7 @@
     }
 }
 
-/// Number of times that the store has come back from a copy, plus one; `None` if it says nothing
+/// Number of times that the store has come back from a copy, plus one; `None` for no header
 type StoreEra = Option<String>;
 
 struct StoreState {
--- a/crates/loadmodel/src/engine.rs
+++ b/crates/loadmodel/src/engine.rs
@@ -110,12 +110,12 @@
     pub is_busy: bool,
 }
 
-/// When engines turn requests away and ask for none for a while
+/// When engines shed requests and request a pause
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ShedRule {
     /// Number of waiting requests from which an engine sheds
     pub waiting: usize,
-    /// Time for which it then wants no requests, in milliseconds
+    /// Length of the requested pause, in milliseconds
     pub pause_ms: u64,
 }
 
--- a/crates/loadmodel/src/fleet.rs
+++ b/crates/loadmodel/src/fleet.rs
@@ -249,7 +249,7 @@
     fn send(&mut self, call: usize, pick: &EnginePick, is_prefill: bool, now: SimTime) {
         let engine = self.engine_index(&pick.endpoint);
         if let Some(rule) = self.shed.filter(|it| self.engines[engine].waiting() >= it.waiting) {
-            self.turn_away(call, engine, rule, now);
+            self.shed_call(call, engine, rule, now);
             return;
         }
         let state = &self.calls[call];
@@ -281,8 +281,8 @@
     }
 
     /// Sheds a call, which is sent to another engine if it may be
-    fn turn_away(&mut self, call: usize, engine: usize, rule: ShedRule, now: SimTime) {
-        self.report.turned_away += 1;
+    fn shed_call(&mut self, call: usize, engine: usize, rule: ShedRule, now: SimTime) {
+        self.report.shed += 1;
         let listed = &self.listed[engine];
         let state = &mut self.calls[call];
         if !self.policy.ignores_pauses {
--- a/crates/loadmodel/src/main.rs
+++ b/crates/loadmodel/src/main.rs
@@ -26,9 +26,8 @@
     --mixed N          number of mixed engines (5)
     --speed N          prompt tokens that an engine reads per millisecond (942)
     --slots N          batch slots of an engine (6)
-    --shed N           engines turn requests away while N wait, and want none
-                       for a while
-    --shed-ms N        length of that while in milliseconds (300)
+    --shed N           engines shed requests while N wait, and request a pause
+    --shed-ms N        length of the pause in milliseconds (300)
     --seconds N        length of a run in seconds (20)
     --seeds N          runs of each policy and pattern (3)
     --svg FILE         draw the fractions served in time
@@ -128,7 +127,7 @@
                         it.quantile_ms(0.5),
                         it.quantile_ms(0.99),
                         report.read_again / 1000,
-                        report.turned_away,
+                        report.shed,
                     );
                 }
                 mean_fraction += report.kinds[0].in_time_fraction() / seeds as f64;
--- a/crates/loadmodel/src/policy.rs
+++ b/crates/loadmodel/src/policy.rs
@@ -39,7 +39,7 @@
     pub name: &'static str,
     /// Whether engines have cached all sessions from the start and never evict any
     pub is_warm: bool,
-    /// Whether requests go to engines that want none for a while
+    /// Whether requests go to engines that have requested a pause
     pub ignores_pauses: bool,
     pub plan: fn(&GenerationRequest<'_>, &InstanceView<'_>) -> PlanOutcome,
 }
--- a/crates/loadmodel/src/report.rs
+++ b/crates/loadmodel/src/report.rs
@@ -54,8 +54,8 @@
     pub kinds: Vec<KindReport>,
     /// Shared prompt tokens that engines read because they were not cached
     pub read_again: u64,
-    /// Sends that engines turned away
-    pub turned_away: usize,
+    /// Sends that engines shed
+    pub shed: usize,
     /// Ratios of observed to expected time until the first token, on one engine and on two
     pub ratios: [Vec<f64>; 2],
 }
--- a/crates/loadmodel/tests/patterns.rs
+++ b/crates/loadmodel/tests/patterns.rs
@@ -22,8 +22,8 @@
     times_of_engines_of_112_tokens_a_millisecond_are_learned => times_are_learned(112.0, 128),
     times_of_engines_of_942_tokens_a_millisecond_are_learned => times_are_learned(942.0, 6),
     times_of_engines_of_3000_tokens_a_millisecond_are_learned => times_are_learned(3000.0, 8),
-    pauses_spare_sends_under_overload => pauses_spare_sends(LoadPattern::Overload),
-    pauses_spare_sends_in_a_burst => pauses_spare_sends(LoadPattern::Burst),
+    honoured_pauses_avoid_sends_under_overload => pauses_avoid_sends(LoadPattern::Overload),
+    honoured_pauses_avoid_sends_in_a_burst => pauses_avoid_sends(LoadPattern::Burst),
     one_seed_gives_one_result => runs_repeat(),
 }
 
@@ -58,15 +58,15 @@
     run(policy, size, kinds.len(), arrivals, &mut rng)
 }
 
-/// Engines shed requests and want none for a while; honouring that spares sends that they would turn away
-fn pauses_spare_sends(pattern: LoadPattern) -> Result<()> {
+/// Honouring the pauses of engines that shed requests avoids sends that they would shed
+fn pauses_avoid_sends(pattern: LoadPattern) -> Result<()> {
     const SHED: ShedRule = ShedRule { waiting: 6, pause_ms: 300 };
     let size = FleetSize { shed: Some(SHED), ..SIZE };
-    let turned_away = |name: &str| -> usize {
+    let shed_sends = |name: &str| -> usize {
         let reports = (0..SEEDS).map(|it| simulate_fleet(size, named(name), pattern, it));
-        reports.map(|it| it.turned_away).sum()
+        reports.map(|it| it.shed).sum()
     };
-    verify_that!(turned_away("known_holders"), lt(turned_away("ignored_pauses")))
+    verify_that!(shed_sends("known_holders"), lt(shed_sends("ignored_pauses")))
 }
 
 fn named(name: &str) -> ChoicePolicy {
