Check the refusal of a crashing request by the endpoints that it has reached

It allowed four calls before the refusal, but each call is sent to two of three endpoints drawn at random, so that four calls miss the third with a probability of (1/3)^3, 3.7%. Change: each call must be answered 502 until all three endpoints have received the request, and the next one 503; the test allowed a later refusal before. A cap of 30 calls ends a run in which an endpoint is never drawn.

--- a/crates/gateway/tests/gateway/crashes.rs
+++ b/crates/gateway/tests/gateway/crashes.rs
@@ -20,6 +20,8 @@
 }
 
 const CRASHING_BODY: &str = "poison";
+/// Number of calls by which each of three endpoints has been drawn, but for one run in 10^13.
+const MAX_CALLS: usize = 30;
 
 /// Service that resets the connection on the crashing request and answers others
 async fn service(id: &str) -> FakeEndpoint {
@@ -55,20 +57,24 @@
         [service("service-1").await, service("service-2").await, service("service-3").await];
     let (_store, instances) = instances(count, &services).await;
     let crashing = |number: usize| post("lookups", &format!("poison-{number}"), CRASHING_BODY);
-    // The request may have run each time, so the answer is 502 until three endpoints have disconnected.
+    let is_crashing = |it: &Arrival| it.body == CRASHING_BODY.as_bytes();
+    let reached = || services.iter().filter(|it| it.arrivals().iter().any(is_crashing)).count();
+    // Each call is sent to two endpoints that are drawn at random. It may have run, so the answer is 502
+    // until all three have disconnected.
     let mut calls = 0;
-    while call(instances[0].clients, crashing(calls)).await.status == 502 {
+    while reached() < services.len() {
+        verify_that!(calls, lt(MAX_CALLS))?;
+        verify_that!(call(instances[0].clients, crashing(calls)).await.status, eq(502))?;
         calls += 1;
-        verify_that!(calls, le(4))?;
     }
     verify_that!(calls, ge(2))?;
     tokio::time::sleep(Duration::from_millis(400)).await;
     let arrivals = || {
         let arrivals = services.iter().flat_map(FakeEndpoint::arrivals);
-        arrivals.filter(|it| it.body == CRASHING_BODY.as_bytes()).count()
+        arrivals.filter(is_crashing).count()
     };
     let before = arrivals();
-    for number in 5..9 {
+    for number in calls..calls + 4 {
         let instance = &instances[number % count];
         let refused = call(instance.clients, crashing(number)).await;
         verify_that!(refused.status, eq(503))?;
