--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -226,6 +226,7 @@
             return;
         }
         self.suspects.borrow_mut().strike(fingerprint, endpoint, now);
+        self.log_strike(fingerprint, endpoint, "own", now);
         if self.is_suspected(fingerprint, now) {
             log::warn!("event=request_suspected fingerprint={fingerprint:x} endpoint={endpoint}");
         }
@@ -234,6 +235,19 @@
         self.pending_update.borrow_mut().extend(update);
     }
 
+    fn log_strike(
+        &self,
+        fingerprint: Fingerprint,
+        endpoint: &EndpointId,
+        source: &str,
+        now: Instant,
+    ) {
+        let strikes = self.suspects.borrow().strike_count(fingerprint, now);
+        log::info!(
+            "event=strike fingerprint={fingerprint:x} endpoint={endpoint} source={source} strikes={strikes}"
+        );
+    }
+
     /// Records that a request completed without a crash
     pub fn record_completed(&self, fingerprint: Fingerprint, now: Instant) {
         self.completed.borrow_mut().put(fingerprint, ());
@@ -251,6 +265,7 @@
         let now = Instant::now();
         for strike in &update.strikes {
             self.suspects.borrow_mut().strike(strike.fingerprint, &strike.endpoint, now);
+            self.log_strike(strike.fingerprint, &strike.endpoint, "peer", now);
         }
         for (endpoint, health_update) in &update.health {
             if self.health.borrow_mut().apply_update(endpoint, *health_update, now) {
