--- a/crates/gateway/tests/gateway/client.rs
+++ b/crates/gateway/tests/gateway/client.rs
@@ -45,6 +45,11 @@
         RawClient { socket, buffer: Vec::new() }
     }
 
+    /// Client on a connection that is open already
+    pub fn of(socket: TcpStream) -> RawClient {
+        RawClient { socket, buffer: Vec::new() }
+    }
+
     /// Writes bytes to an open connection
     pub async fn write(&mut self, bytes: impl AsRef<[u8]>) {
         self.socket.write_all(bytes.as_ref()).await.expect("open connection");
--- /dev/null
+++ b/crates/gateway/tests/gateway/crash_evidence.rs
@@ -0,0 +1,197 @@
+//! Crashes of endpoints as evidence against a request: who is guilty, and who learns of it.
+
+use crate::client::{RawAnswer, RawClient, call};
+use crate::deployment::{config, endpoint, get, list, post};
+use crate::endpoint::{Arrival, FakeEndpoint, Step, answer};
+use crate::process::Instance;
+use crate::store::FakeStore;
+use googletest::prelude::*;
+use std::net::SocketAddr;
+use std::time::Duration;
+use testcases::cases;
+use tokio::net::TcpSocket;
+
+cases! { async
+    // Guards against a request that is sent on after three crashes, since a bystander took the strikes of two back.
+    bystander_of_two_crashes_takes_no_strikes_back => bystander(),
+    // Guards against a request that an instance sends on, since it started after the crashes.
+    crashing_request_is_refused_by_an_instance_that_starts_later => late_start(),
+    // Guards against a request without a body that is sent on after any number of crashes.
+    crashing_request_without_a_body_is_refused => without_body(),
+    // Guards against a refusal of the sound requests on the same path, since they have no body that tells them apart.
+    sound_neighbours_of_a_request_without_a_body_are_served => neighbours(),
+    // Guards against a request that is sent on after three crashes, since an error answer had protected it.
+    error_answer_protects_no_crashing_request => after_error(),
+    // Guards against crashes that count once, since the list still shows the first incarnation.
+    crashes_of_one_listed_incarnation_count_each => same_incarnation(),
+}
+
+const CRASHING: &str = "crashing";
+const SERVICES: usize = 8;
+/// Time after which the reports of two crashes of one endpoint are of different crashes, with a margin.
+const APART: Duration = Duration::from_millis(2300);
+/// Time in which all instances know of a crash.
+const REPORT_TIME: Duration = Duration::from_millis(700);
+/// Time in which an instance that has just started learns what the others know.
+const JOIN_TIME: Duration = Duration::from_millis(2500);
+/// Time in which a change of the list is known.
+const LIST_TIME: Duration = Duration::from_millis(300);
+
+/// Store and services, of which only one is listed as ready at a time
+struct CrashTest {
+    store: FakeStore,
+    services: Vec<FakeEndpoint>,
+    current: usize,
+}
+
+impl CrashTest {
+    async fn start(
+        script: impl Fn(&Arrival) -> Vec<Step> + Copy + Send + Sync + 'static,
+    ) -> CrashTest {
+        let store = FakeStore::start().await;
+        store.put("keyed.op", "config", config(1, 2000).to_string().as_bytes());
+        let mut services = Vec::new();
+        for number in 0..SERVICES {
+            services.push(endpoint(&format!("service-{number}"), script).await);
+        }
+        list(&store, &services[0], "ready", None);
+        CrashTest { store, services, current: 0 }
+    }
+
+    /// Starts an instance that follows the list
+    async fn instance(&self, name: &str) -> Instance {
+        let instance = Instance::start(self.store.address, name).await;
+        tokio::time::sleep(JOIN_TIME).await;
+        instance
+    }
+
+    /// Replaces the service that has crashed by the next one
+    async fn replace_service(&mut self) {
+        list(&self.store, &self.services[self.current], "draining", None);
+        self.current += 1;
+        list(&self.store, &self.services[self.current], "ready", None);
+        tokio::time::sleep(LIST_TIME).await;
+    }
+
+    /// Number of requests with this id prefix that reached the services
+    fn arrivals(&self, prefix: &str) -> usize {
+        let arrivals = self.services.iter().flat_map(FakeEndpoint::arrivals);
+        let has_prefix =
+            |it: &Arrival| it.header("x-request-id").is_some_and(|it| it.starts_with(prefix));
+        arrivals.filter(has_prefix).count()
+    }
+}
+
+/// Crashes on the crashing request; a request in flight meanwhile is broken off, others are served
+fn crashes(arrival: &Arrival) -> Vec<Step> {
+    let id = arrival.header("x-request-id").unwrap_or_default();
+    match id {
+        _ if arrival.body == CRASHING.as_bytes() => {
+            vec![Step::Pause(Duration::from_millis(150)), Step::Reset]
+        }
+        // Its connection is the first one that breaks.
+        _ if id.starts_with("bystander") => {
+            vec![Step::Pause(Duration::from_millis(100)), Step::Reset]
+        }
+        _ => vec![Step::Write(answer(arrival, "200 OK", "right"))],
+    }
+}
+
+async fn bystander() -> Result<()> {
+    let mut test = CrashTest::start(crashes).await;
+    let instance = test.instance("instance-1").await;
+    for number in 0..2 {
+        let other = post("lookups", &format!("bystander-{number}"), "bystander");
+        let crashing = post("lookups", &format!("crashing-{number}"), CRASHING);
+        let (other, crashing) =
+            tokio::join!(call(instance.clients, other), call(instance.clients, crashing));
+        verify_that!((other.status, crashing.status), eq((502, 502)))?;
+        test.replace_service().await;
+    }
+    for number in 2..6 {
+        call(instance.clients, post("lookups", &format!("crashing-{number}"), CRASHING)).await;
+        test.replace_service().await;
+    }
+    verify_that!(test.arrivals("crashing"), eq(3))?;
+    // The crashing request alone explains these crashes: its neighbour is served again.
+    let other = call(instance.clients, post("lookups", "other", "bystander")).await;
+    verify_that!(other.status, eq(200))
+}
+
+async fn late_start() -> Result<()> {
+    let mut test = CrashTest::start(crashes).await;
+    let first = test.instance("instance-1").await;
+    for number in 0..5 {
+        call(first.clients, post("lookups", &format!("crashing-{number}"), CRASHING)).await;
+        test.replace_service().await;
+    }
+    verify_that!(test.arrivals("crashing"), eq(3))?;
+    let second = test.instance("instance-2").await;
+    let refused = call(second.clients, post("lookups", "crashing-5", CRASHING)).await;
+    verify_that!(refused.status, eq(503))?;
+    verify_that!(test.arrivals("crashing"), eq(3))
+}
+
+async fn without_body() -> Result<()> {
+    let mut test = CrashTest::start(|_| vec![Step::Reset]).await;
+    let instance = test.instance("instance-1").await;
+    for number in 0..6 {
+        call(instance.clients, get("lookups", &format!("crashing-{number}"))).await;
+        test.replace_service().await;
+    }
+    verify_that!(test.arrivals("crashing"), eq(3))
+}
+
+/// Sends a request from a client with this address
+async fn call_from(source: &str, instance: SocketAddr, request: String) -> Result<RawAnswer> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(format!("{source}:0").parse()?)?;
+    let mut client = RawClient::of(socket.connect(instance).await?);
+    client.write(request).await;
+    Ok(client.read().await)
+}
+
+async fn neighbours() -> Result<()> {
+    let script = |it: &Arrival| {
+        let is_crashing = it.header("x-request-id").is_some_and(|it| it.starts_with(CRASHING));
+        if is_crashing { vec![Step::Reset] } else { crashes(it) }
+    };
+    let mut test = CrashTest::start(script).await;
+    let instance = test.instance("instance-1").await;
+    for number in 0..6 {
+        let crashing = get("lookups", &format!("crashing-{number}"));
+        call_from("127.0.0.2", instance.clients, crashing).await?;
+        test.replace_service().await;
+        let sound = get("lookups", &format!("sound-{number}"));
+        let got = call_from("127.0.0.3", instance.clients, sound).await?;
+        verify_that!(got.status, eq(200))?;
+    }
+    verify_that!(test.arrivals("crashing"), eq(3))
+}
+
+async fn after_error() -> Result<()> {
+    let script = |it: &Arrival| match it.header("x-request-id") {
+        Some("first") => vec![Step::Write(answer(it, "500 Error", "wrong"))],
+        _ => crashes(it),
+    };
+    let mut test = CrashTest::start(script).await;
+    let instance = test.instance("instance-1").await;
+    let failed = call(instance.clients, post("entries", "first", CRASHING)).await;
+    verify_that!(failed.status, eq(500))?;
+    for number in 0..6 {
+        call(instance.clients, post("entries", &format!("crashing-{number}"), CRASHING)).await;
+        test.replace_service().await;
+    }
+    verify_that!(test.arrivals("crashing"), eq(3))
+}
+
+async fn same_incarnation() -> Result<()> {
+    let test = CrashTest::start(crashes).await;
+    let instance = test.instance("instance-1").await;
+    for number in 0..5 {
+        call(instance.clients, post("lookups", &format!("crashing-{number}"), CRASHING)).await;
+        tokio::time::sleep(APART).await;
+    }
+    tokio::time::sleep(REPORT_TIME).await;
+    verify_that!(test.arrivals("crashing"), eq(3))
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod config;
+mod crash_evidence;
 mod crashes;
 mod deployment;
 mod drain;
