--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod plain;
 mod process;
 mod proxy;
+mod retry_limits;
 mod soak;
 mod store;
 mod streams;
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -62,6 +62,8 @@
     mode: StoreMode,
     era: StoreEra,
     calls: usize,
+    /// Topics whose calls get 503
+    declined_topics: Vec<String>,
 }
 
 /// Content of the store at some time
@@ -86,6 +88,7 @@
             mode: StoreMode::Normal,
             era: Some("1".to_owned()),
             calls: 0,
+            declined_topics: Vec::new(),
         };
         let store = FakeStore {
             address,
@@ -158,6 +161,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Answers calls about a topic with 503 from now on
+    pub fn decline_topic(&self, topic: &str) {
+        self.state.lock().expect("no panic").declined_topics.push(topic.to_owned());
+    }
+
     /// Number of calls so far
     pub fn calls(&self) -> usize {
         self.state.lock().expect("no panic").calls
@@ -183,6 +191,9 @@
             StoreMode::Unresponsive => std::future::pending().await,
         }
         let query = query(request.uri().query().unwrap_or_default());
+        if self.state.lock().expect("no panic").declined_topics.contains(&query["topic"]) {
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        }
         let path = request.uri().path().to_owned();
         let body = request.into_body().collect().await.map(|it| it.to_bytes()).unwrap_or_default();
         match path.as_str() {
