Count only a success as the completion of a request

What callers saw: a request that had crashed three endpoints was sent on as often as it came, since an endpoint had once answered it with an error. Cause: any whole answer to a once-only request counted as a completion, which protects a fingerprint from strikes while it is among the last 4,096; endpoints also answer errors without running a request. Change: only a 2xx answer is a completion.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -413,7 +413,9 @@
                 let is_error = answer.status.is_server_error();
                 let result = if is_error { SendResult::Failed } else { SendResult::Answered };
                 gateway.record_result(endpoint, result);
-                call.record_completion(gateway);
+                if answer.status.is_success() {
+                    call.record_completion(gateway);
+                }
                 record.endpoint = endpoint.id.clone();
                 record.finish("answered", answer.status.as_str());
                 return Ok(relay_whole(answer));
