Decide on crashing requests from all strikes, without taking any back

What callers saw: a request that had crashed three endpoints was sent on, up to two crashes more for each bystander, and each crash broke off the requests of others. Cause: the table refused at two strikes and the gateway at three. A bystander of two crashes was refused by the table alone, and its refusal took back the strikes of the crashing request and kept it from new ones for 2 s. Change: the gateway has a table of its own (decide::serving::crash_table) with one limit. Strikes are facts and stay; whether a request is refused is computed from all of them: its crashes count unless a request with more strikes ran beside it in each. A completion voids earlier strikes only, which replaces the list of the last 4,096 completed requests. Two requests that ran side by side in all of the same crashes are both refused.

--- /dev/null
+++ b/crates/decide/src/serving/crash_table.rs
@@ -0,0 +1,169 @@
+//! Requests that crash the endpoints that run them.
+//!
+//! Every request in flight at an endpoint that crashes gains a strike, whether it caused
+//! the crash or is a bystander. Strikes count until the request completes, since a request
+//! that crashes endpoints never does. One with `MAX_STRIKES` is refused, unless a request
+//! with more strikes explains its crashes. Two requests that have crashed the same number
+//! of endpoints, all of them together, can't be told apart, and both are refused.
+//!
+//! Nothing is taken back: each decision is computed from all strikes and completions.
+//! Instances may therefore merge their tables in any order, and as often as they like.
+
+use crate::fingerprint::Fingerprint;
+use catalogue::id::EndpointId;
+use indexmap::IndexMap;
+use std::time::{Duration, Instant};
+
+/// Strikes from which a request is refused; the users' rules count retries from the third crash on.
+pub const MAX_STRIKES: usize = 3;
+/// Time after which a strike or a completion no longer counts.
+pub const STRIKE_LIFETIME: Duration = Duration::from_secs(600);
+/// Maximum time between the reports of one crash by the requests that ran there.
+const SAME_CRASH_WINDOW: Duration = Duration::from_secs(2);
+/// Maximum number of tracked requests.
+const MAX_ENTRIES: usize = 500;
+/// Maximum number of strikes kept for a request; the oldest are dropped.
+const MAX_KEPT_STRIKES: usize = 6;
+
+#[derive(Debug, Clone)]
+struct Strike {
+    endpoint: EndpointId,
+    at: Instant,
+}
+
+impl Strike {
+    /// Whether two requests report the same crash
+    fn is_same_crash(&self, other: &Strike) -> bool {
+        self.endpoint == other.endpoint && distance(self.at, other.at) < SAME_CRASH_WINDOW
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+struct CrashEntry {
+    strikes: Vec<Strike>,
+    completed_at: Option<Instant>,
+}
+
+impl CrashEntry {
+    /// Time of the last fact
+    fn last_at(&self) -> Option<Instant> {
+        self.strikes.iter().map(|it| it.at).chain(self.completed_at).max()
+    }
+
+    fn drop_void(&mut self, now: Instant) {
+        let completed_at = self.completed_at;
+        self.strikes
+            .retain(|it| is_fresh(it.at, now) && completed_at.is_none_or(|end| end < it.at));
+    }
+}
+
+/// Strikes and completions by request
+#[derive(Debug, Clone, Default)]
+pub struct CrashTable {
+    entries: IndexMap<Fingerprint, CrashEntry>,
+}
+
+impl CrashTable {
+    /// Whether no request has a strike or has completed after one
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Records that an endpoint's incarnation crashed at a time while it ran the request; `true` if that is new
+    pub fn record_strike(
+        &mut self,
+        fingerprint: Fingerprint,
+        endpoint: &EndpointId,
+        at: Instant,
+        now: Instant,
+    ) -> bool {
+        if !is_fresh(at, now) {
+            return false;
+        }
+        if !self.entries.contains_key(&fingerprint) {
+            self.make_room();
+        }
+        let entry = self.entries.entry(fingerprint).or_default();
+        entry.drop_void(now);
+        let strike = Strike { endpoint: endpoint.clone(), at };
+        let is_known = entry.strikes.iter().any(|it| it.endpoint == *endpoint);
+        if is_known || entry.completed_at.is_some_and(|it| at <= it) {
+            return false;
+        }
+        entry.strikes.push(strike);
+        entry.strikes.sort_by_key(|it| it.at);
+        if entry.strikes.len() > MAX_KEPT_STRIKES {
+            entry.strikes.remove(0);
+        }
+        true
+    }
+
+    /// Records that the request completed without a crash; `true` if that is new and it had strikes
+    pub fn record_completion(
+        &mut self,
+        fingerprint: Fingerprint,
+        at: Instant,
+        now: Instant,
+    ) -> bool {
+        let Some(entry) = self.entries.get_mut(&fingerprint) else { return false };
+        let is_new = entry.strikes.iter().any(|it| it.at <= at);
+        if is_new {
+            entry.completed_at = entry.completed_at.max(Some(at));
+            entry.drop_void(now);
+        }
+        is_new
+    }
+
+    /// Number of strikes that count
+    pub fn strike_count(&self, fingerprint: Fingerprint, now: Instant) -> usize {
+        self.strikes(fingerprint, now).count()
+    }
+
+    /// Whether the request is refused
+    pub fn is_refused(&self, fingerprint: Fingerprint, now: Instant) -> bool {
+        let count = self.strike_count(fingerprint, now);
+        if count < MAX_STRIKES {
+            return false;
+        }
+        let with_more = self.entries.keys().filter(|it| self.strike_count(**it, now) > count);
+        let explained = with_more.flat_map(|it| self.strikes(*it, now)).collect::<Vec<_>>();
+        let unexplained = self
+            .strikes(fingerprint, now)
+            .filter(|strike| !explained.iter().any(|it| it.is_same_crash(strike)));
+        unexplained.count() >= MAX_STRIKES
+    }
+
+    /// Drops the entries that no longer count
+    pub fn expire(&mut self, now: Instant) {
+        self.entries.retain(|_, entry| {
+            entry.drop_void(now);
+            entry.completed_at = entry.completed_at.filter(|it| is_fresh(*it, now));
+            entry.last_at().is_some()
+        });
+    }
+
+    fn strikes(&self, fingerprint: Fingerprint, now: Instant) -> impl Iterator<Item = &Strike> {
+        let entry = self.entries.get(&fingerprint);
+        entry.into_iter().flat_map(|it| &it.strikes).filter(move |it| is_fresh(it.at, now))
+    }
+
+    /// Evicts the entry with the fewest strikes, the oldest of these, if the table is full
+    fn make_room(&mut self) {
+        if self.entries.len() < MAX_ENTRIES {
+            return;
+        }
+        let weakest =
+            self.entries.iter().min_by_key(|(_, entry)| (entry.strikes.len(), entry.last_at()));
+        if let Some(fingerprint) = weakest.map(|(fingerprint, _)| *fingerprint) {
+            self.entries.swap_remove(&fingerprint);
+        }
+    }
+}
+
+fn is_fresh(at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(at) < STRIKE_LIFETIME
+}
+
+fn distance(one: Instant, other: Instant) -> Duration {
+    one.max(other).saturating_duration_since(one.min(other))
+}
--- /dev/null
+++ b/crates/decide/tests/serving_crash_table.rs
@@ -0,0 +1,99 @@
+//! Crash table: who is refused for which crashes, and that tables merge in any order.
+
+use decide::serving::crash_table::{CrashTable, STRIKE_LIFETIME};
+use googletest::prelude::*;
+use std::time::{Duration, Instant};
+use testcases::cases;
+
+/// What happens to requests, one second after another
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// An endpoint crashes while these requests run there
+    Crash(&'static str, &'static [u64]),
+    Completed(u64),
+}
+
+use Step::{Completed, Crash};
+
+/// Checks which of the requests 1 and 2 are refused in the end
+fn check(steps: &[Step], refused: (bool, bool)) -> Result<()> {
+    let start = Instant::now();
+    let mut table = CrashTable::default();
+    let mut now = start;
+    for step in steps {
+        match step {
+            Crash(endpoint, requests) => {
+                for request in *requests {
+                    table.record_strike(*request, &(*endpoint).into(), now, now);
+                }
+            }
+            Completed(request) => {
+                table.record_completion(*request, now, now);
+            }
+        }
+        now += Duration::from_secs(1);
+    }
+    verify_that!((table.is_refused(1, now), table.is_refused(2, now)), eq(refused))
+}
+
+fn check_expiry() -> Result<()> {
+    let now = Instant::now();
+    let mut table = CrashTable::default();
+    for endpoint in ["a", "b", "c"] {
+        table.record_strike(1, &endpoint.into(), now, now);
+    }
+    verify_that!(table.is_refused(1, now + STRIKE_LIFETIME / 2), eq(true))?;
+    verify_that!(table.is_refused(1, now + STRIKE_LIFETIME), eq(false))?;
+    table.expire(now + STRIKE_LIFETIME);
+    verify_that!(table.is_empty(), eq(true))
+}
+
+fn check_eviction() -> Result<()> {
+    let now = Instant::now();
+    let mut table = CrashTable::default();
+    for endpoint in ["a", "b", "c"] {
+        table.record_strike(1, &endpoint.into(), now, now);
+    }
+    for other in 10..5000 {
+        table.record_strike(other, &"d".into(), now, now);
+    }
+    verify_that!(table.is_refused(1, now), eq(true))
+}
+
+cases! {
+    two_crashes_refuse_nobody => check(&[Crash("a", &[1]), Crash("b", &[1])], (false, false)),
+    third_crash_refuses => check(&[Crash("a", &[1]), Crash("b", &[1]), Crash("c", &[1])], (true, false)),
+    // Guards against a bystander of two crashes that takes the strikes of the crashing request back.
+    bystander_of_two_crashes_changes_nothing => check(
+        &[Crash("a", &[2, 1]), Crash("b", &[2, 1]), Crash("c", &[1])],
+        (true, false)
+    ),
+    bystander_of_three_of_four_crashes_is_served => check(
+        &[Crash("a", &[2, 1]), Crash("b", &[1]), Crash("c", &[2, 1]), Crash("d", &[2, 1])],
+        (true, false)
+    ),
+    neighbours_in_the_same_three_crashes_are_both_refused => check(
+        &[Crash("a", &[2, 1]), Crash("b", &[1, 2]), Crash("c", &[2, 1])],
+        (true, true)
+    ),
+    crashes_of_another_request_explain_none_that_it_did_not_see => check(
+        &[Crash("a", &[1]), Crash("b", &[1]), Crash("c", &[1]), Crash("d", &[2]), Crash("e", &[2]),
+          Crash("f", &[2]), Crash("g", &[2])],
+        (true, true)
+    ),
+    completion_voids_earlier_strikes => check(
+        &[Crash("a", &[1]), Crash("b", &[1]), Completed(1), Crash("c", &[1])],
+        (false, false)
+    ),
+    // Guards against a request that is never refused, since it had completed before.
+    strikes_after_a_completion_count => check(
+        &[Crash("a", &[1]), Completed(1), Crash("b", &[1]), Crash("c", &[1]), Crash("d", &[1])],
+        (true, false)
+    ),
+    completion_ends_a_refusal => check(
+        &[Crash("a", &[1]), Crash("b", &[1]), Crash("c", &[1]), Completed(1)],
+        (false, false)
+    ),
+    strikes_expire => check_expiry(),
+    refused_request_is_not_evicted_by_others => check_eviction(),
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use catalogue::id::{EndpointId, PoolName};
 use decide::fingerprint::{Fingerprint, fingerprint};
+use decide::serving::crash_table::STRIKE_LIFETIME;
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::health::SendResult;
 use decide::serving::notice::PauseStep;
@@ -16,7 +17,6 @@
 use decide::serving::prompt::PromptShape;
 use decide::serving::route::{RetryRule, RouteConfig};
 use decide::serving::send_history::{NextStep, RunStatus, SendHistory};
-use decide::suspect::STRIKE_LIFETIME;
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -103,8 +103,8 @@
 
     /// Whether the request is suspected of crashing endpoints, here or at other instances
     fn is_suspected(&self, gateway: &Gateway) -> bool {
-        // Avoids hashing the body: usually nothing is suspected.
-        if gateway.suspects.borrow().is_empty() {
+        // Avoids hashing the body: usually no endpoint has crashed.
+        if gateway.crashes.borrow().is_empty() {
             return false;
         }
         self.fingerprint().is_some_and(|it| gateway.is_suspected(it, std::time::Instant::now()))
@@ -132,6 +132,9 @@
 
     /// Records that the request completed without a crash
     pub fn record_completion(&self, gateway: &Gateway) {
+        if gateway.crashes.borrow().is_empty() {
+            return;
+        }
         if let Some(fingerprint) = self.fingerprint() {
             gateway.record_completed(fingerprint, std::time::Instant::now());
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -91,13 +91,13 @@
     Ok(())
 }
 
-/// Periodically closes expired connections and removes expired suspects
+/// Periodically closes expired connections and removes expired strikes
 async fn expire_entries(gateway: Rc<Gateway>) {
     loop {
         sleep(EXPIRY_INTERVAL).await;
         let now = std::time::Instant::now();
         gateway.connections.expire(now);
-        gateway.suspects.borrow_mut().expire(now);
+        gateway.crashes.borrow_mut().expire(now);
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,6 +13,7 @@
 use catalogue::id::{EndpointId, PoolName};
 use decide::fingerprint::Fingerprint;
 use decide::serving::cache::PromptCaches;
+use decide::serving::crash_table::CrashTable;
 use decide::serving::deadline::DeadlinePeak;
 use decide::serving::endpoint_list::{EndpointList, ListedEndpoint};
 use decide::serving::health::{EndpointHealth, SendResult};
@@ -24,22 +25,14 @@
 use decide::serving::route::{RetryRule, RouteName, ServingConfig};
 use decide::serving::store_era::{EraTracker, StoreEra, TopicPosition};
 use decide::serving::timing::{PoolTiming, StageSample};
-use decide::suspect::SuspectTable;
 use indexmap::IndexMap;
-use lru::LruCache;
 use platform_adapter::settings::InstanceSettings;
 use platform_adapter::store::StoreClient;
 use std::cell::{Cell, RefCell};
-use std::num::NonZeroUsize;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify, watch};
 
-/// Strikes from which a request is refused; the users' rules count retries from the third crash on.
-const MAX_STRIKES: usize = 3;
-/// Maximum number of completed requests to remember; about 20 s of the users' load.
-const MAX_COMPLETED_REQUESTS: NonZeroUsize = NonZeroUsize::new(4096).expect("not zero");
-
 /// Shared state of an instance
 pub struct Gateway {
     /// Settings, fixed for the life of the process
@@ -86,10 +79,8 @@
     pub caches: RefCell<PromptCaches>,
     /// Learned times of the engines by pool
     pub timings: RefCell<IndexMap<PoolName, PoolTiming>>,
-    /// Requests suspected of crashing endpoints
-    pub suspects: RefCell<SuspectTable>,
-    /// Recently completed requests; a disconnect during one of them has another cause
-    pub completed: RefCell<LruCache<Fingerprint, ()>>,
+    /// Requests that ran at endpoints that crashed
+    pub crashes: RefCell<CrashTable>,
     /// Update to be sent to the other instances with the next message
     pub pending_update: RefCell<ServingUpdate>,
     /// Recent requests and retries by pool
@@ -136,8 +127,7 @@
             load: RefCell::default(),
             caches: RefCell::default(),
             timings: RefCell::default(),
-            suspects: RefCell::default(),
-            completed: RefCell::new(LruCache::new(MAX_COMPLETED_REQUESTS)),
+            crashes: RefCell::default(),
             pending_update: RefCell::default(),
             retry_windows: RefCell::default(),
             deadline_peaks: RefCell::default(),
@@ -222,50 +212,49 @@
 
     /// Records that an endpoint closed the connection while it may have run a request
     pub fn record_strike(&self, fingerprint: Fingerprint, endpoint: &EndpointId, now: Instant) {
-        if self.completed.borrow().contains(&fingerprint) {
+        if !self.apply_strike(fingerprint, endpoint, now, "own") {
             return;
         }
-        self.suspects.borrow_mut().strike(fingerprint, endpoint, now);
-        self.log_strike(fingerprint, endpoint, "own", now);
-        if self.is_suspected(fingerprint, now) {
-            log::warn!("event=request_suspected fingerprint={fingerprint:x} endpoint={endpoint}");
-        }
         let strike = CrashStrike { fingerprint, endpoint: endpoint.clone() };
         let update = ServingUpdate { strikes: vec![strike], ..Default::default() };
         self.pending_update.borrow_mut().extend(update);
     }
 
-    fn log_strike(
+    /// Adds a strike to the table; `true` if it is new
+    fn apply_strike(
         &self,
         fingerprint: Fingerprint,
         endpoint: &EndpointId,
-        source: &str,
         now: Instant,
-    ) {
-        let strikes = self.suspects.borrow().strike_count(fingerprint, now);
-        log::info!(
-            "event=strike fingerprint={fingerprint:x} endpoint={endpoint} source={source} strikes={strikes}"
-        );
+        source: &str,
+    ) -> bool {
+        let mut crashes = self.crashes.borrow_mut();
+        let is_new = crashes.record_strike(fingerprint, endpoint, now, now);
+        if is_new {
+            log::info!(
+                "event=strike fingerprint={fingerprint:x} endpoint={endpoint} source={source} strikes={} refused={}",
+                crashes.strike_count(fingerprint, now),
+                crashes.is_refused(fingerprint, now),
+            );
+        }
+        is_new
     }
 
     /// Records that a request completed without a crash
     pub fn record_completed(&self, fingerprint: Fingerprint, now: Instant) {
-        self.completed.borrow_mut().put(fingerprint, ());
-        self.suspects.borrow_mut().clear(fingerprint, now);
+        self.crashes.borrow_mut().record_completion(fingerprint, now, now);
     }
 
-    /// Whether a request has enough strikes to be refused and has not completed recently
+    /// Whether a request is refused for the crashes of the endpoints that ran it
     pub fn is_suspected(&self, fingerprint: Fingerprint, now: Instant) -> bool {
-        let strikes = self.suspects.borrow().strike_count(fingerprint, now);
-        strikes >= MAX_STRIKES && !self.completed.borrow().contains(&fingerprint)
+        self.crashes.borrow().is_refused(fingerprint, now)
     }
 
     /// Applies an update from another instance
     pub fn apply_update(&self, update: &ServingUpdate) {
         let now = Instant::now();
         for strike in &update.strikes {
-            self.suspects.borrow_mut().strike(strike.fingerprint, &strike.endpoint, now);
-            self.log_strike(strike.fingerprint, &strike.endpoint, "peer", now);
+            self.apply_strike(strike.fingerprint, &strike.endpoint, now, "peer");
         }
         for (endpoint, health_update) in &update.health {
             if self.health.borrow_mut().apply_update(endpoint, *health_update, now) {
