Identify the crash of an endpoint by its time, not by the listed incarnation

What callers saw: a request was sent on after three crashes of endpoints whose new entries had not been read. Cause: a strike named the incarnation that the list showed, and one that isn't listed counted as 0. Endpoints that crash again before their next entry is read, or while the store is away, counted once. Reports of one crash still count once.

--- a/crates/decide/src/serving/crash_table.rs
+++ b/crates/decide/src/serving/crash_table.rs
@@ -69,7 +69,9 @@
         self.entries.is_empty()
     }
 
-    /// Records that an endpoint's incarnation crashed at a time while it ran the request; `true` if that is new
+    /// Records that an endpoint crashed at a time while it ran the request; `true` if that is new
+    ///
+    /// The next incarnation may run, and crash, before the list shows it. A crash therefore is identified by its time.
     pub fn record_strike(
         &mut self,
         fingerprint: Fingerprint,
@@ -86,7 +88,7 @@
         let entry = self.entries.entry(fingerprint).or_default();
         entry.drop_void(now);
         let strike = Strike { endpoint: endpoint.clone(), at };
-        let is_known = entry.strikes.iter().any(|it| it.endpoint == *endpoint);
+        let is_known = entry.strikes.iter().any(|it| it.is_same_crash(&strike));
         if is_known || entry.completed_at.is_some_and(|it| at <= it) {
             return false;
         }
--- a/crates/decide/tests/serving_crash_table.rs
+++ b/crates/decide/tests/serving_crash_table.rs
@@ -94,6 +94,12 @@
         &[Crash("a", &[1]), Crash("b", &[1]), Crash("c", &[1]), Completed(1)],
         (false, false)
     ),
+    // Guards against crashes that count once, since the list shows the next incarnations too late.
+    crashes_of_one_endpoint_count_each => check(
+        &[Crash("a", &[1]), Completed(2), Completed(2), Crash("a", &[1]), Completed(2), Completed(2), Crash("a", &[1])],
+        (true, false)
+    ),
+    reports_of_one_crash_count_once => check(&[Crash("a", &[1, 1]), Crash("a", &[1]), Crash("b", &[1])], (false, false)),
     strikes_expire => check_expiry(),
     refused_request_is_not_evicted_by_others => check_eviction(),
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -23,7 +23,7 @@
 use hyper::body::Incoming;
 use platform_adapter::answer::{GatewayAnswer, client_headers};
 use platform_adapter::head::{EngineStage, SendParameters, decode_head};
-use smol_str::{SmolStr, format_smolstr};
+use smol_str::SmolStr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -122,11 +122,8 @@
         if !error.is_disconnect() {
             return;
         }
-        // Each incarnation counts: a restarted endpoint may crash again on the same request.
-        let start = gateway.endpoints.borrow().get(endpoint).map_or(0, |it| it.started_at_ms);
-        let incarnation = format_smolstr!("{endpoint}@{start}");
         if let Some(fingerprint) = self.fingerprint() {
-            gateway.record_strike(fingerprint, &incarnation, std::time::Instant::now());
+            gateway.record_strike(fingerprint, endpoint, std::time::Instant::now());
         }
     }
 
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -60,7 +60,7 @@
 pub struct CrashStrike {
     /// Fingerprint of the request's path and body
     pub fingerprint: Fingerprint,
-    /// Incarnation of the endpoint
+    /// Endpoint that crashed
     pub endpoint: EndpointId,
 }
 
