Recognize requests without a body by path and caller

What callers saw: a request without a body that crashes endpoints was sent on as often as it came. Cause: it had no fingerprint, since many sound requests share its path, so none of its crashes was recorded. Change: without a body the caller's address is part of the fingerprint; a completion of the same caller on the same path voids the strikes.

--- a/crates/decide/src/fingerprint.rs
+++ b/crates/decide/src/fingerprint.rs
@@ -4,7 +4,8 @@
 //! and with other whitespace. The fingerprint covers the entry and the prompt, ignoring
 //! whitespace and ASCII case. Any other change of the prompt gives a new fingerprint.
 
-use std::hash::Hasher;
+use std::hash::{Hash, Hasher};
+use std::net::IpAddr;
 use twox_hash::XxHash3_64;
 
 /// Hash of a request's entry and normalized prompt.
@@ -24,3 +25,31 @@
     hasher.write(&normalized);
     hasher.finish()
 }
+
+/// Request as the endpoints see it, and its caller
+#[derive(Debug, Clone, Copy)]
+pub struct RequestContent<'a> {
+    pub method: &'a str,
+    /// Path and query
+    pub path: &'a str,
+    pub body: &'a [u8],
+    /// Address of the caller
+    pub caller: IpAddr,
+}
+
+/// Computes the fingerprint of a request
+///
+/// A body identifies the request by itself, from whatever address it comes again. Many callers send sound
+/// requests without a body on one path, so there the caller is part of it.
+pub fn request_fingerprint(content: &RequestContent<'_>) -> Fingerprint {
+    let RequestContent { method, path, body, caller } = content;
+    let mut hasher = XxHash3_64::default();
+    for part in [method.as_bytes(), path.as_bytes(), body] {
+        hasher.write_usize(part.len());
+        hasher.write(part);
+    }
+    if body.is_empty() {
+        caller.hash(&mut hasher);
+    }
+    hasher.finish()
+}
--- a/crates/decide/tests/serving_crash_table.rs
+++ b/crates/decide/tests/serving_crash_table.rs
@@ -1,5 +1,6 @@
 //! Crash table: who is refused for which crashes, and that tables merge in any order.
 
+use decide::fingerprint::{RequestContent, request_fingerprint};
 use decide::serving::crash_table::{CrashTable, STRIKE_LIFETIME};
 use googletest::prelude::*;
 use std::time::{Duration, Instant};
@@ -60,6 +61,21 @@
     verify_that!(table.is_refused(1, now), eq(true))
 }
 
+fn content<'a>(path: &'a str, body: &'a [u8], caller: [u8; 4]) -> RequestContent<'a> {
+    RequestContent { method: "POST", path, body, caller: caller.into() }
+}
+
+fn check_fingerprints(
+    one: RequestContent<'_>,
+    other: RequestContent<'_>,
+    is_same: bool,
+) -> Result<()> {
+    verify_that!(request_fingerprint(&one) == request_fingerprint(&other), eq(is_same))
+}
+
+const CALLER: [u8; 4] = [10, 0, 0, 1];
+const OTHER_CALLER: [u8; 4] = [10, 0, 0, 2];
+
 cases! {
     two_crashes_refuse_nobody => check(&[Crash("a", &[1]), Crash("b", &[1])], (false, false)),
     third_crash_refuses => check(&[Crash("a", &[1]), Crash("b", &[1]), Crash("c", &[1])], (true, false)),
@@ -102,4 +118,17 @@
     reports_of_one_crash_count_once => check(&[Crash("a", &[1, 1]), Crash("a", &[1]), Crash("b", &[1])], (false, false)),
     strikes_expire => check_expiry(),
     refused_request_is_not_evicted_by_others => check_eviction(),
+    body_is_recognized_from_another_caller => check_fingerprints(
+        content("/a", b"text", CALLER), content("/a", b"text", OTHER_CALLER), true
+    ),
+    callers_without_a_body_differ => check_fingerprints(
+        content("/a", b"", CALLER), content("/a", b"", OTHER_CALLER), false
+    ),
+    // Guards against binary bodies that count as the same, since their invalid UTF-8 was replaced.
+    binary_bodies_differ => check_fingerprints(
+        content("/a", b"\xff\x01", CALLER), content("/a", b"\xfe\x01", CALLER), false
+    ),
+    bytes_between_path_and_body_matter => check_fingerprints(
+        content("/ab", b"c", CALLER), content("/a", b"bc", CALLER), false
+    ),
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,6 +13,7 @@
 use platform_adapter::answer::{AnswerHead, decode_answer};
 use platform_adapter::engine::{cache_path, call_headers};
 use platform_adapter::head::{SendParameters, endpoint_headers};
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -31,6 +32,8 @@
     pub body: Bytes,
     /// Id of the client's attempt
     pub id: smol_str::SmolStr,
+    /// Address of the client
+    pub caller: IpAddr,
 }
 
 /// Error of a send to an endpoint
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -8,7 +8,7 @@
 use crate::state::{Gateway, WorkGuard};
 use bytes::Bytes;
 use catalogue::id::{EndpointId, PoolName};
-use decide::fingerprint::{Fingerprint, fingerprint};
+use decide::fingerprint::{Fingerprint, RequestContent, request_fingerprint};
 use decide::serving::crash_table::STRIKE_LIFETIME;
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::health::SendResult;
@@ -24,6 +24,7 @@
 use platform_adapter::answer::{GatewayAnswer, client_headers};
 use platform_adapter::head::{EngineStage, SendParameters, decode_head};
 use smol_str::SmolStr;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -107,14 +108,18 @@
         if gateway.crashes.borrow().is_empty() {
             return false;
         }
-        self.fingerprint().is_some_and(|it| gateway.is_suspected(it, std::time::Instant::now()))
+        gateway.is_suspected(self.fingerprint(), std::time::Instant::now())
     }
 
-    /// Hash of path and body; `None` without a body, since many unrelated requests share a path
-    fn fingerprint(&self) -> Option<Fingerprint> {
-        let body = Some(&self.request.body).filter(|it| !it.is_empty())?;
-        let path = self.request.parts.uri.path_and_query()?.as_str();
-        Some(fingerprint(path, &String::from_utf8_lossy(body)))
+    /// Fingerprint by which the request is recognized when it comes again
+    fn fingerprint(&self) -> Fingerprint {
+        let ClientRequest { parts, body, caller, .. } = &self.request;
+        request_fingerprint(&RequestContent {
+            method: parts.method.as_str(),
+            path: parts.uri.path_and_query().map_or("", |it| it.as_str()),
+            body,
+            caller: *caller,
+        })
     }
 
     /// Records a strike if the endpoint closed the connection while it may have run the request
@@ -122,9 +127,7 @@
         if !error.is_disconnect() {
             return;
         }
-        if let Some(fingerprint) = self.fingerprint() {
-            gateway.record_strike(fingerprint, endpoint, std::time::Instant::now());
-        }
+        gateway.record_strike(self.fingerprint(), endpoint, std::time::Instant::now());
     }
 
     /// Records that the request completed without a crash
@@ -132,9 +135,7 @@
         if gateway.crashes.borrow().is_empty() {
             return;
         }
-        if let Some(fingerprint) = self.fingerprint() {
-            gateway.record_completed(fingerprint, std::time::Instant::now());
-        }
+        gateway.record_completed(self.fingerprint(), std::time::Instant::now());
     }
 
     /// Records a failed send to an endpoint
@@ -247,8 +248,12 @@
     }
 }
 
-/// Serves a request and always returns a response
-pub async fn serve(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+/// Serves a request of the client at an address and always returns a response
+pub async fn serve(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+    caller: IpAddr,
+) -> Response<AnswerBody> {
     let arrived_at = Instant::now();
     let (parts, body) = request.into_parts();
     let head = match decode_head(&parts) {
@@ -266,7 +271,7 @@
     let id = head.id.clone();
     let is_chunked = head.is_chunked;
     let mut record = RequestRecord::new(gateway.clone(), id.clone(), arrived_at);
-    let result = match prepare_call(gateway, &mut record, parts, body, head, arrived_at).await {
+    let result = match prepare_call(gateway, &mut record, parts, body, head, caller).await {
         Ok(call) => {
             if call.route.is_stream {
                 generation::serve(gateway, call, record).await
@@ -314,8 +319,9 @@
     parts: http::request::Parts,
     body: Incoming,
     head: platform_adapter::head::RequestHead,
-    arrived_at: Instant,
+    caller: IpAddr,
 ) -> Result<ServingCall, Refusal> {
+    let arrived_at = record.arrived_at;
     let config = gateway.config.borrow().clone();
     let Some(config) = config.filter(|_| gateway.is_ready()) else {
         return Err(Refusal::new(GatewayAnswer::NotRun, "starting"));
@@ -342,7 +348,7 @@
         has_waited: gateway.has_waited(&route.name, time_left, arrived_at.into_std()),
         arrived_at,
         failed_connects: 0,
-        request: ClientRequest { parts, body, id: head.id },
+        request: ClientRequest { parts, body, id: head.id, caller },
     })
 }
 
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -10,6 +10,7 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
+use std::net::IpAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -37,8 +38,8 @@
 pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((socket, _)) if gateway.open_connections.get() < MAX_CONNECTIONS => {
-                tokio::task::spawn_local(serve(gateway.clone(), socket));
+            Ok((socket, client)) if gateway.open_connections.get() < MAX_CONNECTIONS => {
+                tokio::task::spawn_local(serve(gateway.clone(), socket, client.ip()));
             }
             Ok(_) => log::warn!("event=connection_refused reason=limit limit={MAX_CONNECTIONS}"),
             Err(error) => {
@@ -167,7 +168,7 @@
     }
 }
 
-async fn serve(gateway: Rc<Gateway>, socket: TcpStream) {
+async fn serve(gateway: Rc<Gateway>, socket: TcpStream, caller: IpAddr) {
     let _guard = ConnectionGuard::new(gateway.clone());
     if let Err(error) = socket.set_nodelay(true) {
         log::debug!("event=connection_ended error={error}");
@@ -184,7 +185,7 @@
             let in_use = ActivityGuard::new(activity.clone());
             let open = RequestGuard::new(gateway.clone());
             async move {
-                let mut response = forward::serve(&gateway, request).await;
+                let mut response = forward::serve(&gateway, request, caller).await;
                 if gateway.stopping.get() {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
