Repair what instances know of crashing requests

What callers saw: an instance that started, was cut or missed a message sent a request on that all others refused, and crashed up to three endpoints more. Cause: a strike was sent once, with the next message, and nobody told it to those that came later. Change: strikes and completions are facts with an age that merge in any order. Each message carries the sender's digest of them; where two instances' digests stay different for 250 ms, each sends the other all of its facts, once a second at most (peers::repair).

--- a/crates/decide/src/serving/crash_table.rs
+++ b/crates/decide/src/serving/crash_table.rs
@@ -12,7 +12,11 @@
 use crate::fingerprint::Fingerprint;
 use catalogue::id::EndpointId;
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
+use std::hash::Hasher;
 use std::time::{Duration, Instant};
+use twox_hash::XxHash3_64;
 
 /// Strikes from which a request is refused; the users' rules count retries from the third crash on.
 pub const MAX_STRIKES: usize = 3;
@@ -20,9 +24,11 @@
 pub const STRIKE_LIFETIME: Duration = Duration::from_secs(600);
 /// Maximum time between the reports of one crash by the requests that ran there.
 const SAME_CRASH_WINDOW: Duration = Duration::from_secs(2);
+/// Maximum delay of a report to another instance, by which a strike may seem to be later than a completion.
+const MAX_REPORT_DELAY: Duration = Duration::from_millis(500);
 /// Maximum number of tracked requests.
 const MAX_ENTRIES: usize = 500;
-/// Maximum number of strikes kept for a request; the oldest are dropped.
+/// Maximum number of strikes kept for a request; more don't change the decision.
 const MAX_KEPT_STRIKES: usize = 6;
 
 #[derive(Debug, Clone)]
@@ -57,10 +63,38 @@
     }
 }
 
+/// Strike or completion of a request, as instances send it to each other
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct CrashFact {
+    pub fingerprint: Fingerprint,
+    /// Endpoint that crashed; `None` if the request completed
+    pub crashed: Option<EndpointId>,
+    /// Age in milliseconds when it was sent
+    pub age_ms: u32,
+}
+
+impl CrashFact {
+    /// Fact that has become known at a time
+    pub fn new(
+        fingerprint: Fingerprint,
+        crashed: Option<EndpointId>,
+        at: Instant,
+        now: Instant,
+    ) -> CrashFact {
+        let age = now.saturating_duration_since(at).as_millis();
+        CrashFact { fingerprint, crashed, age_ms: u32::try_from(age).unwrap_or(u32::MAX) }
+    }
+}
+
+/// Hash of facts, independent of their order and ages; 0 without facts.
+pub type FactDigest = u64;
+
 /// Strikes and completions by request
 #[derive(Debug, Clone, Default)]
 pub struct CrashTable {
     entries: IndexMap<Fingerprint, CrashEntry>,
+    digest: FactDigest,
 }
 
 impl CrashTable {
@@ -89,14 +123,12 @@
         entry.drop_void(now);
         let strike = Strike { endpoint: endpoint.clone(), at };
         let is_known = entry.strikes.iter().any(|it| it.is_same_crash(&strike));
-        if is_known || entry.completed_at.is_some_and(|it| at <= it) {
+        let is_full = entry.strikes.len() >= MAX_KEPT_STRIKES;
+        if is_known || is_full || is_voided(at, entry.completed_at) {
             return false;
         }
         entry.strikes.push(strike);
-        entry.strikes.sort_by_key(|it| it.at);
-        if entry.strikes.len() > MAX_KEPT_STRIKES {
-            entry.strikes.remove(0);
-        }
+        self.update_digest();
         true
     }
 
@@ -108,14 +140,58 @@
         now: Instant,
     ) -> bool {
         let Some(entry) = self.entries.get_mut(&fingerprint) else { return false };
-        let is_new = entry.strikes.iter().any(|it| it.at <= at);
+        let is_new = entry.strikes.iter().any(|it| is_voided(it.at, Some(at)));
         if is_new {
             entry.completed_at = entry.completed_at.max(Some(at));
             entry.drop_void(now);
+            self.update_digest();
         }
         is_new
     }
 
+    /// Adds a fact of another instance; `true` if it is new
+    pub fn merge(&mut self, fact: &CrashFact, now: Instant) -> bool {
+        let age = Duration::from_millis(fact.age_ms.into());
+        // A fact from before the steady clock's start is older than any strike that counts.
+        let Some(at) = now.checked_sub(age) else { return false };
+        match &fact.crashed {
+            Some(endpoint) => self.record_strike(fact.fingerprint, endpoint, at, now),
+            None => self.record_completion(fact.fingerprint, at, now),
+        }
+    }
+
+    /// All facts that count; those on requests with the most strikes first
+    pub fn facts(&self, now: Instant) -> Vec<CrashFact> {
+        let mut entries = self.entries.iter().collect::<Vec<_>>();
+        entries.sort_by_key(|(_, entry)| Reverse(entry.strikes.len()));
+        let facts = entries.into_iter().flat_map(|(fingerprint, entry)| {
+            let fact = move |crashed, at| CrashFact::new(*fingerprint, crashed, at, now);
+            let strikes = entry.strikes.iter().filter(move |it| is_fresh(it.at, now));
+            let strikes = strikes.map(move |it| fact(Some(it.endpoint.clone()), it.at));
+            strikes.chain(entry.completed_at.map(|it| fact(None, it)))
+        });
+        facts.collect()
+    }
+
+    /// Hash of the strikes, by which instances notice that their tables differ
+    ///
+    /// A completion shows by the strikes that it voids.
+    pub fn digest(&self) -> FactDigest {
+        self.digest
+    }
+
+    fn update_digest(&mut self) {
+        let hashes = self.entries.iter().flat_map(|(fingerprint, entry)| {
+            entry.strikes.iter().map(|it| {
+                let mut hasher = XxHash3_64::default();
+                hasher.write_u64(*fingerprint);
+                hasher.write(it.endpoint.as_bytes());
+                hasher.finish()
+            })
+        });
+        self.digest = hashes.fold(0, FactDigest::wrapping_add);
+    }
+
     /// Number of strikes that count
     pub fn strike_count(&self, fingerprint: Fingerprint, now: Instant) -> usize {
         self.strikes(fingerprint, now).count()
@@ -142,6 +218,7 @@
             entry.completed_at = entry.completed_at.filter(|it| is_fresh(*it, now));
             entry.last_at().is_some()
         });
+        self.update_digest();
     }
 
     fn strikes(&self, fingerprint: Fingerprint, now: Instant) -> impl Iterator<Item = &Strike> {
@@ -162,6 +239,11 @@
     }
 }
 
+/// Whether a completion voids a strike
+fn is_voided(at: Instant, completed_at: Option<Instant>) -> bool {
+    completed_at.is_some_and(|it| at <= it + MAX_REPORT_DELAY)
+}
+
 fn is_fresh(at: Instant, now: Instant) -> bool {
     now.saturating_duration_since(at) < STRIKE_LIFETIME
 }
--- a/crates/decide/tests/serving_crash_table.rs
+++ b/crates/decide/tests/serving_crash_table.rs
@@ -61,6 +61,34 @@
     verify_that!(table.is_refused(1, now), eq(true))
 }
 
+/// Two instances each see some facts and then exchange all of them, in any order and more than once
+fn check_exchange(steps: &[(usize, Step)], refused: bool) -> Result<()> {
+    let mut now = Instant::now();
+    let mut tables = [CrashTable::default(), CrashTable::default()];
+    for (instance, step) in steps {
+        let table = &mut tables[*instance];
+        match step {
+            Crash(endpoint, requests) => {
+                for request in *requests {
+                    table.record_strike(*request, &(*endpoint).into(), now, now);
+                }
+            }
+            Completed(request) => {
+                table.record_completion(*request, now, now);
+            }
+        }
+        now += Duration::from_secs(3);
+    }
+    for from in [0, 1, 1, 0] {
+        let facts = tables[from].facts(now);
+        for fact in facts.iter().rev() {
+            tables[1 - from].merge(fact, now);
+        }
+    }
+    verify_that!(tables[0].digest(), eq(tables[1].digest()))?;
+    verify_that!(tables.each_ref().map(|it| it.is_refused(1, now)), eq([refused; 2]))
+}
+
 fn content<'a>(path: &'a str, body: &'a [u8], caller: [u8; 4]) -> RequestContent<'a> {
     RequestContent { method: "POST", path, body, caller: caller.into() }
 }
@@ -118,6 +146,16 @@
     reports_of_one_crash_count_once => check(&[Crash("a", &[1, 1]), Crash("a", &[1]), Crash("b", &[1])], (false, false)),
     strikes_expire => check_expiry(),
     refused_request_is_not_evicted_by_others => check_eviction(),
+    // Guards against strikes that only those know that received them when they were sent.
+    strikes_of_two_instances_add_up => check_exchange(
+        &[(0, Crash("a", &[1])), (1, Crash("b", &[1])), (0, Crash("c", &[1]))], true
+    ),
+    one_crash_seen_by_both_counts_once => check_exchange(
+        &[(0, Crash("a", &[1])), (0, Crash("b", &[1])), (1, Crash("c", &[2]))], false
+    ),
+    completion_elsewhere_voids_strikes => check_exchange(
+        &[(0, Crash("a", &[1])), (1, Crash("b", &[1])), (0, Crash("c", &[1])), (1, Completed(1))], false
+    ),
     body_is_recognized_from_another_caller => check_fingerprints(
         content("/a", b"text", CALLER), content("/a", b"text", OTHER_CALLER), true
     ),
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,7 +1,7 @@
 //! Datagrams between instances, encoded with `bincode`.
 
 use catalogue::id::{EndpointId, InstanceId, ZoneName};
-use decide::fingerprint::Fingerprint;
+use decide::serving::crash_table::{CrashFact, FactDigest};
 use decide::serving::endpoint_list::ListOffset;
 use decide::serving::health::HealthUpdate;
 use decide::serving::leader::PeerInstance;
@@ -17,12 +17,14 @@
 /// Maximum size of a message; the work at 60 endpoints takes about 1,000 bytes, at 640 about 11,000.
 pub const MAX_MESSAGE_BYTES: usize = 32 * 1024;
 /// Version of the message format; messages of other versions are ignored.
-const MESSAGE_VERSION: u8 = 11;
+const MESSAGE_VERSION: u8 = 12;
 /// Maximum number of prompt reads in one update; about 60 bytes each, well below
 /// `MAX_MESSAGE_BYTES`.
 const MAX_UPDATE_READS: usize = 200;
-/// Maximum number of strikes in one update; about 30 bytes each.
-const MAX_UPDATE_STRIKES: usize = 100;
+/// Maximum number of facts on crashes in one update; about 30 bytes each.
+const MAX_UPDATE_CRASHES: usize = 100;
+/// Maximum number of facts on crashes in one repair.
+const MAX_REPAIR_CRASHES: usize = 600;
 /// Maximum number of health changes in one update; about 20 bytes each.
 const MAX_UPDATE_HEALTH: usize = 100;
 /// Maximum number of leaving endpoints in one update; about 20 bytes each.
@@ -54,24 +56,14 @@
     pub sample: Option<StageSample>,
 }
 
-/// Disconnect of an endpoint while it may have run a request
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub struct CrashStrike {
-    /// Fingerprint of the request's path and body
-    pub fingerprint: Fingerprint,
-    /// Endpoint that crashed
-    pub endpoint: EndpointId,
-}
-
 /// Observations of an instance that it sends to the others
 #[derive(Debug, Clone, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct ServingUpdate {
     /// Prompts that engines have read
     pub reads: Vec<PromptRead>,
-    /// Disconnects that count as strikes against requests
-    pub strikes: Vec<CrashStrike>,
+    /// Requests that ran at endpoints that crashed, or completed after that
+    pub crashes: Vec<CrashFact>,
     /// Changes in the health of endpoints
     pub health: Vec<(EndpointId, HealthUpdate)>,
     /// Incarnations of endpoints that are leaving by their own notices
@@ -83,8 +75,8 @@
     pub fn extend(&mut self, other: ServingUpdate) {
         self.reads.extend(other.reads);
         self.reads.truncate(MAX_UPDATE_READS);
-        self.strikes.extend(other.strikes);
-        self.strikes.truncate(MAX_UPDATE_STRIKES);
+        self.crashes.extend(other.crashes);
+        self.crashes.truncate(MAX_UPDATE_CRASHES);
         self.health.extend(other.health);
         self.health.truncate(MAX_UPDATE_HEALTH);
         self.leaving.extend(other.leaving);
@@ -92,6 +84,22 @@
     }
 }
 
+/// All facts that an instance knows, for one that lacks some
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct FactRepair {
+    /// Requests that ran at endpoints that crashed, or completed after that
+    pub crashes: Vec<CrashFact>,
+}
+
+impl FactRepair {
+    /// Repair that fits into a message
+    pub fn new(mut crashes: Vec<CrashFact>) -> FactRepair {
+        crashes.truncate(MAX_REPAIR_CRASHES);
+        FactRepair { crashes }
+    }
+}
+
 /// Endpoint records that the sender has read from the store in one era
 #[derive(Debug, Clone, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -127,6 +135,7 @@
     /// Requests and unread prompt tokens by endpoint, with observations since the last message
     Work(WorkScope, Vec<(EndpointId, u32, u64)>, ServingUpdate),
     Store(StoreUpdate),
+    Repair(FactRepair),
 }
 
 /// Message between instances
@@ -140,13 +149,21 @@
     pub zone: ZoneName,
     /// Sender's share of a core, in thousandths
     pub power: u32,
+    /// Digest of the facts that the sender knows
+    pub digest: FactDigest,
     pub body: MessageBody,
 }
 
 impl PeerMessage {
-    /// Message in the current format version
-    pub fn new(instance: InstanceId, zone: ZoneName, power: u32, body: MessageBody) -> PeerMessage {
-        PeerMessage { version: MESSAGE_VERSION, instance, zone, power, body }
+    /// Message of an instance in the current format version
+    pub fn new(
+        instance: InstanceId,
+        sender: &PeerInstance,
+        digest: FactDigest,
+        body: MessageBody,
+    ) -> PeerMessage {
+        let (zone, power) = (sender.zone.clone(), sender.power);
+        PeerMessage { version: MESSAGE_VERSION, instance, zone, power, digest, body }
     }
 
     /// Encodes the message
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -5,27 +5,30 @@
 //! full mesh and send their work directly to each other. With many, each sends it to the
 //! leader of its zone, which replies with the work of all others. The overall leader of a
 //! full mesh, or the leader of each zone, also sends what it reads from the store, so that
-//! the others needn't read it. A configuration that is too large for a datagram is
+//! the others needn't read it. What one has learned of crashing requests is sent once and
+//! repaired where digests differ. A configuration that is too large for a datagram is
 //! transferred over TCP to those that ask for it.
 
 pub mod config_transfer;
 mod listing;
 mod message;
+mod repair;
 mod store_updates;
 
 pub use config_transfer::{ConfigAnnouncement, PackedConfig};
 pub use listing::{format_entry, parse_entry};
 pub use message::{
-    CrashStrike, EndpointUpdate, MAX_MESSAGE_BYTES, MessageBody, PeerMessage, PromptRead,
+    EndpointUpdate, FactRepair, MAX_MESSAGE_BYTES, MessageBody, PeerMessage, PromptRead,
     ServingUpdate, StoreUpdate, WorkScope, received_work, work_body,
 };
 
 use crate::error::GatewayError;
 use crate::state::Gateway;
 use catalogue::id::InstanceId;
-use decide::serving::leader::InstanceTable;
+use decide::serving::leader::{InstanceTable, PeerInstance};
 use decide::serving::load::EndpointWork;
 use indexmap::IndexMap;
+use repair::RepairSchedule;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -62,6 +65,7 @@
     zone_update: RefCell<ServingUpdate>,
     /// Whether other instances' work was received since the last relay
     has_received_work: Cell<bool>,
+    repairs: RefCell<RepairSchedule>,
 }
 
 /// Starts sending and receiving messages, and answering transfers
@@ -85,6 +89,7 @@
         member_update: RefCell::default(),
         zone_update: RefCell::default(),
         has_received_work: Cell::default(),
+        repairs: RefCell::default(),
     });
     tokio::task::spawn_local(receive(exchange.clone()));
     tokio::task::spawn_local(store_updates::send_updates(exchange.clone()));
@@ -109,6 +114,7 @@
     fn handle_message(&self, message: PeerMessage, address: SocketAddr) {
         let now = Instant::now();
         let instance = message.instance.clone();
+        let digest = message.digest;
         let is_full_mesh = {
             let mut table = self.table.borrow_mut();
             if table.insert(instance.clone(), message.sender(address)) {
@@ -117,6 +123,19 @@
             table.record_received(&instance);
             table.is_full_mesh()
         };
+        self.handle_body(message, address, is_full_mesh, now);
+        let differs = digest != self.gateway.fact_digest();
+        self.repairs.borrow_mut().observe(&instance, address, differs, now);
+    }
+
+    fn handle_body(
+        &self,
+        message: PeerMessage,
+        address: SocketAddr,
+        is_full_mesh: bool,
+        now: Instant,
+    ) {
+        let instance = message.instance;
         let mut load = self.gateway.load.borrow_mut();
         match message.body {
             MessageBody::Store(update)
@@ -125,6 +144,7 @@
                 store_updates::apply(&self.gateway, update, address, now);
             }
             MessageBody::Store(_) => {}
+            MessageBody::Repair(repair) => self.gateway.apply_repair(&repair),
             MessageBody::Work(WorkScope::Rest, work, update) => {
                 self.gateway.apply_update(&update);
                 load.apply_leader_report(received_work(work), now);
@@ -152,8 +172,14 @@
 
     async fn send(&self, body: MessageBody, address: SocketAddr) {
         let settings = &self.gateway.settings;
-        let (instance, zone) = (settings.instance.clone(), settings.zone.clone());
-        let message = PeerMessage::new(instance, zone, settings.power, body);
+        let address_of_own = SocketAddr::new(settings.ip, settings.peer_port);
+        let sender = PeerInstance {
+            address: address_of_own,
+            zone: settings.zone.clone(),
+            power: settings.power,
+        };
+        let digest = self.gateway.fact_digest();
+        let message = PeerMessage::new(settings.instance.clone(), &sender, digest, body);
         let bytes = match message.encode() {
             Ok(bytes) => bytes,
             Err(error) => {
@@ -243,6 +269,7 @@
         let is_full_mesh = exchange.table.borrow().is_full_mesh();
         sleep(if is_full_mesh { MESSAGE_INTERVAL } else { LEADER_MESSAGE_INTERVAL }).await;
         let now = Instant::now();
+        exchange.send_repairs(now).await;
         gateway.load.borrow_mut().expire(now);
         let work = gateway.load.borrow().own().clone();
         let is_due = work != last_sent
--- /dev/null
+++ b/crates/gateway/src/peers/repair.rs
@@ -0,0 +1,85 @@
+//! Repairs what instances know of requests and endpoints.
+//!
+//! A new fact is sent once, with the next message. An instance that starts, is cut or loses
+//! the message lacks it. Each message therefore carries a digest of all facts that its
+//! sender knows. Where the digests of two instances stay different, each sends the other all
+//! of its facts.
+
+use super::PeerExchange;
+use super::message::{FactRepair, MessageBody};
+use catalogue::id::InstanceId;
+use indexmap::IndexMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Time for which digests must differ before a repair; messages in flight make them differ for a moment.
+const REPAIR_DELAY: Duration = Duration::from_millis(250);
+/// Interval of repairs for one instance.
+const REPAIR_INTERVAL: Duration = Duration::from_secs(1);
+/// Time without a message after which an instance gets no more repairs.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum number of repairs that are sent at once.
+const MAX_REPAIRS: usize = 4;
+
+struct PendingRepair {
+    address: SocketAddr,
+    seen_at: Instant,
+    due_at: Instant,
+}
+
+/// Instances whose digests differ from the own one
+#[derive(Default)]
+pub struct RepairSchedule {
+    pending: IndexMap<InstanceId, PendingRepair>,
+}
+
+impl RepairSchedule {
+    /// Records whether the digest in a message of an instance differs
+    pub fn observe(
+        &mut self,
+        instance: &InstanceId,
+        address: SocketAddr,
+        differs: bool,
+        now: Instant,
+    ) {
+        if !differs {
+            self.pending.swap_remove(instance);
+            return;
+        }
+        let pending = self.pending.entry(instance.clone()).or_insert(PendingRepair {
+            address,
+            seen_at: now,
+            due_at: now + REPAIR_DELAY,
+        });
+        pending.address = address;
+        pending.seen_at = now;
+    }
+
+    /// Addresses of the instances that get a repair now
+    pub fn take_due(&mut self, now: Instant) -> Vec<SocketAddr> {
+        let is_silent =
+            |it: &PendingRepair| now.saturating_duration_since(it.seen_at) > SILENCE_TIMEOUT;
+        self.pending.retain(|_, it| !is_silent(it));
+        let due = self.pending.values_mut().filter(|it| it.due_at <= now).take(MAX_REPAIRS);
+        let addresses = due.map(|it| {
+            it.due_at = now + REPAIR_INTERVAL;
+            it.address
+        });
+        addresses.collect()
+    }
+}
+
+impl PeerExchange {
+    /// Sends all facts to the instances that lack some, or have others
+    pub(super) async fn send_repairs(&self, now: Instant) {
+        let addresses = self.repairs.borrow_mut().take_due(now);
+        if addresses.is_empty() {
+            return;
+        }
+        let repair = FactRepair::new(self.gateway.crashes.borrow().facts(now));
+        for address in addresses {
+            log::info!("event=facts_repaired to={address} crashes={}", repair.crashes.len());
+            self.send(MessageBody::Repair(repair.clone()), address).await;
+        }
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,13 +7,13 @@
 use crate::coverage::TopicCoverage;
 use crate::metrics::GatewayMetrics;
 use crate::peers::{
-    ConfigAnnouncement, CrashStrike, EndpointUpdate, PackedConfig, PromptRead, ServingUpdate,
+    ConfigAnnouncement, EndpointUpdate, FactRepair, PackedConfig, PromptRead, ServingUpdate,
 };
 use bytes::Bytes;
 use catalogue::id::{EndpointId, PoolName};
 use decide::fingerprint::Fingerprint;
 use decide::serving::cache::PromptCaches;
-use decide::serving::crash_table::CrashTable;
+use decide::serving::crash_table::{CrashFact, CrashTable, FactDigest};
 use decide::serving::deadline::DeadlinePeak;
 use decide::serving::endpoint_list::{EndpointList, ListedEndpoint};
 use decide::serving::health::{EndpointHealth, SendResult};
@@ -212,27 +212,31 @@
 
     /// Records that an endpoint closed the connection while it may have run a request
     pub fn record_strike(&self, fingerprint: Fingerprint, endpoint: &EndpointId, now: Instant) {
-        if !self.apply_strike(fingerprint, endpoint, now, "own") {
-            return;
+        self.record_crash_fact(CrashFact::new(fingerprint, Some(endpoint.clone()), now, now), now);
+    }
+
+    /// Records that a request completed without a crash
+    pub fn record_completed(&self, fingerprint: Fingerprint, now: Instant) {
+        self.record_crash_fact(CrashFact::new(fingerprint, None, now, now), now);
+    }
+
+    fn record_crash_fact(&self, fact: CrashFact, now: Instant) {
+        if self.apply_crash_fact(&fact, "own", now) {
+            let update = ServingUpdate { crashes: vec![fact], ..Default::default() };
+            self.pending_update.borrow_mut().extend(update);
         }
-        let strike = CrashStrike { fingerprint, endpoint: endpoint.clone() };
-        let update = ServingUpdate { strikes: vec![strike], ..Default::default() };
-        self.pending_update.borrow_mut().extend(update);
     }
 
-    /// Adds a strike to the table; `true` if it is new
-    fn apply_strike(
-        &self,
-        fingerprint: Fingerprint,
-        endpoint: &EndpointId,
-        now: Instant,
-        source: &str,
-    ) -> bool {
+    /// Adds a fact to the table; `true` if it is new
+    fn apply_crash_fact(&self, fact: &CrashFact, source: &str, now: Instant) -> bool {
         let mut crashes = self.crashes.borrow_mut();
-        let is_new = crashes.record_strike(fingerprint, endpoint, now, now);
+        let is_new = crashes.merge(fact, now);
         if is_new {
+            let fingerprint = fact.fingerprint;
             log::info!(
-                "event=strike fingerprint={fingerprint:x} endpoint={endpoint} source={source} strikes={} refused={}",
+                "event=strike fingerprint={fingerprint:x} endpoint={} age_ms={} source={source} strikes={} refused={}",
+                fact.crashed.as_deref().unwrap_or("none"),
+                fact.age_ms,
                 crashes.strike_count(fingerprint, now),
                 crashes.is_refused(fingerprint, now),
             );
@@ -240,9 +244,17 @@
         is_new
     }
 
-    /// Records that a request completed without a crash
-    pub fn record_completed(&self, fingerprint: Fingerprint, now: Instant) {
-        self.crashes.borrow_mut().record_completion(fingerprint, now, now);
+    /// Digest of the facts that all instances should know
+    pub fn fact_digest(&self) -> FactDigest {
+        self.crashes.borrow().digest()
+    }
+
+    /// Adds the facts of another instance
+    pub fn apply_repair(&self, repair: &FactRepair) {
+        let now = Instant::now();
+        for fact in &repair.crashes {
+            self.apply_crash_fact(fact, "repair", now);
+        }
     }
 
     /// Whether a request is refused for the crashes of the endpoints that ran it
@@ -253,8 +265,8 @@
     /// Applies an update from another instance
     pub fn apply_update(&self, update: &ServingUpdate) {
         let now = Instant::now();
-        for strike in &update.strikes {
-            self.apply_strike(strike.fingerprint, &strike.endpoint, now, "peer");
+        for fact in &update.crashes {
+            self.apply_crash_fact(fact, "peer", now);
         }
         for (endpoint, health_update) in &update.health {
             if self.health.borrow_mut().apply_update(endpoint, *health_update, now) {
--- a/crates/gateway/tests/gateway/crash_evidence.rs
+++ b/crates/gateway/tests/gateway/crash_evidence.rs
@@ -15,7 +15,8 @@
     // Guards against a request that is sent on after three crashes, since a bystander took the strikes of two back.
     bystander_of_two_crashes_takes_no_strikes_back => bystander(),
     // Guards against a request that an instance sends on, since it started after the crashes.
-    crashing_request_is_refused_by_an_instance_that_starts_later => late_start(),
+    crashing_request_is_refused_by_an_instance_that_starts_later => late_start(1),
+    crashing_request_is_refused_by_a_member_that_starts_later => late_start(13),
     // Guards against a request without a body that is sent on after any number of crashes.
     crashing_request_without_a_body_is_refused => without_body(),
     // Guards against a refusal of the sound requests on the same path, since they have no body that tells them apart.
@@ -118,8 +119,11 @@
     verify_that!(other.status, eq(200))
 }
 
-async fn late_start() -> Result<()> {
+async fn late_start(instances: usize) -> Result<()> {
     let mut test = CrashTest::start(crashes).await;
+    let others =
+        (1..instances).map(|it| Instance::launch(test.store.address, &format!("other-{it}")));
+    let _others = others.collect::<Vec<_>>();
     let first = test.instance("instance-1").await;
     for number in 0..5 {
         call(first.clients, post("lookups", &format!("crashing-{number}"), CRASHING)).await;
