Repair what instances know of leaving endpoints

What callers saw: an instance that started after an endpoint's leaving notice had been reported sent it requests, which the endpoint may break off. Change: reports are facts of the same repair; all instances keep the same 400, those of the incarnations that started last.

--- a/crates/decide/src/serving/notice.rs
+++ b/crates/decide/src/serving/notice.rs
@@ -7,10 +7,13 @@
 //! binding. A report of another instance only makes this one prefer other endpoints, since
 //! a report may be wrong.
 
+use super::crash_table::FactDigest;
 use super::endpoint_list::ListedEndpoint;
 use catalogue::id::EndpointId;
 use indexmap::IndexMap;
+use std::hash::Hasher;
 use std::time::{Duration, Instant};
+use twox_hash::XxHash3_64;
 
 /// Start of an endpoint's incarnation, in Unix milliseconds.
 pub type IncarnationStart = u64;
@@ -33,6 +36,9 @@
 /// likely; after it a refusal serves the caller better, since it can come back when the pause is over.
 const WAIT_FRACTION: f64 = 0.25;
 
+/// Maximum number of reports that are kept: those of the incarnations that started last.
+const MAX_REPORTS: usize = 400;
+
 /// End of a pause that an endpoint has requested
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum PauseEnd {
@@ -70,13 +76,15 @@
 #[derive(Debug, Clone, Default)]
 pub struct EndpointNotices {
     notices: IndexMap<EndpointId, EndpointNotice>,
-    /// Last incarnation that another instance has reported as leaving
+    /// Last incarnation that has been reported as leaving, by this instance or another one
     reports: IndexMap<EndpointId, IncarnationStart>,
+    report_digest: FactDigest,
 }
 
 impl EndpointNotices {
     /// Records that an endpoint is leaving by its own notice; `true` if that is new
     pub fn record_leaving(&mut self, endpoint: &ListedEndpoint, time: AnswerTime) -> bool {
+        self.record_report(&endpoint.id, endpoint.started_at_ms);
         let Some(notice) = self.notice(&endpoint.id, endpoint.started_at_ms) else { return false };
         notice.noticed_at_ms = notice.noticed_at_ms.max(time.unix_ms);
         !std::mem::replace(&mut notice.is_leaving, true)
@@ -87,8 +95,31 @@
         let is_new = self.reports.get(id).is_none_or(|it| *it < started_at_ms);
         if is_new {
             self.reports.insert(id.clone(), started_at_ms);
+            // All instances keep the same ones, whatever the order of the reports.
+            if self.reports.len() > MAX_REPORTS
+                && let Some(index) = self
+                    .reports
+                    .iter()
+                    .enumerate()
+                    .min_by_key(|(_, (id, start))| (**start, (*id).clone()))
+                    .map(|it| it.0)
+            {
+                self.reports.shift_remove_index(index);
+            }
+            self.report_digest =
+                self.reports.iter().map(hash_report).fold(0, FactDigest::wrapping_add);
         }
-        is_new
+        is_new && self.reports.contains_key(id)
+    }
+
+    /// Incarnations that are leaving by their own notices, to this instance or to others
+    pub fn reports(&self) -> impl Iterator<Item = (&EndpointId, IncarnationStart)> {
+        self.reports.iter().map(|(id, start)| (id, *start))
+    }
+
+    /// Hash of the reports, by which instances notice that theirs differ
+    pub fn report_digest(&self) -> FactDigest {
+        self.report_digest
     }
 
     /// Records that an endpoint accepts no requests for some time; `draw` is uniform in 0..1
@@ -185,3 +216,10 @@
         Some(notice).filter(|it| it.started_at_ms == started_at_ms)
     }
 }
+
+fn hash_report((id, start): (&EndpointId, &IncarnationStart)) -> FactDigest {
+    let mut hasher = XxHash3_64::default();
+    hasher.write(id.as_bytes());
+    hasher.write_u64(*start);
+    hasher.finish()
+}
--- a/crates/decide/tests/serving_notice.rs
+++ b/crates/decide/tests/serving_notice.rs
@@ -18,6 +18,7 @@
     reported_endpoint_yields_to_others => reported(),
     // Guards against requests to an endpoint whose next incarnation leaves, too, by another's report.
     report_of_the_next_incarnation_ends_no_notice => next_reported(),
+    reports_are_bounded_alike_in_any_order => bounded_reports(),
     wrong_report_of_all_endpoints_changes_nothing => all_reported(),
     pause_ends_after_the_time_and_its_jitter => pause_with_jitter(),
     later_and_shorter_pause_does_not_shorten_the_first => shorter_pause(),
@@ -180,3 +181,16 @@
     let step = notices.pause_step(&[&first, &second, &third], |_| false, ms(0), OBJECTIVE, now);
     verify_that!(step, none())
 }
+
+fn bounded_reports() -> Result<()> {
+    let mut tables = [EndpointNotices::default(), EndpointNotices::default()];
+    let reports = (0..600_u64).map(|it| (format!("endpoint-{it}").into(), it)).collect::<Vec<_>>();
+    for (id, start) in &reports {
+        tables[0].record_report(id, *start);
+    }
+    for (id, start) in reports.iter().rev() {
+        tables[1].record_report(id, *start);
+    }
+    verify_that!(tables[0].reports().count(), eq(400))?;
+    verify_that!(tables[0].report_digest(), eq(tables[1].report_digest()))
+}
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -25,6 +25,8 @@
 const MAX_UPDATE_CRASHES: usize = 100;
 /// Maximum number of facts on crashes in one repair.
 const MAX_REPAIR_CRASHES: usize = 600;
+/// Maximum number of leaving endpoints in one repair; the last ones are sent.
+const MAX_REPAIR_LEAVING: usize = 400;
 /// Maximum number of health changes in one update; about 20 bytes each.
 const MAX_UPDATE_HEALTH: usize = 100;
 /// Maximum number of leaving endpoints in one update; about 20 bytes each.
@@ -90,13 +92,20 @@
 pub struct FactRepair {
     /// Requests that ran at endpoints that crashed, or completed after that
     pub crashes: Vec<CrashFact>,
+    /// Incarnations of endpoints that are leaving by their own notices
+    pub leaving: Vec<(EndpointId, IncarnationStart)>,
 }
 
 impl FactRepair {
     /// Repair that fits into a message
-    pub fn new(mut crashes: Vec<CrashFact>) -> FactRepair {
+    pub fn new(
+        mut crashes: Vec<CrashFact>,
+        mut leaving: Vec<(EndpointId, IncarnationStart)>,
+    ) -> FactRepair {
         crashes.truncate(MAX_REPAIR_CRASHES);
-        FactRepair { crashes }
+        leaving.reverse();
+        leaving.truncate(MAX_REPAIR_LEAVING);
+        FactRepair { crashes, leaving }
     }
 }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -5,8 +5,8 @@
 //! full mesh and send their work directly to each other. With many, each sends it to the
 //! leader of its zone, which replies with the work of all others. The overall leader of a
 //! full mesh, or the leader of each zone, also sends what it reads from the store, so that
-//! the others needn't read it. What one has learned of crashing requests is sent once and
-//! repaired where digests differ. A configuration that is too large for a datagram is
+//! the others needn't read it. What one has learned of crashing requests and leaving
+//! endpoints is sent once and repaired where digests differ. A configuration that is too large for a datagram is
 //! transferred over TCP to those that ask for it.
 
 pub mod config_transfer;
--- a/crates/gateway/src/peers/repair.rs
+++ b/crates/gateway/src/peers/repair.rs
@@ -76,9 +76,17 @@
         if addresses.is_empty() {
             return;
         }
-        let repair = FactRepair::new(self.gateway.crashes.borrow().facts(now));
+        let leaving = {
+            let notices = self.gateway.notices.borrow();
+            notices.reports().map(|(id, start)| (id.clone(), start)).collect()
+        };
+        let repair = FactRepair::new(self.gateway.crashes.borrow().facts(now), leaving);
         for address in addresses {
-            log::info!("event=facts_repaired to={address} crashes={}", repair.crashes.len());
+            log::info!(
+                "event=facts_repaired to={address} crashes={} leaving={}",
+                repair.crashes.len(),
+                repair.leaving.len(),
+            );
             self.send(MessageBody::Repair(repair.clone()), address).await;
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,7 +18,7 @@
 use decide::serving::endpoint_list::{EndpointList, ListedEndpoint};
 use decide::serving::health::{EndpointHealth, SendResult};
 use decide::serving::load::FleetLoad;
-use decide::serving::notice::EndpointNotices;
+use decide::serving::notice::{EndpointNotices, IncarnationStart};
 use decide::serving::pick::EnginePick;
 use decide::serving::prompt::PromptPrefix;
 use decide::serving::retry_window::RetryWindow;
@@ -246,7 +246,7 @@
 
     /// Digest of the facts that all instances should know
     pub fn fact_digest(&self) -> FactDigest {
-        self.crashes.borrow().digest()
+        self.crashes.borrow().digest().wrapping_add(self.notices.borrow().report_digest())
     }
 
     /// Adds the facts of another instance
@@ -255,6 +255,16 @@
         for fact in &repair.crashes {
             self.apply_crash_fact(fact, "repair", now);
         }
+        self.apply_leaving(&repair.leaving);
+    }
+
+    /// Records endpoints that other instances have reported as leaving
+    fn apply_leaving(&self, leaving: &[(EndpointId, IncarnationStart)]) {
+        for (endpoint, started_at_ms) in leaving {
+            if self.notices.borrow_mut().record_report(endpoint, *started_at_ms) {
+                log::info!("event=endpoint_leaves endpoint={endpoint} source=peer");
+            }
+        }
     }
 
     /// Whether a request is refused for the crashes of the endpoints that ran it
@@ -275,11 +285,7 @@
                 );
             }
         }
-        for (endpoint, started_at_ms) in &update.leaving {
-            if self.notices.borrow_mut().record_report(endpoint, *started_at_ms) {
-                log::info!("event=endpoint_leaves endpoint={endpoint} source=peer");
-            }
-        }
+        self.apply_leaving(&update.leaving);
         let list = self.endpoints.borrow();
         for read in &update.reads {
             let engine = list.get(&read.engine);
--- a/crates/gateway/tests/gateway/notices.rs
+++ b/crates/gateway/tests/gateway/notices.rs
@@ -18,6 +18,8 @@
 
 /// Time in which a change of the list is known, also by an instance that has just started.
 const LIST_TIME: Duration = Duration::from_millis(1500);
+/// Time in which an instance that has just started learns what the others know.
+const JOIN_TIME: Duration = Duration::from_millis(2500);
 /// Objective of all routes.
 const OBJECTIVE: Duration = Duration::from_millis(400);
 
@@ -31,6 +33,8 @@
     endpoint_that_leaves_from_the_head_of_a_stream_gets_nothing_more => leaving_engine(true),
     leaving_engine_reads_no_more_prompts => leaving_prefill(),
     leaving_endpoint_is_known_to_other_instances => known_to_others(),
+    // Guards against requests to a leaving endpoint by an instance that wasn't there when its notice was reported.
+    leaving_endpoint_is_known_to_an_instance_that_starts_later => known_to_starting(),
     next_incarnation_of_a_leaving_endpoint_is_used => successor(),
     all_leaving_is_refused_at_once => all_leaving(),
     // Guard against requests to an endpoint during the pause that it has requested.
@@ -163,6 +167,20 @@
     verify_that!(requests(&leaving), eq(1))
 }
 
+async fn known_to_starting() -> Result<()> {
+    let leaving = endpoint("service-1", right_and_leaving).await;
+    let staying = endpoint("service-2", right).await;
+    let deployment = Deployment::start(&[&leaving, &staying]).await;
+    call_many(&deployment, 20).await;
+    verify_that!(requests(&leaving), eq(1))?;
+    let next = Instance::start(deployment.store.address, "instance-2").await;
+    tokio::time::sleep(JOIN_TIME).await;
+    for number in 0..20 {
+        call(next.clients, get("lookups", &format!("next-{number}"))).await;
+    }
+    verify_that!(requests(&leaving), eq(1))
+}
+
 async fn successor() -> Result<()> {
     let leaving = endpoint("service-1", right_and_leaving).await;
     let deployment = Deployment::start(&[&leaving]).await;
