Count a timeout as a crash if the list shows that the endpoint has ended

What callers saw: a request was sent on after three endpoints had gone silent under it. Cause: an endpoint that crashes with its machine closes no connection; only closed connections gave strikes. Change: timeouts are remembered for 10 s; one whose endpoint leaves the list without draining, or comes back as a new incarnation, becomes a strike at the time of the timeout.

--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -16,5 +16,6 @@
 pub mod retry_window;
 pub mod route;
 pub mod send_history;
+pub mod silence;
 pub mod store_era;
 pub mod timing;
--- /dev/null
+++ b/crates/decide/src/serving/silence.rs
@@ -0,0 +1,62 @@
+//! Requests that endpoints went silent on.
+//!
+//! An endpoint that crashes with its machine closes no connection, so a request that runs
+//! there times out, as it does at one that is only slow. The list tells them apart: an
+//! endpoint that has ended without draining leaves it, or comes back as a new incarnation.
+
+use super::endpoint_list::EndpointList;
+use super::notice::IncarnationStart;
+use crate::fingerprint::Fingerprint;
+use catalogue::id::EndpointId;
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Time after a timeout within which the list shows that the endpoint has ended; the platform removes it
+/// after three heartbeats of silence.
+const MAX_LIST_DELAY: Duration = Duration::from_secs(10);
+/// Maximum number of timeouts that are remembered; the oldest are dropped.
+const MAX_TIMEOUTS: usize = 200;
+
+/// Timeout of a request at an incarnation of an endpoint
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SilentRequest {
+    pub fingerprint: Fingerprint,
+    pub endpoint: EndpointId,
+    pub started_at_ms: IncarnationStart,
+    pub at: Instant,
+}
+
+/// Recent timeouts
+#[derive(Debug, Clone, Default)]
+pub struct SilentRequests {
+    requests: VecDeque<SilentRequest>,
+}
+
+impl SilentRequests {
+    /// Records a timeout
+    pub fn push(&mut self, request: SilentRequest) {
+        if self.requests.len() >= MAX_TIMEOUTS {
+            self.requests.pop_front();
+        }
+        self.requests.push_back(request);
+    }
+
+    /// Removes and returns the requests whose endpoints have crashed, as the list shows now
+    pub fn take_crashed(&mut self, list: &EndpointList, now: Instant) -> Vec<SilentRequest> {
+        let mut crashed = Vec::new();
+        self.requests.retain(|it| {
+            if now.saturating_duration_since(it.at) > MAX_LIST_DELAY {
+                return false;
+            }
+            match list.get(&it.endpoint) {
+                Some(listed) if listed.started_at_ms > it.started_at_ms => {}
+                // A draining endpoint may end at any time.
+                Some(listed) => return listed.is_ready,
+                None => {}
+            }
+            crashed.push(it.clone());
+            false
+        });
+        crashed
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -89,6 +89,15 @@
         }
     }
 
+    /// Whether the endpoint didn't answer in time
+    pub fn is_timeout(&self) -> bool {
+        match self {
+            SendError::TimedOut => true,
+            SendError::Prefill(error) => error.is_timeout(),
+            _ => false,
+        }
+    }
+
     /// Whether nothing was sent, since the endpoint accepts no requests
     pub fn is_withheld(&self) -> bool {
         match self {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -17,6 +17,7 @@
 use decide::serving::prompt::PromptShape;
 use decide::serving::route::{RetryRule, RouteConfig};
 use decide::serving::send_history::{NextStep, RunStatus, SendHistory};
+use decide::serving::silence::SilentRequest;
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -122,12 +123,26 @@
         })
     }
 
-    /// Records a strike if the endpoint closed the connection while it may have run the request
-    pub fn record_disconnect(&self, gateway: &Gateway, endpoint: &EndpointId, error: &SendError) {
-        if !error.is_disconnect() {
-            return;
+    /// Records a strike if the endpoint closed the connection while it may have run the request, or a timeout,
+    /// which becomes one if the endpoint has ended
+    pub fn record_crash_evidence(
+        &self,
+        gateway: &Gateway,
+        endpoint: &EndpointId,
+        error: &SendError,
+    ) {
+        let now = std::time::Instant::now();
+        if error.is_disconnect() {
+            gateway.record_strike(self.fingerprint(), endpoint, now);
+        } else if error.is_timeout() {
+            let listed = gateway.endpoints.borrow().get(endpoint).map_or(0, |it| it.started_at_ms);
+            gateway.silent_requests.borrow_mut().push(SilentRequest {
+                fingerprint: self.fingerprint(),
+                endpoint: endpoint.clone(),
+                started_at_ms: listed,
+                at: now,
+            });
         }
-        gateway.record_strike(self.fingerprint(), endpoint, std::time::Instant::now());
     }
 
     /// Records that the request completed without a crash
@@ -155,7 +170,7 @@
             gateway.record_result(endpoint, result);
         }
         let endpoint = &endpoint.id;
-        self.record_disconnect(gateway, endpoint, error);
+        self.record_crash_evidence(gateway, endpoint, error);
         log::info!(
             "event=send_failed id={} endpoint={endpoint} knowledge={status:?} sends={} error=\"{error}\"",
             self.request.id,
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -465,7 +465,7 @@
                     // Closes the connection, so that this engine stops before another one resumes.
                     drop(stream);
                     if let Some(engine) = call.excluded.last() {
-                        call.record_disconnect(&gateway, engine, &error);
+                        call.record_crash_evidence(&gateway, engine, &error);
                     }
                     match resume(&gateway, &mut call, &error, last).await {
                         Some((resumed, next)) => {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,6 +23,7 @@
 use decide::serving::prompt::PromptPrefix;
 use decide::serving::retry_window::RetryWindow;
 use decide::serving::route::{RetryRule, RouteName, ServingConfig};
+use decide::serving::silence::SilentRequests;
 use decide::serving::store_era::{EraTracker, StoreEra, TopicPosition};
 use decide::serving::timing::{PoolTiming, StageSample};
 use indexmap::IndexMap;
@@ -81,6 +82,8 @@
     pub timings: RefCell<IndexMap<PoolName, PoolTiming>>,
     /// Requests that ran at endpoints that crashed
     pub crashes: RefCell<CrashTable>,
+    /// Requests that endpoints went silent on
+    pub silent_requests: RefCell<SilentRequests>,
     /// Update to be sent to the other instances with the next message
     pub pending_update: RefCell<ServingUpdate>,
     /// Recent requests and retries by pool
@@ -128,6 +131,7 @@
             caches: RefCell::default(),
             timings: RefCell::default(),
             crashes: RefCell::default(),
+            silent_requests: RefCell::default(),
             pending_update: RefCell::default(),
             retry_windows: RefCell::default(),
             deadline_peaks: RefCell::default(),
@@ -215,6 +219,20 @@
         self.record_crash_fact(CrashFact::new(fingerprint, Some(endpoint.clone()), now, now), now);
     }
 
+    /// Records strikes for the endpoints that went silent and, as the list shows now, have crashed
+    pub fn record_silent_crashes(&self, now: Instant) {
+        let crashed = {
+            let list = self.endpoints.borrow();
+            self.silent_requests.borrow_mut().take_crashed(&list, now)
+        };
+        for it in crashed {
+            self.record_crash_fact(
+                CrashFact::new(it.fingerprint, Some(it.endpoint), it.at, now),
+                now,
+            );
+        }
+    }
+
     /// Records that a request completed without a crash
     pub fn record_completed(&self, fingerprint: Fingerprint, now: Instant) {
         self.record_crash_fact(CrashFact::new(fingerprint, None, now, now), now);
--- a/crates/gateway/tests/gateway/crash_evidence.rs
+++ b/crates/gateway/tests/gateway/crash_evidence.rs
@@ -25,6 +25,9 @@
     error_answer_protects_no_crashing_request => after_error(),
     // Guards against crashes that count once, since the list still shows the first incarnation.
     crashes_of_one_listed_incarnation_count_each => same_incarnation(),
+    // Guards against a request that is sent on after three crashes, since the endpoints went silent.
+    request_under_which_endpoints_go_silent_is_refused => silent(true),
+    request_that_living_endpoints_answer_too_late_is_served => silent(false),
 }
 
 const CRASHING: &str = "crashing";
@@ -68,7 +71,10 @@
 
     /// Replaces the service that has crashed by the next one
     async fn replace_service(&mut self) {
-        list(&self.store, &self.services[self.current], "draining", None);
+        let last = &self.services[self.current];
+        if self.store.has_key("keyed.servers", &last.id) {
+            list(&self.store, last, "draining", None);
+        }
         self.current += 1;
         list(&self.store, &self.services[self.current], "ready", None);
         tokio::time::sleep(LIST_TIME).await;
@@ -199,3 +205,19 @@
     tokio::time::sleep(REPORT_TIME).await;
     verify_that!(test.arrivals("crashing"), eq(3))
 }
+
+/// Endpoints don't answer, and are gone from the list afterwards if they have ended
+async fn silent(ends: bool) -> Result<()> {
+    let mut test = CrashTest::start(|_| vec![Step::Hang]).await;
+    let instance = test.instance("instance-1").await;
+    for number in 0..6 {
+        let request = post("lookups", &format!("crashing-{number}"), CRASHING);
+        call(instance.clients, request).await;
+        if ends {
+            let ended = &test.services[test.current];
+            test.store.put("keyed.servers", &ended.id, b"");
+        }
+        test.replace_service().await;
+    }
+    verify_that!(test.arrivals("crashing"), eq(if ends { 3 } else { 6 }))
+}
