Add failing tests of limits that endpoints name

Change: 17 process tests: one to 13 instances, uneven demand, both engine stages, odd values, the end of a limit; bounds are the limit over the window of 4 s and one request of each instance, inside the users' margins.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod plain;
 mod process;
 mod proxy;
+mod rate_limits;
 mod retry_limits;
 mod soak;
 mod store;
