Keep to the limits that endpoints name, over all instances together

What callers saw: an endpoint in need that named a limit got ten requests for each that it takes, so that its answers came late or not at all. Cause: no code read the header, so each instance sent on as before. Change: the header is read from every answer of an endpoint and reported to the other instances. A limit is shared without a coordinator (decide::serving::rate_limit): by each instance's demand against that of all, which stands in the messages that are exchanged anyway, as does what each has sent within 4 s; while all together have used the limit of that time, none sends more. An instance that doesn't hear the others takes an equal share; one that hasn't read the list of instances assumes 400. The share binds first sends, retries, resumes, separate reads of prompts, decodes after them and calls that free caches, checked again right before the bytes are written. What doesn't fit goes to another endpoint, or is refused at once; its Retry-After books the next request that the shares allow. The limit ends with an answer that names none, and with the incarnation; what can't be read changes nothing; of two the lowest counts.

--- a/crates/decide/src/serving/load.rs
+++ b/crates/decide/src/serving/load.rs
@@ -4,6 +4,8 @@
 //! either from each of them or as a sum from the leader of its zone. The latest message of
 //! a sender counts until no message has arrived from it for `PEER_TIMEOUT`.
 
+use super::leader::MAX_FULL_MESH_INSTANCES;
+use super::rate_limit::{FleetDemand, OwnDemand};
 use catalogue::id::{EndpointId, InstanceId};
 use indexmap::IndexMap;
 use std::time::{Duration, Instant};
@@ -11,6 +13,9 @@
 /// Time without a message after which an instance's work no longer counts.
 pub const PEER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Number of instances that one which has not read the list assumes; the design size.
+const ASSUMED_INSTANCES: usize = 400;
+
 /// Work in flight at one endpoint
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct WorkCount {
@@ -18,6 +23,10 @@
     pub requests: u32,
     /// Prompt tokens that the endpoint has yet to read
     pub unread_tokens: u64,
+    /// Demand at an endpoint that has named a limit, in thousandths of a request a second
+    pub demand: u32,
+    /// Requests sent to such an endpoint within the window of the limit
+    pub sent: u32,
 }
 
 impl WorkCount {
@@ -25,6 +34,8 @@
         WorkCount {
             requests: self.requests + other.requests,
             unread_tokens: self.unread_tokens + other.unread_tokens,
+            demand: self.demand.saturating_add(other.demand),
+            sent: self.sent.saturating_add(other.sent),
         }
     }
 }
@@ -46,6 +57,7 @@
     /// Sum over all other instances, as the leader of the zone reported it
     others: Option<PeerLoad>,
     max_instances: usize,
+    has_list: bool,
 }
 
 impl FleetLoad {
@@ -56,6 +68,39 @@
         count.unread_tokens += unread_tokens;
     }
 
+    /// Replaces this instance's demand at the endpoints that have named a limit
+    pub fn record_demands(&mut self, demands: &[(EndpointId, OwnDemand)]) {
+        self.own.values_mut().for_each(|it| *it = WorkCount { demand: 0, sent: 0, ..*it });
+        for (endpoint, OwnDemand { rate, sent }) in demands {
+            // Coarse steps, so that small changes cause no message.
+            let demand = (rate * 10.0).round() as u32 * 100;
+            let count = self.own.entry(endpoint.clone()).or_default();
+            *count = WorkCount { demand, sent: *sent, ..*count };
+        }
+        self.own.retain(|_, it| *it != WorkCount::default());
+    }
+
+    /// Demand at an endpoint as all instances know it
+    pub fn fleet_demand(&self, endpoint: &EndpointId) -> FleetDemand {
+        let rate = |demand: u32| f64::from(demand) / 1000.0;
+        let own = self.own_at(endpoint);
+        let total = self.total_at(endpoint);
+        FleetDemand {
+            own: rate(own.demand),
+            others: rate(total.demand.saturating_sub(own.demand)),
+            others_sent: total.sent.saturating_sub(own.sent),
+            instances: if self.has_list { self.max_instances() } else { ASSUMED_INSTANCES },
+            is_known: self.hears_others(),
+        }
+    }
+
+    /// Whether the others' work is known: by the messages of most instances, or through a leader
+    fn hears_others(&self) -> bool {
+        let has_leaders = self.max_instances() > MAX_FULL_MESH_INSTANCES;
+        let hears_leaders = has_leaders && (self.others.is_some() || !self.peers.is_empty());
+        self.has_list && (hears_leaders || 2 * self.instance_count() > self.max_instances())
+    }
+
     /// Records that the endpoint has read the prompt of a request
     pub fn record_read(&mut self, endpoint: &EndpointId, unread_tokens: u64) {
         if let Some(count) = self.own.get_mut(endpoint) {
@@ -112,6 +157,7 @@
     /// Records the number of listed instances, this one included
     pub fn record_listed(&mut self, instances: usize) {
         self.max_instances = self.max_instances.max(instances);
+        self.has_list = true;
     }
 
     /// Drops the work of instances whose last message is too old
--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -13,6 +13,7 @@
 pub mod notice;
 pub mod pick;
 pub mod prompt;
+pub mod rate_limit;
 pub mod retry_window;
 pub mod route;
 pub mod send_history;
--- a/crates/decide/src/serving/notice.rs
+++ b/crates/decide/src/serving/notice.rs
@@ -161,36 +161,46 @@
 
     /// What to do with a request that can't be sent now; `None` if that isn't due to pauses
     ///
-    /// `has_declined` selects the endpoints that have declined the request, which it doesn't wait for. The
-    /// request has taken `elapsed` of its `objective`.
+    /// `has_declined` selects the endpoints that have declined the request, which it doesn't wait for;
+    /// `limit_wait` is the time until an endpoint's limit allows a request, zero without one. The request has taken `elapsed` of its `objective`.
     pub fn pause_step(
         &self,
         endpoints: &[&ListedEndpoint],
         has_declined: impl Fn(&ListedEndpoint) -> bool,
+        limit_wait: impl Fn(&ListedEndpoint) -> Duration,
         elapsed: Duration,
         objective: Duration,
         now: Instant,
     ) -> Option<PauseStep> {
+        let remaining = |it: &ListedEndpoint| self.remaining(it, limit_wait(it), now);
         let candidates = endpoints.iter().filter(|it| !has_declined(it));
-        let shortest = candidates.filter_map(|it| self.remaining(it, now)).min();
+        let shortest = candidates.filter_map(|it| remaining(it)).min();
         if let Some(pause) = shortest
             && elapsed + pause <= objective.mul_f64(WAIT_FRACTION)
         {
             return Some(PauseStep::Wait(pause));
         }
-        if endpoints.iter().any(|it| self.accepts(it, now)) {
+        if endpoints.iter().any(|it| self.accepts(it, now) && limit_wait(it).is_zero()) {
             return None;
         }
-        endpoints.iter().filter_map(|it| self.remaining(it, now)).min().map(PauseStep::Refuse)
+        endpoints.iter().filter_map(|it| remaining(it)).min().map(PauseStep::Refuse)
     }
 
-    /// Time until a paused endpoint accepts requests again; `None` if it isn't paused, or is leaving
-    fn remaining(&self, endpoint: &ListedEndpoint, now: Instant) -> Option<Duration> {
-        let notice = self.current(endpoint).filter(|it| !it.is_leaving)?;
-        match notice.pause_end? {
-            PauseEnd::At(end) if end > now => Some(end - now),
-            _ => None,
-        }
+    /// Time until an endpoint accepts requests again; `None` if it accepts them, or never will
+    fn remaining(
+        &self,
+        endpoint: &ListedEndpoint,
+        limit_wait: Duration,
+        now: Instant,
+    ) -> Option<Duration> {
+        let notice = self.current(endpoint);
+        let pause = match notice.and_then(|it| it.pause_end) {
+            _ if notice.is_some_and(|it| it.is_leaving) => return None,
+            Some(PauseEnd::Never) => return None,
+            Some(PauseEnd::At(end)) => end.saturating_duration_since(now),
+            None => Duration::ZERO,
+        };
+        Some(pause.max(limit_wait)).filter(|it| !it.is_zero())
     }
 
     /// Notice that holds for a listed incarnation; an earlier one than that of the notice has ended
--- a/crates/decide/tests/serving_choice.rs
+++ b/crates/decide/tests/serving_choice.rs
@@ -283,7 +283,7 @@
 fn peers_work_counts() -> Result<()> {
     let mut load = FleetLoad::default();
     let home = whole(plan(&load, &prompt(1, 500, 390)));
-    let work = WorkCount { requests: 9, unread_tokens: 20_000 };
+    let work = WorkCount { requests: 9, unread_tokens: 20_000, ..WorkCount::default() };
     load.apply_report("peer".into(), [(home.clone(), work)].into_iter().collect(), Instant::now());
     verify_that!(whole(plan(&load, &prompt(1, 500, 390))), not(eq(&home)))
 }
@@ -291,7 +291,7 @@
 fn unresponsive_peer() -> Result<()> {
     let mut load = FleetLoad::default();
     let now = Instant::now();
-    let work = WorkCount { requests: 9, unread_tokens: 0 };
+    let work = WorkCount { requests: 9, unread_tokens: 0, ..WorkCount::default() };
     load.apply_report("peer".into(), [("m0".into(), work)].into_iter().collect(), now);
     verify_that!(load.total_at(&"m0".into()).requests, eq(9))?;
     load.expire(now + Duration::from_secs(3));
--- a/crates/decide/tests/serving_notice.rs
+++ b/crates/decide/tests/serving_notice.rs
@@ -150,7 +150,8 @@
     let now = Instant::now();
     let notices = paused(&[("a", pause)], now);
     let all = endpoint("a", 7);
-    let step = notices.pause_step(&[&all], |_| false, ms(elapsed), OBJECTIVE, now);
+    let step =
+        notices.pause_step(&[&all], |_| false, |_| Duration::ZERO, ms(elapsed), OBJECTIVE, now);
     verify_that!(step, some(eq(expected)))
 }
 
@@ -159,7 +160,14 @@
     let mut notices = paused(&[("a", 50)], now);
     let [first, second] = [endpoint("a", 7), endpoint("b", 7)];
     notices.record_leaving(&endpoint("a", 7), answered(Instant::now()));
-    let step = notices.pause_step(&[&first, &second], |_| false, ms(0), OBJECTIVE, now);
+    let step = notices.pause_step(
+        &[&first, &second],
+        |_| false,
+        |_| Duration::ZERO,
+        ms(0),
+        OBJECTIVE,
+        now,
+    );
     verify_that!(step, none())
 }
 
@@ -167,7 +175,7 @@
     let now = Instant::now();
     let notices = paused(&[("a", 50)], now);
     let all = endpoint("a", 7);
-    let step = notices.pause_step(&[&all], |_| true, ms(0), OBJECTIVE, now);
+    let step = notices.pause_step(&[&all], |_| true, |_| Duration::ZERO, ms(0), OBJECTIVE, now);
     verify_that!(step, some(eq(PauseStep::Refuse(ms(50)))))
 }
 
@@ -175,10 +183,24 @@
     let now = Instant::now();
     let notices = paused(&[("a", 9000), ("b", 3000)], now);
     let [first, second, third] = ["a", "b", "c"].map(|it| endpoint(it, 7));
-    let step = notices.pause_step(&[&first, &second], |_| false, ms(0), OBJECTIVE, now);
+    let step = notices.pause_step(
+        &[&first, &second],
+        |_| false,
+        |_| Duration::ZERO,
+        ms(0),
+        OBJECTIVE,
+        now,
+    );
     verify_that!(step, some(eq(PauseStep::Refuse(ms(3000)))))?;
     // Another one accepts requests, so that no pause has to be awaited.
-    let step = notices.pause_step(&[&first, &second, &third], |_| false, ms(0), OBJECTIVE, now);
+    let step = notices.pause_step(
+        &[&first, &second, &third],
+        |_| false,
+        |_| Duration::ZERO,
+        ms(0),
+        OBJECTIVE,
+        now,
+    );
     verify_that!(step, none())
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -177,7 +177,7 @@
         Err(_) => return Err(SendError::Exchange(ExchangeError::ConnectTimedOut)),
     };
     // A notice may have arrived in another answer since the endpoint was picked.
-    if !gateway.accepts(endpoint) {
+    if !gateway.try_start_send(endpoint) {
         return Err(SendError::NotAccepted);
     }
     if !connection.is_reused {
@@ -255,6 +255,9 @@
     let share = gateway.connection_share(&engine.pool);
     let mut connection =
         gateway.connections.acquire(engine, false, share).await.map_err(SendError::Exchange)?;
+    if !gateway.try_start_send(engine) {
+        return Err(SendError::NotAccepted);
+    }
     let answer = timeout(CALL_TIMEOUT, connection.exchange(request))
         .await
         .map_err(|_| SendError::TimedOut)?
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -223,7 +223,8 @@
         };
         match gateway.pause_step(self) {
             Some(PauseStep::Refuse(pause)) if answer == GatewayAnswer::NotRun => {
-                Refusal { answer, reason: "paused", retry_after: Some(pause) }
+                let retry_after = Some(gateway.book_return(&self.pool, pause));
+                Refusal { answer, reason: "paused", retry_after }
             }
             _ => Refusal::new(answer, reason),
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,8 @@
     pub endpoints_ready: Gauge,
     /// Version of the configuration in force
     pub config_version: Gauge,
+    /// Endpoints that have named a limit on requests
+    pub endpoints_limited: Gauge,
     /// Known instances, including this one
     pub instances: Gauge,
     /// Era of the store
@@ -56,6 +58,7 @@
             lines_dropped: Gauge::default(),
             endpoints_ready: Gauge::default(),
             config_version: Gauge::default(),
+            endpoints_limited: Gauge::default(),
             instances: Gauge::default(),
             store_era: Gauge::default(),
             store_returns: Counter::default(),
@@ -82,6 +85,8 @@
         registry.register("log_lines_dropped", "Log lines dropped", dropped);
         let ready = self.endpoints_ready.clone();
         registry.register("endpoints_ready", "Endpoints that accept new requests", ready);
+        let limited = self.endpoints_limited.clone();
+        registry.register("endpoints_limited", "Endpoints with a limit on requests", limited);
         let version = self.config_version.clone();
         registry.register("config_version", "Version of the configuration in force", version);
         registry.register("store_era", "Era of the store", self.store_era.clone());
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -3,15 +3,26 @@
 use crate::forward::ServingCall;
 use crate::peers::ServingUpdate;
 use crate::state::Gateway;
+use catalogue::id::PoolName;
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::notice::{AnswerTime, PauseStep};
-use platform_adapter::answer::AnswerHead;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use decide::serving::rate_limit::LimitReport;
+use platform_adapter::answer::{AnswerHead, NamedLimit};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 impl Gateway {
-    /// Whether an endpoint accepts requests by the notices that this instance has received
+    /// Whether an endpoint accepts a request now, by its notices and its limit
     pub fn accepts(&self, endpoint: &ListedEndpoint) -> bool {
-        self.notices.borrow().accepts(endpoint, Instant::now())
+        let now = Instant::now();
+        self.notices.borrow().accepts(endpoint, now)
+            && self.limits.borrow().wait(endpoint, now).is_zero()
+    }
+
+    /// Whether a request may be sent now; it then counts towards the endpoint's limit
+    pub fn try_start_send(&self, endpoint: &ListedEndpoint) -> bool {
+        let now = Instant::now();
+        self.notices.borrow().accepts(endpoint, now)
+            && self.limits.borrow_mut().try_take(endpoint, rand::random(), now)
     }
 
     /// Records the notices in an answer of an endpoint
@@ -41,6 +52,68 @@
                 pause.as_millis()
             );
         }
+        drop(notices);
+        self.record_limit(sender, head, time);
+    }
+
+    /// Records the limit that an answer names, or that it names none
+    fn record_limit(&self, endpoint: &ListedEndpoint, head: &AnswerHead, time: AnswerTime) {
+        let rate = match head.limit {
+            NamedLimit::Rate(rate) => Some(rate),
+            // Bytes that are no answer of the endpoint don't end its limit.
+            NamedLimit::None if head.request_id.is_some() && !head.is_misdirected() => None,
+            NamedLimit::None | NamedLimit::Unreadable => return,
+        };
+        let report = LimitReport {
+            endpoint: endpoint.id.clone(),
+            last_start_ms: endpoint.started_at_ms.max(time.unix_ms),
+            rate,
+            age_ms: 0,
+        };
+        if self.apply_limit(&report, "own", time.at) {
+            let update = ServingUpdate { limits: vec![report], ..Default::default() };
+            self.pending_update.borrow_mut().extend(update);
+        }
+    }
+
+    /// Applies limits that other instances have reported
+    pub fn apply_limits(&self, reports: &[LimitReport], now: Instant) {
+        for report in reports {
+            self.apply_limit(report, "peer", now);
+        }
+    }
+
+    /// Applies what an answer says of a limit; `true` if other instances should learn it
+    fn apply_limit(&self, report: &LimitReport, source: &str, now: Instant) -> bool {
+        let mut limits = self.limits.borrow_mut();
+        if report.rate.is_none() && limits.is_empty() {
+            return false;
+        }
+        let fleet = self.load.borrow().fleet_demand(&report.endpoint);
+        let Some(change) = limits.record(report, &fleet, rand::random(), now) else { return false };
+        if change.from.is_some() != change.to.is_some() {
+            log::info!(
+                "event=endpoint_limit endpoint={} from={:?} to={:?} source={source} instances={} known={}",
+                report.endpoint,
+                change.from,
+                change.to,
+                fleet.instances,
+                fleet.is_known,
+            );
+            self.metrics.endpoints_limited.set(i64::try_from(limits.len()).unwrap_or(i64::MAX));
+        }
+        change.is_reported
+    }
+
+    /// Computes this instance's demand and its shares of all limits again
+    pub fn update_limits(&self, now: Instant) {
+        let mut limits = self.limits.borrow_mut();
+        if limits.is_empty() {
+            return;
+        }
+        let mut load = self.load.borrow_mut();
+        load.record_demands(&limits.demands(now));
+        limits.share(|it| load.fleet_demand(it), now);
     }
 
     /// What to do with a request if the endpoints of its pool are paused
@@ -48,12 +121,26 @@
         let now = Instant::now();
         let list = self.endpoints.borrow();
         let pool = list.ready(now).filter(|it| it.pool == call.pool).collect::<Vec<_>>();
+        let limits = self.limits.borrow();
         self.notices.borrow().pause_step(
             &pool,
             |it| call.excluded.contains(&it.id),
+            |it| limits.wait(it, now),
             call.arrived_at.elapsed(),
             call.route.objective,
             now,
         )
     }
+
+    /// Time after which a refused request may come back, if the first endpoint accepts requests after `wait`
+    pub fn book_return(&self, pool: &PoolName, wait: Duration) -> Duration {
+        let now = Instant::now();
+        let list = self.endpoints.borrow();
+        let endpoints = list.ready(now).filter(|it| it.pool == *pool).collect::<Vec<_>>();
+        let mut limits = self.limits.borrow_mut();
+        if endpoints.iter().all(|it| limits.wait(it, now).is_zero()) {
+            return wait;
+        }
+        limits.book_return(pool, &endpoints, wait, now)
+    }
 }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -8,6 +8,7 @@
 use decide::serving::load::{EndpointWork, WorkCount};
 use decide::serving::notice::IncarnationStart;
 use decide::serving::prompt::PromptPrefix;
+use decide::serving::rate_limit::LimitReport;
 use decide::serving::route::ConfigVersion;
 use decide::serving::store_era::TopicPosition;
 use decide::serving::timing::StageSample;
@@ -17,7 +18,7 @@
 /// Maximum size of a message; the work at 60 endpoints takes about 1,000 bytes, at 640 about 11,000.
 pub const MAX_MESSAGE_BYTES: usize = 32 * 1024;
 /// Version of the message format; messages of other versions are ignored.
-const MESSAGE_VERSION: u8 = 12;
+const MESSAGE_VERSION: u8 = 13;
 /// Maximum number of prompt reads in one update; about 60 bytes each, well below
 /// `MAX_MESSAGE_BYTES`.
 const MAX_UPDATE_READS: usize = 200;
@@ -29,6 +30,8 @@
 const MAX_REPAIR_LEAVING: usize = 400;
 /// Maximum number of health changes in one update; about 20 bytes each.
 const MAX_UPDATE_HEALTH: usize = 100;
+/// Maximum number of limits in one update; about 35 bytes each.
+const MAX_UPDATE_LIMITS: usize = 60;
 /// Maximum number of leaving endpoints in one update; about 20 bytes each.
 const MAX_UPDATE_LEAVING: usize = 100;
 
@@ -70,6 +73,8 @@
     pub health: Vec<(EndpointId, HealthUpdate)>,
     /// Incarnations of endpoints that are leaving by their own notices
     pub leaving: Vec<(EndpointId, IncarnationStart)>,
+    /// Limits that endpoints have named, or ended
+    pub limits: Vec<LimitReport>,
 }
 
 impl ServingUpdate {
@@ -83,6 +88,8 @@
         self.health.truncate(MAX_UPDATE_HEALTH);
         self.leaving.extend(other.leaving);
         self.leaving.truncate(MAX_UPDATE_LEAVING);
+        self.limits.extend(other.limits);
+        self.limits.truncate(MAX_UPDATE_LIMITS);
     }
 }
 
@@ -137,12 +144,15 @@
     pub endpoints: EndpointUpdate,
 }
 
+/// Requests, unread prompt tokens, demand and recent sends at an endpoint.
+pub type ListedWork = (EndpointId, u32, u64, u32, u32);
+
 /// Content of a message
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub enum MessageBody {
-    /// Requests and unread prompt tokens by endpoint, with observations since the last message
-    Work(WorkScope, Vec<(EndpointId, u32, u64)>, ServingUpdate),
+    /// Work by endpoint, with observations since the last message
+    Work(WorkScope, Vec<ListedWork>, ServingUpdate),
     Store(StoreUpdate),
     Repair(FactRepair),
 }
@@ -199,14 +209,15 @@
 
 /// Encodes work by endpoint as a message body
 pub fn work_body(scope: WorkScope, work: &EndpointWork, update: ServingUpdate) -> MessageBody {
-    let work = work.iter().map(|(id, it)| (id.clone(), it.requests, it.unread_tokens));
+    let work =
+        work.iter().map(|(id, it)| (id.clone(), it.requests, it.unread_tokens, it.demand, it.sent));
     MessageBody::Work(scope, work.collect(), update)
 }
 
 /// Decodes work by endpoint from a message body
-pub fn received_work(work: Vec<(EndpointId, u32, u64)>) -> EndpointWork {
-    let counts = work.into_iter().map(|(endpoint, requests, unread_tokens)| {
-        (endpoint, WorkCount { requests, unread_tokens })
+pub fn received_work(work: Vec<ListedWork>) -> EndpointWork {
+    let counts = work.into_iter().map(|(endpoint, requests, unread_tokens, demand, sent)| {
+        (endpoint, WorkCount { requests, unread_tokens, demand, sent })
     });
     counts.collect()
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -136,7 +136,7 @@
         now: Instant,
     ) {
         let instance = message.instance;
-        let mut load = self.gateway.load.borrow_mut();
+        let load = &self.gateway.load;
         match message.body {
             MessageBody::Store(update)
                 if is_full_mesh || message.zone == self.gateway.settings.zone =>
@@ -147,7 +147,7 @@
             MessageBody::Repair(repair) => self.gateway.apply_repair(&repair),
             MessageBody::Work(WorkScope::Rest, work, update) => {
                 self.gateway.apply_update(&update);
-                load.apply_leader_report(received_work(work), now);
+                load.borrow_mut().apply_leader_report(received_work(work), now);
             }
             MessageBody::Work(scope, work, update) => {
                 self.gateway.apply_update(&update);
@@ -158,7 +158,7 @@
                     let member = ZoneMember { address, received_at: now };
                     self.members.borrow_mut().insert(instance.clone(), member);
                 }
-                load.apply_report(instance, received_work(work), now);
+                load.borrow_mut().apply_report(instance, received_work(work), now);
                 self.has_received_work.set(true);
             }
         }
@@ -271,6 +271,7 @@
         let now = Instant::now();
         exchange.send_repairs(now).await;
         gateway.load.borrow_mut().expire(now);
+        gateway.update_limits(now);
         let work = gateway.load.borrow().own().clone();
         let is_due = work != last_sent
             || now.saturating_duration_since(last_sent_at) >= IDLE_MESSAGE_INTERVAL;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,6 +21,7 @@
 use decide::serving::notice::{EndpointNotices, IncarnationStart};
 use decide::serving::pick::EnginePick;
 use decide::serving::prompt::PromptPrefix;
+use decide::serving::rate_limit::EndpointLimits;
 use decide::serving::retry_window::RetryWindow;
 use decide::serving::route::{RetryRule, RouteName, ServingConfig};
 use decide::serving::silence::SilentRequests;
@@ -74,6 +75,8 @@
     pub health: RefCell<EndpointHealth>,
     /// Notices received from endpoints
     pub notices: RefCell<EndpointNotices>,
+    /// Limits that endpoints have named
+    pub limits: RefCell<EndpointLimits>,
     /// Work in flight at the endpoints, of all instances
     pub load: RefCell<FleetLoad>,
     /// Known contents of the engines' prompt caches
@@ -127,6 +130,7 @@
             update_ready: Notify::new(),
             health: RefCell::default(),
             notices: RefCell::default(),
+            limits: RefCell::default(),
             load: RefCell::default(),
             caches: RefCell::default(),
             timings: RefCell::default(),
@@ -163,6 +167,10 @@
         }
         let share = self.connection_share(pool);
         usable.retain(|it| self.connections.has_capacity(it, share));
+        let mut limits = self.limits.borrow_mut();
+        if !limits.is_empty() {
+            usable.retain(|it| limits.admits(it, rand::random(), now));
+        }
         usable
     }
 
@@ -304,6 +312,7 @@
             }
         }
         self.apply_leaving(&update.leaving);
+        self.apply_limits(&update.limits, now);
         let list = self.endpoints.borrow();
         for read in &update.reads {
             let engine = list.get(&read.engine);
