Earn the retry slack after a start, and share it by the known number of instances

What callers saw: endpoints in trouble got more retries than the users allow after instances had started, so that they recovered later. Cause: an instance that starts counted only itself until it had read the list of instances, so that several that start at once used the whole slack each; and it had forgotten the retries before its restart, so that each restart brought the slack anew. Change: without the number of instances there is no slack, only the fraction of the own requests; messages carry the number, and an instance is ready once it knows it, or after 1 s. A restarted instance earns its share over the first window, so that a window holds at most the share from before and the one earned since (0.8 of the slack). At the first start of all instances nothing can have been forgotten, so the share is there at once. Evidence: instances_that_start_together_share_the_slack (156 for 90) and instance_that_restarts_often_stays_within_the_slack (130 for 84) failed before and pass; restarts_never_exceed_the_slack plays random restarts.

--- a/crates/decide/src/serving/load.rs
+++ b/crates/decide/src/serving/load.rs
@@ -89,7 +89,7 @@
             own: rate(own.demand),
             others: rate(total.demand.saturating_sub(own.demand)),
             others_sent: total.sent.saturating_sub(own.sent),
-            instances: if self.has_list { self.max_instances() } else { ASSUMED_INSTANCES },
+            instances: self.listed_instances().unwrap_or(ASSUMED_INSTANCES),
             is_known: self.hears_others(),
         }
     }
@@ -154,6 +154,11 @@
         }
     }
 
+    /// Number of instances, this one included; `None` until it is known
+    pub fn listed_instances(&self) -> Option<usize> {
+        self.has_list.then(|| self.max_instances())
+    }
+
     /// Records the number of listed instances, this one included
     pub fn record_listed(&mut self, instances: usize) {
         self.max_instances = self.max_instances.max(instances);
--- a/crates/decide/src/serving/retry_window.rs
+++ b/crates/decide/src/serving/retry_window.rs
@@ -2,14 +2,16 @@
 //!
 //! In any window, all instances together may retry a bounded fraction of a pool's
 //! requests, plus a fixed allowance (the slack). Each instance applies the fraction to
-//! its own requests and uses an equal share of the slack.
+//! its own requests and uses an equal share of the slack, which it earns over the first
+//! window after its start. One that doesn't know how many instances there are has none.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 /// Fraction of the allowed ratio that is used, since requests at the edges of the window may not count.
 const USED_RATIO_FRACTION: f64 = 0.75;
-/// Fraction of the slack that is used, since a restarted instance has lost its record of past retries.
+/// Fraction of the slack that is used: a restarted instance has lost its record of past retries, so that a
+/// window may hold the share from before the restart and the one earned since.
 const USED_SLACK_FRACTION: f64 = 0.4;
 
 /// Retry limits of the deployment
@@ -23,6 +25,15 @@
     pub slack: f64,
 }
 
+impl RetryLimits {
+    /// Slack of one of `instances` instances, `uptime` after its start; none if their number isn't known
+    pub fn slack_share(&self, instances: Option<usize>, uptime: Duration) -> f64 {
+        let Some(instances) = instances else { return 0.0 };
+        let earned = (uptime.as_secs_f64() / self.window.as_secs_f64()).min(1.0);
+        self.slack * USED_SLACK_FRACTION * earned / instances.max(1) as f64
+    }
+}
+
 /// Requests and retries of one instance to one pool within the window
 #[derive(Debug, Clone, Default)]
 pub struct RetryWindow {
@@ -37,18 +48,17 @@
         self.requests.push_back(now);
     }
 
-    /// Whether a retry is allowed now, when `instances` instances share the slack
-    pub fn has_retry(&mut self, limits: &RetryLimits, instances: usize, now: Instant) -> bool {
+    /// Whether a retry is allowed now, with this share of the slack
+    pub fn has_retry(&mut self, limits: &RetryLimits, slack: f64, now: Instant) -> bool {
         expire(&mut self.requests, limits.window, now);
         expire(&mut self.retries, limits.window, now);
         let allowed_by_ratio = limits.ratio * USED_RATIO_FRACTION * self.requests.len() as f64;
-        let slack = limits.slack * USED_SLACK_FRACTION / instances.max(1) as f64;
         (self.retries.len() as f64) + 1.0 <= allowed_by_ratio + slack
     }
 
     /// Records a retry if one is allowed; `false` otherwise
-    pub fn try_take(&mut self, limits: &RetryLimits, instances: usize, now: Instant) -> bool {
-        let is_allowed = self.has_retry(limits, instances, now);
+    pub fn try_take(&mut self, limits: &RetryLimits, slack: f64, now: Instant) -> bool {
+        let is_allowed = self.has_retry(limits, slack, now);
         if is_allowed {
             self.retries.push_back(now);
         }
--- a/crates/decide/tests/serving_state.rs
+++ b/crates/decide/tests/serving_state.rs
@@ -59,6 +59,8 @@
     many_paused_endpoints_stay_in_use => too_many_paused(),
     retry_slack_is_shared_by_instances => slack_shared(),
     retry_window_slides => window_slides(),
+    // Guards against an instance that uses the whole slack, since it knows no other one yet.
+    unknown_number_of_instances_allows_no_slack => unknown_instances(),
     declined_request_may_be_refused => final_step(&[RunStatus::NotRun], NextStep::Refuse),
     request_that_may_have_run_is_never_refused =>
         final_step(&[RunStatus::MayHaveRun, RunStatus::NotRun], NextStep::Fail),
@@ -358,6 +360,11 @@
     verify_that!(usable(&health, now), eq(6))
 }
 
+/// Slack of one of seven instances that has run for long
+fn slack() -> f64 {
+    LIMITS.slack_share(Some(7), LIMITS.window)
+}
+
 const LIMITS: RetryLimits =
     RetryLimits { ratio: 0.2, window: Duration::from_secs(10), slack: 54.0 };
 
@@ -366,7 +373,7 @@
     let mut taken = 0;
     for _ in 0..7 {
         let mut window = RetryWindow::default();
-        while window.try_take(&LIMITS, 7, now) {
+        while window.try_take(&LIMITS, slack(), now) {
             taken += 1;
         }
     }
@@ -376,9 +383,9 @@
 fn window_slides() -> Result<()> {
     let now = Instant::now();
     let mut window = RetryWindow::default();
-    while window.try_take(&LIMITS, 7, now) {}
-    verify_that!(window.try_take(&LIMITS, 7, now + Duration::from_secs(9)), eq(false))?;
-    verify_that!(window.try_take(&LIMITS, 7, now + Duration::from_secs(11)), eq(true))
+    while window.try_take(&LIMITS, slack(), now) {}
+    verify_that!(window.try_take(&LIMITS, slack(), now + Duration::from_secs(9)), eq(false))?;
+    verify_that!(window.try_take(&LIMITS, slack(), now + Duration::from_secs(11)), eq(true))
 }
 
 fn final_step(sends: &[RunStatus], expected: NextStep) -> Result<()> {
@@ -405,9 +412,38 @@
     verify_that!(history.may_send(RetryRule::Retryable, 2), eq(false))
 }
 
+fn unknown_instances() -> Result<()> {
+    verify_that!(LIMITS.slack_share(None, LIMITS.window), eq(0.0))
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(64))]
 
+    /// Instances that restart at any times, as often as they like, stay within the slack together.
+    #[test]
+    fn restarts_never_exceed_the_slack(steps in prop::collection::vec((0..7_usize, any::<bool>(), 0..300u64), 1..400)) {
+        let mut now = Instant::now();
+        // All have run for long.
+        let old = now;
+        now += LIMITS.window;
+        let mut instances = vec![(RetryWindow::default(), old); 7];
+        let mut retries = Vec::new();
+        for (number, restarts, pause) in steps {
+            now += Duration::from_millis(pause);
+            if restarts {
+                instances[number] = (RetryWindow::default(), now);
+            }
+            for (window, start) in &mut instances {
+                let slack = LIMITS.slack_share(Some(7), now.duration_since(*start));
+                while window.try_take(&LIMITS, slack, now) {
+                    retries.push(now);
+                }
+            }
+            let recent = retries.iter().filter(|it| now.duration_since(**it) <= LIMITS.window).count();
+            prop_assert!(recent as f64 <= LIMITS.slack);
+        }
+    }
+
     /// In any window, retries stay within the ratio of its requests plus the slack.
     #[test]
     fn retry_limits_are_never_exceeded(steps in prop::collection::vec((any::<bool>(), 0..400u64), 1..400)) {
@@ -419,7 +455,7 @@
             if is_request {
                 window.record_request(&LIMITS, now);
                 requests.push(now);
-            } else if window.try_take(&LIMITS, 7, now) {
+            } else if window.try_take(&LIMITS, slack(), now) {
                 retries.push(now);
                 let recent = |times: &[Instant]| {
                     times.iter().filter(|it| now.duration_since(**it) <= LIMITS.window).count() as f64
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -18,7 +18,7 @@
 /// Maximum size of a message; the work at 60 endpoints takes about 1,000 bytes, at 640 about 11,000.
 pub const MAX_MESSAGE_BYTES: usize = 32 * 1024;
 /// Version of the message format; messages of other versions are ignored.
-const MESSAGE_VERSION: u8 = 13;
+const MESSAGE_VERSION: u8 = 14;
 /// Maximum number of prompt reads in one update; about 60 bytes each, well below
 /// `MAX_MESSAGE_BYTES`.
 const MAX_UPDATE_READS: usize = 200;
@@ -168,6 +168,8 @@
     pub zone: ZoneName,
     /// Sender's share of a core, in thousandths
     pub power: u32,
+    /// Number of instances that the sender knows; 0 until it knows it
+    pub instances: u32,
     /// Digest of the facts that the sender knows
     pub digest: FactDigest,
     pub body: MessageBody,
@@ -178,11 +180,13 @@
     pub fn new(
         instance: InstanceId,
         sender: &PeerInstance,
+        instances: Option<usize>,
         digest: FactDigest,
         body: MessageBody,
     ) -> PeerMessage {
         let (zone, power) = (sender.zone.clone(), sender.power);
-        PeerMessage { version: MESSAGE_VERSION, instance, zone, power, digest, body }
+        let instances = instances.and_then(|it| u32::try_from(it).ok()).unwrap_or(0);
+        PeerMessage { version: MESSAGE_VERSION, instance, zone, power, instances, digest, body }
     }
 
     /// Encodes the message
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -115,6 +115,9 @@
         let now = Instant::now();
         let instance = message.instance.clone();
         let digest = message.digest;
+        if message.instances > 0 {
+            self.gateway.load.borrow_mut().record_listed(message.instances as usize);
+        }
         let is_full_mesh = {
             let mut table = self.table.borrow_mut();
             if table.insert(instance.clone(), message.sender(address)) {
@@ -172,14 +175,14 @@
 
     async fn send(&self, body: MessageBody, address: SocketAddr) {
         let settings = &self.gateway.settings;
-        let address_of_own = SocketAddr::new(settings.ip, settings.peer_port);
         let sender = PeerInstance {
-            address: address_of_own,
+            address: SocketAddr::new(settings.ip, settings.peer_port),
             zone: settings.zone.clone(),
             power: settings.power,
         };
+        let instances = self.gateway.load.borrow().listed_instances();
         let digest = self.gateway.fact_digest();
-        let message = PeerMessage::new(settings.instance.clone(), &sender, digest, body);
+        let message = PeerMessage::new(settings.instance.clone(), &sender, instances, digest, body);
         let bytes = match message.encode() {
             Ok(bytes) => bytes,
             Err(error) => {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -35,10 +35,15 @@
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify, watch};
 
+/// Longest time after the start for which an instance that can't read the list of instances isn't ready.
+const MAX_LIST_WAIT: Duration = Duration::from_secs(1);
+
 /// Shared state of an instance
 pub struct Gateway {
     /// Settings, fixed for the life of the process
     pub settings: InstanceSettings,
+    /// Start of the process
+    pub started_at: Instant,
     /// Client of the platform's store
     pub store: StoreClient,
     /// Configuration in force; `None` until it is read
@@ -111,6 +116,7 @@
     /// State of a starting instance, without configuration and endpoints
     pub fn new(settings: InstanceSettings) -> Gateway {
         Gateway {
+            started_at: Instant::now(),
             store: StoreClient::new(settings.store_address),
             settings,
             config: RefCell::default(),
@@ -149,9 +155,12 @@
         }
     }
 
-    /// Whether requests can be served, that is, configuration and endpoints have been read
+    /// Whether requests can be served: configuration and endpoints have been read, and the number of instances
+    /// that share the limits is known, unless it can't be read for long
     pub fn is_ready(&self) -> bool {
-        self.config.borrow().is_some() && self.endpoints_read_at.get().is_some()
+        let is_read = self.config.borrow().is_some() && self.endpoints_read_at.get().is_some();
+        let is_listed = self.load.borrow().listed_instances().is_some();
+        is_read && (is_listed || self.started_at.elapsed() > MAX_LIST_WAIT)
     }
 
     /// Endpoints of a pool that accept new requests of routes with this retry rule
@@ -365,20 +374,30 @@
         peaks.entry(route.clone()).or_default().has_waited(time_left, now)
     }
 
+    fn slack_share(&self, now: Instant) -> f64 {
+        let limits = &self.settings.retry_limits;
+        // At the first start of all instances, there are no earlier retries that it could have forgotten.
+        let uptime = match self.settings.is_first_start {
+            true => limits.window,
+            false => now.saturating_duration_since(self.started_at),
+        };
+        limits.slack_share(self.load.borrow().listed_instances(), uptime)
+    }
+
     /// Whether the retry limits allow a retry to a pool now
     pub fn has_retry(&self, pool: &PoolName, now: Instant) -> bool {
-        let instances = self.load.borrow().max_instances();
+        let slack = self.slack_share(now);
         let mut windows = self.retry_windows.borrow_mut();
         let window = windows.entry(pool.clone()).or_default();
-        window.has_retry(&self.settings.retry_limits, instances, now)
+        window.has_retry(&self.settings.retry_limits, slack, now)
     }
 
     /// Records a retry to a pool if one is allowed; `false` otherwise
     pub fn try_take_retry(&self, pool: &PoolName, now: Instant) -> bool {
-        let instances = self.load.borrow().max_instances();
+        let slack = self.slack_share(now);
         let mut windows = self.retry_windows.borrow_mut();
         let window = windows.entry(pool.clone()).or_default();
-        let is_allowed = window.try_take(&self.settings.retry_limits, instances, now);
+        let is_allowed = window.try_take(&self.settings.retry_limits, slack, now);
         if !is_allowed {
             self.metrics.budget_empty.inc();
         }
--- a/crates/gateway/tests/gateway/process.rs
+++ b/crates/gateway/tests/gateway/process.rs
@@ -29,11 +29,18 @@
     pub cpu_share: f64,
     /// Bandwidth of the instance's link, in Mbit/s
     pub bandwidth_mbps: f64,
+    /// Whether all instances start for the first time
+    pub is_first_start: bool,
 }
 
 impl Default for InstanceSize {
     fn default() -> InstanceSize {
-        InstanceSize { config_ms: 2000, cpu_share: 0.25, bandwidth_mbps: 1000.0 }
+        InstanceSize {
+            config_ms: 2000,
+            cpu_share: 0.25,
+            bandwidth_mbps: 1000.0,
+            is_first_start: true,
+        }
     }
 }
 
@@ -171,7 +178,7 @@
 }
 
 fn settings_text(ip: &str, store: SocketAddr, name: &str, size: InstanceSize) -> String {
-    let InstanceSize { config_ms, cpu_share, bandwidth_mbps } = size;
+    let InstanceSize { config_ms, cpu_share, bandwidth_mbps, is_first_start } = size;
     let last_port = PEER_PORT + 8;
     let zone = if name.starts_with("far") { "zone-b" } else { "zone-a" };
     format!(
@@ -181,7 +188,7 @@
 zone = "{zone}"
 port_range = [{PEER_PORT},{last_port}]
 unknown_field = true
-bootstrap = true
+bootstrap = {is_first_start}
 [bind]
 front_addr = "{ip}:{CLIENT_PORT}"
 ready_addr = "{ip}:{READY_PORT}"
--- a/crates/gateway/tests/gateway/retry_limits.rs
+++ b/crates/gateway/tests/gateway/retry_limits.rs
@@ -3,7 +3,7 @@
 use crate::client::call;
 use crate::deployment::{config, endpoint, get, list};
 use crate::endpoint::{Arrival, FakeEndpoint, Step, answer};
-use crate::process::Instance;
+use crate::process::{Instance, InstanceSize};
 use crate::store::FakeStore;
 use googletest::prelude::*;
 use testcases::cases;
@@ -65,7 +65,9 @@
     let store = FakeStore::start().await;
     let services = failing_services(&store).await;
     for start in 0..5 {
-        let instance = Instance::start(store.address, "instance-1").await;
+        let size = InstanceSize { is_first_start: start == 0, ..InstanceSize::default() };
+        let instance = Instance::launch_sized(store.address, "instance-1", size);
+        instance.wait_ready().await;
         send_requests(&instance, &format!("start-{start}")).await;
     }
     check(&services, 5)
