Refuse common requests only for endpoints that have ended

What callers saw: a sound path, or a body that many send, was refused for 600 s after three endpoints had broken off all requests for a moment. Cause: a broken connection was a strike, whoever's fault it was, and with requests without a body recognized too, a path that many use collects three strikes within milliseconds; refused, it can't complete any more. Change: common requests (without a body, or completed among the last 4,096) are refused only for strikes of endpoints that have ended: they refuse connections, or the list shows a new incarnation or none. A connection or an answer of the same incarnation within 0.1 to 1 s shows that it lives. Both are facts that instances share and repair. Other requests are refused as before.

--- a/crates/decide/src/serving/crash_table.rs
+++ b/crates/decide/src/serving/crash_table.rs
@@ -6,15 +6,22 @@
 //! with more strikes explains its crashes. Two requests that have crashed the same number
 //! of endpoints, all of them together, can't be told apart, and both are refused.
 //!
+//! A connection that ends early may also be the endpoint's own fault. That shows where many
+//! requests look the same: common requests, which have no body or have completed lately, are
+//! refused only for endpoints that have ended, by the list or since they refuse connections.
+//!
 //! Nothing is taken back: each decision is computed from all strikes and completions.
 //! Instances may therefore merge their tables in any order, and as often as they like.
 
+use super::endpoint_list::ListedEndpoint;
+use super::notice::IncarnationStart;
 use crate::fingerprint::Fingerprint;
 use catalogue::id::EndpointId;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::hash::Hasher;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 use twox_hash::XxHash3_64;
 
@@ -26,22 +33,60 @@
 const SAME_CRASH_WINDOW: Duration = Duration::from_secs(2);
 /// Maximum delay of a report to another instance, by which a strike may seem to be later than a completion.
 const MAX_REPORT_DELAY: Duration = Duration::from_millis(500);
+/// Time after a break-off in which a sign of life shows that the same incarnation lives on: not yet restarted,
+/// and later than what was on its way.
+const ALIVE_TIME: Range<Duration> = Duration::from_millis(100)..Duration::from_millis(1000);
+/// Time after a break-off within which the end of the endpoint becomes known.
+const MAX_END_DELAY: Duration = Duration::from_secs(10);
 /// Maximum number of tracked requests.
 const MAX_ENTRIES: usize = 500;
 /// Maximum number of strikes kept for a request; more don't change the decision.
 const MAX_KEPT_STRIKES: usize = 6;
 
+/// What has become of an endpoint after it broke off a request; what is greater replaces what is less
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub enum EndpointFate {
+    Unknown,
+    /// It has ended
+    Ended,
+    /// The same incarnation accepted a connection or answered soon afterwards
+    Alive,
+}
+
+/// Endpoint that broke off a request
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct BrokenEndpoint {
+    pub id: EndpointId,
+    /// Start of its incarnation as it was listed
+    pub started_at_ms: IncarnationStart,
+    pub fate: EndpointFate,
+}
+
 #[derive(Debug, Clone)]
 struct Strike {
-    endpoint: EndpointId,
+    endpoint: BrokenEndpoint,
     at: Instant,
 }
 
 impl Strike {
     /// Whether two requests report the same crash
     fn is_same_crash(&self, other: &Strike) -> bool {
-        self.endpoint == other.endpoint && distance(self.at, other.at) < SAME_CRASH_WINDOW
+        self.endpoint.id == other.endpoint.id && distance(self.at, other.at) < SAME_CRASH_WINDOW
     }
+
+    fn counts(&self, scope: StrikeScope) -> bool {
+        scope == StrikeScope::All || self.endpoint.fate == EndpointFate::Ended
+    }
+}
+
+/// Strikes that count
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StrikeScope {
+    All,
+    /// Only those of endpoints that have ended
+    Ended,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -68,8 +113,8 @@
 #[derive(Serialize, Deserialize)]
 pub struct CrashFact {
     pub fingerprint: Fingerprint,
-    /// Endpoint that crashed; `None` if the request completed
-    pub crashed: Option<EndpointId>,
+    /// Endpoint that broke it off; `None` if the request completed
+    pub broken: Option<BrokenEndpoint>,
     /// Age in milliseconds when it was sent
     pub age_ms: u32,
 }
@@ -78,12 +123,12 @@
     /// Fact that has become known at a time
     pub fn new(
         fingerprint: Fingerprint,
-        crashed: Option<EndpointId>,
+        broken: Option<BrokenEndpoint>,
         at: Instant,
         now: Instant,
     ) -> CrashFact {
         let age = now.saturating_duration_since(at).as_millis();
-        CrashFact { fingerprint, crashed, age_ms: u32::try_from(age).unwrap_or(u32::MAX) }
+        CrashFact { fingerprint, broken, age_ms: u32::try_from(age).unwrap_or(u32::MAX) }
     }
 }
 
@@ -103,13 +148,13 @@
         self.entries.is_empty()
     }
 
-    /// Records that an endpoint crashed at a time while it ran the request; `true` if that is new
+    /// Records that an endpoint broke the request off at a time; `true` if that, or the endpoint's fate, is new
     ///
     /// The next incarnation may run, and crash, before the list shows it. A crash therefore is identified by its time.
     pub fn record_strike(
         &mut self,
         fingerprint: Fingerprint,
-        endpoint: &EndpointId,
+        endpoint: &BrokenEndpoint,
         at: Instant,
         now: Instant,
     ) -> bool {
@@ -122,11 +167,20 @@
         let entry = self.entries.entry(fingerprint).or_default();
         entry.drop_void(now);
         let strike = Strike { endpoint: endpoint.clone(), at };
-        let is_known = entry.strikes.iter().any(|it| it.is_same_crash(&strike));
-        let is_full = entry.strikes.len() >= MAX_KEPT_STRIKES;
-        if is_known || is_full || is_voided(at, entry.completed_at) {
+        if let Some(known) = entry.strikes.iter_mut().find(|it| it.is_same_crash(&strike)) {
+            let is_new = known.endpoint.fate < strike.endpoint.fate;
+            known.endpoint.fate = known.endpoint.fate.max(strike.endpoint.fate);
+            self.update_digest();
+            return is_new;
+        }
+        if is_voided(at, entry.completed_at) {
             return false;
         }
+        if entry.strikes.len() >= MAX_KEPT_STRIKES {
+            let alive = entry.strikes.iter().position(|it| it.endpoint.fate == EndpointFate::Alive);
+            let Some(alive) = alive else { return false };
+            entry.strikes.remove(alive);
+        }
         entry.strikes.push(strike);
         self.update_digest();
         true
@@ -149,12 +203,56 @@
         is_new
     }
 
+    /// Records that a listed incarnation has accepted a connection or answered; returns what that changes
+    pub fn record_alive(&mut self, endpoint: &ListedEndpoint, now: Instant) -> Vec<CrashFact> {
+        let is_alive = |it: &Strike| {
+            it.endpoint.id == endpoint.id
+                && it.endpoint.started_at_ms == endpoint.started_at_ms
+                && ALIVE_TIME.contains(&now.saturating_duration_since(it.at))
+        };
+        self.update_fates(EndpointFate::Alive, is_alive, now)
+    }
+
+    /// Records the endpoints that have ended since they broke off a request; returns what that changes
+    pub fn record_ended(
+        &mut self,
+        has_ended: impl Fn(&BrokenEndpoint) -> bool,
+        now: Instant,
+    ) -> Vec<CrashFact> {
+        let has_ended = |it: &Strike| {
+            now.saturating_duration_since(it.at) < MAX_END_DELAY && has_ended(&it.endpoint)
+        };
+        self.update_fates(EndpointFate::Ended, has_ended, now)
+    }
+
+    fn update_fates(
+        &mut self,
+        fate: EndpointFate,
+        is_concerned: impl Fn(&Strike) -> bool,
+        now: Instant,
+    ) -> Vec<CrashFact> {
+        let mut changed = Vec::new();
+        for (fingerprint, entry) in &mut self.entries {
+            for strike in &mut entry.strikes {
+                if strike.endpoint.fate < fate && is_concerned(strike) {
+                    strike.endpoint.fate = fate;
+                    let broken = Some(strike.endpoint.clone());
+                    changed.push(CrashFact::new(*fingerprint, broken, strike.at, now));
+                }
+            }
+        }
+        if !changed.is_empty() {
+            self.update_digest();
+        }
+        changed
+    }
+
     /// Adds a fact of another instance; `true` if it is new
     pub fn merge(&mut self, fact: &CrashFact, now: Instant) -> bool {
         let age = Duration::from_millis(fact.age_ms.into());
         // A fact from before the steady clock's start is older than any strike that counts.
         let Some(at) = now.checked_sub(age) else { return false };
-        match &fact.crashed {
+        match &fact.broken {
             Some(endpoint) => self.record_strike(fact.fingerprint, endpoint, at, now),
             None => self.record_completion(fact.fingerprint, at, now),
         }
@@ -165,7 +263,7 @@
         let mut entries = self.entries.iter().collect::<Vec<_>>();
         entries.sort_by_key(|(_, entry)| Reverse(entry.strikes.len()));
         let facts = entries.into_iter().flat_map(|(fingerprint, entry)| {
-            let fact = move |crashed, at| CrashFact::new(*fingerprint, crashed, at, now);
+            let fact = move |broken, at| CrashFact::new(*fingerprint, broken, at, now);
             let strikes = entry.strikes.iter().filter(move |it| is_fresh(it.at, now));
             let strikes = strikes.map(move |it| fact(Some(it.endpoint.clone()), it.at));
             strikes.chain(entry.completed_at.map(|it| fact(None, it)))
@@ -185,7 +283,8 @@
             entry.strikes.iter().map(|it| {
                 let mut hasher = XxHash3_64::default();
                 hasher.write_u64(*fingerprint);
-                hasher.write(it.endpoint.as_bytes());
+                hasher.write(it.endpoint.id.as_bytes());
+                hasher.write_u8(it.endpoint.fate as u8);
                 hasher.finish()
             })
         });
@@ -193,20 +292,26 @@
     }
 
     /// Number of strikes that count
-    pub fn strike_count(&self, fingerprint: Fingerprint, now: Instant) -> usize {
-        self.strikes(fingerprint, now).count()
+    pub fn strike_count(
+        &self,
+        fingerprint: Fingerprint,
+        scope: StrikeScope,
+        now: Instant,
+    ) -> usize {
+        self.strikes(fingerprint, scope, now).count()
     }
 
     /// Whether the request is refused
-    pub fn is_refused(&self, fingerprint: Fingerprint, now: Instant) -> bool {
-        let count = self.strike_count(fingerprint, now);
+    pub fn is_refused(&self, fingerprint: Fingerprint, scope: StrikeScope, now: Instant) -> bool {
+        let count = self.strike_count(fingerprint, scope, now);
         if count < MAX_STRIKES {
             return false;
         }
-        let with_more = self.entries.keys().filter(|it| self.strike_count(**it, now) > count);
-        let explained = with_more.flat_map(|it| self.strikes(*it, now)).collect::<Vec<_>>();
+        let with_more =
+            self.entries.keys().filter(|it| self.strike_count(**it, scope, now) > count);
+        let explained = with_more.flat_map(|it| self.strikes(*it, scope, now)).collect::<Vec<_>>();
         let unexplained = self
-            .strikes(fingerprint, now)
+            .strikes(fingerprint, scope, now)
             .filter(|strike| !explained.iter().any(|it| it.is_same_crash(strike)));
         unexplained.count() >= MAX_STRIKES
     }
@@ -221,9 +326,14 @@
         self.update_digest();
     }
 
-    fn strikes(&self, fingerprint: Fingerprint, now: Instant) -> impl Iterator<Item = &Strike> {
-        let entry = self.entries.get(&fingerprint);
-        entry.into_iter().flat_map(|it| &it.strikes).filter(move |it| is_fresh(it.at, now))
+    fn strikes(
+        &self,
+        fingerprint: Fingerprint,
+        scope: StrikeScope,
+        now: Instant,
+    ) -> impl Iterator<Item = &Strike> {
+        let strikes = self.entries.get(&fingerprint).into_iter().flat_map(|it| &it.strikes);
+        strikes.filter(move |it| is_fresh(it.at, now) && it.counts(scope))
     }
 
     /// Evicts the entry with the fewest strikes, the oldest of these, if the table is full
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -89,6 +89,17 @@
         }
     }
 
+    /// Whether nothing accepts connections at the endpoint's address
+    pub fn is_refused_connection(&self) -> bool {
+        match self {
+            SendError::Exchange(ExchangeError::Connect(error)) => {
+                error.kind() == std::io::ErrorKind::ConnectionRefused
+            }
+            SendError::Prefill(error) => error.is_refused_connection(),
+            _ => false,
+        }
+    }
+
     /// Whether the endpoint didn't answer in time
     pub fn is_timeout(&self) -> bool {
         match self {
@@ -182,6 +193,7 @@
     }
     if !connection.is_reused {
         gateway.metrics.connections_opened.inc();
+        gateway.record_alive(endpoint);
     }
     let outgoing = endpoint_request(request, parameters).ok_or(SendError::Unusable)?;
     let response = match timeout_at(deadline, connection.exchange(outgoing)).await {
@@ -195,6 +207,7 @@
     if head.request_id.as_ref().is_some_and(|it| *it != request.id) {
         return Err(SendError::Mismatched);
     }
+    gateway.record_alive(endpoint);
     gateway.record_notices(endpoint, &head);
     if head.has_not_run {
         let status = head.status;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -326,5 +326,5 @@
     gateway.caches.borrow_mut().retain(|id| after.contains(id));
     gateway.timings.borrow_mut().values_mut().for_each(|it| it.retain(|id| after.contains(id)));
     drop(list);
-    gateway.record_silent_crashes(now);
+    gateway.record_listed_ends(now);
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use catalogue::id::{EndpointId, PoolName};
 use decide::fingerprint::{Fingerprint, RequestContent, request_fingerprint};
-use decide::serving::crash_table::STRIKE_LIFETIME;
+use decide::serving::crash_table::{BrokenEndpoint, EndpointFate, STRIKE_LIFETIME};
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::health::SendResult;
 use decide::serving::notice::PauseStep;
@@ -109,7 +109,8 @@
         if gateway.crashes.borrow().is_empty() {
             return false;
         }
-        gateway.is_suspected(self.fingerprint(), std::time::Instant::now())
+        let has_body = !self.request.body.is_empty();
+        gateway.is_suspected(self.fingerprint(), has_body, std::time::Instant::now())
     }
 
     /// Fingerprint by which the request is recognized when it comes again
@@ -132,14 +133,17 @@
         error: &SendError,
     ) {
         let now = std::time::Instant::now();
+        let started_at_ms =
+            gateway.endpoints.borrow().get(endpoint).map_or(0, |it| it.started_at_ms);
         if error.is_disconnect() {
-            gateway.record_strike(self.fingerprint(), endpoint, now);
+            let (id, fate) = (endpoint.clone(), EndpointFate::Unknown);
+            let broken = BrokenEndpoint { id, started_at_ms, fate };
+            gateway.record_strike(self.fingerprint(), broken, now);
         } else if error.is_timeout() {
-            let listed = gateway.endpoints.borrow().get(endpoint).map_or(0, |it| it.started_at_ms);
             gateway.silent_requests.borrow_mut().push(SilentRequest {
                 fingerprint: self.fingerprint(),
                 endpoint: endpoint.clone(),
-                started_at_ms: listed,
+                started_at_ms,
                 at: now,
             });
         }
@@ -147,9 +151,6 @@
 
     /// Records that the request completed without a crash
     pub fn record_completion(&self, gateway: &Gateway) {
-        if gateway.crashes.borrow().is_empty() {
-            return;
-        }
         gateway.record_completed(self.fingerprint(), std::time::Instant::now());
     }
 
@@ -169,6 +170,9 @@
         if let Some(result) = result {
             gateway.record_result(endpoint, result);
         }
+        if error.is_refused_connection() {
+            gateway.record_refused_connection(endpoint);
+        }
         let endpoint = &endpoint.id;
         self.record_crash_evidence(gateway, endpoint, error);
         log::info!(
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,7 +13,9 @@
 use catalogue::id::{EndpointId, PoolName};
 use decide::fingerprint::Fingerprint;
 use decide::serving::cache::PromptCaches;
-use decide::serving::crash_table::{CrashFact, CrashTable, FactDigest};
+use decide::serving::crash_table::{
+    BrokenEndpoint, CrashFact, CrashTable, EndpointFate, FactDigest, StrikeScope,
+};
 use decide::serving::deadline::DeadlinePeak;
 use decide::serving::endpoint_list::{EndpointList, ListedEndpoint};
 use decide::serving::health::{EndpointHealth, SendResult};
@@ -28,13 +30,17 @@
 use decide::serving::store_era::{EraTracker, StoreEra, TopicPosition};
 use decide::serving::timing::{PoolTiming, StageSample};
 use indexmap::IndexMap;
+use lru::LruCache;
 use platform_adapter::settings::InstanceSettings;
 use platform_adapter::store::StoreClient;
 use std::cell::{Cell, RefCell};
+use std::num::NonZeroUsize;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify, watch};
 
+/// Maximum number of completed requests to remember; about 20 s of the users' load.
+const MAX_COMPLETED_REQUESTS: NonZeroUsize = NonZeroUsize::new(4096).expect("not zero");
 /// Longest time after the start for which an instance that can't read the list of instances isn't ready.
 const MAX_LIST_WAIT: Duration = Duration::from_secs(1);
 
@@ -90,6 +96,8 @@
     pub timings: RefCell<IndexMap<PoolName, PoolTiming>>,
     /// Requests that ran at endpoints that crashed
     pub crashes: RefCell<CrashTable>,
+    /// Requests that have completed lately
+    pub completed: RefCell<LruCache<Fingerprint, ()>>,
     /// Requests that endpoints went silent on
     pub silent_requests: RefCell<SilentRequests>,
     /// Update to be sent to the other instances with the next message
@@ -141,6 +149,7 @@
             caches: RefCell::default(),
             timings: RefCell::default(),
             crashes: RefCell::default(),
+            completed: RefCell::new(LruCache::new(MAX_COMPLETED_REQUESTS)),
             silent_requests: RefCell::default(),
             pending_update: RefCell::default(),
             retry_windows: RefCell::default(),
@@ -232,26 +241,56 @@
     }
 
     /// Records that an endpoint closed the connection while it may have run a request
-    pub fn record_strike(&self, fingerprint: Fingerprint, endpoint: &EndpointId, now: Instant) {
-        self.record_crash_fact(CrashFact::new(fingerprint, Some(endpoint.clone()), now, now), now);
+    pub fn record_strike(&self, fingerprint: Fingerprint, endpoint: BrokenEndpoint, now: Instant) {
+        self.record_crash_fact(CrashFact::new(fingerprint, Some(endpoint), now, now), now);
+    }
+
+    /// Records that an endpoint has accepted a connection or answered
+    pub fn record_alive(&self, endpoint: &ListedEndpoint) {
+        let changes = self.crashes.borrow_mut().record_alive(endpoint, Instant::now());
+        self.send_crash_facts(changes);
     }
 
-    /// Records strikes for the endpoints that went silent and, as the list shows now, have crashed
-    pub fn record_silent_crashes(&self, now: Instant) {
+    /// Records that an endpoint refuses connections
+    pub fn record_refused_connection(&self, endpoint: &ListedEndpoint) {
+        let has_ended = |it: &BrokenEndpoint| {
+            it.id == endpoint.id && it.started_at_ms == endpoint.started_at_ms
+        };
+        let changes = self.crashes.borrow_mut().record_ended(has_ended, Instant::now());
+        self.send_crash_facts(changes);
+    }
+
+    fn send_crash_facts(&self, crashes: Vec<CrashFact>) {
+        if !crashes.is_empty() {
+            let update = ServingUpdate { crashes, ..Default::default() };
+            self.pending_update.borrow_mut().extend(update);
+        }
+    }
+
+    /// Records which endpoints that broke off requests, or went silent on them, have ended, as the list shows now
+    pub fn record_listed_ends(&self, now: Instant) {
+        let changes = {
+            let list = self.endpoints.borrow();
+            let has_ended = |it: &BrokenEndpoint| {
+                list.get(&it.id).is_none_or(|listed| listed.started_at_ms > it.started_at_ms)
+            };
+            self.crashes.borrow_mut().record_ended(has_ended, now)
+        };
+        self.send_crash_facts(changes);
         let crashed = {
             let list = self.endpoints.borrow();
             self.silent_requests.borrow_mut().take_crashed(&list, now)
         };
         for it in crashed {
-            self.record_crash_fact(
-                CrashFact::new(it.fingerprint, Some(it.endpoint), it.at, now),
-                now,
-            );
+            let (id, started_at_ms) = (it.endpoint, it.started_at_ms);
+            let broken = BrokenEndpoint { id, started_at_ms, fate: EndpointFate::Ended };
+            self.record_crash_fact(CrashFact::new(it.fingerprint, Some(broken), it.at, now), now);
         }
     }
 
     /// Records that a request completed without a crash
     pub fn record_completed(&self, fingerprint: Fingerprint, now: Instant) {
+        self.completed.borrow_mut().put(fingerprint, ());
         self.record_crash_fact(CrashFact::new(fingerprint, None, now, now), now);
     }
 
@@ -268,12 +307,13 @@
         let is_new = crashes.merge(fact, now);
         if is_new {
             let fingerprint = fact.fingerprint;
+            let count = |scope| crashes.strike_count(fingerprint, scope, now);
             log::info!(
-                "event=strike fingerprint={fingerprint:x} endpoint={} age_ms={} source={source} strikes={} refused={}",
-                fact.crashed.as_deref().unwrap_or("none"),
+                "event=strike fingerprint={fingerprint:x} endpoint={} age_ms={} source={source} strikes={} ended={}",
+                fact.broken.as_ref().map_or("none", |it| it.id.as_str()),
                 fact.age_ms,
-                crashes.strike_count(fingerprint, now),
-                crashes.is_refused(fingerprint, now),
+                count(StrikeScope::All),
+                count(StrikeScope::Ended),
             );
         }
         is_new
@@ -303,8 +343,10 @@
     }
 
     /// Whether a request is refused for the crashes of the endpoints that ran it
-    pub fn is_suspected(&self, fingerprint: Fingerprint, now: Instant) -> bool {
-        self.crashes.borrow().is_refused(fingerprint, now)
+    pub fn is_suspected(&self, fingerprint: Fingerprint, has_body: bool, now: Instant) -> bool {
+        let is_common = !has_body || self.completed.borrow().contains(&fingerprint);
+        let scope = if is_common { StrikeScope::Ended } else { StrikeScope::All };
+        self.crashes.borrow().is_refused(fingerprint, scope, now)
     }
 
     /// Applies an update from another instance
