Cut a stream whose event has no end

What callers saw: while an engine sent an event without end, all requests of the instance waited, up to 2 s beyond the stream's deadline, and its memory grew until then. Cause: the splitter kept an event of any size and searched it from its first byte at each part of the body, on the thread that all requests share. Change: only new bytes are searched, and an event of more than 256 KiB ends the stream as broken.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -48,6 +48,8 @@
     Mismatched,
     /// endpoint closed the connection before the end of the answer
     Truncated,
+    /// endpoint sent more than an answer may have
+    Oversized,
     /// endpoint did not answer in time
     TimedOut,
     /// request or the endpoint's address is invalid
@@ -73,6 +75,7 @@
             }
             SendError::Exchange(ExchangeError::Broken(_))
             | SendError::Truncated
+            | SendError::Oversized
             | SendError::TimedOut => Some(SendResult::Broken),
             SendError::Mismatched => Some(SendResult::Failed),
             SendError::Prefill(error) => error.result(),
@@ -129,6 +132,7 @@
             SendError::Exchange(ExchangeError::Broken(_) | ExchangeError::Stale(_))
             | SendError::Mismatched
             | SendError::Truncated
+            | SendError::Oversized
             | SendError::TimedOut => RunStatus::MayHaveRun,
             SendError::Exchange(_) => RunStatus::NotRun,
         }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -3,6 +3,18 @@
 use bytes::{Bytes, BytesMut};
 use smol_str::SmolStr;
 
+/// Largest event, in bytes; those of engines have a few kilobytes.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// Length of the longer of the two ends of an event, less one.
+const END_OVERLAP: usize = 3;
+
+/// Event without an end within `MAX_EVENT_BYTES`
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
+pub struct OversizedEvent;
+
+impl std::error::Error for OversizedEvent {}
+
 /// Buffers a stream up to the end of its last complete event
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -12,14 +24,25 @@
 
 impl EventSplitter {
     /// Appends bytes and returns the events that are complete now; `None` if there are none
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    ///
+    /// # Errors
+    /// `OversizedEvent` if the incomplete event is too large.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, OversizedEvent> {
+        // An end may lie across two parts of the body; what came before was searched already.
+        let searched = self.partial.len().saturating_sub(END_OVERLAP);
         self.partial.extend_from_slice(bytes);
-        let end = last_event_end(&self.partial)?;
-        let events = self.partial.split_to(end).freeze();
+        let Some(end) = last_event_end(&self.partial[searched..]) else {
+            return if self.partial.len() > MAX_EVENT_BYTES {
+                Err(OversizedEvent)
+            } else {
+                Ok(None)
+            };
+        };
+        let events = self.partial.split_to(searched + end).freeze();
         if let Some(id) = last_event_id(&events) {
             self.last_id = Some(id);
         }
-        Some(events)
+        Ok(Some(events))
     }
 
     /// Whether the buffer holds an incomplete event
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -261,6 +261,7 @@
         SendError::Declined(_) => "declined",
         SendError::Mismatched => "foreign",
         SendError::Truncated => "broken_off",
+        SendError::Oversized => "oversized",
         SendError::TimedOut => "timed_out",
         SendError::Unusable => "unusable",
         SendError::NotAccepted => "not_accepted",
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -68,7 +68,8 @@
                 Some(Err(_)) => return Err(SendError::Truncated),
                 Some(Ok(frame)) => {
                     let Some(data) = frame.data_ref() else { continue };
-                    if let Some(events) = self.splitter.push(data) {
+                    let events = self.splitter.push(data).map_err(|_| SendError::Oversized)?;
+                    if let Some(events) = events {
                         self.answer.work_guard.record_prompt_read();
                         return Ok(StreamItem::Events(events));
                     }
--- a/crates/gateway/tests/gateway/endpoint.rs
+++ b/crates/gateway/tests/gateway/endpoint.rs
@@ -12,6 +12,8 @@
 pub enum Step {
     /// Writes raw bytes
     Write(Vec<u8>),
+    /// Writes the same bytes again and again until the connection is closed
+    Flood(Vec<u8>),
     /// Waits before the next step
     Pause(Duration),
     /// Closes the connection normally
@@ -60,6 +62,7 @@
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     open: Arc<AtomicUsize>,
     most_open: Arc<AtomicUsize>,
+    flooded: Arc<AtomicUsize>,
     script: Arc<Script>,
 }
 
@@ -76,6 +79,7 @@
             arrivals: Arc::default(),
             open: Arc::default(),
             most_open: Arc::default(),
+            flooded: Arc::default(),
             script: Arc::new(script),
         };
         let accepting = endpoint.clone();
@@ -100,6 +104,11 @@
         self.arrivals.lock().expect("no panic").clone()
     }
 
+    /// Bytes that floods have written, on all connections
+    pub fn flooded(&self) -> usize {
+        self.flooded.load(Ordering::SeqCst)
+    }
+
     /// Largest number of connections that were open at once
     pub fn most_open(&self) -> usize {
         self.most_open.load(Ordering::SeqCst)
@@ -135,6 +144,12 @@
     async fn run_step(&self, socket: &mut TcpStream, step: Step, index: usize) -> bool {
         match step {
             Step::Write(bytes) => socket.write_all(&bytes).await.is_ok(),
+            Step::Flood(bytes) => {
+                while socket.write_all(&bytes).await.is_ok() {
+                    self.flooded.fetch_add(bytes.len(), Ordering::SeqCst);
+                }
+                false
+            }
             Step::Pause(pause) => !self.abandoned_within(socket, pause, index).await,
             Step::Hang => {
                 self.abandoned_within(socket, Duration::from_secs(60), index).await;
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod drain;
 mod endpoint;
 mod era;
+mod flood;
 mod generations;
 mod large_config;
 mod malformed;
--- a/crates/gateway/tests/gateway/process.rs
+++ b/crates/gateway/tests/gateway/process.rs
@@ -113,6 +113,14 @@
         }
     }
 
+    /// Largest resident memory so far, in bytes
+    pub fn peak_memory(&self) -> usize {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("a running process");
+        let peak = status.lines().find_map(|it| it.strip_prefix("VmHWM:")).expect("a peak");
+        peak.trim().trim_end_matches(" kB").parse::<usize>().expect("kilobytes") * 1024
+    }
+
     /// Log lines written so far
     pub fn lines(&self) -> Vec<String> {
         self.lines.lock().expect("no panic").clone()
