Try the next endpoint at once when the rest of a refusal doesn't come

What callers saw: a request that an endpoint had declined waited for the rest of that answer, up to three objectives, before it went to the next endpoint. Cause: the rest of a refusal, which only serves to reuse the connection, was read to the deadline of the answer. Change: it is read for 50 ms; then the connection is closed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,6 +21,8 @@
 /// Largest answer that is buffered; answers of plain services are about a kilobyte.
 const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
 
+/// Timeout of the rest of an answer that declines a request; it usually comes with the head.
+const DECLINED_REST_TIMEOUT: Duration = Duration::from_millis(50);
 /// Timeout of calls that are not made for a client.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -217,7 +219,8 @@
         let status = head.status;
         let answer = OpenAnswer { head, headers: parts.headers, body, connection, work_guard };
         // Reading the rest only serves to reuse the connection.
-        if let Err(error) = read_whole(gateway, answer, deadline).await {
+        let rest_deadline = deadline.min(Instant::now() + DECLINED_REST_TIMEOUT);
+        if let Err(error) = read_whole(gateway, answer, rest_deadline).await {
             log::debug!("event=declined_answer_broken id={} error={error}", request.id);
         }
         return Err(SendError::Declined(status));
