Bound the memory of all buffered answers together

What callers saw: endpoints that send bodies without end made the instance exceed its memory, so that it was killed with all of its requests. Cause: each answer was buffered up to 4 MiB, at any number of answers, and each connection's read buffer grew to 400 KiB. Change: while the answers that are being read take more than 16 MiB together, those beyond 64 KiB are given up; smaller ones are read in any case. Read buffers of connections to endpoints hold 64 KiB, which also bounds heads.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -2,13 +2,13 @@
 
 use crate::connections::{EndpointConnection, ExchangeError};
 use crate::state::{Gateway, WorkGuard};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::health::SendResult;
 use decide::serving::send_history::RunStatus;
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use platform_adapter::answer::{AnswerHead, decode_answer};
 use platform_adapter::engine::{cache_path, call_headers};
@@ -20,6 +20,10 @@
 
 /// Largest answer that is buffered; answers of plain services are about a kilobyte.
 const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
+/// Size up to which an answer is buffered whatever the others take.
+const USUAL_BUFFERED_BYTES: usize = 64 * 1024;
+/// Size of all buffered answers beyond which larger ones are given up.
+const MAX_TOTAL_BUFFERED_BYTES: usize = 16 * 1024 * 1024;
 
 /// Timeout of the rest of an answer that declines a request; it usually comes with the head.
 const DECLINED_REST_TIMEOUT: Duration = Duration::from_millis(50);
@@ -234,19 +238,15 @@
 /// Reads the rest of an answer and returns its connection to the idle ones
 ///
 /// # Errors
-/// `Truncated` or `TimedOut`.
+/// `Truncated`, `Oversized` or `TimedOut`.
 pub async fn read_whole(
     gateway: &Gateway,
     answer: OpenAnswer,
     deadline: Instant,
 ) -> Result<WholeAnswer, SendError> {
     let OpenAnswer { head, headers, body, connection, work_guard } = answer;
-    let body = Limited::new(body, MAX_BUFFERED_BYTES);
-    let body = match timeout_at(deadline, body.collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) => return Err(SendError::Truncated),
-        Err(_) => return Err(SendError::TimedOut),
-    };
+    let body = timeout_at(deadline, read_buffered(gateway, body));
+    let body = body.await.map_err(|_| SendError::TimedOut)??;
     drop(work_guard);
     if !head.closes_connection {
         gateway.connections.release(connection, head.idle_timeout);
@@ -254,6 +254,43 @@
     Ok(WholeAnswer { status: head.status, headers, body })
 }
 
+/// Reads a body; one that is larger than usual only while the buffers of all answers have room
+async fn read_buffered(gateway: &Gateway, mut body: Incoming) -> Result<Bytes, SendError> {
+    let mut received = BytesMut::new();
+    let mut share = BufferShare { gateway, bytes: 0 };
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| SendError::Truncated)?.into_data() else { continue };
+        share.grow(data.len());
+        let is_large = share.bytes > USUAL_BUFFERED_BYTES;
+        if share.bytes > MAX_BUFFERED_BYTES
+            || is_large && gateway.buffered_bytes.get() > MAX_TOTAL_BUFFERED_BYTES
+        {
+            return Err(SendError::Oversized);
+        }
+        received.extend_from_slice(&data);
+    }
+    Ok(received.freeze())
+}
+
+/// Part of one answer in the buffers of all answers; returned when dropped
+struct BufferShare<'a> {
+    gateway: &'a Gateway,
+    bytes: usize,
+}
+
+impl BufferShare<'_> {
+    fn grow(&mut self, bytes: usize) {
+        self.bytes += bytes;
+        self.gateway.buffered_bytes.set(self.gateway.buffered_bytes.get() + bytes);
+    }
+}
+
+impl Drop for BufferShare<'_> {
+    fn drop(&mut self) {
+        self.gateway.buffered_bytes.set(self.gateway.buffered_bytes.get() - self.bytes);
+    }
+}
+
 /// Frees the cache of a prompt that no engine is going to fetch
 ///
 /// # Errors
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -9,7 +9,7 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use std::cell::{Cell, RefCell};
@@ -28,6 +28,8 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Maximum number of idle connections kept for each endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 8;
+/// Size of a connection's read buffer, which also bounds the head of an answer.
+const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Fraction of an endpoint's connection limit that instances divide among themselves. The rest covers
 /// closed connections that the endpoint still counts.
 const SHARED_FRACTION: f64 = 0.8;
@@ -227,8 +229,11 @@
         .map_err(|_| ExchangeError::ConnectTimedOut)?
         .map_err(ExchangeError::Connect)?;
     socket.set_nodelay(true).map_err(ExchangeError::Connect)?;
-    let (sender, connection) =
-        handshake(TokioIo::new(socket)).await.map_err(ExchangeError::Broken)?;
+    let (sender, connection) = Builder::new()
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(socket))
+        .await
+        .map_err(ExchangeError::Broken)?;
     let task = tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
             log::debug!("event=connection_ended error={error}");
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -107,6 +107,8 @@
     /// Largest recent time left of requests by route, to detect clients' retries
     pub deadline_peaks: RefCell<IndexMap<RouteName, DeadlinePeak>>,
     pub connections: EndpointConnections,
+    /// Bytes of answers that are being read
+    pub buffered_bytes: Cell<usize>,
     pub metrics: GatewayMetrics,
     /// Whether SIGTERM was received
     pub stopping: Cell<bool>,
@@ -155,6 +157,7 @@
             retry_windows: RefCell::default(),
             deadline_peaks: RefCell::default(),
             connections: EndpointConnections::default(),
+            buffered_bytes: Cell::default(),
             metrics: GatewayMetrics::default(),
             stopping: Cell::default(),
             is_closing: Cell::default(),
