Give up an endpoint that sends interim answers only

What callers saw: a request waited three objectives for an endpoint that sent interim answers (1xx) without end. Cause: the HTTP library skips interim answers, however many come. Change: after 20 of them the connection is closed and the request may go on elsewhere, as after a broken connection.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -79,7 +79,7 @@
             SendError::Exchange(ExchangeError::Connect(_) | ExchangeError::ConnectTimedOut) => {
                 Some(SendResult::Unreachable)
             }
-            SendError::Exchange(ExchangeError::Broken(_))
+            SendError::Exchange(ExchangeError::Broken(_) | ExchangeError::InterimOnly)
             | SendError::Truncated
             | SendError::Oversized
             | SendError::TimedOut => Some(SendResult::Broken),
@@ -135,7 +135,9 @@
             | SendError::Unusable
             | SendError::NotAccepted
             | SendError::Prefill(_) => RunStatus::NotRun,
-            SendError::Exchange(ExchangeError::Broken(_) | ExchangeError::Stale(_))
+            SendError::Exchange(
+                ExchangeError::Broken(_) | ExchangeError::Stale(_) | ExchangeError::InterimOnly,
+            )
             | SendError::Mismatched
             | SendError::Truncated
             | SendError::Oversized
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -10,13 +10,17 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
@@ -30,6 +34,8 @@
 const MAX_IDLE_CONNECTIONS: usize = 8;
 /// Size of a connection's read buffer, which also bounds the head of an answer.
 const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Maximum number of interim answers to one request.
+const MAX_INTERIM_ANSWERS: usize = 20;
 /// Fraction of an endpoint's connection limit that instances divide among themselves. The rest covers
 /// closed connections that the endpoint still counts.
 const SHARED_FRACTION: f64 = 0.8;
@@ -53,12 +59,30 @@
     Unsent,
     /// connection failed after the request was written: {0}
     Broken(hyper::Error),
+    /// endpoint sends interim answers only
+    InterimOnly,
     /// reused connection failed after the request was written, possibly closed by the endpoint before: {0}
     Stale(hyper::Error),
 }
 
 impl std::error::Error for ExchangeError {}
 
+/// Interim answers (1xx) to one request
+#[derive(Default)]
+struct InterimAnswers {
+    count: AtomicUsize,
+    /// Notified once there are too many
+    exceeded: Notify,
+}
+
+impl InterimAnswers {
+    fn record(&self) {
+        if self.count.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_ANSWERS {
+            self.exceeded.notify_one();
+        }
+    }
+}
+
 /// Key of a connection: an endpoint's incarnation and its address
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct EndpointKey {
@@ -109,19 +133,26 @@
     /// Sends a request and waits for the head of the answer
     ///
     /// # Errors
-    /// `Unsent` if no byte was written; otherwise `Broken`, or `Stale` on a reused connection.
+    /// `Unsent` if no byte was written; otherwise `InterimOnly`, `Broken`, or `Stale` on a reused connection.
     pub async fn exchange(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ExchangeError> {
         let is_reused = self.is_reused;
-        self.sender.try_send_request(request).await.map_err(|mut error| {
-            match (error.take_message(), is_reused) {
-                (Some(_), _) => ExchangeError::Unsent,
-                (None, true) => ExchangeError::Stale(error.into_error()),
-                (None, false) => ExchangeError::Broken(error.into_error()),
-            }
-        })
+        let interim = Arc::new(InterimAnswers::default());
+        let counted = interim.clone();
+        on_informational(&mut request, move |_| counted.record());
+        let answered = self.sender.try_send_request(request);
+        tokio::select! {
+            answer = answered => answer.map_err(|mut error| {
+                match (error.take_message(), is_reused) {
+                    (Some(_), _) => ExchangeError::Unsent,
+                    (None, true) => ExchangeError::Stale(error.into_error()),
+                    (None, false) => ExchangeError::Broken(error.into_error()),
+                }
+            }),
+            () = interim.exceeded.notified() => Err(ExchangeError::InterimOnly),
+        }
     }
 }
 
