Soak a crashing request, endpoints that name limits or send without end

Change: a client sends a request that ends every endpoint through all instances all the while; endpoints name limits or send bytes without end among the other modes. The checks are those of the users' rules: at most three such requests from instances in touch 3 s after the third end; the limit over 4 s, half as much again and 5, from instances that were told. SOAK_SECONDS sets the length.

--- a/crates/gateway/tests/gateway/soak.rs
+++ b/crates/gateway/tests/gateway/soak.rs
@@ -3,10 +3,11 @@
 //! A seed determines the faults and their times: instances are stopped, killed, paused,
 //! signalled and replaced; the store is unavailable, loses its history or returns from a
 //! copy; endpoints fail in all modes, leave, shed requests and come back as new
-//! incarnations; entries and configurations change; proxies delay, reset or hold back the
+//! incarnations, name limits or send bytes without end; a request ends every endpoint that
+//! it reaches; entries and configurations change; proxies delay, reset or hold back the
 //! connections to the store and to endpoints. Faults overlap, and some come in series. Clients send requests throughout and
 //! reuse connections until these are closed. `SOAK_SEEDS=FROM..TO` selects the seeds,
-//! `SOAK_INSTANCES` and `SOAK_CLIENTS` the size:
+//! `SOAK_INSTANCES` and `SOAK_CLIENTS` the size, `SOAK_SECONDS` the length:
 //! `SOAK_SEEDS=1..51 cargo test -p gateway --test gateway soak -- --nocapture`.
 
 use crate::client::{RawAnswer, RawClient, call};
@@ -36,8 +37,8 @@
 use tokio::task::LocalSet;
 use tokio::time::{sleep, timeout};
 
-/// Time during which faults are injected.
-const FAULT_TIME: Duration = Duration::from_secs(6);
+/// Default time during which faults are injected, in seconds.
+const FAULT_SECONDS: usize = 6;
 /// Time after the last fault within which requests must be served again.
 const RECOVERY_TIME: Duration = Duration::from_secs(6);
 /// Default numbers of instances and of clients.
@@ -52,6 +53,19 @@
 const SHED_NOTICE_TIME: Duration = Duration::from_millis(500);
 /// Arrivals at a shedding endpoint from one instance that the users' rule allows.
 const MAX_SHED_ARRIVALS: usize = 2;
+/// Limit that an endpoint names, and the users' rule on it: the time from which it holds, its window and how far
+/// arrivals from instances that were told may exceed it.
+const LIMIT_PER_S: f64 = 5.0;
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+const LIMIT_FACTOR: f64 = 1.5;
+const LIMIT_MARGIN: f64 = 5.0;
+/// Body on which every endpoint ends, pause between such requests, and retries that the users' rule allows after
+/// the third end.
+const CRASHING: &str = "crashing";
+const CRASH_PAUSE: Duration = Duration::from_millis(250);
+const CRASHES: usize = 3;
+const MAX_CRASH_RETRIES: usize = 3;
 /// Fraction of requests that use a new connection.
 const NEW_CONNECTION_FRACTION: f64 = 0.3;
 /// Timeout for an answer; above the timeouts of all routes.
@@ -87,9 +101,11 @@
     Slow,
     Leave,
     Shed,
+    Limit,
+    Flood,
 }
 
-const MODES: [EndpointMode; 10] = [
+const MODES: [EndpointMode; 12] = [
     EndpointMode::Normal,
     EndpointMode::Reset,
     EndpointMode::Truncate,
@@ -100,6 +116,8 @@
     EndpointMode::Slow,
     EndpointMode::Leave,
     EndpointMode::Shed,
+    EndpointMode::Limit,
+    EndpointMode::Flood,
 ];
 
 fn size(variable: &str, default: usize) -> usize {
@@ -126,6 +144,8 @@
     notices: Arc<Mutex<Vec<SentNotice>>>,
     /// Start of each incarnation, also in Unix milliseconds
     incarnations: RefCell<Vec<(Instant, u64)>>,
+    /// Times at which it began and ceased to name a limit
+    limits: RefCell<Vec<(Instant, bool)>>,
     /// Times at which the connections to it were disturbed or restored
     disturbances: RefCell<Vec<(Instant, ProxyMode)>>,
 }
@@ -137,6 +157,9 @@
         let notices = Arc::<Mutex<Vec<SentNotice>>>::default();
         let sent = notices.clone();
         let script = move |it: &Arrival| {
+            if it.body == CRASHING.as_bytes() {
+                return vec![Step::Reset];
+            }
             let mode = MODES[usize::from(current.load(Ordering::Relaxed))];
             if matches!(mode, EndpointMode::Leave | EndpointMode::Shed) {
                 let id = it.header("x-request-id").unwrap_or_default().to_owned();
@@ -154,6 +177,7 @@
             mode,
             notices,
             incarnations: RefCell::new(vec![(Instant::now(), unix_ms())]),
+            limits: RefCell::default(),
             disturbances: RefCell::default(),
         }
     }
@@ -185,6 +209,7 @@
     }
 
     fn set(&self, mode: EndpointMode) {
+        self.limits.borrow_mut().push((Instant::now(), mode == EndpointMode::Limit));
         self.mode.store(mode as u8, Ordering::Relaxed);
     }
 }
@@ -216,6 +241,13 @@
             let header = format!("Retry-After: {:.1}", SHED_TIME.as_secs_f64());
             vec![Step::Write(with_header(&refusal, &header))]
         }
+        EndpointMode::Limit => {
+            let header = format!("Server-Limit: {LIMIT_PER_S}");
+            vec![Step::Write(with_header(&whole, &header))]
+        }
+        EndpointMode::Flood => {
+            vec![Step::Write(stream_head(arrival)), Step::Flood(chunk(&"filler".repeat(10_000)))]
+        }
         EndpointMode::Misdirect => vec![Step::Write(not_run(arrival, "421 Misdirected Request"))],
         EndpointMode::Mismatch => {
             let mut other = arrival.clone();
@@ -257,6 +289,8 @@
     logs: RefCell<Vec<(SocketAddr, InstanceLog)>>,
     /// Copies that the store may return from
     copies: RefCell<Vec<StoreCopy>>,
+    /// Times at which an instance was started, or a disturbance of it ended
+    troubles: RefCell<Vec<(SocketAddr, Instant)>>,
     /// Proxies between instances and the store
     store_proxies: RefCell<Vec<FaultProxy>>,
 }
@@ -269,9 +303,21 @@
             Instance::launch(proxy.address, &format!("instance-{}", self.launched.get()));
         self.store_proxies.borrow_mut().push(proxy);
         self.logs.borrow_mut().push((instance.clients, instance.log()));
+        self.record_trouble(instance.clients, Duration::ZERO);
         instance
     }
 
+    fn record_trouble(&self, address: SocketAddr, length: Duration) {
+        self.troubles.borrow_mut().push((address, Instant::now() + length));
+    }
+
+    /// Whether an instance ran without trouble for the contact time before a moment
+    fn is_in_touch(&self, address: SocketAddr, at: Instant) -> bool {
+        let troubles = self.troubles.borrow();
+        let recent = at - CONTACT_TIME..at;
+        !troubles.iter().any(|it| it.0 == address && recent.contains(&it.1))
+    }
+
     /// Writes the logs of all instances to files; returns their folder
     fn save_logs(&self, seed: u64) -> Result<PathBuf> {
         let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
@@ -330,6 +376,7 @@
         launched: Cell::new(0),
         logs: RefCell::default(),
         copies: RefCell::default(),
+        troubles: RefCell::default(),
         store_proxies: RefCell::default(),
     });
     run.configure(2000);
@@ -346,7 +393,9 @@
         let rng = SmallRng::seed_from_u64(seed * 1000 + number as u64);
         tokio::task::spawn_local(send_requests(run.clone(), number, rng));
     }
-    let until = tokio::time::Instant::now() + FAULT_TIME;
+    tokio::task::spawn_local(send_crashing(run.clone(), SmallRng::seed_from_u64(seed)));
+    let fault_time = Duration::from_secs(size("SOAK_SECONDS", FAULT_SECONDS) as u64);
+    let until = tokio::time::Instant::now() + fault_time;
     while tokio::time::Instant::now() < until {
         let faults = if rng.random_bool(SERIES_FRACTION) { SERIES_FAULTS } else { 1 };
         for _ in 0..faults {
@@ -385,7 +434,11 @@
         8 => endpoint.list(&run.store, "draining"),
         9 => run.list_all(),
         10 => run.configure(rng.random_range(1500..2200)),
-        11 => instances[index].pause(Duration::from_millis(rng.random_range(100..900))),
+        11 => {
+            let pause = Duration::from_millis(rng.random_range(100..900));
+            run.record_trouble(instances[index].clients, pause);
+            instances[index].pause(pause);
+        }
         12 | 13 => endpoint.disturb(random_proxy_mode(rng)),
         14 => {
             let proxies = run.store_proxies.borrow();
@@ -395,6 +448,7 @@
             let next = run.launch().await;
             run.addresses.borrow_mut()[index] = next.clients;
             let last = std::mem::replace(&mut instances[index], next);
+            run.record_trouble(last.clients, Duration::ZERO);
             if rng.random::<bool>() {
                 last.signal("TERM");
                 tokio::task::spawn_local(async move {
@@ -493,6 +547,25 @@
     }
 }
 
+/// Sends the request that ends every endpoint again and again, through any instance
+async fn send_crashing(run: Rc<SoakRun>, mut rng: SmallRng) {
+    let mut number = 0;
+    while !run.is_over.get() {
+        number += 1;
+        let id = format!("crashing-{number}");
+        let address = *run.addresses.borrow().choose(&mut rng).expect("not empty");
+        let request = post("lookups", &id, CRASHING);
+        let sent_at = Instant::now();
+        let exchange = exchange(None, address, request);
+        let answer = timeout(ANSWER_TIMEOUT, exchange).await.ok().flatten().map(|it| it.1);
+        let answered_at = Instant::now();
+        let route = "crashing";
+        let record = ClientRecord { id, address, sent_at, answered_at, route, answer };
+        run.records.borrow_mut().push(record);
+        sleep(CRASH_PAUSE).await;
+    }
+}
+
 /// Sends a request on a kept connection or a new one; `None` if the connection fails
 async fn exchange(
     kept: Option<RawClient>,
@@ -538,6 +611,8 @@
         }
     }
     check_notices(run, &records)?;
+    check_crashing(run, &records)?;
+    check_limits(run, &records)?;
     println!("{served} of {} requests served", records.len());
     verify_that!(served, gt(records.len() / 10))
 }
@@ -617,3 +692,55 @@
     let (id, address) = (&endpoint.endpoint.id, notified.address);
     fail!("{count} requests reached {id} from {address} after it shed {}", notice.id)
 }
+
+/// Few requests that end every endpoint may reach one after the third end, from instances in touch
+fn check_crashing(run: &SoakRun, records: &[ClientRecord]) -> Result<()> {
+    let arrivals = run.endpoints.iter().flat_map(|it| it.endpoint.arrivals());
+    let mut crashing = arrivals.filter(|it| it.body == CRASHING.as_bytes()).collect::<Vec<_>>();
+    crashing.sort_by_key(|it| it.at);
+    let Some(third) = crashing.get(CRASHES - 1).map(|it| it.at) else { return Ok(()) };
+    let by_id = records.iter().map(|it| (it.id.as_str(), it)).collect::<IndexMap<_, _>>();
+    let later = crashing.iter().filter(|it| it.at > third + CONTACT_TIME);
+    let in_touch = later.filter(|it| {
+        let record = it.header("x-request-id").and_then(|id| by_id.get(id));
+        record.is_some_and(|record| run.is_in_touch(record.address, it.at))
+    });
+    verify_that!(in_touch.count(), le(MAX_CRASH_RETRIES))
+}
+
+/// Few requests may reach an endpoint beyond its limit, from instances that had passed on an answer that names it
+fn check_limits(run: &SoakRun, records: &[ClientRecord]) -> Result<()> {
+    let by_id = records.iter().map(|it| (it.id.as_str(), it)).collect::<IndexMap<_, _>>();
+    for endpoint in &run.endpoints {
+        let changes = endpoint.limits.borrow();
+        let ends = changes.iter().skip(1).map(|it| it.0).chain([Instant::now()]);
+        let spans = changes.iter().zip(ends).filter(|(start, _)| start.1);
+        for ((start, _), end) in spans {
+            let arrivals = endpoint.endpoint.arrivals().into_iter();
+            let arrivals = arrivals.filter(|it| (*start..end).contains(&it.at)).collect::<Vec<_>>();
+            let record = |it: &Arrival| by_id.get(it.header("x-request-id")?).copied();
+            let Some(named_at) = arrivals.first().map(|it| it.at) else { continue };
+            let told_at = |address: SocketAddr| {
+                let told = arrivals.iter().filter_map(record).filter(|it| it.address == address);
+                let whole = told.filter(|it| it.answer.as_ref().is_some_and(|it| it.is_whole));
+                whole.map(|it| it.answered_at).min()
+            };
+            let counted = arrivals.iter().filter(|it| {
+                let sender = record(it).map(|it| it.address);
+                sender.is_some_and(|sender| {
+                    it.at > named_at + CONTACT_TIME
+                        && run.is_in_touch(sender, it.at)
+                        && told_at(sender).is_some_and(|told| told + SHED_NOTICE_TIME < it.at)
+                })
+            });
+            let times = counted.map(|it| it.at).collect::<Vec<_>>();
+            let in_window = |from: Instant| {
+                times.iter().filter(|it| (from..from + LIMIT_WINDOW).contains(*it)).count()
+            };
+            let most = times.iter().map(|it| in_window(*it)).max().unwrap_or(0);
+            let allowed = LIMIT_PER_S * LIMIT_WINDOW.as_secs_f64() * LIMIT_FACTOR + LIMIT_MARGIN;
+            verify_that!(most as f64, le(allowed))?;
+        }
+    }
+    Ok(())
+}
