Never exclude the only endpoint of a pool

What callers saw: requests to a pool of one endpoint were refused for up to 3 s after it had broken off one of them. Change: none is excluded where all would be. Evidence: only_endpoint_is_never_excluded failed before (0 for 1) and passes.

--- a/crates/decide/src/serving/health.rs
+++ b/crates/decide/src/serving/health.rs
@@ -175,13 +175,14 @@
     }
 }
 
-/// Removes the endpoints that `is_excluded` selects, or none if it selects too many
+/// Removes the endpoints that `is_excluded` selects, or none if it selects too many or all
 fn exclude(
     endpoints: Vec<ListedEndpoint>,
     is_excluded: impl Fn(&ListedEndpoint) -> bool,
 ) -> Vec<ListedEndpoint> {
     let excluded = endpoints.iter().filter(|it| is_excluded(it)).count();
-    if excluded as f64 > (endpoints.len() as f64 * MAX_EXCLUDED_FRACTION).max(1.0) {
+    let most = (endpoints.len() as f64 * MAX_EXCLUDED_FRACTION).max(1.0);
+    if excluded as f64 > most || excluded == endpoints.len() {
         return endpoints;
     }
     endpoints.into_iter().filter(|it| !is_excluded(it)).collect()
--- a/crates/decide/tests/serving_state.rs
+++ b/crates/decide/tests/serving_state.rs
@@ -58,6 +58,8 @@
     few_errors_pause_no_endpoint => few_errors(),
     many_paused_endpoints_stay_in_use => too_many_paused(),
     retry_slack_is_shared_by_instances => slack_shared(),
+    // Guards against requests that are refused for seconds, since the only endpoint has broken off one.
+    only_endpoint_is_never_excluded => only_endpoint(),
     retry_window_slides => window_slides(),
     // Guards against an instance that uses the whole slack, since it knows no other one yet.
     unknown_number_of_instances_allows_no_slack => unknown_instances(),
@@ -412,6 +414,14 @@
     verify_that!(history.may_send(RetryRule::Retryable, 2), eq(false))
 }
 
+fn only_endpoint() -> Result<()> {
+    let mut health = EndpointHealth::default();
+    let now = Instant::now();
+    health.record_result(&endpoint("e0"), SendResult::Unreachable, now);
+    verify_that!(health.usable(pool_of(1), now).len(), eq(1))?;
+    verify_that!(health.reliable(pool_of(1), now).len(), eq(1))
+}
+
 fn unknown_instances() -> Result<()> {
     verify_that!(LIMITS.slack_share(None, LIMITS.window), eq(0.0))
 }
