Keep messages decodable when they are full, and drop their oldest entries

What callers saw: nothing yet; with many crashes, limits or leaving endpoints at once, repairs and the work of 640 endpoints would have been lost. Cause: a repair of the largest size was refused by the decoder, whose limit counts the memory of fields rather than bytes of the message; a full update with work at the design size exceeded the receiver's buffer by 450 bytes. Change: messages may have 48 KiB, decoded ones 256 KiB; full updates drop their oldest entries.

--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -15,8 +15,10 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// Maximum size of a message; the work at 60 endpoints takes about 1,000 bytes, at 640 about 11,000.
-pub const MAX_MESSAGE_BYTES: usize = 32 * 1024;
+/// Maximum size of a message; the work at 60 endpoints takes about 1,000 bytes, at 640 about 12,000.
+pub const MAX_MESSAGE_BYTES: usize = 48 * 1024;
+/// Maximum size of a decoded message in memory, where fields are wider.
+const MAX_DECODED_BYTES: usize = 256 * 1024;
 /// Version of the message format; messages of other versions are ignored.
 const MESSAGE_VERSION: u8 = 14;
 /// Maximum number of prompt reads in one update; about 60 bytes each, well below
@@ -78,21 +80,22 @@
 }
 
 impl ServingUpdate {
-    /// Appends another update; entries beyond the limits of one message are dropped
+    /// Appends another update; the oldest entries beyond the limits of one message are dropped
     pub fn extend(&mut self, other: ServingUpdate) {
-        self.reads.extend(other.reads);
-        self.reads.truncate(MAX_UPDATE_READS);
-        self.crashes.extend(other.crashes);
-        self.crashes.truncate(MAX_UPDATE_CRASHES);
-        self.health.extend(other.health);
-        self.health.truncate(MAX_UPDATE_HEALTH);
-        self.leaving.extend(other.leaving);
-        self.leaving.truncate(MAX_UPDATE_LEAVING);
-        self.limits.extend(other.limits);
-        self.limits.truncate(MAX_UPDATE_LIMITS);
+        extend_newest(&mut self.reads, other.reads, MAX_UPDATE_READS);
+        extend_newest(&mut self.crashes, other.crashes, MAX_UPDATE_CRASHES);
+        extend_newest(&mut self.health, other.health, MAX_UPDATE_HEALTH);
+        extend_newest(&mut self.leaving, other.leaving, MAX_UPDATE_LEAVING);
+        extend_newest(&mut self.limits, other.limits, MAX_UPDATE_LIMITS);
     }
 }
 
+/// Appends entries and drops the oldest ones beyond a limit
+fn extend_newest<T>(entries: &mut Vec<T>, newer: Vec<T>, limit: usize) {
+    entries.extend(newer);
+    entries.drain(..entries.len().saturating_sub(limit));
+}
+
 /// All facts that an instance knows, for one that lacks some
 #[derive(Debug, Clone, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -199,7 +202,7 @@
 
     /// Decodes a message; `None` if it is malformed or of another version
     pub fn decode(bytes: &[u8]) -> Option<PeerMessage> {
-        let config = bincode::config::standard().with_limit::<MAX_MESSAGE_BYTES>();
+        let config = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
         let (message, _): (PeerMessage, _) =
             bincode::serde::decode_from_slice(bytes, config).ok()?;
         Some(message).filter(|it| it.version == MESSAGE_VERSION)
--- /dev/null
+++ b/crates/gateway/tests/messages.rs
@@ -0,0 +1,94 @@
+//! Messages between instances: their size, and what is dropped when one is full.
+
+use catalogue::id::EndpointId;
+use decide::serving::crash_table::{BrokenEndpoint, CrashFact, EndpointFate};
+use decide::serving::health::HealthUpdate;
+use decide::serving::leader::PeerInstance;
+use decide::serving::load::{EndpointWork, WorkCount};
+use decide::serving::rate_limit::LimitReport;
+use gateway::peers::{
+    FactRepair, MAX_MESSAGE_BYTES, MessageBody, PeerMessage, PromptRead, ServingUpdate, WorkScope,
+    work_body,
+};
+use googletest::prelude::*;
+use testcases::cases;
+
+/// Endpoints of the design size.
+const ENDPOINTS: u64 = 640;
+
+fn id(number: u64) -> EndpointId {
+    format!("i-{:010x}", number * 0x9e37_79b9).into()
+}
+
+fn crash(number: u64) -> CrashFact {
+    let broken =
+        BrokenEndpoint { id: id(number), started_at_ms: u64::MAX, fate: EndpointFate::Ended };
+    CrashFact { fingerprint: u64::MAX - number, broken: Some(broken), age_ms: 600_000 }
+}
+
+fn check_fits(body: MessageBody) -> Result<()> {
+    let sender = PeerInstance {
+        address: "10.1.0.35:7660".parse()?,
+        zone: "availability-zone-a".into(),
+        power: 250,
+    };
+    let message =
+        PeerMessage::new("front-availability-zone-a-1".into(), &sender, Some(400), u64::MAX, body);
+    let bytes = message.encode().expect("encodes");
+    verify_that!(bytes.len(), le(MAX_MESSAGE_BYTES))?;
+    verify_that!(PeerMessage::decode(&bytes), some(eq(&message)))
+}
+
+fn full_update() -> ServingUpdate {
+    let numbers = 0..ENDPOINTS;
+    let read = |it| PromptRead {
+        engine: id(it),
+        started_at_ms: u64::MAX,
+        prefixes: Vec::new(),
+        sample: None,
+    };
+    let limit = |it| LimitReport {
+        endpoint: id(it),
+        last_start_ms: u64::MAX,
+        rate: Some(9.3),
+        age_ms: 600_000,
+    };
+    let mut update = ServingUpdate::default();
+    update.extend(ServingUpdate {
+        reads: numbers.clone().map(read).collect(),
+        crashes: numbers.clone().map(crash).collect(),
+        health: numbers.clone().map(|it| (id(it), HealthUpdate::Unreliable)).collect(),
+        leaving: numbers.clone().map(|it| (id(it), u64::MAX)).collect(),
+        limits: numbers.map(limit).collect(),
+    });
+    update
+}
+
+/// Work at all endpoints, all of them limited, with a full update
+fn check_work_fits() -> Result<()> {
+    let count =
+        WorkCount { requests: 2000, unread_tokens: 1 << 30, demand: 2_000_000, sent: 10_000 };
+    let work = (0..ENDPOINTS).map(|it| (id(it), count)).collect::<EndpointWork>();
+    check_fits(work_body(WorkScope::Rest, &work, full_update()))
+}
+
+fn check_repair_fits() -> Result<()> {
+    let crashes = (0..3000).map(crash).collect();
+    let leaving = (0..3000).map(|it| (id(it), u64::MAX)).collect();
+    check_fits(MessageBody::Repair(FactRepair::new(crashes, leaving)))
+}
+
+fn check_newest_stay() -> Result<()> {
+    let mut update = full_update();
+    let newest = (id(9999), HealthUpdate::Reliable);
+    update.extend(ServingUpdate { health: vec![newest.clone()], ..Default::default() });
+    verify_that!(update.health.last(), some(eq(&newest)))
+}
+
+cases! {
+    // Guard against messages that nobody can decode, since they are too large.
+    work_at_the_design_size_fits_into_a_message => check_work_fits(),
+    largest_repair_fits_into_a_message => check_repair_fits(),
+    // Guards against the loss of the newest state of an endpoint, since older states fill the message.
+    full_update_drops_its_oldest_entries => check_newest_stay(),
+}
