Read the version in force from all lines in the soak

Change: the versions that all lines state count, in their order, so that the check that none goes back sees more of them than before.

--- a/crates/gateway/tests/gateway/soak.rs
+++ b/crates/gateway/tests/gateway/soak.rs
@@ -505,10 +505,16 @@
 }
 
 /// Versions that an instance has had in force, in this order
+///
+/// The line of a change may be left out under load, so the versions that other lines state count, too.
 fn config_versions(instance: &Instance) -> Vec<u64> {
-    let lines = instance.lines();
-    let versions = lines.iter().filter_map(|it| it.split_once("event=config_applied version="));
-    versions.filter_map(|it| it.1.split(' ').next()?.parse().ok()).collect()
+    let version = |line: &String| {
+        let (_, rest) = line
+            .split_once("event=config_applied version=")
+            .or_else(|| line.split_once(" config="))?;
+        rest.split(' ').next()?.parse().ok().filter(|it| *it > 0)
+    };
+    instance.lines().iter().filter_map(version).collect()
 }
 
 async fn send_requests(run: Rc<SoakRun>, client: usize, mut rng: SmallRng) {
