--- a/crates/decide/src/serving/crash_table.rs
+++ b/crates/decide/src/serving/crash_table.rs
@@ -4,7 +4,7 @@
 //! the crash or is a bystander. Strikes count until the request completes, since a request
 //! that crashes endpoints never does. One with `MAX_STRIKES` is refused, unless a request
 //! with more strikes explains its crashes. Two requests that have crashed the same number
-//! of endpoints, all of them together, can't be told apart, and both are refused.
+//! of endpoints, all of them together, can't be distinguished, and both are refused.
 //!
 //! A connection that ends early may also be the endpoint's own fault. That shows where many
 //! requests look the same: common requests, which have no body or have completed lately, are
@@ -46,7 +46,7 @@
 /// What has become of an endpoint after it broke off a request; what is greater replaces what is less
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Serialize, Deserialize)]
-pub enum EndpointFate {
+pub enum EndpointStatus {
     Unknown,
     /// It has ended
     Ended,
@@ -61,7 +61,7 @@
     pub id: EndpointId,
     /// Start of its incarnation as it was listed
     pub started_at_ms: IncarnationStart,
-    pub fate: EndpointFate,
+    pub status: EndpointStatus,
 }
 
 #[derive(Debug, Clone)]
@@ -77,7 +77,7 @@
     }
 
     fn counts(&self, scope: StrikeScope) -> bool {
-        scope == StrikeScope::All || self.endpoint.fate == EndpointFate::Ended
+        scope == StrikeScope::All || self.endpoint.status == EndpointStatus::Ended
     }
 }
 
@@ -148,7 +148,7 @@
         self.entries.is_empty()
     }
 
-    /// Records that an endpoint broke the request off at a time; `true` if that, or the endpoint's fate, is new
+    /// Records that an endpoint broke the request off at a time; `true` if that, or the endpoint's status, is new
     ///
     /// The next incarnation may run, and crash, before the list shows it. A crash therefore is identified by its time.
     pub fn record_strike(
@@ -168,8 +168,8 @@
         entry.drop_void(now);
         let strike = Strike { endpoint: endpoint.clone(), at };
         if let Some(known) = entry.strikes.iter_mut().find(|it| it.is_same_crash(&strike)) {
-            let is_new = known.endpoint.fate < strike.endpoint.fate;
-            known.endpoint.fate = known.endpoint.fate.max(strike.endpoint.fate);
+            let is_new = known.endpoint.status < strike.endpoint.status;
+            known.endpoint.status = known.endpoint.status.max(strike.endpoint.status);
             self.update_digest();
             return is_new;
         }
@@ -177,7 +177,8 @@
             return false;
         }
         if entry.strikes.len() >= MAX_KEPT_STRIKES {
-            let alive = entry.strikes.iter().position(|it| it.endpoint.fate == EndpointFate::Alive);
+            let alive =
+                entry.strikes.iter().position(|it| it.endpoint.status == EndpointStatus::Alive);
             let Some(alive) = alive else { return false };
             entry.strikes.remove(alive);
         }
@@ -210,7 +211,7 @@
                 && it.endpoint.started_at_ms == endpoint.started_at_ms
                 && ALIVE_TIME.contains(&now.saturating_duration_since(it.at))
         };
-        self.update_fates(EndpointFate::Alive, is_alive, now)
+        self.update_statuses(EndpointStatus::Alive, is_alive, now)
     }
 
     /// Records the endpoints that have ended since they broke off a request; returns what that changes
@@ -222,20 +223,20 @@
         let has_ended = |it: &Strike| {
             now.saturating_duration_since(it.at) < MAX_END_DELAY && has_ended(&it.endpoint)
         };
-        self.update_fates(EndpointFate::Ended, has_ended, now)
+        self.update_statuses(EndpointStatus::Ended, has_ended, now)
     }
 
-    fn update_fates(
+    fn update_statuses(
         &mut self,
-        fate: EndpointFate,
+        status: EndpointStatus,
         is_concerned: impl Fn(&Strike) -> bool,
         now: Instant,
     ) -> Vec<CrashFact> {
         let mut changed = Vec::new();
         for (fingerprint, entry) in &mut self.entries {
             for strike in &mut entry.strikes {
-                if strike.endpoint.fate < fate && is_concerned(strike) {
-                    strike.endpoint.fate = fate;
+                if strike.endpoint.status < status && is_concerned(strike) {
+                    strike.endpoint.status = status;
                     let broken = Some(strike.endpoint.clone());
                     changed.push(CrashFact::new(*fingerprint, broken, strike.at, now));
                 }
@@ -284,7 +285,7 @@
                 let mut hasher = XxHash3_64::default();
                 hasher.write_u64(*fingerprint);
                 hasher.write(it.endpoint.id.as_bytes());
-                hasher.write_u8(it.endpoint.fate as u8);
+                hasher.write_u8(it.endpoint.status as u8);
                 hasher.finish()
             })
         });
--- a/crates/decide/src/serving/rate_limit.rs
+++ b/crates/decide/src/serving/rate_limit.rs
@@ -82,7 +82,7 @@
     pub from: Option<RequestRate>,
     /// Limit now
     pub to: Option<RequestRate>,
-    /// Whether other instances should be told
+    /// Whether to report it to other instances
     pub is_reported: bool,
 }
 
--- a/crates/decide/tests/serving_crash_table.rs
+++ b/crates/decide/tests/serving_crash_table.rs
@@ -2,7 +2,7 @@
 
 use decide::fingerprint::{RequestContent, request_fingerprint};
 use decide::serving::crash_table::{
-    BrokenEndpoint, CrashTable, EndpointFate, STRIKE_LIFETIME, StrikeScope,
+    BrokenEndpoint, CrashTable, EndpointStatus, STRIKE_LIFETIME, StrikeScope,
 };
 use decide::serving::endpoint_list::ListedEndpoint;
 use googletest::prelude::*;
@@ -20,11 +20,11 @@
 use Step::{Completed, Crash};
 
 fn broken(id: &str) -> BrokenEndpoint {
-    BrokenEndpoint { id: id.into(), started_at_ms: 7, fate: EndpointFate::Unknown }
+    BrokenEndpoint { id: id.into(), started_at_ms: 7, status: EndpointStatus::Unknown }
 }
 
 /// Three endpoints break off a request; then signs of life come after some time, and the list shows their ends
-fn check_fates(alive_after_ms: &[u64], has_ended: bool, is_refused: bool) -> Result<()> {
+fn check_statuses(alive_after_ms: &[u64], has_ended: bool, is_refused: bool) -> Result<()> {
     let mut now = Instant::now();
     let mut table = CrashTable::default();
     for id in ["a", "b", "c"] {
@@ -187,12 +187,12 @@
     reports_of_one_crash_count_once => check(&[Crash("a", &[1, 1]), Crash("a", &[1]), Crash("b", &[1])], (false, false)),
     strikes_expire => check_expiry(),
     refused_request_is_not_evicted_by_others => check_eviction(),
-    common_request_is_refused_for_endpoints_that_have_ended => check_fates(&[], true, true),
-    common_request_is_served_while_no_end_is_known => check_fates(&[], false, false),
+    common_request_is_refused_for_endpoints_that_have_ended => check_statuses(&[], true, true),
+    common_request_is_served_while_no_end_is_known => check_statuses(&[], false, false),
     // Guards against a common request that is refused for endpoints that break off everything, but live.
-    sign_of_life_outweighs_a_later_end => check_fates(&[300], true, false),
-    answer_on_its_way_is_no_sign_of_life => check_fates(&[20], true, true),
-    answer_of_a_restarted_endpoint_is_no_sign_of_life => check_fates(&[1500], true, true),
+    sign_of_life_outweighs_a_later_end => check_statuses(&[300], true, false),
+    answer_on_its_way_is_no_sign_of_life => check_statuses(&[20], true, true),
+    answer_of_a_restarted_endpoint_is_no_sign_of_life => check_statuses(&[1500], true, true),
     // Guards against strikes that only those know that received them when they were sent.
     strikes_of_two_instances_add_up => check_exchange(
         &[(0, Crash("a", &[1])), (1, Crash("b", &[1])), (0, Crash("c", &[1]))], true
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use catalogue::id::{EndpointId, PoolName};
 use decide::fingerprint::{Fingerprint, RequestContent, request_fingerprint};
-use decide::serving::crash_table::{BrokenEndpoint, EndpointFate, STRIKE_LIFETIME};
+use decide::serving::crash_table::{BrokenEndpoint, EndpointStatus, STRIKE_LIFETIME};
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::health::SendResult;
 use decide::serving::notice::PauseStep;
@@ -136,8 +136,8 @@
         let started_at_ms =
             gateway.endpoints.borrow().get(endpoint).map_or(0, |it| it.started_at_ms);
         if error.is_disconnect() {
-            let (id, fate) = (endpoint.clone(), EndpointFate::Unknown);
-            let broken = BrokenEndpoint { id, started_at_ms, fate };
+            let (id, status) = (endpoint.clone(), EndpointStatus::Unknown);
+            let broken = BrokenEndpoint { id, started_at_ms, status };
             gateway.record_strike(self.fingerprint(), broken, now);
         } else if error.is_timeout() {
             gateway.silent_requests.borrow_mut().push(SilentRequest {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,7 +14,7 @@
 use decide::fingerprint::Fingerprint;
 use decide::serving::cache::PromptCaches;
 use decide::serving::crash_table::{
-    BrokenEndpoint, CrashFact, CrashTable, EndpointFate, FactDigest, StrikeScope,
+    BrokenEndpoint, CrashFact, CrashTable, EndpointStatus, FactDigest, StrikeScope,
 };
 use decide::serving::deadline::DeadlinePeak;
 use decide::serving::endpoint_list::{EndpointList, ListedEndpoint};
@@ -286,7 +286,7 @@
         };
         for it in crashed {
             let (id, started_at_ms) = (it.endpoint, it.started_at_ms);
-            let broken = BrokenEndpoint { id, started_at_ms, fate: EndpointFate::Ended };
+            let broken = BrokenEndpoint { id, started_at_ms, status: EndpointStatus::Ended };
             self.record_crash_fact(CrashFact::new(it.fingerprint, Some(broken), it.at, now), now);
         }
     }
--- a/crates/gateway/tests/gateway/soak.rs
+++ b/crates/gateway/tests/gateway/soak.rs
@@ -54,7 +54,7 @@
 /// Arrivals at a shedding endpoint from one instance that the users' rule allows.
 const MAX_SHED_ARRIVALS: usize = 2;
 /// Limit that an endpoint names, and the users' rule on it: the time from which it holds, its window and how far
-/// arrivals from instances that were told may exceed it.
+/// arrivals from instances that were notified may exceed it.
 const LIMIT_PER_S: f64 = 5.0;
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
@@ -750,9 +750,10 @@
             let arrivals = arrivals.filter(|it| (*start..end).contains(&it.at)).collect::<Vec<_>>();
             let record = |it: &Arrival| by_id.get(it.header("x-request-id")?).copied();
             let Some(named_at) = arrivals.first().map(|it| it.at) else { continue };
-            let told_at = |address: SocketAddr| {
-                let told = arrivals.iter().filter_map(record).filter(|it| it.address == address);
-                let whole = told.filter(|it| it.answer.as_ref().is_some_and(|it| it.is_whole));
+            let notified_at = |address: SocketAddr| {
+                let notified =
+                    arrivals.iter().filter_map(record).filter(|it| it.address == address);
+                let whole = notified.filter(|it| it.answer.as_ref().is_some_and(|it| it.is_whole));
                 whole.map(|it| it.answered_at).min()
             };
             let counted = arrivals.iter().filter(|it| {
@@ -760,7 +761,8 @@
                 sender.is_some_and(|sender| {
                     it.at > named_at + CONTACT_TIME
                         && run.is_in_touch(sender, it.at)
-                        && told_at(sender).is_some_and(|told| told + SHED_NOTICE_TIME < it.at)
+                        && notified_at(sender)
+                            .is_some_and(|notified| notified + SHED_NOTICE_TIME < it.at)
                 })
             });
             let times = counted.map(|it| it.at).collect::<Vec<_>>();
--- a/crates/gateway/tests/messages.rs
+++ b/crates/gateway/tests/messages.rs
@@ -1,7 +1,7 @@
 //! Messages between instances: their size, and what is dropped when one is full.
 
 use catalogue::id::EndpointId;
-use decide::serving::crash_table::{BrokenEndpoint, CrashFact, EndpointFate};
+use decide::serving::crash_table::{BrokenEndpoint, CrashFact, EndpointStatus};
 use decide::serving::health::HealthUpdate;
 use decide::serving::leader::PeerInstance;
 use decide::serving::load::{EndpointWork, WorkCount};
@@ -22,7 +22,7 @@
 
 fn crash(number: u64) -> CrashFact {
     let broken =
-        BrokenEndpoint { id: id(number), started_at_ms: u64::MAX, fate: EndpointFate::Ended };
+        BrokenEndpoint { id: id(number), started_at_ms: u64::MAX, status: EndpointStatus::Ended };
     CrashFact { fingerprint: u64::MAX - number, broken: Some(broken), age_ms: 600_000 }
 }
 
