--- a/crates/gateway/tests/gateway/soak.rs
+++ b/crates/gateway/tests/gateway/soak.rs
@@ -355,7 +355,9 @@
         let copy = self.copies.borrow().choose(rng).cloned();
         if let Some(copy) = copy {
             self.store.return_from(copy);
-            self.record_store(None, true);
+            // It may still be unavailable.
+            let last = self.store_changes.borrow().iter().rfind(|it| it.0.is_none()).copied();
+            self.record_store(None, last.is_none_or(|it| it.2));
             self.configure(rng.random_range(1500..2200));
             self.list_all();
         }
