Send to the seeds of the settings while no other instance is known

What callers saw: an instance that started while the list of instances could not be read knew nobody, so that it sent on a request that all others refused. Cause: others became known by the list alone, or by their messages, which they send only to those that they know. Change: while it knows no other instance, it sends its messages to the seeds in its settings; who gets one knows the sender and answers. The deployment serves control, for which the platform states seeds; nothing listens there. Evidence: crashing_request_is_refused_by_an_instance_without_the_list failed before (502) and passes.

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -210,6 +210,16 @@
         }
     }
 
+    /// Sends this instance's work to the instances that the settings name, so that they answer; no other is known
+    async fn send_to_seeds(&self, work: &EndpointWork) {
+        let settings = &self.gateway.settings;
+        for ip in &settings.seeds {
+            let address = SocketAddr::new(*ip, settings.peer_port);
+            let body = work_body(WorkScope::Own, work, ServingUpdate::default());
+            self.send(body, address).await;
+        }
+    }
+
     /// Leader of the own zone; `None` if it is this instance
     fn zone_leader(&self, now: Instant) -> Option<(InstanceId, SocketAddr)> {
         let settings = &self.gateway.settings;
@@ -278,7 +288,11 @@
         let work = gateway.load.borrow().own().clone();
         let is_due = work != last_sent
             || now.saturating_duration_since(last_sent_at) >= IDLE_MESSAGE_INTERVAL;
-        if is_full_mesh {
+        if exchange.table.borrow().is_empty() {
+            if is_due {
+                exchange.send_to_seeds(&work).await;
+            }
+        } else if is_full_mesh {
             if is_due {
                 exchange.send_to_all(&work, gateway.pending_update.take(), now).await;
             }
--- a/crates/gateway/tests/gateway/crash_evidence.rs
+++ b/crates/gateway/tests/gateway/crash_evidence.rs
@@ -3,7 +3,7 @@
 use crate::client::{RawAnswer, RawClient, call};
 use crate::deployment::{config, endpoint, get, list, list_as, post, unix_ms};
 use crate::endpoint::{Arrival, FakeEndpoint, Step, answer};
-use crate::process::Instance;
+use crate::process::{Instance, InstanceSize};
 use crate::store::FakeStore;
 use googletest::prelude::*;
 use std::net::SocketAddr;
@@ -19,6 +19,8 @@
     // Guards against a request that an instance sends on, since it started after the crashes.
     crashing_request_is_refused_by_an_instance_that_starts_later => late_start(1),
     crashing_request_is_refused_by_a_member_that_starts_later => late_start(13),
+    // Guards against facts that an instance never learns, since it can't read who the others are.
+    crashing_request_is_refused_by_an_instance_without_the_list => without_list(),
     // Guards against a request without a body that is sent on after any number of crashes.
     crashing_request_without_a_body_is_refused => without_body(),
     // Guards against a refusal of the sound requests on the same path, since they have no body that tells them apart.
@@ -155,6 +157,23 @@
     verify_that!(test.arrivals("crashing"), eq(3))
 }
 
+async fn without_list() -> Result<()> {
+    let mut test = CrashTest::start(crashes).await;
+    let first = test.instance("instance-1").await;
+    for number in 0..5 {
+        call(first.clients, post("lookups", &format!("crashing-{number}"), CRASHING)).await;
+        test.replace_service().await;
+    }
+    test.store.decline_topic("keyed.persimmonlift-instances");
+    let size = InstanceSize { seed: Some(first.clients), ..InstanceSize::default() };
+    let second = Instance::launch_sized(test.store.address, "instance-2", size);
+    second.wait_ready().await;
+    tokio::time::sleep(JOIN_TIME).await;
+    let refused = call(second.clients, post("lookups", "crashing-5", CRASHING)).await;
+    verify_that!(refused.status, eq(503))?;
+    verify_that!(test.arrivals("crashing"), eq(3))
+}
+
 async fn without_body() -> Result<()> {
     let mut test = CrashTest::start(|_| vec![Step::Reset]).await;
     let instance = test.instance("instance-1").await;
--- a/crates/gateway/tests/gateway/large_config.rs
+++ b/crates/gateway/tests/gateway/large_config.rs
@@ -28,10 +28,20 @@
 /// Default number of instances; `LARGE_CONFIG_INSTANCES` selects another.
 const INSTANCES: usize = 14;
 const STORE_BYTES_PER_S_OF_EACH: f64 = 80e6 / 83.0;
-const STRONG: InstanceSize =
-    InstanceSize { config_ms: 3000, cpu_share: 0.5, bandwidth_mbps: 200.0, is_first_start: true };
-const WEAK: InstanceSize =
-    InstanceSize { config_ms: 3000, cpu_share: 0.12, bandwidth_mbps: 10.0, is_first_start: true };
+const STRONG: InstanceSize = InstanceSize {
+    config_ms: 3000,
+    cpu_share: 0.5,
+    bandwidth_mbps: 200.0,
+    is_first_start: true,
+    seed: None,
+};
+const WEAK: InstanceSize = InstanceSize {
+    config_ms: 3000,
+    cpu_share: 0.12,
+    bandwidth_mbps: 10.0,
+    is_first_start: true,
+    seed: None,
+};
 
 cases! { async
     // Guards against added routes that callers find missing (404) after the bound, since all instances
--- a/crates/gateway/tests/gateway/process.rs
+++ b/crates/gateway/tests/gateway/process.rs
@@ -31,6 +31,8 @@
     pub bandwidth_mbps: f64,
     /// Whether all instances start for the first time
     pub is_first_start: bool,
+    /// Another instance that the settings name
+    pub seed: Option<SocketAddr>,
 }
 
 impl Default for InstanceSize {
@@ -40,6 +42,7 @@
             cpu_share: 0.25,
             bandwidth_mbps: 1000.0,
             is_first_start: true,
+            seed: None,
         }
     }
 }
@@ -186,7 +189,8 @@
 }
 
 fn settings_text(ip: &str, store: SocketAddr, name: &str, size: InstanceSize) -> String {
-    let InstanceSize { config_ms, cpu_share, bandwidth_mbps, is_first_start } = size;
+    let InstanceSize { config_ms, cpu_share, bandwidth_mbps, is_first_start, seed } = size;
+    let seed = seed.map(|it| format!("\"{it}\"")).unwrap_or_default();
     let last_port = PEER_PORT + 8;
     let zone = if name.starts_with("far") { "zone-b" } else { "zone-a" };
     format!(
@@ -197,6 +201,7 @@
 port_range = [{PEER_PORT},{last_port}]
 unknown_field = true
 bootstrap = {is_first_start}
+seeds = [{seed}]
 [bind]
 front_addr = "{ip}:{CLIENT_PORT}"
 ready_addr = "{ip}:{READY_PORT}"
