End the process when a background task ends

What callers saw: nothing yet; while the limits were built, the task that receives messages panicked on a double borrow, and the instance served on without any word of the others and without a log line. Cause: the handles of background tasks were dropped, so that a panic ended the task alone. Change: the tasks of the process's life are kept in one set; the end of any ends the process with exit code 1 and an error line, and the platform starts it again.

--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -15,6 +15,8 @@
         /// Error of the operating system
         error: std::io::Error,
     },
+    /// a background task has ended: {0}
+    TaskFailed(String),
 }
 
 impl std::error::Error for GatewayError {}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! an endpoint, send (with retries), relay the answer. It never waits for the store.
 
 pub mod attempt;
+pub mod background;
 pub mod body;
 pub mod connections;
 pub mod coverage;
@@ -25,6 +26,7 @@
 
 pub use error::GatewayError;
 
+use background::BackgroundTasks;
 use platform_adapter::settings::InstanceSettings;
 use state::Gateway;
 use std::net::SocketAddr;
@@ -50,7 +52,7 @@
 /// Serves until SIGTERM; `dropped_lines` returns the number of dropped log lines
 ///
 /// # Errors
-/// `GatewayError` if an address can't be bound or the runtime can't start.
+/// `GatewayError` if an address can't be bound, the runtime can't start or a background task ends.
 pub fn run(
     settings: InstanceSettings,
     dropped_lines: impl Fn() -> usize + 'static,
@@ -73,16 +75,18 @@
     let metrics = bind(SocketAddr::new(settings.ip, METRICS_PORT)).await?;
     log::info!("event=start instance={} zone={}", settings.instance, settings.zone);
     let gateway = Rc::new(Gateway::new(settings));
-    tokio::task::spawn_local(ready::serve(gateway.clone(), ready));
-    tokio::task::spawn_local(ready::serve_metrics(gateway.clone(), metrics, dropped_lines));
-    tokio::task::spawn_local(follow::follow_config(gateway.clone()));
-    tokio::task::spawn_local(follow::follow_endpoints(gateway.clone()));
-    tokio::task::spawn_local(expire_entries(gateway.clone()));
-    peers::start(gateway.clone()).await?;
-    tokio::task::spawn_local(listen::accept(gateway.clone(), clients));
+    let mut tasks = BackgroundTasks::default();
+    tasks.spawn(ready::serve(gateway.clone(), ready));
+    tasks.spawn(ready::serve_metrics(gateway.clone(), metrics, dropped_lines));
+    tasks.spawn(follow::follow_config(gateway.clone()));
+    tasks.spawn(follow::follow_endpoints(gateway.clone()));
+    tasks.spawn(expire_entries(gateway.clone()));
+    peers::start(gateway.clone(), &mut tasks).await?;
+    tasks.spawn(listen::accept(gateway.clone(), clients));
     loop {
         tokio::select! {
             _ = stop.recv() => break,
+            error = tasks.ended() => return Err(error),
             // Settings are fixed for the life of the process; the configuration comes from the store.
             _ = reload.recv() => log::info!("event=reload outcome=unchanged"),
         }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -77,7 +77,7 @@
     match gateway::run(settings, move || log_writer.dropped()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            log::error!("event=start_failed error=\"{error}\"");
+            log::error!("event=failed error=\"{error}\"");
             ExitCode::FAILURE
         }
     }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -22,6 +22,7 @@
     ServingUpdate, StoreUpdate, WorkScope, received_work, work_body,
 };
 
+use crate::background::BackgroundTasks;
 use crate::error::GatewayError;
 use crate::state::Gateway;
 use catalogue::id::InstanceId;
@@ -72,15 +73,15 @@
 ///
 /// # Errors
 /// `GatewayError::Bind` if the port is in use.
-pub async fn start(gateway: Rc<Gateway>) -> Result<(), GatewayError> {
+pub async fn start(gateway: Rc<Gateway>, tasks: &mut BackgroundTasks) -> Result<(), GatewayError> {
     let address = SocketAddr::new(gateway.settings.ip, gateway.settings.peer_port);
     let socket =
         UdpSocket::bind(address).await.map_err(|error| GatewayError::Bind { address, error })?;
     let listener =
         TcpListener::bind(address).await.map_err(|error| GatewayError::Bind { address, error })?;
-    tokio::task::spawn_local(config_transfer::serve(gateway.clone(), listener));
+    tasks.spawn(config_transfer::serve(gateway.clone(), listener));
     let table = SharedTable::default();
-    tokio::task::spawn_local(listing::keep_listed(gateway.clone(), table.clone()));
+    tasks.spawn(listing::keep_listed(gateway.clone(), table.clone()));
     let exchange = Rc::new(PeerExchange {
         gateway,
         socket,
@@ -91,9 +92,9 @@
         has_received_work: Cell::default(),
         repairs: RefCell::default(),
     });
-    tokio::task::spawn_local(receive(exchange.clone()));
-    tokio::task::spawn_local(store_updates::send_updates(exchange.clone()));
-    tokio::task::spawn_local(send_work(exchange));
+    tasks.spawn(receive(exchange.clone()));
+    tasks.spawn(store_updates::send_updates(exchange.clone()));
+    tasks.spawn(send_work(exchange));
     Ok(())
 }
 
