Count one end of an endpoint once, and none of a slow one, for common requests

What callers saw: a sound path was refused for 600 s after its endpoints had not answered for some seconds and were then replaced. Cause: each timeout of a common request within 10 s before the list showed the endpoint's end became a strike, several for one end, also where the endpoint had accepted connections all the while. Change: for common requests an incarnation counts once, and not at all if it had broken off or delayed the same request before and lived on; a timeout at an endpoint that lives is kept as such a sign. Other requests: a timeout counts only with the endpoint's end, as before.

--- a/crates/decide/src/serving/crash_table.rs
+++ b/crates/decide/src/serving/crash_table.rs
@@ -52,6 +52,8 @@
     Ended,
     /// The same incarnation accepted a connection or answered soon afterwards
     Alive,
+    /// It only didn't answer in time, and lives
+    Slow,
 }
 
 /// Endpoint that broke off a request
@@ -76,8 +78,22 @@
         self.endpoint.id == other.endpoint.id && distance(self.at, other.at) < SAME_CRASH_WINDOW
     }
 
-    fn counts(&self, scope: StrikeScope) -> bool {
-        scope == StrikeScope::All || self.endpoint.status == EndpointStatus::Ended
+    fn is_same_incarnation(&self, other: &Strike) -> bool {
+        let key = |it: &Strike| (it.endpoint.id.clone(), it.endpoint.started_at_ms);
+        key(self) == key(other)
+    }
+
+    /// Whether it counts among all strikes of its request
+    fn counts(&self, index: usize, strikes: &[Strike], scope: StrikeScope) -> bool {
+        let status = self.endpoint.status;
+        if scope == StrikeScope::All {
+            return status < EndpointStatus::Slow;
+        }
+        // An incarnation that had broken off or delayed requests before ends for reasons of its own, and only once.
+        let was_alive = |it: &Strike| it.endpoint.status > EndpointStatus::Ended;
+        status == EndpointStatus::Ended
+            && !strikes.iter().any(|it| was_alive(it) && it.is_same_incarnation(self))
+            && !strikes[..index].iter().any(|it| it.is_same_incarnation(self))
     }
 }
 
@@ -178,7 +194,7 @@
         }
         if entry.strikes.len() >= MAX_KEPT_STRIKES {
             let alive =
-                entry.strikes.iter().position(|it| it.endpoint.status == EndpointStatus::Alive);
+                entry.strikes.iter().position(|it| it.endpoint.status > EndpointStatus::Ended);
             let Some(alive) = alive else { return false };
             entry.strikes.remove(alive);
         }
@@ -333,8 +349,12 @@
         scope: StrikeScope,
         now: Instant,
     ) -> impl Iterator<Item = &Strike> {
-        let strikes = self.entries.get(&fingerprint).into_iter().flat_map(|it| &it.strikes);
-        strikes.filter(move |it| is_fresh(it.at, now) && it.counts(scope))
+        let strikes = self.entries.get(&fingerprint).map_or(&[][..], |it| &it.strikes);
+        let counted = strikes
+            .iter()
+            .enumerate()
+            .filter(move |(index, it)| is_fresh(it.at, now) && it.counts(*index, strikes, scope));
+        counted.map(|(_, it)| it)
     }
 
     /// Evicts the entry with the fewest strikes, the oldest of these, if the table is full
--- a/crates/decide/src/serving/silence.rs
+++ b/crates/decide/src/serving/silence.rs
@@ -4,7 +4,7 @@
 //! there times out, as it does at one that is only slow. The list tells them apart: an
 //! endpoint that has ended without draining leaves it, or comes back as a new incarnation.
 
-use super::endpoint_list::EndpointList;
+use super::endpoint_list::{EndpointList, ListedEndpoint};
 use super::notice::IncarnationStart;
 use crate::fingerprint::Fingerprint;
 use catalogue::id::EndpointId;
@@ -21,6 +21,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SilentRequest {
     pub fingerprint: Fingerprint,
+    /// Whether many requests look the same, see `crash_table`
+    pub is_common: bool,
     pub endpoint: EndpointId,
     pub started_at_ms: IncarnationStart,
     pub at: Instant,
@@ -41,6 +43,22 @@
         self.requests.push_back(request);
     }
 
+    /// Removes and returns the requests whose endpoint lives, since the same incarnation accepts a connection or answers
+    pub fn take_alive(&mut self, endpoint: &ListedEndpoint) -> Vec<SilentRequest> {
+        let is_alive = |it: &SilentRequest| {
+            it.endpoint == endpoint.id && it.started_at_ms == endpoint.started_at_ms
+        };
+        let (alive, others): (VecDeque<_>, VecDeque<_>) =
+            std::mem::take(&mut self.requests).into_iter().partition(is_alive);
+        self.requests = others;
+        Vec::from(alive)
+    }
+
+    /// Whether no timeout is remembered
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
     /// Removes and returns the requests whose endpoints have crashed, as the list shows now
     pub fn take_crashed(&mut self, list: &EndpointList, now: Instant) -> Vec<SilentRequest> {
         let mut crashed = Vec::new();
--- a/crates/decide/tests/serving_crash_table.rs
+++ b/crates/decide/tests/serving_crash_table.rs
@@ -23,6 +23,33 @@
     BrokenEndpoint { id: id.into(), started_at_ms: 7, status: EndpointStatus::Unknown }
 }
 
+/// Three endpoints that live don't answer a request in time, and end later
+fn check_slow() -> Result<()> {
+    let mut now = Instant::now();
+    let mut table = CrashTable::default();
+    for status in [EndpointStatus::Slow, EndpointStatus::Ended] {
+        for id in ["a", "b", "c"] {
+            table.record_strike(1, &BrokenEndpoint { status, ..broken(id) }, now, now);
+            now += Duration::from_secs(3);
+        }
+        if status == EndpointStatus::Slow {
+            verify_that!(table.is_refused(1, StrikeScope::All, now), eq(false))?;
+        }
+    }
+    verify_that!(table.is_refused(1, StrikeScope::Ended, now), eq(false))
+}
+
+fn check_one_end() -> Result<()> {
+    let mut now = Instant::now();
+    let mut table = CrashTable::default();
+    for _ in 0..4 {
+        table.record_strike(1, &broken("a"), now, now);
+        now += Duration::from_secs(3);
+    }
+    table.record_ended(|_| true, now);
+    verify_that!(table.is_refused(1, StrikeScope::Ended, now), eq(false))
+}
+
 /// Three endpoints break off a request; then signs of life come after some time, and the list shows their ends
 fn check_statuses(alive_after_ms: &[u64], has_ended: bool, is_refused: bool) -> Result<()> {
     let mut now = Instant::now();
@@ -191,6 +218,10 @@
     common_request_is_served_while_no_end_is_known => check_statuses(&[], false, false),
     // Guards against a common request that is refused for endpoints that break off everything, but live.
     sign_of_life_outweighs_a_later_end => check_statuses(&[300], true, false),
+    // Guards against a common request that is refused, since endpoints that had delayed it for long are restarted.
+    end_of_a_slow_endpoint_counts_for_no_common_request => check_slow(),
+    // Guards against a common request that is refused, since one endpoint broke it off again and again before its end.
+    one_end_counts_once_for_a_common_request => check_one_end(),
     answer_on_its_way_is_no_sign_of_life => check_statuses(&[20], true, true),
     answer_of_a_restarted_endpoint_is_no_sign_of_life => check_statuses(&[1500], true, true),
     // Guards against strikes that only those know that received them when they were sent.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -140,8 +140,11 @@
             let broken = BrokenEndpoint { id, started_at_ms, status };
             gateway.record_strike(self.fingerprint(), broken, now);
         } else if error.is_timeout() {
+            let fingerprint = self.fingerprint();
+            let is_common = gateway.is_common(fingerprint, !self.request.body.is_empty());
             gateway.silent_requests.borrow_mut().push(SilentRequest {
-                fingerprint: self.fingerprint(),
+                fingerprint,
+                is_common,
                 endpoint: endpoint.clone(),
                 started_at_ms,
                 at: now,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,7 +26,7 @@
 use decide::serving::rate_limit::EndpointLimits;
 use decide::serving::retry_window::RetryWindow;
 use decide::serving::route::{RetryRule, RouteName, ServingConfig};
-use decide::serving::silence::SilentRequests;
+use decide::serving::silence::{SilentRequest, SilentRequests};
 use decide::serving::store_era::{EraTracker, StoreEra, TopicPosition};
 use decide::serving::timing::{PoolTiming, StageSample};
 use indexmap::IndexMap;
@@ -250,8 +250,15 @@
 
     /// Records that an endpoint has accepted a connection or answered
     pub fn record_alive(&self, endpoint: &ListedEndpoint) {
-        let changes = self.crashes.borrow_mut().record_alive(endpoint, Instant::now());
+        let now = Instant::now();
+        let changes = self.crashes.borrow_mut().record_alive(endpoint, now);
         self.send_crash_facts(changes);
+        if !self.silent_requests.borrow().is_empty() {
+            let mut alive = self.silent_requests.borrow_mut().take_alive(endpoint);
+            // For others, a timeout at an endpoint that lives says nothing.
+            alive.retain(|it| it.is_common);
+            self.record_silent_requests(alive, EndpointStatus::Slow, now);
+        }
     }
 
     /// Records that an endpoint refuses connections
@@ -284,9 +291,18 @@
             let list = self.endpoints.borrow();
             self.silent_requests.borrow_mut().take_crashed(&list, now)
         };
-        for it in crashed {
+        self.record_silent_requests(crashed, EndpointStatus::Ended, now);
+    }
+
+    fn record_silent_requests(
+        &self,
+        requests: Vec<SilentRequest>,
+        status: EndpointStatus,
+        now: Instant,
+    ) {
+        for it in requests {
             let (id, started_at_ms) = (it.endpoint, it.started_at_ms);
-            let broken = BrokenEndpoint { id, started_at_ms, status: EndpointStatus::Ended };
+            let broken = BrokenEndpoint { id, started_at_ms, status };
             self.record_crash_fact(CrashFact::new(it.fingerprint, Some(broken), it.at, now), now);
         }
     }
@@ -347,11 +363,16 @@
 
     /// Whether a request is refused for the crashes of the endpoints that ran it
     pub fn is_suspected(&self, fingerprint: Fingerprint, has_body: bool, now: Instant) -> bool {
-        let is_common = !has_body || self.completed.borrow().contains(&fingerprint);
+        let is_common = self.is_common(fingerprint, has_body);
         let scope = if is_common { StrikeScope::Ended } else { StrikeScope::All };
         self.crashes.borrow().is_refused(fingerprint, scope, now)
     }
 
+    /// Whether many requests look the same, see `crash_table`
+    pub fn is_common(&self, fingerprint: Fingerprint, has_body: bool) -> bool {
+        !has_body || self.completed.borrow().contains(&fingerprint)
+    }
+
     /// Applies an update from another instance
     pub fn apply_update(&self, update: &ServingUpdate) {
         let now = Instant::now();
