--- a/crates/decide/tests/serving_crash_table.rs
+++ b/crates/decide/tests/serving_crash_table.rs
@@ -19,6 +19,21 @@
 
 use Step::{Completed, Crash};
 
+impl Step {
+    fn apply(&self, table: &mut CrashTable, now: Instant) {
+        match self {
+            Crash(endpoint, requests) => {
+                for request in *requests {
+                    table.record_strike(*request, &broken(endpoint), now, now);
+                }
+            }
+            Completed(request) => {
+                table.record_completion(*request, now, now);
+            }
+        }
+    }
+}
+
 fn broken(id: &str) -> BrokenEndpoint {
     BrokenEndpoint { id: id.into(), started_at_ms: 7, status: EndpointStatus::Unknown }
 }
@@ -84,16 +99,7 @@
     let mut table = CrashTable::default();
     let mut now = start;
     for step in steps {
-        match step {
-            Crash(endpoint, requests) => {
-                for request in *requests {
-                    table.record_strike(*request, &broken(endpoint), now, now);
-                }
-            }
-            Completed(request) => {
-                table.record_completion(*request, now, now);
-            }
-        }
+        step.apply(&mut table, now);
         now += Duration::from_secs(1);
     }
     verify_that!(
@@ -131,17 +137,7 @@
     let mut now = Instant::now();
     let mut tables = [CrashTable::default(), CrashTable::default()];
     for (instance, step) in steps {
-        let table = &mut tables[*instance];
-        match step {
-            Crash(endpoint, requests) => {
-                for request in *requests {
-                    table.record_strike(*request, &broken(endpoint), now, now);
-                }
-            }
-            Completed(request) => {
-                table.record_completion(*request, now, now);
-            }
-        }
+        step.apply(&mut tables[*instance], now);
         now += Duration::from_secs(3);
     }
     for from in [0, 1, 1, 0] {
