Test any limit, demand and number of instances

Cause: a limit is a number from outside, up to the largest one. Change: a property of the shares: finite waits, and a limit that allows much refuses nothing.

--- a/crates/decide/tests/serving_rate_limit.rs
+++ b/crates/decide/tests/serving_rate_limit.rs
@@ -3,6 +3,8 @@
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::rate_limit::{EndpointLimits, FleetDemand, LimitReport, OwnDemand};
 use googletest::prelude::*;
+
+use proptest::{prop_assert, prop_oneof, proptest};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::time::{Duration, Instant};
@@ -145,6 +147,21 @@
     verify_that!(returns[99], le(Duration::from_secs(30)))
 }
 
+proptest! {
+    /// Any limit, demand and number of instances give a finite wait, and a limit that allows much refuses nothing
+    #[test]
+    fn any_limit_is_shared(rate in prop_oneof![0.0..1e3_f64, 0.0..f64::MAX], own in 0.0..1e6_f64, others in 0.0..1e9_f64,
+                           instances in 0..1000_usize, draw in 0.0..1.0_f64) {
+        let now = Instant::now();
+        let fleet = FleetDemand { own, others, others_sent: 0, instances, is_known: true };
+        let mut limits = EndpointLimits::default();
+        limits.record(&report(Some(rate), 0), &fleet, draw, now);
+        let wait = limits.wait(&endpoint(), now);
+        prop_assert!(wait < Duration::from_secs(u32::MAX.into()));
+        prop_assert!(rate < 1e300 || limits.wait(&endpoint(), now + Duration::from_secs(60)).is_zero());
+    }
+}
+
 cases! {
     // Guard against instances that send an endpoint more than its limit together.
     limit_of_7_instances_holds => check(FLEET),
