--- a/crates/gateway/tests/gateway/client.rs
+++ b/crates/gateway/tests/gateway/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
@@ -145,3 +145,19 @@
     client.write(request).await;
     client.read().await
 }
+
+/// Sends one request on a new connection from a client with this address
+///
+/// # Errors
+/// The connection can't be opened.
+pub async fn call_from(
+    source: &str,
+    instance: SocketAddr,
+    request: impl AsRef<[u8]>,
+) -> std::io::Result<RawAnswer> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(source.parse().expect("an address"), 0))?;
+    let mut client = RawClient::of(socket.connect(instance).await?);
+    client.write(request).await;
+    Ok(client.read().await)
+}
--- a/crates/gateway/tests/gateway/crash_evidence.rs
+++ b/crates/gateway/tests/gateway/crash_evidence.rs
@@ -1,17 +1,15 @@
 //! Crashes of endpoints as evidence against a request: who is guilty, and who learns of it.
 
-use crate::client::{RawAnswer, RawClient, call};
+use crate::client::{call, call_from};
 use crate::deployment::{config, endpoint, get, list, list_as, post, unix_ms};
 use crate::endpoint::{Arrival, FakeEndpoint, Step, answer};
 use crate::process::{Instance, InstanceSize};
 use crate::store::FakeStore;
 use googletest::prelude::*;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use testcases::cases;
-use tokio::net::TcpSocket;
 
 cases! { async
     // Guards against a request that is sent on after three crashes, since a bystander took the strikes of two back.
@@ -184,15 +182,6 @@
     verify_that!(test.arrivals("crashing"), eq(3))
 }
 
-/// Sends a request from a client with this address
-async fn call_from(source: &str, instance: SocketAddr, request: String) -> Result<RawAnswer> {
-    let socket = TcpSocket::new_v4()?;
-    socket.bind(format!("{source}:0").parse()?)?;
-    let mut client = RawClient::of(socket.connect(instance).await?);
-    client.write(request).await;
-    Ok(client.read().await)
-}
-
 async fn neighbours() -> Result<()> {
     let script = |it: &Arrival| {
         let is_crashing = it.header("x-request-id").is_some_and(|it| it.starts_with(CRASHING));
--- a/crates/gateway/tests/gateway/deployment.rs
+++ b/crates/gateway/tests/gateway/deployment.rs
@@ -117,6 +117,14 @@
     )
 }
 
+/// Request without a body to a path of a route
+pub fn get_path(route: &str, path: &str, id: &str) -> String {
+    format!(
+        "GET /{route}/{path} HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: {id}\r\n\
+         X-Deadline-Ms: 1500\r\n\r\n"
+    )
+}
+
 /// Request with a body
 pub fn post(route: &str, id: &str, body: &str) -> String {
     let length = body.len();
--- a/crates/gateway/tests/gateway/endpoint.rs
+++ b/crates/gateway/tests/gateway/endpoint.rs
@@ -6,6 +6,8 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::sleep;
 
 /// Step of a script
 #[derive(Debug, Clone)]
@@ -22,6 +24,18 @@
     Reset,
     /// Stops responding
     Hang,
+    /// Ends the endpoint: closes its listener and all of its connections. It comes back at the same address as a
+    /// new incarnation after this time.
+    End(Duration),
+}
+
+/// Incarnation of an endpoint
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Incarnation {
+    /// Number of ends before it
+    pub number: usize,
+    /// Whether it listens; otherwise it is yet to start
+    pub is_up: bool,
 }
 
 /// Request that the endpoint received
@@ -64,6 +78,8 @@
     most_open: Arc<AtomicUsize>,
     flooded: Arc<AtomicUsize>,
     script: Arc<Script>,
+    incarnation: Arc<watch::Sender<Incarnation>>,
+    ends: Arc<Mutex<Vec<Instant>>>,
 }
 
 impl FakeEndpoint {
@@ -81,17 +97,74 @@
             most_open: Arc::default(),
             flooded: Arc::default(),
             script: Arc::new(script),
+            incarnation: Arc::new(watch::Sender::new(Incarnation { number: 0, is_up: true })),
+            ends: Arc::default(),
         };
-        let accepting = endpoint.clone();
-        tokio::spawn(async move {
-            let mut number = 0;
-            while let Ok((socket, _)) = listener.accept().await {
-                let endpoint = accepting.clone();
-                number += 1;
-                tokio::spawn(async move { endpoint.serve(socket, number).await });
+        tokio::spawn(endpoint.clone().run(listener));
+        endpoint
+    }
+
+    /// Accepts connections, in one incarnation after the other
+    async fn run(self, mut listener: TcpListener) {
+        let address = listener.local_addr().expect("bound");
+        let mut incarnation = self.incarnation.subscribe();
+        let mut connection = 0;
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((socket, _)) = accepted else { return };
+                    let endpoint = self.clone();
+                    connection += 1;
+                    tokio::spawn(async move { endpoint.serve(socket, connection).await });
+                }
+                _ = incarnation.changed() => {
+                    drop(listener);
+                    let is_up = |it: &Incarnation| it.is_up;
+                    let _ = incarnation.wait_for(is_up).await;
+                    incarnation.mark_unchanged();
+                    listener = TcpListener::bind(address).await.expect("its own address");
+                }
             }
+        }
+    }
+
+    /// Ends the current incarnation; the next one starts after `pause`
+    pub fn end(&self, pause: Duration) {
+        let mut has_ended = false;
+        self.incarnation.send_if_modified(|it| {
+            has_ended = it.is_up;
+            if it.is_up {
+                *it = Incarnation { number: it.number + 1, is_up: false };
+            }
+            has_ended
         });
-        endpoint
+        if has_ended {
+            self.ends.lock().expect("no panic").push(Instant::now());
+            let incarnation = self.incarnation.clone();
+            tokio::spawn(async move {
+                sleep(pause).await;
+                incarnation.send_modify(|it| it.is_up = true);
+            });
+        }
+    }
+
+    /// Times of its ends
+    pub fn ends(&self) -> Vec<Instant> {
+        self.ends.lock().expect("no panic").clone()
+    }
+
+    /// Receives each change of its incarnation
+    pub fn incarnations(&self) -> watch::Receiver<Incarnation> {
+        self.incarnation.subscribe()
+    }
+
+    /// The same endpoint under the id of one of its incarnations in the endpoint list
+    pub fn listed_as(&self, number: usize) -> FakeEndpoint {
+        FakeEndpoint { id: self.incarnation_id(number), ..self.clone() }
+    }
+
+    fn incarnation_id(&self, number: usize) -> String {
+        if number == 0 { self.id.clone() } else { format!("{}.{number}", self.id) }
     }
 
     /// The same endpoint behind a proxy at another address
@@ -117,15 +190,26 @@
     async fn serve(&self, socket: TcpStream, connection: usize) {
         let open = self.open.fetch_add(1, Ordering::SeqCst) + 1;
         self.most_open.fetch_max(open, Ordering::SeqCst);
-        self.serve_requests(socket, connection).await;
+        let mut incarnation = self.incarnation.subscribe();
+        let number = incarnation.borrow_and_update().number;
+        tokio::select! {
+            () = self.serve_requests(socket, connection, number) => {}
+            _ = incarnation.wait_for(|it| it.number != number) => {}
+        }
         self.open.fetch_sub(1, Ordering::SeqCst);
     }
 
-    async fn serve_requests(&self, mut socket: TcpStream, connection: usize) {
+    async fn serve_requests(&self, mut socket: TcpStream, connection: usize, incarnation: usize) {
         let mut buffer = Vec::new();
+        let own_id = self.incarnation_id(incarnation);
         while let Some(arrival) = read_request(&mut socket, &mut buffer).await {
             let mut arrival = Arrival { connection, ..arrival };
-            let steps = (self.script)(&arrival);
+            let expected = arrival.header("x-expect-instance");
+            let is_expected = incarnation == 0 || expected == Some(own_id.as_str());
+            let steps = match is_expected {
+                true => (self.script)(&arrival),
+                false => vec![Step::Write(not_run(&arrival, "421 Misdirected Request"))],
+            };
             arrival.was_declined = steps.first().is_some_and(declines);
             let index = {
                 let mut arrivals = self.arrivals.lock().expect("no panic");
@@ -156,6 +240,10 @@
                 false
             }
             Step::Close => false,
+            Step::End(pause) => {
+                self.end(pause);
+                false
+            }
             Step::Reset => {
                 socket.set_zero_linger().expect("open socket");
                 false
