Be ready only once the others' crashes are known

Cause: an instance was ready as soon as it knew how many others there are, 0.55 s after its start, and got the strikes through a repair 0.25 s later. The class is that of the retry slack after a start: one that knows nothing yet acts as if nothing had happened.

Change: an instance is ready once its facts agree with those of another one, or a second after its start; an instance whose digest is 0 gets a repair at once instead of after 0.25 s.

Why it works: nothing is sent before the first agreement, and a repair carries all strikes. That a cut store or peers that are gone don't hold it back for longer than a second is the bound that the number of instances had before.

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -29,7 +29,7 @@
 use decide::serving::leader::{InstanceTable, PeerInstance};
 use decide::serving::load::EndpointWork;
 use indexmap::IndexMap;
-use repair::RepairSchedule;
+use repair::{FactDifference, RepairSchedule};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -128,8 +128,11 @@
             table.is_full_mesh()
         };
         self.handle_body(message, address, is_full_mesh, now);
-        let differs = digest != self.gateway.fact_digest();
-        self.repairs.borrow_mut().observe(&instance, address, differs, now);
+        let difference = FactDifference::between(self.gateway.fact_digest(), digest);
+        if difference == FactDifference::None {
+            self.gateway.has_joined.set(true);
+        }
+        self.repairs.borrow_mut().observe(&instance, address, difference, now);
     }
 
     fn handle_body(
--- a/crates/gateway/src/peers/repair.rs
+++ b/crates/gateway/src/peers/repair.rs
@@ -3,11 +3,12 @@
 //! A new fact is sent once, with the next message. An instance that starts, is cut or loses
 //! the message lacks it. Each message therefore carries a digest of all facts that its
 //! sender knows. Where the digests of two instances stay different, each sends the other all
-//! of its facts.
+//! of its facts; one that knows none has just started and gets them at once.
 
 use super::PeerExchange;
 use super::message::{FactRepair, MessageBody};
 use catalogue::id::InstanceId;
+use decide::serving::crash_table::FactDigest;
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -21,6 +22,26 @@
 /// Maximum number of repairs that are sent at once.
 const MAX_REPAIRS: usize = 4;
 
+/// How the facts of another instance differ from the own ones
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FactDifference {
+    None,
+    Some,
+    /// The other instance knows none
+    All,
+}
+
+impl FactDifference {
+    /// Difference that digests show
+    pub fn between(own: FactDigest, other: FactDigest) -> FactDifference {
+        match other {
+            _ if own == other => FactDifference::None,
+            0 => FactDifference::All,
+            _ => FactDifference::Some,
+        }
+    }
+}
+
 struct PendingRepair {
     address: SocketAddr,
     seen_at: Instant,
@@ -34,22 +55,26 @@
 }
 
 impl RepairSchedule {
-    /// Records whether the digest in a message of an instance differs
+    /// Records how the facts of an instance differ, by the digest in its message
     pub fn observe(
         &mut self,
         instance: &InstanceId,
         address: SocketAddr,
-        differs: bool,
+        difference: FactDifference,
         now: Instant,
     ) {
-        if !differs {
-            self.pending.swap_remove(instance);
-            return;
-        }
+        let delay = match difference {
+            FactDifference::None => {
+                self.pending.swap_remove(instance);
+                return;
+            }
+            FactDifference::Some => REPAIR_DELAY,
+            FactDifference::All => Duration::ZERO,
+        };
         let pending = self.pending.entry(instance.clone()).or_insert(PendingRepair {
             address,
             seen_at: now,
-            due_at: now + REPAIR_DELAY,
+            due_at: now + delay,
         });
         pending.address = address;
         pending.seen_at = now;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -41,8 +41,9 @@
 
 /// Maximum number of completed requests to remember; about 20 s of the users' load.
 const MAX_COMPLETED_REQUESTS: NonZeroUsize = NonZeroUsize::new(4096).expect("not zero");
-/// Longest time after the start for which an instance that can't read the list of instances isn't ready.
-const MAX_LIST_WAIT: Duration = Duration::from_secs(1);
+/// Longest time after the start for which an instance that can't read the list of instances, or hears from none of
+/// them, isn't ready.
+const MAX_JOIN_WAIT: Duration = Duration::from_secs(1);
 
 /// Shared state of an instance
 pub struct Gateway {
@@ -100,6 +101,8 @@
     pub completed: RefCell<LruCache<Fingerprint, ()>>,
     /// Requests that endpoints went silent on
     pub silent_requests: RefCell<SilentRequests>,
+    /// Whether this instance has known all that another one knew of such requests and of leaving endpoints
+    pub has_joined: Cell<bool>,
     /// Update to be sent to the other instances with the next message
     pub pending_update: RefCell<ServingUpdate>,
     /// Recent requests and retries by pool
@@ -153,6 +156,7 @@
             crashes: RefCell::default(),
             completed: RefCell::new(LruCache::new(MAX_COMPLETED_REQUESTS)),
             silent_requests: RefCell::default(),
+            has_joined: Cell::default(),
             pending_update: RefCell::default(),
             retry_windows: RefCell::default(),
             deadline_peaks: RefCell::default(),
@@ -167,12 +171,16 @@
         }
     }
 
-    /// Whether requests can be served: configuration and endpoints have been read, and the number of instances
-    /// that share the limits is known, unless it can't be read for long
+    /// Whether requests can be served: configuration and endpoints have been read, and the others' facts and number,
+    /// by which limits are shared, are known, unless that takes too long
     pub fn is_ready(&self) -> bool {
         let is_read = self.config.borrow().is_some() && self.endpoints_read_at.get().is_some();
-        let is_listed = self.load.borrow().listed_instances().is_some();
-        is_read && (is_listed || self.started_at.elapsed() > MAX_LIST_WAIT)
+        let has_joined = match self.load.borrow().listed_instances() {
+            None => false,
+            Some(1) => true,
+            Some(_) => self.has_joined.get(),
+        };
+        is_read && (has_joined || self.started_at.elapsed() > MAX_JOIN_WAIT)
     }
 
     /// Endpoints of a pool that accept new requests of routes with this retry rule
--- a/crates/gateway/tests/gateway/crash_evidence.rs
+++ b/crates/gateway/tests/gateway/crash_evidence.rs
@@ -15,8 +15,11 @@
     // Guards against a request that is sent on after three crashes, since a bystander took the strikes of two back.
     bystander_of_two_crashes_takes_no_strikes_back => bystander(),
     // Guards against a request that an instance sends on, since it started after the crashes.
-    crashing_request_is_refused_by_an_instance_that_starts_later => late_start(1),
-    crashing_request_is_refused_by_a_member_that_starts_later => late_start(13),
+    crashing_request_is_refused_by_an_instance_that_starts_later => late_start(1, JOIN_TIME),
+    crashing_request_is_refused_by_a_member_that_starts_later => late_start(13, JOIN_TIME),
+    // Guards against a request that an instance sends on, since it was ready before it had learned of the crashes.
+    crashing_request_is_refused_by_an_instance_that_is_just_ready => late_start(1, Duration::ZERO),
+    crashing_request_is_refused_by_a_member_that_is_just_ready => late_start(13, Duration::ZERO),
     // Guards against facts that an instance never learns, since it can't read who the others are.
     crashing_request_is_refused_by_an_instance_without_the_list => without_list(),
     // Guards against a request without a body that is sent on after any number of crashes.
@@ -138,7 +141,8 @@
     verify_that!(other.status, eq(200))
 }
 
-async fn late_start(instances: usize) -> Result<()> {
+/// An instance that starts after the crashes gets the request some time after it is ready
+async fn late_start(instances: usize, pause: Duration) -> Result<()> {
     let mut test = CrashTest::start(crashes).await;
     let others =
         (1..instances).map(|it| Instance::launch(test.store.address, &format!("other-{it}")));
@@ -149,7 +153,8 @@
         test.replace_service().await;
     }
     verify_that!(test.arrivals("crashing"), eq(3))?;
-    let second = test.instance("instance-2").await;
+    let second = Instance::start(test.store.address, "instance-2").await;
+    tokio::time::sleep(pause).await;
     let refused = call(second.clients, post("lookups", "crashing-5", CRASHING)).await;
     verify_that!(refused.status, eq(503))?;
     verify_that!(test.arrivals("crashing"), eq(3))
