Log the shared parts of prompts whose sends fail or streams break

The lines send_failed and stream_broken now name the first six parts; send_failed stands for those without an event yet, stream_broken for the others.

--- a/crates/decide/src/serving/prompt.rs
+++ b/crates/decide/src/serving/prompt.rs
@@ -15,6 +15,10 @@
 /// Hash of a prompt prefix; prefixes with equal hashes have the same text.
 pub type PrefixKey = u64;
 
+/// Maximum number of parts, and of characters of each id, that a log line names.
+const MAX_LOGGED_PARTS: usize = 6;
+const MAX_LOGGED_ID: usize = 24;
+
 /// Prompt prefix that ends at the end of a part
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
@@ -56,6 +60,13 @@
         &self.parts[..self.parts.len().saturating_sub(1)]
     }
 
+    /// Formats the ids of the first shared parts for the log
+    pub fn describe_shared_parts(&self) -> String {
+        let ids = self.shared_parts().iter().take(MAX_LOGGED_PARTS);
+        let ids = ids.map(|it| it.id.chars().take(MAX_LOGGED_ID).collect::<String>());
+        ids.collect::<Vec<_>>().join(",")
+    }
+
     /// Total length of the shared parts, in tokens
     pub fn shared_tokens(&self) -> u64 {
         self.shared_parts().iter().map(|it| u64::from(it.tokens)).sum()
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -179,9 +179,10 @@
         let endpoint = &endpoint.id;
         self.record_crash_evidence(gateway, endpoint, error);
         log::info!(
-            "event=send_failed id={} endpoint={endpoint} knowledge={status:?} sends={} error=\"{error}\"",
+            "event=send_failed id={} endpoint={endpoint} knowledge={status:?} sends={} parts={} error=\"{error}\"",
             self.request.id,
             self.history.sends + 1,
+            self.describe_parts(),
         );
         gateway.metrics.sent(&self.pool, failure_name(error));
         self.excluded.push(endpoint.clone());
@@ -194,6 +195,11 @@
         }
     }
 
+    /// Formats the shared parts of its prompt for the log
+    pub fn describe_parts(&self) -> String {
+        self.prompt.as_ref().map_or_else(String::new, PromptShape::describe_shared_parts)
+    }
+
     /// Starts a send; `false` if it is a retry and the retry limits allow none
     pub fn try_start_send(&mut self, gateway: &Gateway) -> bool {
         self.sent_at = Instant::now();
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -494,9 +494,10 @@
 ) -> Option<(EngineStream, StreamItem)> {
     let mut cache = None;
     log::info!(
-        "event=stream_broken id={} after={last:?} sends={} error=\"{error}\"",
+        "event=stream_broken id={} after={last:?} sends={} parts={} error=\"{error}\"",
         call.request.id,
         call.history.sends,
+        call.describe_parts(),
     );
     while call.may_send(gateway) {
         let path = plan_path(gateway, call).ok()?;
