Refuse requests with a prompt part that crashes engines

Cause: only whole requests were recognized, and no two of these were alike.

Change: each shared part of a prompt gains a strike when an engine breaks off before the answer has begun, and is cleared by an answer that begins. Strikes and answers are facts of a second table of the same kind as that of requests, sent once and repaired where digests differ. With three strikes that no other part explains, requests with the part run one at a time as tests; with five they are refused, but for one test that decides between parts of the same crashes. The check is repeated where the bytes are written, so that it binds retries, resumes, prompts read apart and decodes after them, and requests that wait.

Why it works: the crashing part is in every crash and in no answer, whatever else differs. A sound part that ran beside all crashes is cleared by its own test.

--- a/crates/decide/src/serving/crash_table.rs
+++ b/crates/decide/src/serving/crash_table.rs
@@ -1,4 +1,4 @@
-//! Requests that crash the endpoints that run them.
+//! Requests that crash the endpoints that run them, and parts of prompts that do, see `crash_parts`.
 //!
 //! Every request in flight at an endpoint that crashes gains a strike, whether it caused
 //! the crash or is a bystander. Strikes count until the request completes, since a request
@@ -41,7 +41,7 @@
 /// Maximum number of tracked requests.
 const MAX_ENTRIES: usize = 500;
 /// Maximum number of strikes kept for a request; more don't change the decision.
-const MAX_KEPT_STRIKES: usize = 6;
+pub const MAX_KEPT_STRIKES: usize = 6;
 
 /// What has become of an endpoint after it broke off a request; what is greater replaces what is less
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -86,12 +86,14 @@
     /// Whether it counts among all strikes of its request
     fn counts(&self, index: usize, strikes: &[Strike], scope: StrikeScope) -> bool {
         let status = self.endpoint.status;
-        if scope == StrikeScope::All {
-            return status < EndpointStatus::Slow;
-        }
+        let may_have_ended = match scope {
+            StrikeScope::All => return status < EndpointStatus::Slow,
+            StrikeScope::Lost => status <= EndpointStatus::Ended,
+            StrikeScope::Ended => status == EndpointStatus::Ended,
+        };
         // An incarnation that had broken off or delayed requests before ends for reasons of its own, and only once.
         let was_alive = |it: &Strike| it.endpoint.status > EndpointStatus::Ended;
-        status == EndpointStatus::Ended
+        may_have_ended
             && !strikes.iter().any(|it| was_alive(it) && it.is_same_incarnation(self))
             && !strikes[..index].iter().any(|it| it.is_same_incarnation(self))
     }
@@ -101,6 +103,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StrikeScope {
     All,
+    /// Only those of endpoints that have shown no sign of life since
+    Lost,
     /// Only those of endpoints that have ended
     Ended,
 }
@@ -320,9 +324,19 @@
 
     /// Whether the request is refused
     pub fn is_refused(&self, fingerprint: Fingerprint, scope: StrikeScope, now: Instant) -> bool {
+        self.unexplained_strikes(fingerprint, scope, now) >= MAX_STRIKES
+    }
+
+    /// Number of strikes for crashes that no request with more strikes explains; 0 below `MAX_STRIKES` strikes
+    pub fn unexplained_strikes(
+        &self,
+        fingerprint: Fingerprint,
+        scope: StrikeScope,
+        now: Instant,
+    ) -> usize {
         let count = self.strike_count(fingerprint, scope, now);
         if count < MAX_STRIKES {
-            return false;
+            return 0;
         }
         let with_more =
             self.entries.keys().filter(|it| self.strike_count(**it, scope, now) > count);
@@ -330,7 +344,33 @@
         let unexplained = self
             .strikes(fingerprint, scope, now)
             .filter(|strike| !explained.iter().any(|it| it.is_same_crash(strike)));
-        unexplained.count() >= MAX_STRIKES
+        unexplained.count()
+    }
+
+    /// Other entries with strikes for the same crashes and no others
+    pub fn with_same_strikes(
+        &self,
+        fingerprint: Fingerprint,
+        scope: StrikeScope,
+        now: Instant,
+    ) -> impl Iterator<Item = Fingerprint> {
+        let strikes = self.strikes(fingerprint, scope, now).collect::<Vec<_>>();
+        let has_same = move |other: &Fingerprint| {
+            let others = self.strikes(*other, scope, now).collect::<Vec<_>>();
+            others.len() == strikes.len()
+                && others.iter().all(|it| strikes.iter().any(|own| own.is_same_crash(it)))
+        };
+        self.entries.keys().copied().filter(move |it| *it != fingerprint && has_same(it))
+    }
+
+    /// Endpoints whose crashes count against an entry
+    pub fn broken_endpoints(
+        &self,
+        fingerprint: Fingerprint,
+        scope: StrikeScope,
+        now: Instant,
+    ) -> impl Iterator<Item = &EndpointId> {
+        self.strikes(fingerprint, scope, now).map(|it| &it.endpoint.id)
     }
 
     /// Drops the entries that no longer count
--- a/crates/decide/src/serving/prompt.rs
+++ b/crates/decide/src/serving/prompt.rs
@@ -15,6 +15,9 @@
 /// Hash of a prompt prefix; prefixes with equal hashes have the same text.
 pub type PrefixKey = u64;
 
+/// Hash of the id of a prompt part.
+pub type PartKey = u64;
+
 /// Maximum number of parts, and of characters of each id, that a log line names.
 const MAX_LOGGED_PARTS: usize = 6;
 const MAX_LOGGED_ID: usize = 24;
@@ -38,6 +41,18 @@
     pub tokens: TokenCount,
 }
 
+impl PromptPart {
+    /// Hash of its id
+    pub fn key(&self) -> PartKey {
+        XxHash3_64::oneshot(self.id.as_bytes())
+    }
+
+    /// Start of its id, for the log
+    pub fn short_id(&self) -> String {
+        self.id.chars().take(MAX_LOGGED_ID).collect()
+    }
+}
+
 /// Declared structure of a generation
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct PromptShape {
@@ -60,11 +75,15 @@
         &self.parts[..self.parts.len().saturating_sub(1)]
     }
 
+    /// Hashes of the ids of the shared parts
+    pub fn shared_part_keys(&self) -> Vec<PartKey> {
+        self.shared_parts().iter().map(PromptPart::key).collect()
+    }
+
     /// Formats the ids of the first shared parts for the log
     pub fn describe_shared_parts(&self) -> String {
-        let ids = self.shared_parts().iter().take(MAX_LOGGED_PARTS);
-        let ids = ids.map(|it| it.id.chars().take(MAX_LOGGED_ID).collect::<String>());
-        ids.collect::<Vec<_>>().join(",")
+        let parts = self.shared_parts().iter().take(MAX_LOGGED_PARTS);
+        parts.map(PromptPart::short_id).collect::<Vec<_>>().join(",")
     }
 
     /// Total length of the shared parts, in tokens
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -62,6 +62,8 @@
     Unusable,
     /// endpoint accepts no requests by its notices
     NotAccepted,
+    /// request, or a part of its prompt, is suspected of crashing endpoints
+    Suspected,
     /// engine did not read the prompt: {0}
     Prefill(Box<SendError>),
 }
@@ -73,7 +75,10 @@
     pub fn result(&self) -> Option<SendResult> {
         match self {
             SendError::Declined(StatusCode::MISDIRECTED_REQUEST) => Some(SendResult::Misdirected),
-            SendError::Declined(_) | SendError::Unusable | SendError::NotAccepted => None,
+            SendError::Declined(_)
+            | SendError::Unusable
+            | SendError::NotAccepted
+            | SendError::Suspected => None,
             // A healthy endpoint may drop an idle connection at any time.
             SendError::Exchange(ExchangeError::Unsent | ExchangeError::Stale(_)) => None,
             SendError::Exchange(ExchangeError::Connect(_) | ExchangeError::ConnectTimedOut) => {
@@ -118,10 +123,10 @@
         }
     }
 
-    /// Whether nothing was sent, since the endpoint accepts no requests
+    /// Whether nothing was sent, since the endpoint accepts no requests or the request is suspected
     pub fn is_withheld(&self) -> bool {
         match self {
-            SendError::NotAccepted => true,
+            SendError::NotAccepted | SendError::Suspected => true,
             SendError::Prefill(error) => error.is_withheld(),
             _ => false,
         }
@@ -134,6 +139,7 @@
             SendError::Declined(_)
             | SendError::Unusable
             | SendError::NotAccepted
+            | SendError::Suspected
             | SendError::Prefill(_) => RunStatus::NotRun,
             SendError::Exchange(
                 ExchangeError::Broken(_) | ExchangeError::Stale(_) | ExchangeError::InterimOnly,
@@ -179,6 +185,8 @@
     pub once: bool,
     /// Whether the answer must carry the endpoint's signature; answers to prefill calls do not
     pub expects_signature: bool,
+    /// Whether the request may still be sent, asked once a connection is open
+    pub may_start: &'a dyn Fn() -> bool,
 }
 
 /// Sends a request and waits until `deadline` for the head of its answer
@@ -192,13 +200,17 @@
     parameters: &SendParameters,
     deadline: Instant,
 ) -> Result<OpenAnswer, SendError> {
-    let SendTarget { endpoint, work_guard, once, expects_signature } = target;
+    let SendTarget { endpoint, work_guard, once, expects_signature, may_start } = target;
     let share = gateway.connection_share(&endpoint.pool);
     let acquired = gateway.connections.acquire(endpoint, once, share);
     let mut connection = match timeout_at(deadline, acquired).await {
         Ok(connection) => connection.map_err(SendError::Exchange)?,
         Err(_) => return Err(SendError::Exchange(ExchangeError::ConnectTimedOut)),
     };
+    // Other instances' crashes may have become known since the send was planned.
+    if !may_start() {
+        return Err(SendError::Suspected);
+    }
     // A notice may have arrived in another answer since the endpoint was picked.
     if !gateway.try_start_send(endpoint) {
         return Err(SendError::NotAccepted);
--- /dev/null
+++ b/crates/gateway/src/crash_parts.rs
@@ -0,0 +1,173 @@
+//! Prompt parts that crash engines: what this instance records of them, and which requests it holds back.
+//!
+//! An engine that breaks off a generation before its first event adds a strike to the shared
+//! parts of the prompt; a first event clears them. Prompts that are read apart succeed with
+//! a crashing part, too, and clear nothing. All instances exchange strikes and begun answers.
+
+use crate::forward::ServingCall;
+use crate::peers::ServingUpdate;
+use crate::state::Gateway;
+use decide::serving::crash_parts::{PartDecision, decide_parts};
+use decide::serving::crash_table::{
+    BrokenEndpoint, CrashFact, CrashTable, EndpointStatus, MAX_STRIKES, StrikeScope,
+};
+use decide::serving::endpoint_list::ListedEndpoint;
+use decide::serving::prompt::{PartKey, PromptShape};
+use indexmap::IndexSet;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Instant;
+use tokio::sync::Notify;
+use tokio::time::timeout_at;
+
+/// Fraction of the objective that a request waits while another one tests its suspected part.
+const TEST_WAIT_FRACTION: f64 = 0.25;
+
+/// Evidence against prompt parts, and the tests that run here
+#[derive(Default)]
+pub struct PartSuspects {
+    /// Strikes and begun answers by part
+    pub table: RefCell<CrashTable>,
+    tests: RefCell<IndexSet<PartKey>>,
+    test_ended: Notify,
+}
+
+/// Only request of this instance with some suspected parts, until dropped
+pub struct PartTest {
+    gateway: Rc<Gateway>,
+    parts: Vec<PartKey>,
+}
+
+impl PartTest {
+    /// Starts a test; `None` while another one tests any of the parts
+    fn try_start(gateway: &Rc<Gateway>, parts: Vec<PartKey>) -> Option<PartTest> {
+        let mut tests = gateway.part_suspects.tests.borrow_mut();
+        if parts.iter().any(|it| tests.contains(it)) {
+            return None;
+        }
+        tests.extend(parts.iter().copied());
+        Some(PartTest { gateway: gateway.clone(), parts })
+    }
+}
+
+impl Drop for PartTest {
+    fn drop(&mut self) {
+        let suspects = &self.gateway.part_suspects;
+        suspects.tests.borrow_mut().retain(|it| !self.parts.contains(it));
+        suspects.test_ended.notify_waiters();
+    }
+}
+
+impl ServingCall {
+    /// Decision on the request by the shared parts of its prompt
+    pub fn part_decision(&self, gateway: &Gateway) -> PartDecision {
+        let table = gateway.part_suspects.table.borrow();
+        match &self.prompt {
+            // Avoids hashing the parts: usually no engine has crashed.
+            Some(prompt) if !table.is_empty() => {
+                decide_parts(&table, &prompt.shared_part_keys(), Instant::now())
+            }
+            _ => PartDecision::Admit,
+        }
+    }
+
+    /// Whether the next send may start by the parts of the prompt; waits a moment if it has to be the only test of one
+    pub async fn admit_parts(&mut self, gateway: &Rc<Gateway>) -> bool {
+        self.part_test = None;
+        let until = self.arrived_at + self.route.objective.mul_f64(TEST_WAIT_FRACTION);
+        loop {
+            let parts = match self.part_decision(gateway) {
+                PartDecision::Admit => return true,
+                PartDecision::Refuse(_) => return false,
+                PartDecision::Test(parts) => parts,
+            };
+            self.part_test = PartTest::try_start(gateway, parts);
+            if self.part_test.is_some() {
+                log::info!(
+                    "event=part_test id={} parts={}",
+                    self.request.id,
+                    self.describe_parts()
+                );
+                return true;
+            }
+            let ended = gateway.part_suspects.test_ended.notified();
+            if timeout_at(until, ended).await.is_err() {
+                return false;
+            }
+        }
+    }
+
+    /// Whether a send that has been admitted may still start
+    pub fn is_admitted(&self, gateway: &Gateway) -> bool {
+        match self.part_decision(gateway) {
+            PartDecision::Admit => true,
+            PartDecision::Test(_) => self.part_test.is_some(),
+            PartDecision::Refuse(_) => false,
+        }
+    }
+
+    /// Records that an engine closed the connection before the answer had begun
+    pub fn record_part_strikes(&self, gateway: &Gateway, engine: &ListedEndpoint) {
+        let Some(prompt) = &self.prompt else { return };
+        let now = Instant::now();
+        let broken = BrokenEndpoint {
+            id: engine.id.clone(),
+            started_at_ms: engine.started_at_ms,
+            status: EndpointStatus::Unknown,
+        };
+        let fact = |part| CrashFact::new(part, Some(broken.clone()), now, now);
+        gateway.record_part_facts(prompt.shared_part_keys().into_iter().map(fact), now);
+    }
+
+    /// Records that an engine has begun the answer, and ends the test of the parts
+    pub fn record_part_answers(&mut self, gateway: &Gateway) {
+        if let Some(prompt) = &self.prompt
+            && !gateway.part_suspects.table.borrow().is_empty()
+        {
+            let now = Instant::now();
+            let fact = |part| CrashFact::new(part, None, now, now);
+            gateway.record_part_facts(prompt.shared_part_keys().into_iter().map(fact), now);
+        }
+        self.part_test = None;
+    }
+
+    /// Logs why a part of the prompt is refused
+    pub fn log_refused_part(&self, gateway: &Gateway, refused: PartKey) {
+        let now = Instant::now();
+        let parts = self.prompt.as_ref().map_or(&[][..], PromptShape::shared_parts);
+        let part = parts.iter().find(|it| it.key() == refused);
+        let table = gateway.part_suspects.table.borrow();
+        let engines = table.broken_endpoints(refused, StrikeScope::Lost, now);
+        log::info!(
+            "event=part_refused id={} part={} key={refused:x} engines={}",
+            self.request.id,
+            part.map_or_else(String::new, |it| it.short_id()),
+            engines.map(|it| it.as_str()).collect::<Vec<_>>().join(","),
+        );
+    }
+}
+
+impl Gateway {
+    fn record_part_facts(&self, facts: impl Iterator<Item = CrashFact>, now: Instant) {
+        let part_crashes = facts.filter(|it| self.apply_part_fact(it, "own", now)).collect();
+        let update = ServingUpdate { part_crashes, ..Default::default() };
+        self.pending_update.borrow_mut().extend(update);
+    }
+
+    /// Adds a fact on a part; `true` if it is new
+    pub fn apply_part_fact(&self, fact: &CrashFact, source: &str, now: Instant) -> bool {
+        let mut table = self.part_suspects.table.borrow_mut();
+        let is_new = table.merge(fact, now);
+        let strikes = table.strike_count(fact.fingerprint, StrikeScope::Lost, now);
+        // Each crash adds strikes to all parts that ran there; most are cleared at once.
+        if is_new && strikes >= MAX_STRIKES {
+            log::info!(
+                "event=part_strike key={:x} endpoint={} age_ms={} source={source} strikes={strikes}",
+                fact.fingerprint,
+                fact.broken.as_ref().map_or("none", |it| it.id.as_str()),
+                fact.age_ms,
+            );
+        }
+        is_new
+    }
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,11 +4,13 @@
     ClientRequest, SendError, SendTarget, WholeAnswer, read_whole, send, time_left,
 };
 use crate::body::AnswerBody;
+use crate::crash_parts::PartTest;
 use crate::generation;
 use crate::state::{Gateway, WorkGuard};
 use bytes::Bytes;
 use catalogue::id::{EndpointId, PoolName};
 use decide::fingerprint::{Fingerprint, RequestContent, request_fingerprint};
+use decide::serving::crash_parts::PartDecision;
 use decide::serving::crash_table::{BrokenEndpoint, EndpointStatus, STRIKE_LIFETIME};
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::health::SendResult;
@@ -36,6 +38,8 @@
 const RETRY_JITTER: Duration = Duration::from_millis(200);
 /// `Retry-After` of an instance that is still starting.
 const START_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Reason of a refusal for a part of the prompt that may crash engines
+pub const SUSPECTED_PART: &str = "suspected_part";
 /// Failed connection attempts after which a request is refused; they count apart from sends, since
 /// none of them reached an endpoint.
 const MAX_FAILED_CONNECTS: u32 = 3;
@@ -74,6 +78,8 @@
     pub has_waited: bool,
     /// Time of arrival
     pub arrived_at: Instant,
+    /// Test of suspected parts of its prompt that it runs as
+    pub part_test: Option<PartTest>,
     failed_connects: u32,
 }
 
@@ -103,6 +109,11 @@
             && Instant::now() < self.deadline
     }
 
+    /// Whether a send that is about to start may do so by all crashes that have become known
+    pub fn may_start(&self, gateway: &Gateway) -> bool {
+        !self.is_suspected(gateway) && self.is_admitted(gateway)
+    }
+
     /// Whether the request is suspected of crashing endpoints, here or at other instances
     fn is_suspected(&self, gateway: &Gateway) -> bool {
         // Avoids hashing the body: usually no endpoint has crashed.
@@ -176,6 +187,10 @@
         if error.is_refused_connection() {
             gateway.record_refused_connection(endpoint);
         }
+        // An engine that only reads the prompt doesn't crash by its parts.
+        if error.is_disconnect() && !matches!(error, SendError::Prefill(_)) {
+            self.record_part_strikes(gateway, endpoint);
+        }
         let endpoint = &endpoint.id;
         self.record_crash_evidence(gateway, endpoint, error);
         log::info!(
@@ -229,6 +244,12 @@
         if self.is_suspected(gateway) && !self.history.may_have_run {
             return Refusal::new(GatewayAnswer::Suspected, "suspected");
         }
+        if let PartDecision::Refuse(part) = self.part_decision(gateway)
+            && !self.history.may_have_run
+        {
+            self.log_refused_part(gateway, part);
+            return Refusal::new(GatewayAnswer::Suspected, SUSPECTED_PART);
+        }
         let answer = match self.history.final_step() {
             NextStep::Fail if Instant::now() >= self.deadline => GatewayAnswer::TimedOut,
             NextStep::Fail => GatewayAnswer::Failed,
@@ -274,6 +295,7 @@
         SendError::TimedOut => "timed_out",
         SendError::Unusable => "unusable",
         SendError::NotAccepted => "not_accepted",
+        SendError::Suspected => "suspected",
         SendError::Prefill(_) => "prefill",
     }
 }
@@ -377,6 +399,7 @@
         progress: PromptProgress::Unread,
         has_waited: gateway.has_waited(&route.name, time_left, arrived_at.into_std()),
         arrived_at,
+        part_test: None,
         failed_connects: 0,
         request: ClientRequest { parts, body, id: head.id, caller },
     })
@@ -428,7 +451,14 @@
         );
         let parameters = call.parameters(&endpoint.id, EngineStage::Whole);
         let work_guard = WorkGuard::new(gateway.clone(), endpoint.id.clone(), 0);
-        let target = SendTarget { endpoint, work_guard, once, expects_signature: true };
+        let may_start = || call.may_start(gateway);
+        let target = SendTarget {
+            endpoint,
+            work_guard,
+            once,
+            expects_signature: true,
+            may_start: &may_start,
+        };
         let deadline = call.answer_deadline(gateway);
         let answer = match send(gateway, target, &call.request, &parameters, deadline).await {
             Ok(answer) => read_whole(gateway, answer, deadline).await,
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -9,7 +9,7 @@
 use crate::body::AnswerBody;
 use crate::error::RelayError;
 use crate::events::EventSplitter;
-use crate::forward::{Refusal, RequestRecord, ServingCall, relay_whole};
+use crate::forward::{Refusal, RequestRecord, SUSPECTED_PART, ServingCall, relay_whole};
 use crate::state::{Gateway, WorkGuard};
 use async_stream::try_stream;
 use bytes::Bytes;
@@ -102,6 +102,10 @@
     let mut reason = NO_ENDPOINT;
     let mut cache = None;
     while call.may_send(gateway) {
+        if !call.admit_parts(gateway).await {
+            reason = SUSPECTED_PART;
+            break;
+        }
         let path = match plan_path(gateway, &call) {
             Ok(path) => path,
             Err(NO_ENDPOINT) if call.wait_for_pause(gateway).await => continue,
@@ -301,6 +305,9 @@
     };
     let engine = generate.engine.clone();
     let started = send_generation(gateway, call, generate, stage, resume_after).await;
+    if matches!(started, Ok(Started::Streaming(..))) {
+        call.record_part_answers(gateway);
+    }
     let is_cache_unused = started.as_ref().is_err_and(|it| {
         it.run_status() == RunStatus::NotRun
             && !matches!(it, SendError::Declined(StatusCode::SERVICE_UNAVAILABLE))
@@ -356,11 +363,13 @@
     parameters.parts_source = step.parts_source;
     let engine = step.engine;
     let sent_at = Instant::now();
+    let may_start = || call.may_start(gateway);
     let target = SendTarget {
         endpoint: &engine,
         work_guard: step.work_guard,
         once: false,
         expects_signature: false,
+        may_start: &may_start,
     };
     let expected = milliseconds(step.pick.expected_ms);
     let deadline = call.prefill_deadline(expected);
@@ -391,11 +400,13 @@
     let mut parameters = call.parameters(&step.engine.id, stage);
     parameters.resume_after = resume_after;
     parameters.parts_source = step.parts_source;
+    let may_start = || call.may_start(gateway);
     let target = SendTarget {
         endpoint: &step.engine,
         work_guard: step.work_guard,
         once,
         expects_signature: true,
+        may_start: &may_start,
     };
     let deadline = call.answer_deadline(gateway);
     let sent_at = Instant::now();
@@ -499,7 +510,7 @@
         call.history.sends,
         call.describe_parts(),
     );
-    while call.may_send(gateway) {
+    while call.may_send(gateway) && call.admit_parts(gateway).await {
         let path = plan_path(gateway, call).ok()?;
         if !call.try_start_send(gateway) {
             return None;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod body;
 pub mod connections;
 pub mod coverage;
+pub mod crash_parts;
 pub mod error;
 pub mod events;
 pub mod follow;
@@ -102,6 +103,7 @@
         let now = std::time::Instant::now();
         gateway.connections.expire(now);
         gateway.crashes.borrow_mut().expire(now);
+        gateway.part_suspects.table.borrow_mut().expire(now);
     }
 }
 
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -20,13 +20,13 @@
 /// Maximum size of a decoded message in memory, where fields are wider.
 const MAX_DECODED_BYTES: usize = 256 * 1024;
 /// Version of the message format; messages of other versions are ignored.
-const MESSAGE_VERSION: u8 = 14;
+const MESSAGE_VERSION: u8 = 15;
 /// Maximum number of prompt reads in one update; about 60 bytes each, well below
 /// `MAX_MESSAGE_BYTES`.
 const MAX_UPDATE_READS: usize = 200;
 /// Maximum number of facts on crashes in one update; about 30 bytes each.
 const MAX_UPDATE_CRASHES: usize = 100;
-/// Maximum number of facts on crashes in one repair.
+/// Maximum number of facts on crashes, of requests or of prompt parts, in one repair.
 const MAX_REPAIR_CRASHES: usize = 600;
 /// Maximum number of leaving endpoints in one repair; the last ones are sent.
 const MAX_REPAIR_LEAVING: usize = 400;
@@ -71,6 +71,8 @@
     pub reads: Vec<PromptRead>,
     /// Requests that ran at endpoints that crashed, or completed after that
     pub crashes: Vec<CrashFact>,
+    /// Prompt parts of requests that ran at engines that crashed, or on which an answer has begun after that
+    pub part_crashes: Vec<CrashFact>,
     /// Changes in the health of endpoints
     pub health: Vec<(EndpointId, HealthUpdate)>,
     /// Incarnations of endpoints that are leaving by their own notices
@@ -84,6 +86,7 @@
     pub fn extend(&mut self, other: ServingUpdate) {
         extend_newest(&mut self.reads, other.reads, MAX_UPDATE_READS);
         extend_newest(&mut self.crashes, other.crashes, MAX_UPDATE_CRASHES);
+        extend_facts(&mut self.part_crashes, other.part_crashes, MAX_UPDATE_CRASHES);
         extend_newest(&mut self.health, other.health, MAX_UPDATE_HEALTH);
         extend_newest(&mut self.leaving, other.leaving, MAX_UPDATE_LEAVING);
         extend_newest(&mut self.limits, other.limits, MAX_UPDATE_LIMITS);
@@ -96,18 +99,35 @@
     entries.drain(..entries.len().saturating_sub(limit));
 }
 
-/// All facts that an instance knows, for one that lacks some
+/// Appends facts without those that say the same, and drops the oldest ones beyond a limit
+///
+/// Many instances see the crash of one engine, or the next answers on a popular part, at the same time.
+fn extend_facts(facts: &mut Vec<CrashFact>, newer: Vec<CrashFact>, limit: usize) {
+    let same = |one: &CrashFact, other: &CrashFact| {
+        let id = |it: &CrashFact| it.broken.as_ref().map(|it| it.id.clone());
+        one.fingerprint == other.fingerprint && id(one) == id(other)
+    };
+    for fact in newer {
+        facts.retain(|it| !same(it, &fact));
+        facts.push(fact);
+    }
+    facts.drain(..facts.len().saturating_sub(limit));
+}
+
+/// Facts that an instance knows, for one that lacks some
 #[derive(Debug, Clone, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct FactRepair {
     /// Requests that ran at endpoints that crashed, or completed after that
     pub crashes: Vec<CrashFact>,
+    /// Prompt parts of requests that ran at engines that crashed, or on which an answer has begun after that
+    pub part_crashes: Vec<CrashFact>,
     /// Incarnations of endpoints that are leaving by their own notices
     pub leaving: Vec<(EndpointId, IncarnationStart)>,
 }
 
 impl FactRepair {
-    /// Repair that fits into a message
+    /// Repair of what is known of requests and endpoints that fits into a message
     pub fn new(
         mut crashes: Vec<CrashFact>,
         mut leaving: Vec<(EndpointId, IncarnationStart)>,
@@ -115,7 +135,13 @@
         crashes.truncate(MAX_REPAIR_CRASHES);
         leaving.reverse();
         leaving.truncate(MAX_REPAIR_LEAVING);
-        FactRepair { crashes, leaving }
+        FactRepair { crashes, leaving, part_crashes: Vec::new() }
+    }
+
+    /// Repair of what is known of prompt parts that fits into a message
+    pub fn of_parts(mut part_crashes: Vec<CrashFact>) -> FactRepair {
+        part_crashes.truncate(MAX_REPAIR_CRASHES);
+        FactRepair { part_crashes, ..FactRepair::default() }
     }
 }
 
--- a/crates/gateway/src/peers/repair.rs
+++ b/crates/gateway/src/peers/repair.rs
@@ -106,13 +106,20 @@
             notices.reports().map(|(id, start)| (id.clone(), start)).collect()
         };
         let repair = FactRepair::new(self.gateway.crashes.borrow().facts(now), leaving);
+        let parts = self.gateway.part_suspects.table.borrow().facts(now);
+        let part_repair = FactRepair::of_parts(parts);
         for address in addresses {
             log::info!(
-                "event=facts_repaired to={address} crashes={} leaving={}",
+                "event=facts_repaired to={address} crashes={} parts={} leaving={}",
                 repair.crashes.len(),
+                part_repair.part_crashes.len(),
                 repair.leaving.len(),
             );
+            // Together they may exceed the size of a message.
             self.send(MessageBody::Repair(repair.clone()), address).await;
+            if !part_repair.part_crashes.is_empty() {
+                self.send(MessageBody::Repair(part_repair.clone()), address).await;
+            }
         }
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,7 @@
 
 use crate::connections::{EndpointConnections, connection_share};
 use crate::coverage::TopicCoverage;
+use crate::crash_parts::PartSuspects;
 use crate::metrics::GatewayMetrics;
 use crate::peers::{
     ConfigAnnouncement, EndpointUpdate, FactRepair, PackedConfig, PromptRead, ServingUpdate,
@@ -97,6 +98,8 @@
     pub timings: RefCell<IndexMap<PoolName, PoolTiming>>,
     /// Requests that ran at endpoints that crashed
     pub crashes: RefCell<CrashTable>,
+    /// Prompt parts of requests that ran at engines that crashed
+    pub part_suspects: PartSuspects,
     /// Requests that have completed lately
     pub completed: RefCell<LruCache<Fingerprint, ()>>,
     /// Requests that endpoints went silent on
@@ -154,6 +157,7 @@
             caches: RefCell::default(),
             timings: RefCell::default(),
             crashes: RefCell::default(),
+            part_suspects: PartSuspects::default(),
             completed: RefCell::new(LruCache::new(MAX_COMPLETED_REQUESTS)),
             silent_requests: RefCell::default(),
             has_joined: Cell::default(),
@@ -261,6 +265,11 @@
         let now = Instant::now();
         let changes = self.crashes.borrow_mut().record_alive(endpoint, now);
         self.send_crash_facts(changes);
+        let part_crashes = self.part_suspects.table.borrow_mut().record_alive(endpoint, now);
+        if !part_crashes.is_empty() {
+            let update = ServingUpdate { part_crashes, ..Default::default() };
+            self.pending_update.borrow_mut().extend(update);
+        }
         if !self.silent_requests.borrow().is_empty() {
             let mut alive = self.silent_requests.borrow_mut().take_alive(endpoint);
             // For others, a timeout at an endpoint that lives says nothing.
@@ -348,7 +357,9 @@
 
     /// Digest of the facts that all instances should know
     pub fn fact_digest(&self) -> FactDigest {
-        self.crashes.borrow().digest().wrapping_add(self.notices.borrow().report_digest())
+        let parts = self.part_suspects.table.borrow().digest();
+        let requests = self.crashes.borrow().digest();
+        requests.wrapping_add(parts).wrapping_add(self.notices.borrow().report_digest())
     }
 
     /// Adds the facts of another instance
@@ -357,6 +368,9 @@
         for fact in &repair.crashes {
             self.apply_crash_fact(fact, "repair", now);
         }
+        for fact in &repair.part_crashes {
+            self.apply_part_fact(fact, "repair", now);
+        }
         self.apply_leaving(&repair.leaving);
     }
 
@@ -387,6 +401,9 @@
         for fact in &update.crashes {
             self.apply_crash_fact(fact, "peer", now);
         }
+        for fact in &update.part_crashes {
+            self.apply_part_fact(fact, "peer", now);
+        }
         for (endpoint, health_update) in &update.health {
             if self.health.borrow_mut().apply_update(endpoint, *health_update, now) {
                 log::info!(
--- a/crates/gateway/tests/messages.rs
+++ b/crates/gateway/tests/messages.rs
@@ -57,6 +57,7 @@
     update.extend(ServingUpdate {
         reads: numbers.clone().map(read).collect(),
         crashes: numbers.clone().map(crash).collect(),
+        part_crashes: numbers.clone().map(crash).collect(),
         health: numbers.clone().map(|it| (id(it), HealthUpdate::Unreliable)).collect(),
         leaving: numbers.clone().map(|it| (id(it), u64::MAX)).collect(),
         limits: numbers.map(limit).collect(),
@@ -78,6 +79,10 @@
     check_fits(MessageBody::Repair(FactRepair::new(crashes, leaving)))
 }
 
+fn check_part_repair_fits() -> Result<()> {
+    check_fits(MessageBody::Repair(FactRepair::of_parts((0..3000).map(crash).collect())))
+}
+
 fn check_newest_stay() -> Result<()> {
     let mut update = full_update();
     let newest = (id(9999), HealthUpdate::Reliable);
@@ -89,6 +94,7 @@
     // Guard against messages that nobody can decode, since they are too large.
     work_at_the_design_size_fits_into_a_message => check_work_fits(),
     largest_repair_fits_into_a_message => check_repair_fits(),
+    largest_repair_of_parts_fits_into_a_message => check_part_repair_fits(),
     // Guards against the loss of the newest state of an endpoint, since older states fill the message.
     full_update_drops_its_oldest_entries => check_newest_stay(),
 }
