Soak lookups and prompt parts that end every endpoint

Now a lookup and a part of otherwise different prompts end endpoints: listener (also the proxy's) and connections are closed, the entry leaves the list after 1.5 s, and a new incarnation comes back after 3.2 s. Checked by the users' rules: three requests at most later than 3 s after the third end, or the fifth for parts, from instances in touch; and in the end every instance serves a sound generation of each kind. Sound prompts now share parts. Four endpoints of each kind instead of three.

--- a/crates/gateway/tests/gateway/crashing_parts.rs
+++ b/crates/gateway/tests/gateway/crashing_parts.rs
@@ -1,5 +1,6 @@
 //! Prompt parts that end every engine that begins to write an answer on them.
 
+use crate::deployment::generation_with;
 use crate::ending_fleet::{CONTACT_TIME, DOWN_TIME, EndingFleet, served_fraction};
 use crate::endpoint::{Arrival, STREAM_END, Step, chunk, event, stream_head};
 use googletest::prelude::*;
@@ -106,18 +107,6 @@
     steps
 }
 
-/// Generation whose prompt has these shared parts and one of its own, in tokens
-fn generation_with(route: &str, id: &str, shared: &[&str], own_tokens: usize) -> String {
-    let tokens = 500 * shared.len() + own_tokens;
-    let shared = shared.iter().map(|it| format!("{it}:500,")).collect::<String>();
-    let length = id.len();
-    format!(
-        "POST /{route}/x HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: {id}\r\n\
-         X-Deadline-Ms: 1500\r\nX-Model: m\r\nX-Token-Count: {tokens},130\r\n\
-         X-Prompt-Prefix: {shared}own-{id}:{own_tokens}\r\nContent-Length: {length}\r\n\r\n{id}"
-    )
-}
-
 async fn played(test: PartTest) -> Result<()> {
     let PartTest { route, sound, crashing, parts, own_tokens, .. } = test;
     let prefill = (0..test.prefill_engines).map(|it| format!("engine-p{it}"));
--- a/crates/gateway/tests/gateway/deployment.rs
+++ b/crates/gateway/tests/gateway/deployment.rs
@@ -149,3 +149,15 @@
          X-Kv-Hold: forged\r\nX-Kv-Source: 10.0.0.1:1/forged\r\nContent-Length: 4\r\n\r\ntext"
     )
 }
+
+/// Generation whose prompt has these shared parts and one of its own, in tokens
+pub fn generation_with(route: &str, id: &str, shared: &[&str], own_tokens: usize) -> String {
+    let tokens = 500 * shared.len() + own_tokens;
+    let shared = shared.iter().map(|it| format!("{it}:500,")).collect::<String>();
+    let length = id.len();
+    format!(
+        "POST /{route}/x HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: {id}\r\n\
+         X-Deadline-Ms: 1500\r\nX-Model: m\r\nX-Token-Count: {tokens},130\r\n\
+         X-Prompt-Prefix: {shared}own-{id}:{own_tokens}\r\nContent-Length: {length}\r\n\r\n{id}"
+    )
+}
--- a/crates/gateway/tests/gateway/endpoint.rs
+++ b/crates/gateway/tests/gateway/endpoint.rs
@@ -1,7 +1,7 @@
 //! Stand-in of an endpoint that answers each request by a script of raw bytes.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -80,6 +80,8 @@
     script: Arc<Script>,
     incarnation: Arc<watch::Sender<Incarnation>>,
     ends: Arc<Mutex<Vec<Instant>>>,
+    /// Whether each incarnation has an id of its own in the endpoint list
+    has_new_ids: Arc<AtomicBool>,
 }
 
 impl FakeEndpoint {
@@ -99,6 +101,7 @@
             script: Arc::new(script),
             incarnation: Arc::new(watch::Sender::new(Incarnation { number: 0, is_up: true })),
             ends: Arc::default(),
+            has_new_ids: Arc::default(),
         };
         tokio::spawn(endpoint.clone().run(listener));
         endpoint
@@ -160,6 +163,7 @@
 
     /// The same endpoint under the id of one of its incarnations in the endpoint list
     pub fn listed_as(&self, number: usize) -> FakeEndpoint {
+        self.has_new_ids.store(true, Ordering::SeqCst);
         FakeEndpoint { id: self.incarnation_id(number), ..self.clone() }
     }
 
@@ -205,7 +209,8 @@
         while let Some(arrival) = read_request(&mut socket, &mut buffer).await {
             let mut arrival = Arrival { connection, ..arrival };
             let expected = arrival.header("x-expect-instance");
-            let is_expected = incarnation == 0 || expected == Some(own_id.as_str());
+            let is_expected =
+                !self.has_new_ids.load(Ordering::SeqCst) || expected == Some(own_id.as_str());
             let steps = match is_expected {
                 true => (self.script)(&arrival),
                 false => vec![Step::Write(not_run(&arrival, "421 Misdirected Request"))],
--- a/crates/gateway/tests/gateway/proxy.rs
+++ b/crates/gateway/tests/gateway/proxy.rs
@@ -64,6 +64,7 @@
 pub struct FaultProxy {
     pub address: SocketAddr,
     mode: watch::Sender<ProxyMode>,
+    is_listening: watch::Sender<bool>,
 }
 
 impl FaultProxy {
@@ -77,12 +78,17 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
         let address = listener.local_addr().expect("bound");
         let (mode, modes) = watch::channel(ProxyMode::Forward);
-        tokio::spawn(async move {
-            while let Ok((socket, _)) = listener.accept().await {
-                tokio::spawn(proxy_connection(socket, server, modes.clone(), links.clone()));
-            }
-        });
-        FaultProxy { address, mode }
+        let is_listening = watch::Sender::new(true);
+        let listening = is_listening.subscribe();
+        tokio::spawn(accept(listener, listening, move |socket| {
+            tokio::spawn(proxy_connection(socket, server, modes.clone(), links.clone()));
+        }));
+        FaultProxy { address, mode, is_listening }
+    }
+
+    /// Closes or reopens the listener; connections that are open stay so
+    pub fn set_listening(&self, is_listening: bool) {
+        self.is_listening.send_replace(is_listening);
     }
 
     /// Sets the mode, also for open connections
@@ -91,6 +97,35 @@
     }
 }
 
+/// Accepts connections while the listener is to be open
+async fn accept(
+    mut listener: TcpListener,
+    mut listening: watch::Receiver<bool>,
+    on_connection: impl Fn(TcpStream),
+) {
+    let address = listener.local_addr().expect("bound");
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((socket, _)) => on_connection(socket),
+                Err(_) => return,
+            },
+            changed = listening.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+        }
+        if !*listening.borrow_and_update() {
+            drop(listener);
+            if listening.wait_for(|it| *it).await.is_err() {
+                return;
+            }
+            listener = TcpListener::bind(address).await.expect("its own address");
+        }
+    }
+}
+
 async fn proxy_connection(
     client: TcpStream,
     server: SocketAddr,
--- a/crates/gateway/tests/gateway/soak.rs
+++ b/crates/gateway/tests/gateway/soak.rs
@@ -3,15 +3,15 @@
 //! A seed determines the faults and their times: instances are stopped, killed, paused,
 //! signalled and replaced; the store is unavailable, loses its history or returns from a
 //! copy; endpoints fail in all modes, leave, shed requests and come back as new
-//! incarnations, name limits or send bytes without end; a request ends every endpoint that
-//! it reaches; entries and configurations change; proxies delay, reset or hold back the
+//! incarnations, name limits or send bytes without end; a request with a body crashes every
+//! endpoint that it reaches, one without and a part of prompts end theirs; entries and configurations change; proxies delay, reset or hold back the
 //! connections to the store and to endpoints. Faults overlap, and some come in series. Clients send requests throughout and
 //! reuse connections until these are closed. `SOAK_SEEDS=FROM..TO` selects the seeds,
 //! `SOAK_INSTANCES` and `SOAK_CLIENTS` the size, `SOAK_SECONDS` the length:
 //! `SOAK_SEEDS=1..51 cargo test -p gateway --test gateway soak -- --nocapture`.
 
 use crate::client::{RawAnswer, RawClient, call};
-use crate::deployment::{config, generation, get, list_as, post, stage_of, unix_ms};
+use crate::deployment::{config, generation_with, get, get_path, list_as, post, stage_of, unix_ms};
 use crate::endpoint::{
     Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, not_run, stream_head,
     with_header,
@@ -44,6 +44,8 @@
 /// Default numbers of instances and of clients.
 const INSTANCES: usize = 3;
 const CLIENTS: usize = 12;
+/// Number of services, and of engines.
+const ENDPOINTS: usize = 4;
 const DEFAULT_SEEDS: &str = "3..4";
 /// Fraction of faults that come as a series, and number of faults in a series.
 const SERIES_FRACTION: f64 = 0.25;
@@ -60,12 +62,17 @@
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 const LIMIT_FACTOR: f64 = 1.5;
 const LIMIT_MARGIN: f64 = 5.0;
-/// Body on which every endpoint ends, pause between such requests, and retries that the users' rule allows after
-/// the third end.
+/// Body, path or prompt part that crashes every endpoint, pause between such requests, and requests that the users'
+/// rules allow after the contact time.
 const CRASHING: &str = "crashing";
 const CRASH_PAUSE: Duration = Duration::from_millis(250);
-const CRASHES: usize = 3;
-const MAX_CRASH_RETRIES: usize = 3;
+const MAX_LATE_CRASHES: usize = 3;
+/// Time after its end in which an endpoint leaves the list, and in which it comes back.
+const LIST_TIME: Duration = Duration::from_millis(1500);
+const DOWN_TIME: Duration = Duration::from_millis(3200);
+/// Parts of the prompts of sound generations: the first one of all, and one of these
+const ROOT: &str = "root";
+const TOOLS: [&str; 3] = ["tool-1", "tool-2", "tool-3"];
 /// Fraction of requests that use a new connection.
 const NEW_CONNECTION_FRACTION: f64 = 0.3;
 /// Timeout for an answer; above the timeouts of all routes.
@@ -120,6 +127,52 @@
     EndpointMode::Flood,
 ];
 
+/// What crashes every endpoint that it reaches
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CrashKind {
+    Body,
+    /// Request without a body
+    Path,
+    /// Part of prompts that differ otherwise
+    Part,
+}
+
+impl CrashKind {
+    fn of(arrival: &Arrival) -> Option<CrashKind> {
+        let has_part = |it: &str| it.split(',').any(|part| part.starts_with(CRASHING));
+        match arrival {
+            _ if arrival.body == CRASHING.as_bytes() => Some(CrashKind::Body),
+            _ if arrival.line.contains("/crashing") => Some(CrashKind::Path),
+            _ if arrival.header("x-prompt-prefix").is_some_and(has_part) => Some(CrashKind::Part),
+            _ => None,
+        }
+    }
+
+    fn request(self, id: &str, rng: &mut SmallRng) -> String {
+        match self {
+            CrashKind::Body => post("lookups", id, CRASHING),
+            CrashKind::Path => get_path("lookups", CRASHING, id),
+            CrashKind::Part => {
+                let tool = TOOLS.choose(rng).expect("not empty");
+                generation_with("resumed", id, &[ROOT, CRASHING, tool], 100)
+            }
+        }
+    }
+
+    fn steps(self) -> Vec<Step> {
+        match self {
+            CrashKind::Body => vec![Step::Reset],
+            CrashKind::Path => vec![Step::End(DOWN_TIME)],
+            CrashKind::Part => vec![Step::Pause(Duration::from_millis(30)), Step::End(DOWN_TIME)],
+        }
+    }
+
+    /// Crashes after which the users' rule counts
+    fn counted_crashes(self) -> usize {
+        if self == CrashKind::Part { 5 } else { 3 }
+    }
+}
+
 fn size(variable: &str, default: usize) -> usize {
     let given = std::env::var(variable);
     given.map_or(default, |it| it.parse().expect("a number"))
@@ -157,8 +210,8 @@
         let notices = Arc::<Mutex<Vec<SentNotice>>>::default();
         let sent = notices.clone();
         let script = move |it: &Arrival| {
-            if it.body == CRASHING.as_bytes() {
-                return vec![Step::Reset];
+            if let Some(kind) = CrashKind::of(it) {
+                return kind.steps();
             }
             let mode = MODES[usize::from(current.load(Ordering::Relaxed))];
             if matches!(mode, EndpointMode::Leave | EndpointMode::Shed) {
@@ -193,6 +246,21 @@
         list_as(store, &self.endpoint, state, stage_of(&self.endpoint), started_at_ms);
     }
 
+    /// Lets the proxy and the list follow its ends
+    async fn follow_ends(run: Rc<SoakRun>, index: usize) {
+        let it = &run.endpoints[index];
+        let mut incarnations = it.endpoint.incarnations();
+        while incarnations.changed().await.is_ok() {
+            let is_up = incarnations.borrow_and_update().is_up;
+            it.proxy.set_listening(is_up);
+            if is_up {
+                it.restart(&run.store);
+            } else if timeout(LIST_TIME, incarnations.changed()).await.is_err() {
+                run.store.put("keyed.servers", &it.endpoint.id, b"");
+            }
+        }
+    }
+
     /// Comes back as a new incarnation without faults
     fn restart(&self, store: &FakeStore) {
         self.set(EndpointMode::Normal);
@@ -381,8 +449,9 @@
 async fn run(seed: u64) -> Result<()> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut endpoints = Vec::new();
-    for id in ["service-1", "service-2", "service-3", "engine-1", "engine-2", "engine-3"] {
-        endpoints.push(FaultyEndpoint::start(id).await);
+    for id in 1..=ENDPOINTS {
+        endpoints.push(FaultyEndpoint::start(&format!("service-{id}")).await);
+        endpoints.push(FaultyEndpoint::start(&format!("engine-{id}")).await);
     }
     let run = Rc::new(SoakRun {
         store: FakeStore::start().await,
@@ -412,7 +481,13 @@
         let rng = SmallRng::seed_from_u64(seed * 1000 + number as u64);
         tokio::task::spawn_local(send_requests(run.clone(), number, rng));
     }
-    tokio::task::spawn_local(send_crashing(run.clone(), SmallRng::seed_from_u64(seed)));
+    for kind in [CrashKind::Body, CrashKind::Path, CrashKind::Part] {
+        let rng = SmallRng::seed_from_u64(seed * 10 + kind as u64);
+        tokio::task::spawn_local(send_crashing(run.clone(), kind, rng));
+    }
+    for index in 0..run.endpoints.len() {
+        tokio::task::spawn_local(FaultyEndpoint::follow_ends(run.clone(), index));
+    }
     let fault_time = Duration::from_secs(size("SOAK_SECONDS", FAULT_SECONDS) as u64);
     let until = tokio::time::Instant::now() + fault_time;
     while tokio::time::Instant::now() < until {
@@ -510,14 +585,14 @@
     }
     let until = tokio::time::Instant::now() + RECOVERY_TIME;
     for (number, instance) in instances.iter().enumerate() {
-        loop {
-            let request = get("lookups", &format!("recovery-{number}"));
-            let got = timeout(ANSWER_TIMEOUT, call(instance.clients, request)).await;
-            if got.is_ok_and(|it| it.status == 200) {
-                break;
+        let id = format!("recovery-{number}");
+        let mut requests = vec![get("lookups", &id)];
+        requests.extend(TOOLS.map(|it| generation_with("resumed", &id, &[ROOT, it], 100)));
+        for request in requests {
+            while !is_served(instance, &request).await {
+                verify_that!(tokio::time::Instant::now(), lt(until))?;
+                sleep(Duration::from_millis(50)).await;
             }
-            verify_that!(tokio::time::Instant::now(), lt(until))?;
-            sleep(Duration::from_millis(50)).await;
         }
         let last = run.version.get();
         while config_versions(instance).last() != Some(&last) {
@@ -530,6 +605,11 @@
     Ok(())
 }
 
+async fn is_served(instance: &Instance, request: &str) -> bool {
+    let got = timeout(ANSWER_TIMEOUT, call(instance.clients, request)).await;
+    got.is_ok_and(|it| it.status == 200 && it.is_whole)
+}
+
 /// Versions that an instance has had in force, in this order
 ///
 /// The line of a change may be left out under load, so the versions that other lines state count, too.
@@ -554,7 +634,10 @@
         let request = match route {
             "lookups" => get(route, &id),
             "entries" => post(route, &id, "once"),
-            _ => generation(route, &id),
+            _ => {
+                let tool = TOOLS.choose(&mut rng).expect("not empty");
+                generation_with(route, &id, &[ROOT, tool], 100)
+            }
         };
         let is_new = rng.random_bool(NEW_CONNECTION_FRACTION);
         let address = *run.addresses.borrow().choose(&mut rng).expect("not empty");
@@ -579,14 +662,14 @@
     }
 }
 
-/// Sends the request that ends every endpoint again and again, through any instance
-async fn send_crashing(run: Rc<SoakRun>, mut rng: SmallRng) {
+/// Sends requests that crash every endpoint again and again, through any instance
+async fn send_crashing(run: Rc<SoakRun>, kind: CrashKind, mut rng: SmallRng) {
     let mut number = 0;
     while !run.is_over.get() {
         number += 1;
-        let id = format!("crashing-{number}");
+        let id = format!("{kind:?}-{number}");
         let address = *run.addresses.borrow().choose(&mut rng).expect("not empty");
-        let request = post("lookups", &id, CRASHING);
+        let request = kind.request(&id, &mut rng);
         let sent_at = Instant::now();
         let exchange = exchange(None, address, request);
         let answer = timeout(ANSWER_TIMEOUT, exchange).await.ok().flatten().map(|it| it.1);
@@ -643,7 +726,9 @@
         }
     }
     check_notices(run, &records)?;
-    check_crashing(run, &records)?;
+    for kind in [CrashKind::Body, CrashKind::Path, CrashKind::Part] {
+        check_crashing(run, kind, &records)?;
+    }
     check_limits(run, &records)?;
     println!("{served} of {} requests served", records.len());
     verify_that!(served, gt(records.len() / 10))
@@ -725,19 +810,21 @@
     fail!("{count} requests reached {id} from {address} after it shed {}", notice.id)
 }
 
-/// Few requests that end every endpoint may reach one after the third end, from instances in touch
-fn check_crashing(run: &SoakRun, records: &[ClientRecord]) -> Result<()> {
+/// Few requests that crash every endpoint may reach one after the counted crashes, from instances in touch
+fn check_crashing(run: &SoakRun, kind: CrashKind, records: &[ClientRecord]) -> Result<()> {
     let arrivals = run.endpoints.iter().flat_map(|it| it.endpoint.arrivals());
-    let mut crashing = arrivals.filter(|it| it.body == CRASHING.as_bytes()).collect::<Vec<_>>();
+    let mut crashing = arrivals.filter(|it| CrashKind::of(it) == Some(kind)).collect::<Vec<_>>();
     crashing.sort_by_key(|it| it.at);
-    let Some(third) = crashing.get(CRASHES - 1).map(|it| it.at) else { return Ok(()) };
+    let last_counted = crashing.get(kind.counted_crashes() - 1);
+    let Some(last_counted) = last_counted.map(|it| it.at) else { return Ok(()) };
+    println!("{kind:?}: {} arrivals", crashing.len());
     let by_id = records.iter().map(|it| (it.id.as_str(), it)).collect::<IndexMap<_, _>>();
-    let later = crashing.iter().filter(|it| it.at > third + CONTACT_TIME);
+    let later = crashing.iter().filter(|it| it.at > last_counted + CONTACT_TIME);
     let in_touch = later.filter(|it| {
         let record = it.header("x-request-id").and_then(|id| by_id.get(id));
         record.is_some_and(|record| run.is_in_touch(record.address, it.at))
     });
-    verify_that!(in_touch.count(), le(MAX_CRASH_RETRIES))
+    verify_that!(in_touch.count(), le(MAX_LATE_CRASHES))
 }
 
 /// Few requests may reach an endpoint beyond its limit, from instances that had passed on an answer that names it
