Test answers with neither a length nor chunks

No test of ours had them.

A plain answer that is cut by a normal close can't be told from a whole one.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -24,4 +24,5 @@
 mod soak;
 mod store;
 mod streams;
+mod unframed;
 mod zone;
