Forget the failures of an endpoint's last incarnation

What callers saw: an engine that came back under its id after a crash got no requests for up to 3 s, and with fewer engines more were refused.

Cause: results were kept by id, whatever the incarnation. Change: a record belongs to one incarnation; a later one starts without pauses, and late results of an earlier one are dropped. next_incarnation_is_not_paused_for_the_last_one failed before (5 of 6 endpoints usable) and passes.

--- a/crates/decide/src/serving/health.rs
+++ b/crates/decide/src/serving/health.rs
@@ -4,9 +4,11 @@
 //! paused; each further pause without an answer in between is twice as long. An endpoint
 //! that broke off a request is unreliable for all instances until it answers again:
 //! once-only requests avoid it, and retryable requests probe it. An endpoint whose address
-//! is answered by another endpoint is gone until the list shows a new incarnation.
+//! is answered by another endpoint is gone until the list shows a new incarnation. A new
+//! incarnation starts without failures.
 
 use super::endpoint_list::ListedEndpoint;
+use super::notice::IncarnationStart;
 use catalogue::id::EndpointId;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -42,6 +44,8 @@
 
 #[derive(Debug, Clone, Copy, Default)]
 struct HealthRecord {
+    /// Incarnation that the results are of; 0 until one is known
+    started_at_ms: IncarnationStart,
     failure_fraction: f64,
     consecutive_pauses: u32,
     paused_until: Option<Instant>,
@@ -84,6 +88,9 @@
         result: SendResult,
         now: Instant,
     ) -> HealthChange {
+        if !self.adopt_incarnation(endpoint) {
+            return HealthChange { is_paused: false, update: None, has_changed: false };
+        }
         let is_unreliable = self.is_unreliable(endpoint, now);
         let update = match result {
             SendResult::Answered if is_unreliable => Some(HealthUpdate::Reliable),
@@ -110,6 +117,17 @@
         was_unreliable != (update == HealthUpdate::Unreliable)
     }
 
+    /// Forgets the results of an earlier incarnation; `false` if a later one is known
+    fn adopt_incarnation(&mut self, endpoint: &ListedEndpoint) -> bool {
+        let started_at_ms = endpoint.started_at_ms;
+        let record = self.records.entry(endpoint.id.clone()).or_default();
+        if (1..started_at_ms).contains(&record.started_at_ms) {
+            *record = HealthRecord::default();
+        }
+        record.started_at_ms = record.started_at_ms.max(started_at_ms);
+        record.started_at_ms == started_at_ms
+    }
+
     fn update_pause(
         &mut self,
         endpoint: &ListedEndpoint,
@@ -171,6 +189,7 @@
 
     fn is_paused(&self, endpoint: &ListedEndpoint, now: Instant) -> bool {
         let record = self.records.get(&endpoint.id);
+        let record = record.filter(|it| it.started_at_ms >= endpoint.started_at_ms);
         record.and_then(|it| it.paused_until).is_some_and(|it| now < it)
     }
 }
--- a/crates/decide/tests/serving_state.rs
+++ b/crates/decide/tests/serving_state.rs
@@ -53,6 +53,8 @@
     lower_era_that_stays_is_accepted => lower_era_stays(),
     unreachable_endpoint_is_paused_for_longer_each_time => pauses_double(),
     answer_ends_a_pause => answer_ends_pause(),
+    // Guards against an engine that gets nothing once it is back, for what its last incarnation did.
+    next_incarnation_is_not_paused_for_the_last_one => next_incarnation(),
     misdirected_incarnation_is_gone_until_another_comes => misdirected(),
     partly_failing_endpoint_is_paused => partly_failing(),
     few_errors_pause_no_endpoint => few_errors(),
@@ -324,6 +326,24 @@
     verify_that!(usable(&health, now), eq(6))
 }
 
+fn next_incarnation() -> Result<()> {
+    let mut health = EndpointHealth::default();
+    let now = Instant::now();
+    for _ in 0..4 {
+        health.record_result(&endpoint("e0"), SendResult::Broken, now);
+        health.record_result(&endpoint("e0"), SendResult::Unreachable, now);
+    }
+    verify_that!(usable(&health, now), eq(5))?;
+    let next = ListedEndpoint { started_at_ms: 8, ..endpoint("e0") };
+    let others = pool_of(6).into_iter().filter(|it| it.id != "e0");
+    let pool = others.chain([next.clone()]).collect::<Vec<_>>();
+    verify_that!(health.usable(pool.clone(), now).len(), eq(6))?;
+    // Late reports of the last incarnation change nothing.
+    health.record_result(&next, SendResult::Answered, now);
+    health.record_result(&endpoint("e0"), SendResult::Unreachable, now);
+    verify_that!(health.usable(pool, now).len(), eq(6))
+}
+
 fn misdirected() -> Result<()> {
     let mut health = EndpointHealth::default();
     let now = Instant::now();
