--- a/crates/gateway/tests/gateway/retry_limits.rs
+++ b/crates/gateway/tests/gateway/retry_limits.rs
@@ -1,8 +1,8 @@
 //! Retries of all instances together, while instances start.
 
 use crate::client::call;
-use crate::deployment::{config, endpoint, get, list};
-use crate::endpoint::{Arrival, FakeEndpoint, Step, answer};
+use crate::deployment::{config, endpoint, generation_of, get, list, stage_of};
+use crate::endpoint::{Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, stream_head};
 use crate::process::{Instance, InstanceSize};
 use crate::store::FakeStore;
 use googletest::prelude::*;
@@ -13,6 +13,8 @@
     instances_that_start_together_share_the_slack => start_together(),
     // Guards against an instance that uses the slack again after each restart.
     instance_that_restarts_often_stays_within_the_slack => restarts(),
+    // Guards against reads of prompts that engines break off and that no limit counts.
+    broken_reads_of_prompts_count_as_retries => broken_reads(),
 }
 
 /// Requests sent to each instance.
@@ -72,3 +74,36 @@
     }
     check(&services, 5)
 }
+
+/// Number of generations while all engines that only read prompts break off.
+const GENERATIONS: usize = 300;
+
+async fn broken_reads() -> Result<()> {
+    let store = FakeStore::start().await;
+    store.put("keyed.op", "config", config(1, 2000).to_string().as_bytes());
+    let mut engines = Vec::new();
+    for number in 0..4 {
+        engines.push(endpoint(&format!("engine-p{number}"), |_| vec![Step::Reset]).await);
+        let script = |it: &Arrival| {
+            let events = [stream_head(it), chunk(&event(1)), STREAM_END.to_vec()];
+            vec![Step::Write(events.concat())]
+        };
+        engines.push(endpoint(&format!("engine-{number}"), script).await);
+    }
+    for engine in &engines {
+        list(&store, engine, "ready", stage_of(engine));
+    }
+    let instance = Instance::start(store.address, "instance-1").await;
+    let mut served = 0;
+    for number in 0..GENERATIONS {
+        let request = generation_of("resumed", &format!("id-{number}"), 20_000);
+        served += usize::from(call(instance.clients, request).await.status == 200);
+    }
+    let arrivals = engines.iter().map(|it| it.arrivals().len()).sum::<usize>();
+    let reads = engines.iter().flat_map(FakeEndpoint::arrivals);
+    let reads = reads.filter(|it| it.header("x-serving-stage").is_some()).count();
+    println!("{served} served, {arrivals} arrivals, {reads} reads");
+    verify_that!(reads, ge(10))?;
+    let allowed = RETRY_RATIO * GENERATIONS as f64 + RETRY_SLACK;
+    verify_that!(arrivals.saturating_sub(GENERATIONS) as f64, le(allowed))
+}
