Recognize a crashing request whose client leaves before its endpoint ends

What callers saw, in our test: a lookup whose client leaves 40 ms after it was sent, and on which its endpoint ends 20 ms later, ended one endpoint after the other: 28 ends, 25 late arrivals where 3 are allowed.

Cause: when the client leaves, the endpoint's connection is closed at once, and whatever became of the request there was not recorded. The class is that of endpoints that go silent: the end of a request that nobody sees.

Change: a request that is dropped while an endpoint may run it is remembered like one that timed out. It gains a strike if the list shows within 10 s that the endpoint has ended without draining, or if its address refuses connections; a sign of life a second later clears it. Refused connections now count for timeouts, too.

Why it works: whatever the client does, each end of an endpoint becomes known to the instance that had sent the request there.

--- a/crates/decide/src/serving/silence.rs
+++ b/crates/decide/src/serving/silence.rs
@@ -1,7 +1,8 @@
-//! Requests that endpoints went silent on.
+//! Requests whose end at an endpoint was not seen.
 //!
 //! An endpoint that crashes with its machine closes no connection, so a request that runs
-//! there times out, as it does at one that is only slow. The list tells them apart: an
+//! there times out, as it does at one that is only slow. A request that its client abandons
+//! has no connection any more, though the endpoint may still crash on it. The list tells: an
 //! endpoint that has ended without draining leaves it, or comes back as a new incarnation.
 
 use super::endpoint_list::{EndpointList, ListedEndpoint};
@@ -14,12 +15,24 @@
 /// Time after a timeout within which the list shows that the endpoint has ended; the platform removes it
 /// after three heartbeats of silence.
 const MAX_LIST_DELAY: Duration = Duration::from_secs(10);
-/// Maximum number of timeouts that are remembered; the oldest are dropped.
-const MAX_TIMEOUTS: usize = 200;
+/// Time after which a sign of life shows that an endpoint has survived an abandoned request.
+const MAX_CRASH_DELAY: Duration = Duration::from_secs(1);
+/// Maximum number of requests that are remembered; the oldest are dropped.
+const MAX_REQUESTS: usize = 200;
 
-/// Timeout of a request at an incarnation of an endpoint
+/// Why the end of a request was not seen
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SilenceCause {
+    /// The endpoint didn't answer in time
+    TimedOut,
+    /// The client left
+    Abandoned,
+}
+
+/// Request whose end at an incarnation of an endpoint was not seen
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SilentRequest {
+    pub cause: SilenceCause,
     pub fingerprint: Fingerprint,
     /// Whether many requests look the same, see `crash_table`
     pub is_common: bool,
@@ -28,25 +41,31 @@
     pub at: Instant,
 }
 
-/// Recent timeouts
+/// Recent requests whose end was not seen
 #[derive(Debug, Clone, Default)]
 pub struct SilentRequests {
     requests: VecDeque<SilentRequest>,
 }
 
 impl SilentRequests {
-    /// Records a timeout
+    /// Records a request
     pub fn push(&mut self, request: SilentRequest) {
-        if self.requests.len() >= MAX_TIMEOUTS {
+        if self.requests.len() >= MAX_REQUESTS {
             self.requests.pop_front();
         }
         self.requests.push_back(request);
     }
 
     /// Removes and returns the requests whose endpoint lives, since the same incarnation accepts a connection or answers
-    pub fn take_alive(&mut self, endpoint: &ListedEndpoint) -> Vec<SilentRequest> {
+    pub fn take_alive(&mut self, endpoint: &ListedEndpoint, now: Instant) -> Vec<SilentRequest> {
+        let has_survived = |it: &SilentRequest| {
+            it.cause == SilenceCause::TimedOut
+                || now.saturating_duration_since(it.at) > MAX_CRASH_DELAY
+        };
         let is_alive = |it: &SilentRequest| {
-            it.endpoint == endpoint.id && it.started_at_ms == endpoint.started_at_ms
+            it.endpoint == endpoint.id
+                && it.started_at_ms == endpoint.started_at_ms
+                && has_survived(it)
         };
         let (alive, others): (VecDeque<_>, VecDeque<_>) =
             std::mem::take(&mut self.requests).into_iter().partition(is_alive);
@@ -54,7 +73,20 @@
         Vec::from(alive)
     }
 
-    /// Whether no timeout is remembered
+    /// Removes and returns the requests whose endpoint has ended, since nothing listens at its address
+    pub fn take_ended(&mut self, endpoint: &ListedEndpoint, now: Instant) -> Vec<SilentRequest> {
+        let is_ended = |it: &SilentRequest| {
+            it.endpoint == endpoint.id
+                && it.started_at_ms == endpoint.started_at_ms
+                && now.saturating_duration_since(it.at) <= MAX_LIST_DELAY
+        };
+        let (ended, others): (VecDeque<_>, VecDeque<_>) =
+            std::mem::take(&mut self.requests).into_iter().partition(is_ended);
+        self.requests = others;
+        Vec::from(ended)
+    }
+
+    /// Whether no request is remembered
     pub fn is_empty(&self) -> bool {
         self.requests.is_empty()
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -185,7 +185,7 @@
     pub once: bool,
     /// Whether the answer must carry the endpoint's signature; answers to prefill calls do not
     pub expects_signature: bool,
-    /// Whether the request may still be sent, asked once a connection is open
+    /// Starts the request once a connection is open; `false` if it must not be sent
     pub may_start: &'a dyn Fn() -> bool,
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -14,12 +14,12 @@
 use decide::serving::crash_table::{BrokenEndpoint, EndpointStatus, STRIKE_LIFETIME};
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::health::SendResult;
-use decide::serving::notice::PauseStep;
+use decide::serving::notice::{IncarnationStart, PauseStep};
 use decide::serving::pick::{PromptProgress, pick_service};
 use decide::serving::prompt::PromptShape;
 use decide::serving::route::{RetryRule, RouteConfig};
 use decide::serving::send_history::{NextStep, RunStatus, SendHistory};
-use decide::serving::silence::SilentRequest;
+use decide::serving::silence::{SilenceCause, SilentRequest};
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -27,6 +27,7 @@
 use platform_adapter::answer::{GatewayAnswer, client_headers};
 use platform_adapter::head::{EngineStage, SendParameters, decode_head};
 use smol_str::SmolStr;
+use std::cell::RefCell;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -80,6 +81,9 @@
     pub arrived_at: Instant,
     /// Test of suspected parts of its prompt that it runs as
     pub part_test: Option<PartTest>,
+    /// Endpoint that may be running the request
+    running_at: RefCell<Option<ListedEndpoint>>,
+    gateway: Rc<Gateway>,
     failed_connects: u32,
 }
 
@@ -109,9 +113,18 @@
             && Instant::now() < self.deadline
     }
 
-    /// Whether a send that is about to start may do so by all crashes that have become known
-    pub fn may_start(&self, gateway: &Gateway) -> bool {
-        !self.is_suspected(gateway) && self.is_admitted(gateway)
+    /// Starts a planned send unless a crash that has become known since forbids it; `false` if so
+    pub fn start_run(&self, gateway: &Gateway, endpoint: &ListedEndpoint) -> bool {
+        let may_start = !self.is_suspected(gateway) && self.is_admitted(gateway);
+        if may_start {
+            self.running_at.replace(Some(endpoint.clone()));
+        }
+        may_start
+    }
+
+    /// Records that no endpoint runs the request any more
+    pub fn end_run(&self) {
+        self.running_at.take();
     }
 
     /// Whether the request is suspected of crashing endpoints, here or at other instances
@@ -151,18 +164,29 @@
             let broken = BrokenEndpoint { id, started_at_ms, status };
             gateway.record_strike(self.fingerprint(), broken, now);
         } else if error.is_timeout() {
-            let fingerprint = self.fingerprint();
-            let is_common = gateway.is_common(fingerprint, !self.request.body.is_empty());
-            gateway.silent_requests.borrow_mut().push(SilentRequest {
-                fingerprint,
-                is_common,
-                endpoint: endpoint.clone(),
-                started_at_ms,
-                at: now,
-            });
+            self.record_silence(endpoint, started_at_ms, SilenceCause::TimedOut);
         }
     }
 
+    /// Records that the end of the request at an endpoint was not seen
+    fn record_silence(
+        &self,
+        endpoint: &EndpointId,
+        started_at_ms: IncarnationStart,
+        cause: SilenceCause,
+    ) {
+        let fingerprint = self.fingerprint();
+        let is_common = self.gateway.is_common(fingerprint, !self.request.body.is_empty());
+        self.gateway.silent_requests.borrow_mut().push(SilentRequest {
+            cause,
+            fingerprint,
+            is_common,
+            endpoint: endpoint.clone(),
+            started_at_ms,
+            at: std::time::Instant::now(),
+        });
+    }
+
     /// Records that the request completed without a crash
     pub fn record_completion(&self, gateway: &Gateway) {
         gateway.record_completed(self.fingerprint(), std::time::Instant::now());
@@ -175,6 +199,7 @@
         endpoint: &ListedEndpoint,
         error: &SendError,
     ) {
+        self.end_run();
         let status = error.run_status();
         // A timeout caused by the client's short deadline says nothing about the endpoint.
         let result = match error {
@@ -285,6 +310,15 @@
     }
 }
 
+impl Drop for ServingCall {
+    fn drop(&mut self) {
+        // The client has left. The endpoint may still crash on the request.
+        if let Some(endpoint) = self.running_at.take() {
+            self.record_silence(&endpoint.id, endpoint.started_at_ms, SilenceCause::Abandoned);
+        }
+    }
+}
+
 fn failure_name(error: &SendError) -> &'static str {
     match error {
         SendError::Exchange(_) => "broken",
@@ -400,6 +434,8 @@
         has_waited: gateway.has_waited(&route.name, time_left, arrived_at.into_std()),
         arrived_at,
         part_test: None,
+        running_at: RefCell::default(),
+        gateway: gateway.clone(),
         failed_connects: 0,
         request: ClientRequest { parts, body, id: head.id, caller },
     })
@@ -451,7 +487,7 @@
         );
         let parameters = call.parameters(&endpoint.id, EngineStage::Whole);
         let work_guard = WorkGuard::new(gateway.clone(), endpoint.id.clone(), 0);
-        let may_start = || call.may_start(gateway);
+        let may_start = || call.start_run(gateway, endpoint);
         let target = SendTarget {
             endpoint,
             work_guard,
@@ -469,12 +505,14 @@
                 if answer.status.is_server_error() && call.route.retry_rule.allows_second_run() =>
             {
                 gateway.metrics.sent(&call.pool, "server_error");
+                call.end_run();
                 gateway.record_result(endpoint, SendResult::Failed);
                 call.history.record_send(RunStatus::MayHaveRun);
                 call.excluded.push(endpoint.id.clone());
                 failed = Some(answer);
             }
             Ok(answer) => {
+                call.end_run();
                 gateway.metrics.sent(&call.pool, "answered");
                 let is_error = answer.status.is_server_error();
                 let result = if is_error { SendResult::Failed } else { SendResult::Answered };
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -120,6 +120,7 @@
         }
         match start_stream(gateway, &mut call, &mut cache, path, None).await {
             Ok((engine, Started::Failed(response))) => {
+                call.end_run();
                 gateway.metrics.sent(&call.pool, "server_error");
                 gateway.record_result(&engine, SendResult::Failed);
                 record.endpoint = engine.id;
@@ -278,6 +279,7 @@
         let engine = step.engine.clone();
         match prefill(gateway, call, step).await {
             Ok(held) => {
+                call.end_run();
                 gateway.record_result(&engine, SendResult::Answered);
                 *cache = Some(held);
                 call.progress = PromptProgress::Held;
@@ -363,7 +365,7 @@
     parameters.parts_source = step.parts_source;
     let engine = step.engine;
     let sent_at = Instant::now();
-    let may_start = || call.may_start(gateway);
+    let may_start = || call.start_run(gateway, &engine);
     let target = SendTarget {
         endpoint: &engine,
         work_guard: step.work_guard,
@@ -400,7 +402,7 @@
     let mut parameters = call.parameters(&step.engine.id, stage);
     parameters.resume_after = resume_after;
     parameters.parts_source = step.parts_source;
-    let may_start = || call.may_start(gateway);
+    let may_start = || call.start_run(gateway, &step.engine);
     let target = SendTarget {
         endpoint: &step.engine,
         work_guard: step.work_guard,
@@ -459,6 +461,7 @@
                         gateway.record_hold(&call.pool, stream.held());
                     }
                     stream.release_connection(&gateway);
+                    call.end_run();
                     call.record_completion(&gateway);
                     record.finish("answered", "200");
                     break;
@@ -476,6 +479,7 @@
                     let last = stream.splitter.last_id().cloned().or(call.last_event.clone());
                     // Closes the connection, so that this engine stops before another one resumes.
                     drop(stream);
+                    call.end_run();
                     if let Some(engine) = call.excluded.last() {
                         call.record_crash_evidence(&gateway, engine, &error);
                     }
@@ -521,7 +525,10 @@
                 call.excluded.push(engine.id);
                 return Some((*stream, item));
             }
-            Ok((_, Started::Failed(_))) => return None,
+            Ok((_, Started::Failed(_))) => {
+                call.end_run();
+                return None;
+            }
             Err((engine, error)) => call.record_failure(gateway, &engine, &error),
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -27,7 +27,7 @@
 use decide::serving::rate_limit::EndpointLimits;
 use decide::serving::retry_window::RetryWindow;
 use decide::serving::route::{RetryRule, RouteName, ServingConfig};
-use decide::serving::silence::{SilentRequest, SilentRequests};
+use decide::serving::silence::{SilenceCause, SilentRequest, SilentRequests};
 use decide::serving::store_era::{EraTracker, StoreEra, TopicPosition};
 use decide::serving::timing::{PoolTiming, StageSample};
 use indexmap::IndexMap;
@@ -102,7 +102,7 @@
     pub part_suspects: PartSuspects,
     /// Requests that have completed lately
     pub completed: RefCell<LruCache<Fingerprint, ()>>,
-    /// Requests that endpoints went silent on
+    /// Requests whose end at their endpoint was not seen
     pub silent_requests: RefCell<SilentRequests>,
     /// Whether this instance has known all that another one knew of such requests and of leaving endpoints
     pub has_joined: Cell<bool>,
@@ -271,9 +271,9 @@
             self.pending_update.borrow_mut().extend(update);
         }
         if !self.silent_requests.borrow().is_empty() {
-            let mut alive = self.silent_requests.borrow_mut().take_alive(endpoint);
+            let mut alive = self.silent_requests.borrow_mut().take_alive(endpoint, now);
             // For others, a timeout at an endpoint that lives says nothing.
-            alive.retain(|it| it.is_common);
+            alive.retain(|it| it.is_common && it.cause == SilenceCause::TimedOut);
             self.record_silent_requests(alive, EndpointStatus::Slow, now);
         }
     }
@@ -283,8 +283,15 @@
         let has_ended = |it: &BrokenEndpoint| {
             it.id == endpoint.id && it.started_at_ms == endpoint.started_at_ms
         };
-        let changes = self.crashes.borrow_mut().record_ended(has_ended, Instant::now());
+        let now = Instant::now();
+        let changes = self.crashes.borrow_mut().record_ended(has_ended, now);
         self.send_crash_facts(changes);
+        // A draining endpoint may end at any time.
+        let is_draining = self.endpoints.borrow().get(&endpoint.id).is_some_and(|it| !it.is_ready);
+        if !is_draining {
+            let ended = self.silent_requests.borrow_mut().take_ended(endpoint, now);
+            self.record_silent_requests(ended, EndpointStatus::Ended, now);
+        }
     }
 
     fn send_crash_facts(&self, crashes: Vec<CrashFact>) {
--- a/crates/gateway/tests/gateway/crashing_lookups.rs
+++ b/crates/gateway/tests/gateway/crashing_lookups.rs
@@ -15,6 +15,8 @@
     lookup_that_ends_endpoints_is_refused_beside_restarts => lookup(Beside::Restarts),
     lookup_that_ends_endpoints_is_refused_without_the_store => lookup(Beside::NoStore),
     lookups_that_end_endpoints_are_refused_both => lookup(Beside::Another),
+    // Guards against a lookup that is never recognized, since its client leaves before the endpoint ends.
+    lookup_whose_client_leaves_before_the_end_is_refused => lookup(Beside::ImpatientClient),
     request_with_a_body_that_ends_endpoints_is_refused => lookup(Beside::Body),
 }
 
@@ -22,6 +24,10 @@
 const INSTANCES: usize = 4;
 const SOUND_INTERVAL: Duration = Duration::from_millis(25);
 const CRASH_INTERVAL: Duration = Duration::from_millis(330);
+/// Time from the arrival of the crashing request to the end of its endpoint; impatient clients leave before.
+const CRASH_DELAY: Duration = Duration::from_millis(60);
+const PATIENCE: Duration = Duration::from_millis(40);
+const PATIENT: Duration = Duration::from_secs(10);
 /// Time of the crashing load.
 const LOAD_TIME: Duration = Duration::from_secs(14);
 /// Retries of one crashing request that the users' rule allows after the contact time.
@@ -39,6 +45,8 @@
     NoStore,
     /// Another caller sends another such request
     Another,
+    /// The client leaves before the endpoint ends
+    ImpatientClient,
     /// The request has a body
     Body,
 }
@@ -49,7 +57,7 @@
 
 fn script(arrival: &Arrival) -> Vec<Step> {
     match is_crashing(arrival) {
-        true => vec![Step::Pause(Duration::from_millis(40)), Step::End(DOWN_TIME)],
+        true => vec![Step::EndLater(CRASH_DELAY, DOWN_TIME), Step::Hang],
         false => {
             let right = Step::Write(answer(arrival, "200 OK", "right"));
             vec![Step::Pause(Duration::from_millis(20)), right]
@@ -68,7 +76,8 @@
     if beside == Beside::NoStore {
         fleet.store.set_mode(StoreMode::Unresponsive);
     }
-    fleet.send_load(CRASH_INTERVAL, move |number| {
+    let patience = if beside == Beside::ImpatientClient { PATIENCE } else { PATIENT };
+    fleet.send_impatient_load(CRASH_INTERVAL, patience, move |number| {
         let id = format!("crashing-{number}");
         let request = match beside {
             Beside::Body => post("lookups", &id, "crashing"),
--- a/crates/gateway/tests/gateway/crashing_parts.rs
+++ b/crates/gateway/tests/gateway/crashing_parts.rs
@@ -28,6 +28,9 @@
 const INSTANCES: usize = 4;
 const SOUND_INTERVAL: Duration = Duration::from_millis(25);
 const CRASH_INTERVAL: Duration = Duration::from_millis(300);
+/// Time from the arrival of a generation to its first event, or to the end of its engine; impatient clients leave before.
+const READ_TIME: Duration = Duration::from_millis(50);
+const PATIENT: Duration = Duration::from_secs(10);
 /// Time of the sound load alone, and with the crashing one.
 const SOUND_TIME: Duration = Duration::from_secs(2);
 const LOAD_TIME: Duration = Duration::from_secs(15);
@@ -50,6 +53,8 @@
     own_tokens: usize,
     prefill_engines: usize,
     late_instance: bool,
+    /// Time after which clients with the crashing part leave
+    patience: Duration,
 }
 
 impl Default for PartTest {
@@ -62,6 +67,7 @@
             own_tokens: 100,
             prefill_engines: 0,
             late_instance: false,
+            patience: PATIENT,
         }
     }
 }
@@ -86,7 +92,7 @@
         return vec![Step::Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".into())];
     }
     let id = arrival.header("x-request-id").unwrap_or_default();
-    let read = Step::Pause(Duration::from_millis(50));
+    let read = Step::Pause(READ_TIME);
     if arrival.header("x-serving-stage") == Some("prefill") {
         let body = format!(r#"{{"kv_handle":"{id}","tokens":5000,"version":1}}"#);
         let length = body.len();
@@ -95,7 +101,7 @@
         return vec![read, Step::Write(format!("{head}{body}").into_bytes())];
     }
     if is_crashing(arrival) {
-        return vec![read, Step::Write(stream_head(arrival)), Step::End(DOWN_TIME)];
+        return vec![Step::EndLater(READ_TIME, DOWN_TIME), Step::Hang];
     }
     let from = arrival.header("last-event-id").map_or(0, |it| it.parse().expect("a number"));
     let mut steps = vec![read, Step::Write(stream_head(arrival))];
@@ -117,7 +123,7 @@
         ("127.0.6.1".to_owned(), generation_with(route, &id, &sound(number), own_tokens))
     });
     sleep(SOUND_TIME).await;
-    fleet.send_load(CRASH_INTERVAL, move |number| {
+    fleet.send_impatient_load(CRASH_INTERVAL, test.patience, move |number| {
         let id = format!("c-{number}");
         ("127.0.6.1".to_owned(), generation_with(route, &id, &crashing(number), own_tokens))
     });
--- a/crates/gateway/tests/gateway/ending_fleet.rs
+++ b/crates/gateway/tests/gateway/ending_fleet.rs
@@ -8,13 +8,15 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use tokio::time::{interval, sleep};
+use tokio::time::{interval, sleep, timeout};
 
 /// Time after its end in which an endpoint comes back, and in which the list drops the incarnation that ended.
 pub const DOWN_TIME: Duration = Duration::from_millis(3200);
 const REMOVAL_TIME: Duration = Duration::from_millis(3600);
 /// Time in which instances that have just started know each other.
 const JOIN_TIME: Duration = Duration::from_millis(2500);
+/// Time in which every answer comes.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time in which all instances in touch know of a crash.
 pub const CONTACT_TIME: Duration = Duration::from_secs(3);
 
@@ -84,6 +86,16 @@
         &self,
         every: Duration,
         request: impl Fn(usize) -> (String, String) + Send + 'static,
+    ) -> LoadRecords {
+        self.send_impatient_load(every, ANSWER_TIMEOUT, request)
+    }
+
+    /// Sends such requests from clients that leave after a time
+    pub fn send_impatient_load(
+        &self,
+        every: Duration,
+        patience: Duration,
+        request: impl Fn(usize) -> (String, String) + Send + 'static,
     ) -> LoadRecords {
         let records = LoadRecords::default();
         let (collected, addresses) = (records.clone(), self.addresses.clone());
@@ -99,8 +111,9 @@
                 let collected = collected.clone();
                 let sent_at = Instant::now();
                 tokio::spawn(async move {
-                    let answer = call_from(&caller, address, request).await;
-                    let is_served = answer.is_ok_and(|it| it.status == 200 && it.is_whole);
+                    let answer = timeout(patience, call_from(&caller, address, request)).await;
+                    let answer = answer.ok().and_then(|it| it.ok());
+                    let is_served = answer.is_some_and(|it| it.status == 200 && it.is_whole);
                     collected.lock().expect("no panic").push(LoadRecord { sent_at, is_served });
                 });
             }
--- a/crates/gateway/tests/gateway/endpoint.rs
+++ b/crates/gateway/tests/gateway/endpoint.rs
@@ -27,6 +27,8 @@
     /// Ends the endpoint: closes its listener and all of its connections. It comes back at the same address as a
     /// new incarnation after this time.
     End(Duration),
+    /// Ends the endpoint in the same way after the first time, even if the connection is closed before
+    EndLater(Duration, Duration),
 }
 
 /// Incarnation of an endpoint
@@ -245,6 +247,14 @@
                 false
             }
             Step::Close => false,
+            Step::EndLater(delay, pause) => {
+                let endpoint = self.clone();
+                tokio::spawn(async move {
+                    sleep(delay).await;
+                    endpoint.end(pause);
+                });
+                true
+            }
             Step::End(pause) => {
                 self.end(pause);
                 false
