Recognize a crashing prompt part whose clients leave before the engine ends

What callers saw, in our test: with clients that leave 35 ms after they sent a prompt with the crashing part, 15 ms before its engine ends, 23 engines ended, 20 requests with the part arrived later than 3 s after the fifth end, where 3 are allowed.

Requests that time out at an engine that went silent lacked their parts, too.

Change: what is remembered of a request whose end was not seen includes the shared parts of its prompt while no answer has begun.

Evidence: crashing_part_whose_clients_leave_before_the_end_is_refused failed before and passes, with 6 ends; the other seven cases are unchanged (5 ends, 10 for two parts).

--- a/crates/decide/src/serving/silence.rs
+++ b/crates/decide/src/serving/silence.rs
@@ -7,6 +7,7 @@
 
 use super::endpoint_list::{EndpointList, ListedEndpoint};
 use super::notice::IncarnationStart;
+use super::prompt::PartKey;
 use crate::fingerprint::Fingerprint;
 use catalogue::id::EndpointId;
 use std::collections::VecDeque;
@@ -34,6 +35,8 @@
 pub struct SilentRequest {
     pub cause: SilenceCause,
     pub fingerprint: Fingerprint,
+    /// Shared parts of its prompt, if an engine was to answer and had not begun
+    pub parts: Vec<PartKey>,
     /// Whether many requests look the same, see `crash_table`
     pub is_common: bool,
     pub endpoint: EndpointId,
--- a/crates/gateway/src/crash_parts.rs
+++ b/crates/gateway/src/crash_parts.rs
@@ -106,9 +106,16 @@
         }
     }
 
-    /// Records that an engine closed the connection before the answer had begun
-    pub fn record_part_strikes(&self, gateway: &Gateway, engine: &ListedEndpoint) {
-        let Some(prompt) = &self.prompt else { return };
+    /// Shared parts of the prompt if an engine is to answer and has not begun; one that only reads the prompt
+    /// doesn't crash by them
+    pub fn unanswered_parts(&self) -> Vec<PartKey> {
+        let awaits_event = self.running.borrow().as_ref().is_some_and(|it| it.awaits_event);
+        let prompt = self.prompt.as_ref().filter(|_| awaits_event);
+        prompt.map_or_else(Vec::new, PromptShape::shared_part_keys)
+    }
+
+    /// Records that an engine closed the connection before an answer on these parts had begun
+    pub fn record_part_strikes(gateway: &Gateway, engine: &ListedEndpoint, parts: Vec<PartKey>) {
         let now = Instant::now();
         let broken = BrokenEndpoint {
             id: engine.id.clone(),
@@ -116,7 +123,7 @@
             status: EndpointStatus::Unknown,
         };
         let fact = |part| CrashFact::new(part, Some(broken.clone()), now, now);
-        gateway.record_part_facts(prompt.shared_part_keys().into_iter().map(fact), now);
+        gateway.record_part_facts(parts.into_iter().map(fact), now);
     }
 
     /// Records that an engine has begun the answer, and ends the test of the parts
@@ -128,6 +135,9 @@
             let fact = |part| CrashFact::new(part, None, now, now);
             gateway.record_part_facts(prompt.shared_part_keys().into_iter().map(fact), now);
         }
+        if let Some(running) = self.running.get_mut() {
+            running.awaits_event = false;
+        }
         self.part_test = None;
     }
 
@@ -148,7 +158,8 @@
 }
 
 impl Gateway {
-    fn record_part_facts(&self, facts: impl Iterator<Item = CrashFact>, now: Instant) {
+    /// Records facts on parts that this instance has found, and sends those that are new
+    pub fn record_part_facts(&self, facts: impl Iterator<Item = CrashFact>, now: Instant) {
         let part_crashes = facts.filter(|it| self.apply_part_fact(it, "own", now)).collect();
         let update = ServingUpdate { part_crashes, ..Default::default() };
         self.pending_update.borrow_mut().extend(update);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -16,7 +16,7 @@
 use decide::serving::health::SendResult;
 use decide::serving::notice::{IncarnationStart, PauseStep};
 use decide::serving::pick::{PromptProgress, pick_service};
-use decide::serving::prompt::PromptShape;
+use decide::serving::prompt::{PartKey, PromptShape};
 use decide::serving::route::{RetryRule, RouteConfig};
 use decide::serving::send_history::{NextStep, RunStatus, SendHistory};
 use decide::serving::silence::{SilenceCause, SilentRequest};
@@ -81,12 +81,19 @@
     pub arrived_at: Instant,
     /// Test of suspected parts of its prompt that it runs as
     pub part_test: Option<PartTest>,
-    /// Endpoint that may be running the request
-    running_at: RefCell<Option<ListedEndpoint>>,
+    /// Send that an endpoint may be running
+    pub running: RefCell<Option<RunningSend>>,
     gateway: Rc<Gateway>,
     failed_connects: u32,
 }
 
+/// Send that an endpoint may be running
+pub struct RunningSend {
+    endpoint: ListedEndpoint,
+    /// Whether an engine is to answer and has not begun
+    pub awaits_event: bool,
+}
+
 /// Answer that the gateway gives itself, with the reason
 #[derive(Debug, Clone, Copy)]
 pub struct Refusal {
@@ -114,17 +121,25 @@
     }
 
     /// Starts a planned send unless a crash that has become known since forbids it; `false` if so
-    pub fn start_run(&self, gateway: &Gateway, endpoint: &ListedEndpoint) -> bool {
+    ///
+    /// `awaits_event` tells whether an engine is to answer, not only to read the prompt.
+    pub fn start_run(
+        &self,
+        gateway: &Gateway,
+        endpoint: &ListedEndpoint,
+        awaits_event: bool,
+    ) -> bool {
         let may_start = !self.is_suspected(gateway) && self.is_admitted(gateway);
         if may_start {
-            self.running_at.replace(Some(endpoint.clone()));
+            let endpoint = endpoint.clone();
+            self.running.replace(Some(RunningSend { endpoint, awaits_event }));
         }
         may_start
     }
 
     /// Records that no endpoint runs the request any more
     pub fn end_run(&self) {
-        self.running_at.take();
+        self.running.take();
     }
 
     /// Whether the request is suspected of crashing endpoints, here or at other instances
@@ -154,6 +169,7 @@
         &self,
         gateway: &Gateway,
         endpoint: &EndpointId,
+        unanswered: Vec<PartKey>,
         error: &SendError,
     ) {
         let now = std::time::Instant::now();
@@ -164,7 +180,7 @@
             let broken = BrokenEndpoint { id, started_at_ms, status };
             gateway.record_strike(self.fingerprint(), broken, now);
         } else if error.is_timeout() {
-            self.record_silence(endpoint, started_at_ms, SilenceCause::TimedOut);
+            self.record_silence(endpoint, started_at_ms, unanswered, SilenceCause::TimedOut);
         }
     }
 
@@ -173,6 +189,7 @@
         &self,
         endpoint: &EndpointId,
         started_at_ms: IncarnationStart,
+        parts: Vec<PartKey>,
         cause: SilenceCause,
     ) {
         let fingerprint = self.fingerprint();
@@ -180,6 +197,7 @@
         self.gateway.silent_requests.borrow_mut().push(SilentRequest {
             cause,
             fingerprint,
+            parts,
             is_common,
             endpoint: endpoint.clone(),
             started_at_ms,
@@ -199,6 +217,7 @@
         endpoint: &ListedEndpoint,
         error: &SendError,
     ) {
+        let unanswered = self.unanswered_parts();
         self.end_run();
         let status = error.run_status();
         // A timeout caused by the client's short deadline says nothing about the endpoint.
@@ -212,12 +231,11 @@
         if error.is_refused_connection() {
             gateway.record_refused_connection(endpoint);
         }
-        // An engine that only reads the prompt doesn't crash by its parts.
-        if error.is_disconnect() && !matches!(error, SendError::Prefill(_)) {
-            self.record_part_strikes(gateway, endpoint);
+        if error.is_disconnect() {
+            ServingCall::record_part_strikes(gateway, endpoint, unanswered.clone());
         }
         let endpoint = &endpoint.id;
-        self.record_crash_evidence(gateway, endpoint, error);
+        self.record_crash_evidence(gateway, endpoint, unanswered, error);
         log::info!(
             "event=send_failed id={} endpoint={endpoint} knowledge={status:?} sends={} parts={} error=\"{error}\"",
             self.request.id,
@@ -313,8 +331,10 @@
 impl Drop for ServingCall {
     fn drop(&mut self) {
         // The client has left. The endpoint may still crash on the request.
-        if let Some(endpoint) = self.running_at.take() {
-            self.record_silence(&endpoint.id, endpoint.started_at_ms, SilenceCause::Abandoned);
+        let unanswered = self.unanswered_parts();
+        if let Some(RunningSend { endpoint, .. }) = self.running.take() {
+            let (id, started_at_ms) = (&endpoint.id, endpoint.started_at_ms);
+            self.record_silence(id, started_at_ms, unanswered, SilenceCause::Abandoned);
         }
     }
 }
@@ -434,7 +454,7 @@
         has_waited: gateway.has_waited(&route.name, time_left, arrived_at.into_std()),
         arrived_at,
         part_test: None,
-        running_at: RefCell::default(),
+        running: RefCell::default(),
         gateway: gateway.clone(),
         failed_connects: 0,
         request: ClientRequest { parts, body, id: head.id, caller },
@@ -487,7 +507,7 @@
         );
         let parameters = call.parameters(&endpoint.id, EngineStage::Whole);
         let work_guard = WorkGuard::new(gateway.clone(), endpoint.id.clone(), 0);
-        let may_start = || call.start_run(gateway, endpoint);
+        let may_start = || call.start_run(gateway, endpoint, false);
         let target = SendTarget {
             endpoint,
             work_guard,
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -365,7 +365,7 @@
     parameters.parts_source = step.parts_source;
     let engine = step.engine;
     let sent_at = Instant::now();
-    let may_start = || call.start_run(gateway, &engine);
+    let may_start = || call.start_run(gateway, &engine, false);
     let target = SendTarget {
         endpoint: &engine,
         work_guard: step.work_guard,
@@ -402,7 +402,7 @@
     let mut parameters = call.parameters(&step.engine.id, stage);
     parameters.resume_after = resume_after;
     parameters.parts_source = step.parts_source;
-    let may_start = || call.start_run(gateway, &step.engine);
+    let may_start = || call.start_run(gateway, &step.engine, true);
     let target = SendTarget {
         endpoint: &step.engine,
         work_guard: step.work_guard,
@@ -481,7 +481,7 @@
                     drop(stream);
                     call.end_run();
                     if let Some(engine) = call.excluded.last() {
-                        call.record_crash_evidence(&gateway, engine, &error);
+                        call.record_crash_evidence(&gateway, engine, Vec::new(), &error);
                     }
                     match resume(&gateway, &mut call, &error, last).await {
                         Some((resumed, next)) => {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -327,7 +327,9 @@
         for it in requests {
             let (id, started_at_ms) = (it.endpoint, it.started_at_ms);
             let broken = BrokenEndpoint { id, started_at_ms, status };
-            self.record_crash_fact(CrashFact::new(it.fingerprint, Some(broken), it.at, now), now);
+            let fact = |key| CrashFact::new(key, Some(broken.clone()), it.at, now);
+            self.record_crash_fact(fact(it.fingerprint), now);
+            self.record_part_facts(it.parts.iter().copied().map(fact), now);
         }
     }
 
--- a/crates/gateway/tests/gateway/crashing_parts.rs
+++ b/crates/gateway/tests/gateway/crashing_parts.rs
@@ -20,6 +20,8 @@
     crashing_part_of_prompts_read_apart_is_refused => played(PartTest { own_tokens: 20_000, prefill_engines: 2, ..PartTest::default() }),
     // Sound requests with the crashing part's neighbours only, that few others share.
     rare_neighbours_of_a_crashing_part_are_served => played(PartTest { sound: rare_parts, ..PartTest::default() }),
+    // Guards against a part that is never recognized, since its clients leave before their engine ends.
+    crashing_part_whose_clients_leave_before_the_end_is_refused => played(PartTest { patience: IMPATIENT, ..PartTest::default() }),
     // An instance that starts after the crashes refuses the part without another one.
     crashing_part_is_refused_by_an_instance_that_starts_later => played(PartTest { late_instance: true, ..PartTest::default() }),
 }
@@ -30,6 +32,7 @@
 const CRASH_INTERVAL: Duration = Duration::from_millis(300);
 /// Time from the arrival of a generation to its first event, or to the end of its engine; impatient clients leave before.
 const READ_TIME: Duration = Duration::from_millis(50);
+const IMPATIENT: Duration = Duration::from_millis(35);
 const PATIENT: Duration = Duration::from_secs(10);
 /// Time of the sound load alone, and with the crashing one.
 const SOUND_TIME: Duration = Duration::from_secs(2);
