Split the gateway's modules so that no two import each other

The request being served stands in serving_call, evidence of crashes in crash_evidence, tests of parts in part_tests, messages and packed configurations in modules that need no state. The start of an incarnation is a type of the endpoint list.

Nine circles remain in other packages, counted by a script over the imports.

--- a/crates/decide/src/serving/crash_table.rs
+++ b/crates/decide/src/serving/crash_table.rs
@@ -13,8 +13,8 @@
 //! Nothing is taken back: each decision is computed from all strikes and completions.
 //! Instances may therefore merge their tables in any order, and as often as they like.
 
+use super::endpoint_list::IncarnationStart;
 use super::endpoint_list::ListedEndpoint;
-use super::notice::IncarnationStart;
 use crate::fingerprint::Fingerprint;
 use catalogue::id::EndpointId;
 use indexmap::IndexMap;
--- a/crates/decide/src/serving/endpoint_list.rs
+++ b/crates/decide/src/serving/endpoint_list.rs
@@ -15,6 +15,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+/// Start of an endpoint's incarnation, in Unix milliseconds.
+pub type IncarnationStart = u64;
+
 /// Offset of a record in the platform's list, from 0.
 pub type ListOffset = u64;
 
--- a/crates/decide/src/serving/health.rs
+++ b/crates/decide/src/serving/health.rs
@@ -7,8 +7,8 @@
 //! is answered by another endpoint is gone until the list shows a new incarnation. A new
 //! incarnation starts without failures.
 
+use super::endpoint_list::IncarnationStart;
 use super::endpoint_list::ListedEndpoint;
-use super::notice::IncarnationStart;
 use catalogue::id::EndpointId;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
--- a/crates/decide/src/serving/notice.rs
+++ b/crates/decide/src/serving/notice.rs
@@ -8,16 +8,13 @@
 //! a report may be wrong.
 
 use super::crash_table::FactDigest;
-use super::endpoint_list::ListedEndpoint;
+use super::endpoint_list::{IncarnationStart, ListedEndpoint};
 use catalogue::id::EndpointId;
 use indexmap::IndexMap;
 use std::hash::Hasher;
 use std::time::{Duration, Instant};
 use twox_hash::XxHash3_64;
 
-/// Start of an endpoint's incarnation, in Unix milliseconds.
-pub type IncarnationStart = u64;
-
 /// Time of an answer
 #[derive(Debug, Clone, Copy)]
 pub struct AnswerTime {
--- a/crates/decide/src/serving/silence.rs
+++ b/crates/decide/src/serving/silence.rs
@@ -5,8 +5,8 @@
 //! has no connection any more, though the endpoint may still crash on it. The list tells: an
 //! endpoint that has ended without draining leaves it, or comes back as a new incarnation.
 
+use super::endpoint_list::IncarnationStart;
 use super::endpoint_list::{EndpointList, ListedEndpoint};
-use super::notice::IncarnationStart;
 use super::prompt::PartKey;
 use crate::fingerprint::Fingerprint;
 use catalogue::id::EndpointId;
--- a/crates/gateway/src/crash_parts.rs
+++ b/crates/gateway/src/crash_parts.rs
@@ -4,60 +4,22 @@
 //! parts of the prompt; a first event clears them. Prompts that are read apart succeed with
 //! a crashing part, too, and clear nothing. All instances exchange strikes and begun answers.
 
-use crate::forward::ServingCall;
-use crate::peers::ServingUpdate;
+use crate::messages::ServingUpdate;
+use crate::part_tests::PartTest;
+use crate::serving_call::ServingCall;
 use crate::state::Gateway;
 use decide::serving::crash_parts::{PartDecision, decide_parts};
 use decide::serving::crash_table::{
-    BrokenEndpoint, CrashFact, CrashTable, EndpointStatus, MAX_STRIKES, StrikeScope,
+    BrokenEndpoint, CrashFact, EndpointStatus, MAX_STRIKES, StrikeScope,
 };
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::prompt::{PartKey, PromptShape};
-use indexmap::IndexSet;
-use std::cell::RefCell;
-use std::rc::Rc;
 use std::time::Instant;
-use tokio::sync::Notify;
 use tokio::time::timeout_at;
 
 /// Fraction of the objective that a request waits while another one tests its suspected part.
 const TEST_WAIT_FRACTION: f64 = 0.25;
 
-/// Evidence against prompt parts, and the tests that run here
-#[derive(Default)]
-pub struct PartSuspects {
-    /// Strikes and begun answers by part
-    pub table: RefCell<CrashTable>,
-    tests: RefCell<IndexSet<PartKey>>,
-    test_ended: Notify,
-}
-
-/// Only request of this instance with some suspected parts, until dropped
-pub struct PartTest {
-    gateway: Rc<Gateway>,
-    parts: Vec<PartKey>,
-}
-
-impl PartTest {
-    /// Starts a test; `None` while another one tests any of the parts
-    fn try_start(gateway: &Rc<Gateway>, parts: Vec<PartKey>) -> Option<PartTest> {
-        let mut tests = gateway.part_suspects.tests.borrow_mut();
-        if parts.iter().any(|it| tests.contains(it)) {
-            return None;
-        }
-        tests.extend(parts.iter().copied());
-        Some(PartTest { gateway: gateway.clone(), parts })
-    }
-}
-
-impl Drop for PartTest {
-    fn drop(&mut self) {
-        let suspects = &self.gateway.part_suspects;
-        suspects.tests.borrow_mut().retain(|it| !self.parts.contains(it));
-        suspects.test_ended.notify_waiters();
-    }
-}
-
 impl ServingCall {
     /// Decision on the request by the shared parts of its prompt
     pub fn part_decision(&self, gateway: &Gateway) -> PartDecision {
@@ -72,7 +34,7 @@
     }
 
     /// Whether the next send may start by the parts of the prompt; waits a moment if it has to be the only test of one
-    pub async fn admit_parts(&mut self, gateway: &Rc<Gateway>) -> bool {
+    pub async fn admit_parts(&mut self, gateway: &Gateway) -> bool {
         self.part_test = None;
         let until = self.arrived_at + self.route.objective.mul_f64(TEST_WAIT_FRACTION);
         loop {
@@ -81,7 +43,7 @@
                 PartDecision::Refuse(_) => return false,
                 PartDecision::Test(parts) => parts,
             };
-            self.part_test = PartTest::try_start(gateway, parts);
+            self.part_test = PartTest::try_start(&gateway.part_suspects, parts);
             if self.part_test.is_some() {
                 log::info!(
                     "event=part_test id={} parts={}",
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,7 +7,8 @@
 //! the last known state.
 
 use crate::coverage::{LEADER_WAIT_FRACTION, START_FRACTION};
-use crate::peers::{EndpointUpdate, config_transfer};
+use crate::messages::EndpointUpdate;
+use crate::peers::config_transfer;
 use crate::state::Gateway;
 use bytes::Bytes;
 use decide::serving::endpoint_list::ListOffset;
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -9,7 +9,7 @@
 use crate::body::AnswerBody;
 use crate::error::RelayError;
 use crate::events::EventSplitter;
-use crate::forward::{Refusal, RequestRecord, SUSPECTED_PART, ServingCall, relay_whole};
+use crate::serving_call::{Refusal, RequestRecord, SUSPECTED_PART, ServingCall, relay_whole};
 use crate::state::{Gateway, WorkGuard};
 use async_stream::try_stream;
 use bytes::Bytes;
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/messages.rs
@@ -2,11 +2,11 @@
 
 use catalogue::id::{EndpointId, InstanceId, ZoneName};
 use decide::serving::crash_table::{CrashFact, FactDigest};
+use decide::serving::endpoint_list::IncarnationStart;
 use decide::serving::endpoint_list::ListOffset;
 use decide::serving::health::HealthUpdate;
 use decide::serving::leader::PeerInstance;
 use decide::serving::load::{EndpointWork, WorkCount};
-use decide::serving::notice::IncarnationStart;
 use decide::serving::prompt::PromptPrefix;
 use decide::serving::rate_limit::LimitReport;
 use decide::serving::route::ConfigVersion;
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -1,7 +1,7 @@
 //! Records the notices in endpoints' answers and applies them to requests.
 
-use crate::forward::ServingCall;
-use crate::peers::ServingUpdate;
+use crate::messages::ServingUpdate;
+use crate::serving_call::ServingCall;
 use crate::state::Gateway;
 use catalogue::id::PoolName;
 use decide::serving::endpoint_list::ListedEndpoint;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -11,19 +11,16 @@
 
 pub mod config_transfer;
 mod listing;
-mod message;
 mod repair;
 mod store_updates;
 
-pub use config_transfer::{ConfigAnnouncement, PackedConfig};
 pub use listing::{format_entry, parse_entry};
-pub use message::{
-    EndpointUpdate, FactRepair, MAX_MESSAGE_BYTES, MessageBody, PeerMessage, PromptRead,
-    ServingUpdate, StoreUpdate, WorkScope, received_work, work_body,
-};
 
 use crate::background::BackgroundTasks;
 use crate::error::GatewayError;
+use crate::messages::{
+    MAX_MESSAGE_BYTES, MessageBody, PeerMessage, ServingUpdate, WorkScope, received_work, work_body,
+};
 use crate::state::Gateway;
 use catalogue::id::InstanceId;
 use decide::serving::leader::{InstanceTable, PeerInstance};
--- a/crates/gateway/src/peers/repair.rs
+++ b/crates/gateway/src/peers/repair.rs
@@ -6,7 +6,7 @@
 //! of its facts; one that knows none has just started and gets them at once.
 
 use super::PeerExchange;
-use super::message::{FactRepair, MessageBody};
+use crate::messages::{FactRepair, MessageBody};
 use catalogue::id::InstanceId;
 use decide::serving::crash_table::FactDigest;
 use indexmap::IndexMap;
--- a/crates/gateway/src/peers/store_updates.rs
+++ b/crates/gateway/src/peers/store_updates.rs
@@ -1,10 +1,10 @@
 //! Updates of the store, sent to the others by the instance that reads it.
 
-use super::{
-    ConfigAnnouncement, EndpointUpdate, MessageBody, PackedConfig, PeerExchange, StoreUpdate,
-};
+use super::PeerExchange;
 use crate::coverage::{COVERAGE_FRACTION, LEADER_READ_AGE_FRACTION};
 use crate::follow::{apply_config, apply_endpoint_update};
+use crate::messages::{EndpointUpdate, MessageBody, StoreUpdate};
+use crate::packed_config::{ConfigAnnouncement, PackedConfig};
 use crate::state::Gateway;
 use bytes::Bytes;
 use decide::serving::leader::PeerInstance;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,29 +5,27 @@
 
 use crate::connections::{EndpointConnections, connection_share};
 use crate::coverage::TopicCoverage;
-use crate::crash_parts::PartSuspects;
+use crate::messages::{EndpointUpdate, FactRepair, PromptRead, ServingUpdate};
 use crate::metrics::GatewayMetrics;
-use crate::peers::{
-    ConfigAnnouncement, EndpointUpdate, FactRepair, PackedConfig, PromptRead, ServingUpdate,
-};
+use crate::packed_config::{ConfigAnnouncement, PackedConfig};
+use crate::part_tests::PartSuspects;
 use bytes::Bytes;
 use catalogue::id::{EndpointId, PoolName};
 use decide::fingerprint::Fingerprint;
 use decide::serving::cache::PromptCaches;
-use decide::serving::crash_table::{
-    BrokenEndpoint, CrashFact, CrashTable, EndpointStatus, FactDigest, StrikeScope,
-};
+use decide::serving::crash_table::{CrashTable, FactDigest};
 use decide::serving::deadline::DeadlinePeak;
+use decide::serving::endpoint_list::IncarnationStart;
 use decide::serving::endpoint_list::{EndpointList, ListedEndpoint};
 use decide::serving::health::{EndpointHealth, SendResult};
 use decide::serving::load::FleetLoad;
-use decide::serving::notice::{EndpointNotices, IncarnationStart};
+use decide::serving::notice::EndpointNotices;
 use decide::serving::pick::EnginePick;
 use decide::serving::prompt::PromptPrefix;
 use decide::serving::rate_limit::EndpointLimits;
 use decide::serving::retry_window::RetryWindow;
 use decide::serving::route::{RetryRule, RouteName, ServingConfig};
-use decide::serving::silence::{SilenceCause, SilentRequest, SilentRequests};
+use decide::serving::silence::SilentRequests;
 use decide::serving::store_era::{EraTracker, StoreEra, TopicPosition};
 use decide::serving::timing::{PoolTiming, StageSample};
 use indexmap::IndexMap;
@@ -99,7 +97,7 @@
     /// Requests that ran at endpoints that crashed
     pub crashes: RefCell<CrashTable>,
     /// Prompt parts of requests that ran at engines that crashed
-    pub part_suspects: PartSuspects,
+    pub part_suspects: Rc<PartSuspects>,
     /// Requests that have completed lately
     pub completed: RefCell<LruCache<Fingerprint, ()>>,
     /// Requests whose end at their endpoint was not seen
@@ -157,7 +155,7 @@
             caches: RefCell::default(),
             timings: RefCell::default(),
             crashes: RefCell::default(),
-            part_suspects: PartSuspects::default(),
+            part_suspects: Rc::default(),
             completed: RefCell::new(LruCache::new(MAX_COMPLETED_REQUESTS)),
             silent_requests: RefCell::default(),
             has_joined: Cell::default(),
@@ -255,115 +253,6 @@
         self.pending_update.borrow_mut().extend(update);
     }
 
-    /// Records that an endpoint closed the connection while it may have run a request
-    pub fn record_strike(&self, fingerprint: Fingerprint, endpoint: BrokenEndpoint, now: Instant) {
-        self.record_crash_fact(CrashFact::new(fingerprint, Some(endpoint), now, now), now);
-    }
-
-    /// Records that an endpoint has accepted a connection or answered
-    pub fn record_alive(&self, endpoint: &ListedEndpoint) {
-        let now = Instant::now();
-        let changes = self.crashes.borrow_mut().record_alive(endpoint, now);
-        self.send_crash_facts(changes);
-        let part_crashes = self.part_suspects.table.borrow_mut().record_alive(endpoint, now);
-        if !part_crashes.is_empty() {
-            let update = ServingUpdate { part_crashes, ..Default::default() };
-            self.pending_update.borrow_mut().extend(update);
-        }
-        if !self.silent_requests.borrow().is_empty() {
-            let mut alive = self.silent_requests.borrow_mut().take_alive(endpoint, now);
-            // For others, a timeout at an endpoint that lives says nothing.
-            alive.retain(|it| it.is_common && it.cause == SilenceCause::TimedOut);
-            self.record_silent_requests(alive, EndpointStatus::Slow, now);
-        }
-    }
-
-    /// Records that an endpoint refuses connections
-    pub fn record_refused_connection(&self, endpoint: &ListedEndpoint) {
-        let has_ended = |it: &BrokenEndpoint| {
-            it.id == endpoint.id && it.started_at_ms == endpoint.started_at_ms
-        };
-        let now = Instant::now();
-        let changes = self.crashes.borrow_mut().record_ended(has_ended, now);
-        self.send_crash_facts(changes);
-        // A draining endpoint may end at any time.
-        let is_draining = self.endpoints.borrow().get(&endpoint.id).is_some_and(|it| !it.is_ready);
-        if !is_draining {
-            let ended = self.silent_requests.borrow_mut().take_ended(endpoint, now);
-            self.record_silent_requests(ended, EndpointStatus::Ended, now);
-        }
-    }
-
-    fn send_crash_facts(&self, crashes: Vec<CrashFact>) {
-        if !crashes.is_empty() {
-            let update = ServingUpdate { crashes, ..Default::default() };
-            self.pending_update.borrow_mut().extend(update);
-        }
-    }
-
-    /// Records which endpoints that broke off requests, or went silent on them, have ended, as the list shows now
-    pub fn record_listed_ends(&self, now: Instant) {
-        let changes = {
-            let list = self.endpoints.borrow();
-            let has_ended = |it: &BrokenEndpoint| {
-                list.get(&it.id).is_none_or(|listed| listed.started_at_ms > it.started_at_ms)
-            };
-            self.crashes.borrow_mut().record_ended(has_ended, now)
-        };
-        self.send_crash_facts(changes);
-        let crashed = {
-            let list = self.endpoints.borrow();
-            self.silent_requests.borrow_mut().take_crashed(&list, now)
-        };
-        self.record_silent_requests(crashed, EndpointStatus::Ended, now);
-    }
-
-    fn record_silent_requests(
-        &self,
-        requests: Vec<SilentRequest>,
-        status: EndpointStatus,
-        now: Instant,
-    ) {
-        for it in requests {
-            let (id, started_at_ms) = (it.endpoint, it.started_at_ms);
-            let broken = BrokenEndpoint { id, started_at_ms, status };
-            let fact = |key| CrashFact::new(key, Some(broken.clone()), it.at, now);
-            self.record_crash_fact(fact(it.fingerprint), now);
-            self.record_part_facts(it.parts.iter().copied().map(fact), now);
-        }
-    }
-
-    /// Records that a request completed without a crash
-    pub fn record_completed(&self, fingerprint: Fingerprint, now: Instant) {
-        self.completed.borrow_mut().put(fingerprint, ());
-        self.record_crash_fact(CrashFact::new(fingerprint, None, now, now), now);
-    }
-
-    fn record_crash_fact(&self, fact: CrashFact, now: Instant) {
-        if self.apply_crash_fact(&fact, "own", now) {
-            let update = ServingUpdate { crashes: vec![fact], ..Default::default() };
-            self.pending_update.borrow_mut().extend(update);
-        }
-    }
-
-    /// Adds a fact to the table; `true` if it is new
-    fn apply_crash_fact(&self, fact: &CrashFact, source: &str, now: Instant) -> bool {
-        let mut crashes = self.crashes.borrow_mut();
-        let is_new = crashes.merge(fact, now);
-        if is_new {
-            let fingerprint = fact.fingerprint;
-            let count = |scope| crashes.strike_count(fingerprint, scope, now);
-            log::info!(
-                "event=strike fingerprint={fingerprint:x} endpoint={} age_ms={} source={source} strikes={} ended={}",
-                fact.broken.as_ref().map_or("none", |it| it.id.as_str()),
-                fact.age_ms,
-                count(StrikeScope::All),
-                count(StrikeScope::Ended),
-            );
-        }
-        is_new
-    }
-
     /// Digest of the facts that all instances should know
     pub fn fact_digest(&self) -> FactDigest {
         let parts = self.part_suspects.table.borrow().digest();
@@ -392,18 +281,6 @@
         }
     }
 
-    /// Whether a request is refused for the crashes of the endpoints that ran it
-    pub fn is_suspected(&self, fingerprint: Fingerprint, has_body: bool, now: Instant) -> bool {
-        let is_common = self.is_common(fingerprint, has_body);
-        let scope = if is_common { StrikeScope::Ended } else { StrikeScope::All };
-        self.crashes.borrow().is_refused(fingerprint, scope, now)
-    }
-
-    /// Whether many requests look the same, see `crash_table`
-    pub fn is_common(&self, fingerprint: Fingerprint, has_body: bool) -> bool {
-        !has_body || self.completed.borrow().contains(&fingerprint)
-    }
-
     /// Applies an update from another instance
     pub fn apply_update(&self, update: &ServingUpdate) {
         let now = Instant::now();
--- a/crates/gateway/tests/config_transfer.rs
+++ b/crates/gateway/tests/config_transfer.rs
@@ -1,7 +1,6 @@
 //! Packing of configurations for transfers between instances.
 
-use gateway::peers::PackedConfig;
-use gateway::peers::config_transfer::TransferError;
+use gateway::packed_config::{PackedConfig, UnpackError};
 use googletest::prelude::*;
 use platform::http::MAX_ANSWER_BYTES;
 use platform_adapter::settings::InstanceSettings;
@@ -67,7 +66,7 @@
 }
 
 fn malformed(body: &[u8]) -> Result<()> {
-    verify_that!(matches!(PackedConfig::unpack(body), Err(TransferError::Malformed(_))), eq(true))
+    verify_that!(matches!(PackedConfig::unpack(body), Err(UnpackError::Malformed(_))), eq(true))
 }
 
 fn truncated() -> Result<()> {
@@ -78,7 +77,7 @@
 fn expanding() -> Result<()> {
     let packed = packed(&vec![0; MAX_ANSWER_BYTES + 1]);
     let unpacked = PackedConfig::unpack(packed.body());
-    verify_that!(matches!(unpacked, Err(TransferError::TooLarge)), eq(true))
+    verify_that!(matches!(unpacked, Err(UnpackError::TooLarge)), eq(true))
 }
 
 fn random() -> Result<()> {
--- a/crates/gateway/tests/messages.rs
+++ b/crates/gateway/tests/messages.rs
@@ -6,7 +6,7 @@
 use decide::serving::leader::PeerInstance;
 use decide::serving::load::{EndpointWork, WorkCount};
 use decide::serving::rate_limit::LimitReport;
-use gateway::peers::{
+use gateway::messages::{
     FactRepair, MAX_MESSAGE_BYTES, MessageBody, PeerMessage, PromptRead, ServingUpdate, WorkScope,
     work_body,
 };
