--- a/crates/gateway/tests/messages.rs
+++ b/crates/gateway/tests/messages.rs
@@ -83,6 +83,31 @@
     check_fits(MessageBody::Repair(FactRepair::of_parts((0..3000).map(crash).collect())))
 }
 
+/// Bytes of a message that a list of facts on parts adds
+fn fact_bytes(part_crashes: Vec<CrashFact>) -> usize {
+    let size = |part_crashes| {
+        let update = ServingUpdate { part_crashes, ..Default::default() };
+        let body = work_body(WorkScope::Own, &EndpointWork::new(), update);
+        let sender = PeerInstance {
+            address: "10.1.0.35:7660".parse().expect("an address"),
+            zone: "zone-a".into(),
+            power: 250,
+        };
+        let message = PeerMessage::new("front-1".into(), &sender, Some(400), u64::MAX, body);
+        message.encode().expect("encodes").len()
+    };
+    size(part_crashes) - size(Vec::new())
+}
+
+/// Strikes and answers on 24 parts, of eight requests that ran at an engine that crashed
+fn check_crash_bytes() -> Result<()> {
+    let strikes = (0..24).map(crash).collect::<Vec<_>>();
+    let answers = strikes.iter().map(|it| CrashFact { broken: None, age_ms: 40, ..it.clone() });
+    let bytes = (fact_bytes(strikes.clone()), fact_bytes(answers.collect()));
+    println!("24 strikes and 24 answers take {bytes:?} bytes");
+    verify_that!(bytes.0 + bytes.1, le(24 * 60))
+}
+
 fn check_newest_stay() -> Result<()> {
     let mut update = full_update();
     let newest = (id(9999), HealthUpdate::Reliable);
@@ -94,6 +119,7 @@
     // Guard against messages that nobody can decode, since they are too large.
     work_at_the_design_size_fits_into_a_message => check_work_fits(),
     largest_repair_fits_into_a_message => check_repair_fits(),
+    facts_on_the_parts_of_a_crash_take_few_bytes => check_crash_bytes(),
     largest_repair_of_parts_fits_into_a_message => check_part_repair_fits(),
     // Guards against the loss of the newest state of an endpoint, since older states fill the message.
     full_update_drops_its_oldest_entries => check_newest_stay(),
