Try a refused request or part three times more, not every ten minutes

Cause: strikes expired after 600 s, whatever they had shown. Change: an entry with three strikes or more keeps them for three hours. It is refused for 600 s after the last one, twice as long after each further crash, and after three of these until its strikes expire. Retry-After stays 600 s.

Tests: refused_request_is_tried_three_times_more and refused_part_is_tested_three_times_more have an entry that crashes whenever it is admitted, for three hours: 6 and 8 crashes, at 600, 1,200 and 2,400 s after the last. Before, the bound of three was passed after 602 s. strikes_expire now says apart when the refusal ends, when strikes of others are dropped, and when the table is empty.

--- a/crates/decide/src/serving/crash_parts.rs
+++ b/crates/decide/src/serving/crash_parts.rs
@@ -8,14 +8,14 @@
 //! Sound parts that few requests have may run beside several crashes and share all strikes
 //! of the crashing one. Requests with a suspected part therefore run one at a time as tests.
 //! A test that succeeds clears the part; one that crashes its engine adds a strike to it,
-//! which then explains the others. After `MAX_TESTED_STRIKES` a part is refused without
-//! further tests, but for one that decides between parts with the same crashes.
+//! which then explains the others. With `MAX_TESTED_STRIKES` a part is refused, but for a
+//! test that decides between parts with the same crashes, and tested at long intervals.
 
-use super::crash_table::{CrashTable, MAX_KEPT_STRIKES, MAX_STRIKES, StrikeScope};
+use super::crash_table::{CrashTable, MAX_STRIKES, StrikeScope};
 use super::prompt::PartKey;
 use std::time::Instant;
 
-/// Strikes from which a part is no longer tested; the users' rules count requests from the fifth crash on.
+/// Strikes from which a part is refused; the users' rules count requests from the fifth crash on.
 pub const MAX_TESTED_STRIKES: usize = 5;
 
 /// Decision on a request by the parts of its prompt
@@ -40,9 +40,9 @@
         }
         let is_ambiguous = || {
             let mut others = table.with_same_strikes(*part, scope, now);
-            strikes < MAX_KEPT_STRIKES && others.any(|it| !parts.contains(&it))
+            strikes <= MAX_TESTED_STRIKES && others.any(|it| !parts.contains(&it))
         };
-        if strikes >= MAX_TESTED_STRIKES && !is_ambiguous() {
+        if table.is_held_back(*part, MAX_TESTED_STRIKES, scope, now) && !is_ambiguous() {
             return PartDecision::Refuse(*part);
         }
         suspected.push(*part);
--- a/crates/decide/src/serving/crash_table.rs
+++ b/crates/decide/src/serving/crash_table.rs
@@ -3,7 +3,8 @@
 //! Every request in flight at an endpoint that crashes gains a strike, whether it caused
 //! the crash or is a bystander. Strikes count until the request completes, since a request
 //! that crashes endpoints never does. One with `MAX_STRIKES` is refused, unless a request
-//! with more strikes explains its crashes. Two requests that have crashed the same number
+//! with more strikes explains its crashes, and tried again at ever longer intervals, three
+//! times in all. Two requests that have crashed the same number
 //! of endpoints, all of them together, can't be distinguished, and both are refused.
 //!
 //! A connection that ends early may also be the endpoint's own fault. That shows where many
@@ -27,8 +28,14 @@
 
 /// Strikes from which a request is refused; the users' rules count retries from the third crash on.
 pub const MAX_STRIKES: usize = 3;
-/// Time after which a strike or a completion no longer counts.
+/// Time after which a strike or a completion no longer counts, with fewer strikes than `MAX_STRIKES`.
 pub const STRIKE_LIFETIME: Duration = Duration::from_secs(600);
+/// The same with as many strikes or more.
+pub const SUSPECT_LIFETIME: Duration = Duration::from_secs(3 * 3600);
+/// Time of the first refusal; each further crash doubles it.
+pub const REFUSAL_TIME: Duration = Duration::from_secs(600);
+/// Crashes after a refusal from which there is no further try; the users' rules allow three retries.
+const MAX_RETRIES: usize = 3;
 /// Maximum time between the reports of one crash by the requests that ran there.
 const SAME_CRASH_WINDOW: Duration = Duration::from_secs(2);
 /// Maximum delay of a report to another instance, by which a strike may seem to be later than a completion.
@@ -40,8 +47,8 @@
 const MAX_END_DELAY: Duration = Duration::from_secs(10);
 /// Maximum number of tracked requests.
 const MAX_ENTRIES: usize = 500;
-/// Maximum number of strikes kept for a request; more don't change the decision.
-pub const MAX_KEPT_STRIKES: usize = 6;
+/// Maximum number of strikes kept for a request or part; more don't change the decision.
+const MAX_KEPT_STRIKES: usize = 8;
 
 /// What has become of an endpoint after it broke off a request; what is greater replaces what is less
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -122,9 +129,15 @@
     }
 
     fn drop_void(&mut self, now: Instant) {
-        let completed_at = self.completed_at;
-        self.strikes
-            .retain(|it| is_fresh(it.at, now) && completed_at.is_none_or(|end| end < it.at));
+        let (completed_at, lifetime) = (self.completed_at, self.lifetime());
+        self.strikes.retain(|it| {
+            is_fresh(it.at, lifetime, now) && completed_at.is_none_or(|end| end < it.at)
+        });
+    }
+
+    /// Time for which its strikes count
+    fn lifetime(&self) -> Duration {
+        if self.strikes.len() < MAX_STRIKES { STRIKE_LIFETIME } else { SUSPECT_LIFETIME }
     }
 }
 
@@ -178,7 +191,7 @@
         at: Instant,
         now: Instant,
     ) -> bool {
-        if !is_fresh(at, now) {
+        if !is_fresh(at, SUSPECT_LIFETIME, now) {
             return false;
         }
         if !self.entries.contains_key(&fingerprint) {
@@ -285,7 +298,8 @@
         entries.sort_by_key(|(_, entry)| Reverse(entry.strikes.len()));
         let facts = entries.into_iter().flat_map(|(fingerprint, entry)| {
             let fact = move |broken, at| CrashFact::new(*fingerprint, broken, at, now);
-            let strikes = entry.strikes.iter().filter(move |it| is_fresh(it.at, now));
+            let lifetime = entry.lifetime();
+            let strikes = entry.strikes.iter().filter(move |it| is_fresh(it.at, lifetime, now));
             let strikes = strikes.map(move |it| fact(Some(it.endpoint.clone()), it.at));
             strikes.chain(entry.completed_at.map(|it| fact(None, it)))
         });
@@ -324,7 +338,26 @@
 
     /// Whether the request is refused
     pub fn is_refused(&self, fingerprint: Fingerprint, scope: StrikeScope, now: Instant) -> bool {
-        self.unexplained_strikes(fingerprint, scope, now) >= MAX_STRIKES
+        self.is_held_back(fingerprint, MAX_STRIKES, scope, now)
+    }
+
+    /// Whether a request or part is refused that has `limit` unexplained strikes or more
+    ///
+    /// It is tried again after some time, and less often after each further crash.
+    pub fn is_held_back(
+        &self,
+        fingerprint: Fingerprint,
+        limit: usize,
+        scope: StrikeScope,
+        now: Instant,
+    ) -> bool {
+        let Some(retries) = self.unexplained_strikes(fingerprint, scope, now).checked_sub(limit)
+        else {
+            return false;
+        };
+        let refusal_time = REFUSAL_TIME * (1 << retries.min(MAX_RETRIES));
+        let last_at = self.strikes(fingerprint, scope, now).map(|it| it.at).max();
+        retries >= MAX_RETRIES || last_at.is_some_and(|it| is_fresh(it, refusal_time, now))
     }
 
     /// Number of strikes for crashes that no request with more strikes explains; 0 below `MAX_STRIKES` strikes
@@ -377,7 +410,8 @@
     pub fn expire(&mut self, now: Instant) {
         self.entries.retain(|_, entry| {
             entry.drop_void(now);
-            entry.completed_at = entry.completed_at.filter(|it| is_fresh(*it, now));
+            entry.completed_at =
+                entry.completed_at.filter(|it| is_fresh(*it, STRIKE_LIFETIME, now));
             entry.last_at().is_some()
         });
         self.update_digest();
@@ -389,11 +423,12 @@
         scope: StrikeScope,
         now: Instant,
     ) -> impl Iterator<Item = &Strike> {
-        let strikes = self.entries.get(&fingerprint).map_or(&[][..], |it| &it.strikes);
-        let counted = strikes
-            .iter()
-            .enumerate()
-            .filter(move |(index, it)| is_fresh(it.at, now) && it.counts(*index, strikes, scope));
+        let entry = self.entries.get(&fingerprint);
+        let lifetime = entry.map_or(STRIKE_LIFETIME, CrashEntry::lifetime);
+        let strikes = entry.map_or(&[][..], |it| &it.strikes);
+        let counted = strikes.iter().enumerate().filter(move |(index, it)| {
+            is_fresh(it.at, lifetime, now) && it.counts(*index, strikes, scope)
+        });
         counted.map(|(_, it)| it)
     }
 
@@ -415,8 +450,8 @@
     completed_at.is_some_and(|it| at <= it + MAX_REPORT_DELAY)
 }
 
-fn is_fresh(at: Instant, now: Instant) -> bool {
-    now.saturating_duration_since(at) < STRIKE_LIFETIME
+fn is_fresh(at: Instant, lifetime: Duration, now: Instant) -> bool {
+    now.saturating_duration_since(at) < lifetime
 }
 
 fn distance(one: Instant, other: Instant) -> Duration {
--- a/crates/decide/tests/serving_crash_parts.rs
+++ b/crates/decide/tests/serving_crash_parts.rs
@@ -83,6 +83,22 @@
     Ok(())
 }
 
+/// Requests with a part come again and again for three hours, and crash an engine whenever one is admitted
+fn check_retries() -> Result<()> {
+    let start = Instant::now();
+    let mut table = CrashTable::default();
+    let mut crashes = Vec::new();
+    for second in 0..3 * 3600 {
+        let now = start + Duration::from_secs(second);
+        table.expire(now);
+        if !matches!(decide_parts(&table, &[BAD], now), Refuse(_)) {
+            table.record_strike(BAD, &broken(&format!("e{second}")), now, now);
+            crashes.push(second);
+        }
+    }
+    verify_that!(crashes, eq(&vec![0, 1, 2, 3, 4, 604, 1804, 4204]))
+}
+
 /// Checks that answers on sound parts change no digest, so that instances send each other nothing for them
 fn check_quiet() -> Result<()> {
     let now = Instant::now();
@@ -300,6 +316,8 @@
     part_is_admitted_once_an_answer_has_begun => check(
         &[Crash("a", &[RARE]), Crash("b", &[RARE]), Crash("c", &[RARE]), Answer(&[RARE])], &[(&[RARE], Admit)]
     ),
+    // Guards against a part that crashes five engines every ten minutes, since its strikes have expired.
+    refused_part_is_tested_three_times_more => check_retries(),
     // Guards against a part that is refused for engines that break off requests and live on.
     engines_that_live_count_for_no_part => check(
         &[Crash("a", &[RARE]), Alive("a"), Crash("b", &[RARE]), Alive("b"), Crash("c", &[RARE]), Alive("c")], &[(&[RARE], Admit)]
--- a/crates/decide/tests/serving_crash_table.rs
+++ b/crates/decide/tests/serving_crash_table.rs
@@ -2,7 +2,8 @@
 
 use decide::fingerprint::{RequestContent, request_fingerprint};
 use decide::serving::crash_table::{
-    BrokenEndpoint, CrashTable, EndpointStatus, STRIKE_LIFETIME, StrikeScope,
+    BrokenEndpoint, CrashTable, EndpointStatus, REFUSAL_TIME, STRIKE_LIFETIME, SUSPECT_LIFETIME,
+    StrikeScope,
 };
 use decide::serving::endpoint_list::ListedEndpoint;
 use googletest::prelude::*;
@@ -114,12 +115,34 @@
     for endpoint in ["a", "b", "c"] {
         table.record_strike(1, &broken(endpoint), now, now);
     }
-    verify_that!(table.is_refused(1, StrikeScope::All, now + STRIKE_LIFETIME / 2), eq(true))?;
-    verify_that!(table.is_refused(1, StrikeScope::All, now + STRIKE_LIFETIME), eq(false))?;
+    table.record_strike(2, &broken("a"), now, now);
+    verify_that!(table.is_refused(1, StrikeScope::All, now + REFUSAL_TIME / 2), eq(true))?;
+    verify_that!(table.is_refused(1, StrikeScope::All, now + REFUSAL_TIME), eq(false))?;
     table.expire(now + STRIKE_LIFETIME);
+    let count =
+        |table: &CrashTable, request, now| table.strike_count(request, StrikeScope::All, now);
+    let later = now + STRIKE_LIFETIME;
+    verify_that!((count(&table, 1, later), count(&table, 2, later)), eq((3, 0)))?;
+    table.expire(now + SUSPECT_LIFETIME);
     verify_that!(table.is_empty(), eq(true))
 }
 
+/// A request that comes again and again for three hours crashes an endpoint whenever it is sent
+fn check_retries() -> Result<()> {
+    let start = Instant::now();
+    let mut table = CrashTable::default();
+    let mut crashes = Vec::new();
+    for second in 0..3 * 3600 {
+        let now = start + Duration::from_secs(second);
+        table.expire(now);
+        if !table.is_refused(1, StrikeScope::All, now) {
+            table.record_strike(1, &broken(&format!("e{second}")), now, now);
+            crashes.push(second);
+        }
+    }
+    verify_that!(crashes, eq(&vec![0, 1, 2, 602, 1802, 4202]))
+}
+
 fn check_eviction() -> Result<()> {
     let now = Instant::now();
     let mut table = CrashTable::default();
@@ -209,6 +232,8 @@
     ),
     reports_of_one_crash_count_once => check(&[Crash("a", &[1, 1]), Crash("a", &[1]), Crash("b", &[1])], (false, false)),
     strikes_expire => check_expiry(),
+    // Guards against a request that crashes three endpoints every ten minutes, since its strikes have expired.
+    refused_request_is_tried_three_times_more => check_retries(),
     refused_request_is_not_evicted_by_others => check_eviction(),
     common_request_is_refused_for_endpoints_that_have_ended => check_statuses(&[], true, true),
     common_request_is_served_while_no_end_is_known => check_statuses(&[], false, false),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,7 +6,7 @@
 use crate::serving_call::{Refusal, RequestRecord, ServingCall, failure_name, relay_whole};
 use crate::state::{Gateway, WorkGuard};
 use bytes::Bytes;
-use decide::serving::crash_table::STRIKE_LIFETIME;
+use decide::serving::crash_table::REFUSAL_TIME;
 use decide::serving::health::SendResult;
 use decide::serving::pick::{PromptProgress, pick_service};
 use decide::serving::route::RetryRule;
@@ -80,7 +80,7 @@
     let retry_after = match answer {
         GatewayAnswer::NotRun if refusal.retry_after.is_some() => refusal.retry_after,
         GatewayAnswer::NotRun if !gateway.is_ready() => Some(START_RETRY_AFTER),
-        GatewayAnswer::Suspected => Some(STRIKE_LIFETIME),
+        GatewayAnswer::Suspected => Some(REFUSAL_TIME),
         GatewayAnswer::NotRun => {
             Some(MIN_RETRY_AFTER + RETRY_JITTER.mul_f64(rand::random::<f64>()))
         }
