Count each crash of a listed incarnation against a prompt part

Cause: a part's strikes of one listed incarnation counted once, as those of common requests. While the list is late, the next incarnation of an endpoint under the same id is the same one to the instance; the part stayed at three strikes. Change: each strike at an endpoint that shows no sign of life counts; a sign of life already sets strikes aside one by one.

Evidence: crashes_of_listed_incarnations_count_each failed before (the part was admitted) and passes.

--- a/crates/decide/src/serving/crash_table.rs
+++ b/crates/decide/src/serving/crash_table.rs
@@ -93,14 +93,14 @@
     /// Whether it counts among all strikes of its request
     fn counts(&self, index: usize, strikes: &[Strike], scope: StrikeScope) -> bool {
         let status = self.endpoint.status;
-        let may_have_ended = match scope {
+        match scope {
             StrikeScope::All => return status < EndpointStatus::Slow,
-            StrikeScope::Lost => status <= EndpointStatus::Ended,
-            StrikeScope::Ended => status == EndpointStatus::Ended,
-        };
+            StrikeScope::Lost => return status <= EndpointStatus::Ended,
+            StrikeScope::Ended => {}
+        }
         // An incarnation that had broken off or delayed requests before ends for reasons of its own, and only once.
         let was_alive = |it: &Strike| it.endpoint.status > EndpointStatus::Ended;
-        may_have_ended
+        status == EndpointStatus::Ended
             && !strikes.iter().any(|it| was_alive(it) && it.is_same_incarnation(self))
             && !strikes[..index].iter().any(|it| it.is_same_incarnation(self))
     }
--- a/crates/decide/tests/serving_crash_parts.rs
+++ b/crates/decide/tests/serving_crash_parts.rs
@@ -318,6 +318,11 @@
     ),
     // Guards against a part that crashes five engines every ten minutes, since its strikes have expired.
     refused_part_is_tested_three_times_more => check_retries(),
+    // Guards against a part that is tested for ever, since the list still shows the engines' first incarnations.
+    crashes_of_listed_incarnations_count_each => check(
+        &[Crash("a", &[BAD]), Crash("b", &[BAD]), Answer(&[ROOT]), Crash("a", &[BAD]), Crash("b", &[BAD]), Answer(&[ROOT]), Crash("a", &[BAD])],
+        &[(&[ROOT, BAD], Refuse(BAD))]
+    ),
     // Guards against a part that is refused for engines that break off requests and live on.
     engines_that_live_count_for_no_part => check(
         &[Crash("a", &[RARE]), Alive("a"), Crash("b", &[RARE]), Alive("b"), Crash("c", &[RARE]), Alive("c")], &[(&[RARE], Admit)]
