Let the tables of crashes agree, and repeat no repair without effect

Cause: what a table kept depended on the order of the facts. A strike up to 0.5 s after a completion was dropped if it came later, but kept if it came first; of reports of one crash the first to come gave the time; and of too many strikes the last to come were dropped. Change: strikes are sorted, merged and cut by their times, whatever the order; and a repair after which neither digest has changed is repeated after ten seconds instead of one.

--- a/crates/decide/src/serving/crash_table.rs
+++ b/crates/decide/src/serving/crash_table.rs
@@ -130,9 +130,41 @@
 
     fn drop_void(&mut self, now: Instant) {
         let (completed_at, lifetime) = (self.completed_at, self.lifetime());
-        self.strikes.retain(|it| {
-            is_fresh(it.at, lifetime, now) && completed_at.is_none_or(|end| end < it.at)
+        self.strikes.retain(|it| is_fresh(it.at, lifetime, now) && !is_voided(it.at, completed_at));
+    }
+
+    /// Adds a strike, whatever the order in which strikes become known
+    fn add(&mut self, strike: Strike, now: Instant) {
+        self.strikes.push(strike);
+        self.drop_void(now);
+        self.strikes
+            .sort_by(|one, other| (one.at, &one.endpoint.id).cmp(&(other.at, &other.endpoint.id)));
+        let mut crashes = Vec::<Strike>::new();
+        for strike in self.strikes.drain(..) {
+            match crashes.iter_mut().find(|it| it.is_same_crash(&strike)) {
+                Some(known) => {
+                    let status = known.endpoint.status.max(strike.endpoint.status);
+                    known.endpoint.status = status;
+                }
+                None => crashes.push(strike),
+            }
+        }
+        // Strikes at endpoints that live are the first to go.
+        crashes.sort_by_key(|it| it.endpoint.status > EndpointStatus::Ended);
+        crashes.truncate(MAX_KEPT_STRIKES);
+        self.strikes = crashes;
+    }
+
+    /// Hash of the strikes
+    fn digest(&self, fingerprint: Fingerprint) -> FactDigest {
+        let hashes = self.strikes.iter().map(|it| {
+            let mut hasher = XxHash3_64::default();
+            hasher.write_u64(fingerprint);
+            hasher.write(it.endpoint.id.as_bytes());
+            hasher.write_u8(it.endpoint.status as u8);
+            hasher.finish()
         });
+        hashes.fold(0, FactDigest::wrapping_add)
     }
 
     /// Time for which its strikes count
@@ -198,26 +230,11 @@
             self.make_room();
         }
         let entry = self.entries.entry(fingerprint).or_default();
-        entry.drop_void(now);
-        let strike = Strike { endpoint: endpoint.clone(), at };
-        if let Some(known) = entry.strikes.iter_mut().find(|it| it.is_same_crash(&strike)) {
-            let is_new = known.endpoint.status < strike.endpoint.status;
-            known.endpoint.status = known.endpoint.status.max(strike.endpoint.status);
-            self.update_digest();
-            return is_new;
-        }
-        if is_voided(at, entry.completed_at) {
-            return false;
-        }
-        if entry.strikes.len() >= MAX_KEPT_STRIKES {
-            let alive =
-                entry.strikes.iter().position(|it| it.endpoint.status > EndpointStatus::Ended);
-            let Some(alive) = alive else { return false };
-            entry.strikes.remove(alive);
-        }
-        entry.strikes.push(strike);
-        self.update_digest();
-        true
+        let before = entry.digest(fingerprint);
+        entry.add(Strike { endpoint: endpoint.clone(), at }, now);
+        let after = entry.digest(fingerprint);
+        self.digest = self.digest.wrapping_sub(before).wrapping_add(after);
+        before != after
     }
 
     /// Records that the request completed without a crash; `true` if that is new and it had strikes
@@ -314,16 +331,8 @@
     }
 
     fn update_digest(&mut self) {
-        let hashes = self.entries.iter().flat_map(|(fingerprint, entry)| {
-            entry.strikes.iter().map(|it| {
-                let mut hasher = XxHash3_64::default();
-                hasher.write_u64(*fingerprint);
-                hasher.write(it.endpoint.id.as_bytes());
-                hasher.write_u8(it.endpoint.status as u8);
-                hasher.finish()
-            })
-        });
-        self.digest = hashes.fold(0, FactDigest::wrapping_add);
+        let digests = self.entries.iter().map(|(fingerprint, entry)| entry.digest(*fingerprint));
+        self.digest = digests.fold(0, FactDigest::wrapping_add);
     }
 
     /// Number of strikes that count
--- a/crates/decide/tests/serving_crash_table.rs
+++ b/crates/decide/tests/serving_crash_table.rs
@@ -7,6 +7,8 @@
 };
 use decide::serving::endpoint_list::ListedEndpoint;
 use googletest::prelude::*;
+use proptest::prelude::{any, prop};
+use proptest::{prop_assert_eq, proptest};
 use std::time::{Duration, Instant};
 use testcases::cases;
 
@@ -188,6 +190,61 @@
     verify_that!(request_fingerprint(&one) == request_fingerprint(&other), eq(is_same))
 }
 
+/// Fact that some instance has found: the request, the endpoint that broke it off or `None` if it completed, the time in
+/// milliseconds, and whether the endpoint is known to have ended
+type Found = (u64, Option<u64>, u64, bool);
+
+fn table_of(facts: &[Found], start: Instant) -> CrashTable {
+    let now = start + Duration::from_secs(60);
+    let mut table = CrashTable::default();
+    for (request, endpoint, at_ms, has_ended) in facts {
+        let at = start + Duration::from_millis(*at_ms);
+        let status = if *has_ended { EndpointStatus::Ended } else { EndpointStatus::Unknown };
+        match endpoint {
+            Some(id) => {
+                let endpoint = BrokenEndpoint { status, ..broken(&id.to_string()) };
+                table.record_strike(*request, &endpoint, at, now);
+            }
+            None => {
+                table.record_completion(*request, at, now);
+            }
+        }
+    }
+    table
+}
+
+proptest! {
+    // Guards against instances that send each other all facts for ever, since their tables never agree.
+    #[test]
+    fn tables_agree_after_some_exchanges(
+        facts in prop::collection::vec(
+            (0..3_u64, prop::option::weighted(0.8, 0..6_u64), 0..20_000_u64, any::<bool>()), 0..40
+        ),
+        order in prop::collection::vec(any::<u32>(), 40),
+        split in prop::collection::vec(0..3_usize, 40),
+    ) {
+        let start = Instant::now();
+        let now = start + Duration::from_secs(60);
+        let mut shuffled = facts.iter().copied().enumerate().collect::<Vec<_>>();
+        shuffled.sort_by_key(|(index, _)| order[*index]);
+        let of = |seen: usize, facts: &[(usize, Found)]| {
+            let seen = facts.iter().filter(|(index, _)| split[*index] != seen).map(|it| it.1);
+            table_of(&seen.collect::<Vec<_>>(), start)
+        };
+        let in_order = facts.iter().copied().enumerate().collect::<Vec<_>>();
+        let mut tables = [of(0, &in_order), of(1, &shuffled)];
+        for _ in 0..3 {
+            let sent = tables.each_ref().map(|it| it.facts(now));
+            for (table, facts) in tables.iter_mut().zip(sent.iter().rev()) {
+                for fact in facts {
+                    table.merge(fact, now);
+                }
+            }
+        }
+        prop_assert_eq!(tables[0].digest(), tables[1].digest());
+    }
+}
+
 const CALLER: [u8; 4] = [10, 0, 0, 1];
 const OTHER_CALLER: [u8; 4] = [10, 0, 0, 2];
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -11,7 +11,7 @@
 
 pub mod config_transfer;
 mod listing;
-mod repair;
+pub mod repair;
 mod store_updates;
 
 pub use listing::{format_entry, parse_entry};
@@ -26,7 +26,7 @@
 use decide::serving::leader::{InstanceTable, PeerInstance};
 use decide::serving::load::EndpointWork;
 use indexmap::IndexMap;
-use repair::{FactDifference, RepairSchedule};
+use repair::{DigestPair, RepairSchedule};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -125,11 +125,11 @@
             table.is_full_mesh()
         };
         self.handle_body(message, address, is_full_mesh, now);
-        let difference = FactDifference::between(self.gateway.fact_digest(), digest);
-        if difference == FactDifference::None {
+        let digests = DigestPair { own: self.gateway.fact_digest(), other: digest };
+        if digests.is_same() {
             self.gateway.has_joined.set(true);
         }
-        self.repairs.borrow_mut().observe(&instance, address, difference, now);
+        self.repairs.borrow_mut().observe(&instance, address, digests, now);
     }
 
     fn handle_body(
--- a/crates/gateway/src/peers/repair.rs
+++ b/crates/gateway/src/peers/repair.rs
@@ -19,33 +19,46 @@
 const REPAIR_INTERVAL: Duration = Duration::from_secs(1);
 /// Time without a message after which an instance gets no more repairs.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// The same while neither digest changes: the last repair had no effect.
+const FUTILE_REPAIR_INTERVAL: Duration = Duration::from_secs(10);
 /// Maximum number of repairs that are sent at once.
 const MAX_REPAIRS: usize = 4;
 
-/// How the facts of another instance differ from the own ones
+/// Digests of this instance and of another one
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FactDifference {
-    None,
-    Some,
-    /// The other instance knows none
-    All,
+pub struct DigestPair {
+    pub own: FactDigest,
+    pub other: FactDigest,
 }
 
-impl FactDifference {
-    /// Difference that digests show
-    pub fn between(own: FactDigest, other: FactDigest) -> FactDifference {
-        match other {
-            _ if own == other => FactDifference::None,
-            0 => FactDifference::All,
-            _ => FactDifference::Some,
-        }
+impl DigestPair {
+    /// Whether both instances know the same facts
+    pub fn is_same(self) -> bool {
+        self.own == self.other
+    }
+
+    /// Time for which they must differ before a repair; an instance that knows nothing has just started
+    fn repair_delay(self) -> Duration {
+        if self.other == 0 { Duration::ZERO } else { REPAIR_DELAY }
     }
 }
 
 struct PendingRepair {
     address: SocketAddr,
+    digests: DigestPair,
     seen_at: Instant,
     due_at: Instant,
+    /// Digests at the last repair, and its time
+    repaired: Option<(DigestPair, Instant)>,
+}
+
+impl PendingRepair {
+    fn is_due(&self, now: Instant) -> bool {
+        let is_futile = self.repaired.is_some_and(|(digests, at)| {
+            digests == self.digests && now < at + FUTILE_REPAIR_INTERVAL
+        });
+        self.due_at <= now && !is_futile
+    }
 }
 
 /// Instances whose digests differ from the own one
@@ -55,28 +68,27 @@
 }
 
 impl RepairSchedule {
-    /// Records how the facts of an instance differ, by the digest in its message
+    /// Records the digest in a message of an instance
     pub fn observe(
         &mut self,
         instance: &InstanceId,
         address: SocketAddr,
-        difference: FactDifference,
+        digests: DigestPair,
         now: Instant,
     ) {
-        let delay = match difference {
-            FactDifference::None => {
-                self.pending.swap_remove(instance);
-                return;
-            }
-            FactDifference::Some => REPAIR_DELAY,
-            FactDifference::All => Duration::ZERO,
-        };
+        if digests.is_same() {
+            self.pending.swap_remove(instance);
+            return;
+        }
         let pending = self.pending.entry(instance.clone()).or_insert(PendingRepair {
             address,
+            digests,
             seen_at: now,
-            due_at: now + delay,
+            due_at: now + digests.repair_delay(),
+            repaired: None,
         });
         pending.address = address;
+        pending.digests = digests;
         pending.seen_at = now;
     }
 
@@ -85,9 +97,10 @@
         let is_silent =
             |it: &PendingRepair| now.saturating_duration_since(it.seen_at) > SILENCE_TIMEOUT;
         self.pending.retain(|_, it| !is_silent(it));
-        let due = self.pending.values_mut().filter(|it| it.due_at <= now).take(MAX_REPAIRS);
+        let due = self.pending.values_mut().filter(|it| it.is_due(now)).take(MAX_REPAIRS);
         let addresses = due.map(|it| {
             it.due_at = now + REPAIR_INTERVAL;
+            it.repaired = Some((it.digests, now));
             it.address
         });
         addresses.collect()
