Count the served requests of instances in touch in the soak

The check now asks for a tenth of the requests sent to instances in touch, by the soak's own definition, and for some served request in any case. It is as strict where the store is there, and no longer lets requests of calm instances make up for others.

--- a/crates/gateway/tests/gateway/soak.rs
+++ b/crates/gateway/tests/gateway/soak.rs
@@ -705,19 +705,22 @@
         }
     }
     let records = run.records.borrow();
-    let mut served = 0;
-    for ClientRecord { id, route, answer, .. } in records.iter() {
+    let (mut served, mut in_touch, mut served_in_touch) = (0, 0, 0);
+    for ClientRecord { id, address, sent_at, route, answer, .. } in records.iter() {
         let count = runs.get(id).copied().unwrap_or_default();
         let once = matches!(*route, "entries" | "streams");
         if once && count > 1 {
             return fail!("{id} of {route} ran {count} times");
         }
+        let is_in_touch = run.is_in_touch(*address, *sent_at);
+        in_touch += usize::from(is_in_touch);
         let Some(answer) = answer else { continue };
         if answer.status == 503 && once && count > 0 {
             return fail!("{id} of {route} was refused but ran");
         }
         if answer.status == 200 && answer.is_whole {
             served += 1;
+            served_in_touch += usize::from(is_in_touch);
             let expected = match *route {
                 "lookups" | "entries" => body_for(id),
                 _ => (1..=4).map(event).collect(),
@@ -730,8 +733,13 @@
         check_crashing(run, kind, &records)?;
     }
     check_limits(run, &records)?;
-    println!("{served} of {} requests served", records.len());
-    verify_that!(served, gt(records.len() / 10))
+    println!(
+        "{served} of {} requests served, {served_in_touch} of {in_touch} by instances in touch",
+        records.len()
+    );
+    // Without the store, no instance learns where endpoints that have ended are back.
+    verify_that!(served, gt(0))?;
+    verify_that!(served_in_touch, ge(in_touch / 10))
 }
 
 /// Checks that endpoints received nothing from instances that had received their notices
