Send known strikes to instances that have just become live

Change: an instance that finds another one live sends it all strikes that count, at most 500, those of the last requests first. Idempotent: the same strike counts once.

Evidence: strike_is_sent_to_an_instance_that_starts_later failed before (20 s without the strike) and passes.

--- a/crates/decide/src/suspect.rs
+++ b/crates/decide/src/suspect.rs
@@ -160,6 +160,14 @@
         entry.into_iter().flat_map(|it| &it.strikes).map(|it| it.endpoint.clone()).collect()
     }
 
+    /// Endpoints that crashed, by request; those of the requests recorded last come first
+    pub fn strikes(&self, now: Instant) -> impl Iterator<Item = (Fingerprint, &EndpointId)> {
+        self.entries.iter().rev().flat_map(move |(fingerprint, entry)| {
+            let strikes = entry.strikes.iter().filter(move |it| is_recent(it, now));
+            strikes.map(|it| (*fingerprint, &it.endpoint))
+        })
+    }
+
     /// Drops the entries that no longer count
     pub fn expire(&mut self, now: Instant) {
         self.entries.retain(|_, entry| entry.is_recent(now));
--- a/crates/persimmonlift/src/peers/maintenance.rs
+++ b/crates/persimmonlift/src/peers/maintenance.rs
@@ -1,7 +1,8 @@
-//! Background tasks: updates the members, tracks contact and sends strikes.
+//! Background tasks: updates the members, tracks contact, and sends strikes, again where they may be missing.
 
 use crate::context::InstanceContext;
 use crate::suspects::StrikeNotice;
+use indexmap::IndexSet;
 use peer::message::StrikeReport;
 use peer::{Member, PeerRequest};
 use std::sync::Arc;
@@ -10,6 +11,8 @@
 
 const CONTACT_INTERVAL: Duration = Duration::from_millis(250);
 const STRIKE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum number of strikes sent to an instance that has just become live.
+const MAX_REPAIRED_STRIKES: usize = 500;
 /// Maximum number of attempts to send a strike to an instance that doesn't answer.
 const MAX_STRIKE_ATTEMPTS: usize = 3;
 
@@ -55,6 +58,27 @@
     }
 }
 
+/// Sends the known strikes to each instance that has just become live, since it may have missed them.
+pub(super) async fn repair_strikes(context: Arc<InstanceContext>) {
+    let mut interval = tokio::time::interval(CONTACT_INTERVAL);
+    let mut live = IndexSet::new();
+    loop {
+        interval.tick().await;
+        let view = context.peers.view();
+        let found = view.live_peers().filter(|it| !live.contains(&it.id)).cloned();
+        for member in found.collect::<Vec<_>>() {
+            tokio::spawn(send_known_strikes(context.clone(), member));
+        }
+        live = view.live_peers().map(|it| it.id.clone()).collect();
+    }
+}
+
+async fn send_known_strikes(context: Arc<InstanceContext>, member: Member) {
+    for notice in context.suspects.known(MAX_REPAIRED_STRIKES) {
+        send_strike(context.clone(), member.clone(), notice).await;
+    }
+}
+
 async fn send_strike(context: Arc<InstanceContext>, member: Member, notice: StrikeNotice) {
     let StrikeNotice { fingerprint, endpoint } = notice;
     let request = PeerRequest::Strike(StrikeReport { fingerprint, endpoint: Some(endpoint) });
--- a/crates/persimmonlift/src/peers/mod.rs
+++ b/crates/persimmonlift/src/peers/mod.rs
@@ -32,6 +32,7 @@
     tokio::spawn(maintenance::follow_list(context.clone()));
     tokio::spawn(maintenance::track_contact(context.clone()));
     tokio::spawn(maintenance::broadcast_strikes(context.clone()));
+    tokio::spawn(maintenance::repair_strikes(context.clone()));
     tokio::spawn(grants::request_grants(context.clone()));
     tokio::spawn(server)
 }
--- a/crates/persimmonlift/src/suspects.rs
+++ b/crates/persimmonlift/src/suspects.rs
@@ -66,6 +66,17 @@
         self.lock().record_progress(fingerprint, Instant::now());
     }
 
+    /// Strikes that count, the last requests first, at most `limit`
+    pub fn known(&self, limit: usize) -> Vec<StrikeNotice> {
+        let table = self.lock();
+        let strikes = table.strikes(Instant::now()).take(limit);
+        let notices = strikes.map(|(fingerprint, endpoint)| StrikeNotice {
+            fingerprint,
+            endpoint: endpoint.clone(),
+        });
+        notices.collect()
+    }
+
     /// Subscribes to strikes that this instance records from now on
     pub fn notices(&self) -> broadcast::Receiver<StrikeNotice> {
         self.notices.subscribe()
--- a/crates/persimmonlift/tests/peers.rs
+++ b/crates/persimmonlift/tests/peers.rs
@@ -86,6 +86,17 @@
     .await
 }
 
+async fn check_late_strike() -> Result<()> {
+    let mut deployment = start(2).await?;
+    deployment.instances[0].context().suspects.strike(FINGERPRINT, &"summary-1".into());
+    let settings = settings(&deployment.fleet, 2);
+    deployment.add_instance(settings).await?;
+    await_until("the instance that started later has the strike", || {
+        deployment.instances.iter().all(|it| it.context().suspects.count(FINGERPRINT) == 1)
+    })
+    .await
+}
+
 /// An instance that can't reach the log receives edits through its peers.
 async fn check_relay() -> Result<()> {
     let mut deployment = start(2).await?;
@@ -181,6 +192,8 @@
     status_names_peers => check_status(),
     killed_instance_is_detected => check_killed(),
     strike_is_sent_to_all => check_strike(),
+    // Guards against a crashing request that an instance runs again, since it started after the crashes.
+    strike_is_sent_to_an_instance_that_starts_later => check_late_strike(),
     edit_is_relayed_by_peers => check_relay(),
     log_down_for_all_keeps_serving => check_log_down(),
     isolated_turns_unready => check_isolated(),
