Add the users' platform to the fault matrix

A table of its own names the platform's faults, eleven of them, against lookups and entries, generations and other instances; the test checks that each cell names tests that exist, or a reason. Tables now carry their own rows. The seven tables pass.

--- a/crates/standins/tests/fault_matrix.rs
+++ b/crates/standins/tests/fault_matrix.rs
@@ -8,7 +8,7 @@
 mod matrix;
 
 use googletest::prelude::*;
-use matrix::{FaultCell, PROTOCOLS, ProtocolTable, fault_names};
+use matrix::{FaultCell, PROTOCOLS, ProtocolTable};
 use std::collections::BTreeSet;
 use std::fmt::Write;
 use std::fs;
@@ -86,7 +86,7 @@
     let names = test_names()?;
     let mut problems = Vec::new();
     for protocol in PROTOCOLS {
-        for (row, fault) in fault_names().enumerate() {
+        for (row, fault) in protocol.faults.iter().enumerate() {
             let cells = protocol.cells.get(row).copied().unwrap_or_default();
             for (column, step) in protocol.steps.iter().enumerate() {
                 let problem = match cells.get(column) {
@@ -114,7 +114,7 @@
     protocol.steps.iter().for_each(|it| page.push_str(&format!(" {it} |")));
     page.push_str("\n| --- |");
     protocol.steps.iter().for_each(|_| page.push_str(" --- |"));
-    for (row, fault) in fault_names().enumerate() {
+    for (row, fault) in protocol.faults.iter().enumerate() {
         let _ = write!(page, "\n| {fault} |");
         for cell in protocol.cells.get(row).copied().unwrap_or_default() {
             let _ = write!(page, " {} |", cell_text(cell));
--- a/crates/standins/tests/matrix/change.rs
+++ b/crates/standins/tests/matrix/change.rs
@@ -1,7 +1,7 @@
 //! Planned change of an engine.
 
 use super::FaultCell::{Reason, Test};
-use super::ProtocolTable;
+use super::{FAULTS, ProtocolTable};
 
 const NO_REQUEST: &str = "no request reaches an engine by this step";
 const PAIRS: &[&str] = &[
@@ -18,6 +18,7 @@
 ];
 
 pub const CHANGE: ProtocolTable = ProtocolTable {
+    faults: &FAULTS,
     name: "Planned change of an engine",
     steps: &["plan", "confirm", "drain", "order", "open"],
     cells: &[
--- a/crates/standins/tests/matrix/control.rs
+++ b/crates/standins/tests/matrix/control.rs
@@ -1,7 +1,7 @@
 //! Catalogue edits and leases.
 
 use super::FaultCell::{Reason, Test};
-use super::ProtocolTable;
+use super::{FAULTS, ProtocolTable};
 
 const NO_ENGINE: &str = "no engine or request is involved";
 const NO_LEASE: &str = "an edit needs no lease; its base revision is checked";
@@ -9,6 +9,7 @@
 const FROM_LOG: &str = "a lease is read from the log alone";
 
 pub const EDIT: ProtocolTable = ProtocolTable {
+    faults: &FAULTS,
     name: "Catalogue edit",
     steps: &["append the edit", "propagate it"],
     cells: &[
@@ -80,6 +81,7 @@
 };
 
 pub const LEASE: ProtocolTable = ProtocolTable {
+    faults: &FAULTS,
     name: "Lease of a duty",
     steps: &["claim", "renew", "act under the lease"],
     cells: &[
--- a/crates/standins/tests/matrix/mod.rs
+++ b/crates/standins/tests/matrix/mod.rs
@@ -3,10 +3,11 @@
 mod change;
 mod control;
 mod once;
+mod platform;
 mod serving;
 
-/// Faults, one per row of each table.
-pub const FAULTS: [&str; 14] = [
+/// Faults of the product's own interface, one per row of its tables.
+const FAULTS: [&str; 14] = [
     "instance killed",
     "instance paused",
     "instance partitioned",
@@ -37,6 +38,8 @@
 pub struct ProtocolTable {
     /// Heading of the table
     pub name: &'static str,
+    /// Faults, one per row
+    pub faults: &'static [&'static str],
     /// Steps of the protocol, one per column
     pub steps: &'static [&'static str],
     /// Cells by fault and step
@@ -44,10 +47,12 @@
 }
 
 /// All protocols.
-pub const PROTOCOLS: &[ProtocolTable] =
-    &[serving::SERVING, serving::STOP, once::ONCE, control::EDIT, control::LEASE, change::CHANGE];
-
-/// Names of the faults, in the order of the rows
-pub fn fault_names() -> impl Iterator<Item = &'static str> {
-    FAULTS.into_iter()
-}
+pub const PROTOCOLS: &[ProtocolTable] = &[
+    serving::SERVING,
+    serving::STOP,
+    once::ONCE,
+    control::EDIT,
+    control::LEASE,
+    change::CHANGE,
+    platform::PLATFORM,
+];
--- a/crates/standins/tests/matrix/once.rs
+++ b/crates/standins/tests/matrix/once.rs
@@ -1,7 +1,7 @@
 //! Once-only work.
 
 use super::FaultCell::{Reason, Test};
-use super::ProtocolTable;
+use super::{FAULTS, ProtocolTable};
 
 const PAIRS: &[&str] = &[
     "standins::once_faults::once_pairs_with_kill",
@@ -18,6 +18,7 @@
 ];
 
 pub const ONCE: ProtocolTable = ProtocolTable {
+    faults: &FAULTS,
     name: "Once-only work",
     steps: &["claim the key", "dispatch", "record the outcome"],
     cells: &[
--- /dev/null
+++ b/crates/standins/tests/matrix/platform.rs
@@ -0,0 +1,144 @@
+//! Faults of the users' platform, against the ways of a request through an instance there.
+
+use super::FaultCell::{Reason, Test};
+use super::ProtocolTable;
+
+/// Faults on the users' platform, one per row.
+const PLATFORM_FAULTS: [&str; 11] = [
+    "store comes back from a copy",
+    "store away",
+    "instance starts",
+    "endpoint leaves by its own notice",
+    "endpoint requests a pause",
+    "endpoint names a limit",
+    "bytes without end",
+    "answer with neither length nor chunks",
+    "request crashes endpoints",
+    "prompt part crashes engines",
+    "client leaves",
+];
+
+/// Serving on the users' platform.
+pub const PLATFORM: ProtocolTable = ProtocolTable {
+    name: "Serving on the users' platform",
+    faults: &PLATFORM_FAULTS,
+    steps: &["lookup or entry", "generation", "other instances"],
+    cells: &[
+        &[
+            Test(&[
+                "gateway::era::version_after_a_return_is_in_force_in_time",
+                "gateway::era::configuration_does_not_go_back_with_the_store",
+                "gateway::era::endpoint_that_left_before_a_return_gets_nothing",
+                "gateway::era::endpoint_that_comes_after_a_return_is_used",
+            ]),
+            Reason("endpoints and configuration are the same for all requests"),
+            Test(&[
+                "gateway::era::version_after_a_return_is_in_force_in_time_at_all_instances",
+                "gateway::era::endpoint_that_leaves_after_a_return_gets_nothing_from_all_instances",
+                "gateway::era::own_entry_is_written_again",
+            ]),
+        ],
+        &[
+            Test(&[
+                "gateway::config::requests_are_served_while_the_store_is_unavailable",
+                "gateway::crashing_lookups::lookup_that_ends_endpoints_is_refused_without_the_store",
+            ]),
+            Reason("a request of any kind asks the store for nothing"),
+            Test(&[
+                "gateway::crash_evidence::crashing_request_is_refused_by_an_instance_without_the_list",
+            ]),
+        ],
+        &[
+            Test(&[
+                "gateway::crash_evidence::crashing_request_is_refused_by_an_instance_that_is_just_ready",
+                "gateway::retry_limits::instance_that_restarts_often_stays_within_the_slack",
+            ]),
+            Test(&[
+                "gateway::crashing_parts::crashing_part_is_refused_by_an_instance_that_starts_later",
+            ]),
+            Test(&[
+                "gateway::crash_evidence::crashing_request_is_refused_by_a_member_that_is_just_ready",
+                "gateway::notices::leaving_endpoint_is_known_to_an_instance_that_starts_later",
+                "gateway::repair_schedule::instance_without_facts_gets_one_at_once",
+            ]),
+        ],
+        &[
+            Test(&["gateway::notices::leaving_endpoint_gets_nothing_more"]),
+            Test(&[
+                "gateway::notices::endpoint_that_leaves_from_the_head_of_a_stream_gets_nothing_more",
+                "gateway::notices::leaving_engine_reads_no_more_prompts",
+            ]),
+            Test(&["gateway::notices::leaving_endpoint_is_known_to_other_instances"]),
+        ],
+        &[
+            Test(&[
+                "gateway::notices::endpoint_that_sheds_gets_nothing_until_the_time_is_over",
+                "gateway::notices::all_shedding_is_refused_at_once_with_the_shortest_time",
+            ]),
+            Test(&["gateway::notices::shedding_engine_gets_no_generations"]),
+            Reason("a pause binds the instance that received it"),
+        ],
+        &[
+            Test(&["gateway::rate_limits::limit_of_one_instance_holds"]),
+            Test(&[
+                "gateway::rate_limits::limit_of_prefill_engines_holds",
+                "gateway::rate_limits::limit_of_decode_engines_holds",
+            ]),
+            Test(&[
+                "gateway::rate_limits::limit_of_three_instances_holds",
+                "gateway::rate_limits::limit_holds_through_leaders",
+            ]),
+        ],
+        &[
+            Test(&[
+                "gateway::flood::body_without_end_is_retried",
+                "gateway::flood::head_without_end_is_retried",
+            ]),
+            Test(&["gateway::flood::first_event_without_end_is_cut"]),
+            Reason("instances read no answers of each other's endpoints"),
+        ],
+        &[
+            Test(&["gateway::unframed::plain_answer_is_whole"]),
+            Test(&[
+                "gateway::unframed::stream_that_ends_inside_an_event_is_cut",
+                "gateway::unframed::stream_that_ends_inside_an_event_is_resumed",
+                "gateway::unframed::half_an_answer_of_a_prompt_read_apart_is_not_used",
+            ]),
+            Reason("instances read no answers of each other's endpoints"),
+        ],
+        &[
+            Test(&[
+                "gateway::crash_evidence::crashing_request_without_a_body_is_refused",
+                "gateway::crashing_lookups::lookup_that_ends_endpoints_is_refused",
+                "gateway::crashing_lookups::request_with_a_body_that_ends_endpoints_is_refused",
+            ]),
+            Test(&["decide::serving_crash_table::third_crash_refuses"]),
+            Test(&[
+                "gateway::crashes::crashing_request_is_refused_by_all_instances",
+                "gateway::crashing_lookups::lookup_that_ends_endpoints_is_refused_beside_restarts",
+            ]),
+        ],
+        &[
+            Reason("plain requests have no prompt parts"),
+            Test(&[
+                "gateway::crashing_parts::crashing_part_is_refused",
+                "gateway::crashing_parts::crashing_part_of_prompts_read_apart_is_refused",
+                "gateway::crashing_parts::rare_neighbours_of_a_crashing_part_are_served",
+            ]),
+            Test(&[
+                "gateway::crashing_parts::two_crashing_parts_are_refused",
+                "gateway::messages::facts_on_the_parts_of_a_crash_take_few_bytes",
+            ]),
+        ],
+        &[
+            Test(&[
+                "gateway::crashing_lookups::lookup_whose_client_leaves_before_the_end_is_refused",
+            ]),
+            Test(&[
+                "gateway::streams::client_disconnect_ends_the_stream",
+                "gateway::crashing_parts::crashing_part_whose_clients_leave_before_the_end_is_refused",
+            ]),
+            Reason("only the instance that the client called knows of it"),
+        ],
+    ],
+};
--- a/crates/standins/tests/matrix/serving.rs
+++ b/crates/standins/tests/matrix/serving.rs
@@ -1,7 +1,7 @@
 //! Serving idempotent requests, and the planned stop of an instance.
 
 use super::FaultCell::{Reason, Test};
-use super::ProtocolTable;
+use super::{FAULTS, ProtocolTable};
 
 const NO_RECORD: &str = "serving appends no record";
 const NO_LEASE: &str = "serving needs no lease";
@@ -11,6 +11,7 @@
 const STOP_NO_EDIT: &str = "a stop involves no edit";
 
 pub const SERVING: ProtocolTable = ProtocolTable {
+    faults: &FAULTS,
     name: "Serving an idempotent request",
     steps: &["choose an endpoint", "relay the answer"],
     cells: &[
@@ -99,6 +100,7 @@
 };
 
 pub const STOP: ProtocolTable = ProtocolTable {
+    faults: &FAULTS,
     name: "Planned stop of an instance",
     steps: &["become unready", "drain the requests in flight"],
     cells: &[
