Drop an old leader's sum once members report

Cause: an instance that became leader went on planning by the sum of the leader before for up to 2 s, beside what its members reported. Change: a report of a member replaces a sum that is older than 0.5 s. new_leader_counts_what_its_members_report failed before (90 requests for 5) and passes; a stray report beside a recent sum changes nothing, as before.

--- a/crates/decide/src/serving/load.rs
+++ b/crates/decide/src/serving/load.rs
@@ -15,6 +15,8 @@
 
 /// Number of instances that one which has not read the list assumes; the design size.
 const ASSUMED_INSTANCES: usize = 400;
+/// Time without a leader's sum after which the reports of members replace it.
+const LEADER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Work in flight at one endpoint
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -121,6 +123,11 @@
     /// Replaces the work of another instance with what it reported
     pub fn apply_report(&mut self, instance: InstanceId, work: EndpointWork, now: Instant) {
         self.peers.insert(instance, PeerLoad { received_at: now, work });
+        // Without a leader, this instance has become one itself.
+        self.others = self
+            .others
+            .take()
+            .filter(|it| now.saturating_duration_since(it.received_at) < LEADER_TIMEOUT);
         self.max_instances = self.max_instances.max(self.instance_count());
     }
 
--- a/crates/decide/tests/serving_state.rs
+++ b/crates/decide/tests/serving_state.rs
@@ -3,6 +3,7 @@
 use catalogue::EngineRole;
 use decide::serving::endpoint_list::{EXPIRY_GRACE, EndpointList, ListChange, ListedEndpoint};
 use decide::serving::health::{EndpointHealth, HealthUpdate, SendResult};
+use decide::serving::load::{EndpointWork, FleetLoad, WorkCount};
 use decide::serving::retry_window::{RetryLimits, RetryWindow};
 use decide::serving::route::{ClientLimits, RetryRule, RouteConfig, RouteTarget, ServingConfig};
 use decide::serving::send_history::{NextStep, RunStatus, SendHistory};
@@ -53,6 +54,9 @@
     lower_era_that_stays_is_accepted => lower_era_stays(),
     unreachable_endpoint_is_paused_for_longer_each_time => pauses_double(),
     answer_ends_a_pause => answer_ends_pause(),
+    // Guards against an instance that has become leader and plans by the sum of the one before.
+    new_leader_counts_what_its_members_report => new_leader(600, 5),
+    sum_of_a_leader_outweighs_a_stray_report => new_leader(50, 90),
     // Guards against an engine that gets nothing once it is back, for what its last incarnation did.
     next_incarnation_is_not_paused_for_the_last_one => next_incarnation(),
     misdirected_incarnation_is_gone_until_another_comes => misdirected(),
@@ -326,6 +330,18 @@
     verify_that!(usable(&health, now), eq(6))
 }
 
+/// A member reports five requests at an endpoint some time after a leader's sum of 90
+fn new_leader(pause_ms: u64, expected: u32) -> Result<()> {
+    let work = |requests| {
+        EndpointWork::from_iter([("e0".into(), WorkCount { requests, ..WorkCount::default() })])
+    };
+    let now = Instant::now();
+    let mut load = FleetLoad::default();
+    load.apply_leader_report(work(90), now);
+    load.apply_report("member".into(), work(5), now + Duration::from_millis(pause_ms));
+    verify_that!(load.total_at(&"e0".into()).requests, eq(expected))
+}
+
 fn next_incarnation() -> Result<()> {
     let mut health = EndpointHealth::default();
     let now = Instant::now();
