Remove a step that is never built, and count a failed handshake as unsent

NextStep::Retry was never built: the type is FinalStep now. A failed HTTP handshake counted as a broken connection, so that the request may have run and gained a strike, though nothing had been written; it is Unsent. No test makes the handshake fail, which writes and reads nothing.

--- a/crates/decide/src/serving/send_history.rs
+++ b/crates/decide/src/serving/send_history.rs
@@ -11,11 +11,9 @@
     MayHaveRun,
 }
 
-/// Next step after a failed send
+/// Final answer to a request that is not retried
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum NextStep {
-    /// Retry at another endpoint
-    Retry,
+pub enum FinalStep {
     /// Refuse the request: it has not run
     Refuse,
     /// Fail the request: its outcome is unknown
@@ -49,8 +47,8 @@
     }
 
     /// Final answer when the request is not retried
-    pub fn final_step(&self) -> NextStep {
-        if self.may_have_run { NextStep::Fail } else { NextStep::Refuse }
+    pub fn final_step(&self) -> FinalStep {
+        if self.may_have_run { FinalStep::Fail } else { FinalStep::Refuse }
     }
 }
 
--- a/crates/decide/tests/serving_state.rs
+++ b/crates/decide/tests/serving_state.rs
@@ -6,7 +6,7 @@
 use decide::serving::load::{EndpointWork, FleetLoad, WorkCount};
 use decide::serving::retry_window::{RetryLimits, RetryWindow};
 use decide::serving::route::{ClientLimits, RetryRule, RouteConfig, RouteTarget, ServingConfig};
-use decide::serving::send_history::{NextStep, RunStatus, SendHistory};
+use decide::serving::send_history::{FinalStep, RunStatus, SendHistory};
 use decide::serving::store_era::{EraChange, EraTracker, StoreEra};
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, any, prop};
@@ -69,9 +69,9 @@
     retry_window_slides => window_slides(),
     // Guards against an instance that uses the whole slack, since it knows no other one yet.
     unknown_number_of_instances_allows_no_slack => unknown_instances(),
-    declined_request_may_be_refused => final_step(&[RunStatus::NotRun], NextStep::Refuse),
+    declined_request_may_be_refused => final_step(&[RunStatus::NotRun], FinalStep::Refuse),
     request_that_may_have_run_is_never_refused =>
-        final_step(&[RunStatus::MayHaveRun, RunStatus::NotRun], NextStep::Fail),
+        final_step(&[RunStatus::MayHaveRun, RunStatus::NotRun], FinalStep::Fail),
     once_only_request_is_not_sent_after_a_possible_run => once(),
     attempts_are_bounded => attempts(),
     broken_endpoint_is_avoided_by_once_only_requests => unreliable(),
@@ -426,7 +426,7 @@
     verify_that!(window.try_take(&LIMITS, slack(), now + Duration::from_secs(11)), eq(true))
 }
 
-fn final_step(sends: &[RunStatus], expected: NextStep) -> Result<()> {
+fn final_step(sends: &[RunStatus], expected: FinalStep) -> Result<()> {
     let mut history = SendHistory::new();
     for status in sends {
         history.record_send(*status);
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -264,7 +264,7 @@
         .max_buf_size(MAX_READ_BUFFER_BYTES)
         .handshake(TokioIo::new(socket))
         .await
-        .map_err(ExchangeError::Broken)?;
+        .map_err(|_| ExchangeError::Unsent)?;
     let task = tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
             log::debug!("event=connection_ended error={error}");
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -14,7 +14,7 @@
 use decide::serving::pick::PromptProgress;
 use decide::serving::prompt::{PartKey, PromptShape};
 use decide::serving::route::RouteConfig;
-use decide::serving::send_history::{NextStep, RunStatus, SendHistory};
+use decide::serving::send_history::{FinalStep, RunStatus, SendHistory};
 use decide::serving::silence::{SilenceCause, SilentRequest};
 use http::Response;
 use platform_adapter::answer::{GatewayAnswer, client_headers};
@@ -282,9 +282,9 @@
             return Refusal::new(GatewayAnswer::Suspected, SUSPECTED_PART);
         }
         let answer = match self.history.final_step() {
-            NextStep::Fail if Instant::now() >= self.deadline => GatewayAnswer::TimedOut,
-            NextStep::Fail => GatewayAnswer::Failed,
-            NextStep::Refuse | NextStep::Retry => GatewayAnswer::NotRun,
+            FinalStep::Fail if Instant::now() >= self.deadline => GatewayAnswer::TimedOut,
+            FinalStep::Fail => GatewayAnswer::Failed,
+            FinalStep::Refuse => GatewayAnswer::NotRun,
         };
         match gateway.pause_step(self) {
             Some(PauseStep::Refuse(pause)) if answer == GatewayAnswer::NotRun => {
