--- a/crates/gateway/tests/gateway/crashing_parts.rs
+++ b/crates/gateway/tests/gateway/crashing_parts.rs
@@ -22,12 +22,13 @@
     rare_neighbours_of_a_crashing_part_are_served => played(PartTest { sound: rare_parts, ..PartTest::default() }),
     // Guards against a part that is never recognized, since its clients leave before their engine ends.
     crashing_part_whose_clients_leave_before_the_end_is_refused => played(PartTest { patience: IMPATIENT, ..PartTest::default() }),
+    // Facts reach the others through leaders.
+    crashing_part_is_refused_by_many_instances => played(PartTest { instances: 14, ..PartTest::default() }),
     // An instance that starts after the crashes refuses the part without another one.
     crashing_part_is_refused_by_an_instance_that_starts_later => played(PartTest { late_instance: true, ..PartTest::default() }),
 }
 
 const ENGINES: usize = 8;
-const INSTANCES: usize = 4;
 const SOUND_INTERVAL: Duration = Duration::from_millis(25);
 const CRASH_INTERVAL: Duration = Duration::from_millis(300);
 /// Time from the arrival of a generation to its first event, or to the end of its engine; impatient clients leave before.
@@ -56,6 +57,8 @@
     own_tokens: usize,
     prefill_engines: usize,
     late_instance: bool,
+    /// Instances at the start; more than 12 exchange facts through leaders
+    instances: usize,
     /// Time after which clients with the crashing part leave
     patience: Duration,
 }
@@ -70,6 +73,7 @@
             own_tokens: 100,
             prefill_engines: 0,
             late_instance: false,
+            instances: 4,
             patience: PATIENT,
         }
     }
@@ -120,7 +124,7 @@
     let PartTest { route, sound, crashing, parts, own_tokens, .. } = test;
     let prefill = (0..test.prefill_engines).map(|it| format!("engine-p{it}"));
     let ids = (0..ENGINES).map(|it| format!("engine-{it}")).chain(prefill);
-    let mut fleet = EndingFleet::start(ids, script, INSTANCES).await;
+    let mut fleet = EndingFleet::start(ids, script, test.instances).await;
     let sound = fleet.send_load(SOUND_INTERVAL, move |number| {
         let id = format!("sound-{number}");
         ("127.0.6.1".to_owned(), generation_with(route, &id, &sound(number), own_tokens))
@@ -141,7 +145,7 @@
     verify_that!(served_fraction(&sound, fifth + CONTACT_TIME * 2), ge(MIN_SERVED))?;
     if test.late_instance {
         fleet.launch();
-        fleet.instances[INSTANCES].wait_ready().await;
+        fleet.instances[test.instances].wait_ready().await;
         let before = fleet.ends().len();
         sleep(CONTACT_TIME).await;
         verify_that!(fleet.ends().len(), eq(before))?;
