--- a/crates/decide/src/choice.rs
+++ b/crates/decide/src/choice.rs
@@ -9,6 +9,7 @@
 
 use crate::endpoint::EndpointView;
 use crate::mixed_engines::retain_assigned;
+pub use crate::stage::ServingStage;
 use catalogue::id::{EndpointId, TokenCount, ZoneName};
 use catalogue::prefix::PieceHash;
 use catalogue::{EngineRole, RequestClass};
@@ -37,30 +38,6 @@
 /// Time in seconds assumed for one request to a plain service.
 const SERVICE_TIME_S: f64 = 0.01;
 
-/// Stage of serving that an endpoint is chosen for
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum ServingStage {
-    /// Prompt and output on one engine
-    Whole,
-    /// Prompt only; the engine exports its cache
-    Prefill,
-    /// Output only; the engine imports the cache
-    Decode,
-    /// Call to a plain service
-    Service,
-}
-
-impl ServingStage {
-    fn fits(self, role: Option<EngineRole>) -> bool {
-        match self {
-            ServingStage::Whole => role == Some(EngineRole::Mixed),
-            ServingStage::Prefill => role.is_some_and(EngineRole::prefills),
-            ServingStage::Decode => role.is_some_and(EngineRole::decodes),
-            ServingStage::Service => role.is_none(),
-        }
-    }
-}
-
 /// Request to choose an endpoint for
 #[derive(Debug, Clone)]
 pub struct ChoiceRequest {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod plan;
 pub mod retry;
 pub mod serving;
+pub mod stage;
 pub mod suspect;
 pub mod threshold;
--- a/crates/decide/src/mixed_engines.rs
+++ b/crates/decide/src/mixed_engines.rs
@@ -6,8 +6,8 @@
 //! read long prompts, and the others decode. The number of readers follows the measured
 //! workload mix, so the boundary moves within seconds. The engine at the boundary does both.
 
-use crate::choice::ServingStage;
 use crate::endpoint::EndpointView;
+use crate::stage::ServingStage;
 use catalogue::EngineRole;
 use catalogue::id::TokenCount;
 
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -4,34 +4,13 @@
 use crate::connection::PeerConnection;
 use crate::error::PeerError;
 use crate::message::{PeerReply, PeerRequest};
+pub use crate::timing::ConnectionTiming;
 use crate::traffic::PeerTraffic;
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ConnectionTiming {
-    /// Timeout of connecting
-    pub connect: Duration,
-    /// Interval between pings while a call waits
-    pub ping_interval: Duration,
-    pub ping_timeout: Duration,
-    /// Time without calls after which a connection is closed
-    pub idle: Duration,
-}
-
-impl Default for ConnectionTiming {
-    fn default() -> ConnectionTiming {
-        ConnectionTiming {
-            connect: Duration::from_secs(1),
-            ping_interval: Duration::from_secs(1),
-            ping_timeout: Duration::from_secs(1),
-            idle: Duration::from_secs(30),
-        }
-    }
-}
-
 /// Client for all peers; clones share connections
 #[derive(Debug, Clone)]
 pub struct PeerClient {
--- a/crates/peer/src/connection.rs
+++ b/crates/peer/src/connection.rs
@@ -9,7 +9,7 @@
 use crate::frame::{self, FrameError};
 use crate::message::{PeerReply, PeerRequest};
 use crate::traffic::{CountedStream, PeerTraffic};
-use crate::{PeerRefusal, client::ConnectionTiming};
+use crate::{PeerRefusal, timing::ConnectionTiming};
 use bytes::{Bytes, BytesMut};
 use h2::client::{Connection, SendRequest};
 use h2::{Ping, PingPong, RecvStream};
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod message;
 pub mod ring;
 pub mod server;
+pub mod timing;
 pub mod traffic;
 
 pub use auth::PeerSecret;
--- a/crates/persimmonlift/src/admin_status.rs
+++ b/crates/persimmonlift/src/admin_status.rs
@@ -8,37 +8,8 @@
 use http::StatusCode;
 use indexmap::IndexMap;
 use smol_str::SmolStr;
-use std::fmt;
-use std::sync::{Mutex, PoisonError};
 use tokio::time::Instant;
 
-/// Function that returns one section of the status page as JSON
-pub type ReportFn = Box<dyn Fn() -> serde_json::Value + Send + Sync>;
-
-/// Sections of the status page that other modules add
-#[derive(Default)]
-pub struct StatusReports {
-    reports: Mutex<IndexMap<&'static str, ReportFn>>,
-}
-
-impl fmt::Debug for StatusReports {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.debug_struct("StatusReports").finish_non_exhaustive()
-    }
-}
-
-impl StatusReports {
-    /// Adds a section under its key on the status page, such as `peers`
-    pub fn add(&self, name: &'static str, report: ReportFn) {
-        self.reports.lock().unwrap_or_else(PoisonError::into_inner).insert(name, report);
-    }
-
-    fn read(&self) -> IndexMap<&'static str, serde_json::Value> {
-        let reports = self.reports.lock().unwrap_or_else(PoisonError::into_inner);
-        reports.iter().map(|(name, report)| (*name, report())).collect()
-    }
-}
-
 #[derive(Debug)]
 #[derive(serde::Serialize)]
 struct StatusBody {
--- a/crates/persimmonlift/src/attempt.rs
+++ b/crates/persimmonlift/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt at a generation, on one engine or on a prefill and a decode engine.
 
 use crate::context::InstanceContext;
-use crate::generation::GenerationJob;
+use crate::generation_job::GenerationJob;
 use crate::pool::{EndpointPool, EndpointUse};
 use crate::route::{RoutePath, RouteRequest, RoutedEndpoint};
 use catalogue::id::{EndpointId, RequestId};
--- a/crates/persimmonlift/src/callers.rs
+++ b/crates/persimmonlift/src/callers.rs
@@ -2,11 +2,12 @@
 
 use crate::access::{callable_entries, caller_key};
 use crate::answer::{AnswerResponse, json_answer, refusal_answer};
-use crate::completions::{CallPermits, complete};
+use crate::completions::complete;
 use crate::context::InstanceContext;
 use crate::prompt::CompletionForm;
 use crate::refusal::{CallerRefusal, RefusalCause};
 use crate::services::call_service;
+use crate::status::CallPermits;
 use catalogue::EntryKind;
 use catalogue::id::{EntryName, RequestId};
 use http::header::{CONNECTION, HeaderValue};
--- a/crates/persimmonlift/src/completions.rs
+++ b/crates/persimmonlift/src/completions.rs
@@ -4,11 +4,13 @@
 use crate::answer::{AnswerResponse, json_answer, set_ran};
 use crate::body::read_body;
 use crate::context::InstanceContext;
-use crate::generation::{AnswerStream, GenerationJob, GenerationPermits};
+use crate::generation::{AnswerStream, GenerationPermits};
+use crate::generation_job::GenerationJob;
 use crate::prompt::{CompletionForm, CompletionRequest, parse_request};
 use crate::refusal::{CallerRefusal, FieldProblem, RanState, RefusalCause};
 use crate::sse::stream_answer;
-use crate::status::InFlightGuard;
+use crate::status::CallPermits;
+use crate::usage::CompletionUsage;
 use catalogue::EntryKind;
 use catalogue::id::{RequestId, TokenCount};
 use catalogue::prefix::{piece_hashes, token_count};
@@ -21,14 +23,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Permits held until the answer to a call has been sent
-#[derive(Debug)]
-pub struct CallPermits {
-    pub in_flight: InFlightGuard,
-    /// One of the instance's `max_in_flight` slots
-    pub slot: tokio::sync::OwnedSemaphorePermit,
-}
-
 /// Answers a completion call
 ///
 /// # Errors
@@ -143,30 +137,6 @@
     Ok(response)
 }
 
-/// Token counts of an answer
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(serde::Serialize)]
-pub struct CompletionUsage {
-    prompt_tokens: TokenCount,
-    completion_tokens: TokenCount,
-    total_tokens: TokenCount,
-    cached_tokens: TokenCount,
-}
-
-impl CompletionUsage {
-    /// Counts of a complete answer
-    pub fn of(answer: &AnswerStream) -> CompletionUsage {
-        let prompt_tokens = answer.job().prompt_tokens;
-        let completion_tokens = answer.tokens();
-        CompletionUsage {
-            prompt_tokens,
-            completion_tokens,
-            total_tokens: prompt_tokens.saturating_add(completion_tokens),
-            cached_tokens: answer.cached_tokens(),
-        }
-    }
-}
-
 #[derive(Debug)]
 #[derive(serde::Serialize)]
 struct WholeCompletion {
--- a/crates/persimmonlift/src/context.rs
+++ b/crates/persimmonlift/src/context.rs
@@ -1,21 +1,23 @@
 //! State shared by all requests of an instance.
 
-use crate::admin_status::StatusReports;
 use crate::admission::PoolAdmission;
+use crate::grant_home::GrantHome;
 use crate::meters::EntryMeters;
 use crate::metrics::ServingMetrics;
-use crate::peers::{GrantHome, PeerLinks};
+use crate::peer_links::PeerLinks;
 use crate::planner::RolePlanner;
 use crate::pool::EndpointPool;
 use crate::registry::EndpointRegistry;
 use crate::settings::{InstanceSecrets, InstanceSettings};
 use crate::status::ServingStatus;
+use crate::status_reports::StatusReports;
 use crate::suspects::SuspectRegister;
 use catalogue::id::{PoolName, TokenCount};
 use coordination::catalogue::CatalogueHandle;
 use coordination::once::OnceHandle;
 use decide::mixed_engines::LONG_PROMPT_TOKENS;
 use indexmap::IndexMap;
+use peer::message::{GrantReply, GrantRequest};
 use platform::engine::EngineClient;
 use platform::service::ServiceClient;
 use smol_str::format_smolstr;
@@ -64,6 +66,14 @@
     pub reports: StatusReports,
 }
 
+impl InstanceContext {
+    /// Answers a request for shares of limits, as the home of their entries
+    pub fn answer_grant(&self, request: &GrantRequest) -> GrantReply {
+        let view = self.catalogue.view();
+        self.grants.answer(&view, self.registry.instance_count(), request)
+    }
+}
+
 /// Admission control of each pool that has had a request
 #[derive(Debug)]
 pub struct PoolAdmissions {
--- a/crates/persimmonlift/src/generation.rs
+++ b/crates/persimmonlift/src/generation.rs
@@ -7,15 +7,13 @@
 use crate::attempt::{AttemptFailure, AttemptStarter, ServingAttempt, StartFault};
 use crate::context::InstanceContext;
 use crate::failure::{FailureKind, is_engine_down};
+use crate::generation_job::GenerationJob;
 use crate::meters::MeterPermit;
 use crate::pool::EndpointPool;
 use crate::refusal::{CallerRefusal, RanState, RefusalCause};
 use crate::route::RouteRequest;
-use catalogue::CatalogueEntry;
-use catalogue::id::{EndpointId, ModelName, RequestId, TokenCount};
-use catalogue::prefix::PieceHash;
+use catalogue::id::{EndpointId, TokenCount};
 use decide::admission::{RefuseReason, bounded_retry_after};
-use decide::fingerprint::Fingerprint;
 use decide::retry::backoff;
 use decide::suspect::SuspectDecision;
 use platform::engine::{EngineError, StreamLine};
@@ -34,39 +32,6 @@
 /// time left.
 const TOO_LATE_FACTOR: f64 = 1.5;
 
-/// Generation requested by a caller
-#[derive(Debug)]
-pub struct GenerationJob {
-    /// Request id
-    pub request: RequestId,
-    pub entry: Arc<CatalogueEntry>,
-    pub model: ModelName,
-    pub prompt: String,
-    /// Length of the prompt
-    pub prompt_tokens: TokenCount,
-    /// Number of tokens to generate
-    pub max_tokens: TokenCount,
-    /// Chained hashes of the prompt's pieces, for cache matching
-    pub pieces: Vec<PieceHash>,
-    /// Identifies equal requests, to track those that crash engines
-    pub fingerprint: Fingerprint,
-    pub arrived: Instant,
-    /// When the complete answer is due
-    pub deadline: Instant,
-}
-
-impl GenerationJob {
-    /// Time left until the deadline
-    pub fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
-    }
-
-    /// Time left until the deadline, in milliseconds
-    pub fn time_left_ms(&self) -> u64 {
-        self.time_left().as_millis() as u64
-    }
-}
-
 /// Permits held until a generation ends
 #[derive(Debug)]
 pub struct GenerationPermits {
--- a/crates/persimmonlift/src/instance.rs
+++ b/crates/persimmonlift/src/instance.rs
@@ -4,17 +4,18 @@
 //! stop one of them abruptly, as a crash would.
 
 use crate::admin;
-use crate::admin_status::StatusReports;
 use crate::answer::AnswerResponse;
 use crate::callers;
 use crate::context::{HELD_UNIT_BYTES, InstanceContext, PoolAdmissions};
 use crate::metrics::ServingMetrics;
-use crate::peers::{self, PeerLinks};
+use crate::peer_links::PeerLinks;
+use crate::peers;
 use crate::planner::{PlannerContext, RolePlanner};
 use crate::registry::{EndpointRegistry, RegistryActor, RegistryConfig, RegistryMessage};
 use crate::server::{AnswerFn, HttpServer, ServerLimits};
 use crate::settings::{InstanceSecrets, InstanceSettings};
 use crate::status::ServingStatus;
+use crate::status_reports::StatusReports;
 use crate::suspects::SuspectRegister;
 use catalogue::id::InstanceId;
 use coordination::catalogue::CatalogueHandle;
--- a/crates/persimmonlift/src/once_calls.rs
+++ b/crates/persimmonlift/src/once_calls.rs
@@ -7,7 +7,7 @@
 use crate::answer::{AnswerResponse, set_ran, whole_body};
 use crate::context::InstanceContext;
 use crate::refusal::{CallerRefusal, FieldProblem, RanState, RefusalCause};
-use crate::services::{ServiceCall, no_endpoint};
+use crate::service_call::{ServiceCall, no_endpoint};
 use catalogue::id::IdempotencyKey;
 use coordination::once::{
     ClaimDecision, ClaimPermit, ExecutionState, OnceError, OnceOutcome, OnceRequest, parse_key,
--- a/crates/persimmonlift/src/peers/handler.rs
+++ b/crates/persimmonlift/src/peers/handler.rs
@@ -29,9 +29,7 @@
             let from = request.from;
             answer_relay(from, records(&context, request).await)
         }
-        PeerRequest::Grant(request) => {
-            Ok(PeerReply::Granted(context.grants.answer(&context, &request)))
-        }
+        PeerRequest::Grant(request) => Ok(PeerReply::Granted(context.answer_grant(&request))),
         PeerRequest::Strike(report) => Ok(PeerReply::Strikes(record_strike(&context, report))),
         PeerRequest::ConfirmPlan(request) => {
             let confirmed = context.planner.confirm(&request);
--- a/crates/persimmonlift/src/peers/mod.rs
+++ b/crates/persimmonlift/src/peers/mod.rs
@@ -1,18 +1,14 @@
 //! Communication with other instances.
 //!
-//! `links` calls them and finds homes; it is created before the rest of the instance.
-//! `handler` answers their calls. `grants` requests shares of limits from homes and
-//! grants them as a home. `maintenance` updates the members, tracks contact and sends
+//! `peer_links` calls them and finds homes; it is created before the rest of the instance.
+//! `handler` answers their calls. `grants` requests shares of limits from homes, and
+//! `grant_home` grants them as a home. `maintenance` updates the members, tracks contact and sends
 //! strikes.
 
-pub mod grants;
+mod grants;
 mod handler;
-pub mod links;
 mod maintenance;
 
-pub use grants::GrantHome;
-pub use links::PeerLinks;
-
 use crate::context::InstanceContext;
 use futures_util::FutureExt;
 use peer::server;
--- a/crates/persimmonlift/src/route.rs
+++ b/crates/persimmonlift/src/route.rs
@@ -4,7 +4,7 @@
 //! the prompt and a decode engine imports its cache. If both paths are available, the
 //! cheaper one is used.
 
-use crate::generation::GenerationJob;
+use crate::generation_job::GenerationJob;
 use crate::pool::{ChosenEndpoint, EndpointPool, EndpointUse};
 use catalogue::id::{EndpointId, TokenCount, ZoneName};
 use decide::choice::{ChoiceRequest, ServingStage};
--- a/crates/persimmonlift/src/sse.rs
+++ b/crates/persimmonlift/src/sse.rs
@@ -5,10 +5,12 @@
 //! that can't be completed ends with an event that has an `error` and without `[DONE]`.
 
 use crate::answer::{AnswerBody, AnswerResponse, RefusalBody, set_ran};
-use crate::completions::{CallPermits, CompletionUsage};
+
 use crate::generation::AnswerStream;
 use crate::prompt::CompletionForm;
 use crate::refusal::{CallerRefusal, RanState};
+use crate::status::CallPermits;
+use crate::usage::CompletionUsage;
 use bytes::{BufMut, Bytes, BytesMut};
 use futures_util::stream::unfold;
 use http::Response;
--- a/crates/persimmonlift/src/status.rs
+++ b/crates/persimmonlift/src/status.rs
@@ -86,3 +86,11 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 }
+
+/// Permits held until the answer to a call has been sent
+#[derive(Debug)]
+pub struct CallPermits {
+    pub in_flight: InFlightGuard,
+    /// One of the instance's `max_in_flight` slots
+    pub slot: tokio::sync::OwnedSemaphorePermit,
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,7 @@
 //! use HTTP with JSON bodies.
 
 pub mod engine;
+pub mod engine_answer;
 pub mod http;
 pub mod instances;
 pub mod log;
--- a/crates/platform/src/token_stream.rs
+++ b/crates/platform/src/token_stream.rs
@@ -1,6 +1,6 @@
 //! Token stream of an engine, parsed line by line.
 
-use crate::engine::{EngineError, StreamLine};
+use crate::engine_answer::{EngineError, StreamLine};
 use bytes::BytesMut;
 use catalogue::id::TokenCount;
 use http_body_util::BodyExt;
