Measure pauses that all instances keep to

The load model's policy shared_pauses lets all instances keep to a pause at once. So a pause binds its receiver only, as it did; pauses_bind_only_who_received_them keeps the comparison.

--- a/crates/loadmodel/src/fleet.rs
+++ b/crates/loadmodel/src/fleet.rs
@@ -3,7 +3,7 @@
 use crate::SimTime;
 use crate::arrivals::SimRequest;
 use crate::engine::{EngineEvent, EngineJob, EngineSpec, ShedRule, SimEngine};
-use crate::policy::{ChoicePolicy, InstanceView};
+use crate::policy::{ChoicePolicy, InstanceView, PauseScope};
 use crate::report::{CallOutcome, RunReport};
 use catalogue::EngineRole;
 use catalogue::id::{EndpointId, InstanceId, ZoneName};
@@ -285,12 +285,17 @@
         self.report.shed += 1;
         let listed = &self.listed[engine];
         let state = &mut self.calls[call];
-        if !self.policy.ignores_pauses {
-            let at = self.base + Duration::from_secs_f64(now / 1000.0);
-            let time = AnswerTime { at, unix_ms: 0 };
-            let pause = Duration::from_millis(rule.pause_ms);
-            let notices = &mut self.instances[state.request.instance].notices;
-            notices.record_pause(listed, pause, self.rng.random(), time);
+        let receiver = state.request.instance;
+        let paused = match self.policy.pauses {
+            PauseScope::None => 0..0,
+            PauseScope::Receiver => receiver..receiver + 1,
+            PauseScope::All => 0..self.instances.len(),
+        };
+        let at = self.base + Duration::from_secs_f64(now / 1000.0);
+        let time = AnswerTime { at, unix_ms: 0 };
+        let pause = Duration::from_millis(rule.pause_ms);
+        for instance in &mut self.instances[paused] {
+            instance.notices.record_pause(listed, pause, self.rng.random(), time);
         }
         state.excluded.push(listed.id.clone());
         // A prompt that was read elsewhere is read again if its decode is shed.
--- a/crates/loadmodel/src/main.rs
+++ b/crates/loadmodel/src/main.rs
@@ -19,7 +19,7 @@
 
 Options:
     --policy NAME      only this policy: random, least_work, unknown_holders,
-                       known_holders (the gateway's), ignored_pauses,
+                       known_holders (the gateway's), ignored_pauses, shared_pauses,
                        fresh_view, warm_fresh_view
     --instances N      number of instances (7)
     --readers N        number of prefill engines (2)
--- a/crates/loadmodel/src/policy.rs
+++ b/crates/loadmodel/src/policy.rs
@@ -32,6 +32,16 @@
     }
 }
 
+/// Instances that keep to a pause that an engine has requested
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PauseScope {
+    None,
+    /// The one that received the request for a pause
+    Receiver,
+    /// All, at once
+    All,
+}
+
 /// Named policy
 #[derive(Clone, Copy)]
 pub struct ChoicePolicy {
@@ -39,20 +49,20 @@
     pub name: &'static str,
     /// Whether engines have cached all sessions from the start and never evict any
     pub is_warm: bool,
-    /// Whether requests go to engines that have requested a pause
-    pub ignores_pauses: bool,
+    /// Instances that keep to a pause
+    pub pauses: PauseScope,
     pub plan: fn(&GenerationRequest<'_>, &InstanceView<'_>) -> PlanOutcome,
 }
 
 const GATEWAY: ChoicePolicy = ChoicePolicy {
     name: "known_holders",
     is_warm: false,
-    ignores_pauses: false,
+    pauses: PauseScope::Receiver,
     plan: |request, view| plan_generation(request, &view.with_caches(view.caches)),
 };
 
 /// All policies; `known_holders` is the gateway's, the last two are upper bounds
-pub const POLICIES: [ChoicePolicy; 7] = [
+pub const POLICIES: [ChoicePolicy; 8] = [
     ChoicePolicy { name: "random", plan: random, ..GATEWAY },
     ChoicePolicy { name: "least_work", plan: least_work, ..GATEWAY },
     ChoicePolicy {
@@ -61,7 +71,8 @@
         ..GATEWAY
     },
     GATEWAY,
-    ChoicePolicy { name: "ignored_pauses", ignores_pauses: true, ..GATEWAY },
+    ChoicePolicy { name: "ignored_pauses", pauses: PauseScope::None, ..GATEWAY },
+    ChoicePolicy { name: "shared_pauses", pauses: PauseScope::All, ..GATEWAY },
     ChoicePolicy { name: "fresh_view", plan: fresh_view, ..GATEWAY },
     ChoicePolicy { name: "warm_fresh_view", is_warm: true, plan: fresh_view, ..GATEWAY },
 ];
--- a/crates/loadmodel/tests/patterns.rs
+++ b/crates/loadmodel/tests/patterns.rs
@@ -23,6 +23,7 @@
     times_of_engines_of_942_tokens_a_millisecond_are_learned => times_are_learned(942.0, 6),
     times_of_engines_of_3000_tokens_a_millisecond_are_learned => times_are_learned(3000.0, 8),
     honoured_pauses_avoid_sends_under_overload => pauses_avoid_sends(LoadPattern::Overload),
+    pauses_bind_only_who_received_them => shared_pauses_cost(LoadPattern::PromptSwing),
     honoured_pauses_avoid_sends_in_a_burst => pauses_avoid_sends(LoadPattern::Burst),
     one_seed_gives_one_result => runs_repeat(),
 }
@@ -69,6 +70,17 @@
     verify_that!(shed_sends("known_holders"), lt(shed_sends("ignored_pauses")))
 }
 
+/// Pauses that all instances keep to leave engines idle, so that fewer summaries are served in time
+fn shared_pauses_cost(pattern: LoadPattern) -> Result<()> {
+    const SHED: ShedRule = ShedRule { waiting: 2, pause_ms: 300 };
+    let size = FleetSize { shed: Some(SHED), ..SIZE };
+    let in_time = |name: &str| -> usize {
+        let reports = (0..SEEDS).map(|it| simulate_fleet(size, named(name), pattern, it));
+        reports.map(|it| it.kinds[0].in_time).sum()
+    };
+    verify_that!(in_time("shared_pauses"), lt(in_time("known_holders")))
+}
+
 fn named(name: &str) -> ChoicePolicy {
     policy(name).expect("a policy of that name")
 }
