Test parts with earlier answers soon after many engines have ended

What callers would have seen: after all engines of a pool had ended at once, for whatever reason, no generation was served any more for hours, though the engines were back after 3 s.

Cause: popular parts were to be answered at five engines and more when these ended, and no answer was left to clear them; as many strikes at once counted as three retries, so that they weren't tested either. Change: a part on which answers had begun before, at this instance, is refused for 3 to 6 s at first, each instance for a time of its own, and then tested; only crashes later than 3 s after the one that leads to a refusal count as retries; the first five strikes and the last three are kept. Retry-After is the rest of the refusal.

Why it works: the first test after the engines are back clears the part for all. If the part does crash engines, the test is its first retry, and the next is 20 minutes away.

--- a/crates/decide/src/serving/crash_parts.rs
+++ b/crates/decide/src/serving/crash_parts.rs
@@ -9,11 +9,13 @@
 //! of the crashing one. Requests with a suspected part therefore run one at a time as tests.
 //! A test that succeeds clears the part; one that crashes its engine adds a strike to it,
 //! which then explains the others. With `MAX_TESTED_STRIKES` a part is refused, but for a
-//! test that decides between parts with the same crashes, and tested at long intervals.
+//! test that decides between parts with the same crashes, and tested at long intervals. One
+//! on which answers had begun before is tested soon: many engines may have ended at once for
+//! a reason of their own.
 
 use super::crash_table::{CrashTable, MAX_STRIKES, StrikeScope};
 use super::prompt::PartKey;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Strikes from which a part is refused; the users' rules count requests from the fifth crash on.
 pub const MAX_TESTED_STRIKES: usize = 5;
@@ -29,8 +31,13 @@
     Refuse(PartKey),
 }
 
-/// Decides on a request with these shared parts
-pub fn decide_parts(table: &CrashTable, parts: &[PartKey], now: Instant) -> PartDecision {
+/// Decides on a request with these shared parts; `first_refusal` is the time for which a part is refused at first
+pub fn decide_parts(
+    table: &CrashTable,
+    parts: &[PartKey],
+    first_refusal: impl Fn(PartKey) -> Duration,
+    now: Instant,
+) -> PartDecision {
     let scope = StrikeScope::Lost;
     let mut suspected = Vec::new();
     for part in parts {
@@ -42,7 +49,9 @@
             let mut others = table.with_same_strikes(*part, scope, now);
             strikes <= MAX_TESTED_STRIKES && others.any(|it| !parts.contains(&it))
         };
-        if table.is_held_back(*part, MAX_TESTED_STRIKES, scope, now) && !is_ambiguous() {
+        let first_refusal = first_refusal(*part);
+        let refusal = table.refusal_left(*part, MAX_TESTED_STRIKES, first_refusal, scope, now);
+        if refusal.is_some() && !is_ambiguous() {
             return PartDecision::Refuse(*part);
         }
         suspected.push(*part);
--- a/crates/decide/src/serving/crash_table.rs
+++ b/crates/decide/src/serving/crash_table.rs
@@ -32,9 +32,11 @@
 pub const STRIKE_LIFETIME: Duration = Duration::from_secs(600);
 /// The same with as many strikes or more.
 pub const SUSPECT_LIFETIME: Duration = Duration::from_secs(3 * 3600);
-/// Time of the first refusal; each further crash doubles it.
+/// Time of a refusal; each further crash doubles it.
 pub const REFUSAL_TIME: Duration = Duration::from_secs(600);
-/// Crashes after a refusal from which there is no further try; the users' rules allow three retries.
+/// Time from the crash that leads to a refusal after which further crashes are those of retries.
+const REFUSAL_DELAY: Duration = Duration::from_secs(3);
+/// Crashes of retries from which there is no further one; the users' rules allow three.
 const MAX_RETRIES: usize = 3;
 /// Maximum time between the reports of one crash by the requests that ran there.
 const SAME_CRASH_WINDOW: Duration = Duration::from_secs(2);
@@ -47,8 +49,9 @@
 const MAX_END_DELAY: Duration = Duration::from_secs(10);
 /// Maximum number of tracked requests.
 const MAX_ENTRIES: usize = 500;
-/// Maximum number of strikes kept for a request or part; more don't change the decision.
-const MAX_KEPT_STRIKES: usize = 8;
+/// Maximum numbers of the first and of the last strikes kept for a request or part; others don't change the decision.
+const MAX_FIRST_STRIKES: usize = 5;
+const MAX_LAST_STRIKES: usize = 3;
 
 /// What has become of an endpoint after it broke off a request; what is greater replaces what is less
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -150,9 +153,14 @@
             }
         }
         // Strikes at endpoints that live are the first to go.
-        crashes.sort_by_key(|it| it.endpoint.status > EndpointStatus::Ended);
-        crashes.truncate(MAX_KEPT_STRIKES);
-        self.strikes = crashes;
+        let lives = |it: &Strike| it.endpoint.status > EndpointStatus::Ended;
+        let (alive, mut lost): (Vec<_>, Vec<_>) = crashes.into_iter().partition(lives);
+        if lost.len() > MAX_FIRST_STRIKES + MAX_LAST_STRIKES {
+            lost.drain(MAX_FIRST_STRIKES..lost.len() - MAX_LAST_STRIKES);
+        }
+        let room = MAX_FIRST_STRIKES + MAX_LAST_STRIKES - lost.len();
+        lost.extend(alive.into_iter().take(room));
+        self.strikes = lost;
     }
 
     /// Hash of the strikes
@@ -347,26 +355,34 @@
 
     /// Whether the request is refused
     pub fn is_refused(&self, fingerprint: Fingerprint, scope: StrikeScope, now: Instant) -> bool {
-        self.is_held_back(fingerprint, MAX_STRIKES, scope, now)
+        self.refusal_left(fingerprint, MAX_STRIKES, REFUSAL_TIME, scope, now).is_some()
     }
 
-    /// Whether a request or part is refused that has `limit` unexplained strikes or more
+    /// Time for which a request or part is refused that has `limit` unexplained strikes; `None` if it isn't
     ///
-    /// It is tried again after some time, and less often after each further crash.
-    pub fn is_held_back(
+    /// The first refusal takes `first_refusal` from the last crash. Then it is tried again, and less often after each
+    /// crash that follows.
+    pub fn refusal_left(
         &self,
         fingerprint: Fingerprint,
         limit: usize,
+        first_refusal: Duration,
         scope: StrikeScope,
         now: Instant,
-    ) -> bool {
-        let Some(retries) = self.unexplained_strikes(fingerprint, scope, now).checked_sub(limit)
-        else {
-            return false;
+    ) -> Option<Duration> {
+        if self.unexplained_strikes(fingerprint, scope, now) < limit {
+            return None;
+        }
+        let mut times = self.strikes(fingerprint, scope, now).map(|it| it.at).collect::<Vec<_>>();
+        times.sort();
+        let refused_at = *times.get(limit - 1)? + REFUSAL_DELAY;
+        let time = match times.iter().filter(|it| **it > refused_at).count() {
+            0 => first_refusal,
+            retries if retries < MAX_RETRIES => REFUSAL_TIME * (1 << retries),
+            _ => SUSPECT_LIFETIME,
         };
-        let refusal_time = REFUSAL_TIME * (1 << retries.min(MAX_RETRIES));
-        let last_at = self.strikes(fingerprint, scope, now).map(|it| it.at).max();
-        retries >= MAX_RETRIES || last_at.is_some_and(|it| is_fresh(it, refusal_time, now))
+        let end = *times.last()? + time;
+        Some(end.saturating_duration_since(now)).filter(|it| !it.is_zero())
     }
 
     /// Number of strikes for crashes that no request with more strikes explains; 0 below `MAX_STRIKES` strikes
--- a/crates/decide/tests/serving_crash_parts.rs
+++ b/crates/decide/tests/serving_crash_parts.rs
@@ -1,7 +1,7 @@
 //! Prompt parts that crash engines: which requests are tested or refused, and a model of a pool that meets such a part.
 
 use decide::serving::crash_parts::{PartDecision, decide_parts};
-use decide::serving::crash_table::{BrokenEndpoint, CrashTable, EndpointStatus};
+use decide::serving::crash_table::{BrokenEndpoint, CrashTable, EndpointStatus, REFUSAL_TIME};
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::prompt::PartKey;
 use googletest::prelude::*;
@@ -78,7 +78,7 @@
         now += Duration::from_secs(1);
     }
     for (parts, decision) in expected {
-        verify_that!(decide_parts(&table, parts, now), eq(decision))?;
+        verify_that!(decide_parts(&table, parts, |_| REFUSAL_TIME, now), eq(decision))?;
     }
     Ok(())
 }
@@ -91,7 +91,7 @@
     for second in 0..3 * 3600 {
         let now = start + Duration::from_secs(second);
         table.expire(now);
-        if !matches!(decide_parts(&table, &[BAD], now), Refuse(_)) {
+        if !matches!(decide_parts(&table, &[BAD], |_| REFUSAL_TIME, now), Refuse(_)) {
             table.record_strike(BAD, &broken(&format!("e{second}")), now, now);
             crashes.push(second);
         }
@@ -99,6 +99,28 @@
     verify_that!(crashes, eq(&vec![0, 1, 2, 3, 4, 604, 1804, 4204]))
 }
 
+/// Eight engines end at once under a part on which answers had begun before
+fn check_all_ended() -> Result<()> {
+    let start = Instant::now();
+    let soon = Duration::from_secs(5);
+    let mut table = CrashTable::default();
+    for engine in ["a", "b", "c", "d", "e", "f", "g", "h"] {
+        table.record_strike(ROOT, &broken(engine), start, start);
+    }
+    let decide = |table: &CrashTable, after: Duration| {
+        decide_parts(table, &[ROOT, TOOL], |_| soon, start + after)
+    };
+    verify_that!(decide(&table, Duration::from_secs(4)), eq(&Refuse(ROOT)))?;
+    verify_that!(decide(&table, soon), eq(&Test(vec![ROOT])))?;
+    // It does crash engines: the next test is ten minutes and more away.
+    let mut crashing = table.clone();
+    crashing.record_strike(ROOT, &broken("a.1"), start + soon, start + soon);
+    verify_that!(decide(&crashing, REFUSAL_TIME), eq(&Refuse(ROOT)))?;
+    // It doesn't.
+    table.record_completion(ROOT, start + soon, start + soon);
+    verify_that!(decide(&table, soon), eq(&Admit))
+}
+
 /// Checks that answers on sound parts change no digest, so that instances send each other nothing for them
 fn check_quiet() -> Result<()> {
     let now = Instant::now();
@@ -167,7 +189,7 @@
         let is_tested = |it: &ModelRun, part: &PartKey| {
             it.is_test && it.instance == instance && it.parts.contains(part)
         };
-        let is_test = match decide_parts(&self.table, parts, self.now) {
+        let is_test = match decide_parts(&self.table, parts, |_| REFUSAL_TIME, self.now) {
             Admit => Some(false),
             Test(suspected) => {
                 let mut tested = self.running.iter();
@@ -323,6 +345,8 @@
         &[Crash("a", &[BAD]), Crash("b", &[BAD]), Answer(&[ROOT]), Crash("a", &[BAD]), Crash("b", &[BAD]), Answer(&[ROOT]), Crash("a", &[BAD])],
         &[(&[ROOT, BAD], Refuse(BAD))]
     ),
+    // Guards against a sound part that is refused for long, since all engines ended at once under it.
+    part_of_many_crashes_at_once_is_tested_soon => check_all_ended(),
     // Guards against a part that is refused for engines that break off requests and live on.
     engines_that_live_count_for_no_part => check(
         &[Crash("a", &[RARE]), Alive("a"), Crash("b", &[RARE]), Alive("b"), Crash("c", &[RARE]), Alive("c")], &[(&[RARE], Admit)]
--- a/crates/gateway/src/crash_parts.rs
+++ b/crates/gateway/src/crash_parts.rs
@@ -6,28 +6,33 @@
 
 use crate::messages::ServingUpdate;
 use crate::part_tests::PartTest;
-use crate::serving_call::ServingCall;
+use crate::serving_call::{Refusal, SUSPECTED_PART, ServingCall};
 use crate::state::Gateway;
-use decide::serving::crash_parts::{PartDecision, decide_parts};
+use decide::serving::crash_parts::{MAX_TESTED_STRIKES, PartDecision, decide_parts};
 use decide::serving::crash_table::{
     BrokenEndpoint, CrashFact, EndpointStatus, MAX_STRIKES, StrikeScope,
 };
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::prompt::{PartKey, PromptShape};
-use std::time::Instant;
+use platform_adapter::answer::GatewayAnswer;
+use std::time::{Duration, Instant};
 use tokio::time::timeout_at;
 
 /// Fraction of the objective that a request waits while another one tests its suspected part.
 const TEST_WAIT_FRACTION: f64 = 0.25;
+/// Shortest `Retry-After` of a request that is refused for a part of its prompt.
+const MIN_PART_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 impl ServingCall {
     /// Decision on the request by the shared parts of its prompt
     pub fn part_decision(&self, gateway: &Gateway) -> PartDecision {
-        let table = gateway.part_suspects.table.borrow();
+        let suspects = &gateway.part_suspects;
+        let table = suspects.table.borrow();
         match &self.prompt {
             // Avoids hashing the parts: usually no engine has crashed.
             Some(prompt) if !table.is_empty() => {
-                decide_parts(&table, &prompt.shared_part_keys(), Instant::now())
+                let first_refusal = |it| suspects.first_refusal(it);
+                decide_parts(&table, &prompt.shared_part_keys(), first_refusal, Instant::now())
             }
             _ => PartDecision::Admit,
         }
@@ -90,12 +95,14 @@
 
     /// Records that an engine has begun the answer, and ends the test of the parts
     pub fn record_part_answers(&mut self, gateway: &Gateway) {
-        if let Some(prompt) = &self.prompt
-            && !gateway.part_suspects.table.borrow().is_empty()
-        {
+        if let Some(prompt) = &self.prompt {
             let now = Instant::now();
+            let keys = prompt.shared_part_keys();
+            for key in &keys {
+                gateway.part_suspects.answered.borrow_mut().put(*key, ());
+            }
             let fact = |part| CrashFact::new(part, None, now, now);
-            gateway.record_part_facts(prompt.shared_part_keys().into_iter().map(fact), now);
+            gateway.record_part_facts(keys.into_iter().map(fact), now);
         }
         if let Some(running) = self.running.get_mut() {
             running.awaits_event = false;
@@ -103,19 +110,25 @@
         self.part_test = None;
     }
 
-    /// Logs why a part of the prompt is refused
-    pub fn log_refused_part(&self, gateway: &Gateway, refused: PartKey) {
+    /// Refuses the request for a part of its prompt, and logs why
+    pub fn refuse_part(&self, gateway: &Gateway, refused: PartKey) -> Refusal {
         let now = Instant::now();
+        let first_refusal = gateway.part_suspects.first_refusal(refused);
         let parts = self.prompt.as_ref().map_or(&[][..], PromptShape::shared_parts);
         let part = parts.iter().find(|it| it.key() == refused);
         let table = gateway.part_suspects.table.borrow();
-        let engines = table.broken_endpoints(refused, StrikeScope::Lost, now);
+        let scope = StrikeScope::Lost;
+        let left = table.refusal_left(refused, MAX_TESTED_STRIKES, first_refusal, scope, now);
+        let engines = table.broken_endpoints(refused, scope, now);
         log::info!(
-            "event=part_refused id={} part={} key={refused:x} engines={}",
+            "event=part_refused id={} part={} key={refused:x} left_ms={} engines={}",
             self.request.id,
             part.map_or_else(String::new, |it| it.short_id()),
+            left.unwrap_or_default().as_millis(),
             engines.map(|it| it.as_str()).collect::<Vec<_>>().join(","),
         );
+        let retry_after = left.map(|it| it.max(MIN_PART_RETRY_AFTER));
+        Refusal { answer: GatewayAnswer::Suspected, reason: SUSPECTED_PART, retry_after }
     }
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -80,7 +80,7 @@
     let retry_after = match answer {
         GatewayAnswer::NotRun if refusal.retry_after.is_some() => refusal.retry_after,
         GatewayAnswer::NotRun if !gateway.is_ready() => Some(START_RETRY_AFTER),
-        GatewayAnswer::Suspected => Some(REFUSAL_TIME),
+        GatewayAnswer::Suspected => refusal.retry_after.or(Some(REFUSAL_TIME)),
         GatewayAnswer::NotRun => {
             Some(MIN_RETRY_AFTER + RETRY_JITTER.mul_f64(rand::random::<f64>()))
         }
--- a/crates/gateway/src/part_tests.rs
+++ b/crates/gateway/src/part_tests.rs
@@ -1,22 +1,53 @@
 //! Suspected prompt parts, and the requests that test them one at a time.
 
-use decide::serving::crash_table::CrashTable;
+use decide::serving::crash_table::{CrashTable, REFUSAL_TIME};
 use decide::serving::prompt::PartKey;
 use indexmap::IndexSet;
+use lru::LruCache;
 use std::cell::RefCell;
+use std::num::NonZeroUsize;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
 
+/// Maximum number of parts with begun answers to remember.
+const MAX_ANSWERED_PARTS: NonZeroUsize = NonZeroUsize::new(4096).expect("not zero");
+/// First refusal of a part on which answers had begun, and the most by which an instance lengthens it, so that not
+/// all test the part at once.
+const ANSWERED_REFUSAL: Duration = Duration::from_secs(3);
+const MAX_REFUSAL_JITTER: Duration = Duration::from_secs(3);
+
 /// Evidence against prompt parts, and the tests that run here
-#[derive(Default)]
 pub struct PartSuspects {
     /// Strikes and begun answers by part
     pub table: RefCell<CrashTable>,
+    /// Parts on which answers had begun, at this instance
+    pub answered: RefCell<LruCache<PartKey, ()>>,
+    answered_refusal: Duration,
     tests: RefCell<IndexSet<PartKey>>,
     /// Notified when a test ends
     pub test_ended: Notify,
 }
 
+impl Default for PartSuspects {
+    fn default() -> PartSuspects {
+        PartSuspects {
+            table: RefCell::default(),
+            answered: RefCell::new(LruCache::new(MAX_ANSWERED_PARTS)),
+            answered_refusal: ANSWERED_REFUSAL + MAX_REFUSAL_JITTER.mul_f64(rand::random()),
+            tests: RefCell::default(),
+            test_ended: Notify::new(),
+        }
+    }
+}
+
+impl PartSuspects {
+    /// Time for which a part is refused at first
+    pub fn first_refusal(&self, part: PartKey) -> Duration {
+        if self.answered.borrow().contains(&part) { self.answered_refusal } else { REFUSAL_TIME }
+    }
+}
+
 /// Only request of this instance with some suspected parts, until dropped
 pub struct PartTest {
     suspects: Rc<PartSuspects>,
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -69,6 +69,7 @@
     pub part_test: Option<PartTest>,
     /// Send that an endpoint may be running
     pub running: RefCell<Option<RunningSend>>,
+    /// State in which it records that its client has left
     pub gateway: Rc<Gateway>,
     /// Connection attempts that failed before anything was sent
     pub failed_connects: u32,
@@ -278,8 +279,7 @@
         if let PartDecision::Refuse(part) = self.part_decision(gateway)
             && !self.history.may_have_run
         {
-            self.log_refused_part(gateway, part);
-            return Refusal::new(GatewayAnswer::Suspected, SUSPECTED_PART);
+            return self.refuse_part(gateway, part);
         }
         let answer = match self.history.final_step() {
             FinalStep::Fail if Instant::now() >= self.deadline => GatewayAnswer::TimedOut,
--- a/crates/gateway/tests/gateway/crashing_parts.rs
+++ b/crates/gateway/tests/gateway/crashing_parts.rs
@@ -1,10 +1,11 @@
 //! Prompt parts that end every engine that begins to write an answer on them.
 
+use crate::client::call;
 use crate::deployment::generation_with;
 use crate::ending_fleet::{CONTACT_TIME, DOWN_TIME, EndingFleet, served_fraction};
 use crate::endpoint::{Arrival, STREAM_END, Step, chunk, event, stream_head};
 use googletest::prelude::*;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use testcases::cases;
 use tokio::time::sleep;
 
@@ -22,6 +23,10 @@
     rare_neighbours_of_a_crashing_part_are_served => played(PartTest { sound: rare_parts, ..PartTest::default() }),
     // Guards against a part that is never recognized, since its clients leave before their engine ends.
     crashing_part_whose_clients_leave_before_the_end_is_refused => played(PartTest { patience: IMPATIENT, ..PartTest::default() }),
+    // Guards against a part that is tested again and again, since answers on it had begun before.
+    crashing_part_that_had_been_sound_is_refused => played(PartTest { sound_before: true, ..PartTest::default() }),
+    // Guards against sound parts that are refused for long, since all engines ended at once under them.
+    sound_parts_are_served_after_all_engines_have_ended => all_ended(),
     // Facts reach the others through leaders.
     crashing_part_is_refused_by_many_instances => played(PartTest { instances: 14, ..PartTest::default() }),
     // An instance that starts after the crashes refuses the part without another one.
@@ -57,6 +62,8 @@
     own_tokens: usize,
     prefill_engines: usize,
     late_instance: bool,
+    /// Whether answers on the part begin before it crashes engines
+    sound_before: bool,
     /// Instances at the start; more than 12 exchange facts through leaders
     instances: usize,
     /// Time after which clients with the crashing part leave
@@ -73,6 +80,7 @@
             own_tokens: 100,
             prefill_engines: 0,
             late_instance: false,
+            sound_before: false,
             instances: 4,
             patience: PATIENT,
         }
@@ -91,7 +99,8 @@
 }
 
 fn is_crashing(arrival: &Arrival) -> bool {
-    arrival.header("x-prompt-prefix").is_some_and(|it| it.contains("crashing"))
+    let is_early = arrival.header("x-request-id").is_some_and(|it| it.starts_with("early"));
+    !is_early && arrival.header("x-prompt-prefix").is_some_and(|it| it.contains("crashing"))
 }
 
 fn script(arrival: &Arrival) -> Vec<Step> {
@@ -130,6 +139,10 @@
         ("127.0.6.1".to_owned(), generation_with(route, &id, &sound(number), own_tokens))
     });
     sleep(SOUND_TIME).await;
+    for instance in fleet.instances.iter().filter(|_| test.sound_before) {
+        let request = generation_with(route, "early", &crashing(0), own_tokens);
+        verify_that!(call(instance.clients, request).await.status, eq(200))?;
+    }
     fleet.send_impatient_load(CRASH_INTERVAL, test.patience, move |number| {
         let id = format!("c-{number}");
         ("127.0.6.1".to_owned(), generation_with(route, &id, &crashing(number), own_tokens))
@@ -152,3 +165,22 @@
     }
     Ok(())
 }
+
+/// Interval of a load that keeps every engine reading prompts.
+const HEAVY_INTERVAL: Duration = Duration::from_millis(5);
+
+async fn all_ended() -> Result<()> {
+    let test = PartTest::default();
+    let ids = (0..ENGINES).map(|it| format!("engine-{it}"));
+    let fleet = EndingFleet::start(ids, script, test.instances).await;
+    let sound = fleet.send_load(HEAVY_INTERVAL, move |number| {
+        let id = format!("sound-{number}");
+        let parts = (test.sound)(number);
+        ("127.0.6.1".to_owned(), generation_with(test.route, &id, &parts, test.own_tokens))
+    });
+    sleep(SOUND_TIME).await;
+    fleet.endpoints.iter().for_each(|it| it.end(DOWN_TIME));
+    let back_at = Instant::now() + DOWN_TIME;
+    sleep(DOWN_TIME + CONTACT_TIME * 3).await;
+    verify_that!(served_fraction(&sound, back_at + CONTACT_TIME), ge(MIN_SERVED))
+}
