--- a/crates/gateway/tests/gateway/deployment.rs
+++ b/crates/gateway/tests/gateway/deployment.rs
@@ -59,10 +59,22 @@
     state: &str,
     stage: Option<&str>,
     started_at_ms: u64,
+) {
+    list_software(store, endpoint, state, stage, started_at_ms, "v1");
+}
+
+/// Puts the entry of an incarnation with this version of its software into the store
+pub fn list_software(
+    store: &FakeStore,
+    endpoint: &FakeEndpoint,
+    state: &str,
+    stage: Option<&str>,
+    started_at_ms: u64,
+    software: &str,
 ) {
     let pool = if endpoint.id.starts_with("engine") { "engines" } else { "plain" };
     let mut entry = json!({
-        "service": pool, "address": endpoint.address, "zone": "zone-a", "version": "v1",
+        "service": pool, "address": endpoint.address, "zone": "zone-a", "version": software,
         "slots": 6, "state": state, "cold_left_ms": 0, "sequence": 1, "born": started_at_ms
     });
     if let Some(stage) = stage {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -22,6 +22,7 @@
 mod rate_limits;
 mod retry_limits;
 mod soak;
+mod software_versions;
 mod store;
 mod streams;
 mod unframed;
