Test instances that are cut from all endpoints

Change: stand-in endpoints tell by the kernel's socket diagnosis which process a connection comes from, and hold or reset those of cut instances.

--- a/crates/gateway/tests/gateway/ending_fleet.rs
+++ b/crates/gateway/tests/gateway/ending_fleet.rs
@@ -1,6 +1,7 @@
 //! Fleet of endpoints that end on certain requests and come back, under a steady load.
 
 use crate::client::call_from;
+use crate::cut::CutSwitch;
 use crate::deployment::{config, list_as, stage_of, unix_ms};
 use crate::endpoint::{Arrival, FakeEndpoint, Step};
 use crate::process::Instance;
@@ -23,7 +24,14 @@
 /// Answer to one request of the load
 #[derive(Debug, Clone, Copy)]
 pub struct LoadRecord {
+    /// Instance that it was sent to
+    pub instance: SocketAddr,
+    /// Number in the load
+    pub number: usize,
     pub sent_at: Instant,
+    pub took: Duration,
+    /// Status code; 0 without an answer
+    pub status: u16,
     /// Whether it was served whole
     pub is_served: bool,
 }
@@ -36,6 +44,8 @@
     pub store: FakeStore,
     pub endpoints: Vec<FakeEndpoint>,
     pub instances: Vec<Instance>,
+    /// Cuts of instances from the endpoints
+    pub cuts: CutSwitch,
     addresses: Arc<Mutex<Vec<SocketAddr>>>,
 }
 
@@ -49,14 +59,15 @@
         let store = FakeStore::start().await;
         store.put("keyed.op", "config", config(1, 2000).to_string().as_bytes());
         let mut endpoints = Vec::new();
+        let cuts = CutSwitch::default();
         for id in ids {
-            let endpoint = FakeEndpoint::start(&id, script).await;
+            let endpoint = FakeEndpoint::start_behind(&id, cuts.clone(), script).await;
             list_incarnation(&store, &endpoint, 0);
             tokio::spawn(keep_listed(store.clone(), endpoint.clone()));
             endpoints.push(endpoint);
         }
         let addresses = Arc::default();
-        let mut fleet = EndingFleet { store, endpoints, instances: Vec::new(), addresses };
+        let mut fleet = EndingFleet { store, endpoints, instances: Vec::new(), cuts, addresses };
         for _ in 0..instances {
             fleet.launch();
         }
@@ -80,6 +91,13 @@
         self.addresses.lock().expect("no panic").remove(0);
     }
 
+    /// Takes the last instance before the one that was launched last out of the load
+    pub fn withdraw_last(&self) {
+        let mut addresses = self.addresses.lock().expect("no panic");
+        let index = addresses.len() - 2;
+        addresses.remove(index);
+    }
+
     /// Sends requests at an interval, each through the next instance; `request` returns the caller's address and the
     /// request with a number
     pub fn send_load(
@@ -113,8 +131,12 @@
                 tokio::spawn(async move {
                     let answer = timeout(patience, call_from(&caller, address, request)).await;
                     let answer = answer.ok().and_then(|it| it.ok());
+                    let status = answer.as_ref().map_or(0, |it| it.status);
                     let is_served = answer.is_some_and(|it| it.status == 200 && it.is_whole);
-                    collected.lock().expect("no panic").push(LoadRecord { sent_at, is_served });
+                    let took = sent_at.elapsed();
+                    let instance = address;
+                    let record = LoadRecord { instance, number, sent_at, took, status, is_served };
+                    collected.lock().expect("no panic").push(record);
                 });
             }
         });
--- a/crates/gateway/tests/gateway/endpoint.rs
+++ b/crates/gateway/tests/gateway/endpoint.rs
@@ -1,6 +1,9 @@
 //! Stand-in of an endpoint that answers each request by a script of raw bytes.
 
+use crate::cut::{CutMode, CutSwitch};
+use crate::process::ProcessId;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -84,6 +87,8 @@
     ends: Arc<Mutex<Vec<Instant>>>,
     /// Whether each incarnation has an id of its own in the endpoint list
     has_new_ids: Arc<AtomicBool>,
+    /// Cuts of instances from it
+    cuts: CutSwitch,
 }
 
 impl FakeEndpoint {
@@ -91,6 +96,15 @@
     pub async fn start(
         id: &str,
         script: impl Fn(&Arrival) -> Vec<Step> + Send + Sync + 'static,
+    ) -> FakeEndpoint {
+        FakeEndpoint::start_behind(id, CutSwitch::default(), script).await
+    }
+
+    /// Starts an endpoint from which instances can be cut
+    pub async fn start_behind(
+        id: &str,
+        cuts: CutSwitch,
+        script: impl Fn(&Arrival) -> Vec<Step> + Send + Sync + 'static,
     ) -> FakeEndpoint {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
         let endpoint = FakeEndpoint {
@@ -104,6 +118,7 @@
             incarnation: Arc::new(watch::Sender::new(Incarnation { number: 0, is_up: true })),
             ends: Arc::default(),
             has_new_ids: Arc::default(),
+            cuts,
         };
         tokio::spawn(endpoint.clone().run(listener));
         endpoint
@@ -199,12 +214,47 @@
         let mut incarnation = self.incarnation.subscribe();
         let number = incarnation.borrow_and_update().number;
         tokio::select! {
-            () = self.serve_requests(socket, connection, number) => {}
+            () = self.serve_behind_cuts(socket, connection, number) => {}
             _ = incarnation.wait_for(|it| it.number != number) => {}
         }
         self.open.fetch_sub(1, Ordering::SeqCst);
     }
 
+    /// Serves a connection while its instance isn't cut from the endpoint
+    async fn serve_behind_cuts(&self, socket: TcpStream, connection: usize, incarnation: usize) {
+        let (Ok(client), Ok(server)) = (socket.peer_addr(), socket.local_addr()) else { return };
+        let mut cuts = self.cuts.subscribe();
+        let mut owner = cuts.borrow_and_update().owner(client, server);
+        let mode = |it: &CutSwitch, owner: Option<ProcessId>| {
+            owner.and_then(|owner| it.subscribe().borrow().mode(owner))
+        };
+        if matches!(mode(&self.cuts, owner), Some(CutMode::Reset | CutMode::ResetNew)) {
+            let _ = socket.set_zero_linger();
+            return;
+        }
+        // A copy of the descriptor, to reset the connection while the other one is in use.
+        let copy = socket.as_fd().try_clone_to_owned().expect("a descriptor");
+        let mut requests = std::pin::pin!(self.serve_requests(socket, connection, incarnation));
+        loop {
+            match mode(&self.cuts, owner) {
+                Some(CutMode::Hang) => {
+                    let _ = cuts.changed().await;
+                }
+                Some(CutMode::Reset) => {
+                    let copy = TcpStream::from_std(std::net::TcpStream::from(copy));
+                    let _ = copy.and_then(|it| it.set_zero_linger());
+                    return;
+                }
+                None | Some(CutMode::ResetNew) => tokio::select! {
+                    () = &mut requests => return,
+                    _ = cuts.changed() => {}
+                },
+            }
+            let state = cuts.borrow_and_update().clone();
+            owner = owner.or_else(|| state.owner(client, server));
+        }
+    }
+
     async fn serve_requests(&self, mut socket: TcpStream, connection: usize, incarnation: usize) {
         let mut buffer = Vec::new();
         let own_id = self.incarnation_id(incarnation);
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -6,6 +6,8 @@
 mod crashes;
 mod crashing_lookups;
 mod crashing_parts;
+mod cut;
+mod cut_instances;
 mod deployment;
 mod drain;
 mod ending_fleet;
--- a/crates/gateway/tests/gateway/process.rs
+++ b/crates/gateway/tests/gateway/process.rs
@@ -17,6 +17,9 @@
 
 static NEXT_ADDRESS: AtomicU8 = AtomicU8::new(1);
 
+/// Id of a process.
+pub type ProcessId = u32;
+
 /// Lines that an instance has logged so far
 pub type InstanceLog = Arc<Mutex<Vec<String>>>;
 
@@ -116,6 +119,16 @@
         }
     }
 
+    /// Address for other instances
+    pub fn peers(&self) -> SocketAddr {
+        SocketAddr::new(self.clients.ip(), PEER_PORT)
+    }
+
+    /// Id of its process
+    pub fn process(&self) -> ProcessId {
+        self.child.id()
+    }
+
     /// Largest resident memory so far, in bytes
     pub fn peak_memory(&self) -> usize {
         let path = format!("/proc/{}/status", self.child.id());
