Decode software versions and log them with each pick

The origins of streams, and what listed versions tell of unknown ones, as plain values with six cases.

--- a/crates/decide/src/serving/endpoint_list.rs
+++ b/crates/decide/src/serving/endpoint_list.rs
@@ -12,6 +12,7 @@
 use catalogue::EngineRole;
 use catalogue::id::{EndpointId, PoolName, ZoneName};
 use indexmap::IndexMap;
+use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -34,6 +35,8 @@
     pub address: SocketAddr,
     /// Availability zone
     pub zone: ZoneName,
+    /// Version of its software
+    pub version: SmolStr,
     /// Requests that it processes concurrently
     pub slots: u32,
     /// Whether it accepts new requests
@@ -206,10 +209,15 @@
         self.entries.get(id).and_then(|it| it.endpoint.as_ref())
     }
 
-    /// Endpoints that accept new requests
-    pub fn ready(&self, now: Instant) -> impl Iterator<Item = &ListedEndpoint> {
+    /// All endpoints that are listed, whether they accept requests or not
+    pub fn listed(&self, now: Instant) -> impl Iterator<Item = &ListedEndpoint> {
         let is_expired = move |it: &ListEntry| it.expires_at.is_some_and(|it| it <= now);
         let entries = self.entries.values().filter(move |it| !is_expired(it));
-        entries.filter_map(|it| it.endpoint.as_ref()).filter(|it| it.is_ready)
+        entries.filter_map(|it| it.endpoint.as_ref())
+    }
+
+    /// Endpoints that accept new requests
+    pub fn ready(&self, now: Instant) -> impl Iterator<Item = &ListedEndpoint> {
+        self.listed(now).filter(|it| it.is_ready)
     }
 }
--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -20,4 +20,5 @@
 pub mod send_history;
 pub mod silence;
 pub mod store_era;
+pub mod stream_origins;
 pub mod timing;
--- a/crates/decide/src/serving/pick.rs
+++ b/crates/decide/src/serving/pick.rs
@@ -15,6 +15,7 @@
 use super::endpoint_list::ListedEndpoint;
 use super::load::{FleetLoad, WorkCount};
 use super::prompt::{PromptPrefix, PromptShape};
+use super::stream_origins::SoftwareVersion;
 use super::timing::{PoolTiming, StageSample, StageTime, TimedStage};
 use catalogue::EngineRole;
 use catalogue::id::{EndpointId, TokenCount, ZoneName};
@@ -61,6 +62,8 @@
 pub struct EnginePick {
     /// Id of the engine
     pub endpoint: EndpointId,
+    /// Version of its software
+    pub version: SoftwareVersion,
     /// Work of all instances at the engine
     pub work: WorkCount,
     /// Prompt tokens that the engine is expected to read
@@ -374,6 +377,7 @@
         };
         EnginePick {
             endpoint: engine.id.clone(),
+            version: engine.version.clone(),
             work,
             unread_tokens,
             holder: holder.map(|(it, _)| it.id.clone()),
@@ -395,6 +399,7 @@
         let added_delay_ms = self.preemption_ms(engine, work);
         EnginePick {
             endpoint: engine.id.clone(),
+            version: engine.version.clone(),
             work,
             unread_tokens: 0,
             holder: None,
--- a/crates/decide/tests/serving_choice.rs
+++ b/crates/decide/tests/serving_choice.rs
@@ -55,6 +55,7 @@
         pool: "engines".into(),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: "zone-a".into(),
+        version: "v1".into(),
         slots: 6,
         is_ready: true,
         role: Some(role),
--- a/crates/decide/tests/serving_crash_parts.rs
+++ b/crates/decide/tests/serving_crash_parts.rs
@@ -41,6 +41,7 @@
         pool: "p".into(),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: "z".into(),
+        version: "v1".into(),
         slots: 6,
         is_ready: true,
         role: None,
--- a/crates/decide/tests/serving_crash_table.rs
+++ b/crates/decide/tests/serving_crash_table.rs
@@ -80,6 +80,7 @@
                 pool: "p".into(),
                 address: "127.0.0.1:1".parse().expect("an address"),
                 zone: "z".into(),
+                version: "v1".into(),
                 slots: 6,
                 is_ready: true,
                 role: None,
--- a/crates/decide/tests/serving_rate_limit.rs
+++ b/crates/decide/tests/serving_rate_limit.rs
@@ -43,6 +43,7 @@
         pool: "p".into(),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: "zone-a".into(),
+        version: "v1".into(),
         slots: 6,
         is_ready: true,
         role: None,
--- /dev/null
+++ b/crates/decide/tests/serving_stream_origins.rs
@@ -0,0 +1,101 @@
+//! Origins of streams, and what the listed versions tell of unknown ones.
+
+use catalogue::EngineRole;
+use decide::serving::endpoint_list::ListedEndpoint;
+use decide::serving::stream_origins::{ListedVersions, StreamOrigin, StreamOrigins, stream_key};
+use googletest::prelude::*;
+use std::time::{Duration, Instant};
+use testcases::cases;
+
+cases! {
+    origin_is_known_by_the_id => known(),
+    // Guards against a stream that goes on at the version of another one with the same id.
+    streams_with_one_id_and_two_origins_are_unknown => ambiguous(),
+    oldest_streams_are_dropped => dropped(),
+    only_listed_version_is_that_of_all_streams => only(),
+    // Guards against a conclusion from a list that this instance has not known for long enough.
+    versions_from_before_the_start_are_unknown => from_before_the_start(),
+    origin_fits_its_pool_and_version => fitting(),
+}
+
+fn engine(id: &str, version: &str) -> ListedEndpoint {
+    ListedEndpoint {
+        id: id.into(),
+        pool: "engines".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "a".into(),
+        version: version.into(),
+        slots: 1,
+        is_ready: true,
+        role: Some(EngineRole::Mixed),
+        started_at_ms: 1,
+        sequence: 0,
+    }
+}
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin::of(&engine("e", version))
+}
+
+fn known() -> Result<()> {
+    let mut origins = StreamOrigins::default();
+    verify_that!(origins.record(stream_key("one"), &origin("v1")), eq(true))?;
+    verify_that!(origins.record(stream_key("one"), &origin("v1")), eq(false))?;
+    origins.record(stream_key("two"), &origin("v2"));
+    verify_that!(origins.get(stream_key("one")), some(eq(&origin("v1"))))?;
+    verify_that!(origins.get(stream_key("two")), some(eq(&origin("v2"))))?;
+    verify_that!(origins.get(stream_key("three")), none())
+}
+
+fn ambiguous() -> Result<()> {
+    let mut origins = StreamOrigins::default();
+    origins.record(stream_key("one"), &origin("v1"));
+    verify_that!(origins.record(stream_key("one"), &origin("v2")), eq(true))?;
+    verify_that!(origins.record(stream_key("one"), &origin("v1")), eq(false))?;
+    verify_that!(origins.get(stream_key("one")), none())?;
+    verify_that!(origins.is_ambiguous(stream_key("one")), eq(true))
+}
+
+fn dropped() -> Result<()> {
+    let mut origins = StreamOrigins::default();
+    for stream in 0..100_000 {
+        origins.record(stream, &origin("v1"));
+    }
+    verify_that!(origins.get(0), none())?;
+    verify_that!(origins.get(99_999), some(eq(&origin("v1"))))
+}
+
+fn only() -> Result<()> {
+    let mut versions = ListedVersions::default();
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let (old, new) = (engine("e1", "v1"), engine("e2", "v2"));
+    let pool = "engines".into();
+    verify_that!(versions.only_version(&pool, Some(start), true), none())?;
+    versions.record([&old].into_iter(), at(1));
+    verify_that!(versions.only_version(&pool, Some(at(1)), false), some(eq("v1")))?;
+    versions.record([&old, &new].into_iter(), at(20));
+    verify_that!(versions.only_version(&pool, Some(at(10)), false), none())?;
+    versions.record([&new].into_iter(), at(25));
+    verify_that!(versions.only_version(&pool, Some(at(19)), false), none())?;
+    verify_that!(versions.only_version(&pool, Some(at(21)), false), some(eq("v2")))?;
+    verify_that!(versions.only_version(&"others".into(), Some(at(21)), false), none())
+}
+
+fn from_before_the_start() -> Result<()> {
+    let mut versions = ListedVersions::default();
+    let start = Instant::now() + Duration::from_secs(60);
+    versions.record([&engine("e1", "v1")].into_iter(), start);
+    let before = Some(start - Duration::from_secs(1));
+    let pool = "engines".into();
+    verify_that!(versions.only_version(&pool, before, false), none())?;
+    verify_that!(versions.only_version(&pool, None, false), none())?;
+    verify_that!(versions.only_version(&pool, before, true), some(eq("v1")))
+}
+
+fn fitting() -> Result<()> {
+    let other_pool = ListedEndpoint { pool: "others".into(), ..engine("e", "v1") };
+    verify_that!(origin("v1").fits(&engine("f", "v1")), eq(true))?;
+    verify_that!(origin("v1").fits(&engine("f", "v2")), eq(false))?;
+    verify_that!(origin("v1").fits(&other_pool), eq(false))
+}
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -247,9 +247,10 @@
 fn describe_plan(plan: &GenerationPlan) -> String {
     let engine = |stage: &str, it: &EnginePick| {
         format!(
-            "{stage}={} {stage}_requests={} {stage}_unread={}+{} {stage}_source={} \
+            "{stage}={} {stage}_version={} {stage}_requests={} {stage}_unread={}+{} {stage}_source={} \
              {stage}_own_ms={:.0} {stage}_wait_ms={:.0}",
             it.endpoint,
+            it.version,
             it.work.requests,
             it.work.unread_tokens,
             it.unread_tokens,
--- a/crates/loadmodel/src/fleet.rs
+++ b/crates/loadmodel/src/fleet.rs
@@ -174,6 +174,7 @@
         pool: "engines".into(),
         address: ([127, 0, 0, 1], 1).into(),
         zone: "zone".into(),
+        version: "v1".into(),
         slots: size.engine.slots,
         is_ready: true,
         role: Some(role),
--- a/crates/loadmodel/src/policy.rs
+++ b/crates/loadmodel/src/policy.rs
@@ -116,6 +116,7 @@
 ) -> GenerationPlan {
     GenerationPlan::Whole(EnginePick {
         endpoint: engine.id.clone(),
+        version: engine.version.clone(),
         work: view.load.total_at(&engine.id),
         unread_tokens: u64::from(request.prompt.prompt_tokens),
         holder: None,
