Let a stream go on only at the software version that began it

Cause: an instance resumed a stream at any engine, and one that a client turned to did not know what had begun the stream. Class: a choice that joins the work of two engines as if all of a pool were alike.

Change: the instance that relays the first event records the stream's pool and version, and tells the others with its next message unless the stream has ended by then. An instance that lacks an origin asks three others, which also answer what they conclude from the list: if only one version was listed for twice the longest timeout, it is that one. What stays unknown is refused with 503 (not run), since at a wrong version it would be worthless. Resumes, waits for pauses and health all choose among the endpoints of the version. Prompts read apart, and cached parts, also stay within a version.

Why it works: the origin is known elsewhere within 20 to 40 ms after the first event, before most instances that fail have failed, and at a starting instance by the question; no path sends a request with a begun stream without passing the same filter.

--- a/crates/decide/src/serving/pick.rs
+++ b/crates/decide/src/serving/pick.rs
@@ -19,6 +19,7 @@
 use super::timing::{PoolTiming, StageSample, StageTime, TimedStage};
 use catalogue::EngineRole;
 use catalogue::id::{EndpointId, TokenCount, ZoneName};
+use indexmap::IndexSet;
 use std::hash::Hasher;
 use std::time::{Duration, Instant};
 use twox_hash::XxHash3_64;
@@ -253,7 +254,9 @@
 pub fn plan_generation(request: &GenerationRequest<'_>, view: &EngineView<'_>) -> PlanOutcome {
     let inputs = PlanInputs { request, view: *view, prefixes: request.prompt.prefixes() };
     let whole = match request.progress {
-        PromptProgress::Held => inputs.best_decode().map(GenerationPlan::Decode),
+        PromptProgress::Held => {
+            inputs.best_decode(inputs.usable(EngineRole::Mixed)).map(GenerationPlan::Decode)
+        }
         _ => inputs.best_whole().map(GenerationPlan::Whole),
     };
     let split = if request.may_split() { inputs.best_split() } else { None };
@@ -269,24 +272,37 @@
 }
 
 impl<'a> PlanInputs<'a> {
+    /// Cheapest pair of engines of one software version, since the cache goes from one to the other
     fn best_split(&self) -> Option<GenerationPlan> {
-        let prefill = self.best_reader(EngineRole::Prefill)?;
-        let decode = self.best_decode()?;
-        Some(GenerationPlan::Split { prefill, decode })
+        let readers = self.usable(EngineRole::Prefill).into_iter();
+        let versions = readers.map(|it| &it.version).collect::<IndexSet<_>>();
+        let plans = versions.into_iter().filter_map(|version| {
+            let of_version = |role| {
+                let engines = self.usable(role).into_iter();
+                engines.filter(|it| it.version == *version).collect::<Vec<_>>()
+            };
+            let prefill = self.best_reader(of_version(EngineRole::Prefill), EngineRole::Prefill)?;
+            let decode = self.best_decode(of_version(EngineRole::Mixed))?;
+            Some(GenerationPlan::Split { prefill, decode })
+        });
+        plans.min_by(|one, other| one.cost_ms().total_cmp(&other.cost_ms()))
     }
 
     fn best_whole(&self) -> Option<EnginePick> {
-        self.best_reader(EngineRole::Mixed)
+        self.best_reader(self.usable(EngineRole::Mixed), EngineRole::Mixed)
     }
 
-    fn best_decode(&self) -> Option<EnginePick> {
-        let candidates = self.candidates(self.usable(EngineRole::Mixed), None);
+    fn best_decode(&self, engines: Vec<&'a ListedEndpoint>) -> Option<EnginePick> {
+        let candidates = self.candidates(engines, None);
         cheapest(candidates.iter().map(|it| self.decode_pick(it)))
     }
 
-    /// Cheapest engine of a role to read the prompt
-    fn best_reader(&self, role: EngineRole) -> Option<EnginePick> {
-        let engines = self.usable(role);
+    /// Cheapest of some engines of a role to read the prompt
+    fn best_reader(
+        &self,
+        engines: Vec<&'a ListedEndpoint>,
+        role: EngineRole,
+    ) -> Option<EnginePick> {
         let preferred = self.preferred(&engines);
         let candidates = self.candidates(engines, preferred);
         cheapest(candidates.iter().map(|it| self.read_pick(it, role)))
@@ -318,14 +334,15 @@
         engines.iter().copied().max_by_key(|it| (held(it), weight(key, &it.id)))
     }
 
-    /// Engine other than `reader` that holds most of the prompt, and the held tokens; prefers its zone
+    /// Engine of the same software version other than `reader` that holds most of the prompt, and the held tokens;
+    /// prefers its zone
     fn holder(&self, reader: &ListedEndpoint) -> Option<(&'a ListedEndpoint, TokenCount)> {
         let held = self
             .view
             .endpoints
             .iter()
             .map(|it| (it, self.view.caches.held_tokens(it, &self.prefixes)));
-        let others = held.filter(|(it, _)| it.id != reader.id);
+        let others = held.filter(|(it, _)| it.id != reader.id && it.version == reader.version);
         others.max_by_key(|(it, tokens)| {
             (*tokens, it.zone == reader.zone, weight(self.request.draw, &it.id))
         })
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -140,6 +140,7 @@
             Ok((batch, to)) => {
                 let was_unavailable = backoff.succeeded();
                 gateway.endpoints_read_at.set(Some(Instant::now()));
+                gateway.endpoints_known_at.set(Some(Instant::now()));
                 apply_endpoints(&gateway, &batch, position.is_none(), was_unavailable);
                 gateway.record_endpoints_read(to);
                 queue_update(&gateway, &batch, position, to);
@@ -295,6 +296,10 @@
     was_unavailable: bool,
 ) {
     let now = Instant::now();
+    // Those that leave with this change were listed until now.
+    if gateway.endpoints_read_at.get().is_some() {
+        gateway.record_listed_versions();
+    }
     let mut list = gateway.endpoints.borrow_mut();
     if was_unavailable {
         log::info!("event=endpoints_regained offset={}", batch.end);
@@ -327,5 +332,6 @@
     gateway.caches.borrow_mut().retain(|id| after.contains(id));
     gateway.timings.borrow_mut().values_mut().for_each(|it| it.retain(|id| after.contains(id)));
     drop(list);
+    gateway.record_listed_versions();
     gateway.record_listed_ends(now);
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -115,13 +115,22 @@
     let time_left = head.time_left.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived_at + time_left;
     let body = read_body(body, config.limits.max_body_bytes, deadline).await?;
-    let target = route.target(rand::random::<f64>());
-    gateway.record_request(&target.pool, arrived_at.into_std());
+    let origin = match head.last_event {
+        Some(_) if route.is_stream => Some(gateway.find_origin(route, &head).await?),
+        _ => None,
+    };
+    let pool = match &origin {
+        Some(origin) => origin.pool.clone(),
+        None => route.target(rand::random::<f64>()).pool.clone(),
+    };
+    gateway.record_request(&pool, arrived_at.into_std());
     Ok(ServingCall {
-        pool: target.pool.clone(),
+        pool,
         route: route.clone(),
         prompt: head.prompt,
         last_event: head.last_event,
+        origin,
+        held_version: None,
         sent_at: arrived_at,
         deadline,
         history: SendHistory::new(),
@@ -158,7 +167,7 @@
     let mut failed: Option<WholeAnswer> = None;
     let mut reason = "no_endpoint";
     while call.may_send(gateway) {
-        let endpoints = gateway.ready_endpoints(&call.pool, call.route.retry_rule);
+        let endpoints = gateway.ready_endpoints(&call);
         let picked = {
             let load = gateway.load.borrow();
             let draw = rand::random();
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -132,6 +132,7 @@
                 gateway.record_result(&engine, SendResult::Answered);
                 record.endpoint = engine.id.clone();
                 record.first_byte();
+                call.record_begin(gateway, &engine);
                 call.history.record_send(RunStatus::MayHaveRun);
                 call.excluded.push(engine.id);
                 return Ok(stream_response(gateway.clone(), call, record, *stream, first));
@@ -167,7 +168,7 @@
 
 /// Chooses the engines for a generation; the error is the reason for the log
 fn plan_path(gateway: &Rc<Gateway>, call: &ServingCall) -> Result<EnginePath, &'static str> {
-    let endpoints = gateway.ready_endpoints(&call.pool, call.route.retry_rule);
+    let endpoints = gateway.ready_endpoints(call);
     let prompt = call.prompt.clone().unwrap_or_default();
     let request = GenerationRequest {
         prompt: &prompt,
@@ -284,6 +285,7 @@
                 gateway.record_result(&engine, SendResult::Answered);
                 *cache = Some(held);
                 call.progress = PromptProgress::Held;
+                call.held_version = Some(engine.version);
             }
             Err(error) => {
                 if error.run_status() == RunStatus::MayHaveRun {
@@ -317,6 +319,7 @@
     });
     if !is_cache_unused && let Some(held) = cache.take() {
         call.progress = PromptProgress::Lost;
+        call.held_version = None;
         held.mark_taken();
     }
     match started {
@@ -464,6 +467,7 @@
                     stream.release_connection(&gateway);
                     call.end_run();
                     call.record_completion(&gateway);
+                    gateway.forget_stream(&call.request.id);
                     record.finish("answered", "200");
                     break;
                 }
@@ -510,8 +514,9 @@
 ) -> Option<(EngineStream, StreamItem)> {
     let mut cache = None;
     log::info!(
-        "event=stream_broken id={} after={last:?} sends={} parts={} error=\"{error}\"",
+        "event=stream_broken id={} after={last:?} version={} sends={} parts={} error=\"{error}\"",
         call.request.id,
+        call.origin.as_ref().map_or("none", |it| it.version.as_str()),
         call.history.sends,
         call.describe_parts(),
     );
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod ready;
 pub mod serving_call;
 pub mod state;
+pub mod stream_origins;
 
 pub use error::GatewayError;
 
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -1,6 +1,6 @@
 //! Datagrams between instances, encoded with `bincode`.
 
-use catalogue::id::{EndpointId, InstanceId, ZoneName};
+use catalogue::id::{EndpointId, InstanceId, PoolName, ZoneName};
 use decide::serving::crash_table::{CrashFact, FactDigest};
 use decide::serving::endpoint_list::IncarnationStart;
 use decide::serving::endpoint_list::ListOffset;
@@ -11,6 +11,7 @@
 use decide::serving::rate_limit::LimitReport;
 use decide::serving::route::ConfigVersion;
 use decide::serving::store_era::TopicPosition;
+use decide::serving::stream_origins::{StreamKey, StreamOrigin};
 use decide::serving::timing::StageSample;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -20,7 +21,7 @@
 /// Maximum size of a decoded message in memory, where fields are wider.
 const MAX_DECODED_BYTES: usize = 256 * 1024;
 /// Version of the message format; messages of other versions are ignored.
-const MESSAGE_VERSION: u8 = 15;
+const MESSAGE_VERSION: u8 = 16;
 /// Maximum number of prompt reads in one update; about 60 bytes each, well below
 /// `MAX_MESSAGE_BYTES`.
 const MAX_UPDATE_READS: usize = 200;
@@ -37,6 +38,9 @@
 /// Maximum number of leaving endpoints in one update; about 20 bytes each.
 const MAX_UPDATE_LEAVING: usize = 100;
 
+/// Maximum number of begun streams in one update; about 10 bytes each.
+const MAX_UPDATE_STREAMS: usize = 300;
+
 /// Instances whose work a message contains
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
@@ -63,6 +67,14 @@
     pub sample: Option<StageSample>,
 }
 
+/// Streams that have begun at endpoints of one pool and software version
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct BegunStreams {
+    pub origin: StreamOrigin,
+    pub streams: Vec<StreamKey>,
+}
+
 /// Observations of an instance that it sends to the others
 #[derive(Debug, Clone, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -79,6 +91,8 @@
     pub leaving: Vec<(EndpointId, IncarnationStart)>,
     /// Limits that endpoints have named, or ended
     pub limits: Vec<LimitReport>,
+    /// Streams that have begun, by origin
+    pub streams: Vec<BegunStreams>,
 }
 
 impl ServingUpdate {
@@ -90,6 +104,15 @@
         extend_newest(&mut self.health, other.health, MAX_UPDATE_HEALTH);
         extend_newest(&mut self.leaving, other.leaving, MAX_UPDATE_LEAVING);
         extend_newest(&mut self.limits, other.limits, MAX_UPDATE_LIMITS);
+        extend_streams(&mut self.streams, other.streams);
+    }
+
+    /// Removes a begun stream
+    pub fn remove_stream(&mut self, stream: StreamKey) {
+        for begun in &mut self.streams {
+            begun.streams.retain(|it| *it != stream);
+        }
+        self.streams.retain(|it| !it.streams.is_empty());
     }
 }
 
@@ -99,6 +122,24 @@
     entries.drain(..entries.len().saturating_sub(limit));
 }
 
+/// Appends streams by origin, and drops the oldest ones of the first origins beyond the limit
+fn extend_streams(begun: &mut Vec<BegunStreams>, newer: Vec<BegunStreams>) {
+    for BegunStreams { origin, streams } in newer {
+        match begun.iter_mut().find(|it| it.origin == origin) {
+            Some(known) => known.streams.extend(streams),
+            None => begun.push(BegunStreams { origin, streams }),
+        }
+    }
+    let count = begun.iter().map(|it| it.streams.len()).sum::<usize>();
+    let mut excess = count.saturating_sub(MAX_UPDATE_STREAMS);
+    for it in begun.iter_mut() {
+        let dropped = excess.min(it.streams.len());
+        it.streams.drain(..dropped);
+        excess -= dropped;
+    }
+    begun.retain(|it| !it.streams.is_empty());
+}
+
 /// Appends facts without those that say the same, and drops the oldest ones beyond a limit
 ///
 /// Many instances see the crash of one engine, or the next answers on a popular part, at the same time.
@@ -184,6 +225,16 @@
     Work(WorkScope, Vec<ListedWork>, ServingUpdate),
     Store(StoreUpdate),
     Repair(FactRepair),
+    /// Question for the origin of a stream on a route to a pool
+    OriginQuery {
+        stream: StreamKey,
+        pool: PoolName,
+    },
+    /// Answer to such a question; `None` if it isn't known
+    OriginAnswer {
+        stream: StreamKey,
+        origin: Option<StreamOrigin>,
+    },
 }
 
 /// Message between instances
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -120,7 +120,7 @@
     pub fn pause_step(&self, call: &ServingCall) -> Option<PauseStep> {
         let now = Instant::now();
         let list = self.endpoints.borrow();
-        let pool = list.ready(now).filter(|it| it.pool == call.pool).collect::<Vec<_>>();
+        let pool = list.ready(now).filter(|it| call.fits(it)).collect::<Vec<_>>();
         let limits = self.limits.borrow();
         self.notices.borrow().pause_step(
             &pool,
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod config_transfer;
 mod listing;
+mod origin_queries;
 pub mod repair;
 mod store_updates;
 
@@ -91,6 +92,7 @@
     });
     tasks.spawn(receive(exchange.clone()));
     tasks.spawn(store_updates::send_updates(exchange.clone()));
+    tasks.spawn(origin_queries::send_queries(exchange.clone()));
     tasks.spawn(send_work(exchange));
     Ok(())
 }
@@ -109,7 +111,7 @@
 }
 
 impl PeerExchange {
-    fn handle_message(&self, message: PeerMessage, address: SocketAddr) {
+    fn handle_message(self: &Rc<PeerExchange>, message: PeerMessage, address: SocketAddr) {
         let now = Instant::now();
         let instance = message.instance.clone();
         let digest = message.digest;
@@ -133,7 +135,7 @@
     }
 
     fn handle_body(
-        &self,
+        self: &Rc<PeerExchange>,
         message: PeerMessage,
         address: SocketAddr,
         is_full_mesh: bool,
@@ -149,6 +151,12 @@
             }
             MessageBody::Store(_) => {}
             MessageBody::Repair(repair) => self.gateway.apply_repair(&repair),
+            MessageBody::OriginQuery { stream, pool } => {
+                origin_queries::answer(self, stream, pool, address);
+            }
+            MessageBody::OriginAnswer { stream, origin } => {
+                self.gateway.apply_origin_answer(stream, origin);
+            }
             MessageBody::Work(WorkScope::Rest, work, update) => {
                 self.gateway.apply_update(&update);
                 load.borrow_mut().apply_leader_report(received_work(work), now);
--- a/crates/gateway/src/peers/store_updates.rs
+++ b/crates/gateway/src/peers/store_updates.rs
@@ -85,8 +85,11 @@
     gateway.endpoints_coverage.extend(coverage_time(gateway), now);
     let endpoints = update.endpoints;
     match gateway.endpoints_position() {
-        Some(position) if endpoints.to <= position => {}
-        Some(position) if endpoints.from <= position => apply_endpoint_update(gateway, endpoints),
+        Some(position) if endpoints.to <= position => gateway.endpoints_known_at.set(Some(now)),
+        Some(position) if endpoints.from <= position => {
+            apply_endpoint_update(gateway, endpoints);
+            gateway.endpoints_known_at.set(Some(now));
+        }
         _ => gateway.endpoints_coverage.record_missed(),
     }
     if gateway.config_position().is_none() {
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -13,9 +13,10 @@
 use decide::serving::notice::PauseStep;
 use decide::serving::pick::PromptProgress;
 use decide::serving::prompt::{PartKey, PromptShape};
-use decide::serving::route::RouteConfig;
+use decide::serving::route::{RetryRule, RouteConfig};
 use decide::serving::send_history::{FinalStep, RunStatus, SendHistory};
 use decide::serving::silence::{SilenceCause, SilentRequest};
+use decide::serving::stream_origins::{SoftwareVersion, StreamOrigin};
 use http::Response;
 use platform_adapter::answer::{GatewayAnswer, client_headers};
 use platform_adapter::head::{EngineStage, SendParameters};
@@ -51,6 +52,10 @@
     pub prompt: Option<PromptShape>,
     /// Id of the last event that the client has received
     pub last_event: Option<SmolStr>,
+    /// What its stream has begun at; `None` before the first event
+    pub origin: Option<StreamOrigin>,
+    /// Software version of the engine that holds the cache of its prompt
+    pub held_version: Option<SoftwareVersion>,
     /// Time of the last send; before the first one, time of arrival
     pub sent_at: Instant,
     /// Time by which the answer must be complete
@@ -101,6 +106,13 @@
 }
 
 impl ServingCall {
+    /// Whether an endpoint may run the request, by its pool and software version
+    pub fn fits(&self, endpoint: &ListedEndpoint) -> bool {
+        endpoint.pool == self.pool
+            && self.origin.as_ref().is_none_or(|it| it.fits(endpoint))
+            && self.held_version.as_ref().is_none_or(|it| *it == endpoint.version)
+    }
+
     /// Whether another send is allowed and the deadline has not passed
     pub fn may_send(&self, gateway: &Gateway) -> bool {
         !self.is_suspected(gateway)
@@ -199,6 +211,16 @@
         gateway.record_completed(self.fingerprint(), std::time::Instant::now());
     }
 
+    /// Records that its stream has begun at an endpoint
+    pub fn record_begin(&mut self, gateway: &Gateway, endpoint: &ListedEndpoint) {
+        if self.origin.is_none() {
+            self.origin = Some(StreamOrigin::of(endpoint));
+            if self.route.retry_rule == RetryRule::Resumable {
+                gateway.record_stream(&self.request.id, endpoint);
+            }
+        }
+    }
+
     /// Records a failed send to an endpoint
     pub fn record_failure(
         &mut self,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,6 +9,8 @@
 use crate::metrics::GatewayMetrics;
 use crate::packed_config::{ConfigAnnouncement, PackedConfig};
 use crate::part_tests::PartSuspects;
+use crate::serving_call::ServingCall;
+use crate::stream_origins::OriginQueries;
 use bytes::Bytes;
 use catalogue::id::{EndpointId, PoolName};
 use decide::fingerprint::Fingerprint;
@@ -27,6 +29,7 @@
 use decide::serving::route::{RetryRule, RouteName, ServingConfig};
 use decide::serving::silence::SilentRequests;
 use decide::serving::store_era::{EraTracker, StoreEra, TopicPosition};
+use decide::serving::stream_origins::{ListedVersions, StreamOrigins};
 use decide::serving::timing::{PoolTiming, StageSample};
 use indexmap::IndexMap;
 use lru::LruCache;
@@ -62,6 +65,8 @@
     pub endpoints: RefCell<EndpointList>,
     /// Time of the last successful read of the endpoints
     pub endpoints_read_at: Cell<Option<Instant>>,
+    /// Time at which the endpoint list was known to be current, by a read or another instance's update
+    pub endpoints_known_at: Cell<Option<Instant>>,
     /// Whether this instance has to read the endpoints itself
     pub endpoints_coverage: TopicCoverage,
     /// Endpoint records read last, to be sent to other instances
@@ -98,6 +103,12 @@
     pub crashes: RefCell<CrashTable>,
     /// Prompt parts of requests that ran at engines that crashed
     pub part_suspects: Rc<PartSuspects>,
+    /// Software versions that streams began at
+    pub stream_origins: RefCell<StreamOrigins>,
+    /// Software versions that were listed
+    pub listed_versions: RefCell<ListedVersions>,
+    /// Questions to other instances for what streams began at
+    pub origin_queries: OriginQueries,
     /// Requests that have completed lately
     pub completed: RefCell<LruCache<Fingerprint, ()>>,
     /// Requests whose end at their endpoint was not seen
@@ -137,6 +148,7 @@
             config_read_at: Cell::default(),
             endpoints: RefCell::default(),
             endpoints_read_at: Cell::default(),
+            endpoints_known_at: Cell::default(),
             config_coverage: TopicCoverage::default(),
             endpoints_coverage: TopicCoverage::default(),
             endpoint_update: RefCell::default(),
@@ -156,6 +168,9 @@
             timings: RefCell::default(),
             crashes: RefCell::default(),
             part_suspects: Rc::default(),
+            stream_origins: RefCell::default(),
+            listed_versions: RefCell::default(),
+            origin_queries: OriginQueries::default(),
             completed: RefCell::new(LruCache::new(MAX_COMPLETED_REQUESTS)),
             silent_requests: RefCell::default(),
             has_joined: Cell::default(),
@@ -185,11 +200,12 @@
         is_read && (has_joined || self.started_at.elapsed() > MAX_JOIN_WAIT)
     }
 
-    /// Endpoints of a pool that accept new requests of routes with this retry rule
-    pub fn ready_endpoints(&self, pool: &PoolName, rule: RetryRule) -> Vec<ListedEndpoint> {
+    /// Endpoints that accept a request now
+    pub fn ready_endpoints(&self, call: &ServingCall) -> Vec<ListedEndpoint> {
+        let (pool, rule) = (&call.pool, call.route.retry_rule);
         let now = Instant::now();
         let list = self.endpoints.borrow();
-        let endpoints = list.ready(now).filter(|it| it.pool == *pool).cloned().collect();
+        let endpoints = list.ready(now).filter(|it| call.fits(it)).cloned().collect();
         let endpoints = self.notices.borrow().accepting(endpoints, now);
         let health = self.health.borrow();
         let mut usable = health.usable(endpoints, now);
@@ -297,6 +313,7 @@
                 );
             }
         }
+        self.apply_streams(&update.streams);
         self.apply_leaving(&update.leaving);
         self.apply_limits(&update.limits, now);
         let list = self.endpoints.borrow();
--- /dev/null
+++ b/crates/gateway/src/stream_origins.rs
@@ -0,0 +1,214 @@
+//! Finds the software version at which a stream that a client takes up may go on.
+//!
+//! Each instance knows the origins of the streams that it relays, and those that others
+//! have told it. One that lacks an origin, since it has just started or lost a message,
+//! asks a few others, which also answer what they conclude from the endpoint list. A stream
+//! whose origin stays unknown is refused: at a wrong version it would be worthless.
+
+use crate::messages::{BegunStreams, ServingUpdate};
+use crate::serving_call::Refusal;
+use crate::state::Gateway;
+use catalogue::id::PoolName;
+use decide::serving::endpoint_list::ListedEndpoint;
+use decide::serving::route::RouteConfig;
+use decide::serving::stream_origins::{StreamKey, StreamOrigin, stream_key};
+use indexmap::IndexMap;
+use platform_adapter::answer::GatewayAnswer;
+use platform_adapter::head::RequestHead;
+use std::cell::RefCell;
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+use tokio::time::timeout_at;
+
+/// Number of instances that are asked at once for an origin.
+pub const ASKED_INSTANCES: usize = 3;
+/// Time to wait for their answers, and number of times that some are asked.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
+const QUERY_ROUNDS: usize = 2;
+/// Longest time since a stream began, in multiples of the route's timeout; clients take streams up once or twice.
+const STREAM_AGE_TIMEOUTS: u32 = 2;
+/// Age of the endpoint list up to which it shows all versions, as a multiple of the time in which a change must be in
+/// force.
+const MAX_LIST_AGE_FACTOR: f64 = 1.5;
+
+/// Question for the origin of a stream, until it is answered
+#[derive(Debug)]
+struct OriginQuery {
+    pool: PoolName,
+    is_sent: bool,
+    /// Instances that don't know it
+    unknown: usize,
+}
+
+/// Open questions for origins of streams
+#[derive(Debug, Default)]
+pub struct OriginQueries {
+    open: RefCell<IndexMap<StreamKey, OriginQuery>>,
+    /// Notified when there is a question to be sent
+    pub ready: Notify,
+    answered: Notify,
+}
+
+impl OriginQueries {
+    /// Questions that have not been sent
+    pub fn take_unsent(&self) -> Vec<(StreamKey, PoolName)> {
+        let mut open = self.open.borrow_mut();
+        let unsent = open.iter_mut().filter_map(|(stream, it)| {
+            let was_sent = std::mem::replace(&mut it.is_sent, true);
+            (!was_sent).then(|| (*stream, it.pool.clone()))
+        });
+        unsent.collect()
+    }
+
+    fn ask(&self, stream: StreamKey, pool: &PoolName) {
+        let query = OriginQuery { pool: pool.clone(), is_sent: false, unknown: 0 };
+        self.open.borrow_mut().insert(stream, query);
+        self.ready.notify_one();
+    }
+
+    fn unknown(&self, stream: StreamKey) -> usize {
+        self.open.borrow().get(&stream).map_or(0, |it| it.unknown)
+    }
+}
+
+impl Gateway {
+    /// Records that a stream has begun at an endpoint, and tells the others with the next message
+    pub fn record_stream(&self, request_id: &str, endpoint: &ListedEndpoint) {
+        let (stream, origin) = (stream_key(request_id), StreamOrigin::of(endpoint));
+        self.stream_origins.borrow_mut().record(stream, &origin);
+        let streams = vec![BegunStreams { origin, streams: vec![stream] }];
+        self.pending_update.borrow_mut().extend(ServingUpdate { streams, ..Default::default() });
+    }
+
+    /// Withdraws what was not yet told of a stream that has ended
+    pub fn forget_stream(&self, request_id: &str) {
+        let stream = stream_key(request_id);
+        self.pending_update.borrow_mut().remove_stream(stream);
+    }
+
+    /// Adds origins that another instance has told
+    pub fn apply_streams(&self, begun: &[BegunStreams]) {
+        let mut origins = self.stream_origins.borrow_mut();
+        for BegunStreams { origin, streams } in begun {
+            for stream in streams {
+                origins.record(*stream, origin);
+            }
+        }
+    }
+
+    /// Records which software versions are listed now
+    pub fn record_listed_versions(&self) {
+        let now = Instant::now();
+        let list = self.endpoints.borrow();
+        self.listed_versions.borrow_mut().record(list.listed(now), now);
+    }
+
+    /// Origin of a stream as far as this instance knows it or can conclude it from the list
+    pub fn known_origin(&self, stream: StreamKey, pool: &PoolName) -> Option<StreamOrigin> {
+        let origins = self.stream_origins.borrow();
+        match origins.get(stream) {
+            Some(origin) => Some(origin.clone()),
+            None if origins.is_ambiguous(stream) => None,
+            None => self.only_origin(pool),
+        }
+    }
+
+    /// Origin that all streams of a pool have that may still go on; `None` if there may be several
+    fn only_origin(&self, pool: &PoolName) -> Option<StreamOrigin> {
+        let max_age = self.settings.drain_bound.mul_f64(MAX_LIST_AGE_FACTOR);
+        let is_current = self.endpoints_known_at.get().is_some_and(|it| it.elapsed() <= max_age);
+        if !is_current {
+            return None;
+        }
+        self.record_listed_versions();
+        let from = Instant::now().checked_sub(self.longest_stream(pool));
+        let versions = self.listed_versions.borrow();
+        let version = versions.only_version(pool, from, self.settings.is_first_start)?;
+        Some(StreamOrigin { pool: pool.clone(), version: version.clone() })
+    }
+
+    fn longest_stream(&self, pool: &PoolName) -> Duration {
+        let config = self.config.borrow();
+        let routes = config.iter().flat_map(|it| &it.routes);
+        let own = routes.filter(|it| it.targets.iter().any(|target| target.pool == *pool));
+        own.map(|it| it.timeout).max().unwrap_or_default() * STREAM_AGE_TIMEOUTS
+    }
+
+    /// Records another instance's answer to a question for an origin
+    pub fn apply_origin_answer(&self, stream: StreamKey, origin: Option<StreamOrigin>) {
+        match origin {
+            Some(origin) => {
+                self.stream_origins.borrow_mut().record(stream, &origin);
+            }
+            None => {
+                if let Some(query) = self.origin_queries.open.borrow_mut().get_mut(&stream) {
+                    query.unknown += 1;
+                }
+            }
+        }
+        self.origin_queries.answered.notify_waiters();
+    }
+
+    /// Asks other instances for the origin of a stream
+    async fn ask_origin(&self, stream: StreamKey, pool: &PoolName) -> Option<StreamOrigin> {
+        let queries = &self.origin_queries;
+        let mut origin = None;
+        'rounds: for _ in 0..QUERY_ROUNDS {
+            queries.ask(stream, pool);
+            let until = tokio::time::Instant::now() + ANSWER_TIMEOUT;
+            loop {
+                let answered = queries.answered.notified();
+                origin = self.stream_origins.borrow().get(stream).cloned();
+                if origin.is_some() || queries.unknown(stream) >= ASKED_INSTANCES {
+                    break 'rounds;
+                }
+                if timeout_at(until, answered).await.is_err() {
+                    break;
+                }
+            }
+        }
+        queries.open.borrow_mut().swap_remove(&stream);
+        origin
+    }
+
+    /// Origin of the stream that a request takes up
+    ///
+    /// # Errors
+    /// The refusal, if it isn't known or the route doesn't lead there any more.
+    pub async fn find_origin(
+        &self,
+        route: &RouteConfig,
+        head: &RequestHead,
+    ) -> Result<StreamOrigin, Refusal> {
+        let pool = &route.targets[0].pool;
+        let is_split = route.targets.len() > 1;
+        let stream = head.begun_by.as_deref().map(stream_key);
+        let known = stream.and_then(|it| self.stream_origins.borrow().get(it).cloned());
+        let (origin, source) = match (known, stream) {
+            (Some(origin), _) => (Some(origin), "own"),
+            (None, Some(stream)) => match self.ask_origin(stream, pool).await {
+                Some(origin) => (Some(origin), "peer"),
+                None if is_split => (None, "none"),
+                None => (self.known_origin(stream, pool), "list"),
+            },
+            (None, None) if is_split => (None, "none"),
+            (None, None) => (self.only_origin(pool), "list"),
+        };
+        let begun_by = head.begun_by.as_deref().unwrap_or("none");
+        let Some(origin) = origin else {
+            log::info!("event=stream_unknown id={} begun_by={begun_by} pool={pool}", head.id);
+            return Err(Refusal::new(GatewayAnswer::NotRun, "stream_unknown"));
+        };
+        log::info!(
+            "event=stream_taken_up id={} begun_by={begun_by} after={} pool={} version={} source={source}",
+            head.id,
+            head.last_event.as_deref().unwrap_or("none"),
+            origin.pool,
+            origin.version,
+        );
+        if !route.targets.iter().any(|it| it.pool == origin.pool) {
+            return Err(Refusal::new(GatewayAnswer::NotRun, "stream_of_other_pool"));
+        }
+        Ok(origin)
+    }
+}
--- a/crates/gateway/tests/gateway/software_versions.rs
+++ b/crates/gateway/tests/gateway/software_versions.rs
@@ -26,6 +26,8 @@
 }
 
 const STREAMS: usize = 40;
+/// Streams that break, each within the retry limits.
+const RESUMED_STREAMS: usize = 20;
 const VERSIONS: [&str; 2] = ["v1", "v1.1"];
 const ENGINES_OF_VERSION: usize = 3;
 /// Instances that begin the streams, and others that take them up.
@@ -150,7 +152,7 @@
     };
     let fleet = VersionFleet::start(script, 1).await;
     let (mut whole, mut mixed) = (0, 0);
-    for number in 0..STREAMS {
+    for number in 0..RESUMED_STREAMS {
         let id = format!("id-{number}");
         let request = generation_with("resumed", &id, &["root"], 100);
         let got = call(fleet.instances[0].clients, request).await;
@@ -159,7 +161,7 @@
         mixed += usize::from(versions.windows(2).any(|it| it[0] != it[1]));
     }
     verify_that!(mixed, eq(0))?;
-    verify_that!(whole as f64, ge(STREAMS as f64 * MIN_RESUMED))
+    verify_that!(whole as f64, ge(RESUMED_STREAMS as f64 * MIN_RESUMED))
 }
 
 /// Begins a stream and leaves after its first event
@@ -250,7 +252,7 @@
     // The list may be out of date.
     fleet.store.set_mode(StoreMode::Unresponsive);
     sleep(Duration::from_secs(6)).await;
-    let got = take_up(&fleet.instances[0], "unknown", "taken-3").await;
+    let got = take_up(&fleet.instances[0], "other", "taken-3").await;
     verify_that!(got.status, eq(503))
 }
 
--- a/crates/gateway/tests/messages.rs
+++ b/crates/gateway/tests/messages.rs
@@ -6,9 +6,10 @@
 use decide::serving::leader::PeerInstance;
 use decide::serving::load::{EndpointWork, WorkCount};
 use decide::serving::rate_limit::LimitReport;
+use decide::serving::stream_origins::StreamOrigin;
 use gateway::messages::{
-    FactRepair, MAX_MESSAGE_BYTES, MessageBody, PeerMessage, PromptRead, ServingUpdate, WorkScope,
-    work_body,
+    BegunStreams, FactRepair, MAX_MESSAGE_BYTES, MessageBody, PeerMessage, PromptRead,
+    ServingUpdate, WorkScope, work_body,
 };
 use googletest::prelude::*;
 use testcases::cases;
@@ -61,10 +62,18 @@
         health: numbers.clone().map(|it| (id(it), HealthUpdate::Unreliable)).collect(),
         leaving: numbers.clone().map(|it| (id(it), u64::MAX)).collect(),
         limits: numbers.map(limit).collect(),
+        streams: vec![BegunStreams {
+            origin: origin(),
+            streams: (0..3000).map(|it| u64::MAX - it).collect(),
+        }],
     });
     update
 }
 
+fn origin() -> StreamOrigin {
+    StreamOrigin { pool: "a-pool-of-engines".into(), version: "v1.20.300".into() }
+}
+
 /// Work at all endpoints, all of them limited, with a full update
 fn check_work_fits() -> Result<()> {
     let count =
