--- a/crates/decide/src/serving/health.rs
+++ b/crates/decide/src/serving/health.rs
@@ -177,6 +177,16 @@
         self.records.retain(|id, _| is_listed(id));
     }
 
+    /// Ends all pauses, since the failures were those of this instance's link
+    pub fn clear_pauses(&mut self) {
+        for record in self.records.values_mut() {
+            record.failure_fraction = 0.0;
+            record.consecutive_pauses = 0;
+            record.paused_until = None;
+            record.unreliable_until = None;
+        }
+    }
+
     fn is_gone(&self, endpoint: &ListedEndpoint) -> bool {
         let record = self.records.get(&endpoint.id);
         record.is_some_and(|it| it.gone_incarnation == Some(endpoint.started_at_ms))
--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -10,6 +10,7 @@
 pub mod endpoint_list;
 pub mod health;
 pub mod leader;
+pub mod link;
 pub mod load;
 pub mod notice;
 pub mod pick;
--- a/crates/decide/src/serving/route.rs
+++ b/crates/decide/src/serving/route.rs
@@ -94,6 +94,8 @@
 pub struct PoolConfig {
     /// Maximum number of connections that an endpoint accepts from all instances together
     pub max_connections: u32,
+    /// Path that answers whether an endpoint is healthy
+    pub health_path: SmolStr,
     /// Capacity of the engines; `None` for a plain service
     pub engine: Option<EngineCapacity>,
 }
--- /dev/null
+++ b/crates/decide/tests/serving_link.rs
@@ -0,0 +1,71 @@
+//! When the link to the endpoints is in doubt, and when it counts as cut.
+
+use decide::serving::link::{CheckResult, LinkMonitor, LinkState};
+use googletest::prelude::*;
+use std::time::{Duration, Instant};
+use testcases::cases;
+
+cases! {
+    one_failing_endpoint_is_its_own_fault => failures(&["a", "a", "a"], 8, LinkState::Sound),
+    two_failing_endpoints_put_the_link_in_doubt => failures(&["a", "b"], 8, LinkState::Doubtful),
+    only_endpoint_puts_the_link_in_doubt => failures(&["a"], 1, LinkState::Doubtful),
+    link_without_an_answer_is_cut => check(&[CheckResult::Refused, CheckResult::Silent], LinkState::Cut),
+    one_answer_shows_a_sound_link => check(&[CheckResult::Refused, CheckResult::Answered], LinkState::Sound),
+    nothing_to_check_leaves_the_link_sound => check(&[], LinkState::Sound),
+    answer_on_a_new_connection_ends_the_doubt => answered(true, LinkState::Sound),
+    // Guards against a cut that goes unnoticed, since connections that were open before live on.
+    answer_on_an_old_connection_leaves_the_doubt => answered(false, LinkState::Doubtful),
+    // Guards against a cut that is seen where all endpoints are only full.
+    silent_check_beside_answers_shows_full_endpoints => full(),
+    cut_ends_with_an_answer_to_a_check => regained(),
+}
+
+fn doubtful(now: Instant) -> LinkMonitor {
+    let mut monitor = LinkMonitor::default();
+    monitor.record_failure(&"a".into(), 8, now);
+    assert!(monitor.record_failure(&"b".into(), 8, now), "two endpoints have failed");
+    monitor
+}
+
+fn failures(endpoints: &[&str], listed: usize, expected: LinkState) -> Result<()> {
+    let mut monitor = LinkMonitor::default();
+    for endpoint in endpoints {
+        monitor.record_failure(&(*endpoint).into(), listed, Instant::now());
+    }
+    verify_that!(monitor.state(), eq(expected))
+}
+
+fn check(results: &[CheckResult], expected: LinkState) -> Result<()> {
+    let now = Instant::now();
+    verify_that!(doubtful(now).decide(results, now), eq(expected))
+}
+
+fn answered(is_new_connection: bool, expected: LinkState) -> Result<()> {
+    let now = Instant::now();
+    let mut monitor = doubtful(now);
+    monitor.record_answer(is_new_connection, now);
+    verify_that!(monitor.state(), eq(expected))
+}
+
+fn full() -> Result<()> {
+    let now = Instant::now();
+    let mut monitor = doubtful(now);
+    monitor.record_answer(false, now);
+    let at = |ms| now + Duration::from_millis(ms);
+    let mut refused = monitor.clone();
+    verify_that!(refused.decide(&[CheckResult::Refused], at(300)), eq(LinkState::Cut))?;
+    let mut silent = monitor.clone();
+    verify_that!(silent.decide(&[CheckResult::Silent], at(300)), eq(LinkState::Sound))?;
+    verify_that!(monitor.decide(&[CheckResult::Silent], at(500)), eq(LinkState::Cut))
+}
+
+fn regained() -> Result<()> {
+    let now = Instant::now();
+    let mut monitor = doubtful(now);
+    monitor.decide(&[CheckResult::Refused], now);
+    monitor.record_answer(true, now);
+    verify_that!(monitor.state(), eq(LinkState::Cut))?;
+    verify_that!(monitor.decide(&[CheckResult::Refused], now), eq(LinkState::Cut))?;
+    verify_that!(monitor.decide(&[CheckResult::Answered], now), eq(LinkState::Sound))?;
+    verify_that!(monitor.record_failure(&"c".into(), 8, now), eq(false))
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -123,6 +123,15 @@
         }
     }
 
+    /// Whether the request was sent and the endpoint has not even begun to answer
+    pub fn is_unanswered(&self) -> bool {
+        matches!(
+            self,
+            SendError::Exchange(ExchangeError::Broken(_) | ExchangeError::Stale(_))
+                | SendError::TimedOut
+        )
+    }
+
     /// Whether nothing was sent, since the endpoint accepts no requests or the request is suspected
     pub fn is_withheld(&self) -> bool {
         match self {
@@ -220,11 +229,18 @@
         gateway.record_alive(endpoint);
     }
     let outgoing = endpoint_request(request, parameters).ok_or(SendError::Unusable)?;
-    let response = match timeout_at(deadline, connection.exchange(outgoing)).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(error)) => return Err(SendError::Exchange(error)),
-        Err(_) => return Err(SendError::TimedOut),
+    let is_new_connection = !connection.is_reused;
+    let response = tokio::select! {
+        response = timeout_at(deadline, connection.exchange(outgoing)) => match response {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) => return Err(SendError::Exchange(error)),
+            Err(_) => return Err(SendError::TimedOut),
+        },
+        () = gateway.doubt_silent(endpoint) => return Err(SendError::TimedOut),
+        // A request that may run only once can't be sent elsewhere.
+        () = gateway.link.silence(), if !once => return Err(SendError::TimedOut),
     };
+    gateway.record_link_answer(is_new_connection);
     let (parts, body) = response.into_parts();
     let head = decode_answer(&parts);
     // An endpoint that has not read the request's headers answers without an id.
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -14,12 +14,12 @@
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -199,7 +199,25 @@
         let idle = if once { None } else { self.acquire_idle(endpoint) };
         match idle {
             Some(connection) => Ok(connection),
-            None => connect(endpoint, self.count_open(endpoint, share)).await,
+            None => connect(endpoint, None, self.count_open(endpoint, share)).await,
+        }
+    }
+
+    /// The same for a connection to another instance, from the own address, by which that one knows this instance
+    ///
+    /// # Errors
+    /// `Connect` or `ConnectTimedOut`.
+    pub async fn acquire_from(
+        &self,
+        own: IpAddr,
+        instance: &ListedEndpoint,
+        once: bool,
+        share: usize,
+    ) -> Result<EndpointConnection, ExchangeError> {
+        let idle = if once { None } else { self.acquire_idle(instance) };
+        match idle {
+            Some(connection) => Ok(connection),
+            None => connect(instance, Some(own), self.count_open(instance, share)).await,
         }
     }
 
@@ -251,11 +269,19 @@
     }
 }
 
+async fn open_socket(address: SocketAddr, own: Option<IpAddr>) -> std::io::Result<TcpStream> {
+    let Some(own) = own else { return TcpStream::connect(address).await };
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(own, 0))?;
+    socket.connect(address).await
+}
+
 async fn connect(
     endpoint: &ListedEndpoint,
+    own: Option<IpAddr>,
     open: OpenGuard,
 ) -> Result<EndpointConnection, ExchangeError> {
-    let socket = timeout(CONNECT_TIMEOUT, TcpStream::connect(endpoint.address))
+    let socket = timeout(CONNECT_TIMEOUT, open_socket(endpoint.address, own))
         .await
         .map_err(|_| ExchangeError::ConnectTimedOut)?
         .map_err(ExchangeError::Connect)?;
--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -9,9 +9,15 @@
 use std::time::Instant;
 
 impl Gateway {
-    /// Records that an endpoint closed the connection while it may have run a request
-    pub fn record_strike(&self, fingerprint: Fingerprint, endpoint: BrokenEndpoint, now: Instant) {
-        self.record_crash_fact(CrashFact::new(fingerprint, Some(endpoint), now, now), now);
+    /// Records that an endpoint closed the connection at a time while it may have run a request
+    pub fn record_strike(&self, fingerprint: Fingerprint, endpoint: BrokenEndpoint, at: Instant) {
+        let now = Instant::now();
+        let mut broken = endpoint;
+        // The list may have shown the end while the evidence was held back.
+        if self.has_ended(&broken) {
+            broken.status = broken.status.max(EndpointStatus::Ended);
+        }
+        self.record_crash_fact(CrashFact::new(fingerprint, Some(broken), at, now), now);
     }
 
     /// Records that an endpoint has accepted a connection or answered
@@ -48,6 +54,12 @@
         }
     }
 
+    /// Whether the list shows that an incarnation has ended
+    fn has_ended(&self, broken: &BrokenEndpoint) -> bool {
+        let list = self.endpoints.borrow();
+        list.get(&broken.id).is_none_or(|it| it.started_at_ms > broken.started_at_ms)
+    }
+
     fn send_crash_facts(&self, crashes: Vec<CrashFact>) {
         if !crashes.is_empty() {
             let update = ServingUpdate { crashes, ..Default::default() };
@@ -57,13 +69,7 @@
 
     /// Records which endpoints that broke off requests, or went silent on them, have ended, as the list shows now
     pub fn record_listed_ends(&self, now: Instant) {
-        let changes = {
-            let list = self.endpoints.borrow();
-            let has_ended = |it: &BrokenEndpoint| {
-                list.get(&it.id).is_none_or(|listed| listed.started_at_ms > it.started_at_ms)
-            };
-            self.crashes.borrow_mut().record_ended(has_ended, now)
-        };
+        let changes = self.crashes.borrow_mut().record_ended(|it| self.has_ended(it), now);
         self.send_crash_facts(changes);
         let crashed = {
             let list = self.endpoints.borrow();
--- a/crates/gateway/src/crash_parts.rs
+++ b/crates/gateway/src/crash_parts.rs
@@ -81,15 +81,20 @@
         prompt.map_or_else(Vec::new, PromptShape::shared_part_keys)
     }
 
-    /// Records that an engine closed the connection before an answer on these parts had begun
-    pub fn record_part_strikes(gateway: &Gateway, engine: &ListedEndpoint, parts: Vec<PartKey>) {
+    /// Records that an engine closed the connection at a time, before an answer on these parts had begun
+    pub fn record_part_strikes(
+        gateway: &Gateway,
+        engine: &ListedEndpoint,
+        parts: Vec<PartKey>,
+        at: Instant,
+    ) {
         let now = Instant::now();
         let broken = BrokenEndpoint {
             id: engine.id.clone(),
             started_at_ms: engine.started_at_ms,
             status: EndpointStatus::Unknown,
         };
-        let fact = |part| CrashFact::new(part, Some(broken.clone()), now, now);
+        let fact = |part| CrashFact::new(part, Some(broken.clone()), at, now);
         gateway.record_part_facts(parts.into_iter().map(fact), now);
     }
 
--- /dev/null
+++ b/crates/gateway/src/endpoint_link.rs
@@ -0,0 +1,257 @@
+//! Watches the link between this instance and the endpoints, see `decide::serving::link`.
+//!
+//! An instance that is cut from all endpoints sees each of them fail, as if all had ended.
+//! What it says of them would make sound endpoints unreliable for all instances, and sound
+//! requests suspected of crashing them. Evidence against an endpoint is therefore held back until another one has
+//! answered, and dropped if the link turns out to be cut while others reach the endpoints.
+
+use crate::connections::ExchangeError;
+use crate::state::Gateway;
+use bytes::Bytes;
+use decide::serving::endpoint_list::ListedEndpoint;
+use decide::serving::link::{CheckResult, LinkMonitor, LinkState};
+use http::Request;
+use http_body_util::Full;
+use indexmap::IndexMap;
+use platform_adapter::engine::call_headers;
+use rand::seq::SliceRandom;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+/// Time to wait for the answer of a checked endpoint.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Number of endpoints that are checked at once.
+const CHECKED_ENDPOINTS: usize = 3;
+/// Time for which evidence waits for an answer of another endpoint before a check.
+const HOLD_TIME: Duration = Duration::from_millis(100);
+/// Pause between two checks while the link is cut.
+const CHECK_PAUSE: Duration = Duration::from_millis(250);
+/// Silence after which a request is given up at an endpoint while the link is cut.
+const SILENCE_LIMIT: Duration = Duration::from_millis(400);
+
+/// What shows an endpoint's failure
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EvidenceKind {
+    /// No connection could be opened
+    Connect,
+    /// An open connection broke off
+    Broken,
+}
+
+type Evidence = Box<dyn FnOnce(&Gateway)>;
+
+/// Link of this instance to the endpoints
+#[derive(Default)]
+pub struct EndpointLink {
+    monitor: RefCell<LinkMonitor>,
+    held: RefCell<Vec<(EvidenceKind, Evidence)>>,
+    /// Notified when evidence is held
+    has_held: Notify,
+    /// Notified when the link is in doubt
+    doubted: Notify,
+    /// Notified when a check has ended
+    settled: Notify,
+}
+
+impl EndpointLink {
+    /// State of the link
+    pub fn state(&self) -> LinkState {
+        self.monitor.borrow().state()
+    }
+
+    /// Whether no endpoint answers this instance
+    pub fn is_cut(&self) -> bool {
+        self.state() == LinkState::Cut
+    }
+
+    /// Waits until the link isn't in doubt
+    pub async fn settle(&self) {
+        loop {
+            let settled = self.settled.notified();
+            if self.state() != LinkState::Doubtful {
+                return;
+            }
+            settled.await;
+        }
+    }
+
+    /// Waits until the link has been cut for `SILENCE_LIMIT`
+    pub async fn silence(&self) {
+        loop {
+            let settled = self.settled.notified();
+            if self.is_cut() {
+                sleep(SILENCE_LIMIT).await;
+                if self.is_cut() {
+                    return;
+                }
+            } else {
+                settled.await;
+            }
+        }
+    }
+}
+
+impl Gateway {
+    /// Records an answer of an endpoint, which shows that the link isn't cut
+    pub fn record_link_answer(&self, is_new_connection: bool) {
+        self.link.monitor.borrow_mut().record_answer(is_new_connection, Instant::now());
+        self.link.settled.notify_waiters();
+        if !self.link.held.borrow().is_empty() {
+            self.release_evidence(|it| is_new_connection || it == EvidenceKind::Broken);
+        }
+    }
+
+    /// Records that an endpoint failed, and applies `evidence` once the link is known to be sound
+    pub fn hold_evidence(
+        &self,
+        endpoint: &ListedEndpoint,
+        kind: EvidenceKind,
+        evidence: impl FnOnce(&Gateway) + 'static,
+    ) {
+        let link = &self.link;
+        if link.is_cut() && self.has_relays() {
+            return;
+        }
+        link.held.borrow_mut().push((kind, Box::new(evidence)));
+        link.has_held.notify_one();
+        self.record_link_failure(endpoint);
+    }
+
+    /// Puts the link in doubt if no endpoint answers while a request waits for this one; never returns
+    pub async fn doubt_silent(&self, endpoint: &ListedEndpoint) {
+        sleep(SILENCE_LIMIT).await;
+        if !self.link.monitor.borrow().has_answer(Instant::now()) {
+            self.record_link_failure(endpoint);
+        }
+        std::future::pending().await
+    }
+
+    fn record_link_failure(&self, endpoint: &ListedEndpoint) {
+        let now = Instant::now();
+        let listed = self.endpoints.borrow().ready(now).count();
+        if self.link.monitor.borrow_mut().record_failure(&endpoint.id, listed, now) {
+            self.link.doubted.notify_one();
+        }
+    }
+
+    fn release_evidence(&self, is_released: impl Fn(EvidenceKind) -> bool) {
+        let held = self.link.held.take();
+        let (released, kept): (Vec<_>, Vec<_>) =
+            held.into_iter().partition(|(kind, _)| is_released(*kind));
+        self.link.held.borrow_mut().extend(kept);
+        for (_, evidence) in released {
+            evidence(self);
+        }
+    }
+
+    /// Endpoints to check: of different pools, and those first that have not failed
+    fn checked_endpoints(&self) -> Vec<ListedEndpoint> {
+        let mut endpoints =
+            self.endpoints.borrow().ready(Instant::now()).cloned().collect::<Vec<_>>();
+        endpoints.shuffle(&mut rand::rng());
+        let mut pools = IndexMap::<_, usize>::new();
+        let mut ranked = endpoints
+            .into_iter()
+            .map(|it| {
+                let rank = pools.entry(it.pool.clone()).or_default();
+                *rank += 1;
+                (*rank, it)
+            })
+            .collect::<Vec<_>>();
+        ranked.sort_by_key(|it| it.0);
+        ranked.into_iter().map(|it| it.1).take(CHECKED_ENDPOINTS).collect()
+    }
+
+    /// Checks some endpoints at once
+    async fn check_link(self: &Rc<Gateway>) -> Vec<CheckResult> {
+        let checks = self.checked_endpoints().into_iter().map(|it| {
+            let gateway = self.clone();
+            tokio::task::spawn_local(async move { gateway.check_endpoint(&it).await })
+        });
+        let mut results = Vec::new();
+        for check in checks.collect::<Vec<_>>() {
+            results.push(check.await.unwrap_or(CheckResult::Silent));
+            if results.contains(&CheckResult::Answered) {
+                break;
+            }
+        }
+        results
+    }
+
+    /// Asks an endpoint for its health; any answer shows that it can be reached
+    async fn check_endpoint(&self, endpoint: &ListedEndpoint) -> CheckResult {
+        let path = {
+            let config = self.config.borrow();
+            let pool = config.as_ref().and_then(|it| it.pools.get(&endpoint.pool));
+            pool.map_or_else(|| "/".to_owned(), |it| it.health_path.to_string())
+        };
+        let mut request = Request::new(Full::new(Bytes::new()));
+        let Ok(uri) = path.parse() else { return CheckResult::Silent };
+        *request.uri_mut() = uri;
+        *request.headers_mut() = call_headers(endpoint);
+        let share = self.connection_share(&endpoint.pool);
+        let exchange = async {
+            let mut connection = self.connections.acquire(endpoint, true, share).await?;
+            connection.exchange(request).await
+        };
+        match timeout(CHECK_TIMEOUT, exchange).await {
+            Ok(Ok(_)) => CheckResult::Answered,
+            Ok(Err(ExchangeError::ConnectTimedOut)) | Err(_) => CheckResult::Silent,
+            Ok(Err(_)) => CheckResult::Refused,
+        }
+    }
+}
+
+/// Checks the link when it is in doubt, and while it is cut, for the life of the process
+pub async fn watch_link(gateway: Rc<Gateway>) {
+    let link = &gateway.link;
+    loop {
+        let is_held = async {
+            link.has_held.notified().await;
+            sleep(HOLD_TIME).await;
+        };
+        tokio::select! {
+            () = link.doubted.notified() => {}
+            () = is_held => {}
+        }
+        if link.held.borrow().is_empty() && link.state() == LinkState::Sound {
+            continue;
+        }
+        let results = gateway.check_link().await;
+        let state = link.monitor.borrow_mut().decide(&results, Instant::now());
+        if state == LinkState::Cut {
+            let has_relays = gateway.has_relays();
+            log::warn!("event=endpoints_cut results={results:?} relays={has_relays}");
+            gateway.metrics.endpoints_cut.set(1);
+            if has_relays {
+                link.held.take();
+            }
+        }
+        gateway.release_evidence(|_| true);
+        link.settled.notify_waiters();
+        if state == LinkState::Cut {
+            wait_for_endpoints(&gateway).await;
+        }
+    }
+}
+
+/// Checks endpoints until one answers
+async fn wait_for_endpoints(gateway: &Rc<Gateway>) {
+    let cut_at = Instant::now();
+    loop {
+        sleep(CHECK_PAUSE).await;
+        let results = gateway.check_link().await;
+        let state = gateway.link.monitor.borrow_mut().decide(&results, Instant::now());
+        if state != LinkState::Cut {
+            log::info!("event=endpoints_regained after_ms={}", cut_at.elapsed().as_millis());
+            gateway.metrics.endpoints_cut.set(0);
+            gateway.health.borrow_mut().clear_pauses();
+            gateway.link.held.take();
+            gateway.link.settled.notify_waiters();
+            return;
+        }
+    }
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,7 +3,10 @@
 use crate::attempt::{ClientRequest, SendTarget, WholeAnswer, read_whole, send};
 use crate::body::AnswerBody;
 use crate::generation;
-use crate::serving_call::{Refusal, RequestRecord, ServingCall, failure_name, relay_whole};
+use crate::relay::{self, RequestSource};
+use crate::serving_call::{
+    NOT_RELAYED, Refusal, RequestRecord, SendWay, ServingCall, failure_name, relay_whole,
+};
 use crate::state::{Gateway, WorkGuard};
 use bytes::Bytes;
 use decide::serving::crash_table::REFUSAL_TIME;
@@ -19,7 +22,6 @@
 use platform_adapter::head::{EngineStage, decode_head};
 use smol_str::SmolStr;
 use std::cell::RefCell;
-use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -30,11 +32,11 @@
 const RETRY_JITTER: Duration = Duration::from_millis(200);
 /// `Retry-After` of an instance that is still starting.
 const START_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Serves a request of the client at an address and always returns a response
+/// Serves a request and always returns a response
 pub async fn serve(
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
-    caller: IpAddr,
+    source: RequestSource,
 ) -> Response<AnswerBody> {
     let arrived_at = Instant::now();
     let (parts, body) = request.into_parts();
@@ -53,7 +55,8 @@
     let id = head.id.clone();
     let is_chunked = head.is_chunked;
     let mut record = RequestRecord::new(gateway.clone(), id.clone(), arrived_at);
-    let result = match prepare_call(gateway, &mut record, parts, body, head, caller).await {
+    record.relayed_by = source.relay().cloned().unwrap_or_default();
+    let result = match prepare_call(gateway, &mut record, parts, body, head, source).await {
         Ok(call) => {
             if call.route.is_stream {
                 generation::serve(gateway, call, record).await
@@ -101,7 +104,7 @@
     parts: http::request::Parts,
     body: Incoming,
     head: platform_adapter::head::RequestHead,
-    caller: IpAddr,
+    source: RequestSource,
 ) -> Result<ServingCall, Refusal> {
     let arrived_at = record.arrived_at;
     let config = gateway.config.borrow().clone();
@@ -133,7 +136,14 @@
         held_version: None,
         sent_at: arrived_at,
         deadline,
-        history: SendHistory::new(),
+        history: match &source {
+            RequestSource::Client(_) => SendHistory::new(),
+            RequestSource::Instance { sends, .. } => {
+                SendHistory { sends: *sends, may_have_run: false }
+            }
+        },
+        is_relayed: source.relay().is_some(),
+        begun_by: head.begun_by,
         excluded: Vec::new(),
         progress: PromptProgress::Unread,
         has_waited: gateway.has_waited(&route.name, time_left, arrived_at.into_std()),
@@ -142,7 +152,8 @@
         running: RefCell::default(),
         gateway: gateway.clone(),
         failed_connects: 0,
-        request: ClientRequest { parts, body, id: head.id, caller },
+        unanswered_sends: 0,
+        request: ClientRequest { parts, body, id: head.id, caller: source.caller() },
     })
 }
 
@@ -166,7 +177,26 @@
     let once = call.route.retry_rule == RetryRule::Once;
     let mut failed: Option<WholeAnswer> = None;
     let mut reason = "no_endpoint";
-    while call.may_send(gateway) {
+    while let Some(way) = call.next_way(gateway).await {
+        if way == SendWay::Relay {
+            let Some((instance, answer)) = relay::send(gateway, &mut call, None).await else {
+                reason = NOT_RELAYED;
+                break;
+            };
+            let deadline = call.answer_deadline(gateway);
+            match read_whole(gateway, answer, deadline).await {
+                Ok(answer) => {
+                    record.relayed_to = instance;
+                    record.finish("relayed", answer.status.as_str());
+                    return Ok(relay_whole(answer));
+                }
+                Err(error) => {
+                    reason = failure_name(&error);
+                    call.history.record_send(RunStatus::MayHaveRun);
+                }
+            }
+            continue;
+        }
         let endpoints = gateway.ready_endpoints(&call);
         let picked = {
             let load = gateway.load.borrow();
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -9,11 +9,14 @@
 use crate::body::AnswerBody;
 use crate::error::RelayError;
 use crate::events::EventSplitter;
-use crate::serving_call::{Refusal, RequestRecord, SUSPECTED_PART, ServingCall, relay_whole};
+use crate::relay;
+use crate::serving_call::{
+    NOT_RELAYED, Refusal, RequestRecord, SUSPECTED_PART, SendWay, ServingCall, relay_whole,
+};
 use crate::state::{Gateway, WorkGuard};
 use async_stream::try_stream;
 use bytes::Bytes;
-use catalogue::id::EndpointId;
+use catalogue::id::{EndpointId, InstanceId};
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::health::SendResult;
 use decide::serving::pick::{
@@ -26,7 +29,7 @@
 use http_body_util::BodyExt;
 use platform_adapter::answer::client_headers;
 use platform_adapter::engine::decode_cache_source;
-use platform_adapter::head::EngineStage;
+use platform_adapter::head::{EngineStage, TakenUp};
 use smol_str::{SmolStr, format_smolstr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,6 +45,8 @@
     own_time: Duration,
     first_event_at: Instant,
     splitter: EventSplitter,
+    /// Instance that relays it; `None` if it comes from the engine
+    relay: Option<InstanceId>,
 }
 
 /// Next item of a stream
@@ -53,15 +58,25 @@
 impl EngineStream {
     fn new(answer: OpenAnswer, own_time: Duration) -> EngineStream {
         let first_event_at = Instant::now();
-        EngineStream { answer, own_time, first_event_at, splitter: EventSplitter::default() }
+        let splitter = EventSplitter::default();
+        EngineStream { answer, own_time, first_event_at, splitter, relay: None }
     }
 
     /// Reads the next complete events, or the end
-    async fn next(&mut self, deadline: Instant) -> Result<StreamItem, SendError> {
+    async fn next(
+        &mut self,
+        gateway: &Gateway,
+        deadline: Instant,
+    ) -> Result<StreamItem, SendError> {
         loop {
-            let frame = timeout_at(deadline, self.answer.body.frame())
-                .await
-                .map_err(|_| SendError::TimedOut)?;
+            let frame = tokio::select! {
+                frame = timeout_at(deadline, self.answer.body.frame()) => {
+                    frame.map_err(|_| SendError::TimedOut)?
+                }
+                () = gateway.link.silence(), if self.relay.is_none() => {
+                    return Err(SendError::TimedOut);
+                }
+            };
             match frame {
                 None if self.splitter.is_inside_event() => return Err(SendError::Truncated),
                 None => return Ok(StreamItem::End),
@@ -101,7 +116,28 @@
 ) -> Result<Response<AnswerBody>, (Refusal, RequestRecord)> {
     let mut reason = NO_ENDPOINT;
     let mut cache = None;
-    while call.may_send(gateway) {
+    while let Some(way) = call.next_way(gateway).await {
+        if way == SendWay::Relay {
+            let sends = call.history.sends;
+            match relay_stream(gateway, &mut call, None).await {
+                Some((instance, Started::Failed(response))) => {
+                    record.relayed_to = instance;
+                    record.finish("relayed", response.status().as_str());
+                    return Ok(response);
+                }
+                Some((instance, Started::Streaming(stream, first))) => {
+                    record.relayed_to = instance;
+                    record.first_byte();
+                    call.history.record_send(RunStatus::MayHaveRun);
+                    return Ok(stream_response(gateway.clone(), call, record, *stream, first));
+                }
+                None if call.history.sends > sends => continue,
+                None => {
+                    reason = NOT_RELAYED;
+                    break;
+                }
+            }
+        }
         if !call.admit_parts(gateway).await {
             reason = SUSPECTED_PART;
             break;
@@ -146,6 +182,38 @@
     Err((call.give_up(gateway, reason), record))
 }
 
+/// Sends a generation through another instance and waits for its first event; `None` if none has answered
+async fn relay_stream(
+    gateway: &Rc<Gateway>,
+    call: &mut ServingCall,
+    after: Option<SmolStr>,
+) -> Option<(InstanceId, Started)> {
+    let taken_up = after.map(|after| {
+        let begun_by = call.begun_by.as_ref().unwrap_or(&call.request.id).clone();
+        TakenUp { begun_by, after }
+    });
+    let (instance, answer) = relay::send(gateway, call, taken_up).await?;
+    let started = match answer.head.status.is_success() {
+        true => {
+            let mut stream = EngineStream::new(answer, Duration::ZERO);
+            stream.relay = Some(instance.clone());
+            let first = stream.next(gateway, call.deadline).await;
+            first.map(|first| Started::Streaming(Box::new(stream), first))
+        }
+        false => {
+            let answer = read_whole(gateway, answer, call.deadline).await;
+            answer.map(|answer| Started::Failed(relay_whole(answer)))
+        }
+    };
+    match started {
+        Ok(started) => Some((instance, started)),
+        Err(_) => {
+            call.history.record_send(RunStatus::MayHaveRun);
+            None
+        }
+    }
+}
+
 /// Result of a send along a path: a stream, or a complete error answer of the engine
 enum Started {
     Streaming(Box<EngineStream>, StreamItem),
@@ -422,7 +490,7 @@
         return Ok(Started::Failed(relay_whole(answer)));
     }
     let mut stream = EngineStream::new(answer, milliseconds(step.pick.own_ms));
-    let first = stream.next(deadline).await?;
+    let first = stream.next(gateway, deadline).await?;
     stream.first_event_at = Instant::now();
     record_prompt_read(gateway, call, &step.engine, &step.pick, sent_at.elapsed());
     Ok(Started::Streaming(Box::new(stream), first))
@@ -461,7 +529,8 @@
             match item {
                 StreamItem::Events(events) => yield events,
                 StreamItem::End => {
-                    if call.prompt.as_ref().is_some_and(|it| !it.has_long_output()) {
+                    let has_hold = stream.relay.is_none();
+                    if has_hold && call.prompt.as_ref().is_some_and(|it| !it.has_long_output()) {
                         gateway.record_hold(&call.pool, stream.held());
                     }
                     stream.release_connection(&gateway);
@@ -473,7 +542,7 @@
                 }
             }
             let paused_at = Instant::now();
-            item = match stream.next(call.deadline).await {
+            item = match stream.next(&gateway, call.deadline).await {
                 Ok(next) => {
                     if matches!(next, StreamItem::Events(_)) {
                         gateway.record_pause(&call.pool, paused_at.elapsed());
@@ -483,13 +552,17 @@
                 Err(error) => {
                     let last = stream.splitter.last_id().cloned().or(call.last_event.clone());
                     // Closes the connection, so that this engine stops before another one resumes.
+                    let is_relayed = stream.relay.is_some();
                     drop(stream);
                     call.end_run();
-                    if let Some(engine) = call.excluded.last() {
+                    if let Some(engine) = call.excluded.last().filter(|_| !is_relayed) {
                         call.record_crash_evidence(&gateway, engine, Vec::new(), &error);
                     }
                     match resume(&gateway, &mut call, &error, last).await {
                         Some((resumed, next)) => {
+                            if let Some(instance) = &resumed.relay {
+                                record.relayed_to = instance.clone();
+                            }
                             stream = resumed;
                             next
                         }
@@ -520,7 +593,21 @@
         call.history.sends,
         call.describe_parts(),
     );
-    while call.may_send(gateway) && call.admit_parts(gateway).await {
+    while let Some(way) = call.next_way(gateway).await {
+        if way == SendWay::Relay {
+            let sends = call.history.sends;
+            match relay_stream(gateway, call, last.clone()).await {
+                Some((_, Started::Streaming(stream, item))) => {
+                    call.history.record_send(RunStatus::MayHaveRun);
+                    return Some((*stream, item));
+                }
+                None if call.history.sends > sends => continue,
+                Some((_, Started::Failed(_))) | None => return None,
+            }
+        }
+        if !call.admit_parts(gateway).await {
+            return None;
+        }
         let path = plan_path(gateway, call).ok()?;
         if !call.try_start_send(gateway) {
             return None;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod coverage;
 pub mod crash_evidence;
 pub mod crash_parts;
+pub mod endpoint_link;
 pub mod error;
 pub mod events;
 pub mod follow;
@@ -27,6 +28,7 @@
 pub mod peers;
 pub mod positions;
 pub mod ready;
+pub mod relay;
 pub mod serving_call;
 pub mod state;
 pub mod stream_origins;
@@ -88,6 +90,7 @@
     tasks.spawn(follow::follow_config(gateway.clone()));
     tasks.spawn(follow::follow_endpoints(gateway.clone()));
     tasks.spawn(expire_entries(gateway.clone()));
+    tasks.spawn(endpoint_link::watch_link(gateway.clone()));
     peers::start(gateway.clone(), &mut tasks).await?;
     tasks.spawn(listen::accept(gateway.clone(), clients));
     loop {
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -1,6 +1,7 @@
 //! Accepts and serves client connections.
 
 use crate::forward;
+use crate::relay::RequestSource;
 use crate::state::{Gateway, RequestGuard};
 use decide::serving::route::ClientLimits;
 use http::header::{CONNECTION, HeaderValue};
@@ -51,10 +52,11 @@
 }
 
 /// Counts an open client connection until dropped
-struct ConnectionGuard(Rc<Gateway>);
+pub struct ConnectionGuard(Rc<Gateway>);
 
 impl ConnectionGuard {
-    fn new(gateway: Rc<Gateway>) -> ConnectionGuard {
+    /// Counts one more open connection
+    pub fn new(gateway: Rc<Gateway>) -> ConnectionGuard {
         gateway.open_connections.set(gateway.open_connections.get() + 1);
         ConnectionGuard(gateway)
     }
@@ -185,7 +187,8 @@
             let in_use = ActivityGuard::new(activity.clone());
             let open = RequestGuard::new(gateway.clone());
             async move {
-                let mut response = forward::serve(&gateway, request, caller).await;
+                let mut response =
+                    forward::serve(&gateway, request, RequestSource::Client(caller)).await;
                 if gateway.stopping.get() {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -252,6 +252,8 @@
     pub instances: u32,
     /// Digest of the facts that the sender knows
     pub digest: FactDigest,
+    /// Whether the sender reaches the endpoints
+    pub reaches_endpoints: bool,
     pub body: MessageBody,
 }
 
@@ -262,11 +264,13 @@
         sender: &PeerInstance,
         instances: Option<usize>,
         digest: FactDigest,
+        reaches_endpoints: bool,
         body: MessageBody,
     ) -> PeerMessage {
         let (zone, power) = (sender.zone.clone(), sender.power);
         let instances = instances.and_then(|it| u32::try_from(it).ok()).unwrap_or(0);
-        PeerMessage { version: MESSAGE_VERSION, instance, zone, power, instances, digest, body }
+        let version = MESSAGE_VERSION;
+        PeerMessage { version, instance, zone, power, instances, digest, reaches_endpoints, body }
     }
 
     /// Encodes the message
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,6 +21,7 @@
     sends: Family<LabelSet, Counter>,
     store_calls: Family<LabelSet, Counter>,
     store_bytes: Family<LabelSet, Counter>,
+    relays: Family<LabelSet, Counter>,
     first_byte: HistogramFamily,
     whole: HistogramFamily,
     /// Connections opened to endpoints
@@ -37,6 +38,8 @@
     pub endpoints_limited: Gauge,
     /// Known instances, including this one
     pub instances: Gauge,
+    /// 1 while no endpoint answers this instance
+    pub endpoints_cut: Gauge,
     /// Era of the store
     pub store_era: Gauge,
     /// Returns of the store from a copy
@@ -51,6 +54,7 @@
             sends: Family::default(),
             store_calls: Family::default(),
             store_bytes: Family::default(),
+            relays: Family::default(),
             first_byte: Family::new_with_constructor(latency_histogram),
             whole: Family::new_with_constructor(latency_histogram),
             connections_opened: Counter::default(),
@@ -60,6 +64,7 @@
             config_version: Gauge::default(),
             endpoints_limited: Gauge::default(),
             instances: Gauge::default(),
+            endpoints_cut: Gauge::default(),
             store_era: Gauge::default(),
             store_returns: Counter::default(),
         };
@@ -77,6 +82,9 @@
         registry.register("store_bytes", "Bytes read from the store", self.store_bytes.clone());
         registry.register("first_byte_seconds", "Time to the first byte", self.first_byte.clone());
         registry.register("answer_seconds", "Time to the end of the answer", self.whole.clone());
+        registry.register("relays", "Requests relayed between instances", self.relays.clone());
+        let cut = self.endpoints_cut.clone();
+        registry.register("endpoints_cut", "Whether no endpoint answers this instance", cut);
         let opened = self.connections_opened.clone();
         registry.register("connections_opened", "Connections opened to endpoints", opened);
         let empty = self.budget_empty.clone();
@@ -111,6 +119,12 @@
         self.sends.get_or_create(&labels).inc();
     }
 
+    /// Counts a request relayed to another instance (`out`) or from one (`in`)
+    pub fn relayed(&self, direction: &'static str, outcome: &'static str) {
+        let labels = vec![("direction", direction.into()), ("outcome", outcome.into())];
+        self.relays.get_or_create(&labels).inc();
+    }
+
     /// Counts a call to the store and the bytes that it received
     pub fn store_call(&self, call: &'static str, outcome: &'static str, bytes: usize) {
         let labels = vec![("call", call.into()), ("outcome", outcome.into())];
--- a/crates/gateway/src/peers/config_transfer.rs
+++ b/crates/gateway/src/peers/config_transfer.rs
@@ -6,18 +6,17 @@
 //! link is too small for that doesn't offer it, and whoever gets no answer reads the
 //! store.
 
+use crate::body::AnswerBody;
 use crate::packed_config::{PackedConfig, UnpackError};
-use crate::ready::{page, serve_page};
+use crate::ready::page;
 use crate::state::Gateway;
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use platform::http::{HttpClient, HttpError};
 use platform::transfer::{SilenceLimits, TransferMeter, transfer};
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 
 /// Longest silence during a transfer, after which the store is read instead.
 const SILENCE_LIMIT: Duration = Duration::from_millis(400);
@@ -35,14 +34,11 @@
 
 impl std::error::Error for TransferError {}
 
-/// Answers each request with the packed configuration
-pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
-    serve_page(listener, move || {
-        let packed = gateway.packed_config.borrow().as_ref().map(|it| it.body().clone());
-        let status = if packed.is_some() { StatusCode::OK } else { StatusCode::NOT_FOUND };
-        page(status, packed.unwrap_or_default())
-    })
-    .await;
+/// Answers a request with the packed configuration
+pub fn answer(gateway: &Gateway) -> Response<AnswerBody> {
+    let packed = gateway.packed_config.borrow().as_ref().map(|it| it.body().clone());
+    let status = if packed.is_some() { StatusCode::OK } else { StatusCode::NOT_FOUND };
+    page(status, packed.unwrap_or_default())
 }
 
 /// Fetches the configuration that another instance offers
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -12,6 +12,7 @@
 pub mod config_transfer;
 mod listing;
 mod origin_queries;
+mod port;
 pub mod repair;
 mod store_updates;
 
@@ -77,8 +78,8 @@
         UdpSocket::bind(address).await.map_err(|error| GatewayError::Bind { address, error })?;
     let listener =
         TcpListener::bind(address).await.map_err(|error| GatewayError::Bind { address, error })?;
-    tasks.spawn(config_transfer::serve(gateway.clone(), listener));
-    let table = SharedTable::default();
+    tasks.spawn(port::serve(gateway.clone(), listener));
+    let table = gateway.instances.clone();
     tasks.spawn(listing::keep_listed(gateway.clone(), table.clone()));
     let exchange = Rc::new(PeerExchange {
         gateway,
@@ -115,6 +116,7 @@
         let now = Instant::now();
         let instance = message.instance.clone();
         let digest = message.digest;
+        self.gateway.record_reported_link(&instance, message.reaches_endpoints);
         if message.instances > 0 {
             self.gateway.load.borrow_mut().record_listed(message.instances as usize);
         }
@@ -191,7 +193,9 @@
         };
         let instances = self.gateway.load.borrow().listed_instances();
         let digest = self.gateway.fact_digest();
-        let message = PeerMessage::new(settings.instance.clone(), &sender, instances, digest, body);
+        let instance = settings.instance.clone();
+        let reaches = !self.gateway.link.is_cut();
+        let message = PeerMessage::new(instance, &sender, instances, digest, reaches, body);
         let bytes = match message.encode() {
             Ok(bytes) => bytes,
             Err(error) => {
@@ -294,7 +298,11 @@
         exchange.send_repairs(now).await;
         gateway.load.borrow_mut().expire(now);
         gateway.update_limits(now);
-        let work = gateway.load.borrow().own().clone();
+        // A cut instance's requests don't reach the endpoints, or not before it gives them up.
+        let work = match gateway.link.is_cut() {
+            true => EndpointWork::new(),
+            false => gateway.load.borrow().own().clone(),
+        };
         let is_due = work != last_sent
             || now.saturating_duration_since(last_sent_at) >= IDLE_MESSAGE_INTERVAL;
         if exchange.table.borrow().is_empty() {
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,261 @@
+//! Relays requests through another instance while this one reaches no endpoint.
+//!
+//! The other instance receives the whole request on the port of the instances, with the
+//! caller's address, and serves it as its own: it picks the endpoint, retries and takes
+//! retries from its budget. It declines if it is cut itself, is starting or stopping, and
+//! never relays further. Its answer is marked, since an older build answers every request
+//! on that port with its configuration.
+
+use crate::attempt::{OpenAnswer, time_left};
+use crate::connections::{EndpointConnection, ExchangeError};
+use crate::serving_call::ServingCall;
+use crate::state::{Gateway, WorkGuard};
+use bytes::Bytes;
+use catalogue::id::InstanceId;
+use decide::serving::endpoint_list::ListedEndpoint;
+use decide::serving::leader::PeerInstance;
+use decide::serving::send_history::RunStatus;
+use http::header::{HeaderName, HeaderValue};
+use http::{HeaderMap, Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use platform_adapter::answer::decode_answer;
+use platform_adapter::head::{TakenUp, relayed_headers};
+use rand::seq::SliceRandom;
+use smol_str::SmolStr;
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::time::timeout_at;
+
+/// Instance that relays the request.
+const RELAYED_BY: HeaderName = HeaderName::from_static("x-relayed-by");
+/// Address of the caller.
+const RELAYED_FOR: HeaderName = HeaderName::from_static("x-relayed-for");
+/// Number of endpoints that the request was sent to before.
+const RELAYED_SENDS: HeaderName = HeaderName::from_static("x-relayed-sends");
+/// Marks the answer: whether the instance has served the request or declines it.
+const RELAY_RESULT: HeaderName = HeaderName::from_static("x-relay-result");
+const SERVED: HeaderValue = HeaderValue::from_static("served");
+const DECLINED: HeaderValue = HeaderValue::from_static("declined");
+
+/// Maximum number of instances that are tried for one request.
+const MAX_TRIED_INSTANCES: usize = 3;
+/// Age of an instance's last message up to which it tells whether that instance reaches the endpoints.
+const MAX_MESSAGE_AGE: Duration = Duration::from_secs(1);
+/// Maximum number of connections to one instance.
+const MAX_CONNECTIONS: usize = 200;
+
+/// Where a request comes from
+#[derive(Debug, Clone)]
+pub enum RequestSource {
+    /// From a client with this address
+    Client(IpAddr),
+    /// From another instance, which its client has called
+    Instance {
+        instance: InstanceId,
+        /// Address of the client
+        caller: IpAddr,
+        /// Number of endpoints that it was sent to before
+        sends: u32,
+    },
+}
+
+impl RequestSource {
+    /// Address of the client
+    pub fn caller(&self) -> IpAddr {
+        match self {
+            RequestSource::Client(caller) | RequestSource::Instance { caller, .. } => *caller,
+        }
+    }
+
+    /// Instance that relays the request; `None` if it comes from the client
+    pub fn relay(&self) -> Option<&InstanceId> {
+        match self {
+            RequestSource::Client(_) => None,
+            RequestSource::Instance { instance, .. } => Some(instance),
+        }
+    }
+}
+
+/// What another instance says of its own link
+#[derive(Debug, Clone, Copy)]
+pub struct ReportedLink {
+    pub reaches_endpoints: bool,
+    pub at: Instant,
+}
+
+/// Takes the headers of a relayed request off; `None` if it isn't one or they are malformed
+pub fn take_source(headers: &mut HeaderMap) -> Option<RequestSource> {
+    let mut take = |name: HeaderName| {
+        let value = headers.remove(name)?;
+        value.to_str().ok().map(SmolStr::new)
+    };
+    let (instance, caller, sends) = (take(RELAYED_BY), take(RELAYED_FOR), take(RELAYED_SENDS));
+    let caller = caller?.parse().ok()?;
+    let sends = sends?.parse().ok()?;
+    Some(RequestSource::Instance { instance: instance?, caller, sends })
+}
+
+/// Marks the answer to a relayed request
+pub fn mark<B>(mut response: Response<B>, is_served: bool) -> Response<B> {
+    let result = if is_served { SERVED } else { DECLINED };
+    response.headers_mut().insert(RELAY_RESULT, result);
+    response
+}
+
+/// Result of a relay through one instance
+enum RelayTry {
+    Answered(Box<OpenAnswer>),
+    /// The instance has not run the request
+    NotRun(&'static str),
+    MayHaveRun(&'static str),
+}
+
+impl Gateway {
+    /// Whether there are instances through which requests may be relayed
+    pub fn has_relays(&self) -> bool {
+        !self.relays().is_empty()
+    }
+
+    /// Instances that may reach the endpoints, those first that say so
+    fn relays(&self) -> Vec<(InstanceId, PeerInstance)> {
+        let table = self.instances.borrow();
+        let links = self.reported_links.borrow();
+        let is_full_mesh = table.is_full_mesh();
+        let is_recent = |it: &&ReportedLink| it.at.elapsed() < MAX_MESSAGE_AGE;
+        let mut relays = table
+            .iter()
+            .filter_map(|(id, instance)| {
+                let link = links.get(id).filter(is_recent);
+                // Only the leader of the zone is heard in a larger group.
+                let rank = match link {
+                    Some(link) if link.reaches_endpoints => 0,
+                    None if !is_full_mesh => 1,
+                    _ => return None,
+                };
+                Some((rank, id.clone(), instance.clone()))
+            })
+            .collect::<Vec<_>>();
+        relays.shuffle(&mut rand::rng());
+        if is_full_mesh {
+            relays.sort_by_key(|it| it.0);
+        }
+        relays.into_iter().map(|(_, id, instance)| (id, instance)).collect()
+    }
+
+    /// Records what another instance says of its link
+    pub fn record_reported_link(&self, instance: &InstanceId, reaches_endpoints: bool) {
+        let link = ReportedLink { reaches_endpoints, at: Instant::now() };
+        self.reported_links.borrow_mut().insert(instance.clone(), link);
+    }
+}
+
+/// Sends a request through another instance; `None` if none has answered, after which the call's history tells
+/// whether it may have run
+pub async fn send(
+    gateway: &Rc<Gateway>,
+    call: &mut ServingCall,
+    taken_up: Option<TakenUp>,
+) -> Option<(InstanceId, OpenAnswer)> {
+    for (instance, peer) in gateway.relays().into_iter().take(MAX_TRIED_INSTANCES) {
+        if !call.may_send(gateway) {
+            return None;
+        }
+        let result = send_through(gateway, call, &peer, &instance, taken_up.as_ref()).await;
+        let outcome = match &result {
+            RelayTry::Answered(_) => "answered",
+            RelayTry::NotRun(outcome) | RelayTry::MayHaveRun(outcome) => *outcome,
+        };
+        log::info!("event=relayed id={} to={instance} outcome={outcome}", call.request.id);
+        gateway.metrics.relayed("out", outcome);
+        match result {
+            RelayTry::Answered(answer) => return Some((instance, *answer)),
+            RelayTry::NotRun(_) => gateway.record_reported_link(&instance, false),
+            RelayTry::MayHaveRun(_) => call.history.record_send(RunStatus::MayHaveRun),
+        }
+    }
+    None
+}
+
+async fn send_through(
+    gateway: &Rc<Gateway>,
+    call: &ServingCall,
+    peer: &PeerInstance,
+    instance: &InstanceId,
+    taken_up: Option<&TakenUp>,
+) -> RelayTry {
+    let Some(request) = relay_request(gateway, call, taken_up) else {
+        return RelayTry::NotRun("unusable");
+    };
+    let once = !call.route.retry_rule.allows_second_run();
+    let target = connection_target(peer, instance);
+    let deadline = call.answer_deadline(gateway);
+    let acquired =
+        gateway.connections.acquire_from(gateway.settings.ip, &target, once, MAX_CONNECTIONS);
+    let mut connection = match timeout_at(deadline, acquired).await {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(_)) | Err(_) => return RelayTry::NotRun("unreachable"),
+    };
+    match timeout_at(deadline, connection.exchange(request)).await {
+        Ok(Ok(response)) => open_answer(gateway, connection, response),
+        Ok(Err(ExchangeError::Unsent)) => RelayTry::NotRun("unsent"),
+        Ok(Err(_)) => RelayTry::MayHaveRun("broken"),
+        Err(_) => RelayTry::MayHaveRun("timed_out"),
+    }
+}
+
+fn open_answer(
+    gateway: &Rc<Gateway>,
+    connection: EndpointConnection,
+    response: Response<Incoming>,
+) -> RelayTry {
+    let (mut parts, body) = response.into_parts();
+    match parts.headers.remove(RELAY_RESULT) {
+        Some(result) if result == SERVED => {}
+        Some(_) => return RelayTry::NotRun("declined"),
+        // A build that doesn't know relayed requests.
+        None => return RelayTry::NotRun("not_relayed"),
+    }
+    let head = decode_answer(&parts);
+    let work_guard = WorkGuard::uncounted(gateway.clone());
+    let headers = parts.headers;
+    RelayTry::Answered(Box::new(OpenAnswer { head, headers, body, connection, work_guard }))
+}
+
+fn relay_request(
+    gateway: &Gateway,
+    call: &ServingCall,
+    taken_up: Option<&TakenUp>,
+) -> Option<Request<Full<Bytes>>> {
+    let client = &call.request;
+    let mut request = Request::new(Full::new(client.body.clone()));
+    *request.method_mut() = client.parts.method.clone();
+    *request.uri_mut() = client.parts.uri.path_and_query()?.as_str().parse().ok()?;
+    let mut headers = relayed_headers(&client.parts.headers, time_left(call.deadline), taken_up);
+    for (name, value) in [
+        (RELAYED_BY, gateway.settings.instance.to_string()),
+        (RELAYED_FOR, client.caller.to_string()),
+        (RELAYED_SENDS, call.history.sends.to_string()),
+    ] {
+        headers.insert(name, HeaderValue::from_str(&value).ok()?);
+    }
+    *request.headers_mut() = headers;
+    Some(request)
+}
+
+/// Another instance as the target of a connection
+fn connection_target(peer: &PeerInstance, instance: &InstanceId) -> ListedEndpoint {
+    ListedEndpoint {
+        id: instance.clone(),
+        pool: SmolStr::default(),
+        address: peer.address,
+        zone: peer.zone.clone(),
+        version: SmolStr::default(),
+        slots: 0,
+        is_ready: true,
+        role: None,
+        started_at_ms: 0,
+        sequence: 0,
+    }
+}
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -2,9 +2,10 @@
 
 use crate::attempt::{ClientRequest, SendError, WholeAnswer, time_left};
 use crate::body::AnswerBody;
+use crate::endpoint_link::EvidenceKind;
 use crate::part_tests::PartTest;
 use crate::state::Gateway;
-use catalogue::id::{EndpointId, PoolName};
+use catalogue::id::{EndpointId, InstanceId, PoolName};
 use decide::fingerprint::{Fingerprint, RequestContent, request_fingerprint};
 use decide::serving::crash_parts::PartDecision;
 use decide::serving::crash_table::{BrokenEndpoint, EndpointStatus};
@@ -24,10 +25,12 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// Reason of a refusal for a part of the prompt that may crash engines
 pub const SUSPECTED_PART: &str = "suspected_part";
+/// Reason of a refusal while no endpoint answers this instance, and no other instance could take the request
+pub const NOT_RELAYED: &str = "not_relayed";
 /// Failed connection attempts after which a request is refused; they count apart from sends, since
 /// none of them reached an endpoint.
 const MAX_FAILED_CONNECTS: u32 = 3;
@@ -78,6 +81,21 @@
     pub gateway: Rc<Gateway>,
     /// Connection attempts that failed before anything was sent
     pub failed_connects: u32,
+    /// Counted sends without any answer
+    pub unanswered_sends: u32,
+    /// Whether another instance relays it, so that this one must not
+    pub is_relayed: bool,
+    /// Id of the request that brought the first event of a stream that the client takes up
+    pub begun_by: Option<SmolStr>,
+}
+
+/// Way of a send
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendWay {
+    /// To an endpoint
+    Direct,
+    /// Through another instance, since this one reaches no endpoint
+    Relay,
 }
 
 /// Send that an endpoint may be running
@@ -143,6 +161,21 @@
         self.running.take();
     }
 
+    /// How the next send goes, once the link isn't in doubt; `None` if there is to be none
+    pub async fn next_way(&mut self, gateway: &Gateway) -> Option<SendWay> {
+        let mut way = SendWay::Direct;
+        if !self.is_relayed {
+            // The check ends sooner.
+            let _ = timeout_at(self.deadline, gateway.link.settle()).await;
+            if gateway.link.is_cut() {
+                // Endpoints that this instance was cut off from don't count.
+                self.history.sends -= std::mem::take(&mut self.unanswered_sends);
+                way = SendWay::Relay;
+            }
+        }
+        self.may_send(gateway).then_some(way)
+    }
+
     /// Whether the request is suspected of crashing endpoints, here or at other instances
     fn is_suspected(&self, gateway: &Gateway) -> bool {
         // Avoids hashing the body: usually no endpoint has crashed.
@@ -179,7 +212,13 @@
         if error.is_disconnect() {
             let (id, status) = (endpoint.clone(), EndpointStatus::Unknown);
             let broken = BrokenEndpoint { id, started_at_ms, status };
-            gateway.record_strike(self.fingerprint(), broken, now);
+            let fingerprint = self.fingerprint();
+            let listed = gateway.endpoints.borrow().get(endpoint).cloned();
+            let strike = move |gateway: &Gateway| gateway.record_strike(fingerprint, broken, now);
+            match listed {
+                Some(listed) => gateway.hold_evidence(&listed, EvidenceKind::Broken, strike),
+                None => strike(gateway),
+            }
         } else if error.is_timeout() {
             self.record_silence(endpoint, started_at_ms, unanswered, SilenceCause::TimedOut);
         }
@@ -240,10 +279,17 @@
             gateway.record_result(endpoint, result);
         }
         if error.is_refused_connection() {
-            gateway.record_refused_connection(endpoint);
+            let refused = endpoint.clone();
+            gateway.hold_evidence(endpoint, EvidenceKind::Connect, move |gateway| {
+                gateway.record_refused_connection(&refused);
+            });
         }
         if error.is_disconnect() {
-            ServingCall::record_part_strikes(gateway, endpoint, unanswered.clone());
+            let (broken, parts) = (endpoint.clone(), unanswered.clone());
+            let now = std::time::Instant::now();
+            gateway.hold_evidence(endpoint, EvidenceKind::Broken, move |gateway| {
+                ServingCall::record_part_strikes(gateway, &broken, parts, now);
+            });
         }
         let endpoint = &endpoint.id;
         self.record_crash_evidence(gateway, endpoint, unanswered, error);
@@ -260,7 +306,10 @@
             _ if error.is_withheld() => {}
             // An accepted prefill doesn't count as a send, so one engine may still do both.
             (SendError::Prefill(_), _) if self.progress == PromptProgress::Lost => {}
-            _ => self.history.record_send(status),
+            _ => {
+                self.history.record_send(status);
+                self.unanswered_sends += u32::from(error.is_unanswered());
+            }
         }
     }
 
@@ -385,6 +434,9 @@
     pub route: SmolStr,
     /// Endpoint that answered; empty until then
     pub endpoint: EndpointId,
+    /// Instance that relays the request to this one, and the one that this one relays it to; mostly empty
+    pub relayed_by: InstanceId,
+    pub relayed_to: InstanceId,
 }
 
 impl RequestRecord {
@@ -400,6 +452,8 @@
             first_byte_after: None,
             route,
             endpoint,
+            relayed_by: InstanceId::default(),
+            relayed_to: InstanceId::default(),
         }
     }
 
@@ -416,10 +470,12 @@
         let took = self.arrived_at.elapsed();
         let config = self.gateway.config.borrow().as_ref().map_or(0, |it| it.version);
         log::info!(
-            "event=done id={} route={} outcome={outcome} detail={detail} endpoint={} first_ms={} took_ms={} config={config}",
+            "event=done id={} route={} outcome={outcome} detail={detail} endpoint={} relayed_by={} relayed_to={} first_ms={} took_ms={} config={config}",
             self.id,
             self.route,
             self.endpoint,
+            self.relayed_by,
+            self.relayed_to,
             self.first_byte_after.unwrap_or(took).as_millis(),
             took.as_millis(),
         );
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,14 +5,16 @@
 
 use crate::connections::{EndpointConnections, connection_share};
 use crate::coverage::TopicCoverage;
+use crate::endpoint_link::{EndpointLink, EvidenceKind};
 use crate::messages::{EndpointUpdate, FactRepair, PromptRead, ServingUpdate};
 use crate::metrics::GatewayMetrics;
 use crate::packed_config::{ConfigAnnouncement, PackedConfig};
 use crate::part_tests::PartSuspects;
+use crate::relay::ReportedLink;
 use crate::serving_call::ServingCall;
 use crate::stream_origins::OriginQueries;
 use bytes::Bytes;
-use catalogue::id::{EndpointId, PoolName};
+use catalogue::id::{EndpointId, InstanceId, PoolName};
 use decide::fingerprint::Fingerprint;
 use decide::serving::cache::PromptCaches;
 use decide::serving::crash_table::{CrashTable, FactDigest};
@@ -20,6 +22,7 @@
 use decide::serving::endpoint_list::IncarnationStart;
 use decide::serving::endpoint_list::{EndpointList, ListedEndpoint};
 use decide::serving::health::{EndpointHealth, SendResult};
+use decide::serving::leader::InstanceTable;
 use decide::serving::load::FleetLoad;
 use decide::serving::notice::EndpointNotices;
 use decide::serving::pick::EnginePick;
@@ -122,6 +125,12 @@
     /// Largest recent time left of requests by route, to detect clients' retries
     pub deadline_peaks: RefCell<IndexMap<RouteName, DeadlinePeak>>,
     pub connections: EndpointConnections,
+    /// Whether this instance reaches the endpoints
+    pub link: EndpointLink,
+    /// Other instances
+    pub instances: Rc<RefCell<InstanceTable>>,
+    /// What other instances say of their links
+    pub reported_links: RefCell<IndexMap<InstanceId, ReportedLink>>,
     /// Bytes of answers that are being read
     pub buffered_bytes: Cell<usize>,
     pub metrics: GatewayMetrics,
@@ -178,6 +187,9 @@
             retry_windows: RefCell::default(),
             deadline_peaks: RefCell::default(),
             connections: EndpointConnections::default(),
+            link: EndpointLink::default(),
+            instances: Rc::default(),
+            reported_links: RefCell::default(),
             buffered_bytes: Cell::default(),
             metrics: GatewayMetrics::default(),
             stopping: Cell::default(),
@@ -251,7 +263,17 @@
                 );
             }
             let health = vec![(endpoint.id.clone(), update)];
-            self.pending_update.borrow_mut().extend(ServingUpdate { health, ..Default::default() });
+            let tell = move |gateway: &Gateway| {
+                let update = ServingUpdate { health, ..Default::default() };
+                gateway.pending_update.borrow_mut().extend(update);
+            };
+            match result {
+                SendResult::Unreachable => {
+                    self.hold_evidence(endpoint, EvidenceKind::Connect, tell);
+                }
+                SendResult::Broken => self.hold_evidence(endpoint, EvidenceKind::Broken, tell),
+                _ => tell(self),
+            }
         }
     }
 
@@ -421,7 +443,8 @@
 /// Counts a request in an endpoint's load until dropped
 pub struct WorkGuard {
     gateway: Rc<Gateway>,
-    endpoint: EndpointId,
+    /// `None` if the work is another instance's
+    endpoint: Option<EndpointId>,
     unread_tokens: u64,
 }
 
@@ -429,19 +452,28 @@
     /// Counts a request that is about to be sent
     pub fn new(gateway: Rc<Gateway>, endpoint: EndpointId, unread_tokens: u64) -> WorkGuard {
         gateway.load.borrow_mut().record_sent(&endpoint, unread_tokens);
-        WorkGuard { gateway, endpoint, unread_tokens }
+        WorkGuard { gateway, endpoint: Some(endpoint), unread_tokens }
+    }
+
+    /// Guard of a request that another instance counts
+    pub fn uncounted(gateway: Rc<Gateway>) -> WorkGuard {
+        WorkGuard { gateway, endpoint: None, unread_tokens: 0 }
     }
 
     /// Removes the prompt's tokens from the load once the endpoint has read them
     pub fn record_prompt_read(&mut self) {
         let tokens = std::mem::take(&mut self.unread_tokens);
-        self.gateway.load.borrow_mut().record_read(&self.endpoint, tokens);
+        if let Some(endpoint) = &self.endpoint {
+            self.gateway.load.borrow_mut().record_read(endpoint, tokens);
+        }
     }
 }
 
 impl Drop for WorkGuard {
     fn drop(&mut self) {
         self.record_prompt_read();
-        self.gateway.load.borrow_mut().record_ended(&self.endpoint);
+        if let Some(endpoint) = &self.endpoint {
+            self.gateway.load.borrow_mut().record_ended(endpoint);
+        }
     }
 }
--- a/crates/gateway/tests/gateway/endpoint.rs
+++ b/crates/gateway/tests/gateway/endpoint.rs
@@ -260,6 +260,13 @@
         let own_id = self.incarnation_id(incarnation);
         while let Some(arrival) = read_request(&mut socket, &mut buffer).await {
             let mut arrival = Arrival { connection, ..arrival };
+            if arrival.line.starts_with("GET /healthz ") {
+                let healthy = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                if socket.write_all(healthy).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             let expected = arrival.header("x-expect-instance");
             let is_expected =
                 !self.has_new_ids.load(Ordering::SeqCst) || expected == Some(own_id.as_str());
--- a/crates/gateway/tests/messages.rs
+++ b/crates/gateway/tests/messages.rs
@@ -33,8 +33,14 @@
         zone: "availability-zone-a".into(),
         power: 250,
     };
-    let message =
-        PeerMessage::new("front-availability-zone-a-1".into(), &sender, Some(400), u64::MAX, body);
+    let message = PeerMessage::new(
+        "front-availability-zone-a-1".into(),
+        &sender,
+        Some(400),
+        u64::MAX,
+        true,
+        body,
+    );
     let bytes = message.encode().expect("encodes");
     verify_that!(bytes.len(), le(MAX_MESSAGE_BYTES))?;
     verify_that!(PeerMessage::decode(&bytes), some(eq(&message)))
@@ -102,7 +108,7 @@
             zone: "zone-a".into(),
             power: 250,
         };
-        let message = PeerMessage::new("front-1".into(), &sender, Some(400), u64::MAX, body);
+        let message = PeerMessage::new("front-1".into(), &sender, Some(400), u64::MAX, true, body);
         message.encode().expect("encodes").len()
     };
     size(part_crashes) - size(Vec::new())
