Recognize a crashing request without a body whoever sends it

Cause: without a body the caller was part of the fingerprint, and the lookup comes from many callers: each of them was another request. Every earlier test had one caller. Class: a key that holds more than what makes requests the same.

Change: a request without a body strikes under two fingerprints, its own with the caller and that of its path, and is refused for either.

Why sound lookups of many callers stay served: only endpoints that have ended count, and any completion of any caller voids all earlier strikes at all instances.

--- a/crates/decide/src/fingerprint.rs
+++ b/crates/decide/src/fingerprint.rs
@@ -42,14 +42,24 @@
 /// A body identifies the request by itself, from whatever address it comes again. Many callers send sound
 /// requests without a body on one path, so there the caller is part of it.
 pub fn request_fingerprint(content: &RequestContent<'_>) -> Fingerprint {
-    let RequestContent { method, path, body, caller } = content;
+    let mut hasher = hash_content(content);
+    if content.body.is_empty() {
+        content.caller.hash(&mut hasher);
+    }
+    hasher.finish()
+}
+
+/// Computes the fingerprint of a request without a body from whatever caller; `None` with a body
+pub fn path_fingerprint(content: &RequestContent<'_>) -> Option<Fingerprint> {
+    content.body.is_empty().then(|| hash_content(content).finish())
+}
+
+fn hash_content(content: &RequestContent<'_>) -> XxHash3_64 {
+    let RequestContent { method, path, body, .. } = content;
     let mut hasher = XxHash3_64::default();
     for part in [method.as_bytes(), path.as_bytes(), body] {
         hasher.write_usize(part.len());
         hasher.write(part);
     }
-    if body.is_empty() {
-        caller.hash(&mut hasher);
-    }
-    hasher.finish()
+    hasher
 }
--- a/crates/decide/tests/serving_crash_table.rs
+++ b/crates/decide/tests/serving_crash_table.rs
@@ -1,6 +1,6 @@
 //! Crash table: who is refused for which crashes, and that tables merge in any order.
 
-use decide::fingerprint::{RequestContent, request_fingerprint};
+use decide::fingerprint::{RequestContent, path_fingerprint, request_fingerprint};
 use decide::serving::crash_table::{
     BrokenEndpoint, CrashTable, EndpointStatus, REFUSAL_TIME, STRIKE_LIFETIME, SUSPECT_LIFETIME,
     StrikeScope,
@@ -191,6 +191,18 @@
     verify_that!(request_fingerprint(&one) == request_fingerprint(&other), eq(is_same))
 }
 
+fn check_path_fingerprint() -> Result<()> {
+    let content = |path, caller: &str, body| {
+        let caller = caller.parse().expect("an address");
+        path_fingerprint(&RequestContent { method: "GET", path, body, caller })
+    };
+    let one = content("/a?b", "10.0.0.1", b"");
+    verify_that!(one.is_some(), eq(true))?;
+    verify_that!(content("/a?b", "10.0.0.2", b""), eq(one))?;
+    verify_that!(content("/a?c", "10.0.0.1", b"") == one, eq(false))?;
+    verify_that!(content("/a?b", "10.0.0.1", b"body"), none())
+}
+
 /// Fact that some instance has found: the request, the endpoint that broke it off or `None` if it completed, the time in
 /// milliseconds, and whether the endpoint is known to have ended
 type Found = (u64, Option<u64>, u64, bool);
@@ -250,6 +262,8 @@
 const OTHER_CALLER: [u8; 4] = [10, 0, 0, 2];
 
 cases! {
+    // Guards against a lookup that isn't recognized, since each of its callers is a new one.
+    path_has_one_fingerprint_for_all_callers => check_path_fingerprint(),
     two_crashes_refuse_nobody => check(&[Crash("a", &[1]), Crash("b", &[1])], (false, false)),
     third_crash_refuses => check(&[Crash("a", &[1]), Crash("b", &[1]), Crash("c", &[1])], (true, false)),
     // Guards against a bystander of two crashes that takes the strikes of the crashing request back.
--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -3,10 +3,12 @@
 use crate::messages::ServingUpdate;
 use crate::state::Gateway;
 use decide::fingerprint::Fingerprint;
-use decide::serving::crash_table::{BrokenEndpoint, CrashFact, EndpointStatus, StrikeScope};
+use decide::serving::crash_table::{
+    BrokenEndpoint, CrashFact, EndpointStatus, MAX_STRIKES, REFUSAL_TIME, StrikeScope,
+};
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::silence::{SilenceCause, SilentRequest};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 impl Gateway {
     /// Records that an endpoint closed the connection at a time while it may have run a request
@@ -131,6 +133,16 @@
         self.crashes.borrow().is_refused(fingerprint, scope, now)
     }
 
+    /// Time for which all requests without a body on a path are refused; `None` if they aren't
+    ///
+    /// A path that was served before is tried again soon: many endpoints that ran it may have ended at once for a
+    /// reason of their own.
+    pub fn path_refusal_left(&self, path: Fingerprint, now: Instant) -> Option<Duration> {
+        let was_served = self.completed.borrow().contains(&path);
+        let first = if was_served { self.part_suspects.soon() } else { REFUSAL_TIME };
+        self.crashes.borrow().refusal_left(path, MAX_STRIKES, first, StrikeScope::Ended, now)
+    }
+
     /// Whether many requests look the same, see `crash_table`
     pub fn is_common(&self, fingerprint: Fingerprint, has_body: bool) -> bool {
         !has_body || self.completed.borrow().contains(&fingerprint)
--- a/crates/gateway/src/crash_parts.rs
+++ b/crates/gateway/src/crash_parts.rs
@@ -6,7 +6,7 @@
 
 use crate::messages::ServingUpdate;
 use crate::part_tests::PartTest;
-use crate::serving_call::{Refusal, SUSPECTED_PART, ServingCall};
+use crate::serving_call::{MIN_SUSPECT_RETRY_AFTER, Refusal, SUSPECTED_PART, ServingCall};
 use crate::state::Gateway;
 use decide::serving::crash_parts::{MAX_TESTED_STRIKES, PartDecision, decide_parts};
 use decide::serving::crash_table::{
@@ -15,13 +15,11 @@
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::prompt::{PartKey, PromptShape};
 use platform_adapter::answer::GatewayAnswer;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::time::timeout_at;
 
 /// Fraction of the objective that a request waits while another one tests its suspected part.
 const TEST_WAIT_FRACTION: f64 = 0.25;
-/// Shortest `Retry-After` of a request that is refused for a part of its prompt.
-const MIN_PART_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 impl ServingCall {
     /// Decision on the request by the shared parts of its prompt
@@ -132,7 +130,7 @@
             left.unwrap_or_default().as_millis(),
             engines.map(|it| it.as_str()).collect::<Vec<_>>().join(","),
         );
-        let retry_after = left.map(|it| it.max(MIN_PART_RETRY_AFTER));
+        let retry_after = left.map(|it| it.max(MIN_SUSPECT_RETRY_AFTER));
         Refusal { answer: GatewayAnswer::Suspected, reason: SUSPECTED_PART, retry_after }
     }
 }
--- a/crates/gateway/src/part_tests.rs
+++ b/crates/gateway/src/part_tests.rs
@@ -44,7 +44,12 @@
 impl PartSuspects {
     /// Time for which a part is refused at first
     pub fn first_refusal(&self, part: PartKey) -> Duration {
-        if self.answered.borrow().contains(&part) { self.answered_refusal } else { REFUSAL_TIME }
+        if self.answered.borrow().contains(&part) { self.soon() } else { REFUSAL_TIME }
+    }
+
+    /// First refusal of what was served before
+    pub fn soon(&self) -> Duration {
+        self.answered_refusal
     }
 }
 
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -6,7 +6,7 @@
 use crate::part_tests::PartTest;
 use crate::state::Gateway;
 use catalogue::id::{EndpointId, InstanceId, PoolName};
-use decide::fingerprint::{Fingerprint, RequestContent, request_fingerprint};
+use decide::fingerprint::{Fingerprint, RequestContent, path_fingerprint, request_fingerprint};
 use decide::serving::crash_parts::PartDecision;
 use decide::serving::crash_table::{BrokenEndpoint, EndpointStatus};
 use decide::serving::endpoint_list::IncarnationStart;
@@ -31,6 +31,8 @@
 pub const SUSPECTED_PART: &str = "suspected_part";
 /// Reason of a refusal while no endpoint answers this instance, and no other instance could take the request
 pub const NOT_RELAYED: &str = "not_relayed";
+/// Shortest `Retry-After` of a request that is refused for crashes.
+pub const MIN_SUSPECT_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Failed connection attempts after which a request is refused; they count apart from sends, since
 /// none of them reached an endpoint.
 const MAX_FAILED_CONNECTS: u32 = 3;
@@ -182,19 +184,31 @@
         if gateway.crashes.borrow().is_empty() {
             return false;
         }
+        let now = std::time::Instant::now();
+        let [own, path] = self.fingerprints();
         let has_body = !self.request.body.is_empty();
-        gateway.is_suspected(self.fingerprint(), has_body, std::time::Instant::now())
+        own.is_some_and(|it| gateway.is_suspected(it, has_body, now))
+            || path.is_some_and(|it| gateway.path_refusal_left(it, now).is_some())
+    }
+
+    /// Time for which all requests on the path are refused; `None` if only this one is
+    fn path_refusal_left(&self, gateway: &Gateway) -> Option<Duration> {
+        let [_, path] = self.fingerprints();
+        let left = gateway.path_refusal_left(path?, std::time::Instant::now())?;
+        Some(left.max(MIN_SUSPECT_RETRY_AFTER))
     }
 
-    /// Fingerprint by which the request is recognized when it comes again
-    fn fingerprint(&self) -> Fingerprint {
+    /// Fingerprints by which the request is recognized when it comes again: its own, and that of its path from
+    /// whatever caller if it has no body
+    fn fingerprints(&self) -> [Option<Fingerprint>; 2] {
         let ClientRequest { parts, body, caller, .. } = &self.request;
-        request_fingerprint(&RequestContent {
+        let content = RequestContent {
             method: parts.method.as_str(),
             path: parts.uri.path_and_query().map_or("", |it| it.as_str()),
             body,
             caller: *caller,
-        })
+        };
+        [Some(request_fingerprint(&content)), path_fingerprint(&content)]
     }
 
     /// Records a strike if the endpoint closed the connection while it may have run the request, or a timeout,
@@ -212,9 +226,13 @@
         if error.is_disconnect() {
             let (id, status) = (endpoint.clone(), EndpointStatus::Unknown);
             let broken = BrokenEndpoint { id, started_at_ms, status };
-            let fingerprint = self.fingerprint();
+            let fingerprints = self.fingerprints();
             let listed = gateway.endpoints.borrow().get(endpoint).cloned();
-            let strike = move |gateway: &Gateway| gateway.record_strike(fingerprint, broken, now);
+            let strike = move |gateway: &Gateway| {
+                for fingerprint in fingerprints.into_iter().flatten() {
+                    gateway.record_strike(fingerprint, broken.clone(), now);
+                }
+            };
             match listed {
                 Some(listed) => gateway.hold_evidence(&listed, EvidenceKind::Broken, strike),
                 None => strike(gateway),
@@ -232,22 +250,26 @@
         parts: Vec<PartKey>,
         cause: SilenceCause,
     ) {
-        let fingerprint = self.fingerprint();
-        let is_common = self.gateway.is_common(fingerprint, !self.request.body.is_empty());
-        self.gateway.silent_requests.borrow_mut().push(SilentRequest {
-            cause,
-            fingerprint,
-            parts,
-            is_common,
-            endpoint: endpoint.clone(),
-            started_at_ms,
-            at: std::time::Instant::now(),
-        });
+        let mut parts = parts;
+        for fingerprint in self.fingerprints().into_iter().flatten() {
+            let is_common = self.gateway.is_common(fingerprint, !self.request.body.is_empty());
+            self.gateway.silent_requests.borrow_mut().push(SilentRequest {
+                cause,
+                fingerprint,
+                parts: std::mem::take(&mut parts),
+                is_common,
+                endpoint: endpoint.clone(),
+                started_at_ms,
+                at: std::time::Instant::now(),
+            });
+        }
     }
 
     /// Records that the request completed without a crash
     pub fn record_completion(&self, gateway: &Gateway) {
-        gateway.record_completed(self.fingerprint(), std::time::Instant::now());
+        for fingerprint in self.fingerprints().into_iter().flatten() {
+            gateway.record_completed(fingerprint, std::time::Instant::now());
+        }
     }
 
     /// Records that its stream has begun at an endpoint
@@ -345,7 +367,8 @@
     /// Chooses the answer to the client when no further send is made
     pub fn give_up(&self, gateway: &Gateway, reason: &'static str) -> Refusal {
         if self.is_suspected(gateway) && !self.history.may_have_run {
-            return Refusal::new(GatewayAnswer::Suspected, "suspected");
+            let retry_after = self.path_refusal_left(gateway);
+            return Refusal { answer: GatewayAnswer::Suspected, reason: "suspected", retry_after };
         }
         if let PartDecision::Refuse(part) = self.part_decision(gateway)
             && !self.history.may_have_run
