--- a/crates/decide/src/serving/stream_origins.rs
+++ b/crates/decide/src/serving/stream_origins.rs
@@ -6,7 +6,7 @@
 //! any of them. An origin is kept until newer ones need its place.
 //!
 //! A stream that nobody knows may still go on if only one version of its pool was listed
-//! since it can have begun. Two streams with the same id are indistinguishable, and count
+//! since it can have begun, to this instance and to those that it asks. Two streams with the same id are indistinguishable, and count
 //! as unknown if their origins differ.
 
 use super::endpoint_list::ListedEndpoint;
@@ -105,6 +105,33 @@
     }
 }
 
+/// What the listed versions tell of streams that nobody knows
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum VersionView {
+    /// Only this version was listed since such a stream can have begun
+    Only(SoftwareVersion),
+    Several,
+    /// The list is out of date, or isn't known for long enough
+    Unsure,
+}
+
+impl VersionView {
+    /// Version on which several views agree; `None` if one has seen several, or all are unsure
+    pub fn agree(views: impl IntoIterator<Item = VersionView>) -> Option<SoftwareVersion> {
+        let mut agreed = None;
+        for view in views {
+            match (view, &agreed) {
+                (VersionView::Unsure, _) => {}
+                (VersionView::Only(version), None) => agreed = Some(version),
+                (VersionView::Only(version), Some(other)) if version == *other => {}
+                (VersionView::Only(_) | VersionView::Several, _) => return None,
+            }
+        }
+        agreed
+    }
+}
+
 /// Software versions of each pool, and when each was listed last
 #[derive(Debug, Clone, Default)]
 pub struct ListedVersions {
@@ -122,20 +149,25 @@
         }
     }
 
-    /// Only version of a pool that was listed at any time from a moment on; `None` if there are several, or if some
-    /// may be unknown
+    /// Versions of a pool that were listed at any time from a moment on
     ///
     /// Nothing ran before the first start of the system.
-    pub fn only_version(
+    pub fn view(
         &self,
         pool: &PoolName,
         from: Option<Instant>,
         is_first_start: bool,
-    ) -> Option<&SoftwareVersion> {
-        let is_complete = is_first_start || from.is_some_and(|it| self.known_since <= Some(it));
+    ) -> VersionView {
         let is_recent = |at: &Instant| from.is_none_or(|from| *at >= from);
-        let mut versions = self.pools.get(pool)?.iter().filter(|(_, at)| is_recent(at));
-        let (version, _) = versions.next().filter(|_| self.known_since.is_some() && is_complete)?;
-        versions.next().is_none().then_some(version)
+        let versions = self.pools.get(pool).into_iter().flatten();
+        let recent = versions.filter(|(_, at)| is_recent(at)).collect::<Vec<_>>();
+        let is_complete = is_first_start || from.is_some_and(|it| self.known_since <= Some(it));
+        match recent[..] {
+            [(version, _)] if self.known_since.is_some() && is_complete => {
+                VersionView::Only(version.clone())
+            }
+            [] | [_] => VersionView::Unsure,
+            _ => VersionView::Several,
+        }
     }
 }
--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -46,6 +46,8 @@
             it.id == endpoint.id && it.started_at_ms == endpoint.started_at_ms
         };
         let now = Instant::now();
+        let id = endpoint.id.clone();
+        self.ended_incarnations.borrow_mut().insert(id, endpoint.started_at_ms);
         let changes = self.crashes.borrow_mut().record_ended(has_ended, now);
         self.send_crash_facts(changes);
         // A draining endpoint may end at any time.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -328,6 +328,7 @@
     }
     gateway.metrics.endpoints_ready.set(i64::try_from(after.len()).unwrap_or(i64::MAX));
     gateway.health.borrow_mut().retain(|id| after.contains(id));
+    gateway.ended_incarnations.borrow_mut().retain(|id, _| after.contains(id));
     gateway.limits.borrow_mut().retain(|id| after.contains(id));
     gateway.caches.borrow_mut().retain(|id| after.contains(id));
     gateway.timings.borrow_mut().values_mut().for_each(|it| it.retain(|id| after.contains(id)));
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -133,6 +133,7 @@
         prompt: head.prompt,
         last_event: head.last_event,
         origin,
+        may_resume: true,
         held_version: None,
         sent_at: arrived_at,
         deadline,
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -593,6 +593,9 @@
         call.history.sends,
         call.describe_parts(),
     );
+    if !call.may_resume {
+        return None;
+    }
     while let Some(way) = call.next_way(gateway).await {
         if way == SendWay::Relay {
             let sends = call.history.sends;
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -11,7 +11,7 @@
 use decide::serving::rate_limit::LimitReport;
 use decide::serving::route::ConfigVersion;
 use decide::serving::store_era::TopicPosition;
-use decide::serving::stream_origins::{StreamKey, StreamOrigin};
+use decide::serving::stream_origins::{StreamKey, StreamOrigin, VersionView};
 use decide::serving::timing::StageSample;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -230,10 +230,11 @@
         stream: StreamKey,
         pool: PoolName,
     },
-    /// Answer to such a question; `None` if it isn't known
+    /// Answer to such a question; without an origin, what the sender's list tells
     OriginAnswer {
         stream: StreamKey,
         origin: Option<StreamOrigin>,
+        view: VersionView,
     },
 }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -156,8 +156,8 @@
             MessageBody::OriginQuery { stream, pool } => {
                 origin_queries::answer(self, stream, pool, address);
             }
-            MessageBody::OriginAnswer { stream, origin } => {
-                self.gateway.apply_origin_answer(stream, origin);
+            MessageBody::OriginAnswer { stream, origin, view } => {
+                self.gateway.apply_origin_answer(stream, origin, view);
             }
             MessageBody::Work(WorkScope::Rest, work, update) => {
                 self.gateway.apply_update(&update);
--- a/crates/gateway/src/peers/origin_queries.rs
+++ b/crates/gateway/src/peers/origin_queries.rs
@@ -31,7 +31,8 @@
 pub fn answer(exchange: &Rc<PeerExchange>, stream: StreamKey, pool: PoolName, to: SocketAddr) {
     let exchange = exchange.clone();
     tokio::task::spawn_local(async move {
-        let origin = exchange.gateway.known_origin(stream, &pool);
-        exchange.send(MessageBody::OriginAnswer { stream, origin }, to).await;
+        let origin = exchange.gateway.stream_origins.borrow().get(stream).cloned();
+        let view = exchange.gateway.version_view(&pool);
+        exchange.send(MessageBody::OriginAnswer { stream, origin, view }, to).await;
     });
 }
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -59,6 +59,8 @@
     pub last_event: Option<SmolStr>,
     /// What its stream has begun at; `None` before the first event
     pub origin: Option<StreamOrigin>,
+    /// Whether the software version at which it has begun is known
+    pub may_resume: bool,
     /// Software version of the engine that holds the cache of its prompt
     pub held_version: Option<SoftwareVersion>,
     /// Time of the last send; before the first one, time of arrival
@@ -274,11 +276,13 @@
 
     /// Records that its stream has begun at an endpoint
     pub fn record_begin(&mut self, gateway: &Gateway, endpoint: &ListedEndpoint) {
-        if self.origin.is_none() {
-            self.origin = Some(StreamOrigin::of(endpoint));
-            if self.route.retry_rule == RetryRule::Resumable {
-                gateway.record_stream(&self.request.id, endpoint);
-            }
+        if self.origin.is_some() {
+            return;
+        }
+        self.origin = Some(StreamOrigin::of(endpoint));
+        self.may_resume = !gateway.has_unknown_version(endpoint);
+        if self.route.retry_rule == RetryRule::Resumable && self.may_resume {
+            gateway.record_stream(&self.request.id, endpoint);
         }
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -110,6 +110,8 @@
     pub stream_origins: RefCell<StreamOrigins>,
     /// Software versions that were listed
     pub listed_versions: RefCell<ListedVersions>,
+    /// Listed incarnations that have ended: what answers at their addresses may have another version
+    pub ended_incarnations: RefCell<IndexMap<EndpointId, IncarnationStart>>,
     /// Questions to other instances for what streams began at
     pub origin_queries: OriginQueries,
     /// Requests that have completed lately
@@ -179,6 +181,7 @@
             part_suspects: Rc::default(),
             stream_origins: RefCell::default(),
             listed_versions: RefCell::default(),
+            ended_incarnations: RefCell::default(),
             origin_queries: OriginQueries::default(),
             completed: RefCell::new(LruCache::new(MAX_COMPLETED_REQUESTS)),
             silent_requests: RefCell::default(),
@@ -217,7 +220,10 @@
         let (pool, rule) = (&call.pool, call.route.retry_rule);
         let now = Instant::now();
         let list = self.endpoints.borrow();
-        let endpoints = list.ready(now).filter(|it| call.fits(it)).cloned().collect();
+        let has_begun = call.origin.is_some();
+        let may_run =
+            |it: &&ListedEndpoint| call.fits(it) && !(has_begun && self.has_unknown_version(it));
+        let endpoints = list.ready(now).filter(may_run).cloned().collect();
         let endpoints = self.notices.borrow().accepting(endpoints, now);
         let health = self.health.borrow();
         let mut usable = health.usable(endpoints, now);
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -2,8 +2,8 @@
 //!
 //! Each instance knows the origins of the streams that it relays, and those that others
 //! have told it. One that lacks an origin, since it has just started or lost a message,
-//! asks a few others, which also answer what they conclude from the endpoint list. A stream
-//! whose origin stays unknown is refused: at a wrong version it would be worthless.
+//! asks a few others, which also answer what their endpoint lists tell. A stream whose
+//! origin stays unknown is refused: at a wrong version it would be worthless.
 
 use crate::messages::{BegunStreams, ServingUpdate};
 use crate::serving_call::Refusal;
@@ -11,7 +11,7 @@
 use catalogue::id::PoolName;
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::route::RouteConfig;
-use decide::serving::stream_origins::{StreamKey, StreamOrigin, stream_key};
+use decide::serving::stream_origins::{StreamKey, StreamOrigin, VersionView, stream_key};
 use indexmap::IndexMap;
 use platform_adapter::answer::GatewayAnswer;
 use platform_adapter::head::RequestHead;
@@ -27,17 +27,17 @@
 const QUERY_ROUNDS: usize = 2;
 /// Longest time since a stream began, in multiples of the route's timeout; clients take streams up once or twice.
 const STREAM_AGE_TIMEOUTS: u32 = 2;
-/// Age of the endpoint list up to which it shows all versions, as a multiple of the time in which a change must be in
+/// Age of the endpoint list up to which it shows all versions, as a fraction of the time in which a change must be in
 /// force.
-const MAX_LIST_AGE_FACTOR: f64 = 1.5;
+const MAX_LIST_AGE_FRACTION: f64 = 0.5;
 
 /// Question for the origin of a stream, until it is answered
 #[derive(Debug)]
 struct OriginQuery {
     pool: PoolName,
     is_sent: bool,
-    /// Instances that don't know it
-    unknown: usize,
+    /// What the lists of instances tell that don't know it
+    views: Vec<VersionView>,
 }
 
 /// Open questions for origins of streams
@@ -61,13 +61,13 @@
     }
 
     fn ask(&self, stream: StreamKey, pool: &PoolName) {
-        let query = OriginQuery { pool: pool.clone(), is_sent: false, unknown: 0 };
+        let query = OriginQuery { pool: pool.clone(), is_sent: false, views: Vec::new() };
         self.open.borrow_mut().insert(stream, query);
         self.ready.notify_one();
     }
 
-    fn unknown(&self, stream: StreamKey) -> usize {
-        self.open.borrow().get(&stream).map_or(0, |it| it.unknown)
+    fn views(&self, stream: StreamKey) -> Vec<VersionView> {
+        self.open.borrow().get(&stream).map_or_else(Vec::new, |it| it.views.clone())
     }
 }
 
@@ -80,6 +80,12 @@
         self.pending_update.borrow_mut().extend(ServingUpdate { streams, ..Default::default() });
     }
 
+    /// Whether the software version at an endpoint's address may differ from the listed one, since that incarnation has
+    /// ended
+    pub fn has_unknown_version(&self, endpoint: &ListedEndpoint) -> bool {
+        self.ended_incarnations.borrow().get(&endpoint.id) == Some(&endpoint.started_at_ms)
+    }
+
     /// Withdraws what was not yet told of a stream that has ended
     pub fn forget_stream(&self, request_id: &str) {
         let stream = stream_key(request_id);
@@ -103,28 +109,16 @@
         self.listed_versions.borrow_mut().record(list.listed(now), now);
     }
 
-    /// Origin of a stream as far as this instance knows it or can conclude it from the list
-    pub fn known_origin(&self, stream: StreamKey, pool: &PoolName) -> Option<StreamOrigin> {
-        let origins = self.stream_origins.borrow();
-        match origins.get(stream) {
-            Some(origin) => Some(origin.clone()),
-            None if origins.is_ambiguous(stream) => None,
-            None => self.only_origin(pool),
-        }
-    }
-
-    /// Origin that all streams of a pool have that may still go on; `None` if there may be several
-    fn only_origin(&self, pool: &PoolName) -> Option<StreamOrigin> {
-        let max_age = self.settings.drain_bound.mul_f64(MAX_LIST_AGE_FACTOR);
+    /// What the endpoint list tells of the software versions at which streams of a pool may have begun
+    pub fn version_view(&self, pool: &PoolName) -> VersionView {
+        let max_age = self.settings.drain_bound.mul_f64(MAX_LIST_AGE_FRACTION);
         let is_current = self.endpoints_known_at.get().is_some_and(|it| it.elapsed() <= max_age);
         if !is_current {
-            return None;
+            return VersionView::Unsure;
         }
         self.record_listed_versions();
         let from = Instant::now().checked_sub(self.longest_stream(pool));
-        let versions = self.listed_versions.borrow();
-        let version = versions.only_version(pool, from, self.settings.is_first_start)?;
-        Some(StreamOrigin { pool: pool.clone(), version: version.clone() })
+        self.listed_versions.borrow().view(pool, from, self.settings.is_first_start)
     }
 
     fn longest_stream(&self, pool: &PoolName) -> Duration {
@@ -135,31 +129,36 @@
     }
 
     /// Records another instance's answer to a question for an origin
-    pub fn apply_origin_answer(&self, stream: StreamKey, origin: Option<StreamOrigin>) {
-        match origin {
-            Some(origin) => {
-                self.stream_origins.borrow_mut().record(stream, &origin);
-            }
-            None => {
-                if let Some(query) = self.origin_queries.open.borrow_mut().get_mut(&stream) {
-                    query.unknown += 1;
-                }
-            }
+    pub fn apply_origin_answer(
+        &self,
+        stream: StreamKey,
+        origin: Option<StreamOrigin>,
+        view: VersionView,
+    ) {
+        if let Some(origin) = origin {
+            self.stream_origins.borrow_mut().record(stream, &origin);
+        } else if let Some(query) = self.origin_queries.open.borrow_mut().get_mut(&stream) {
+            query.views.push(view);
         }
         self.origin_queries.answered.notify_waiters();
     }
 
-    /// Asks other instances for the origin of a stream
-    async fn ask_origin(&self, stream: StreamKey, pool: &PoolName) -> Option<StreamOrigin> {
+    /// Asks other instances for the origin of a stream; without it, returns what their lists tell
+    async fn ask_origin(
+        &self,
+        stream: StreamKey,
+        pool: &PoolName,
+    ) -> Result<StreamOrigin, Vec<VersionView>> {
         let queries = &self.origin_queries;
-        let mut origin = None;
+        let mut answer = Err(Vec::new());
         'rounds: for _ in 0..QUERY_ROUNDS {
             queries.ask(stream, pool);
             let until = tokio::time::Instant::now() + ANSWER_TIMEOUT;
             loop {
                 let answered = queries.answered.notified();
-                origin = self.stream_origins.borrow().get(stream).cloned();
-                if origin.is_some() || queries.unknown(stream) >= ASKED_INSTANCES {
+                let origin = self.stream_origins.borrow().get(stream).cloned();
+                answer = origin.ok_or_else(|| queries.views(stream));
+                if answer.as_ref().map_or_else(|it| it.len() >= ASKED_INSTANCES, |_| true) {
                     break 'rounds;
                 }
                 if timeout_at(until, answered).await.is_err() {
@@ -168,7 +167,7 @@
             }
         }
         queries.open.borrow_mut().swap_remove(&stream);
-        origin
+        answer
     }
 
     /// Origin of the stream that a request takes up
@@ -181,21 +180,23 @@
         head: &RequestHead,
     ) -> Result<StreamOrigin, Refusal> {
         let pool = &route.targets[0].pool;
-        let is_split = route.targets.len() > 1;
         let stream = head.begun_by.as_deref().map(stream_key);
         let known = stream.and_then(|it| self.stream_origins.borrow().get(it).cloned());
-        let (origin, source) = match (known, stream) {
-            (Some(origin), _) => (Some(origin), "own"),
-            (None, Some(stream)) => match self.ask_origin(stream, pool).await {
-                Some(origin) => (Some(origin), "peer"),
-                None if is_split => (None, "none"),
-                None => (self.known_origin(stream, pool), "list"),
-            },
-            (None, None) if is_split => (None, "none"),
-            (None, None) => (self.only_origin(pool), "list"),
+        let asked = match (known, stream) {
+            (Some(origin), _) => Ok((origin, "own")),
+            (None, Some(stream)) => self.ask_origin(stream, pool).await.map(|it| (it, "peer")),
+            (None, None) => Err(Vec::new()),
         };
+        let found = asked.or_else(|views| {
+            // A stream of a split route may have begun in another pool.
+            let is_certain = route.targets.len() == 1
+                && !stream.is_some_and(|it| self.stream_origins.borrow().is_ambiguous(it));
+            let views = views.into_iter().chain([self.version_view(pool)]);
+            let version = VersionView::agree(views).filter(|_| is_certain).ok_or(())?;
+            Ok::<_, ()>((StreamOrigin { pool: pool.clone(), version }, "list"))
+        });
         let begun_by = head.begun_by.as_deref().unwrap_or("none");
-        let Some(origin) = origin else {
+        let Ok((origin, source)) = found else {
             log::info!("event=stream_unknown id={} begun_by={begun_by} pool={pool}", head.id);
             return Err(Refusal::new(GatewayAnswer::NotRun, "stream_unknown"));
         };
--- a/crates/gateway/tests/gateway/cut.rs
+++ b/crates/gateway/tests/gateway/cut.rs
@@ -64,6 +64,11 @@
         self.0.send_modify(|it| it.cuts.retain(|it| it.0 != process));
     }
 
+    /// Ends all cuts
+    pub fn heal_all(&self) {
+        self.0.send_modify(|it| it.cuts.clear());
+    }
+
     /// Receives each change
     pub fn subscribe(&self) -> watch::Receiver<CutState> {
         self.0.subscribe()
--- a/crates/gateway/tests/gateway/software_versions.rs
+++ b/crates/gateway/tests/gateway/software_versions.rs
@@ -21,11 +21,15 @@
     stream_is_not_taken_up_without_an_engine_of_its_version => taken_up(Beside::VersionGone),
     stream_is_not_taken_up_by_instances_that_know_nothing => taken_up(Beside::AllNew),
     stream_is_taken_up_at_the_only_version_without_the_store => only_version(),
+    // Guards against a stream that goes on at the version that the list shows of an engine that has come back with another.
+    stream_is_not_resumed_at_an_engine_that_came_back => came_back(),
     // Guards against a prompt that is read by an engine of one software version and answered by one of another.
     prompt_is_read_and_answered_at_one_software_version => split(),
 }
 
 const STREAMS: usize = 40;
+/// Streams with events of two versions that the users' rule allows.
+const MAX_MIXED_STREAMS: usize = 2;
 /// Streams that break, each within the retry limits.
 const RESUMED_STREAMS: usize = 20;
 const VERSIONS: [&str; 2] = ["v1", "v1.1"];
@@ -256,6 +260,46 @@
     verify_that!(got.status, eq(503))
 }
 
+/// An engine ends and comes back under its id with another version, while the list is out of date
+async fn came_back() -> Result<()> {
+    let script = |it: &Arrival| {
+        let mut steps = events(it, Step::Pause(Duration::from_millis(30)));
+        if it.header("last-event-id").is_none() {
+            steps.push(Step::Reset);
+        }
+        steps
+    };
+    let fleet = VersionFleet::start(script, 1).await;
+    // Shows that it is the engines that have ended, and not the link to them.
+    let service = FakeEndpoint::start("service-1", |it| {
+        vec![Step::Write(crate::endpoint::answer(it, "200 OK", "right"))]
+    })
+    .await;
+    list_software(&fleet.store, &service, "ready", None, unix_ms(), "v1");
+    sleep(LIST_TIME).await;
+    let down = Duration::from_secs(1);
+    fleet.engines.iter().for_each(|it| it.end(down));
+    let instance = &fleet.instances[0];
+    for number in 0..RESUMED_STREAMS {
+        let id = format!("down-{number}");
+        call(instance.clients, generation_with("resumed", &id, &["root"], 100)).await;
+        call(instance.clients, crate::deployment::post("entries", &id, &id)).await;
+        sleep(Duration::from_millis(40)).await;
+    }
+    sleep(down * 3).await;
+    let before = fleet.engines.iter().flat_map(FakeEndpoint::arrivals).count();
+    for number in 0..RESUMED_STREAMS {
+        let id = format!("id-{number}");
+        call(instance.clients, generation_with("resumed", &id, &["root"], 100)).await;
+        sleep(Duration::from_millis(40)).await;
+    }
+    let arrivals = fleet.engines.iter().flat_map(FakeEndpoint::arrivals).collect::<Vec<_>>();
+    verify_that!(arrivals.len(), gt(before))?;
+    let resumed = arrivals.iter().filter(|it| it.header("last-event-id").is_some()).count();
+    println!("{resumed} resumed");
+    verify_that!(resumed, le(MAX_MIXED_STREAMS))
+}
+
 /// A prompt is read apart only by an engine of the version that answers
 async fn split() -> Result<()> {
     let script = |it: &Arrival| {
