--- a/crates/gateway/tests/messages.rs
+++ b/crates/gateway/tests/messages.rs
@@ -131,6 +131,7 @@
 }
 
 cases! {
+    begun_streams_take_few_bytes => check_stream_bytes(),
     // Guard against messages that nobody can decode, since they are too large.
     work_at_the_design_size_fits_into_a_message => check_work_fits(),
     largest_repair_fits_into_a_message => check_repair_fits(),
@@ -139,3 +140,20 @@
     // Guards against the loss of the newest state of an endpoint, since older states fill the message.
     full_update_drops_its_oldest_entries => check_newest_stay(),
 }
+
+/// Streams that have begun cost little beside the work that messages state anyway
+fn check_stream_bytes() -> Result<()> {
+    let size = |count: u64| {
+        let streams = (0..count).map(|it| u64::MAX - it).collect();
+        let mut update = ServingUpdate::default();
+        update.extend(ServingUpdate {
+            streams: vec![BegunStreams { origin: origin(), streams }],
+            ..ServingUpdate::default()
+        });
+        let body = work_body(WorkScope::Own, &EndpointWork::new(), update);
+        bincode::serde::encode_to_vec(&body, bincode::config::standard()).expect("encodes").len()
+    };
+    let bytes = (size(100) - size(0)) as f64 / 100.0;
+    println!("{bytes:.1} bytes a stream");
+    verify_that!(bytes, le(10.0))
+}
