Resume answers of the product's own interface at their software version

Change: entries of the list may state the version of an endpoint's software. The version of the engine that generated the first token is kept, and engines of others are left out when the answer resumes. Lists that state none work as before.

--- a/crates/catalogue/src/fleet.rs
+++ b/crates/catalogue/src/fleet.rs
@@ -94,6 +94,9 @@
     /// Whether the engine refuses orders with an old fencing number
     #[serde(default)]
     pub checks_fence: bool,
+    /// Version of an endpoint's software; empty if it states none
+    #[serde(default)]
+    pub version: SmolStr,
 }
 
 /// Role and model that an order assigns to an engine
--- a/crates/peer/tests/peer/heartbeat.rs
+++ b/crates/peer/tests/peer/heartbeat.rs
@@ -93,6 +93,7 @@
         address: listener.local_addr().expect("bound"),
         state: InstanceState::Live,
         checks_fence: false,
+        version: Default::default(),
     }
 }
 
--- a/crates/peer/tests/peer/members.rs
+++ b/crates/peer/tests/peer/members.rs
@@ -24,6 +24,7 @@
         address: ([127, 0, 0, 1], 1_000 + number as u16).into(),
         state: InstanceState::Live,
         checks_fence: false,
+        version: Default::default(),
     }
 }
 
--- a/crates/persimmonlift/src/attempt.rs
+++ b/crates/persimmonlift/src/attempt.rs
@@ -71,6 +71,11 @@
 }
 
 impl ServingAttempt {
+    /// Endpoint that it runs at
+    pub fn endpoint(&self) -> &EndpointId {
+        &self.endpoint
+    }
+
     /// Wraps an error with this attempt's endpoint
     pub fn failure(&self, error: EngineError) -> AttemptFailure {
         AttemptFailure { endpoint: self.endpoint.clone(), address: self.address, error }
--- a/crates/persimmonlift/src/generation.rs
+++ b/crates/persimmonlift/src/generation.rs
@@ -1,7 +1,8 @@
 //! Generation of one answer over one or more attempts.
 //!
 //! If the stream of an answer breaks, the answer resumes at the next token on a new
-//! connection to the same or another engine. The caller receives one complete answer.
+//! connection to the same or another engine with the same version of its software. The
+//! caller receives one complete answer.
 
 use crate::admission::AdmissionPermit;
 use crate::attempt::{AttemptFailure, AttemptStarter, ServingAttempt, StartFault};
@@ -17,6 +18,7 @@
 use decide::retry::backoff;
 use decide::suspect::SuspectDecision;
 use platform::engine::{EngineError, StreamLine};
+use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -52,6 +54,8 @@
     resumes: u32,
     next_token: TokenCount,
     excluded: Vec<EndpointId>,
+    /// Version of the software of the engine that generated the first token
+    version: Option<SmolStr>,
     lines: Vec<StreamLine>,
     first_texts: Vec<String>,
     cached_tokens: TokenCount,
@@ -88,6 +92,7 @@
             resumes: 0,
             next_token: 0,
             excluded,
+            version: None,
             lines: Vec::new(),
             first_texts: Vec::new(),
             cached_tokens: 0,
@@ -187,6 +192,12 @@
 
     fn apply_lines(&mut self, texts: &mut Vec<String>) {
         let has_token = self.lines.iter().any(|it| matches!(it, StreamLine::Token { .. }));
+        if has_token
+            && self.version.is_none()
+            && let Some(attempt) = &self.attempt
+        {
+            self.version = self.pool.version_of(attempt.endpoint());
+        }
         if has_token && self.attempts > 1 {
             self.context.suspects.progress(self.job.fingerprint);
         }
@@ -256,12 +267,16 @@
         is_suspect: bool,
     ) -> Result<Result<ServingAttempt, StartFault>, CallerRefusal> {
         self.attempts += 1;
+        let mut excluded = self.excluded.clone();
+        if let Some(version) = &self.version {
+            excluded.extend(self.pool.endpoints_of_other_versions(version));
+        }
         let route = RouteRequest {
             job: &self.job,
             pool: &self.pool,
             zone: &self.context.settings.instance.zone,
             from_token: self.next_token,
-            excluded: &self.excluded,
+            excluded: &excluded,
             is_suspect,
             attempt: self.attempts,
         };
--- a/crates/persimmonlift/src/pool.rs
+++ b/crates/persimmonlift/src/pool.rs
@@ -13,6 +13,7 @@
 use decide::path::{EnginePath, choose_path};
 use decide::retry::RetryBudget;
 use platform::engine::{CacheEvents, LoadReport};
+use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -261,6 +262,19 @@
         ids.filter(|it| !entry.allows_endpoint(it)).cloned().collect()
     }
 
+    /// Version of an endpoint's software; `None` if the endpoint isn't known any more
+    pub fn version_of(&self, id: &str) -> Option<SmolStr> {
+        let state = self.lock();
+        state.index_of(id).map(|it| state.records[it].listed.version.clone())
+    }
+
+    /// Endpoints whose software has another version
+    pub fn endpoints_of_other_versions(&self, version: &str) -> Vec<EndpointId> {
+        let state = self.lock();
+        let listed = state.records.iter().map(|it| &it.listed);
+        listed.filter(|it| it.version != version).map(|it| it.id.clone()).collect()
+    }
+
     /// Every second endpoint in the order of ids, starting with the first or the second
     pub fn alternate_endpoints(&self, from_first: bool) -> Vec<EndpointId> {
         let mut ids: Vec<EndpointId> = self.lock().views.iter().map(|it| it.id.clone()).collect();
--- a/crates/persimmonlift/tests/resume.rs
+++ b/crates/persimmonlift/tests/resume.rs
@@ -51,6 +51,45 @@
     verify_that!(resumed, gt(0))
 }
 
+/// Streams that break go on at engines with the software version that began them
+async fn check_versions() -> Result<()> {
+    let versions = ["v1", "v1.1"];
+    let mut fleet = FleetSettings::of(DeploymentKind::Trust);
+    fleet.engine_versions = versions.map(Into::into).to_vec();
+    let deployment = Arc::new(Deployment::start_with(1, fleet, |_| {}).await?);
+    for engine in deployment.fleet.engines.values() {
+        engine.set_speed(0.5);
+    }
+    let mut calls = tokio::task::JoinSet::new();
+    for number in 0..STREAMS {
+        let deployment = deployment.clone();
+        let text = prompt(number, 60);
+        calls.spawn(async move { deployment.check_stream(0, &text, TOKENS).await });
+    }
+    let registry = deployment.instances[0].context().registry.clone();
+    await_until("streams are running", || {
+        registry.status().iter().map(|it| it.in_flight).sum::<u32>() == STREAMS as u32
+    })
+    .await?;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    // One engine of each version.
+    deployment.fleet.engines.values().take(versions.len()).for_each(EngineStandin::crash);
+    while let Some(call) = calls.join_next().await {
+        call.or_fail()??;
+    }
+    let ids = deployment.fleet.engines.keys().collect::<Vec<_>>();
+    let version = |engine| ids.iter().position(|it| *it == engine).map(|it| it % versions.len());
+    let executions = deployment.fleet.engine_executions();
+    let resumed = executions.iter().filter(|it| it.from_token > 0).collect::<Vec<_>>();
+    verify_that!(resumed.len(), gt(0))?;
+    for next in resumed {
+        let own = executions.iter().filter(|it| it.seed == next.seed && it.from_token == 0);
+        let began = own.map(|it| version(&it.engine)).collect::<Vec<_>>();
+        verify_that!(began, contains(eq(&version(&next.engine))))?;
+    }
+    Ok(())
+}
+
 /// Generation on a prefill and a decode engine, also after a decode engine crashed
 async fn check_split() -> Result<()> {
     let deployment = Deployment::start(1).await?;
@@ -132,6 +171,8 @@
     connections_are_cut => check_fault(EngineStandin::cut),
     connections_stop_responding => check_fault(EngineStandin::make_unresponsive),
     engine_freezes => check_fault(|it| it.pause(true)),
+    // Guards against an answer that goes on at an engine whose software has another version.
+    answer_goes_on_at_its_software_version => check_versions(),
     prefill_then_decode => check_split(),
     caller_disconnects => check_cancel(),
     engine_leaves => check_leaving(),
--- a/crates/standins/examples/capacity/heartbeats.rs
+++ b/crates/standins/examples/capacity/heartbeats.rs
@@ -118,5 +118,6 @@
         address: listener.local_addr().expect("bound"),
         state: InstanceState::Live,
         checks_fence: false,
+        version: smol_str::SmolStr::default(),
     }
 }
--- a/crates/standins/examples/capacity/polling.rs
+++ b/crates/standins/examples/capacity/polling.rs
@@ -72,5 +72,6 @@
         address: engine.address(),
         state: InstanceState::Live,
         checks_fence: true,
+        version: Default::default(),
     }
 }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -13,7 +13,7 @@
 use catalogue::{EngineRole, InstanceKind, InstanceState, ListedInstance};
 use indexmap::IndexMap;
 use platform::weights::StoredModel;
-use smol_str::format_smolstr;
+use smol_str::{SmolStr, format_smolstr};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -64,6 +64,8 @@
     pub model_bytes: u64,
     /// Settings of every engine; the fleet sets each engine's model and seed
     pub engine: EngineSettings,
+    /// Versions of the engines' software, by turns; empty if they state none
+    pub engine_versions: Vec<SmolStr>,
     /// Number of engines that ignore fencing numbers; these are the last ones of the pool
     pub engines_ignoring_fence: usize,
     /// Entry instances that are in the list from the start
@@ -80,6 +82,7 @@
             weight_bytes_per_s: 2_000_000_000,
             model_bytes: 8_000_000_000,
             engine: EngineSettings::default(),
+            engine_versions: Vec::new(),
             engines_ignoring_fence: 0,
             instances: Vec::new(),
         }
@@ -230,6 +233,7 @@
         address: instance.peer,
         state: InstanceState::Live,
         checks_fence: false,
+        version: SmolStr::default(),
     }
 }
 
@@ -241,6 +245,8 @@
     let listed = |(index, engine): (usize, &EngineStandin)| {
         let mut entry = listed_endpoint(plan, InstanceKind::Engine, index, engine.address());
         entry.checks_fence = settings.engine.checks_fence && checks_fence(settings, plan, index);
+        let versions = &settings.engine_versions;
+        entry.version = versions.get(index % versions.len().max(1)).cloned().unwrap_or_default();
         entry
     };
     engines.values().enumerate().map(listed).collect()
@@ -271,6 +277,7 @@
         address,
         state: InstanceState::Live,
         checks_fence: false,
+        version: SmolStr::default(),
     }
 }
 
