Decline a relayed request that was refused because of a cut meanwhile

Found on reading: an instance that is cut while it serves a request of another one answered 503 as served, and its caller got that though a third instance might have served it. It now declines. Evidence against endpoints that comes while no instance reaches them is applied at once instead of being kept without a bound.

--- a/crates/gateway/src/endpoint_link.rs
+++ b/crates/gateway/src/endpoint_link.rs
@@ -112,7 +112,11 @@
         evidence: impl FnOnce(&Gateway) + 'static,
     ) {
         let link = &self.link;
-        if link.is_cut() && self.has_relays() {
+        if link.is_cut() {
+            // While no other instance reaches the endpoints either, they may have ended.
+            if !self.has_relays() {
+                evidence(self);
+            }
             return;
         }
         link.held.borrow_mut().push((kind, Box::new(evidence)));
--- a/crates/gateway/src/peers/port.rs
+++ b/crates/gateway/src/peers/port.rs
@@ -76,6 +76,8 @@
     gateway.metrics.relayed("in", "served");
     // A stopping instance waits for it as for its own clients.
     let guards = (RequestGuard::new(gateway.clone()), ConnectionGuard::new(gateway.clone()));
-    let response = mark(forward::serve(gateway, request, source).await, true);
-    response.map(|body| body.guarded(guards))
+    let response = forward::serve(gateway, request, source).await;
+    // Another instance may serve it: it has not run, and this one has been cut meanwhile.
+    let is_declined = response.status() == StatusCode::SERVICE_UNAVAILABLE && gateway.link.is_cut();
+    mark(response, !is_declined).map(|body| body.guarded(guards))
 }
