Let the test of a misdirected engine not depend on a draw

Cause: of two engines that are alike, the choice draws one for each request, so one run in 64 never meets it. The other engine is now in another zone, so that the first request meets the misdirected one in every run. The check is the same.

--- a/crates/gateway/tests/gateway/deployment.rs
+++ b/crates/gateway/tests/gateway/deployment.rs
@@ -63,6 +63,13 @@
     list_software(store, endpoint, state, stage, started_at_ms, "v1");
 }
 
+/// Puts the entry of an engine in another zone into the store
+pub fn list_far(store: &FakeStore, endpoint: &FakeEndpoint) {
+    let mut entry = entry(endpoint, "ready", stage_of(endpoint), 1, "v1");
+    entry["zone"] = "zone-b".into();
+    store.put("keyed.servers", &endpoint.id, entry.to_string().as_bytes());
+}
+
 /// Puts the entry of an incarnation with this version of its software into the store
 pub fn list_software(
     store: &FakeStore,
@@ -72,6 +79,17 @@
     started_at_ms: u64,
     software: &str,
 ) {
+    let entry = entry(endpoint, state, stage, started_at_ms, software);
+    store.put("keyed.servers", &endpoint.id, entry.to_string().as_bytes());
+}
+
+fn entry(
+    endpoint: &FakeEndpoint,
+    state: &str,
+    stage: Option<&str>,
+    started_at_ms: u64,
+    software: &str,
+) -> Value {
     let pool = if endpoint.id.starts_with("engine") { "engines" } else { "plain" };
     let mut entry = json!({
         "service": pool, "address": endpoint.address, "zone": "zone-a", "version": software,
@@ -80,7 +98,7 @@
     if let Some(stage) = stage {
         entry["stage"] = stage.into();
     }
-    store.put("keyed.servers", &endpoint.id, entry.to_string().as_bytes());
+    entry
 }
 
 /// Stage of an endpoint, by its id
--- a/crates/gateway/tests/gateway/generations.rs
+++ b/crates/gateway/tests/gateway/generations.rs
@@ -1,6 +1,6 @@
 //! Generations split between two engines: one runs prefill, another decode.
 
-use crate::deployment::{Deployment, endpoint, generation_of};
+use crate::deployment::{Deployment, endpoint, generation_of, list_far};
 use crate::endpoint::{Arrival, STREAM_END, Step, chunk, event, not_run, stream_head};
 use googletest::prelude::*;
 use std::time::Duration;
@@ -68,6 +68,9 @@
         endpoint("engine-1", |it| vec![Step::Write(not_run(it, "421 Misdirected Request"))]).await;
     let decode = endpoint("engine-2", decode_script).await;
     let deployment = Deployment::start(&[&prefill, &gone, &decode]).await;
+    // Of two engines that are alike, the one in the own zone is picked first.
+    list_far(&deployment.store, &decode);
+    tokio::time::sleep(Duration::from_millis(500)).await;
     for number in 0..6 {
         let got = deployment.call(generation("streams", &format!("id-{number}"))).await;
         verify_that!((got.status, got.is_whole), eq((200, true)))?;
