Split modules that import each other, and list the new faults in the matrix

Their types without the instance's state are modules of their own now, and the choice of endpoints for a call stands beside the call. No logic changes.

--- a/crates/gateway/src/endpoint_link.rs
+++ b/crates/gateway/src/endpoint_link.rs
@@ -6,19 +6,18 @@
 //! answered, and dropped if the link turns out to be cut while others reach the endpoints.
 
 use crate::connections::ExchangeError;
+use crate::link_evidence::{EvidenceKind, SILENCE_LIMIT};
 use crate::state::Gateway;
 use bytes::Bytes;
 use decide::serving::endpoint_list::ListedEndpoint;
-use decide::serving::link::{CheckResult, LinkMonitor, LinkState};
+use decide::serving::link::{CheckResult, LinkState};
 use http::Request;
 use http_body_util::Full;
 use indexmap::IndexMap;
 use platform_adapter::engine::call_headers;
 use rand::seq::SliceRandom;
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
 /// Time to wait for the answer of a checked endpoint.
@@ -29,71 +28,6 @@
 const HOLD_TIME: Duration = Duration::from_millis(100);
 /// Pause between two checks while the link is cut.
 const CHECK_PAUSE: Duration = Duration::from_millis(250);
-/// Silence after which a request is given up at an endpoint while the link is cut.
-const SILENCE_LIMIT: Duration = Duration::from_millis(400);
-
-/// What shows an endpoint's failure
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum EvidenceKind {
-    /// No connection could be opened
-    Connect,
-    /// An open connection broke off
-    Broken,
-}
-
-type Evidence = Box<dyn FnOnce(&Gateway)>;
-
-/// Link of this instance to the endpoints
-#[derive(Default)]
-pub struct EndpointLink {
-    monitor: RefCell<LinkMonitor>,
-    held: RefCell<Vec<(EvidenceKind, Evidence)>>,
-    /// Notified when evidence is held
-    has_held: Notify,
-    /// Notified when the link is in doubt
-    doubted: Notify,
-    /// Notified when a check has ended
-    settled: Notify,
-}
-
-impl EndpointLink {
-    /// State of the link
-    pub fn state(&self) -> LinkState {
-        self.monitor.borrow().state()
-    }
-
-    /// Whether no endpoint answers this instance
-    pub fn is_cut(&self) -> bool {
-        self.state() == LinkState::Cut
-    }
-
-    /// Waits until the link isn't in doubt
-    pub async fn settle(&self) {
-        loop {
-            let settled = self.settled.notified();
-            if self.state() != LinkState::Doubtful {
-                return;
-            }
-            settled.await;
-        }
-    }
-
-    /// Waits until the link has been cut for `SILENCE_LIMIT`
-    pub async fn silence(&self) {
-        loop {
-            let settled = self.settled.notified();
-            if self.is_cut() {
-                sleep(SILENCE_LIMIT).await;
-                if self.is_cut() {
-                    return;
-                }
-            } else {
-                settled.await;
-            }
-        }
-    }
-}
-
 impl Gateway {
     /// Records an answer of an endpoint, which shows that the link isn't cut
     pub fn record_link_answer(&self, is_new_connection: bool) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
 
 use crate::attempt::{OpenAnswer, time_left};
 use crate::connections::{EndpointConnection, ExchangeError};
+use crate::link_evidence::ReportedLink;
 use crate::serving_call::ServingCall;
 use crate::state::{Gateway, WorkGuard};
 use bytes::Bytes;
@@ -78,13 +79,6 @@
     }
 }
 
-/// What another instance says of its own link
-#[derive(Debug, Clone, Copy)]
-pub struct ReportedLink {
-    pub reaches_endpoints: bool,
-    pub at: Instant,
-}
-
 /// Takes the headers of a relayed request off; `None` if it isn't one or they are malformed
 pub fn take_source(headers: &mut HeaderMap) -> Option<RequestSource> {
     let mut take = |name: HeaderName| {
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -2,7 +2,7 @@
 
 use crate::attempt::{ClientRequest, SendError, WholeAnswer, time_left};
 use crate::body::AnswerBody;
-use crate::endpoint_link::EvidenceKind;
+use crate::link_evidence::EvidenceKind;
 use crate::part_tests::PartTest;
 use crate::state::Gateway;
 use catalogue::id::{EndpointId, InstanceId, PoolName};
@@ -421,6 +421,32 @@
     }
 }
 
+impl Gateway {
+    /// Endpoints that accept a request now
+    pub fn ready_endpoints(&self, call: &ServingCall) -> Vec<ListedEndpoint> {
+        let (pool, rule) = (&call.pool, call.route.retry_rule);
+        let now = std::time::Instant::now();
+        let list = self.endpoints.borrow();
+        let has_begun = call.origin.is_some();
+        let may_run =
+            |it: &&ListedEndpoint| call.fits(it) && !(has_begun && self.has_unknown_version(it));
+        let endpoints = list.ready(now).filter(may_run).cloned().collect();
+        let endpoints = self.notices.borrow().accepting(endpoints, now);
+        let health = self.health.borrow();
+        let mut usable = health.usable(endpoints, now);
+        if rule == RetryRule::Once {
+            usable = health.reliable(usable, now);
+        }
+        let share = self.connection_share(pool);
+        usable.retain(|it| self.connections.has_capacity(it, share));
+        let mut limits = self.limits.borrow_mut();
+        if !limits.is_empty() {
+            usable.retain(|it| limits.admits(it, rand::random(), now));
+        }
+        usable
+    }
+}
+
 impl Drop for ServingCall {
     fn drop(&mut self) {
         // The client has left. The endpoint may still crash on the request.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,14 +5,12 @@
 
 use crate::connections::{EndpointConnections, connection_share};
 use crate::coverage::TopicCoverage;
-use crate::endpoint_link::{EndpointLink, EvidenceKind};
+use crate::link_evidence::{EndpointLink, EvidenceKind, ReportedLink};
 use crate::messages::{EndpointUpdate, FactRepair, PromptRead, ServingUpdate};
 use crate::metrics::GatewayMetrics;
+use crate::origin_queries::OriginQueries;
 use crate::packed_config::{ConfigAnnouncement, PackedConfig};
 use crate::part_tests::PartSuspects;
-use crate::relay::ReportedLink;
-use crate::serving_call::ServingCall;
-use crate::stream_origins::OriginQueries;
 use bytes::Bytes;
 use catalogue::id::{EndpointId, InstanceId, PoolName};
 use decide::fingerprint::Fingerprint;
@@ -29,7 +27,7 @@
 use decide::serving::prompt::PromptPrefix;
 use decide::serving::rate_limit::EndpointLimits;
 use decide::serving::retry_window::RetryWindow;
-use decide::serving::route::{RetryRule, RouteName, ServingConfig};
+use decide::serving::route::{RouteName, ServingConfig};
 use decide::serving::silence::SilentRequests;
 use decide::serving::store_era::{EraTracker, StoreEra, TopicPosition};
 use decide::serving::stream_origins::{ListedVersions, StreamOrigins};
@@ -128,7 +126,7 @@
     pub deadline_peaks: RefCell<IndexMap<RouteName, DeadlinePeak>>,
     pub connections: EndpointConnections,
     /// Whether this instance reaches the endpoints
-    pub link: EndpointLink,
+    pub link: EndpointLink<Gateway>,
     /// Other instances
     pub instances: Rc<RefCell<InstanceTable>>,
     /// What other instances say of their links
@@ -215,30 +213,6 @@
         is_read && (has_joined || self.started_at.elapsed() > MAX_JOIN_WAIT)
     }
 
-    /// Endpoints that accept a request now
-    pub fn ready_endpoints(&self, call: &ServingCall) -> Vec<ListedEndpoint> {
-        let (pool, rule) = (&call.pool, call.route.retry_rule);
-        let now = Instant::now();
-        let list = self.endpoints.borrow();
-        let has_begun = call.origin.is_some();
-        let may_run =
-            |it: &&ListedEndpoint| call.fits(it) && !(has_begun && self.has_unknown_version(it));
-        let endpoints = list.ready(now).filter(may_run).cloned().collect();
-        let endpoints = self.notices.borrow().accepting(endpoints, now);
-        let health = self.health.borrow();
-        let mut usable = health.usable(endpoints, now);
-        if rule == RetryRule::Once {
-            usable = health.reliable(usable, now);
-        }
-        let share = self.connection_share(pool);
-        usable.retain(|it| self.connections.has_capacity(it, share));
-        let mut limits = self.limits.borrow_mut();
-        if !limits.is_empty() {
-            usable.retain(|it| limits.admits(it, rand::random(), now));
-        }
-        usable
-    }
-
     /// Maximum number of connections of this instance to one endpoint of a pool
     pub fn connection_share(&self, pool: &PoolName) -> usize {
         let config = self.config.borrow();
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -12,12 +12,9 @@
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::route::RouteConfig;
 use decide::serving::stream_origins::{StreamKey, StreamOrigin, VersionView, stream_key};
-use indexmap::IndexMap;
 use platform_adapter::answer::GatewayAnswer;
 use platform_adapter::head::RequestHead;
-use std::cell::RefCell;
 use std::time::{Duration, Instant};
-use tokio::sync::Notify;
 use tokio::time::timeout_at;
 
 /// Number of instances that are asked at once for an origin.
@@ -31,46 +28,6 @@
 /// force.
 const MAX_LIST_AGE_FRACTION: f64 = 0.5;
 
-/// Question for the origin of a stream, until it is answered
-#[derive(Debug)]
-struct OriginQuery {
-    pool: PoolName,
-    is_sent: bool,
-    /// What the lists of instances tell that don't know it
-    views: Vec<VersionView>,
-}
-
-/// Open questions for origins of streams
-#[derive(Debug, Default)]
-pub struct OriginQueries {
-    open: RefCell<IndexMap<StreamKey, OriginQuery>>,
-    /// Notified when there is a question to be sent
-    pub ready: Notify,
-    answered: Notify,
-}
-
-impl OriginQueries {
-    /// Questions that have not been sent
-    pub fn take_unsent(&self) -> Vec<(StreamKey, PoolName)> {
-        let mut open = self.open.borrow_mut();
-        let unsent = open.iter_mut().filter_map(|(stream, it)| {
-            let was_sent = std::mem::replace(&mut it.is_sent, true);
-            (!was_sent).then(|| (*stream, it.pool.clone()))
-        });
-        unsent.collect()
-    }
-
-    fn ask(&self, stream: StreamKey, pool: &PoolName) {
-        let query = OriginQuery { pool: pool.clone(), is_sent: false, views: Vec::new() };
-        self.open.borrow_mut().insert(stream, query);
-        self.ready.notify_one();
-    }
-
-    fn views(&self, stream: StreamKey) -> Vec<VersionView> {
-        self.open.borrow().get(&stream).map_or_else(Vec::new, |it| it.views.clone())
-    }
-}
-
 impl Gateway {
     /// Records that a stream has begun at an endpoint, and tells the others with the next message
     pub fn record_stream(&self, request_id: &str, endpoint: &ListedEndpoint) {
--- a/crates/standins/tests/matrix/platform.rs
+++ b/crates/standins/tests/matrix/platform.rs
@@ -4,7 +4,7 @@
 use super::ProtocolTable;
 
 /// Faults on the users' platform, one per row.
-const PLATFORM_FAULTS: [&str; 11] = [
+const PLATFORM_FAULTS: [&str; 13] = [
     "store comes back from a copy",
     "store away",
     "instance starts",
@@ -16,6 +16,8 @@
     "request crashes endpoints",
     "prompt part crashes engines",
     "client leaves",
+    "engines of two software versions",
+    "instance cut from all endpoints",
 ];
 
 /// Serving on the users' platform.
@@ -140,5 +142,28 @@
             ]),
             Reason("only the instance that the client called knows of it"),
         ],
+        &[
+            Reason("plain requests have no streams"),
+            Test(&[
+                "gateway::software_versions::stream_is_resumed_at_its_software_version",
+                "gateway::software_versions::prompt_is_read_and_answered_at_one_software_version",
+                "gateway::software_versions::stream_is_not_resumed_at_an_engine_that_came_back",
+            ]),
+            Test(&[
+                "gateway::software_versions::stream_is_taken_up_at_its_software_version_after_a_kill",
+                "gateway::software_versions::stream_is_taken_up_at_its_software_version_by_new_instances",
+            ]),
+        ],
+        &[
+            Test(&[
+                "gateway::cut_instances::callers_of_instances_that_hang_are_served",
+                "gateway::cut_instances::callers_of_instances_without_new_connections_are_served",
+            ]),
+            Test(&["gateway::cut_instances::stream_goes_on_through_another_instance"]),
+            Test(&[
+                "gateway::cut_instances::callers_of_most_instances_that_are_reset_are_served",
+                "gateway::cut_instances::requests_are_refused_at_once_while_all_instances_are_cut",
+            ]),
+        ],
     ],
 };
