Name the state of an unverified link for what it is

Cause: the link was said to be in doubt, which is a figure of speech and no term of the field.

Change: LinkState::Unverified, and names and comments that go with it. No logic changes.

--- a/crates/decide/src/serving/link.rs
+++ b/crates/decide/src/serving/link.rs
@@ -10,9 +10,9 @@
 use indexmap::IndexSet;
 use std::time::{Duration, Instant};
 
-/// Number of endpoints that must fail, without an answer in between, before the link is in doubt.
-const DOUBTED_ENDPOINTS: usize = 2;
-/// Time after an answer on a new connection in which failures don't put the link in doubt.
+/// Number of endpoints that must fail, without an answer in between, before the link has to be checked.
+const FAILED_ENDPOINTS: usize = 2;
+/// Time after an answer on a new connection in which failures cause no check.
 const SOUND_TIME: Duration = Duration::from_millis(100);
 /// Time after an answer within which a silent check shows nothing: endpoints that are full are silent, too.
 const ANSWER_TIME: Duration = Duration::from_millis(400);
@@ -23,7 +23,7 @@
     #[default]
     Sound,
     /// Several endpoints have failed, and the check hasn't ended
-    Doubtful,
+    Unverified,
     /// No endpoint answers this instance
     Cut,
 }
@@ -57,16 +57,16 @@
     }
 
     /// Records that a connection to an endpoint could not be opened, or broke off before an answer; `true` if this
-    /// puts the link in doubt
+    /// makes a check due
     ///
     /// `listed` is the number of endpoints that are listed.
     pub fn record_failure(&mut self, endpoint: &EndpointId, listed: usize, now: Instant) -> bool {
         self.failed.insert(endpoint.clone());
         let is_proven = |it: Instant| now.saturating_duration_since(it) < SOUND_TIME;
-        let is_doubted = self.failed.len() >= DOUBTED_ENDPOINTS.min(listed)
+        let is_unverified = self.failed.len() >= FAILED_ENDPOINTS.min(listed)
             && !self.sound_at.is_some_and(is_proven);
-        if self.state == LinkState::Sound && is_doubted {
-            self.state = LinkState::Doubtful;
+        if self.state == LinkState::Sound && is_unverified {
+            self.state = LinkState::Unverified;
             return true;
         }
         false
--- a/crates/decide/tests/serving_link.rs
+++ b/crates/decide/tests/serving_link.rs
@@ -1,4 +1,4 @@
-//! When the link to the endpoints is in doubt, and when it counts as cut.
+//! When the link to the endpoints is unverified, and when it counts as cut.
 
 use decide::serving::link::{CheckResult, LinkMonitor, LinkState};
 use googletest::prelude::*;
@@ -7,14 +7,14 @@
 
 cases! {
     one_failing_endpoint_is_its_own_fault => failures(&["a", "a", "a"], 8, LinkState::Sound),
-    two_failing_endpoints_put_the_link_in_doubt => failures(&["a", "b"], 8, LinkState::Doubtful),
-    only_endpoint_puts_the_link_in_doubt => failures(&["a"], 1, LinkState::Doubtful),
+    two_failing_endpoints_leave_the_link_unverified => failures(&["a", "b"], 8, LinkState::Unverified),
+    only_endpoint_leaves_the_link_unverified => failures(&["a"], 1, LinkState::Unverified),
     link_without_an_answer_is_cut => check(&[CheckResult::Refused, CheckResult::Silent], LinkState::Cut),
     one_answer_shows_a_sound_link => check(&[CheckResult::Refused, CheckResult::Answered], LinkState::Sound),
     nothing_to_check_leaves_the_link_sound => check(&[], LinkState::Sound),
-    answer_on_a_new_connection_ends_the_doubt => answered(true, LinkState::Sound),
+    answer_on_a_new_connection_verifies_the_link => answered(true, LinkState::Sound),
     // Guards against a cut that goes unnoticed, since connections that were open before live on.
-    answer_on_an_old_connection_leaves_the_doubt => answered(false, LinkState::Doubtful),
+    answer_on_an_old_connection_leaves_it_unverified => answered(false, LinkState::Unverified),
     // Guards against a cut that is seen where all endpoints are only full.
     silent_check_beside_answers_shows_full_endpoints => full(),
     cut_ends_with_an_answer_to_a_check => regained(),
@@ -22,7 +22,7 @@
     cut_ends_with_an_answer_to_a_request => regained_by_request(),
 }
 
-fn doubtful(now: Instant) -> LinkMonitor {
+fn unverified(now: Instant) -> LinkMonitor {
     let mut monitor = LinkMonitor::default();
     monitor.record_failure(&"a".into(), 8, now);
     assert!(monitor.record_failure(&"b".into(), 8, now), "two endpoints have failed");
@@ -39,19 +39,19 @@
 
 fn check(results: &[CheckResult], expected: LinkState) -> Result<()> {
     let now = Instant::now();
-    verify_that!(doubtful(now).decide(results, now), eq(expected))
+    verify_that!(unverified(now).decide(results, now), eq(expected))
 }
 
 fn answered(is_new_connection: bool, expected: LinkState) -> Result<()> {
     let now = Instant::now();
-    let mut monitor = doubtful(now);
+    let mut monitor = unverified(now);
     monitor.record_answer(is_new_connection, now);
     verify_that!(monitor.state(), eq(expected))
 }
 
 fn full() -> Result<()> {
     let now = Instant::now();
-    let mut monitor = doubtful(now);
+    let mut monitor = unverified(now);
     monitor.record_answer(false, now);
     let at = |ms| now + Duration::from_millis(ms);
     let mut refused = monitor.clone();
@@ -63,7 +63,7 @@
 
 fn regained() -> Result<()> {
     let now = Instant::now();
-    let mut monitor = doubtful(now);
+    let mut monitor = unverified(now);
     monitor.decide(&[CheckResult::Refused], now);
     monitor.record_answer(false, now);
     verify_that!(monitor.state(), eq(LinkState::Cut))?;
@@ -74,7 +74,7 @@
 
 fn regained_by_request() -> Result<()> {
     let now = Instant::now();
-    let mut monitor = doubtful(now);
+    let mut monitor = unverified(now);
     monitor.decide(&[CheckResult::Refused], now);
     monitor.record_answer(true, now);
     verify_that!(monitor.state(), eq(LinkState::Sound))
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -236,7 +236,7 @@
             Ok(Err(error)) => return Err(SendError::Exchange(error)),
             Err(_) => return Err(SendError::TimedOut),
         },
-        () = gateway.doubt_silent(endpoint) => return Err(SendError::TimedOut),
+        () = gateway.check_if_silent(endpoint) => return Err(SendError::TimedOut),
         // A request that may run only once can't be sent elsewhere.
         () = gateway.link.silence(), if !once => return Err(SendError::TimedOut),
     };
--- a/crates/gateway/src/endpoint_link.rs
+++ b/crates/gateway/src/endpoint_link.rs
@@ -58,8 +58,8 @@
         self.record_link_failure(endpoint);
     }
 
-    /// Puts the link in doubt if no endpoint answers while a request waits for this one; never returns
-    pub async fn doubt_silent(&self, endpoint: &ListedEndpoint) {
+    /// Makes a check of the link due if no endpoint answers while a request waits for this one; never returns
+    pub async fn check_if_silent(&self, endpoint: &ListedEndpoint) {
         sleep(SILENCE_LIMIT).await;
         if !self.link.monitor.borrow().has_answer(Instant::now()) {
             self.record_link_failure(endpoint);
@@ -71,7 +71,7 @@
         let now = Instant::now();
         let listed = self.endpoints.borrow().ready(now).count();
         if self.link.monitor.borrow_mut().record_failure(&endpoint.id, listed, now) {
-            self.link.doubted.notify_one();
+            self.link.check_due.notify_one();
         }
     }
 
@@ -143,7 +143,7 @@
     }
 }
 
-/// Checks the link when it is in doubt, and while it is cut, for the life of the process
+/// Checks the link when a check is due, and while it is cut, for the life of the process
 pub async fn watch_link(gateway: Rc<Gateway>) {
     let link = &gateway.link;
     loop {
@@ -152,7 +152,7 @@
             sleep(HOLD_TIME).await;
         };
         tokio::select! {
-            () = link.doubted.notified() => {}
+            () = link.check_due.notified() => {}
             () = is_held => {}
         }
         if link.held.borrow().is_empty() && link.state() == LinkState::Sound {
--- a/crates/gateway/src/link_evidence.rs
+++ b/crates/gateway/src/link_evidence.rs
@@ -28,8 +28,8 @@
     pub held: RefCell<Vec<(EvidenceKind, Evidence<State>)>>,
     /// Notified when evidence is held
     pub has_held: Notify,
-    /// Notified when the link is in doubt
-    pub doubted: Notify,
+    /// Notified when a check is due
+    pub check_due: Notify,
     /// Notified when a check has ended
     pub settled: Notify,
 }
@@ -40,7 +40,7 @@
             monitor: RefCell::default(),
             held: RefCell::default(),
             has_held: Notify::new(),
-            doubted: Notify::new(),
+            check_due: Notify::new(),
             settled: Notify::new(),
         }
     }
@@ -57,11 +57,11 @@
         self.state() == LinkState::Cut
     }
 
-    /// Waits until the link isn't in doubt
+    /// Waits until the link is verified
     pub async fn settle(&self) {
         loop {
             let settled = self.settled.notified();
-            if self.state() != LinkState::Doubtful {
+            if self.state() != LinkState::Unverified {
                 return;
             }
             settled.await;
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -165,7 +165,7 @@
         self.running.take();
     }
 
-    /// How the next send goes, once the link isn't in doubt; `None` if there is to be none
+    /// How the next send goes, once the link is verified; `None` if there is to be none
     pub async fn next_way(&mut self, gateway: &Gateway) -> Option<SendWay> {
         let mut way = SendWay::Direct;
         if !self.is_relayed {
