Resume streams only at listed incarnations while the endpoint list is out of date

Change: while the list is older than half of its bound, an engine must state the listed start of its incarnation in its report before a resumable stream begins there as resumable or goes on there. An answer holds for 0.5 s. Resuming nothing in every outage of the store was weighed: it loses each broken stream, while a report costs about a millisecond and one probe for each engine and half second.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -134,6 +134,7 @@
         last_event: head.last_event,
         origin,
         may_resume: true,
+        is_version_known: true,
         held_version: None,
         sent_at: arrived_at,
         deadline,
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -150,6 +150,9 @@
                 break;
             }
         };
+        if !check_versions(gateway, &mut call, &path).await {
+            continue;
+        }
         if !call.try_start_send(gateway) {
             reason = "no_budget";
             break;
@@ -298,6 +301,27 @@
     generate.map(|generate| EnginePath { prefill, generate }).ok_or(NO_ENDPOINT)
 }
 
+/// Checks that the engines of a path are the listed incarnations if the stream may be resumed; `false` if another path is
+/// needed, since the stream must not go on at these
+async fn check_versions(gateway: &Gateway, call: &mut ServingCall, path: &EnginePath) -> bool {
+    if call.route.retry_rule != RetryRule::Resumable {
+        return true;
+    }
+    let reader = path.prefill.as_ref().map(|it| &it.engine);
+    call.is_version_known = true;
+    for engine in reader.into_iter().chain([&path.generate.engine]) {
+        if gateway.is_listed_incarnation(engine).await {
+            continue;
+        }
+        call.is_version_known = false;
+        if call.origin.is_some() {
+            call.excluded.push(engine.id.clone());
+            return false;
+        }
+    }
+    true
+}
+
 /// Records that the engine of a pick has read the prompt, and how long that took
 fn record_prompt_read(
     gateway: &Gateway,
@@ -612,6 +636,9 @@
             return None;
         }
         let path = plan_path(gateway, call).ok()?;
+        if !check_versions(gateway, call, &path).await {
+            continue;
+        }
         if !call.try_start_send(gateway) {
             return None;
         }
--- /dev/null
+++ b/crates/gateway/src/incarnation_check.rs
@@ -0,0 +1,91 @@
+//! Checks that engines are the listed incarnations while the endpoint list may be out of date.
+//!
+//! An engine may come back under its id with another version of its software. While this
+//! instance doesn't learn of changes of the list, a stream may begin or go on only at an engine
+//! that has stated the listed start of its incarnation. A stream that has begun at any other
+//! engine is not resumed.
+
+use crate::state::Gateway;
+use bytes::Bytes;
+use catalogue::id::EndpointId;
+use decide::serving::endpoint_list::{IncarnationStart, ListedEndpoint};
+use http::Request;
+use http_body_util::{BodyExt, Full, Limited};
+use indexmap::IndexMap;
+use platform_adapter::engine::{REPORT_PATH, call_headers, decode_report_start};
+use std::cell::RefCell;
+use std::time::{Duration, Instant};
+use tokio::time::timeout;
+
+/// Time to wait for an engine's report; a first event waits for it, so it is a fraction of the objectives.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time for which a check holds; an engine that ends takes seconds to come back.
+const CHECK_LIFETIME: Duration = Duration::from_millis(500);
+/// Largest report that is read.
+const MAX_REPORT_BYTES: usize = 256 * 1024;
+/// Age of the endpoint list up to which it shows all incarnations, as a fraction of the time in which a change must
+/// be in force.
+const MAX_LIST_AGE_FRACTION: f64 = 0.5;
+
+/// Incarnations that engines have stated, with the times of the answers
+#[derive(Debug, Default)]
+pub struct CheckedIncarnations(RefCell<IndexMap<EndpointId, (IncarnationStart, Instant)>>);
+
+impl CheckedIncarnations {
+    fn is_checked(&self, engine: &ListedEndpoint, now: Instant) -> bool {
+        let checked = self.0.borrow();
+        checked.get(&engine.id).is_some_and(|(started_at_ms, at)| {
+            *started_at_ms == engine.started_at_ms
+                && now.saturating_duration_since(*at) < CHECK_LIFETIME
+        })
+    }
+
+    fn record(&self, engine: &ListedEndpoint, now: Instant) {
+        let mut checked = self.0.borrow_mut();
+        checked.retain(|_, (_, at)| now.saturating_duration_since(*at) < CHECK_LIFETIME);
+        checked.insert(engine.id.clone(), (engine.started_at_ms, now));
+    }
+}
+
+impl Gateway {
+    /// Whether the endpoint list is recent enough to show all incarnations
+    pub fn is_list_current(&self) -> bool {
+        let max_age = self.settings.drain_bound.mul_f64(MAX_LIST_AGE_FRACTION);
+        self.endpoints_known_at.get().is_some_and(|it| it.elapsed() <= max_age)
+    }
+
+    /// Whether an engine is the listed incarnation; asks it if the list may be out of date
+    pub async fn is_listed_incarnation(&self, engine: &ListedEndpoint) -> bool {
+        if self.is_list_current() || self.checked_incarnations.is_checked(engine, Instant::now()) {
+            return true;
+        }
+        let asked_at = Instant::now();
+        let stated = timeout(REPORT_TIMEOUT, self.ask_incarnation(engine)).await;
+        let is_listed = stated == Ok(Some(engine.started_at_ms));
+        log::info!(
+            "event=incarnation_checked endpoint={} listed={} stated={stated:?} is_listed={is_listed} took_ms={}",
+            engine.id,
+            engine.started_at_ms,
+            asked_at.elapsed().as_millis(),
+        );
+        if is_listed {
+            self.checked_incarnations.record(engine, asked_at);
+        }
+        is_listed
+    }
+
+    /// Start of the incarnation that an engine states; `None` if it doesn't answer or states none
+    async fn ask_incarnation(&self, engine: &ListedEndpoint) -> Option<IncarnationStart> {
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = REPORT_PATH.parse().ok()?;
+        *request.headers_mut() = call_headers(engine);
+        let share = self.connection_share(&engine.pool);
+        let mut connection = self.connections.acquire(engine, false, share).await.ok()?;
+        let answer = connection.exchange(request).await.ok()?;
+        if !answer.status().is_success() {
+            return None;
+        }
+        let body = Limited::new(answer.into_body(), MAX_REPORT_BYTES).collect().await.ok()?;
+        decode_report_start(&body.to_bytes())
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod follow;
 pub mod forward;
 pub mod generation;
+pub mod incarnation_check;
 pub mod link_evidence;
 pub mod listen;
 pub mod log_writer;
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -61,6 +61,8 @@
     pub origin: Option<StreamOrigin>,
     /// Whether the software version at which it has begun is known
     pub may_resume: bool,
+    /// Whether the engine that it is sent to is the listed incarnation, as far as that matters
+    pub is_version_known: bool,
     /// Software version of the engine that holds the cache of its prompt
     pub held_version: Option<SoftwareVersion>,
     /// Time of the last send; before the first one, time of arrival
@@ -287,7 +289,7 @@
             return;
         }
         self.origin = Some(StreamOrigin::of(endpoint));
-        self.may_resume = !gateway.has_unknown_version(endpoint);
+        self.may_resume = self.is_version_known && !gateway.has_unknown_version(endpoint);
         if self.route.retry_rule == RetryRule::Resumable && self.may_resume {
             gateway.record_stream(&self.request.id, endpoint);
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,7 @@
 
 use crate::connections::{EndpointConnections, connection_share};
 use crate::coverage::TopicCoverage;
+use crate::incarnation_check::CheckedIncarnations;
 use crate::link_evidence::{EndpointLink, EvidenceKind, ReportedLink};
 use crate::messages::{EndpointUpdate, FactRepair, PromptRead, ServingUpdate};
 use crate::metrics::GatewayMetrics;
@@ -110,6 +111,8 @@
     pub listed_versions: RefCell<ListedVersions>,
     /// Listed incarnations that have ended: what answers at their addresses may have another version
     pub ended_incarnations: RefCell<IndexMap<EndpointId, IncarnationStart>>,
+    /// Incarnations that engines have stated while the list was out of date
+    pub checked_incarnations: CheckedIncarnations,
     /// Questions to other instances for what streams began at
     pub origin_queries: OriginQueries,
     /// Requests that have completed lately
@@ -180,6 +183,7 @@
             stream_origins: RefCell::default(),
             listed_versions: RefCell::default(),
             ended_incarnations: RefCell::default(),
+            checked_incarnations: CheckedIncarnations::default(),
             origin_queries: OriginQueries::default(),
             completed: RefCell::new(LruCache::new(MAX_COMPLETED_REQUESTS)),
             silent_requests: RefCell::default(),
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -24,9 +24,6 @@
 const QUERY_ROUNDS: usize = 2;
 /// Longest time since a stream began, in multiples of the route's timeout; clients take streams up once or twice.
 const STREAM_AGE_TIMEOUTS: u32 = 2;
-/// Age of the endpoint list up to which it shows all versions, as a fraction of the time in which a change must be in
-/// force.
-const MAX_LIST_AGE_FRACTION: f64 = 0.5;
 
 impl Gateway {
     /// Records that a stream has begun at an endpoint, and tells the others with the next message
@@ -68,9 +65,7 @@
 
     /// What the endpoint list tells of the software versions at which streams of a pool may have begun
     pub fn version_view(&self, pool: &PoolName) -> VersionView {
-        let max_age = self.settings.drain_bound.mul_f64(MAX_LIST_AGE_FRACTION);
-        let is_current = self.endpoints_known_at.get().is_some_and(|it| it.elapsed() <= max_age);
-        if !is_current {
+        if !self.is_list_current() {
             return VersionView::Unsure;
         }
         self.record_listed_versions();
--- a/crates/gateway/tests/gateway/deployment.rs
+++ b/crates/gateway/tests/gateway/deployment.rs
@@ -79,6 +79,8 @@
     started_at_ms: u64,
     software: &str,
 ) {
+    // Its reports state the same start.
+    endpoint.start_of_incarnation(started_at_ms);
     let entry = entry(endpoint, state, stage, started_at_ms, software);
     store.put("keyed.servers", &endpoint.id, entry.to_string().as_bytes());
 }
--- a/crates/gateway/tests/gateway/endpoint.rs
+++ b/crates/gateway/tests/gateway/endpoint.rs
@@ -1,7 +1,9 @@
 //! Stand-in of an endpoint that answers each request by a script of raw bytes.
 
 use crate::cut::{CutMode, CutSwitch};
+use crate::deployment::unix_ms;
 use crate::process::ProcessId;
+use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -87,6 +89,8 @@
     ends: Arc<Mutex<Vec<Instant>>>,
     /// Whether each incarnation has an id of its own in the endpoint list
     has_new_ids: Arc<AtomicBool>,
+    /// Start of each incarnation that was listed or has reported, in Unix milliseconds
+    starts: Arc<Mutex<IndexMap<usize, u64>>>,
     /// Cuts of instances from it
     cuts: CutSwitch,
 }
@@ -118,6 +122,7 @@
             incarnation: Arc::new(watch::Sender::new(Incarnation { number: 0, is_up: true })),
             ends: Arc::default(),
             has_new_ids: Arc::default(),
+            starts: Arc::default(),
             cuts,
         };
         tokio::spawn(endpoint.clone().run(listener));
@@ -188,6 +193,12 @@
         if number == 0 { self.id.clone() } else { format!("{}.{number}", self.id) }
     }
 
+    /// Start of the current incarnation, in Unix milliseconds; `listed` if it has no other yet
+    pub fn start_of_incarnation(&self, listed: u64) -> u64 {
+        let number = self.incarnation.borrow().number;
+        *self.starts.lock().expect("no panic").entry(number).or_insert(listed)
+    }
+
     /// The same endpoint behind a proxy at another address
     pub fn behind(self, address: SocketAddr) -> FakeEndpoint {
         FakeEndpoint { address, ..self }
@@ -267,6 +278,13 @@
                 }
                 continue;
             }
+            if arrival.line.starts_with("GET /api/report ") {
+                let body = format!("{{\"born\":{}}}", self.start_of_incarnation(unix_ms()));
+                if socket.write_all(&answer(&arrival, "200 OK", &body)).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             let expected = arrival.header("x-expect-instance");
             let is_expected =
                 !self.has_new_ids.load(Ordering::SeqCst) || expected == Some(own_id.as_str());
--- a/crates/gateway/tests/gateway/soak.rs
+++ b/crates/gateway/tests/gateway/soak.rs
@@ -238,12 +238,13 @@
         let endpoint = FakeEndpoint::start(id, script).await;
         let proxy = FaultProxy::start_behind(endpoint.address, Vec::new(), cuts.clone()).await;
         let endpoint = endpoint.behind(proxy.address);
+        let started_at_ms = endpoint.start_of_incarnation(unix_ms());
         FaultyEndpoint {
             endpoint,
             proxy,
             mode,
             notices,
-            incarnations: RefCell::new(vec![(Instant::now(), unix_ms())]),
+            incarnations: RefCell::new(vec![(Instant::now(), started_at_ms)]),
             limits: RefCell::default(),
             disturbances: RefCell::default(),
             version,
@@ -284,7 +285,8 @@
     /// Comes back as a new incarnation without faults
     fn restart(&self, store: &FakeStore) {
         self.set(EndpointMode::Normal);
-        self.incarnations.borrow_mut().push((Instant::now(), unix_ms()));
+        let started_at_ms = self.endpoint.start_of_incarnation(unix_ms());
+        self.incarnations.borrow_mut().push((Instant::now(), started_at_ms));
         self.list(store, "ready");
     }
 
--- a/crates/gateway/tests/gateway/software_versions.rs
+++ b/crates/gateway/tests/gateway/software_versions.rs
@@ -23,6 +23,9 @@
     stream_is_taken_up_at_the_only_version_without_the_store => only_version(),
     // Guards against a stream that goes on at the version that the list shows of an engine that has come back with another.
     stream_is_not_resumed_at_an_engine_that_came_back => came_back(),
+    // Guards against the same while the store is away and nothing shows that engines have ended, and against streams that
+    // are given up there although their engines are the listed ones.
+    stream_is_resumed_at_listed_incarnations_without_the_store => came_back_unseen(),
     // Guards against a prompt that is read by an engine of one software version and answered by one of another.
     prompt_is_read_and_answered_at_one_software_version => split(),
 }
@@ -300,6 +303,41 @@
     verify_that!(resumed, le(MAX_MIXED_STREAMS))
 }
 
+/// Engines of one version end and come back while the store is away and no request shows it
+async fn came_back_unseen() -> Result<()> {
+    let script = |it: &Arrival| {
+        let mut steps = events(it, Step::Pause(Duration::from_millis(30)));
+        if it.header("last-event-id").is_none() {
+            steps.push(Step::Reset);
+        }
+        steps
+    };
+    let fleet = VersionFleet::start(script, 1).await;
+    fleet.store.set_mode(StoreMode::Unresponsive);
+    let (restarted, kept): (Vec<_>, Vec<_>) =
+        fleet.engines.iter().partition(|it| version_of(&it.id) == VERSIONS[1]);
+    restarted.iter().for_each(|it| it.end(Duration::from_secs(1)));
+    // The endpoint list is then out of date.
+    sleep(Duration::from_secs(4)).await;
+    let mut whole = 0;
+    for number in 0..RESUMED_STREAMS {
+        let id = format!("id-{number}");
+        let request = generation_with("resumed", &id, &["root"], 100);
+        let got = call(fleet.instances[0].clients, request).await;
+        whole += usize::from(got.is_whole && got.body == (1..=4).map(event).collect::<String>());
+        // Within the retry limits.
+        sleep(Duration::from_millis(40)).await;
+    }
+    let count = |engines: &[&FakeEndpoint], is_resumed: bool| {
+        let arrivals = engines.iter().flat_map(|it| it.arrivals());
+        arrivals.filter(|it| it.header("last-event-id").is_some() == is_resumed).count()
+    };
+    println!("{whole} whole, {} begun at listed incarnations", count(&kept, false));
+    verify_that!(count(&restarted, true), eq(0))?;
+    verify_that!(count(&kept, false), gt(0))?;
+    verify_that!(whole as f64, ge(count(&kept, false) as f64 * MIN_RESUMED))
+}
+
 /// A prompt is read apart only by an engine of the version that answers
 async fn split() -> Result<()> {
     let script = |it: &Arrival| {
