--- a/crates/catalogue/src/id.rs
+++ b/crates/catalogue/src/id.rs
@@ -10,6 +10,8 @@
 pub type EntryName = SmolStr;
 /// Name of the firm or team that owns an entry.
 pub type OwnerName = SmolStr;
+/// Name of a customer, to whom keys belong.
+pub type CustomerName = SmolStr;
 /// Id of an instance.
 pub type InstanceId = SmolStr;
 /// Id of an endpoint: an engine or a service.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,7 @@
 
 use crate::connections::{EndpointConnections, connection_share};
 use crate::coverage::TopicCoverage;
+use crate::duties::DutyState;
 use crate::incarnation_check::CheckedIncarnations;
 use crate::link_evidence::{EndpointLink, EvidenceKind, ReportedLink};
 use crate::messages::{EndpointUpdate, FactRepair, PromptRead, ServingUpdate};
@@ -130,6 +131,8 @@
     pub connections: EndpointConnections,
     /// Whether this instance reaches the endpoints
     pub link: EndpointLink<Gateway>,
+    /// Duties that one instance at a time fulfils
+    pub duties: DutyState,
     /// Other instances
     pub instances: Rc<RefCell<InstanceTable>>,
     /// What other instances say of their links
@@ -193,6 +196,7 @@
             deadline_peaks: RefCell::default(),
             connections: EndpointConnections::default(),
             link: EndpointLink::default(),
+            duties: DutyState::default(),
             instances: Rc::default(),
             reported_links: RefCell::default(),
             buffered_bytes: Cell::default(),
