Keep stated incarnations in a module of their own

Cause: incarnation_check and state imported each other; the check for module circles failed.

Change: CheckedIncarnations moves to a module that imports neither.

--- a/crates/gateway/src/incarnation_check.rs
+++ b/crates/gateway/src/incarnation_check.rs
@@ -7,46 +7,21 @@
 
 use crate::state::Gateway;
 use bytes::Bytes;
-use catalogue::id::EndpointId;
 use decide::serving::endpoint_list::{IncarnationStart, ListedEndpoint};
 use http::Request;
 use http_body_util::{BodyExt, Full, Limited};
-use indexmap::IndexMap;
 use platform_adapter::engine::{REPORT_PATH, call_headers, decode_report_start};
-use std::cell::RefCell;
 use std::time::{Duration, Instant};
 use tokio::time::timeout;
 
 /// Time to wait for an engine's report; a first event waits for it, so it is a fraction of the objectives.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time for which a check holds; an engine that ends takes seconds to come back.
-const CHECK_LIFETIME: Duration = Duration::from_millis(500);
 /// Largest report that is read.
 const MAX_REPORT_BYTES: usize = 256 * 1024;
 /// Age of the endpoint list up to which it shows all incarnations, as a fraction of the time in which a change must
 /// be in force.
 const MAX_LIST_AGE_FRACTION: f64 = 0.5;
 
-/// Incarnations that engines have stated, with the times of the answers
-#[derive(Debug, Default)]
-pub struct CheckedIncarnations(RefCell<IndexMap<EndpointId, (IncarnationStart, Instant)>>);
-
-impl CheckedIncarnations {
-    fn is_checked(&self, engine: &ListedEndpoint, now: Instant) -> bool {
-        let checked = self.0.borrow();
-        checked.get(&engine.id).is_some_and(|(started_at_ms, at)| {
-            *started_at_ms == engine.started_at_ms
-                && now.saturating_duration_since(*at) < CHECK_LIFETIME
-        })
-    }
-
-    fn record(&self, engine: &ListedEndpoint, now: Instant) {
-        let mut checked = self.0.borrow_mut();
-        checked.retain(|_, (_, at)| now.saturating_duration_since(*at) < CHECK_LIFETIME);
-        checked.insert(engine.id.clone(), (engine.started_at_ms, now));
-    }
-}
-
 impl Gateway {
     /// Whether the endpoint list is recent enough to show all incarnations
     pub fn is_list_current(&self) -> bool {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,10 +3,10 @@
 //! All tasks run on one thread, so `Cell` and `RefCell` suffice. No borrow is held
 //! across an `await`.
 
+use crate::checked_incarnations::CheckedIncarnations;
 use crate::connections::{EndpointConnections, connection_share};
 use crate::coverage::TopicCoverage;
 use crate::duties::DutyState;
-use crate::incarnation_check::CheckedIncarnations;
 use crate::link_evidence::{EndpointLink, EvidenceKind, ReportedLink};
 use crate::messages::{EndpointUpdate, FactRepair, PromptRead, ServingUpdate};
 use crate::metrics::GatewayMetrics;
