Split the gateway's generation and serving call by their jobs

Cause: generation.rs (673 lines) planned, sent, resumed and relayed; serving_call.rs (555) also held records, limits and crash evidence.

Moved code is unchanged.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,9 +4,8 @@
 use crate::body::AnswerBody;
 use crate::generation;
 use crate::relay::{self, RequestSource};
-use crate::serving_call::{
-    NOT_RELAYED, Refusal, RequestRecord, SendWay, ServingCall, failure_name, relay_whole,
-};
+use crate::request_record::RequestRecord;
+use crate::serving_call::{NOT_RELAYED, Refusal, SendWay, ServingCall, failure_name, relay_whole};
 use crate::state::{Gateway, WorkGuard};
 use bytes::Bytes;
 use decide::serving::crash_table::REFUSAL_TIME;
--- /dev/null
+++ b/crates/gateway/src/generation/engine_stream.rs
@@ -0,0 +1,77 @@
+//! Event stream of one engine's answer, or of another instance that relays it.
+
+use crate::attempt::{OpenAnswer, SendError};
+use crate::events::EventSplitter;
+use crate::state::Gateway;
+use bytes::Bytes;
+use catalogue::id::InstanceId;
+use http_body_util::BodyExt;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Event stream of an engine's answer
+pub(super) struct EngineStream {
+    pub(super) answer: OpenAnswer,
+    /// Time that the engine worked on the request before its first event, without any wait
+    own_time: Duration,
+    pub(super) first_event_at: Instant,
+    pub(super) splitter: EventSplitter,
+    /// Instance that relays it; `None` if it comes from the engine
+    pub(super) relay: Option<InstanceId>,
+}
+
+/// Next item of a stream
+pub(super) enum StreamItem {
+    Events(Bytes),
+    End,
+}
+
+impl EngineStream {
+    pub(super) fn new(answer: OpenAnswer, own_time: Duration) -> EngineStream {
+        let first_event_at = Instant::now();
+        let splitter = EventSplitter::default();
+        EngineStream { answer, own_time, first_event_at, splitter, relay: None }
+    }
+
+    /// Reads the next complete events, or the end
+    pub(super) async fn next(
+        &mut self,
+        gateway: &Gateway,
+        deadline: Instant,
+    ) -> Result<StreamItem, SendError> {
+        loop {
+            let frame = tokio::select! {
+                frame = timeout_at(deadline, self.answer.body.frame()) => {
+                    frame.map_err(|_| SendError::TimedOut)?
+                }
+                () = gateway.link.silence(), if self.relay.is_none() => {
+                    return Err(SendError::TimedOut);
+                }
+            };
+            match frame {
+                None if self.splitter.is_inside_event() => return Err(SendError::Truncated),
+                None => return Ok(StreamItem::End),
+                Some(Err(_)) => return Err(SendError::Truncated),
+                Some(Ok(frame)) => {
+                    let Some(data) = frame.data_ref() else { continue };
+                    let events = self.splitter.push(data).map_err(|_| SendError::Oversized)?;
+                    if let Some(events) = events {
+                        self.answer.work_guard.record_prompt_read();
+                        return Ok(StreamItem::Events(events));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Time that it has held a slot of its engine
+    pub(super) fn held(&self) -> Duration {
+        self.own_time + self.first_event_at.elapsed()
+    }
+
+    pub(super) fn release_connection(self, gateway: &Gateway) {
+        if !self.answer.head.closes_connection {
+            gateway.connections.release(self.answer.connection, self.answer.head.idle_timeout);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/generation/relay_events.rs
@@ -0,0 +1,108 @@
+//! Relays the events of a stream to the client.
+
+use super::engine_stream::{EngineStream, StreamItem};
+use super::resume::resume;
+use crate::attempt::SendError;
+use crate::body::AnswerBody;
+use crate::error::RelayError;
+use crate::request_record::RequestRecord;
+use crate::serving_call::ServingCall;
+use crate::state::Gateway;
+use async_stream::try_stream;
+use bytes::Bytes;
+use http::Response;
+use platform_adapter::answer::client_headers;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+pub(super) fn stream_response(
+    gateway: Rc<Gateway>,
+    call: ServingCall,
+    record: RequestRecord,
+    stream: EngineStream,
+    first: StreamItem,
+) -> Response<AnswerBody> {
+    let status = stream.answer.head.status;
+    let headers = client_headers(&stream.answer.headers);
+    let events = Box::pin(relay(gateway, call, record, stream, first));
+    let mut response = Response::new(AnswerBody::events(events));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// Relays the events of a stream, which is resumed on another engine if it fails
+fn relay(
+    gateway: Rc<Gateway>,
+    mut call: ServingCall,
+    mut record: RequestRecord,
+    mut stream: EngineStream,
+    mut item: StreamItem,
+) -> impl futures_util::Stream<Item = Result<Bytes, RelayError>> {
+    try_stream! {
+        loop {
+            match item {
+                StreamItem::Events(events) => yield events,
+                StreamItem::End => {
+                    let has_hold = stream.relay.is_none();
+                    if has_hold && call.prompt.as_ref().is_some_and(|it| !it.has_long_output()) {
+                        gateway.record_hold(&call.pool, stream.held());
+                    }
+                    stream.release_connection(&gateway);
+                    call.end_run();
+                    call.record_completion(&gateway);
+                    gateway.forget_stream(&call.request.id);
+                    record.finish("answered", "200");
+                    break;
+                }
+            }
+            let paused_at = Instant::now();
+            item = match stream.next(&gateway, call.deadline).await {
+                Ok(next) => {
+                    if matches!(next, StreamItem::Events(_)) {
+                        gateway.record_pause(&call.pool, paused_at.elapsed());
+                    }
+                    next
+                }
+                Err(error) => {
+                    let last = stream.splitter.last_id().cloned().or(call.last_event.clone());
+                    // Closes the connection, so that this engine stops before another one resumes.
+                    let is_relayed = stream.relay.is_some();
+                    drop(stream);
+                    call.end_run();
+                    if let Some(engine) = call.excluded.last().filter(|_| !is_relayed) {
+                        call.record_crash_evidence(&gateway, engine, Vec::new(), &error);
+                    }
+                    match resume(&gateway, &mut call, &error, last).await {
+                        Some((resumed, next)) => {
+                            if let Some(instance) = &resumed.relay {
+                                record.relayed_to = instance.clone();
+                            }
+                            stream = resumed;
+                            next
+                        }
+                        None => {
+                            record.finish("cut", error_name(&error));
+                            Err(relay_error(&error))?;
+                            break;
+                        }
+                    }
+                }
+            };
+        }
+    }
+}
+
+fn error_name(error: &SendError) -> &'static str {
+    match error {
+        SendError::TimedOut => "timed_out",
+        _ => "broken_off",
+    }
+}
+
+fn relay_error(error: &SendError) -> RelayError {
+    match error {
+        SendError::TimedOut => RelayError::TimedOut,
+        _ => RelayError::Truncated,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/generation/resume.rs
@@ -0,0 +1,67 @@
+//! Resumes a stream that has failed after its first event.
+
+use super::engine_stream::{EngineStream, StreamItem};
+use super::plan::{check_versions, plan_path};
+use super::send::{Started, relay_stream, start_stream};
+use crate::attempt::SendError;
+use crate::serving_call::{SendWay, ServingCall};
+use crate::state::Gateway;
+use decide::serving::send_history::RunStatus;
+use smol_str::SmolStr;
+use std::rc::Rc;
+
+/// Resumes a failed stream on another engine; `None` if that is not possible
+pub(super) async fn resume(
+    gateway: &Rc<Gateway>,
+    call: &mut ServingCall,
+    error: &SendError,
+    last: Option<SmolStr>,
+) -> Option<(EngineStream, StreamItem)> {
+    let mut cache = None;
+    log::info!(
+        "event=stream_broken id={} after={last:?} version={} sends={} parts={} error=\"{error}\"",
+        call.request.id,
+        call.origin.as_ref().map_or("none", |it| it.version.as_str()),
+        call.history.sends,
+        call.describe_parts(),
+    );
+    if !call.may_resume {
+        return None;
+    }
+    while let Some(way) = call.next_way(gateway).await {
+        if way == SendWay::Relay {
+            let sends = call.history.sends;
+            match relay_stream(gateway, call, last.clone()).await {
+                Some((_, Started::Streaming(stream, item))) => {
+                    call.history.record_send(RunStatus::MayHaveRun);
+                    return Some((*stream, item));
+                }
+                None if call.history.sends > sends => continue,
+                Some((_, Started::Failed(_))) | None => return None,
+            }
+        }
+        if !call.admit_parts(gateway).await {
+            return None;
+        }
+        let path = plan_path(gateway, call).ok()?;
+        if !check_versions(gateway, call, &path).await {
+            continue;
+        }
+        if !call.try_start_send(gateway) {
+            return None;
+        }
+        match start_stream(gateway, call, &mut cache, path, last.clone()).await {
+            Ok((engine, Started::Streaming(stream, item))) => {
+                call.history.record_send(RunStatus::MayHaveRun);
+                call.excluded.push(engine.id);
+                return Some((*stream, item));
+            }
+            Ok((_, Started::Failed(_))) => {
+                call.end_run();
+                return None;
+            }
+            Err((engine, error)) => call.record_failure(gateway, &engine, &error),
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/gateway/src/generation/send.rs
@@ -0,0 +1,237 @@
+//! Sends a generation along a planned path, or through another instance, and waits for its first event.
+
+use super::engine_stream::{EngineStream, StreamItem};
+use super::plan::{EnginePath, EngineStep, plan_path};
+use crate::attempt::{SendError, SendTarget, free_cache, read_whole, send};
+use crate::body::AnswerBody;
+use crate::relay;
+use crate::serving_call::{ServingCall, relay_whole};
+use crate::state::Gateway;
+use catalogue::id::InstanceId;
+use decide::serving::endpoint_list::ListedEndpoint;
+use decide::serving::health::SendResult;
+use decide::serving::pick::{EnginePick, PromptProgress};
+use decide::serving::route::RetryRule;
+use decide::serving::send_history::RunStatus;
+use http::{Response, StatusCode};
+use platform_adapter::engine::decode_cache_source;
+use platform_adapter::head::{EngineStage, TakenUp};
+use smol_str::SmolStr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Sends a generation through another instance and waits for its first event; `None` if none has answered
+pub(super) async fn relay_stream(
+    gateway: &Rc<Gateway>,
+    call: &mut ServingCall,
+    after: Option<SmolStr>,
+) -> Option<(InstanceId, Started)> {
+    let taken_up = after.map(|after| {
+        let begun_by = call.begun_by.as_ref().unwrap_or(&call.request.id).clone();
+        TakenUp { begun_by, after }
+    });
+    let (instance, answer) = relay::send(gateway, call, taken_up).await?;
+    let started = match answer.head.status.is_success() {
+        true => {
+            let mut stream = EngineStream::new(answer, Duration::ZERO);
+            stream.relay = Some(instance.clone());
+            let first = stream.next(gateway, call.deadline).await;
+            first.map(|first| Started::Streaming(Box::new(stream), first))
+        }
+        false => {
+            let answer = read_whole(gateway, answer, call.deadline).await;
+            answer.map(|answer| Started::Failed(relay_whole(answer)))
+        }
+    };
+    match started {
+        Ok(started) => Some((instance, started)),
+        Err(_) => {
+            call.history.record_send(RunStatus::MayHaveRun);
+            None
+        }
+    }
+}
+
+/// Result of a send along a path: a stream, or a complete error answer of the engine
+pub(super) enum Started {
+    Streaming(Box<EngineStream>, StreamItem),
+    Failed(Response<AnswerBody>),
+}
+
+/// Records that the engine of a pick has read the prompt, and how long that took
+fn record_prompt_read(
+    gateway: &Gateway,
+    call: &ServingCall,
+    engine: &ListedEndpoint,
+    pick: &EnginePick,
+    took: Duration,
+) {
+    gateway.record_wait(&call.pool, pick, took);
+    if let Some(prompt) = &call.prompt {
+        gateway.record_prompt_read(engine, prompt.prefixes(), pick.sample(took));
+    }
+}
+
+/// Sends along a path and waits for the first event; also returns the engine that answered or failed
+pub(super) async fn start_stream(
+    gateway: &Rc<Gateway>,
+    call: &mut ServingCall,
+    cache: &mut Option<HeldCache>,
+    path: EnginePath,
+    resume_after: Option<SmolStr>,
+) -> Result<(ListedEndpoint, Started), (ListedEndpoint, SendError)> {
+    if let Some(step) = path.prefill {
+        let engine = step.engine.clone();
+        match prefill(gateway, call, step).await {
+            Ok(held) => {
+                call.end_run();
+                gateway.record_result(&engine, SendResult::Answered);
+                *cache = Some(held);
+                call.progress = PromptProgress::Held;
+                call.held_version = Some(engine.version);
+            }
+            Err(error) => {
+                if error.run_status() == RunStatus::MayHaveRun {
+                    call.progress = PromptProgress::Lost;
+                }
+                return Err((engine, SendError::Prefill(Box::new(error))));
+            }
+        }
+    }
+    let generate = match path.generate {
+        // Its notice may have arrived while the prompt was read.
+        step if cache.is_some() && !gateway.accepts(&step.engine) => {
+            let engine = step.engine;
+            let replanned = plan_path(gateway, call);
+            replanned.map_err(|_| (engine, SendError::NotAccepted))?.generate
+        }
+        step => step,
+    };
+    let stage = match cache.as_ref() {
+        Some(held) => EngineStage::Decode { source: held.source.clone() },
+        None => EngineStage::Whole,
+    };
+    let engine = generate.engine.clone();
+    let started = send_generation(gateway, call, generate, stage, resume_after).await;
+    if matches!(started, Ok(Started::Streaming(..))) {
+        call.record_part_answers(gateway);
+    }
+    let is_cache_unused = started.as_ref().is_err_and(|it| {
+        it.run_status() == RunStatus::NotRun
+            && !matches!(it, SendError::Declined(StatusCode::SERVICE_UNAVAILABLE))
+    });
+    if !is_cache_unused && let Some(held) = cache.take() {
+        call.progress = PromptProgress::Lost;
+        call.held_version = None;
+        held.mark_taken();
+    }
+    match started {
+        Ok(started) => Ok((engine, started)),
+        Err(error) => Err((engine, error)),
+    }
+}
+
+/// Cache of a prompt at the engine that read it; freed on drop unless it was taken
+pub(super) struct HeldCache {
+    gateway: Rc<Gateway>,
+    engine: ListedEndpoint,
+    source: SmolStr,
+    is_taken: bool,
+}
+
+impl HeldCache {
+    /// Records that another engine has fetched it, or that it is gone
+    fn mark_taken(mut self) {
+        self.is_taken = true;
+    }
+}
+
+impl Drop for HeldCache {
+    fn drop(&mut self) {
+        if self.is_taken {
+            return;
+        }
+        let gateway = self.gateway.clone();
+        let engine = self.engine.clone();
+        let source = self.source.clone();
+        tokio::task::spawn_local(async move {
+            if let Err(error) = free_cache(&gateway, &engine, &source).await {
+                log::info!("event=cache_not_freed engine={} error=\"{error}\"", engine.id);
+            }
+        });
+    }
+}
+
+/// Sends the prompt to an engine that only reads it; returns the resulting cache
+async fn prefill(
+    gateway: &Rc<Gateway>,
+    call: &ServingCall,
+    step: EngineStep,
+) -> Result<HeldCache, SendError> {
+    let mut parameters = call.parameters(&step.engine.id, EngineStage::Prefill);
+    parameters.parts_source = step.parts_source;
+    let engine = step.engine;
+    let sent_at = Instant::now();
+    let may_start = || call.start_run(gateway, &engine, false);
+    let target = SendTarget {
+        endpoint: &engine,
+        work_guard: step.work_guard,
+        once: false,
+        expects_signature: false,
+        may_start: &may_start,
+    };
+    let expected = milliseconds(step.pick.expected_ms);
+    let deadline = call.prefill_deadline(expected);
+    let answer = send(gateway, target, &call.request, &parameters, deadline).await?;
+    let answer = read_whole(gateway, answer, deadline).await?;
+    let took = sent_at.elapsed();
+    log::info!(
+        "event=prompt_read id={} engine={} expected_ms={:.0} took_ms={}",
+        call.request.id,
+        engine.id,
+        step.pick.expected_ms,
+        took.as_millis(),
+    );
+    record_prompt_read(gateway, call, &engine, &step.pick, took);
+    let source = decode_cache_source(&engine, &answer.body).map_err(|_| SendError::Mismatched)?;
+    Ok(HeldCache { gateway: gateway.clone(), engine, source, is_taken: false })
+}
+
+/// Sends a request to the engine that generates and waits for the first event
+async fn send_generation(
+    gateway: &Rc<Gateway>,
+    call: &ServingCall,
+    step: EngineStep,
+    stage: EngineStage,
+    resume_after: Option<SmolStr>,
+) -> Result<Started, SendError> {
+    let once = call.route.retry_rule == RetryRule::Once;
+    let mut parameters = call.parameters(&step.engine.id, stage);
+    parameters.resume_after = resume_after;
+    parameters.parts_source = step.parts_source;
+    let may_start = || call.start_run(gateway, &step.engine, true);
+    let target = SendTarget {
+        endpoint: &step.engine,
+        work_guard: step.work_guard,
+        once,
+        expects_signature: true,
+        may_start: &may_start,
+    };
+    let deadline = call.answer_deadline(gateway);
+    let sent_at = Instant::now();
+    let answer = send(gateway, target, &call.request, &parameters, deadline).await?;
+    if !answer.head.status.is_success() {
+        let answer = read_whole(gateway, answer, call.deadline).await?;
+        return Ok(Started::Failed(relay_whole(answer)));
+    }
+    let mut stream = EngineStream::new(answer, milliseconds(step.pick.own_ms));
+    let first = stream.next(gateway, deadline).await?;
+    stream.first_event_at = Instant::now();
+    record_prompt_read(gateway, call, &step.engine, &step.pick, sent_at.elapsed());
+    Ok(Started::Streaming(Box::new(stream), first))
+}
+
+fn milliseconds(time: f64) -> Duration {
+    Duration::try_from_secs_f64(time / 1000.0).unwrap_or_default()
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod positions;
 pub mod ready;
 pub mod relay;
+pub mod request_record;
 pub mod serving_call;
 pub mod state;
 pub mod stream_origins;
--- /dev/null
+++ b/crates/gateway/src/request_record.rs
@@ -0,0 +1,78 @@
+//! Log line and metrics of a request.
+
+use crate::state::Gateway;
+use catalogue::id::{EndpointId, InstanceId};
+use smol_str::SmolStr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Writes the log line and metrics of a request; if dropped unfinished, the client has disconnected
+pub struct RequestRecord {
+    gateway: Rc<Gateway>,
+    id: SmolStr,
+    /// Time of arrival
+    pub arrived_at: Instant,
+    is_finished: bool,
+    first_byte_after: Option<Duration>,
+    /// Name of the route; empty until one matches
+    pub route: SmolStr,
+    /// Endpoint that answered; empty until then
+    pub endpoint: EndpointId,
+    /// Instance that relays the request to this one, and the one that this one relays it to; mostly empty
+    pub relayed_by: InstanceId,
+    pub relayed_to: InstanceId,
+}
+
+impl RequestRecord {
+    /// Record of a request that has arrived
+    pub fn new(gateway: Rc<Gateway>, id: SmolStr, arrived_at: Instant) -> RequestRecord {
+        let route = SmolStr::default();
+        let endpoint = EndpointId::default();
+        RequestRecord {
+            gateway,
+            id,
+            arrived_at,
+            is_finished: false,
+            first_byte_after: None,
+            route,
+            endpoint,
+            relayed_by: InstanceId::default(),
+            relayed_to: InstanceId::default(),
+        }
+    }
+
+    /// Records the first byte of the answer
+    pub fn first_byte(&mut self) {
+        let after = self.arrived_at.elapsed();
+        self.first_byte_after = Some(after);
+        self.gateway.metrics.first_byte(&self.route, after.as_secs_f64());
+    }
+
+    /// Logs and counts the outcome
+    pub fn finish(&mut self, outcome: &'static str, detail: &str) {
+        self.is_finished = true;
+        let took = self.arrived_at.elapsed();
+        let config = self.gateway.config.borrow().as_ref().map_or(0, |it| it.version);
+        log::info!(
+            "event=done id={} route={} outcome={outcome} detail={detail} endpoint={} relayed_by={} relayed_to={} first_ms={} took_ms={} config={config}",
+            self.id,
+            self.route,
+            self.endpoint,
+            self.relayed_by,
+            self.relayed_to,
+            self.first_byte_after.unwrap_or(took).as_millis(),
+            took.as_millis(),
+        );
+        self.gateway.metrics.answered(&self.route, outcome);
+        self.gateway.metrics.whole_answer(&self.route, took.as_secs_f64());
+    }
+}
+
+impl Drop for RequestRecord {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            self.finish("client_left", "");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serving_call/limits.rs
@@ -0,0 +1,111 @@
+//! Whether, how and until when a request may be sent.
+
+use super::{SendWay, ServingCall};
+use crate::state::Gateway;
+use decide::serving::endpoint_list::ListedEndpoint;
+use decide::serving::notice::PauseStep;
+use decide::serving::route::RetryRule;
+use decide::serving::send_history::RunStatus;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout_at};
+
+/// Failed connection attempts after which a request is refused; they count apart from sends, since
+/// none of them reached an endpoint.
+const MAX_FAILED_CONNECTS: u32 = 3;
+/// Time to wait for an endpoint's answer before a retry, in multiples of the route's objective. Answers
+/// take half of the objective; one in a hundred takes five times as long as the others.
+const ANSWER_TIMEOUT_OBJECTIVES: f64 = 3.0;
+/// Time to wait for an engine's prefill, in multiples of the route's objective.
+const PREFILL_TIMEOUT_OBJECTIVES: f64 = 2.0;
+/// The same in multiples of the expected time, for prompts that take longer than the objective.
+const PREFILL_TIMEOUT_FACTOR: f64 = 3.0;
+
+impl ServingCall {
+    /// Whether another send is allowed and the deadline has not passed
+    pub fn may_send(&self, gateway: &Gateway) -> bool {
+        !self.is_suspected(gateway)
+            && self.history.may_send(self.route.retry_rule, self.route.max_attempts)
+            && self.failed_connects < MAX_FAILED_CONNECTS
+            && Instant::now() < self.deadline
+    }
+
+    /// How the next send goes, once the link is verified; `None` if there is to be none
+    pub async fn next_way(&mut self, gateway: &Gateway) -> Option<SendWay> {
+        let mut way = SendWay::Direct;
+        if !self.is_relayed {
+            // The check ends sooner.
+            let _ = timeout_at(self.deadline, gateway.link.settle()).await;
+            if gateway.link.is_cut() {
+                // Endpoints that this instance was cut off from don't count.
+                self.history.sends -= std::mem::take(&mut self.unanswered_sends);
+                way = SendWay::Relay;
+            }
+        }
+        // All instances may be cut, or most endpoints have ended: one of the others may answer.
+        if way == SendWay::Relay && !gateway.has_relays() {
+            way = SendWay::Direct;
+            if self.failed_connects > 0 {
+                return None;
+            }
+        }
+        self.may_send(gateway).then_some(way)
+    }
+
+    /// Starts a send; `false` if it is a retry and the retry limits allow none
+    pub fn try_start_send(&mut self, gateway: &Gateway) -> bool {
+        self.sent_at = Instant::now();
+        self.history.sends == 0 || gateway.try_take_retry(&self.pool, self.sent_at.into_std())
+    }
+
+    /// Time until which to wait for an endpoint's answer: the request's deadline, or sooner if the
+    /// request can be retried elsewhere
+    pub fn answer_deadline(&self, gateway: &Gateway) -> Instant {
+        let mut after = self.history;
+        after.record_send(RunStatus::MayHaveRun);
+        let may_send = after.may_send(self.route.retry_rule, self.route.max_attempts);
+        if !may_send || !gateway.has_retry(&self.pool, std::time::Instant::now()) {
+            return self.deadline;
+        }
+        self.deadline.min(Instant::now() + self.route.objective.mul_f64(ANSWER_TIMEOUT_OBJECTIVES))
+    }
+
+    /// Time until which to wait for an engine to read the prompt, which is expected to take `expected`
+    pub fn prefill_deadline(&self, expected: Duration) -> Instant {
+        let limit = self.route.objective.mul_f64(PREFILL_TIMEOUT_OBJECTIVES);
+        self.deadline.min(Instant::now() + limit.max(expected.mul_f64(PREFILL_TIMEOUT_FACTOR)))
+    }
+
+    /// Waits for a paused endpoint if none accepts requests; `false` if the request is to be refused
+    pub async fn wait_for_pause(&self, gateway: &Gateway) -> bool {
+        let Some(PauseStep::Wait(pause)) = gateway.pause_step(self) else { return false };
+        log::info!("event=pause_awaited id={} ms={}", self.request.id, pause.as_millis());
+        sleep(pause).await;
+        true
+    }
+}
+
+impl Gateway {
+    /// Endpoints that accept a request now
+    pub fn ready_endpoints(&self, call: &ServingCall) -> Vec<ListedEndpoint> {
+        let (pool, rule) = (&call.pool, call.route.retry_rule);
+        let now = std::time::Instant::now();
+        let list = self.endpoints.borrow();
+        let has_begun = call.origin.is_some();
+        let may_run =
+            |it: &&ListedEndpoint| call.fits(it) && !(has_begun && self.has_unknown_version(it));
+        let endpoints = list.ready(now).filter(may_run).cloned().collect();
+        let endpoints = self.notices.borrow().accepting(endpoints, now);
+        let health = self.health.borrow();
+        let mut usable = health.usable(endpoints, now);
+        if rule == RetryRule::Once {
+            usable = health.reliable(usable, now);
+        }
+        let share = self.connection_share(pool);
+        usable.retain(|it| self.connections.has_capacity(it, share));
+        let mut limits = self.limits.borrow_mut();
+        if !limits.is_empty() {
+            usable.retain(|it| limits.admits(it, rand::random(), now));
+        }
+        usable
+    }
+}
