Identify customers by their keys, from the edge to the endpoint

Cause: the configuration may list customers with keys. Requests of others must be refused, endpoints must get the customer's name and never the key, and neither keys nor a wrong refusal may follow from an instance that lags behind.

Change: the configuration decodes customers, priorities and public routes. The key is looked up by digest before the body is read: 401 if it is unknown, 503 (not run) if the configuration may be outdated; the connection stays open. The name and the customer's priority go with every send. Relays carry the name, in a header without which an old build declines. Instances send each other configurations with digests instead of keys, and a malformed configuration is logged by its position only. Requests without customers in the configuration are handled as before.

Measured: decide serving_customers 18 passed, platform-adapter 78 passed, gateway customers:: 16 passed; clippy without warnings. The rest of the gateway's tests was not run yet.

--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -6,6 +6,7 @@
 pub mod cache;
 pub mod crash_parts;
 pub mod crash_table;
+pub mod customers;
 pub mod deadline;
 pub mod endpoint_list;
 pub mod health;
--- a/crates/decide/src/serving/route.rs
+++ b/crates/decide/src/serving/route.rs
@@ -3,9 +3,11 @@
 //! A configuration replaces the previous one as a whole, and only if its version is
 //! higher, so that an instance never returns to an older one.
 
+use super::customers::CustomerTable;
 use catalogue::id::PoolName;
 use indexmap::IndexMap;
 use smol_str::SmolStr;
+use std::rc::Rc;
 use std::time::Duration;
 
 pub type RouteName = SmolStr;
@@ -63,6 +65,8 @@
     pub targets: Vec<RouteTarget>,
     /// Maximum number of endpoints that one request may be sent to
     pub max_attempts: u32,
+    /// Whether requests need no key and belong to no customer
+    pub is_public: bool,
 }
 
 impl RouteConfig {
@@ -122,6 +126,8 @@
     pub pools: IndexMap<PoolName, PoolConfig>,
     /// Limits on clients' connections and requests
     pub limits: ClientLimits,
+    /// Customers and their keys; `None` if requests need no key
+    pub customers: Option<Rc<CustomerTable>>,
 }
 
 impl ServingConfig {
--- /dev/null
+++ b/crates/decide/tests/serving_customers.rs
@@ -0,0 +1,100 @@
+//! Customers and their keys.
+
+use decide::serving::customers::{
+    ConfigAge, Customer, CustomerClaim, CustomerDecision, CustomerTable, decide_customer,
+    key_digest,
+};
+use googletest::prelude::*;
+use std::time::Duration;
+use testcases::cases;
+
+cases! {
+    key_finds_its_customer => find(b"key-b2", Some("b")),
+    unknown_key_finds_nobody => find(b"key-c", None),
+    // Guards against a comparison that accepts a part of a key.
+    prefix_of_a_key_finds_nobody => find(b"key-", None),
+    empty_key_finds_nobody => find(b"", None),
+    key_listed_twice_belongs_to_the_first => find(b"shared", Some("a")),
+    name_listed_twice_is_one_customer => one_name(),
+
+    known_key_is_accepted => decision(CustomerClaim::Key(Some(b"key-a")), AGED, customer("a")),
+    // Guards against customers that are turned away while the store is unavailable.
+    known_key_is_accepted_whatever_the_age =>
+        decision(CustomerClaim::Key(Some(b"key-a")), OUTDATED, customer("a")),
+    unknown_key_is_refused => decision(CustomerClaim::Key(Some(b"x")), AGED, CustomerDecision::Unknown),
+    // Guards against a 401 for a key that a newer configuration allows.
+    unknown_key_is_undecided_beyond_the_bound =>
+        decision(CustomerClaim::Key(Some(b"x")), OUTDATED, CustomerDecision::Undecided),
+    unknown_key_is_undecided_while_a_newer_configuration_is_known =>
+        decision(CustomerClaim::Key(Some(b"x")), None, CustomerDecision::Undecided),
+    missing_key_is_refused_whatever_the_age =>
+        decision(CustomerClaim::Key(None), None, CustomerDecision::Unknown),
+    relayed_customer_is_found_by_name => decision(CustomerClaim::Relayed(Some("b")), None, customer("b")),
+    relayed_unknown_customer_is_declined =>
+        decision(CustomerClaim::Relayed(Some("c")), AGED, CustomerDecision::Declined),
+    // Guards against a request that gets in through an instance that doesn't know customers yet.
+    relayed_request_without_a_customer_is_declined =>
+        decision(CustomerClaim::Relayed(None), AGED, CustomerDecision::Declined),
+    relayed_customer_is_declined_without_customers => without_customers(
+        CustomerClaim::Relayed(Some("a")),
+        CustomerDecision::Declined,
+    ),
+    nobody_needs_a_key_without_customers =>
+        without_customers(CustomerClaim::Key(Some(b"x")), CustomerDecision::Nobody),
+    nobody_needs_a_key_on_a_public_route => public(),
+}
+
+const BOUND: Duration = Duration::from_secs(2);
+const AGED: Option<Duration> = Some(BOUND);
+const OUTDATED: Option<Duration> = Some(Duration::from_millis(2001));
+
+fn table() -> CustomerTable {
+    let mut table = CustomerTable::default();
+    let keys: [(&str, &[&str]); 2] =
+        [("a", &["key-a", "shared"]), ("b", &["key-b1", "key-b2", "shared"])];
+    for (name, keys) in keys {
+        let customer = Customer { name: name.into(), rank: None };
+        table.insert(customer, keys.iter().map(|it| key_digest(it.as_bytes())));
+    }
+    table
+}
+
+fn customer(name: &str) -> CustomerDecision {
+    CustomerDecision::Customer(Customer { name: name.into(), rank: None })
+}
+
+fn find(key: &[u8], expected: Option<&str>) -> Result<()> {
+    verify_that!(table().find(key).map(|it| it.name.as_str()), eq(expected))
+}
+
+fn one_name() -> Result<()> {
+    let mut table = table();
+    let again = Customer { name: "a".into(), rank: Some(0) };
+    table.insert(again, [key_digest(b"key-a2")]);
+    verify_that!(table.len(), eq(2))?;
+    verify_that!(table.find(b"key-a2"), eq(table.by_name("a")))?;
+    verify_that!(table.by_name("a").and_then(|it| it.rank), none())
+}
+
+fn decision(
+    claim: CustomerClaim<'_>,
+    age: Option<Duration>,
+    expected: CustomerDecision,
+) -> Result<()> {
+    let age = ConfigAge { age, bound: BOUND };
+    verify_that!(decide_customer(Some(&table()), false, claim, age), eq(&expected))
+}
+
+fn without_customers(claim: CustomerClaim<'_>, expected: CustomerDecision) -> Result<()> {
+    let age = ConfigAge { age: AGED, bound: BOUND };
+    verify_that!(decide_customer(None, false, claim, age), eq(&expected))
+}
+
+fn public() -> Result<()> {
+    let age = ConfigAge { age: AGED, bound: BOUND };
+    for claim in [CustomerClaim::Key(Some(b"key-a")), CustomerClaim::Key(None)] {
+        let decision = decide_customer(Some(&table()), true, claim, age);
+        verify_that!(decision, eq(&CustomerDecision::Nobody))?;
+    }
+    Ok(())
+}
--- a/crates/decide/tests/serving_state.rs
+++ b/crates/decide/tests/serving_state.rs
@@ -93,6 +93,7 @@
         targets: vec![RouteTarget { pool: "pool".into(), weight: 1 }],
         pause_limit: None,
         max_attempts: 2,
+        is_public: false,
     }
 }
 
@@ -107,6 +108,7 @@
             head_timeout: Duration::ZERO,
             idle_timeout: Duration::ZERO,
         },
+        customers: None,
     }
 }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -94,6 +94,7 @@
         let wait = poll_time(bound, has_missed || is_started);
         is_started = false;
         let is_first = position.is_none();
+        let sent_at = Instant::now();
         match read_from(&gateway, OPERATOR_TOPIC, position, wait).await {
             Ok((batch, to)) => {
                 backoff.succeeded();
@@ -107,6 +108,8 @@
                         gateway.update_ready.notify_one();
                     }
                 }
+                // The store may have answered long before the answer was read, but not before it was asked.
+                gateway.confirm_config(sent_at);
                 if is_first {
                     is_started = true;
                     gateway.config_coverage.extend(bound.mul_f64(START_FRACTION), Instant::now());
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -2,8 +2,9 @@
 
 use crate::attempt::{ClientRequest, SendTarget, WholeAnswer, read_whole, send};
 use crate::body::AnswerBody;
+use crate::customer_keys::{UNKNOWN_CUSTOMER, find_customer};
 use crate::generation;
-use crate::relay::{self, RequestSource};
+use crate::relay::{self, DeclinedRelay, RequestSource};
 use crate::serving_call::{
     NOT_RELAYED, Refusal, RequestRecord, SendWay, ServingCall, failure_name, relay_whole,
 };
@@ -14,7 +15,7 @@
 use decide::serving::pick::{PromptProgress, pick_service};
 use decide::serving::route::RetryRule;
 use decide::serving::send_history::{RunStatus, SendHistory};
-use http::header::{CONNECTION, HeaderValue};
+use http::header::{CONNECTION, EXPECT, HeaderValue};
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -53,7 +54,7 @@
         }
     };
     let id = head.id.clone();
-    let is_chunked = head.is_chunked;
+    let mut closes_connection = head.is_chunked;
     let mut record = RequestRecord::new(gateway.clone(), id.clone(), arrived_at);
     record.relayed_by = source.relay().cloned().unwrap_or_default();
     let result = match prepare_call(gateway, &mut record, parts, body, head, source).await {
@@ -64,18 +65,25 @@
                 serve_plain(gateway, call, record).await
             }
         }
-        Err(refusal) => Err((refusal, record)),
+        Err(RefusedCall { refusal, has_unread_body }) => {
+            closes_connection |= has_unread_body;
+            Err((refusal, record))
+        }
     };
     let response = match result {
         Ok(response) => response,
         Err((refusal, mut record)) => {
             record.finish(refusal.answer.name(), refusal.reason);
-            gateway_answer(gateway, Some(&id), &refusal)
+            let mut response = gateway_answer(gateway, Some(&id), &refusal);
+            if refusal.reason == UNKNOWN_CUSTOMER {
+                response.extensions_mut().insert(DeclinedRelay);
+            }
+            response
         }
     };
     // The HTTP library hides a `Content-Length` beside chunked encoding, which allows request
     // smuggling. Closing the connection ensures that nothing after the body is read.
-    if is_chunked { with_connection_close(response) } else { response }
+    if closes_connection { with_connection_close(response) } else { response }
 }
 
 fn gateway_answer(gateway: &Gateway, id: Option<&str>, refusal: &Refusal) -> Response<AnswerBody> {
@@ -97,27 +105,51 @@
     response
 }
 
-/// Matches the route, reads the body and chooses the pool
+/// Refusal of a request before it is sent
+struct RefusedCall {
+    refusal: Refusal,
+    /// Whether the connection must be closed, since the rest of the request is in it
+    has_unread_body: bool,
+}
+
+impl From<Refusal> for RefusedCall {
+    fn from(refusal: Refusal) -> RefusedCall {
+        RefusedCall { refusal, has_unread_body: false }
+    }
+}
+
+/// Matches the route, finds the customer, reads the body and chooses the pool
 async fn prepare_call(
     gateway: &Rc<Gateway>,
     record: &mut RequestRecord,
-    parts: http::request::Parts,
+    mut parts: http::request::Parts,
     body: Incoming,
     head: platform_adapter::head::RequestHead,
     source: RequestSource,
-) -> Result<ServingCall, Refusal> {
+) -> Result<ServingCall, RefusedCall> {
     let arrived_at = record.arrived_at;
     let config = gateway.config.borrow().clone();
     let Some(config) = config.filter(|_| gateway.is_ready()) else {
-        return Err(Refusal::new(GatewayAnswer::NotRun, "starting"));
+        return Err(Refusal::new(GatewayAnswer::NotRun, "starting").into());
     };
     let Some(route) = config.route(&head.host, parts.uri.path()) else {
-        return Err(Refusal::new(GatewayAnswer::NoRoute, "no_route"));
+        return Err(Refusal::new(GatewayAnswer::NoRoute, "no_route").into());
     };
     record.route = route.name.clone();
     let time_left = head.time_left.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived_at + time_left;
-    let body = read_body(body, config.limits.max_body_bytes, deadline).await?;
+    let max_body_bytes = config.limits.max_body_bytes;
+    let customer = match find_customer(gateway, &config, route, &mut parts.headers, &source) {
+        Ok(customer) => customer,
+        Err(refusal) => {
+            // A client that expects an interim answer hasn't sent its body and may never do.
+            let is_discarded = !parts.headers.contains_key(EXPECT)
+                && discard_body(body, max_body_bytes, deadline).await;
+            return Err(RefusedCall { refusal, has_unread_body: !is_discarded });
+        }
+    };
+    record.customer = customer.as_ref().map(|it| it.name.clone()).unwrap_or_default();
+    let body = read_body(body, max_body_bytes, deadline).await?;
     let origin = match head.last_event {
         Some(_) if route.is_stream => Some(gateway.find_origin(route, &head).await?),
         _ => None,
@@ -130,6 +162,7 @@
     Ok(ServingCall {
         pool,
         route: route.clone(),
+        customer,
         prompt: head.prompt,
         last_event: head.last_event,
         origin,
@@ -159,6 +192,22 @@
     })
 }
 
+/// Reads and drops a body, so that the connection can be used again; `false` if that takes too long
+async fn discard_body(mut body: Incoming, limit: usize, deadline: Instant) -> bool {
+    let read = async {
+        let mut bytes = 0;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return false };
+            bytes += frame.data_ref().map_or(0, Bytes::len);
+            if bytes > limit {
+                return false;
+            }
+        }
+        true
+    };
+    timeout_at(deadline, read).await.unwrap_or(false)
+}
+
 async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
     match timeout_at(deadline, Limited::new(body, limit).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod coverage;
 pub mod crash_evidence;
 pub mod crash_parts;
+pub mod customer_keys;
 pub mod duties;
 pub mod endpoint_link;
 pub mod error;
--- a/crates/gateway/src/peers/port.rs
+++ b/crates/gateway/src/peers/port.rs
@@ -5,7 +5,7 @@
 use crate::forward;
 use crate::listen::ConnectionGuard;
 use crate::ready::page;
-use crate::relay::{mark, take_source};
+use crate::relay::{DeclinedRelay, mark, take_source};
 use crate::state::{Gateway, RequestGuard};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -78,6 +78,8 @@
     let guards = (RequestGuard::new(gateway.clone()), ConnectionGuard::new(gateway.clone()));
     let response = forward::serve(gateway, request, source).await;
     // Another instance may serve it: it has not run, and this one has been cut meanwhile.
-    let is_declined = response.status() == StatusCode::SERVICE_UNAVAILABLE && gateway.link.is_cut();
+    let is_declined = (response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && gateway.link.is_cut())
+        || response.extensions().get::<DeclinedRelay>().is_some();
     mark(response, !is_declined).map(|body| body.guarded(guards))
 }
--- a/crates/gateway/src/peers/store_updates.rs
+++ b/crates/gateway/src/peers/store_updates.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use decide::serving::leader::PeerInstance;
 use decide::serving::route::ConfigVersion;
+use platform_adapter::config::without_keys;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -52,7 +53,14 @@
 }
 
 /// Configuration as the content of a message; a larger one is packed for transfers instead
+///
+/// Neither contains keys of customers.
 fn message_config(gateway: &Gateway, version: ConfigVersion, value: Bytes) -> Option<Vec<u8>> {
+    let has_customers = gateway.config.borrow().as_ref().is_some_and(|it| it.customers.is_some());
+    let value = match has_customers {
+        true => without_keys(&value).ok()?.into(),
+        false => value,
+    };
     if value.len() <= MAX_CONFIG_BYTES {
         return Some(value.to_vec());
     }
@@ -81,6 +89,9 @@
             source: update.offers_config.then_some(sender),
         }));
         gateway.config_coverage.record_missed();
+        gateway.void_config_confirmation();
+    } else if let Some(read_at) = now.checked_sub(max_read_age(gateway)) {
+        gateway.confirm_config(read_at);
     }
     gateway.endpoints_coverage.extend(coverage_time(gateway), now);
     let endpoints = update.endpoints;
@@ -102,6 +113,11 @@
     settings.config_bound.min(settings.drain_bound).mul_f64(COVERAGE_FRACTION)
 }
 
+/// Largest age of the read of the configuration that an update tells of
+fn max_read_age(gateway: &Gateway) -> Duration {
+    gateway.settings.config_bound.mul_f64(LEADER_READ_AGE_FRACTION)
+}
+
 fn has_recent_reads(gateway: &Gateway, now: Instant) -> bool {
     let settings = &gateway.settings;
     let reads = [
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,7 +12,7 @@
 use crate::serving_call::ServingCall;
 use crate::state::{Gateway, WorkGuard};
 use bytes::Bytes;
-use catalogue::id::InstanceId;
+use catalogue::id::{CustomerName, InstanceId};
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::leader::PeerInstance;
 use decide::serving::send_history::RunStatus;
@@ -33,6 +33,9 @@
 const RELAYED_BY: HeaderName = HeaderName::from_static("x-relayed-by");
 /// Address of the caller.
 const RELAYED_FOR: HeaderName = HeaderName::from_static("x-relayed-for");
+/// Address and customer of the caller instead of only its address. A build that doesn't know customers
+/// declines such a request, since it finds no address.
+const RELAYED_FOR_CUSTOMER: HeaderName = HeaderName::from_static("x-relayed-for-customer");
 /// Number of endpoints that the request was sent to before.
 const RELAYED_SENDS: HeaderName = HeaderName::from_static("x-relayed-sends");
 /// Marks the answer: whether the instance has served the request or declines it.
@@ -59,6 +62,8 @@
         caller: IpAddr,
         /// Number of endpoints that it was sent to before
         sends: u32,
+        /// Customer that the instance has found; `None` if the request belongs to none there
+        customer: Option<CustomerName>,
     },
 }
 
@@ -83,14 +88,25 @@
 pub fn take_source(headers: &mut HeaderMap) -> Option<RequestSource> {
     let mut take = |name: HeaderName| {
         let value = headers.remove(name)?;
-        value.to_str().ok().map(SmolStr::new)
+        std::str::from_utf8(value.as_bytes()).ok().map(SmolStr::new)
     };
     let (instance, caller, sends) = (take(RELAYED_BY), take(RELAYED_FOR), take(RELAYED_SENDS));
-    let caller = caller?.parse().ok()?;
+    let (caller, customer) = match take(RELAYED_FOR_CUSTOMER) {
+        Some(both) => {
+            let (caller, customer) = both.split_once(' ')?;
+            (SmolStr::new(caller), Some(CustomerName::new(customer)))
+        }
+        None => (caller?, None),
+    };
+    let caller = caller.parse().ok()?;
     let sends = sends?.parse().ok()?;
-    Some(RequestSource::Instance { instance: instance?, caller, sends })
+    Some(RequestSource::Instance { instance: instance?, caller, sends, customer })
 }
 
+/// Extension of a response that declines a relayed request whose customer is unknown here
+#[derive(Debug, Clone, Copy)]
+pub struct DeclinedRelay;
+
 /// Marks the answer to a relayed request
 pub fn mark<B>(mut response: Response<B>, is_served: bool) -> Response<B> {
     let result = if is_served { SERVED } else { DECLINED };
@@ -227,12 +243,16 @@
     *request.method_mut() = client.parts.method.clone();
     *request.uri_mut() = client.parts.uri.path_and_query()?.as_str().parse().ok()?;
     let mut headers = relayed_headers(&client.parts.headers, time_left(call.deadline), taken_up);
+    let relayed_for = match &call.customer {
+        Some(customer) => (RELAYED_FOR_CUSTOMER, format!("{} {}", client.caller, customer.name)),
+        None => (RELAYED_FOR, client.caller.to_string()),
+    };
     for (name, value) in [
         (RELAYED_BY, gateway.settings.instance.to_string()),
-        (RELAYED_FOR, client.caller.to_string()),
+        relayed_for,
         (RELAYED_SENDS, call.history.sends.to_string()),
     ] {
-        headers.insert(name, HeaderValue::from_str(&value).ok()?);
+        headers.insert(name, HeaderValue::from_bytes(value.as_bytes()).ok()?);
     }
     *request.headers_mut() = headers;
     Some(request)
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -5,10 +5,11 @@
 use crate::link_evidence::EvidenceKind;
 use crate::part_tests::PartTest;
 use crate::state::Gateway;
-use catalogue::id::{EndpointId, InstanceId, PoolName};
+use catalogue::id::{CustomerName, EndpointId, InstanceId, PoolName};
 use decide::fingerprint::{Fingerprint, RequestContent, path_fingerprint, request_fingerprint};
 use decide::serving::crash_parts::PartDecision;
 use decide::serving::crash_table::{BrokenEndpoint, EndpointStatus};
+use decide::serving::customers::Customer;
 use decide::serving::endpoint_list::IncarnationStart;
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::notice::PauseStep;
@@ -51,6 +52,8 @@
     pub request: ClientRequest,
     /// Matched route
     pub route: RouteConfig,
+    /// Customer that it belongs to, found at its arrival; `None` if it belongs to nobody
+    pub customer: Option<Customer>,
     /// Pool chosen among the route's targets
     pub pool: PoolName,
     /// Shape of its prompt; `None` for a request to a plain service
@@ -412,10 +415,12 @@
 
     /// Parameters of a send to an endpoint
     pub fn parameters(&self, endpoint: &EndpointId, stage: EngineStage) -> SendParameters {
+        let rank = self.customer.as_ref().and_then(|it| it.rank).unwrap_or(self.route.rank);
         SendParameters {
             endpoint: endpoint.clone(),
+            customer: self.customer.as_ref().map(|it| it.name.clone()),
             time_left: time_left(self.deadline),
-            priority: self.prompt.is_some().then(|| self.route.rank.min(9)),
+            priority: self.prompt.is_some().then(|| rank.min(9)),
             stage,
             resume_after: None,
             parts_source: None,
@@ -494,6 +499,8 @@
     first_byte_after: Option<Duration>,
     /// Name of the route; empty until one matches
     pub route: SmolStr,
+    /// Name of the customer; empty until one is found
+    pub customer: CustomerName,
     /// Endpoint that answered; empty until then
     pub endpoint: EndpointId,
     /// Instance that relays the request to this one, and the one that this one relays it to; mostly empty
@@ -513,6 +520,7 @@
             is_finished: false,
             first_byte_after: None,
             route,
+            customer: CustomerName::default(),
             endpoint,
             relayed_by: InstanceId::default(),
             relayed_to: InstanceId::default(),
@@ -532,9 +540,10 @@
         let took = self.arrived_at.elapsed();
         let config = self.gateway.config.borrow().as_ref().map_or(0, |it| it.version);
         log::info!(
-            "event=done id={} route={} outcome={outcome} detail={detail} endpoint={} relayed_by={} relayed_to={} first_ms={} took_ms={} config={config}",
+            "event=done id={} route={} customer={} outcome={outcome} detail={detail} endpoint={} relayed_by={} relayed_to={} first_ms={} took_ms={} config={config}",
             self.id,
             self.route,
+            self.customer,
             self.endpoint,
             self.relayed_by,
             self.relayed_to,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -62,6 +62,8 @@
     pub config: RefCell<Option<Rc<ServingConfig>>>,
     /// Time of the last successful read of the configuration
     pub config_read_at: Cell<Option<Instant>>,
+    /// Time at which the configuration in force was the newest one; `None` if a newer one is known to exist
+    pub config_confirmed_at: Cell<Option<Instant>>,
     /// Whether this instance has to read the configuration itself
     pub config_coverage: TopicCoverage,
     /// Endpoints listed in the store
@@ -161,6 +163,7 @@
             settings,
             config: RefCell::default(),
             config_read_at: Cell::default(),
+            config_confirmed_at: Cell::default(),
             endpoints: RefCell::default(),
             endpoints_read_at: Cell::default(),
             endpoints_known_at: Cell::default(),
