--- a/crates/gateway/src/request_record.rs
+++ b/crates/gateway/src/request_record.rs
@@ -1,7 +1,7 @@
 //! Log line and metrics of a request.
 
 use crate::state::Gateway;
-use catalogue::id::{EndpointId, InstanceId};
+use catalogue::id::{CustomerName, EndpointId, InstanceId};
 use smol_str::SmolStr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,6 +17,8 @@
     first_byte_after: Option<Duration>,
     /// Name of the route; empty until one matches
     pub route: SmolStr,
+    /// Name of the customer; empty until one is found
+    pub customer: CustomerName,
     /// Endpoint that answered; empty until then
     pub endpoint: EndpointId,
     /// Instance that relays the request to this one, and the one that this one relays it to; mostly empty
@@ -36,6 +38,7 @@
             is_finished: false,
             first_byte_after: None,
             route,
+            customer: CustomerName::default(),
             endpoint,
             relayed_by: InstanceId::default(),
             relayed_to: InstanceId::default(),
@@ -55,9 +58,10 @@
         let took = self.arrived_at.elapsed();
         let config = self.gateway.config.borrow().as_ref().map_or(0, |it| it.version);
         log::info!(
-            "event=done id={} route={} outcome={outcome} detail={detail} endpoint={} relayed_by={} relayed_to={} first_ms={} took_ms={} config={config}",
+            "event=done id={} route={} customer={} outcome={outcome} detail={detail} endpoint={} relayed_by={} relayed_to={} first_ms={} took_ms={} config={config}",
             self.id,
             self.route,
+            self.customer,
             self.endpoint,
             self.relayed_by,
             self.relayed_to,
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -11,6 +11,7 @@
 use crate::state::Gateway;
 use catalogue::id::{EndpointId, PoolName};
 use decide::serving::crash_parts::PartDecision;
+use decide::serving::customers::Customer;
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::notice::PauseStep;
 use decide::serving::pick::PromptProgress;
@@ -40,6 +41,8 @@
     pub request: ClientRequest,
     /// Matched route
     pub route: RouteConfig,
+    /// Customer that it belongs to, found at its arrival; `None` if it belongs to nobody
+    pub customer: Option<Customer>,
     /// Pool chosen among the route's targets
     pub pool: PoolName,
     /// Shape of its prompt; `None` for a request to a plain service
@@ -180,10 +183,12 @@
 
     /// Parameters of a send to an endpoint
     pub fn parameters(&self, endpoint: &EndpointId, stage: EngineStage) -> SendParameters {
+        let rank = self.customer.as_ref().and_then(|it| it.rank).unwrap_or(self.route.rank);
         SendParameters {
             endpoint: endpoint.clone(),
+            customer: self.customer.as_ref().map(|it| it.name.clone()),
             time_left: time_left(self.deadline),
-            priority: self.prompt.is_some().then(|| self.route.rank.min(9)),
+            priority: self.prompt.is_some().then(|| rank.min(9)),
             stage,
             resume_after: None,
             parts_source: None,
