Decide when to take, renew and give up the lease of the duties

Cause: exactly one instance may make calls to the control API, through crashes, freezes and returns of the store.

Change: duty_lease is a state machine of what was read, sent and answered. It states the next read or append, and whether the term holds.

Measured: not yet by tests of its own.

--- /dev/null
+++ b/crates/decide/src/serving/duty_lease.rs
@@ -0,0 +1,549 @@
+//! Lease of the duties that one instance at a time fulfils.
+//!
+//! The lease is a record in a topic of the platform's store. Every write of the topic
+//! requires that it ends where the writer knows, so that the topic is a linear history.
+//! The holder counts its term from before it sent the append that began or renewed it.
+//! Others wait a term and a margin after they have read the newest record, so their
+//! clocks need not agree with the holder's. An append without an answer may be carried
+//! out later: only reading tells what became of it.
+//!
+//! A holder whose term has ended because no renewal was acknowledged may renew it later:
+//! the condition on the topic's end shows that nobody has held the lease meanwhile.
+
+use super::endpoint_list::ListOffset;
+use super::store_era::{StoreEra, TopicPosition};
+use catalogue::id::{Fence, InstanceId};
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Random number of a process, which tells its records from those of earlier processes of the same name.
+pub type SessionId = u64;
+/// Number of an append within a session, from 1.
+pub type AppendNumber = u64;
+
+/// Version of the lease's record
+pub const RECORD_FORMAT: u32 = 1;
+/// Margin that others wait beyond the term, and interval of renewals, as fractions of the term. The margin covers
+/// calls that were checked just before the end of the term and take up to their timeout of 1 s to arrive.
+const MARGIN_FRACTION: f64 = 1.0 / 3.0;
+const RENEWAL_FRACTION: f64 = 1.0 / 3.0;
+/// Maximum number of appends whose outcome is unknown. An older one could only be found after a far newer one.
+const MAX_SENT: usize = 64;
+/// Bits of a token below the era.
+const ERA_SHIFT: u32 = 32;
+
+/// Time by two clocks, each from a start of its own
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LeaseTime {
+    /// Stands still while the machine is suspended
+    pub steady: Duration,
+    /// Advances while the machine is suspended
+    pub boot: Duration,
+}
+
+impl LeaseTime {
+    /// Time since an earlier one by the clock that shows more; bounds what this instance may still do
+    pub fn most_since(self, earlier: LeaseTime) -> Duration {
+        let (steady, boot) = self.since(earlier);
+        steady.max(boot)
+    }
+
+    /// Time since an earlier one by the clock that shows less; bounds what it has waited
+    pub fn least_since(self, earlier: LeaseTime) -> Duration {
+        let (steady, boot) = self.since(earlier);
+        steady.min(boot)
+    }
+
+    fn since(self, earlier: LeaseTime) -> (Duration, Duration) {
+        let steady = self.steady.saturating_sub(earlier.steady);
+        (steady, self.boot.saturating_sub(earlier.boot))
+    }
+}
+
+/// Times of the lease
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseTiming {
+    /// Time for which an acknowledged append holds
+    pub term: Duration,
+    /// Time that others wait beyond the term
+    pub margin: Duration,
+    /// Interval of renewals
+    pub renewal: Duration,
+}
+
+impl LeaseTiming {
+    /// Times for a term
+    pub fn new(term: Duration) -> LeaseTiming {
+        let margin = term.mul_f64(MARGIN_FRACTION);
+        LeaseTiming { term, margin, renewal: term.mul_f64(RENEWAL_FRACTION) }
+    }
+
+    /// Time that others wait after they have read a record
+    pub fn wait(&self) -> Duration {
+        self.term + self.margin
+    }
+}
+
+/// What a record does with the lease
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LeaseAct {
+    Acquire,
+    Renew,
+    Release,
+}
+
+/// Record of the lease
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct LeaseRecord {
+    pub format: u32,
+    pub act: LeaseAct,
+    pub holder: InstanceId,
+    pub session: SessionId,
+    pub fence: Fence,
+    /// Number of the append that wrote it, within the session
+    pub append: AppendNumber,
+    /// Instance that held the lease before, if it was another one
+    #[serde(default)]
+    pub previous: Option<InstanceId>,
+}
+
+/// Append to the topic; requires that it ends at `at`
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseAppend {
+    pub record: LeaseRecord,
+    pub at: TopicPosition,
+}
+
+/// What to do next
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeaseStep {
+    /// Read the newest record of each key
+    ReadAll,
+    /// Read on, and wait up to this time for a record
+    ReadOn(TopicPosition, Duration),
+    /// Append; report the start with `started`
+    Append(LeaseAppend),
+    /// Nothing to do for this time
+    Idle(Duration),
+}
+
+/// Reason for the end of a term
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(displaydoc::Display)]
+pub enum LossReason {
+    /// expired
+    Expired,
+    /// taken
+    Taken,
+    /// era
+    Era,
+    /// record_gone
+    RecordGone,
+    /// conflict
+    Conflict,
+}
+
+/// What has happened to the own term
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaseChange {
+    /// Nothing
+    None,
+    /// The term has begun, also again after it had expired
+    Taken(Fence),
+    /// The term goes on
+    Renewed(Fence),
+    /// The term has ended
+    Lost(Fence, LossReason),
+    /// The release is in the topic
+    Released(Fence),
+}
+
+/// Record of the lease as it was read; `None` for one that can't be decoded
+#[derive(Debug, Clone)]
+struct SeenLease {
+    record: Option<LeaseRecord>,
+    read_at: LeaseTime,
+}
+
+/// What is known of the topic
+#[derive(Debug, Clone)]
+struct TopicView {
+    position: TopicPosition,
+    /// Newest record of the lease; `None` if the topic has none
+    lease: Option<SeenLease>,
+    /// Time of the full read; the topic has had no record since, unless `lease` is set
+    read_at: LeaseTime,
+    /// Whether it has to be read on before the next append
+    must_read: bool,
+}
+
+/// Append whose outcome is not known, or that the current term counts from
+#[derive(Debug, Clone, Copy)]
+struct SentAppend {
+    number: AppendNumber,
+    sent_at: LeaseTime,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct OwnTerm {
+    fence: Fence,
+    /// Time from which the term counts
+    from: LeaseTime,
+    /// Whether its end was reported
+    is_expired: bool,
+}
+
+/// Lease as one instance sees it
+#[derive(Debug, Clone)]
+pub struct DutyLease {
+    own: InstanceId,
+    session: SessionId,
+    timing: LeaseTiming,
+    started_at: LeaseTime,
+    /// Whether the whole deployment starts for the first time, and nothing has shown otherwise
+    may_be_first: bool,
+    era: Option<StoreEra>,
+    /// Time at which the era known before ended
+    era_since: Option<LeaseTime>,
+    view: Option<TopicView>,
+    term: Option<OwnTerm>,
+    /// Start of the last term; its end bars this instance from a new one
+    last_from: Option<LeaseTime>,
+    sent: VecDeque<SentAppend>,
+    next_append: AppendNumber,
+    is_stopping: bool,
+}
+
+impl DutyLease {
+    /// Lease as a starting process sees it
+    pub fn new(
+        own: InstanceId,
+        session: SessionId,
+        timing: LeaseTiming,
+        is_first_start: bool,
+        now: LeaseTime,
+    ) -> DutyLease {
+        DutyLease {
+            own,
+            session,
+            timing,
+            started_at: now,
+            may_be_first: is_first_start,
+            era: None,
+            era_since: None,
+            view: None,
+            term: None,
+            last_from: None,
+            sent: VecDeque::new(),
+            next_append: 1,
+            is_stopping: false,
+        }
+    }
+
+    /// Fencing token if the lease is held now
+    pub fn fence(&self, now: LeaseTime) -> Option<Fence> {
+        self.time_left(now).and(self.term).map(|it| it.fence)
+    }
+
+    /// Rest of the term; `None` if the lease isn't held
+    pub fn time_left(&self, now: LeaseTime) -> Option<Duration> {
+        let term = self.term.filter(|_| !self.is_stopping)?;
+        let left = self.timing.term.checked_sub(now.most_since(term.from))?;
+        Some(left).filter(|it| !it.is_zero())
+    }
+
+    /// Number of this process in its records
+    pub fn session(&self) -> SessionId {
+        self.session
+    }
+
+    /// Whether the newest record is of this instance's term, which may have expired
+    pub fn has_term(&self) -> bool {
+        self.term.is_some()
+    }
+
+    /// Position of the next read; `None` if the topic has to be read in full
+    pub fn position(&self) -> Option<TopicPosition> {
+        self.view.as_ref().map(|it| it.position)
+    }
+
+    /// Holder and token by the newest record, unless it is released
+    pub fn holder(&self) -> Option<(&InstanceId, Fence)> {
+        let record = self.view.as_ref()?.lease.as_ref()?.record.as_ref()?;
+        Some((&record.holder, record.fence)).filter(|_| record.act != LeaseAct::Release)
+    }
+
+    /// Next thing to do
+    pub fn step(&self, now: LeaseTime) -> LeaseStep {
+        let Some(view) = &self.view else { return LeaseStep::ReadAll };
+        if view.must_read {
+            return LeaseStep::ReadOn(view.position, Duration::ZERO);
+        }
+        if let Some(term) = self.term {
+            let since = now.most_since(term.from);
+            if self.is_stopping || since >= self.timing.renewal {
+                let act = if self.is_stopping { LeaseAct::Release } else { LeaseAct::Renew };
+                return LeaseStep::Append(self.append(view, act, term.fence));
+            }
+            return LeaseStep::Idle(self.timing.renewal - since);
+        }
+        if self.is_stopping {
+            return LeaseStep::Idle(self.timing.term);
+        }
+        let wait = self.time_to_acquire(view, now);
+        if wait.is_zero() {
+            let fence = next_fence(view);
+            return LeaseStep::Append(self.append(view, LeaseAct::Acquire, fence));
+        }
+        LeaseStep::ReadOn(view.position, wait)
+    }
+
+    /// Renewal to be sent now, for values that are to be recorded; `None` if the lease isn't held or must be read first
+    pub fn renewal(&self, now: LeaseTime) -> Option<LeaseAppend> {
+        let view = self.view.as_ref().filter(|it| !it.must_read)?;
+        let fence = self.fence(now)?;
+        Some(self.append(view, LeaseAct::Renew, fence))
+    }
+
+    fn append(&self, view: &TopicView, act: LeaseAct, fence: Fence) -> LeaseAppend {
+        let seen = view.lease.as_ref().and_then(|it| it.record.as_ref());
+        let previous = match seen {
+            Some(record) if record.holder == self.own => record.previous.clone(),
+            Some(record) => Some(record.holder.clone()),
+            None => None,
+        };
+        let record = LeaseRecord {
+            format: RECORD_FORMAT,
+            act,
+            holder: self.own.clone(),
+            session: self.session,
+            fence,
+            append: self.next_append,
+            previous,
+        };
+        LeaseAppend { record, at: view.position }
+    }
+
+    /// Time until the lease may be acquired; zero if that is now
+    fn time_to_acquire(&self, view: &TopicView, now: LeaseTime) -> Duration {
+        let wait = self.timing.wait();
+        let left = |from: LeaseTime, wait: Duration| wait.saturating_sub(now.least_since(from));
+        let mut longest = Duration::ZERO;
+        if let Some(since) = self.era_since {
+            longest = longest.max(left(since, wait));
+        }
+        if let Some(from) = self.last_from {
+            longest = longest.max(left(from, self.timing.term + wait));
+        }
+        if !(self.may_be_first && view.lease.is_none()) {
+            longest = longest.max(left(self.started_at, wait));
+            longest = longest.max(match &view.lease {
+                Some(lease) => left(lease.read_at, self.wait_after(lease)),
+                None => left(view.read_at, wait),
+            });
+        }
+        longest
+    }
+
+    /// Time to wait after a record was read
+    fn wait_after(&self, lease: &SeenLease) -> Duration {
+        let wait = self.timing.wait();
+        let Some(record) = &lease.record else { return wait };
+        // An instance that held the lease before the last holder comes back only a term after that one's end.
+        let is_return = record.previous.as_ref() == Some(&self.own) && record.holder != self.own;
+        match (record.act, is_return) {
+            (LeaseAct::Release, false) => Duration::ZERO,
+            (LeaseAct::Release, true) => wait,
+            (_, false) => wait,
+            (_, true) => self.timing.term + wait,
+        }
+    }
+
+    /// Records that an append is being sent
+    pub fn started(&mut self, append: &LeaseAppend, now: LeaseTime) {
+        self.next_append = append.record.append + 1;
+        self.sent.push_back(SentAppend { number: append.record.append, sent_at: now });
+        if self.sent.len() > MAX_SENT {
+            self.sent.pop_front();
+        }
+        if let Some(view) = &mut self.view {
+            // Until the outcome is known.
+            view.must_read = true;
+        }
+    }
+
+    /// Records that the store has acknowledged an append of this number of records
+    pub fn acknowledged(
+        &mut self,
+        append: &LeaseAppend,
+        records: ListOffset,
+        now: LeaseTime,
+    ) -> LeaseChange {
+        let Some(view) = self.view.as_mut().filter(|it| it.position == append.at) else {
+            return LeaseChange::None;
+        };
+        view.position.offset += records;
+        view.must_read = false;
+        self.observe_record(Some(append.record.clone()), now)
+    }
+
+    /// Records that the store has declined an append, since the topic ends elsewhere
+    pub fn declined(&mut self, append: &LeaseAppend, end: ListOffset) {
+        // It can never be carried out: the topic only grows. One that ends before the known end is read in full.
+        self.sent.retain(|it| it.number != append.record.append);
+        if end < append.at.offset {
+            self.view = None;
+        }
+    }
+
+    /// Records the era of the store
+    pub fn observe_era(&mut self, era: StoreEra, now: LeaseTime) -> LeaseChange {
+        let before = self.era.replace(era);
+        if before == Some(era) {
+            return LeaseChange::None;
+        }
+        if before.is_some() {
+            self.era_since = Some(now);
+            self.may_be_first = false;
+        }
+        self.view = None;
+        self.sent.clear();
+        self.end_term(LossReason::Era)
+    }
+
+    /// Records a full read: the end of the topic and its record of the lease
+    pub fn observe_all(
+        &mut self,
+        position: TopicPosition,
+        record: Option<Option<LeaseRecord>>,
+        now: LeaseTime,
+    ) -> LeaseChange {
+        self.view = Some(TopicView { position, lease: None, read_at: now, must_read: false });
+        match record {
+            Some(record) => self.observe_record(record, now),
+            None => self.end_term(LossReason::RecordGone),
+        }
+    }
+
+    /// Records a read from the known position on, with the records of the lease in it
+    pub fn observe_more(
+        &mut self,
+        to: TopicPosition,
+        records: Vec<Option<LeaseRecord>>,
+        now: LeaseTime,
+    ) -> LeaseChange {
+        if let Some(view) = &mut self.view {
+            view.position = to;
+            view.must_read = false;
+        }
+        let mut last = LeaseChange::None;
+        for record in records {
+            let change = self.observe_record(record, now);
+            if change != LeaseChange::None {
+                last = change;
+            }
+        }
+        last
+    }
+
+    /// Records that the position is no longer kept, so that the topic has to be read in full
+    pub fn void_position(&mut self) {
+        self.view = None;
+    }
+
+    /// Has the topic read before the next append
+    pub fn require_read(&mut self) {
+        if let Some(view) = &mut self.view {
+            view.must_read = true;
+        }
+    }
+
+    /// Ends the term, since another instance has used a higher token
+    pub fn give_up(&mut self, fence: Fence) -> LeaseChange {
+        if self.term.is_some_and(|it| it.fence == fence) {
+            return self.end_term(LossReason::Conflict);
+        }
+        LeaseChange::None
+    }
+
+    /// Reports the end of the term once it has expired
+    pub fn check(&mut self, now: LeaseTime) -> LeaseChange {
+        if self.is_stopping || self.time_left(now).is_some() {
+            return LeaseChange::None;
+        }
+        match &mut self.term {
+            Some(term) if !term.is_expired => {
+                term.is_expired = true;
+                LeaseChange::Lost(term.fence, LossReason::Expired)
+            }
+            _ => LeaseChange::None,
+        }
+    }
+
+    /// Ends the term, to be released, and acquires the lease no more
+    pub fn stop(&mut self) {
+        self.is_stopping = true;
+    }
+
+    fn observe_record(&mut self, record: Option<LeaseRecord>, now: LeaseTime) -> LeaseChange {
+        self.may_be_first = false;
+        let own = record.as_ref().filter(|it| it.session == self.session);
+        let sent = own.and_then(|it| self.sent.iter().find(|sent| sent.number == it.append));
+        let own = own.cloned().zip(sent.copied());
+        if let Some(view) = &mut self.view {
+            view.lease = Some(SeenLease { record, read_at: now });
+        }
+        let Some((record, sent)) = own else { return self.end_term(LossReason::Taken) };
+        self.sent.retain(|it| it.number >= sent.number);
+        self.apply_own(&record, sent.sent_at, now)
+    }
+
+    fn apply_own(
+        &mut self,
+        record: &LeaseRecord,
+        sent_at: LeaseTime,
+        now: LeaseTime,
+    ) -> LeaseChange {
+        let fence = record.fence;
+        if record.act == LeaseAct::Release {
+            self.term = None;
+            return LeaseChange::Released(fence);
+        }
+        let before = self.term.filter(|it| it.fence == fence);
+        if before.is_none() && record.act == LeaseAct::Renew {
+            // The term was given up after the renewal had been sent.
+            return LeaseChange::None;
+        }
+        // An append may be carried out when the term that it would have given is over.
+        let is_late = now.most_since(sent_at) >= self.timing.term;
+        let was_held = before.is_some_and(|it| !it.is_expired);
+        self.term = Some(OwnTerm { fence, from: sent_at, is_expired: is_late });
+        self.last_from = Some(sent_at);
+        match (was_held, is_late) {
+            (true, false) => LeaseChange::Renewed(fence),
+            (false, false) => LeaseChange::Taken(fence),
+            (true, true) => LeaseChange::Lost(fence, LossReason::Expired),
+            (false, true) => LeaseChange::None,
+        }
+    }
+
+    fn end_term(&mut self, reason: LossReason) -> LeaseChange {
+        match self.term.take() {
+            Some(term) if term.is_expired => LeaseChange::None,
+            Some(term) => LeaseChange::Lost(term.fence, reason),
+            None => LeaseChange::None,
+        }
+    }
+}
+
+/// Token of a term that begins at the end of the topic, higher than that of its newest record
+fn next_fence(view: &TopicView) -> Fence {
+    let seen = view.lease.as_ref().and_then(|it| it.record.as_ref()).map_or(0, |it| it.fence);
+    // An era that was seen by mistake, and is gone, must not make tokens fall.
+    let era = view.position.era.max(seen >> ERA_SHIFT);
+    (era << ERA_SHIFT) + view.position.offset
+}
--- a/crates/decide/src/serving/leader.rs
+++ b/crates/decide/src/serving/leader.rs
@@ -122,6 +122,13 @@
         }
     }
 
+    /// Other instances by rank, the highest-ranked first
+    pub fn ranked(&self) -> Vec<(&InstanceId, &PeerInstance)> {
+        let mut instances = self.instances.iter().collect::<Vec<_>>();
+        instances.sort_by_key(|(id, it)| rank(id, it.power));
+        instances
+    }
+
     /// Zones of the other instances
     pub fn zones(&self) -> Vec<ZoneName> {
         let zones = self.instances.values().map(|it| it.zone.clone());
--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -7,6 +7,7 @@
 pub mod crash_parts;
 pub mod crash_table;
 pub mod deadline;
+pub mod duty_lease;
 pub mod endpoint_list;
 pub mod health;
 pub mod leader;
