Hold the lease of the duties in the store

Cause: DutyState was a skeleton that never held the lease.

Change: a task follows and writes the topic of the duties, values are recorded with renewals, and datagrams with the first byte 200 announce the holder. SIGTERM releases the lease. Without duties in the settings no task runs.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -35,24 +35,25 @@
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
 
 /// Failed read, with how far it came
-struct ReadFailure {
-    error: StoreError,
+pub struct ReadFailure {
+    pub error: StoreError,
     progress: TransferProgress,
 }
 
 /// Tracks failed reads of one topic for backoff and logging
-struct StoreBackoff {
+pub struct StoreBackoff {
     topic: &'static str,
     failures: u32,
 }
 
 impl StoreBackoff {
-    fn new(topic: &'static str) -> StoreBackoff {
+    /// No failures so far
+    pub fn new(topic: &'static str) -> StoreBackoff {
         StoreBackoff { topic, failures: 0 }
     }
 
     /// Records a successful call; `true` if calls had failed before
-    fn succeeded(&mut self) -> bool {
+    pub fn succeeded(&mut self) -> bool {
         let was_unavailable = self.failures > 0;
         if was_unavailable {
             log::info!("event=store_regained topic={} failures={}", self.topic, self.failures);
@@ -62,7 +63,7 @@
     }
 
     /// Records a failed call; returns the pause before the next one
-    fn failed(&mut self, failure: &ReadFailure) -> Duration {
+    pub fn failed(&mut self, failure: &ReadFailure) -> Duration {
         let ReadFailure { error, progress } = failure;
         let topic = self.topic;
         if self.failures == 0 {
@@ -201,7 +202,7 @@
 }
 
 /// Reads a topic from a position on, or in full; also returns the position of the next read
-async fn read_from(
+pub async fn read_from(
     gateway: &Gateway,
     topic: &'static str,
     position: Option<TopicPosition>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod crash_evidence;
 pub mod crash_parts;
 pub mod duties;
+pub mod duty_messages;
 pub mod endpoint_link;
 pub mod error;
 pub mod events;
@@ -125,6 +126,8 @@
     let started = Instant::now();
     let deadline = started + gateway.settings.stop_grace.saturating_sub(STOP_MARGIN);
     gateway.stopping.set(true);
+    // The lease is released while open connections are served to their end.
+    gateway.duties.stop();
     log::info!("event=stop open_requests={}", gateway.open_requests.get());
     sleep_until(deadline.min(started + IDLE_CLOSE_DELAY)).await;
     gateway.close_idle.notify_waiters();
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -10,6 +10,7 @@
 //! transferred over TCP to those that ask for it.
 
 pub mod config_transfer;
+mod duty_updates;
 mod listing;
 mod origin_queries;
 mod port;
@@ -19,6 +20,8 @@
 pub use listing::{format_entry, parse_entry};
 
 use crate::background::BackgroundTasks;
+use crate::duties::lease_task::hold_lease;
+use crate::duty_messages::DUTY_BYTE;
 use crate::error::GatewayError;
 use crate::messages::{
     MAX_MESSAGE_BYTES, MessageBody, PeerMessage, ServingUpdate, WorkScope, received_work, work_body,
@@ -94,6 +97,12 @@
     tasks.spawn(receive(exchange.clone()));
     tasks.spawn(store_updates::send_updates(exchange.clone()));
     tasks.spawn(origin_queries::send_queries(exchange.clone()));
+    if exchange.gateway.settings.duties.is_some() {
+        tasks.spawn(duty_updates::send_duties(exchange.clone()));
+        let reader = exchange.clone();
+        let reads_for_others = move |now| reader.reads_for_others(now);
+        tasks.spawn(hold_lease(exchange.gateway.clone(), reads_for_others));
+    }
     tasks.spawn(send_work(exchange));
     Ok(())
 }
@@ -102,16 +111,23 @@
     let mut buffer = vec![0; MAX_MESSAGE_BYTES];
     loop {
         match exchange.socket.recv_from(&mut buffer).await {
-            Ok((length, address)) => match PeerMessage::decode(&buffer[..length]) {
-                Some(message) => exchange.handle_message(message, address),
-                None => log::debug!("event=peer_message_unreadable from={address}"),
-            },
+            Ok((length, address)) => exchange.handle_datagram(&buffer[..length], address).await,
             Err(error) => log::debug!("event=peer_message_lost error={error}"),
         }
     }
 }
 
 impl PeerExchange {
+    async fn handle_datagram(self: &Rc<PeerExchange>, bytes: &[u8], address: SocketAddr) {
+        if bytes.first() == Some(&DUTY_BYTE) && self.gateway.settings.duties.is_some() {
+            return duty_updates::receive(self, bytes, address).await;
+        }
+        match PeerMessage::decode(bytes) {
+            Some(message) => self.handle_message(message, address),
+            None => log::debug!("event=peer_message_unreadable from={address}"),
+        }
+    }
+
     fn handle_message(self: &Rc<PeerExchange>, message: PeerMessage, address: SocketAddr) {
         let now = Instant::now();
         let instance = message.instance.clone();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -158,6 +158,7 @@
         Gateway {
             started_at: Instant::now(),
             store: StoreClient::new(settings.store_address),
+            duties: DutyState::new(&settings),
             settings,
             config: RefCell::default(),
             config_read_at: Cell::default(),
@@ -196,7 +197,6 @@
             deadline_peaks: RefCell::default(),
             connections: EndpointConnections::default(),
             link: EndpointLink::default(),
-            duties: DutyState::default(),
             instances: Rc::default(),
             reported_links: RefCell::default(),
             buffered_bytes: Cell::default(),
--- a/crates/gateway/tests/gateway/large_config.rs
+++ b/crates/gateway/tests/gateway/large_config.rs
@@ -34,6 +34,7 @@
     bandwidth_mbps: 200.0,
     is_first_start: true,
     seed: None,
+    control: None,
 };
 const WEAK: InstanceSize = InstanceSize {
     config_ms: 3000,
@@ -41,6 +42,7 @@
     bandwidth_mbps: 10.0,
     is_first_start: true,
     seed: None,
+    control: None,
 };
 
 cases! { async
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod cut_instances;
 mod deployment;
 mod drain;
+mod duties;
 mod ending_fleet;
 mod endpoint;
 mod era;
--- a/crates/gateway/tests/gateway/process.rs
+++ b/crates/gateway/tests/gateway/process.rs
@@ -36,6 +36,8 @@
     pub is_first_start: bool,
     /// Another instance that the settings name
     pub seed: Option<SocketAddr>,
+    /// Control API of the platform, if there are duties
+    pub control: Option<SocketAddr>,
 }
 
 impl Default for InstanceSize {
@@ -46,6 +48,7 @@
             bandwidth_mbps: 1000.0,
             is_first_start: true,
             seed: None,
+            control: None,
         }
     }
 }
@@ -202,8 +205,13 @@
 }
 
 fn settings_text(ip: &str, store: SocketAddr, name: &str, size: InstanceSize) -> String {
-    let InstanceSize { config_ms, cpu_share, bandwidth_mbps, is_first_start, seed } = size;
+    let InstanceSize { config_ms, cpu_share, bandwidth_mbps, is_first_start, seed, control } = size;
     let seed = seed.map(|it| format!("\"{it}\"")).unwrap_or_default();
+    let duties = control.map(|it| {
+        let duties = "duties = [\"usage\",\"scale\"]";
+        format!("[cloud_api]\naddress = \"{it}\"\nrate_per_s = 50\n{duties}\nduty_per_s = 50")
+    });
+    let duties = duties.unwrap_or_default();
     let last_port = PEER_PORT + 8;
     let zone = if name.starts_with("far") { "zone-b" } else { "zone-a" };
     format!(
@@ -228,6 +236,13 @@
 budget_ratio = 0.2
 budget_window_s = 10
 retry_slack = 54
+require_fence = true
+lease_ms = 3000
+thaw_ms = 300
+window_s = 5
+usage_off = 0.05
+usage_late_s = 10
+{duties}
 [provider]
 address = "{store}"
 form = "log"
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -255,12 +255,44 @@
         (topic.first, topic.end(), body)
     }
 
+    /// Appends all records of a call, or none if the topic doesn't end where the call requires
     fn append(&self, query: &IndexMap<String, String>, body: &[u8]) -> Response<Full<Bytes>> {
-        let key_length = usize::from(body[4]);
-        let key = String::from_utf8_lossy(&body[5..5 + key_length]).into_owned();
-        self.put(&query["topic"], &key, &body[5 + key_length..]);
-        Response::new(Full::from("{\"offset\":0,\"end\":1}"))
+        let records = records_of(body);
+        let mut state = self.state.lock().expect("no panic");
+        let topic = state.topics.entry(query["topic"].clone()).or_default();
+        let offset = topic.end();
+        let at = query.get("at").map(|it| it.parse::<u64>().expect("an offset"));
+        if at.is_some_and(|it| it != offset) {
+            let mut response = Response::new(Full::from(format!("{{\"end\":{offset}}}")));
+            *response.status_mut() = StatusCode::PRECONDITION_FAILED;
+            return response;
+        }
+        for (key, value) in records {
+            topic.append(&key, value);
+        }
+        let end = topic.end();
+        drop(state);
+        self.changed.notify_waiters();
+        Response::new(Full::from(format!("{{\"offset\":{offset},\"end\":{end}}}")))
+    }
+
+    /// Keys and values of the records of a topic so far
+    pub fn history(&self, topic: &str) -> Vec<(String, Vec<u8>)> {
+        let state = self.state.lock().expect("no panic");
+        state.topics.get(topic).map(|it| it.records.clone()).unwrap_or_default()
+    }
+}
+
+fn records_of(mut body: &[u8]) -> Vec<(String, &[u8])> {
+    let mut records = Vec::new();
+    while let Some((length, rest)) = body.split_at_checked(4) {
+        let length = u32::from_be_bytes(length.try_into().expect("four bytes")) as usize;
+        let (record, rest) = rest.split_at(length);
+        let (key, value) = record[1..].split_at(usize::from(record[0]));
+        records.push((String::from_utf8_lossy(key).into_owned(), value));
+        body = rest;
     }
+    records
 }
 
 fn status(code: StatusCode) -> Response<Full<Bytes>> {
