--- a/crates/decide/src/serving/duty_lease.rs
+++ b/crates/decide/src/serving/duty_lease.rs
@@ -339,7 +339,9 @@
         if let Some(from) = self.last_from {
             longest = longest.max(left(from, self.timing.term + wait));
         }
-        if !(self.may_be_first && view.lease.is_none()) {
+        // An instance that reached the store late can't tell an empty topic from one that was lost.
+        let is_first = self.may_be_first && now.most_since(self.started_at) < self.timing.term;
+        if !(is_first && view.lease.is_none()) {
             longest = longest.max(left(self.started_at, wait));
             longest = longest.max(match &view.lease {
                 Some(lease) => left(lease.read_at, self.wait_after(lease)),
@@ -471,7 +473,7 @@
     }
 
     /// Reports the end of the term once it has expired
-    pub fn check(&mut self, now: LeaseTime) -> LeaseChange {
+    pub fn check_expiry(&mut self, now: LeaseTime) -> LeaseChange {
         if self.is_stopping || self.time_left(now).is_some() {
             return LeaseChange::None;
         }
--- a/crates/gateway/src/duties/lease_task.rs
+++ b/crates/gateway/src/duties/lease_task.rs
@@ -65,7 +65,7 @@
     /// Reports the end of a term that has expired, and asks for successors of one that nears it
     fn check_term(&self) {
         let duties = &self.gateway.duties;
-        duties.change(self.gateway, |lease| lease.check(lease_time()));
+        duties.change(self.gateway, |lease| lease.check_expiry(lease_time()));
         let left = duties.time_left();
         if left.is_some_and(|it| it < self.timing.term / 2) {
             duties.candidacy.want_successors();
