--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -8,6 +8,7 @@
 pub mod crash_table;
 pub mod customers;
 pub mod deadline;
+pub mod duty_lease;
 pub mod endpoint_list;
 pub mod health;
 pub mod leader;
