Release the lease only after calls under it have ended

Cause: a call that is still on its way at SIGTERM could arrive after the first call of the next holder, whose token is higher.

Change: DutyState::begin_call counts calls under the lease. The release waits for their end, 1.1 s at most.

--- a/crates/gateway/src/duties/lease_task.rs
+++ b/crates/gateway/src/duties/lease_task.rs
@@ -30,6 +30,10 @@
     let mut was_candidate = false;
     loop {
         task.check_term();
+        if gateway.duties.holds_back_release() {
+            sleep(CONFLICT_PAUSE).await;
+            continue;
+        }
         let now = Instant::now();
         let is_active = task.with_lease(|it| it.has_term()).unwrap_or_default();
         let is_candidate = reads_for_others(now) || gateway.duties.candidacy.is_limited(now);
--- a/crates/gateway/src/duties/mod.rs
+++ b/crates/gateway/src/duties/mod.rs
@@ -22,8 +22,9 @@
 use platform_adapter::settings::InstanceSettings;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use std::cell::RefCell;
-use std::time::Duration;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::timeout;
 use writes::PendingWrites;
@@ -31,6 +32,9 @@
 /// Longest wait for the outcome of a write; two calls of the longest duration, with the read between them.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Longest delay of the release by calls under the lease; longer than their timeout.
+const MAX_RELEASE_DELAY: Duration = Duration::from_millis(1100);
+
 /// Instance that fulfils the duties
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -52,6 +56,19 @@
 
 impl std::error::Error for DutyWriteError {}
 
+/// Call under the lease that is being made; the release waits for its end
+#[derive(Debug)]
+pub struct DutyCall {
+    pub fence: Fence,
+    calls: Rc<Cell<usize>>,
+}
+
+impl Drop for DutyCall {
+    fn drop(&mut self) {
+        self.calls.set(self.calls.get() - 1);
+    }
+}
+
 /// What an instance knows of the duties
 #[derive(Default)]
 pub struct DutyState {
@@ -61,6 +78,10 @@
     /// `None` where the settings have no duties
     lease: RefCell<Option<DutyLease>>,
     writes: RefCell<PendingWrites>,
+    /// Number of calls under the lease that are being made
+    calls: Rc<Cell<usize>>,
+    /// Time of SIGTERM
+    stopped_at: Cell<Option<Instant>>,
     /// Whether to follow the lease
     pub candidacy: DutyCandidacy,
     /// Wakes the task of the lease
@@ -83,6 +104,15 @@
         self.lease.borrow().as_ref()?.fence(lease_time())
     }
 
+    /// Begins a call under the lease; `None` if it isn't held
+    ///
+    /// Send it at once, and drop the result after its end: another instance must not call before it.
+    pub fn begin_call(&self) -> Option<DutyCall> {
+        let fence = self.fence()?;
+        self.calls.set(self.calls.get() + 1);
+        Some(DutyCall { fence, calls: self.calls.clone() })
+    }
+
     /// Rest of the own term, beyond which a call under the lease must not be waited for; `None` if the lease isn't held
     pub fn time_left(&self) -> Option<Duration> {
         self.lease.borrow().as_ref()?.time_left(lease_time())
@@ -141,11 +171,18 @@
                 self.candidacy.want_successors();
             }
             lease.stop();
+            self.stopped_at.set(Some(Instant::now()));
             self.fence.send_if_modified(|it| it.take().is_some());
             self.wake.notify_one();
         }
     }
 
+    /// Whether the release has to wait for the end of calls
+    fn holds_back_release(&self) -> bool {
+        let stopped_at = self.stopped_at.get();
+        self.calls.get() > 0 && stopped_at.is_some_and(|it| it.elapsed() < MAX_RELEASE_DELAY)
+    }
+
     /// Records a holder that another instance has announced; `true` if its token is the highest so far
     pub fn record_holder(&self, gateway: &Gateway, announced: &DutyHolder) -> bool {
         let mut holder = self.holder.borrow_mut();
