Test the duties with processes and stand-ins

Cause: takeover, hand-over and outages of the store were tested only by the model.

Change: the stand-in of the store has conditional appends, links that can be cut one by one, and a mode in which answers to appends are lost. New tests run instances as processes (duties), the task in the test's process (duty_values), and the client of the control API (control).

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod config;
+mod control;
 mod crash_evidence;
 mod crashes;
 mod crashing_lookups;
@@ -11,6 +12,7 @@
 mod deployment;
 mod drain;
 mod duties;
+mod duty_values;
 mod ending_fleet;
 mod endpoint;
 mod era;
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -12,6 +12,7 @@
 use indexmap::IndexMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -29,6 +30,8 @@
     Unavailable,
     /// Never answers
     Unresponsive,
+    /// Carries out appends, but never answers them
+    Forgetful,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -70,6 +73,30 @@
 #[derive(Debug, Clone)]
 pub struct StoreCopy(IndexMap<String, Topic>);
 
+/// Link between some instances and the store
+#[derive(Debug, Clone, Default)]
+pub struct StoreLink {
+    is_cut: Arc<AtomicBool>,
+}
+
+impl StoreLink {
+    /// Cuts or heals the link
+    pub fn set_cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::Relaxed);
+    }
+
+    async fn answer(&self, store: &FakeStore, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        if self.is_cut.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+        let response = store.answer(request).await;
+        if self.is_cut.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+        response
+    }
+}
+
 /// Store that runs until the test ends
 #[derive(Clone)]
 pub struct FakeStore {
@@ -95,14 +122,27 @@
             state: Arc::new(Mutex::new(state)),
             changed: Arc::new(Notify::new()),
         };
-        let accepting = store.clone();
+        store.serve(listener, StoreLink::default());
+        store
+    }
+
+    /// Another address of the store, whose link can be cut by itself
+    pub async fn linked(&self) -> (SocketAddr, StoreLink) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+        let (address, link) = (listener.local_addr().expect("bound"), StoreLink::default());
+        self.serve(listener, link.clone());
+        (address, link)
+    }
+
+    fn serve(&self, listener: TcpListener, link: StoreLink) {
+        let accepting = self.clone();
         tokio::spawn(async move {
             while let Ok((socket, _)) = listener.accept().await {
-                let store = accepting.clone();
+                let (store, link) = (accepting.clone(), link.clone());
                 tokio::spawn(async move {
                     let service = service_fn(move |request| {
-                        let store = store.clone();
-                        async move { Ok::<_, Infallible>(store.answer(request).await) }
+                        let (store, link) = (store.clone(), link.clone());
+                        async move { Ok::<_, Infallible>(link.answer(&store, request).await) }
                     });
                     // Errors are ignored, since callers may close connections at any time.
                     let _ =
@@ -110,7 +150,6 @@
                 });
             }
         });
-        store
     }
 
     /// Appends a record, as operators and endpoints do
@@ -186,7 +225,7 @@
             state.mode
         };
         match mode {
-            StoreMode::Normal => {}
+            StoreMode::Normal | StoreMode::Forgetful => {}
             StoreMode::Unavailable => return status(StatusCode::SERVICE_UNAVAILABLE),
             StoreMode::Unresponsive => std::future::pending().await,
         }
@@ -199,7 +238,13 @@
         match path.as_str() {
             "/api/log-newest" => self.newest(&query),
             "/api/log-read" => self.read(&query).await,
-            "/api/log-append" => self.append(&query, &body),
+            "/api/log-append" => {
+                let answer = self.append(&query, &body);
+                if mode == StoreMode::Forgetful {
+                    std::future::pending::<()>().await;
+                }
+                answer
+            }
             _ => status(StatusCode::NOT_FOUND),
         }
     }
