Let only listed leaders be candidates, and count calls about a topic

Cause: until the others were listed, each starting instance took itself for the one that reads the store for others.

Change: an instance is a candidate only once the list of instances is known. The stand-in of the store counts calls by topic. duty_lease is a folder: decisions, observations, record, time.

--- a/crates/decide/src/serving/duty_lease.rs
+++ b/crates/decide/src/serving/duty_lease/mod.rs
@@ -10,114 +10,21 @@
 //! A holder whose term has ended because no renewal was acknowledged may renew it later:
 //! the condition on the topic's end shows that nobody has held the lease meanwhile.
 
-use super::endpoint_list::ListOffset;
+mod observe;
+mod record;
+mod time;
+
+pub use record::{AppendNumber, LeaseAct, LeaseAppend, LeaseRecord, RECORD_FORMAT, SessionId};
+pub use time::{LeaseTime, LeaseTiming};
+
 use super::store_era::{StoreEra, TopicPosition};
 use catalogue::id::{Fence, InstanceId};
-use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Random number of a process, which tells its records from those of earlier processes of the same name.
-pub type SessionId = u64;
-/// Number of an append within a session, from 1.
-pub type AppendNumber = u64;
-
-/// Version of the lease's record
-pub const RECORD_FORMAT: u32 = 1;
-/// Margin that others wait beyond the term, and interval of renewals, as fractions of the term. The margin covers
-/// calls that were checked just before the end of the term and take up to their timeout of 1 s to arrive.
-const MARGIN_FRACTION: f64 = 1.0 / 3.0;
-const RENEWAL_FRACTION: f64 = 1.0 / 3.0;
-/// Maximum number of appends whose outcome is unknown. An older one could only be found after a far newer one.
-const MAX_SENT: usize = 64;
 /// Bits of a token below the era.
 const ERA_SHIFT: u32 = 32;
 
-/// Time by two clocks, each from a start of its own
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct LeaseTime {
-    /// Stands still while the machine is suspended
-    pub steady: Duration,
-    /// Advances while the machine is suspended
-    pub boot: Duration,
-}
-
-impl LeaseTime {
-    /// Time since an earlier one by the clock that shows more; bounds what this instance may still do
-    pub fn most_since(self, earlier: LeaseTime) -> Duration {
-        let (steady, boot) = self.since(earlier);
-        steady.max(boot)
-    }
-
-    /// Time since an earlier one by the clock that shows less; bounds what it has waited
-    pub fn least_since(self, earlier: LeaseTime) -> Duration {
-        let (steady, boot) = self.since(earlier);
-        steady.min(boot)
-    }
-
-    fn since(self, earlier: LeaseTime) -> (Duration, Duration) {
-        let steady = self.steady.saturating_sub(earlier.steady);
-        (steady, self.boot.saturating_sub(earlier.boot))
-    }
-}
-
-/// Times of the lease
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LeaseTiming {
-    /// Time for which an acknowledged append holds
-    pub term: Duration,
-    /// Time that others wait beyond the term
-    pub margin: Duration,
-    /// Interval of renewals
-    pub renewal: Duration,
-}
-
-impl LeaseTiming {
-    /// Times for a term
-    pub fn new(term: Duration) -> LeaseTiming {
-        let margin = term.mul_f64(MARGIN_FRACTION);
-        LeaseTiming { term, margin, renewal: term.mul_f64(RENEWAL_FRACTION) }
-    }
-
-    /// Time that others wait after they have read a record
-    pub fn wait(&self) -> Duration {
-        self.term + self.margin
-    }
-}
-
-/// What a record does with the lease
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum LeaseAct {
-    Acquire,
-    Renew,
-    Release,
-}
-
-/// Record of the lease
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct LeaseRecord {
-    pub format: u32,
-    pub act: LeaseAct,
-    pub holder: InstanceId,
-    pub session: SessionId,
-    pub fence: Fence,
-    /// Number of the append that wrote it, within the session
-    pub append: AppendNumber,
-    /// Instance that held the lease before, if it was another one
-    #[serde(default)]
-    pub previous: Option<InstanceId>,
-}
-
-/// Append to the topic; requires that it ends at `at`
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LeaseAppend {
-    pub record: LeaseRecord,
-    pub at: TopicPosition,
-}
-
 /// What to do next
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LeaseStep {
@@ -365,98 +272,6 @@
         }
     }
 
-    /// Records that an append is being sent
-    pub fn started(&mut self, append: &LeaseAppend, now: LeaseTime) {
-        self.next_append = append.record.append + 1;
-        self.sent.push_back(SentAppend { number: append.record.append, sent_at: now });
-        if self.sent.len() > MAX_SENT {
-            self.sent.pop_front();
-        }
-        if let Some(view) = &mut self.view {
-            // Until the outcome is known.
-            view.must_read = true;
-        }
-    }
-
-    /// Records that the store has acknowledged an append of this number of records
-    pub fn acknowledged(
-        &mut self,
-        append: &LeaseAppend,
-        records: ListOffset,
-        now: LeaseTime,
-    ) -> LeaseChange {
-        let Some(view) = self.view.as_mut().filter(|it| it.position == append.at) else {
-            return LeaseChange::None;
-        };
-        view.position.offset += records;
-        view.must_read = false;
-        self.observe_record(Some(append.record.clone()), now)
-    }
-
-    /// Records that the store has declined an append, since the topic ends elsewhere
-    pub fn declined(&mut self, append: &LeaseAppend, end: ListOffset) {
-        // It can never be carried out: the topic only grows. One that ends before the known end is read in full.
-        self.sent.retain(|it| it.number != append.record.append);
-        if end < append.at.offset {
-            self.view = None;
-        }
-    }
-
-    /// Records the era of the store
-    pub fn observe_era(&mut self, era: StoreEra, now: LeaseTime) -> LeaseChange {
-        let before = self.era.replace(era);
-        if before == Some(era) {
-            return LeaseChange::None;
-        }
-        if before.is_some() {
-            self.era_since = Some(now);
-            self.may_be_first = false;
-        }
-        self.view = None;
-        self.sent.clear();
-        self.end_term(LossReason::Era)
-    }
-
-    /// Records a full read: the end of the topic and its record of the lease
-    pub fn observe_all(
-        &mut self,
-        position: TopicPosition,
-        record: Option<Option<LeaseRecord>>,
-        now: LeaseTime,
-    ) -> LeaseChange {
-        self.view = Some(TopicView { position, lease: None, read_at: now, must_read: false });
-        match record {
-            Some(record) => self.observe_record(record, now),
-            None => self.end_term(LossReason::RecordGone),
-        }
-    }
-
-    /// Records a read from the known position on, with the records of the lease in it
-    pub fn observe_more(
-        &mut self,
-        to: TopicPosition,
-        records: Vec<Option<LeaseRecord>>,
-        now: LeaseTime,
-    ) -> LeaseChange {
-        if let Some(view) = &mut self.view {
-            view.position = to;
-            view.must_read = false;
-        }
-        let mut last = LeaseChange::None;
-        for record in records {
-            let change = self.observe_record(record, now);
-            if change != LeaseChange::None {
-                last = change;
-            }
-        }
-        last
-    }
-
-    /// Records that the position is no longer kept, so that the topic has to be read in full
-    pub fn void_position(&mut self) {
-        self.view = None;
-    }
-
     /// Has the topic read before the next append
     pub fn require_read(&mut self) {
         if let Some(view) = &mut self.view {
@@ -490,56 +305,6 @@
     pub fn stop(&mut self) {
         self.is_stopping = true;
     }
-
-    fn observe_record(&mut self, record: Option<LeaseRecord>, now: LeaseTime) -> LeaseChange {
-        self.may_be_first = false;
-        let own = record.as_ref().filter(|it| it.session == self.session);
-        let sent = own.and_then(|it| self.sent.iter().find(|sent| sent.number == it.append));
-        let own = own.cloned().zip(sent.copied());
-        if let Some(view) = &mut self.view {
-            view.lease = Some(SeenLease { record, read_at: now });
-        }
-        let Some((record, sent)) = own else { return self.end_term(LossReason::Taken) };
-        self.sent.retain(|it| it.number >= sent.number);
-        self.apply_own(&record, sent.sent_at, now)
-    }
-
-    fn apply_own(
-        &mut self,
-        record: &LeaseRecord,
-        sent_at: LeaseTime,
-        now: LeaseTime,
-    ) -> LeaseChange {
-        let fence = record.fence;
-        if record.act == LeaseAct::Release {
-            self.term = None;
-            return LeaseChange::Released(fence);
-        }
-        let before = self.term.filter(|it| it.fence == fence);
-        if before.is_none() && record.act == LeaseAct::Renew {
-            // The term was given up after the renewal had been sent.
-            return LeaseChange::None;
-        }
-        // An append may be carried out when the term that it would have given is over.
-        let is_late = now.most_since(sent_at) >= self.timing.term;
-        let was_held = before.is_some_and(|it| !it.is_expired);
-        self.term = Some(OwnTerm { fence, from: sent_at, is_expired: is_late });
-        self.last_from = Some(sent_at);
-        match (was_held, is_late) {
-            (true, false) => LeaseChange::Renewed(fence),
-            (false, false) => LeaseChange::Taken(fence),
-            (true, true) => LeaseChange::Lost(fence, LossReason::Expired),
-            (false, true) => LeaseChange::None,
-        }
-    }
-
-    fn end_term(&mut self, reason: LossReason) -> LeaseChange {
-        match self.term.take() {
-            Some(term) if term.is_expired => LeaseChange::None,
-            Some(term) => LeaseChange::Lost(term.fence, reason),
-            None => LeaseChange::None,
-        }
-    }
 }
 
 /// Token of a term that begins at the end of the topic, higher than that of its newest record
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -100,7 +100,11 @@
     if exchange.gateway.settings.duties.is_some() {
         tasks.spawn(duty_updates::send_duties(exchange.clone()));
         let reader = exchange.clone();
-        let reads_for_others = move |now| reader.reads_for_others(now);
+        // Until the others are listed, each instance would take itself for the one that reads.
+        let reads_for_others = move |now| {
+            let is_listed = reader.gateway.load.borrow().listed_instances().is_some();
+            is_listed && reader.reads_for_others(now)
+        };
         tasks.spawn(hold_lease(exchange.gateway.clone(), reads_for_others));
     }
     tasks.spawn(send_work(exchange));
--- a/crates/gateway/tests/gateway/duties.rs
+++ b/crates/gateway/tests/gateway/duties.rs
@@ -42,6 +42,9 @@
     lease_is_acquired_anew_after_a_return_of_the_store => store_return(),
     // Guards against a lease that nobody holds while the leader is of a version without duties.
     leader_without_duties_does_not_keep_others_from_the_lease => leader_without_duties(),
+    // A call a second of the holder, and one of each other candidate: of the leader of few, or of each zone of many.
+    few_make_two_calls_a_second => calls_of(&["instance"; 7], 2),
+    many_make_a_call_a_second_and_zone => calls_of(&[["instance"; 8], ["far"; 8]].concat(), 3),
     malformed_datagrams_do_no_harm => malformed(),
 }
 
@@ -69,8 +72,7 @@
     ) -> DutyDeployment {
         store.put("keyed.op", "config", config(1, 2000).to_string().as_bytes());
         let launch = |(index, (address, control)): (usize, &(SocketAddr, Option<SocketAddr>))| {
-            let size = InstanceSize { control: *control, ..InstanceSize::default() };
-            Instance::launch_sized(*address, &format!("instance-{index}"), size)
+            launch(*address, &format!("instance-{index}"), *control)
         };
         let instances = stores.iter().enumerate().map(launch).collect::<Vec<_>>();
         for instance in &instances {
@@ -123,6 +125,12 @@
     }
 }
 
+/// Starts an instance with duties or without
+fn launch(store: SocketAddr, name: &str, control: Option<SocketAddr>) -> Instance {
+    let size = InstanceSize { control, ..InstanceSize::default() };
+    Instance::launch_sized(store, name, size)
+}
+
 fn fence_of(lease: &Value) -> u64 {
     lease["fence"].as_u64().expect("a token")
 }
@@ -209,9 +217,8 @@
     let (mut deployment, (name, index, fence)) = with_holder(1).await?;
     let records = deployment.leases().len();
     deployment.instances.remove(index);
-    let size = InstanceSize { control: Some(NO_CONTROL), ..InstanceSize::default() };
     let started_at = Instant::now();
-    deployment.instances.push(Instance::launch_sized(deployment.store.address, &name, size));
+    deployment.instances.push(launch(deployment.store.address, &name, Some(NO_CONTROL)));
     let acquired = deployment.wait_acquired(records, TAKEOVER_BOUND).await?;
     verify_that!(started_at.elapsed(), gt(WAIT))?;
     verify_that!(fence_of(&acquired), gt(fence))
@@ -287,6 +294,26 @@
     verify_that!(lines.iter().filter(|it| it.contains("duty")).count(), eq(0))
 }
 
+async fn calls_of(names: &[&str], calls_per_s: usize) -> Result<()> {
+    const TIME: usize = 10;
+    let store = FakeStore::start().await;
+    store.put("keyed.op", "config", config(1, 2000).to_string().as_bytes());
+    let named = names.iter().enumerate().map(|(index, it)| format!("{it}-{index}"));
+    let instances = named.map(|it| launch(store.address, &it, Some(NO_CONTROL)));
+    let instances = instances.collect::<Vec<_>>();
+    for instance in &instances {
+        instance.wait_ready().await;
+    }
+    // Instances become known to each other meanwhile, and some are candidates for a moment.
+    tokio::time::sleep(2 * WAIT).await;
+    let before = store.calls_of(TOPIC);
+    tokio::time::sleep(Duration::from_secs(TIME as u64)).await;
+    let calls = store.calls_of(TOPIC) - before;
+    println!("instances={} calls={calls} seconds={TIME}", names.len());
+    // One more, since the time may begin between two renewals.
+    verify_that!(calls, le(calls_per_s * (TIME + 1)))
+}
+
 async fn malformed() -> Result<()> {
     let (deployment, (_, _, fence)) = with_holder(2).await?;
     let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.or_fail()?;
--- a/crates/gateway/tests/gateway/duty_values.rs
+++ b/crates/gateway/tests/gateway/duty_values.rs
@@ -27,7 +27,9 @@
     // Guards against a release while a call under the lease is still on its way.
     release_waits_for_a_call => in_task(release_after_call),
     conflict_ends_the_term => in_task(conflict),
-    next_holder_has_the_values => in_task(next_holder),
+    next_holder_has_the_values => in_task(|store, it| next_holder(store, it, false)),
+    next_holder_has_the_values_though_history_is_forgotten =>
+        in_task(|store, it| next_holder(store, it, true)),
     duty_messages_are_decoded => messages(),
 }
 
@@ -140,12 +142,15 @@
     verify_that!(gateway.duties.fence(), none())
 }
 
-async fn next_holder(store: FakeStore, gateway: Rc<Gateway>) -> Result<()> {
+async fn next_holder(store: FakeStore, gateway: Rc<Gateway>, is_forgotten: bool) -> Result<()> {
     let other = start(&store, "instance-2");
     tokio::time::sleep(Duration::from_millis(300)).await;
     let written = gateway.duties.write("report", Bytes::from("one")).await;
     verify_that!(written, ok(eq(())))?;
     let first = gateway.duties.fence();
+    if is_forgotten {
+        store.forget_history(TOPIC);
+    }
     gateway.duties.stop();
     // At the first start of all, its start doesn't bar the other one, but a known holder does.
     tokio::time::sleep(Duration::from_millis(4300)).await;
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -65,6 +65,8 @@
     mode: StoreMode,
     era: StoreEra,
     calls: usize,
+    /// Calls by topic
+    topic_calls: IndexMap<String, usize>,
     /// Topics whose calls get 503
     declined_topics: Vec<String>,
 }
@@ -115,6 +117,7 @@
             mode: StoreMode::Normal,
             era: Some("1".to_owned()),
             calls: 0,
+            topic_calls: IndexMap::new(),
             declined_topics: Vec::new(),
         };
         let store = FakeStore {
@@ -210,6 +213,11 @@
         self.state.lock().expect("no panic").calls
     }
 
+    /// Number of calls about a topic so far
+    pub fn calls_of(&self, topic: &str) -> usize {
+        self.state.lock().expect("no panic").topic_calls.get(topic).copied().unwrap_or_default()
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let mut response = self.answer_in_mode(request).await;
         if let Some(era) = &self.state.lock().expect("no panic").era {
@@ -230,7 +238,12 @@
             StoreMode::Unresponsive => std::future::pending().await,
         }
         let query = query(request.uri().query().unwrap_or_default());
-        if self.state.lock().expect("no panic").declined_topics.contains(&query["topic"]) {
+        let is_declined = {
+            let mut state = self.state.lock().expect("no panic");
+            *state.topic_calls.entry(query["topic"].clone()).or_default() += 1;
+            state.declined_topics.contains(&query["topic"])
+        };
+        if is_declined {
             return status(StatusCode::SERVICE_UNAVAILABLE);
         }
         let path = request.uri().path().to_owned();
