Separate the state of the duties from the task that changes it

Cause: the modules duties and state imported each other, which standins::module_circles refuses. An acknowledgement of an earlier era counted like any other.

Change: duties no longer knows the gateway, duty_task does. An answer of an earlier era to an append is dropped. Reads that find their position void pause for 100 ms.

--- a/crates/gateway/src/duties/mod.rs
+++ b/crates/gateway/src/duties/mod.rs
@@ -2,16 +2,14 @@
 //!
 //! The lease and what its holder records are in one topic, to which all writes are
 //! conditional appends. `decide::serving::duty_lease` decides when to take, renew and give
-//! up the lease; `lease_task` carries that out. Where the settings have no duties, no task
+//! up the lease; `duty_task` carries that out. Where the settings have no duties, no task
 //! runs and nothing is sent.
 
 pub mod candidacy;
 pub mod clock;
-pub mod lease_task;
-pub mod record;
-mod writes;
+pub mod writes;
 
-use crate::state::Gateway;
+use crate::metrics::DutyMetrics;
 use bytes::Bytes;
 use candidacy::DutyCandidacy;
 use catalogue::id::{Fence, InstanceId};
@@ -74,10 +72,14 @@
 pub struct DutyState {
     fence: watch::Sender<Option<Fence>>,
     holder: RefCell<Option<DutyHolder>>,
-    values: RefCell<IndexMap<SmolStr, Bytes>>,
+    own: InstanceId,
+    metrics: DutyMetrics,
+    /// Newest values of the topic, as it was read and written
+    pub values: RefCell<IndexMap<SmolStr, Bytes>>,
     /// `None` where the settings have no duties
-    lease: RefCell<Option<DutyLease>>,
-    writes: RefCell<PendingWrites>,
+    pub lease: RefCell<Option<DutyLease>>,
+    /// Values to be recorded
+    pub writes: RefCell<PendingWrites>,
     /// Number of calls under the lease that are being made
     calls: Rc<Cell<usize>>,
     /// Time of SIGTERM
@@ -85,18 +87,19 @@
     /// Whether to follow the lease
     pub candidacy: DutyCandidacy,
     /// Wakes the task of the lease
-    wake: Notify,
+    pub wake: Notify,
 }
 
 impl DutyState {
     /// State of a starting instance
-    pub fn new(settings: &InstanceSettings) -> DutyState {
+    pub fn new(settings: &InstanceSettings, metrics: DutyMetrics) -> DutyState {
         let lease = settings.duties.as_ref().map(|it| {
             let timing = LeaseTiming::new(it.lease_term);
             let (own, is_first) = (settings.instance.clone(), settings.is_first_start);
             DutyLease::new(own, rand::random(), timing, is_first, lease_time())
         });
-        DutyState { lease: RefCell::new(lease), ..DutyState::default() }
+        let own = settings.instance.clone();
+        DutyState { lease: RefCell::new(lease), own, metrics, ..DutyState::default() }
     }
 
     /// Fencing token if this instance holds the lease now; check it right before each call under the lease
@@ -160,8 +163,8 @@
     }
 
     /// Ends the term of a token, since the control API has seen a higher one
-    pub fn give_up(&self, gateway: &Gateway, fence: Fence) {
-        self.change(gateway, |lease| lease.give_up(fence));
+    pub fn give_up(&self, fence: Fence) {
+        self.change(|lease| lease.give_up(fence));
     }
 
     /// Ends the own term and has it released; the lease is not acquired any more
@@ -178,13 +181,13 @@
     }
 
     /// Whether the release has to wait for the end of calls
-    fn holds_back_release(&self) -> bool {
+    pub fn holds_back_release(&self) -> bool {
         let stopped_at = self.stopped_at.get();
         self.calls.get() > 0 && stopped_at.is_some_and(|it| it.elapsed() < MAX_RELEASE_DELAY)
     }
 
     /// Records a holder that another instance has announced; `true` if its token is the highest so far
-    pub fn record_holder(&self, gateway: &Gateway, announced: &DutyHolder) -> bool {
+    pub fn record_holder(&self, announced: &DutyHolder) -> bool {
         let mut holder = self.holder.borrow_mut();
         let highest = holder.as_ref().map(|it| it.fence);
         if highest < Some(announced.fence) {
@@ -193,14 +196,14 @@
                 announced.instance,
                 announced.fence
             );
-            gateway.metrics.duty_fence.set(i64::try_from(announced.fence).unwrap_or(i64::MAX));
+            self.metrics.fence.set(i64::try_from(announced.fence).unwrap_or(i64::MAX));
             *holder = Some(announced.clone());
         }
         highest <= Some(announced.fence)
     }
 
     /// Applies a change to the lease, and logs and counts what it means for the own term
-    fn change(&self, gateway: &Gateway, change: impl FnOnce(&mut DutyLease) -> LeaseChange) {
+    pub fn change(&self, change: impl FnOnce(&mut DutyLease) -> LeaseChange) {
         let now = lease_time();
         let change = match self.lease.borrow_mut().as_mut() {
             Some(lease) => change(lease),
@@ -210,21 +213,20 @@
             LeaseChange::None => {}
             LeaseChange::Taken(fence) => {
                 log::info!("event=duty_taken fence={fence}");
-                gateway.metrics.duty_changed("taken".to_owned());
-                let instance = gateway.settings.instance.clone();
-                self.record_holder(gateway, &DutyHolder { instance, fence });
+                self.metrics.changed("taken".to_owned());
+                self.record_holder(&DutyHolder { instance: self.own.clone(), fence });
             }
             LeaseChange::Renewed(fence) => {
                 log::debug!("event=duty_renewed fence={fence}");
-                gateway.metrics.duty_changed("renewed".to_owned());
+                self.metrics.changed("renewed".to_owned());
             }
             LeaseChange::Lost(fence, reason) => {
                 log::warn!("event=duty_lost fence={fence} reason={reason}");
-                gateway.metrics.duty_changed(format!("lost_{reason}"));
+                self.metrics.changed(format!("lost_{reason}"));
             }
             LeaseChange::Released(fence) => {
                 log::info!("event=duty_released fence={fence}");
-                gateway.metrics.duty_changed("released".to_owned());
+                self.metrics.changed("released".to_owned());
             }
         }
         let fence = self.lease.borrow().as_ref().and_then(|it| it.fence(now));
@@ -232,14 +234,13 @@
         if !has_term {
             self.writes.borrow_mut().fail();
         }
-        gateway.metrics.duty_held.set(i64::from(fence.is_some()));
+        self.metrics.held.set(i64::from(fence.is_some()));
         self.fence.send_if_modified(|it| std::mem::replace(it, fence) != fence);
     }
-}
 
-/// Ends the own term, since the store has come back from a copy
-pub fn observe_era(gateway: &Gateway, era: StoreEra) {
-    let duties = &gateway.duties;
-    duties.change(gateway, |lease| lease.observe_era(era, lease_time()));
-    duties.wake.notify_one();
+    /// Ends the own term, since the store has come back from a copy
+    pub fn observe_era(&self, era: StoreEra) {
+        self.change(|lease| lease.observe_era(era, lease_time()));
+        self.wake.notify_one();
+    }
 }
--- a/crates/gateway/src/duties/lease_task.rs
+++ b/crates/gateway/src/duty_task/mod.rs
@@ -1,14 +1,17 @@
 //! Carries out what the lease decides: reads and appends, one at a time.
 
-use super::clock::lease_time;
-use super::record::{LEASE_KEY, decode_lease, encode_lease, lease_records};
+pub mod record;
+
+use crate::duties::DutyHolder;
+use crate::duties::clock::lease_time;
 use crate::follow::{ReadFailure, StoreBackoff, read_from};
 use crate::state::Gateway;
 use bytes::Bytes;
 use decide::serving::duty_lease::{DutyLease, LeaseAct, LeaseAppend, LeaseStep, LeaseTiming};
 use decide::serving::endpoint_list::ListOffset;
-use decide::serving::store_era::TopicPosition;
+use decide::serving::store_era::{EraChange, TopicPosition};
 use platform_adapter::store::{DUTY_TOPIC, RecordBatch, StoreError};
+use record::{LEASE_KEY, decode_lease, encode_lease, lease_records};
 use smol_str::SmolStr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -18,8 +21,10 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest wait of a read for a change.
 const MAX_POLL: Duration = Duration::from_secs(2);
-/// Pause after a declined append or an answer of another era, before the topic is read.
+/// Pause after a declined or unanswered append, before the topic is read.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(20);
+/// Pause after a read of another era or of records that are gone.
+const VOID_PAUSE: Duration = Duration::from_millis(100);
 
 /// Follows the lease for the life of the process, if the settings have duties
 pub async fn hold_lease(gateway: Rc<Gateway>, reads_for_others: impl Fn(Instant) -> bool) {
@@ -69,7 +74,7 @@
     /// Reports the end of a term that has expired, and asks for successors of one that nears it
     fn check_term(&self) {
         let duties = &self.gateway.duties;
-        duties.change(self.gateway, |lease| lease.check_expiry(lease_time()));
+        duties.change(|lease| lease.check_expiry(lease_time()));
         let left = duties.time_left();
         if left.is_some_and(|it| it < self.timing.term / 2) {
             duties.candidacy.want_successors();
@@ -119,9 +124,9 @@
             Err(ReadFailure { error: StoreError::Expired { first }, .. }) => {
                 log::info!("event=store_history_gone topic={DUTY_TOPIC} first={first}");
                 self.with_lease(DutyLease::void_position);
-                sleep(CONFLICT_PAUSE).await;
+                sleep(VOID_PAUSE).await;
             }
-            Err(ReadFailure { error: StoreError::OtherEra, .. }) => sleep(CONFLICT_PAUSE).await,
+            Err(ReadFailure { error: StoreError::OtherEra, .. }) => sleep(VOID_PAUSE).await,
             Err(failure) => return Err(failure),
         }
         Ok(())
@@ -155,9 +160,9 @@
             None => {
                 let lease = batch.records.iter().find(|it| it.key == LEASE_KEY);
                 let record = lease.map(decode_lease);
-                duties.change(self.gateway, |it| it.observe_all(to, record, now));
+                duties.change(|it| it.observe_all(to, record, now));
             }
-            Some(_) => duties.change(self.gateway, |it| it.observe_more(to, records, now)),
+            Some(_) => duties.change(|it| it.observe_more(to, records, now)),
         }
         self.record_holder();
     }
@@ -166,8 +171,8 @@
     fn record_holder(&self) {
         let holder = self.with_lease(|it| it.holder().map(|(id, fence)| (id.clone(), fence)));
         if let Some((instance, fence)) = holder.flatten() {
-            let holder = super::DutyHolder { instance, fence };
-            self.gateway.duties.record_holder(self.gateway, &holder);
+            let holder = DutyHolder { instance, fence };
+            self.gateway.duties.record_holder(&holder);
         }
     }
 
@@ -191,8 +196,13 @@
         };
         let outcome = if reply.result.is_ok() { "ok" } else { "failed" };
         gateway.metrics.store_call("append", outcome, reply.progress.bytes);
-        gateway.observe_era(reply.era);
+        let is_outdated = gateway.observe_era(reply.era) == EraChange::Outdated;
         match reply.result {
+            _ if is_outdated => {
+                // An answer from before a return says nothing of the topic as it is now.
+                log::info!("event=store_answer_dropped topic={DUTY_TOPIC} call=append");
+                sleep(CONFLICT_PAUSE).await;
+            }
             Ok(()) => self.apply_acknowledged(&append, records),
             Err(StoreError::OtherEnd { end }) => {
                 log::info!("event=duty_append_declined at={} end={end}", append.at.offset);
@@ -217,6 +227,6 @@
             duties.values.borrow_mut().insert(key, value);
         }
         duties.writes.borrow_mut().confirm(append.record.append);
-        duties.change(self.gateway, |it| it.acknowledged(append, count, lease_time()));
+        duties.change(|it| it.acknowledged(append, count, lease_time()));
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod crash_parts;
 pub mod duties;
 pub mod duty_messages;
+pub mod duty_task;
 pub mod endpoint_link;
 pub mod error;
 pub mod events;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,7 +22,6 @@
     store_calls: Family<LabelSet, Counter>,
     store_bytes: Family<LabelSet, Counter>,
     relays: Family<LabelSet, Counter>,
-    duty_changes: Family<LabelSet, Counter>,
     first_byte: HistogramFamily,
     whole: HistogramFamily,
     /// Connections opened to endpoints
@@ -45,10 +44,33 @@
     pub store_era: Gauge,
     /// Returns of the store from a copy
     pub store_returns: Counter,
-    /// 1 while this instance holds the lease of the duties
-    pub duty_held: Gauge,
+    pub duties: DutyMetrics,
+}
+
+/// Metrics of the duties
+#[derive(Debug, Clone, Default)]
+pub struct DutyMetrics {
+    /// 1 while this instance holds the lease
+    pub held: Gauge,
     /// Highest fencing token that this instance has heard of
-    pub duty_fence: Gauge,
+    pub fence: Gauge,
+    changes: Family<LabelSet, Counter>,
+}
+
+impl DutyMetrics {
+    fn register(&self, registry: &mut Registry) {
+        let held = self.held.clone();
+        registry.register("duty_held", "Whether this instance holds the lease of the duties", held);
+        let fence = self.fence.clone();
+        registry.register("duty_fence", "Highest fencing token of the duties", fence);
+        let changes = self.changes.clone();
+        registry.register("duty_changes", "Changes of the lease of the duties", changes);
+    }
+
+    /// Counts a change of the lease
+    pub fn changed(&self, change: String) {
+        self.changes.get_or_create(&vec![("change", change)]).inc();
+    }
 }
 
 impl Default for GatewayMetrics {
@@ -60,7 +82,6 @@
             store_calls: Family::default(),
             store_bytes: Family::default(),
             relays: Family::default(),
-            duty_changes: Family::default(),
             first_byte: Family::new_with_constructor(latency_histogram),
             whole: Family::new_with_constructor(latency_histogram),
             connections_opened: Counter::default(),
@@ -73,8 +94,7 @@
             endpoints_cut: Gauge::default(),
             store_era: Gauge::default(),
             store_returns: Counter::default(),
-            duty_held: Gauge::default(),
-            duty_fence: Gauge::default(),
+            duties: DutyMetrics::default(),
         };
         metrics.register();
         metrics
@@ -91,12 +111,7 @@
         registry.register("first_byte_seconds", "Time to the first byte", self.first_byte.clone());
         registry.register("answer_seconds", "Time to the end of the answer", self.whole.clone());
         registry.register("relays", "Requests relayed between instances", self.relays.clone());
-        let changes = self.duty_changes.clone();
-        registry.register("duty_changes", "Changes of the lease of the duties", changes);
-        let held = self.duty_held.clone();
-        registry.register("duty_held", "Whether this instance holds the lease of the duties", held);
-        let fence = self.duty_fence.clone();
-        registry.register("duty_fence", "Highest fencing token of the duties", fence);
+        self.duties.register(registry);
         let cut = self.endpoints_cut.clone();
         registry.register("endpoints_cut", "Whether no endpoint answers this instance", cut);
         let opened = self.connections_opened.clone();
@@ -139,11 +154,6 @@
         self.relays.get_or_create(&labels).inc();
     }
 
-    /// Counts a change of the lease of the duties
-    pub fn duty_changed(&self, change: String) {
-        self.duty_changes.get_or_create(&vec![("change", change)]).inc();
-    }
-
     /// Counts a call to the store and the bytes that it received
     pub fn store_call(&self, call: &'static str, outcome: &'static str, bytes: usize) {
         let labels = vec![("call", call.into()), ("outcome", outcome.into())];
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -20,8 +20,8 @@
 pub use listing::{format_entry, parse_entry};
 
 use crate::background::BackgroundTasks;
-use crate::duties::lease_task::hold_lease;
 use crate::duty_messages::DUTY_BYTE;
+use crate::duty_task::hold_lease;
 use crate::error::GatewayError;
 use crate::messages::{
     MAX_MESSAGE_BYTES, MessageBody, PeerMessage, ServingUpdate, WorkScope, received_work, work_body,
--- a/crates/gateway/src/positions.rs
+++ b/crates/gateway/src/positions.rs
@@ -4,7 +4,6 @@
 //! `observe_era`. It is the only place that voids positions when the store has come back
 //! from a copy.
 
-use crate::duties;
 use crate::state::Gateway;
 use decide::serving::store_era::{EraChange, StoreEra, TopicPosition};
 use platform_adapter::store::{ENDPOINT_TOPIC, INSTANCE_TOPIC, OPERATOR_TOPIC};
@@ -27,7 +26,7 @@
             self.metrics.store_returns.inc();
             self.era_changes.send_replace(era);
         }
-        duties::observe_era(self, era);
+        self.duties.observe_era(era);
         self.endpoints.borrow_mut().start_era();
         self.endpoint_update.take();
         for (read_to, coverage) in [
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -155,10 +155,11 @@
 impl Gateway {
     /// State of a starting instance, without configuration and endpoints
     pub fn new(settings: InstanceSettings) -> Gateway {
+        let metrics = GatewayMetrics::default();
         Gateway {
             started_at: Instant::now(),
             store: StoreClient::new(settings.store_address),
-            duties: DutyState::new(&settings),
+            duties: DutyState::new(&settings, metrics.duties.clone()),
             settings,
             config: RefCell::default(),
             config_read_at: Cell::default(),
@@ -200,7 +201,7 @@
             instances: Rc::default(),
             reported_links: RefCell::default(),
             buffered_bytes: Cell::default(),
-            metrics: GatewayMetrics::default(),
+            metrics,
             stopping: Cell::default(),
             is_closing: Cell::default(),
             close_idle: Notify::new(),
--- a/crates/gateway/tests/gateway/duty_values.rs
+++ b/crates/gateway/tests/gateway/duty_values.rs
@@ -2,9 +2,9 @@
 
 use crate::store::{FakeStore, StoreMode};
 use bytes::Bytes;
-use gateway::duties::lease_task::hold_lease;
 use gateway::duties::{DutyHolder, DutyWriteError};
 use gateway::duty_messages::{DUTY_BYTE, DutyMessage};
+use gateway::duty_task::hold_lease;
 use gateway::messages::PeerMessage;
 use gateway::state::Gateway;
 use googletest::prelude::*;
@@ -135,7 +135,7 @@
 async fn conflict(_: FakeStore, gateway: Rc<Gateway>) -> Result<()> {
     let fence = gateway.duties.fence().or_fail()?;
     let subscriber = gateway.duties.subscribe();
-    gateway.duties.give_up(&gateway, fence);
+    gateway.duties.give_up(fence);
     verify_that!(gateway.duties.fence(), none())?;
     verify_that!(*subscriber.borrow(), none())?;
     tokio::time::sleep(Duration::from_millis(1300)).await;
