--- a/crates/gateway/src/duties/mod.rs
+++ b/crates/gateway/src/duties/mod.rs
@@ -14,7 +14,7 @@
 use candidacy::DutyCandidacy;
 use catalogue::id::{Fence, InstanceId};
 use clock::lease_time;
-use decide::serving::duty_lease::{DutyLease, LeaseChange, LeaseTiming};
+use decide::serving::duty_lease::{DutyLease, LeaseChange, LeaseTiming, LossReason};
 use decide::serving::store_era::StoreEra;
 use indexmap::IndexMap;
 use platform_adapter::settings::InstanceSettings;
@@ -223,6 +223,10 @@
             LeaseChange::Lost(fence, reason) => {
                 log::warn!("event=duty_lost fence={fence} reason={reason}");
                 self.metrics.changed(format!("lost_{reason}"));
+                if matches!(reason, LossReason::Era | LossReason::RecordGone) {
+                    // Others may acquire the lease sooner than this instance.
+                    self.candidacy.want_successors();
+                }
             }
             LeaseChange::Released(fence) => {
                 log::info!("event=duty_released fence={fence}");
--- a/crates/gateway/tests/gateway/duty_values.rs
+++ b/crates/gateway/tests/gateway/duty_values.rs
@@ -28,8 +28,7 @@
     release_waits_for_a_call => in_task(release_after_call),
     conflict_ends_the_term => in_task(conflict),
     next_holder_has_the_values => in_task(|store, it| next_holder(store, it, false)),
-    next_holder_has_the_values_though_history_is_forgotten =>
-        in_task(|store, it| next_holder(store, it, true)),
+    next_holder_has_the_values_after_lost_history => in_task(|store, it| next_holder(store, it, true)),
     duty_messages_are_decoded => messages(),
 }
 
--- a/crates/standins/tests/matrix/mod.rs
+++ b/crates/standins/tests/matrix/mod.rs
@@ -2,6 +2,7 @@
 
 mod change;
 mod control;
+mod duties;
 mod once;
 mod platform;
 mod serving;
@@ -55,4 +56,5 @@
     control::LEASE,
     change::CHANGE,
     platform::PLATFORM,
+    duties::DUTIES,
 ];
