--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod customer_keys;
 pub mod duties;
 pub mod duty_messages;
+pub mod duty_task;
 pub mod endpoint_link;
 pub mod error;
 pub mod events;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -20,8 +20,8 @@
 pub use listing::{format_entry, parse_entry};
 
 use crate::background::BackgroundTasks;
-use crate::duties::lease_task::hold_lease;
 use crate::duty_messages::DUTY_BYTE;
+use crate::duty_task::hold_lease;
 use crate::error::GatewayError;
 use crate::messages::{
     MAX_MESSAGE_BYTES, MessageBody, PeerMessage, ServingUpdate, WorkScope, received_work, work_body,
@@ -100,7 +100,11 @@
     if exchange.gateway.settings.duties.is_some() {
         tasks.spawn(duty_updates::send_duties(exchange.clone()));
         let reader = exchange.clone();
-        let reads_for_others = move |now| reader.reads_for_others(now);
+        // Until the others are listed, each instance would take itself for the one that reads.
+        let reads_for_others = move |now| {
+            let is_listed = reader.gateway.load.borrow().listed_instances().is_some();
+            is_listed && reader.reads_for_others(now)
+        };
         tasks.spawn(hold_lease(exchange.gateway.clone(), reads_for_others));
     }
     tasks.spawn(send_work(exchange));
