Count usage by window and estimate true time

Cause: usage is reported by customer and window of true time. Clocks jump, instances and holders of the duties die, messages are lost or overtaken.

--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -24,3 +24,6 @@
 pub mod store_era;
 pub mod stream_origins;
 pub mod timing;
+pub mod true_time;
+pub mod usage;
+pub mod usage_ledger;
--- /dev/null
+++ b/crates/decide/src/serving/usage.rs
@@ -0,0 +1,382 @@
+//! Usage by customer and window of true time.
+//!
+//! Each instance counts what began to run and sends its counts to the holder of the duties.
+//! The counts are cumulative, so a lost message is repaired by the next one, and the larger
+//! of two counts holds whatever order they arrive in. The holder fixes the report of a
+//! window once all instances have stated that their counts of it are complete, or once it
+//! can't wait longer. See `usage_ledger` for the holder's part.
+
+use super::true_time::UnixMicros;
+use catalogue::id::{CustomerName, Fence, InstanceId};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// Number of a window, counted from the start of 1970 in true time.
+pub type WindowNumber = u64;
+/// Random id of one run of an instance, whose counts begin at zero.
+pub type SourceId = u64;
+/// Number of a message of one source.
+pub type UsageSequence = u32;
+
+/// Part of the time until a report is due for which the holder waits for the last counts.
+const PAUSE_FRACTION: f64 = 0.25;
+/// The same while an instance has not stated that its counts are complete.
+const MAX_PAUSE_FRACTION: f64 = 0.55;
+/// Time after a window's end at which an instance's counts of it are complete, except for slow requests to
+/// plain services, which are counted when they are answered.
+const CLOSE_DELAY: Duration = Duration::from_millis(300);
+/// Most windows that an instance keeps; older ones are dropped, which takes an outage of minutes.
+const MAX_OWN_WINDOWS: usize = 64;
+/// Most counts that an instance keeps, about 5 MB; the oldest windows beyond are dropped.
+const MAX_OWN_ENTRIES: usize = 60_000;
+/// Most bytes of the counts in one message.
+const MAX_REPORT_BYTES: usize = 8 * 1024;
+/// Bytes of a count beside the customer's name, at most.
+const ENTRY_BYTES: usize = 8;
+/// Most messages at a time; further counts follow with the next ones.
+const MAX_REPORTS: usize = 32;
+/// Most messages whose acknowledgement is awaited.
+const MAX_UNACKNOWLEDGED: usize = 4 * MAX_REPORTS;
+
+/// Lengths of windows and of waits for their counts
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UsageTiming {
+    pub window: Duration,
+    /// Time from a window's end until its report is fixed
+    pub pause: Duration,
+    /// The same at most, while counts may be missing
+    pub max_pause: Duration,
+}
+
+impl UsageTiming {
+    /// Times for windows whose reports are due some time after their end
+    pub fn new(window: Duration, due: Duration) -> UsageTiming {
+        let window = window.max(Duration::from_millis(1));
+        let max_pause = due.mul_f64(MAX_PAUSE_FRACTION);
+        UsageTiming { window, pause: due.mul_f64(PAUSE_FRACTION), max_pause }
+    }
+
+    /// Window of a time since the start of 1970
+    pub fn window_at(&self, unix: Duration) -> WindowNumber {
+        let window = unix.as_micros() / self.window.as_micros().max(1);
+        WindowNumber::try_from(window).unwrap_or(WindowNumber::MAX)
+    }
+
+    /// End of a window since the start of 1970
+    pub fn end(&self, window: WindowNumber) -> Duration {
+        let micros = (u128::from(window) + 1) * self.window.as_micros();
+        Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
+    /// First window whose counts at an instance may still change
+    pub fn open_at(&self, unix: Duration) -> WindowNumber {
+        self.window_at(unix.saturating_sub(CLOSE_DELAY))
+    }
+}
+
+/// Cumulative counts of one window.
+pub type WindowCounts = (WindowNumber, Vec<(CustomerName, u32)>);
+
+/// Message of an instance to the holder of the duties
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct UsageReport {
+    /// Token of the holder that it is meant for
+    pub fence: Fence,
+    pub instance: InstanceId,
+    pub source: SourceId,
+    pub sequence: UsageSequence,
+    /// Window in which the source started
+    pub first: WindowNumber,
+    /// Window at the time of the message
+    pub now: WindowNumber,
+    /// First window whose counts the holder may not know in full
+    pub open: WindowNumber,
+    /// First window that, as far as the source knows, is not fixed
+    pub unfixed: WindowNumber,
+    /// Whether the source ends and counts nothing more
+    pub is_last: bool,
+    /// What the sender's own clock says
+    pub clock: UnixMicros,
+    pub counts: Vec<WindowCounts>,
+}
+
+/// Answer of the holder of the duties
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct UsageAck {
+    /// Token of the holder
+    pub fence: Fence,
+    pub source: SourceId,
+    pub sequence: UsageSequence,
+    /// First window that is not fixed
+    pub unfixed: WindowNumber,
+    /// The fleet's time, once it is known
+    pub clock: Option<UnixMicros>,
+}
+
+/// Times that a message states
+#[derive(Debug, Clone, Copy)]
+pub struct ReportTimes {
+    /// True time since the start of 1970
+    pub unix: Duration,
+    /// What the own clock says
+    pub clock: UnixMicros,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct OwnCount {
+    count: u32,
+    /// Count that the holder has acknowledged
+    acked: u32,
+    /// Largest count that any holder has acknowledged
+    stored: u32,
+}
+
+/// Message whose acknowledgement is awaited
+#[derive(Debug, Clone)]
+struct SentReport {
+    sequence: UsageSequence,
+    is_last: bool,
+    counts: Vec<WindowCounts>,
+}
+
+/// Counts of this instance
+#[derive(Debug, Clone)]
+pub struct OwnUsage {
+    instance: InstanceId,
+    source: SourceId,
+    timing: UsageTiming,
+    first: Option<WindowNumber>,
+    unfixed: WindowNumber,
+    windows: BTreeMap<WindowNumber, IndexMap<CustomerName, OwnCount>>,
+    entries: usize,
+    sent: VecDeque<SentReport>,
+    next_sequence: UsageSequence,
+    fence: Fence,
+    is_last_acked: bool,
+    dropped: u64,
+}
+
+impl OwnUsage {
+    /// Counts of a starting instance
+    pub fn new(instance: InstanceId, source: SourceId, timing: UsageTiming) -> OwnUsage {
+        OwnUsage {
+            instance,
+            source,
+            timing,
+            first: None,
+            unfixed: 0,
+            windows: BTreeMap::new(),
+            entries: 0,
+            sent: VecDeque::new(),
+            next_sequence: 0,
+            fence: 0,
+            is_last_acked: false,
+            dropped: 0,
+        }
+    }
+
+    /// Records the window in which the instance started
+    pub fn record_start(&mut self, unix: Duration) {
+        self.first = Some(self.timing.window_at(unix));
+    }
+
+    /// Counts a request that began to run at a true time
+    pub fn record(&mut self, customer: &CustomerName, unix: Duration) {
+        let window = self.timing.window_at(unix);
+        if window < self.unfixed {
+            self.dropped += 1;
+            return;
+        }
+        let counts = self.windows.entry(window).or_default();
+        if let Some(count) = counts.get_mut(customer) {
+            count.count += 1;
+            return;
+        }
+        counts.insert(customer.clone(), OwnCount { count: 1, ..OwnCount::default() });
+        self.entries += 1;
+        while self.windows.len() > MAX_OWN_WINDOWS || self.entries > MAX_OWN_ENTRIES {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let Some((_, counts)) = self.windows.pop_first() else { return };
+        self.entries -= counts.len();
+        self.dropped += counts.values().map(|it| u64::from(it.count - it.stored)).sum::<u64>();
+    }
+
+    /// Number of requests that are in no report, since their window was fixed or there was no room
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    /// First window that is not fixed, as far as this instance knows
+    pub fn unfixed(&self) -> WindowNumber {
+        self.unfixed
+    }
+
+    /// Whether the holder has acknowledged all counts, and the last message
+    pub fn has_ended(&self) -> bool {
+        self.is_last_acked && self.first_unacked().is_none()
+    }
+
+    fn first_unacked(&self) -> Option<WindowNumber> {
+        let is_unacked = |it: &OwnCount| it.count > it.acked;
+        let mut windows = self.windows.iter().filter(|it| it.1.values().any(is_unacked));
+        windows.next().map(|it| *it.0)
+    }
+
+    /// Whether there are counts that the holder of a token has not acknowledged
+    pub fn has_unacked(&self, fence: Fence) -> bool {
+        fence != self.fence || self.first_unacked().is_some()
+    }
+
+    /// Messages with all counts that the holder of a token has not acknowledged, at least one
+    pub fn reports(&mut self, fence: Fence, times: ReportTimes, is_last: bool) -> Vec<UsageReport> {
+        if fence != self.fence {
+            self.start_term(fence);
+        }
+        let mut parts = self.unacked_parts();
+        if parts.is_empty() {
+            parts.push(Vec::new());
+        }
+        parts.into_iter().map(|it| self.report(it, times, is_last)).collect()
+    }
+
+    /// Has all counts sent anew, to another holder
+    fn start_term(&mut self, fence: Fence) {
+        self.fence = fence;
+        self.sent.clear();
+        self.is_last_acked = false;
+        for count in self.windows.values_mut().flat_map(IndexMap::values_mut) {
+            count.acked = 0;
+        }
+    }
+
+    fn unacked_parts(&self) -> Vec<Vec<WindowCounts>> {
+        let mut parts: Vec<Vec<WindowCounts>> = Vec::new();
+        let mut bytes = MAX_REPORT_BYTES;
+        for (window, counts) in &self.windows {
+            let mut is_new_window = true;
+            for (customer, count) in counts.iter().filter(|it| it.1.count > it.1.acked) {
+                let size = customer.len() + ENTRY_BYTES;
+                if bytes + size > MAX_REPORT_BYTES {
+                    if parts.len() == MAX_REPORTS {
+                        return parts;
+                    }
+                    parts.push(Vec::new());
+                    (bytes, is_new_window) = (0, true);
+                }
+                let Some(part) = parts.last_mut() else { continue };
+                if std::mem::take(&mut is_new_window) {
+                    part.push((*window, Vec::new()));
+                }
+                if let Some((_, entries)) = part.last_mut() {
+                    entries.push((customer.clone(), count.count));
+                }
+                bytes += size;
+            }
+        }
+        parts
+    }
+
+    fn report(
+        &mut self,
+        counts: Vec<WindowCounts>,
+        times: ReportTimes,
+        is_last: bool,
+    ) -> UsageReport {
+        let sequence = self.next_sequence;
+        self.next_sequence = sequence.wrapping_add(1);
+        if self.sent.len() == MAX_UNACKNOWLEDGED {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(SentReport { sequence, is_last, counts: counts.clone() });
+        let now = self.timing.window_at(times.unix);
+        let open = if is_last { WindowNumber::MAX } else { self.timing.open_at(times.unix) };
+        UsageReport {
+            fence: self.fence,
+            instance: self.instance.clone(),
+            source: self.source,
+            sequence,
+            first: self.first.unwrap_or(now),
+            now,
+            open: self.first_unacked().map_or(open, |it| open.min(it)),
+            unfixed: self.unfixed,
+            is_last,
+            clock: times.clock,
+            counts,
+        }
+    }
+
+    /// Applies an acknowledgement; `false` if it is none of the current holder
+    pub fn acknowledge(&mut self, ack: &UsageAck) -> bool {
+        if ack.source != self.source || ack.fence != self.fence {
+            return false;
+        }
+        let index = self.sent.iter().position(|it| it.sequence == ack.sequence);
+        if let Some(sent) = index.and_then(|it| self.sent.remove(it)) {
+            self.is_last_acked |= sent.is_last;
+            for (window, customers) in sent.counts {
+                let Some(counts) = self.windows.get_mut(&window) else { continue };
+                for (customer, acked) in customers {
+                    if let Some(count) = counts.get_mut(&customer) {
+                        count.acked = count.acked.max(acked);
+                        count.stored = count.stored.max(acked);
+                    }
+                }
+            }
+        }
+        self.record_fixed(ack.unfixed);
+        true
+    }
+
+    /// Drops the windows before the first one that is not fixed
+    pub fn record_fixed(&mut self, unfixed: WindowNumber) {
+        self.unfixed = self.unfixed.max(unfixed);
+        while let Some(entry) = self.windows.first_entry() {
+            if *entry.key() >= self.unfixed {
+                break;
+            }
+            let counts = entry.remove();
+            self.entries -= counts.len();
+            let unstored = counts.values().map(|it| u64::from(it.count - it.stored));
+            self.dropped += unstored.sum::<u64>();
+        }
+    }
+}
+
+/// Usual time that services work on a request, by which a request that had to wait is placed
+#[derive(Debug, Clone, Copy, Default)]
+pub struct WorkTime {
+    usual: Option<Duration>,
+}
+
+/// Weight of a new work time in the usual one.
+const WORK_WEIGHT: f64 = 0.1;
+
+impl WorkTime {
+    /// Records the time of a request that a service took up at once
+    pub fn record(&mut self, took: Duration) {
+        self.usual = Some(match self.usual {
+            Some(usual) => usual.mul_f64(1.0 - WORK_WEIGHT) + took.mul_f64(WORK_WEIGHT),
+            None => took,
+        });
+    }
+
+    /// When a service began to work on a request, given the times of the send and of the answer
+    ///
+    /// A service with a free slot begins on arrival, which the send time misses by half a round trip. With all
+    /// slots in use, the answer time minus the usual work time misses it by the difference of this request's
+    /// work time from the usual one, at most by the time from the send to the answer.
+    pub fn begin(&self, sent_at: Duration, answered_at: Duration, had_slot: bool) -> Duration {
+        match self.usual {
+            Some(usual) if !had_slot => answered_at.saturating_sub(usual).max(sent_at),
+            _ => sent_at,
+        }
+    }
+}
