Count usage in the request path and report it as the holder of the duties

Cause: the platform wants one report of usage for each window, by customer, from one instance at a time, never two different ones for the same window.

Change: gateway::usage notes what begins to run (a stream at its first event, a request to a plain service when it was probably taken up), each request once, also if it is retried or relayed. Counts go to the holder in datagrams until they are acknowledged. Without the usage duty there is no such state.

--- a/crates/decide/src/serving/leader.rs
+++ b/crates/decide/src/serving/leader.rs
@@ -64,6 +64,11 @@
         self.instances.iter()
     }
 
+    /// Address of an instance
+    pub fn address(&self, id: &InstanceId) -> Option<SocketAddr> {
+        self.instances.get(id).map(|it| it.address)
+    }
+
     /// Whether the instances form a full mesh
     pub fn is_full_mesh(&self) -> bool {
         self.instances.len() < MAX_FULL_MESH_INSTANCES
--- a/crates/decide/src/serving/usage.rs
+++ b/crates/decide/src/serving/usage.rs
@@ -235,6 +235,12 @@
         fence != self.fence || self.first_unacked().is_some()
     }
 
+    /// First window whose counts the holder may not know in full
+    pub fn open(&self, unix: Duration) -> WindowNumber {
+        let open = self.timing.open_at(unix);
+        self.first_unacked().map_or(open, |it| open.min(it))
+    }
+
     /// Messages with all counts that the holder of a token has not acknowledged, at least one
     pub fn reports(&mut self, fence: Fence, times: ReportTimes, is_last: bool) -> Vec<UsageReport> {
         if fence != self.fence {
@@ -297,7 +303,10 @@
         }
         self.sent.push_back(SentReport { sequence, is_last, counts: counts.clone() });
         let now = self.timing.window_at(times.unix);
-        let open = if is_last { WindowNumber::MAX } else { self.timing.open_at(times.unix) };
+        let open = match self.first_unacked() {
+            None if is_last => WindowNumber::MAX,
+            _ => self.open(times.unix),
+        };
         UsageReport {
             fence: self.fence,
             instance: self.instance.clone(),
@@ -305,7 +314,7 @@
             sequence,
             first: self.first.unwrap_or(now),
             now,
-            open: self.first_unacked().map_or(open, |it| open.min(it)),
+            open,
             unfixed: self.unfixed,
             is_last,
             clock: times.clock,
--- a/crates/gateway/src/duty_messages.rs
+++ b/crates/gateway/src/duty_messages.rs
@@ -5,6 +5,7 @@
 
 use crate::duties::DutyHolder;
 use catalogue::id::Fence;
+use decide::serving::usage::{UsageAck, UsageReport};
 use serde::{Deserialize, Serialize};
 use std::hash::Hasher;
 use twox_hash::XxHash3_64;
@@ -24,6 +25,10 @@
     Announcement { holder: DutyHolder, is_forwarded: bool },
     /// The holder stops or can't renew its term; the receiver should follow the lease after those with a lower order
     HandOver { fence: Fence, order: u8 },
+    /// Counts of an instance, to the holder
+    Usage(UsageReport),
+    /// The holder's answer
+    UsageAck(UsageAck),
 }
 
 impl DutyMessage {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,6 +9,7 @@
     NOT_RELAYED, Refusal, RequestRecord, SendWay, ServingCall, failure_name, relay_whole,
 };
 use crate::state::{Gateway, WorkGuard};
+use crate::usage::begun::UsageMark;
 use bytes::Bytes;
 use decide::serving::crash_table::REFUSAL_TIME;
 use decide::serving::health::SendResult;
@@ -163,6 +164,7 @@
         pool,
         route: route.clone(),
         customer,
+        usage: UsageMark::new(source.is_counted()),
         prompt: head.prompt,
         last_event: head.last_event,
         origin,
@@ -243,6 +245,7 @@
                 }
                 Err(error) => {
                     reason = failure_name(&error);
+                    call.usage.record_counted();
                     call.history.record_send(RunStatus::MayHaveRun);
                 }
             }
@@ -286,6 +289,9 @@
             Ok(answer) => read_whole(gateway, answer, deadline).await,
             Err(error) => Err(error),
         };
+        if answer.is_ok() {
+            call.count_answer();
+        }
         match answer {
             Ok(answer)
                 if answer.status.is_server_error() && call.route.retry_rule.allows_second_run() =>
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -171,6 +171,9 @@
                 gateway.record_result(&engine, SendResult::Answered);
                 record.endpoint = engine.id.clone();
                 record.first_byte();
+                if matches!(first, StreamItem::Events(_)) {
+                    call.count_stream();
+                }
                 call.record_begin(gateway, &engine);
                 call.history.record_send(RunStatus::MayHaveRun);
                 call.excluded.push(engine.id);
@@ -211,6 +214,8 @@
     match started {
         Ok(started) => Some((instance, started)),
         Err(_) => {
+            // The other instance has answered, which it does after the first event.
+            call.usage.record_counted();
             call.history.record_send(RunStatus::MayHaveRun);
             None
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod serving_call;
 pub mod state;
 pub mod stream_origins;
+pub mod usage;
 
 pub use error::GatewayError;
 
@@ -127,6 +128,9 @@
     let started = Instant::now();
     let deadline = started + gateway.settings.stop_grace.saturating_sub(STOP_MARGIN);
     gateway.stopping.set(true);
+    if let Some(usage) = &gateway.usage {
+        usage.hand_over(gateway);
+    }
     // The lease is released while open connections are served to their end.
     gateway.duties.stop();
     log::info!("event=stop open_requests={}", gateway.open_requests.get());
@@ -136,6 +140,9 @@
     while gateway.open_connections.get() > 0 && Instant::now() < deadline {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
+    if let Some(usage) = &gateway.usage {
+        usage.finish().await;
+    }
     log::info!("event=stopped cut={}", gateway.open_requests.get());
     log::logger().flush();
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,7 @@
     store_bytes: Family<LabelSet, Counter>,
     relays: Family<LabelSet, Counter>,
     duty_changes: Family<LabelSet, Counter>,
+    usage_reports: Family<LabelSet, Counter>,
     first_byte: HistogramFamily,
     whole: HistogramFamily,
     /// Connections opened to endpoints
@@ -49,6 +50,8 @@
     pub duty_held: Gauge,
     /// Highest fencing token that this instance has heard of
     pub duty_fence: Gauge,
+    /// Requests that are in no usage report, since their window was fixed or there was no room
+    pub usage_dropped: Gauge,
 }
 
 impl Default for GatewayMetrics {
@@ -61,6 +64,7 @@
             store_bytes: Family::default(),
             relays: Family::default(),
             duty_changes: Family::default(),
+            usage_reports: Family::default(),
             first_byte: Family::new_with_constructor(latency_histogram),
             whole: Family::new_with_constructor(latency_histogram),
             connections_opened: Counter::default(),
@@ -75,6 +79,7 @@
             store_returns: Counter::default(),
             duty_held: Gauge::default(),
             duty_fence: Gauge::default(),
+            usage_dropped: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -93,6 +98,10 @@
         registry.register("relays", "Requests relayed between instances", self.relays.clone());
         let changes = self.duty_changes.clone();
         registry.register("duty_changes", "Changes of the lease of the duties", changes);
+        let reports = self.usage_reports.clone();
+        registry.register("usage_reports", "Calls that report usage", reports);
+        let dropped = self.usage_dropped.clone();
+        registry.register("usage_dropped", "Requests in no usage report", dropped);
         let held = self.duty_held.clone();
         registry.register("duty_held", "Whether this instance holds the lease of the duties", held);
         let fence = self.duty_fence.clone();
@@ -144,6 +153,11 @@
         self.duty_changes.get_or_create(&vec![("change", change)]).inc();
     }
 
+    /// Counts a call that reports usage
+    pub fn usage_reported(&self, outcome: &'static str) {
+        self.usage_reports.get_or_create(&vec![("outcome", outcome.into())]).inc();
+    }
+
     /// Counts a call to the store and the bytes that it received
     pub fn store_call(&self, call: &'static str, outcome: &'static str, bytes: usize) {
         let labels = vec![("call", call.into()), ("outcome", outcome.into())];
--- a/crates/gateway/src/peers/duty_updates.rs
+++ b/crates/gateway/src/peers/duty_updates.rs
@@ -3,6 +3,7 @@
 use super::PeerExchange;
 use crate::duties::DutyHolder;
 use crate::duty_messages::DutyMessage;
+use crate::usage;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -61,6 +62,9 @@
             log::info!("event=duty_requested fence={fence} order={order} sender={sender}");
             gateway.duties.candidacy.record_request(fence, order, now);
         }
+        DutyMessage::Usage(_) | DutyMessage::UsageAck(_) => {
+            usage::sending::receive(gateway, &exchange.socket, message, sender).await;
+        }
     }
 }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -27,6 +27,8 @@
     MAX_MESSAGE_BYTES, MessageBody, PeerMessage, ServingUpdate, WorkScope, received_work, work_body,
 };
 use crate::state::Gateway;
+use crate::usage::reporting::report_usage;
+use crate::usage::sending::send_counts;
 use catalogue::id::InstanceId;
 use decide::serving::leader::{InstanceTable, PeerInstance};
 use decide::serving::load::EndpointWork;
@@ -103,6 +105,11 @@
         let reads_for_others = move |now| reader.reads_for_others(now);
         tasks.spawn(hold_lease(exchange.gateway.clone(), reads_for_others));
     }
+    if exchange.gateway.usage.is_some() {
+        let sender = exchange.clone();
+        tasks.spawn(async move { send_counts(&sender.gateway, &sender.socket).await });
+        tasks.spawn(report_usage(exchange.gateway.clone()));
+    }
     tasks.spawn(send_work(exchange));
     Ok(())
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -38,6 +38,8 @@
 const RELAYED_FOR_CUSTOMER: HeaderName = HeaderName::from_static("x-relayed-for-customer");
 /// Number of endpoints that the request was sent to before.
 const RELAYED_SENDS: HeaderName = HeaderName::from_static("x-relayed-sends");
+/// Present if the instance that relays the request, or another one before it, has counted it as usage.
+const RELAYED_COUNTED: HeaderName = HeaderName::from_static("x-relayed-counted");
 /// Marks the answer: whether the instance has served the request or declines it.
 const RELAY_RESULT: HeaderName = HeaderName::from_static("x-relay-result");
 const SERVED: HeaderValue = HeaderValue::from_static("served");
@@ -64,6 +66,8 @@
         sends: u32,
         /// Customer that the instance has found; `None` if the request belongs to none there
         customer: Option<CustomerName>,
+        /// Whether the request is counted as usage
+        is_counted: bool,
     },
 }
 
@@ -75,6 +79,11 @@
         }
     }
 
+    /// Whether another instance has counted the request as usage
+    pub fn is_counted(&self) -> bool {
+        matches!(self, RequestSource::Instance { is_counted: true, .. })
+    }
+
     /// Instance that relays the request; `None` if it comes from the client
     pub fn relay(&self) -> Option<&InstanceId> {
         match self {
@@ -91,6 +100,7 @@
         std::str::from_utf8(value.as_bytes()).ok().map(SmolStr::new)
     };
     let (instance, caller, sends) = (take(RELAYED_BY), take(RELAYED_FOR), take(RELAYED_SENDS));
+    let is_counted = take(RELAYED_COUNTED).is_some();
     let (caller, customer) = match take(RELAYED_FOR_CUSTOMER) {
         Some(both) => {
             let (caller, customer) = both.split_once(' ')?;
@@ -100,7 +110,7 @@
     };
     let caller = caller.parse().ok()?;
     let sends = sends?.parse().ok()?;
-    Some(RequestSource::Instance { instance: instance?, caller, sends, customer })
+    Some(RequestSource::Instance { instance: instance?, caller, sends, customer, is_counted })
 }
 
 /// Extension of a response that declines a relayed request whose customer is unknown here
@@ -182,7 +192,13 @@
         match result {
             RelayTry::Answered(answer) => return Some((instance, *answer)),
             RelayTry::NotRun(_) => gateway.record_reported_link(&instance, false),
-            RelayTry::MayHaveRun(_) => call.history.record_send(RunStatus::MayHaveRun),
+            RelayTry::MayHaveRun(_) => {
+                // An instance answers for a stream only once it has begun.
+                if !call.route.is_stream {
+                    call.usage.record_counted();
+                }
+                call.history.record_send(RunStatus::MayHaveRun);
+            }
         }
     }
     None
@@ -254,6 +270,9 @@
     ] {
         headers.insert(name, HeaderValue::from_bytes(value.as_bytes()).ok()?);
     }
+    if call.usage.is_counted() {
+        headers.insert(RELAYED_COUNTED, HeaderValue::from_static("1"));
+    }
     *request.headers_mut() = headers;
     Some(request)
 }
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -5,6 +5,7 @@
 use crate::link_evidence::EvidenceKind;
 use crate::part_tests::PartTest;
 use crate::state::Gateway;
+use crate::usage::begun::UsageMark;
 use catalogue::id::{CustomerName, EndpointId, InstanceId, PoolName};
 use decide::fingerprint::{Fingerprint, RequestContent, path_fingerprint, request_fingerprint};
 use decide::serving::crash_parts::PartDecision;
@@ -54,6 +55,8 @@
     pub route: RouteConfig,
     /// Customer that it belongs to, found at its arrival; `None` if it belongs to nobody
     pub customer: Option<Customer>,
+    /// Whether it is counted as usage
+    pub usage: UsageMark,
     /// Pool chosen among the route's targets
     pub pool: PoolName,
     /// Shape of its prompt; `None` for a request to a plain service
@@ -159,6 +162,7 @@
     ) -> bool {
         let may_start = !self.is_suspected(gateway) && self.is_admitted(gateway);
         if may_start {
+            self.record_service_send(gateway, endpoint);
             let endpoint = endpoint.clone();
             self.running.replace(Some(RunningSend { endpoint, awaits_event }));
         }
@@ -307,6 +311,7 @@
     ) {
         let unanswered = self.unanswered_parts();
         self.end_run();
+        self.count_failure(error);
         let status = error.run_status();
         // A timeout caused by the client's short deadline says nothing about the endpoint.
         let result = match error {
@@ -459,6 +464,7 @@
         // The client has left. The endpoint may still crash on the request.
         let unanswered = self.unanswered_parts();
         if let Some(RunningSend { endpoint, .. }) = self.running.take() {
+            self.count_abandoned();
             let (id, started_at_ms) = (&endpoint.id, endpoint.started_at_ms);
             self.record_silence(id, started_at_ms, unanswered, SilenceCause::Abandoned);
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,6 +13,7 @@
 use crate::origin_queries::OriginQueries;
 use crate::packed_config::{ConfigAnnouncement, PackedConfig};
 use crate::part_tests::PartSuspects;
+use crate::usage::UsageState;
 use bytes::Bytes;
 use catalogue::id::{EndpointId, InstanceId, PoolName};
 use decide::fingerprint::Fingerprint;
@@ -135,6 +136,8 @@
     pub link: EndpointLink<Gateway>,
     /// Duties that one instance at a time fulfils
     pub duties: DutyState,
+    /// Usage by customer; `None` if the settings have no usage duty
+    pub usage: Option<UsageState>,
     /// Other instances
     pub instances: Rc<RefCell<InstanceTable>>,
     /// What other instances say of their links
@@ -161,6 +164,7 @@
             started_at: Instant::now(),
             store: StoreClient::new(settings.store_address),
             duties: DutyState::new(&settings),
+            usage: UsageState::new(&settings),
             settings,
             config: RefCell::default(),
             config_read_at: Cell::default(),
--- /dev/null
+++ b/crates/gateway/src/usage/begun.rs
@@ -0,0 +1,130 @@
+//! Notes which requests have begun to run, each once, in the request path.
+
+use super::boot_time;
+use crate::attempt::SendError;
+use crate::connections::ExchangeError;
+use crate::serving_call::ServingCall;
+use crate::state::Gateway;
+use catalogue::id::CustomerName;
+use decide::serving::endpoint_list::ListedEndpoint;
+use decide::serving::send_history::RunStatus;
+use std::cell::Cell;
+use std::time::Duration;
+
+/// Request that began to run
+#[derive(Debug, Clone)]
+pub struct BegunRequest {
+    pub customer: CustomerName,
+    /// Boot time
+    pub boot: Duration,
+}
+
+/// Send of a request to a plain service
+#[derive(Debug, Clone, Copy)]
+struct ServiceSend {
+    sent_at: Duration,
+    /// Whether the service had a free slot, as far as is known
+    had_slot: bool,
+}
+
+/// What is known of a request's usage
+#[derive(Debug, Default)]
+pub struct UsageMark {
+    /// Whether this instance or another one has counted it
+    is_counted: Cell<bool>,
+    send: Cell<Option<ServiceSend>>,
+}
+
+impl UsageMark {
+    /// Mark of a request that arrives; another instance may have counted it before it relayed it
+    pub fn new(is_counted: bool) -> UsageMark {
+        UsageMark { is_counted: Cell::new(is_counted), send: Cell::default() }
+    }
+
+    /// Whether the request is counted
+    pub fn is_counted(&self) -> bool {
+        self.is_counted.get()
+    }
+
+    /// Records that another instance has counted the request
+    pub fn record_counted(&self) {
+        self.is_counted.set(true);
+    }
+}
+
+impl ServingCall {
+    /// Whether it is to be counted once it begins to run
+    ///
+    /// A stream that its client takes up was counted when it began.
+    fn may_count(&self) -> bool {
+        self.gateway.usage.is_some()
+            && self.customer.is_some()
+            && self.last_event.is_none()
+            && !self.usage.is_counted()
+    }
+
+    fn count(&self, boot: Duration) {
+        if let (Some(usage), Some(customer)) = (&self.gateway.usage, &self.customer) {
+            self.usage.record_counted();
+            usage.note(customer.name.clone(), boot);
+        }
+    }
+
+    /// Counts a stream whose first event has arrived
+    pub fn count_stream(&self) {
+        if self.may_count() {
+            self.count(boot_time());
+        }
+    }
+
+    /// Records the send of a request to a plain service
+    pub fn record_service_send(&self, gateway: &Gateway, endpoint: &ListedEndpoint) {
+        if !self.route.is_stream && self.may_count() {
+            let requests = gateway.load.borrow().total_at(&endpoint.id).requests;
+            let had_slot = endpoint.slots == 0 || requests <= endpoint.slots;
+            self.usage.send.set(Some(ServiceSend { sent_at: boot_time(), had_slot }));
+        }
+    }
+
+    /// Counts a request that a plain service has answered, whatever the answer
+    pub fn count_answer(&self) {
+        let Some(send) = self.usage.send.take().filter(|_| self.may_count()) else { return };
+        let Some(usage) = &self.gateway.usage else { return };
+        let now = boot_time();
+        let begun_at = {
+            let mut work_times = usage.work_times.borrow_mut();
+            let work_time = work_times.entry(self.route.name.clone()).or_default();
+            if send.had_slot {
+                work_time.record(now.saturating_sub(send.sent_at));
+            }
+            work_time.begin(send.sent_at, now, send.had_slot)
+        };
+        self.count(begun_at);
+    }
+
+    /// Counts a request whose send has failed if the service has probably begun to work on it
+    pub fn count_failure(&self, error: &SendError) {
+        let has_begun = match error {
+            // Usually the service closed the connection before the request arrived.
+            SendError::Exchange(ExchangeError::Stale(_)) => false,
+            // Another endpoint's answer, or one to another request.
+            SendError::Mismatched => false,
+            other => other.run_status() == RunStatus::MayHaveRun,
+        };
+        let send = self.usage.send.take();
+        if has_begun {
+            self.count_send(send);
+        }
+    }
+
+    /// Counts a request whose client has left while a service worked on it
+    pub fn count_abandoned(&self) {
+        self.count_send(self.usage.send.take());
+    }
+
+    fn count_send(&self, send: Option<ServiceSend>) {
+        if let Some(send) = send.filter(|_| self.may_count()) {
+            self.count(send.sent_at);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/usage/mod.rs
@@ -0,0 +1,158 @@
+//! Usage by customer: counts what begins to run, sends the counts to the holder of the
+//! duties, and reports them to the platform while this instance is the holder.
+//!
+//! The request path only notes the boot time and the customer. A task sorts what was noted
+//! into windows of true time, in the first seconds only once the fleet's time is known.
+//! Where the settings have no usage duty, there is no such state and nothing runs.
+
+pub mod begun;
+pub mod records;
+pub mod reporting;
+pub mod sending;
+
+use crate::duties::clock::lease_time;
+use crate::state::Gateway;
+use begun::BegunRequest;
+use catalogue::id::{CustomerName, Fence};
+use decide::serving::route::RouteName;
+use decide::serving::true_time::{ClockSample, TrueTime};
+use decide::serving::usage::{OwnUsage, ReportTimes, UsageAck, UsageReport, UsageTiming, WorkTime};
+use decide::serving::usage_ledger::{LedgerTimes, UsageLedger};
+use indexmap::IndexMap;
+use platform_adapter::settings::InstanceSettings;
+use std::cell::{Cell, RefCell};
+use std::time::{Duration, SystemTime};
+use tokio::sync::Notify;
+
+/// Longest time after the start for which requests are not sorted into windows, while the fleet's time is not known.
+const MAX_CONFIRM_WAIT: Duration = Duration::from_secs(3);
+/// Most requests that are noted before they are sorted into windows in any case; about 2 MB.
+const MAX_BEGUN: usize = 65_536;
+/// Fewest instances whose clocks have a majority.
+const MIN_CLOCK_INSTANCES: usize = 3;
+
+/// What an instance knows of usage
+pub struct UsageState {
+    started_at: Duration,
+    begun: RefCell<Vec<BegunRequest>>,
+    own: RefCell<OwnUsage>,
+    ledger: RefCell<UsageLedger>,
+    time: RefCell<TrueTime>,
+    work_times: RefCell<IndexMap<RouteName, WorkTime>>,
+    /// Whether the instance sends its last counts
+    is_ending: Cell<bool>,
+    wake: Notify,
+}
+
+/// Time since the machine's boot, with the time that it was suspended
+fn boot_time() -> Duration {
+    lease_time().boot
+}
+
+impl UsageState {
+    /// State of a starting instance; `None` if the settings have no usage duty
+    pub fn new(settings: &InstanceSettings) -> Option<UsageState> {
+        let duties = settings.duties.as_ref().filter(|it| it.has_usage)?;
+        if duties.usage_window.is_zero() {
+            return None;
+        }
+        let timing = UsageTiming::new(duties.usage_window, duties.usage_due);
+        let own = OwnUsage::new(settings.instance.clone(), rand::random(), timing);
+        let state = UsageState {
+            started_at: boot_time(),
+            begun: RefCell::default(),
+            own: RefCell::new(own),
+            ledger: RefCell::new(UsageLedger::new(timing)),
+            time: RefCell::default(),
+            work_times: RefCell::default(),
+            is_ending: Cell::default(),
+            wake: Notify::new(),
+        };
+        state.sample_clock(state.started_at);
+        Some(state)
+    }
+
+    /// Notes that a request began to run at a boot time
+    fn note(&self, customer: CustomerName, boot: Duration) {
+        let mut begun = self.begun.borrow_mut();
+        if begun.len() < MAX_BEGUN {
+            begun.push(BegunRequest { customer, boot });
+            return;
+        }
+        drop(begun);
+        self.sort();
+        self.begun.borrow_mut().push(BegunRequest { customer, boot });
+    }
+
+    /// Sorts the requests noted so far into windows
+    fn sort(&self) {
+        let (time, mut own) = (self.time.borrow(), self.own.borrow_mut());
+        own.record_start(time.at(self.started_at));
+        for BegunRequest { customer, boot } in self.begun.borrow_mut().drain(..) {
+            own.record(&customer, time.at(boot));
+        }
+    }
+
+    fn sample_clock(&self, boot: Duration) {
+        let mut time = self.time.borrow_mut();
+        if time.is_sample_due(boot) {
+            let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+            time.record_sample(ClockSample { boot, unix: unix.unwrap_or_default() });
+        }
+    }
+
+    /// Samples the clock, and sorts what was noted if the time is known
+    fn update(&self, gateway: &Gateway, boot: Duration) {
+        self.sample_clock(boot);
+        let is_single = {
+            let load = gateway.load.borrow();
+            load.listed_instances().is_some_and(|it| it < MIN_CLOCK_INSTANCES)
+        };
+        let is_known = is_single || self.time.borrow().is_confirmed();
+        if is_known
+            || self.is_ending.get()
+            || boot.saturating_sub(self.started_at) > MAX_CONFIRM_WAIT
+        {
+            self.sort();
+            let dropped = i64::try_from(self.own.borrow().dropped()).unwrap_or(i64::MAX);
+            if gateway.metrics.usage_dropped.set(dropped) < dropped {
+                log::warn!("event=usage_dropped total={dropped}");
+            }
+        }
+    }
+
+    fn report_times(&self, boot: Duration) -> ReportTimes {
+        let time = self.time.borrow();
+        ReportTimes { unix: time.at(boot), clock: time.own_statement(boot) }
+    }
+
+    fn ledger_times(&self, boot: Duration) -> LedgerTimes {
+        LedgerTimes { unix: self.time.borrow().at(boot), boot }
+    }
+
+    /// Messages for the holder of a token
+    fn reports(&self, fence: Fence, boot: Duration) -> Vec<UsageReport> {
+        let times = self.report_times(boot);
+        self.own.borrow_mut().reports(fence, times, self.is_ending.get())
+    }
+
+    /// Applies a message as the holder of a token; `None` if it can't be acknowledged
+    fn apply_report(&self, report: &UsageReport, fence: Fence) -> Option<UsageAck> {
+        let boot = boot_time();
+        let times = self.ledger_times(boot);
+        self.time.borrow_mut().record_clock(&report.instance, report.clock, boot);
+        let ack = self.ledger.borrow_mut().apply(report, fence, times)?;
+        Some(UsageAck { clock: self.time.borrow().fleet_statement(boot), ..ack })
+    }
+
+    /// Applies the holder's acknowledgement of a message
+    pub fn apply_ack(&self, ack: &UsageAck) {
+        if !self.own.borrow_mut().acknowledge(ack) {
+            return;
+        }
+        if let Some(clock) = ack.clock {
+            self.time.borrow_mut().record_fleet(clock, boot_time());
+        }
+        self.ledger.borrow_mut().record_fixed(ack.unfixed);
+    }
+}
