Test usage reports by fault, and with processes

Cause: counts must be exact through lost messages, dying instances and holders, clocks that jump, and outages of the store and the control API.

Change: tests of true_time, usage and usage_ledger by named fault; tests with processes that compare the reports with what the endpoints ran. The calls use the guard that delays the release of the lease.

--- a/crates/gateway/src/usage/reporting.rs
+++ b/crates/gateway/src/usage/reporting.rs
@@ -197,11 +197,14 @@
             };
             let body = usage_body(report.window, &report.counts.into_iter().collect());
             let left = self.gateway.duties.time_left().unwrap_or_default();
-            if left < MIN_TIME_LEFT || !self.is_held() {
+            let begun = self.gateway.duties.begin_call();
+            let Some(call) = begun.filter(|it| it.fence == self.fence && left >= MIN_TIME_LEFT)
+            else {
                 sleep(CHECK_INTERVAL).await;
                 continue;
-            }
+            };
             let outcome = timeout(left, client.report_usage(&token, body)).await;
+            drop(call);
             let outcome = outcome.unwrap_or(ControlOutcome::Unanswered);
             self.record_outcome(report.window, outcome);
             let pause = match outcome {
--- a/crates/gateway/tests/gateway/large_config.rs
+++ b/crates/gateway/tests/gateway/large_config.rs
@@ -35,6 +35,7 @@
     is_first_start: true,
     seed: None,
     control: None,
+    window_s: 5,
 };
 const WEAK: InstanceSize = InstanceSize {
     config_ms: 3000,
@@ -43,6 +44,7 @@
     is_first_start: true,
     seed: None,
     control: None,
+    window_s: 5,
 };
 
 cases! { async
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -32,4 +32,5 @@
 mod store;
 mod streams;
 mod unframed;
+mod usage;
 mod zone;
--- a/crates/gateway/tests/gateway/process.rs
+++ b/crates/gateway/tests/gateway/process.rs
@@ -38,6 +38,8 @@
     pub seed: Option<SocketAddr>,
     /// Control API of the platform, if there are duties
     pub control: Option<SocketAddr>,
+    /// Length of a window of usage reports, in seconds
+    pub window_s: u32,
 }
 
 impl Default for InstanceSize {
@@ -49,6 +51,7 @@
             is_first_start: true,
             seed: None,
             control: None,
+            window_s: 5,
         }
     }
 }
@@ -205,7 +208,10 @@
 }
 
 fn settings_text(ip: &str, store: SocketAddr, name: &str, size: InstanceSize) -> String {
-    let InstanceSize { config_ms, cpu_share, bandwidth_mbps, is_first_start, seed, control } = size;
+    let InstanceSize {
+        config_ms, cpu_share, bandwidth_mbps, is_first_start, seed, control, ..
+    } = size;
+    let window_s = size.window_s;
     let seed = seed.map(|it| format!("\"{it}\"")).unwrap_or_default();
     let duties = control.map(|it| {
         let duties = "duties = [\"usage\",\"scale\"]";
@@ -239,7 +245,7 @@
 require_fence = true
 lease_ms = 3000
 thaw_ms = 300
-window_s = 5
+window_s = {window_s}
 usage_off = 0.05
 usage_late_s = 10
 {duties}
