--- a/crates/decide/src/serving/true_time.rs
+++ b/crates/decide/src/serving/true_time.rs
@@ -20,8 +20,9 @@
 const MAX_OWN_SAMPLES: usize = 61;
 /// Interval of own samples.
 const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of recent statements of a sender, of which the one with the least delay counts.
-const MAX_STATEMENTS: usize = 8;
+/// Number of recent statements of a sender, of which the one with the least delay counts; more than arrive late at
+/// once after a freeze of 3 s, beyond which the lease is lost.
+const MAX_STATEMENTS: usize = 32;
 /// Time without a statement after which an instance's clock no longer counts.
 const CLOCK_TIMEOUT: Duration = Duration::from_secs(10);
 /// Fewest clocks that have a majority.
--- a/crates/decide/src/serving/usage_ledger.rs
+++ b/crates/decide/src/serving/usage_ledger.rs
@@ -11,8 +11,11 @@
 pub const RECORD_FORMAT: u8 = 1;
 /// Time without a message after which an instance is not waited for.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time from the start of a term until a window is fixed, in which all instances send their counts anew.
-const SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Time from the start of a term until a window is fixed, in which all instances send their counts anew: 0.5 s for
+/// the announcement, twice 0.25 s for the messages, and a margin.
+const SETTLE_TIME: Duration = Duration::from_millis(1500);
+/// Time without a message after which an instance may have died; see `snapshot_of_silent`.
+const SILENT_AFTER: Duration = Duration::from_secs(1);
 /// Most counts that the holder keeps, about 25 MB; further ones are not acknowledged, so they are sent again.
 const MAX_ENTRIES: usize = 400_000;
 /// Most sources that the holder remembers; the ones heard longest ago are forgotten.
@@ -194,8 +197,8 @@
             return WindowStep::Wait;
         };
         let end = self.timing.end(window);
-        let waits = |it: &SourceState| it.open <= window && self.is_heard(it, times.boot);
-        let is_complete = !self.sources.values().any(waits);
+        let is_awaited = |it: &SourceState| self.is_awaited(it, window, times.boot);
+        let is_complete = !self.sources.values().any(is_awaited);
         let pause = if is_complete { self.timing.pause } else { self.timing.max_pause };
         if times.unix < end + pause {
             return WindowStep::Wait;
@@ -209,8 +212,15 @@
         WindowStep::Skip(later.unwrap_or(now).min(now).max(window + 1))
     }
 
-    fn is_heard(&self, source: &SourceState, boot: Duration) -> bool {
-        source.heard_at.is_some_and(|it| boot.saturating_sub(it) < SILENCE_TIMEOUT)
+    /// Whether an instance may send further counts of a window
+    fn is_awaited(&self, source: &SourceState, window: WindowNumber, boot: Duration) -> bool {
+        let heard_at = match source.heard_at {
+            Some(at) => at,
+            // Known from an earlier holder; it may be heard yet.
+            None if window <= source.last => self.term_from,
+            None => return false,
+        };
+        source.open <= window && boot.saturating_sub(heard_at) < SILENCE_TIMEOUT
     }
 
     /// Sum of a window's counts over all sources
@@ -225,10 +235,21 @@
 
     /// Counts and sources of the windows that are not fixed, for the next holder
     pub fn snapshot(&self) -> UsageSnapshot {
+        self.snapshot_with(|_| true)
+    }
+
+    /// Snapshot of only the sources that may have died, for when the whole one is too large; the others send their
+    /// counts to the next holder anew
+    pub fn snapshot_of_silent(&self, boot: Duration) -> UsageSnapshot {
+        let is_silent = |at: Duration| boot.saturating_sub(at) >= SILENT_AFTER;
+        self.snapshot_with(|it| it.heard_at.is_none_or(is_silent))
+    }
+
+    fn snapshot_with(&self, is_included: impl Fn(&SourceState) -> bool) -> UsageSnapshot {
         let mut names = IndexSet::new();
         let mut index = |name: &CustomerName| names.insert_full(name.clone()).0 as u32;
         let unfixed = self.unfixed();
-        let is_needed = |it: &(&SourceId, &SourceState)| it.1.last >= unfixed;
+        let is_needed = |it: &(&SourceId, &SourceState)| it.1.last >= unfixed && is_included(it.1);
         let sources = self.sources.iter().filter(is_needed);
         let sources = sources.map(|(id, it)| (*id, it.first, it.last)).collect::<Vec<_>>();
         let ids = sources.iter().map(|it| it.0).collect::<IndexSet<_>>();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,7 +23,6 @@
     store_bytes: Family<LabelSet, Counter>,
     relays: Family<LabelSet, Counter>,
     duty_changes: Family<LabelSet, Counter>,
-    usage_reports: Family<LabelSet, Counter>,
     first_byte: HistogramFamily,
     whole: HistogramFamily,
     /// Connections opened to endpoints
@@ -50,8 +49,29 @@
     pub duty_held: Gauge,
     /// Highest fencing token that this instance has heard of
     pub duty_fence: Gauge,
-    /// Requests that are in no usage report, since their window was fixed or there was no room
-    pub usage_dropped: Gauge,
+    pub usage: UsageMetrics,
+}
+
+/// Metrics of usage reports
+#[derive(Debug, Clone, Default)]
+pub struct UsageMetrics {
+    /// Requests that are in no report, since their window was fixed or there was no room
+    pub dropped: Gauge,
+    reports: Family<LabelSet, Counter>,
+}
+
+impl UsageMetrics {
+    fn register(&self, registry: &mut Registry) {
+        let dropped = self.dropped.clone();
+        registry.register("usage_dropped", "Requests in no usage report", dropped);
+        let reports = self.reports.clone();
+        registry.register("usage_reports", "Calls that report usage", reports);
+    }
+
+    /// Counts a call that reports usage
+    pub fn reported(&self, outcome: &'static str) {
+        self.reports.get_or_create(&vec![("outcome", outcome.into())]).inc();
+    }
 }
 
 impl Default for GatewayMetrics {
@@ -64,7 +84,6 @@
             store_bytes: Family::default(),
             relays: Family::default(),
             duty_changes: Family::default(),
-            usage_reports: Family::default(),
             first_byte: Family::new_with_constructor(latency_histogram),
             whole: Family::new_with_constructor(latency_histogram),
             connections_opened: Counter::default(),
@@ -79,7 +98,7 @@
             store_returns: Counter::default(),
             duty_held: Gauge::default(),
             duty_fence: Gauge::default(),
-            usage_dropped: Gauge::default(),
+            usage: UsageMetrics::default(),
         };
         metrics.register();
         metrics
@@ -98,10 +117,7 @@
         registry.register("relays", "Requests relayed between instances", self.relays.clone());
         let changes = self.duty_changes.clone();
         registry.register("duty_changes", "Changes of the lease of the duties", changes);
-        let reports = self.usage_reports.clone();
-        registry.register("usage_reports", "Calls that report usage", reports);
-        let dropped = self.usage_dropped.clone();
-        registry.register("usage_dropped", "Requests in no usage report", dropped);
+        self.usage.register(registry);
         let held = self.duty_held.clone();
         registry.register("duty_held", "Whether this instance holds the lease of the duties", held);
         let fence = self.duty_fence.clone();
@@ -153,11 +169,6 @@
         self.duty_changes.get_or_create(&vec![("change", change)]).inc();
     }
 
-    /// Counts a call that reports usage
-    pub fn usage_reported(&self, outcome: &'static str) {
-        self.usage_reports.get_or_create(&vec![("outcome", outcome.into())]).inc();
-    }
-
     /// Counts a call to the store and the bytes that it received
     pub fn store_call(&self, call: &'static str, outcome: &'static str, bytes: usize) {
         let labels = vec![("call", call.into()), ("outcome", outcome.into())];
--- a/crates/gateway/src/usage/mod.rs
+++ b/crates/gateway/src/usage/mod.rs
@@ -10,7 +10,6 @@
 pub mod reporting;
 pub mod sending;
 
-use crate::duties::clock::lease_time;
 use crate::state::Gateway;
 use begun::BegunRequest;
 use catalogue::id::{CustomerName, Fence};
@@ -20,6 +19,7 @@
 use decide::serving::usage_ledger::{LedgerTimes, UsageLedger};
 use indexmap::IndexMap;
 use platform_adapter::settings::InstanceSettings;
+use rustix::time::{ClockId, clock_gettime};
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, SystemTime};
 use tokio::sync::Notify;
@@ -45,8 +45,8 @@
 }
 
 /// Time since the machine's boot, with the time that it was suspended
-fn boot_time() -> Duration {
-    lease_time().boot
+pub fn boot_time() -> Duration {
+    Duration::try_from(clock_gettime(ClockId::Boottime)).unwrap_or_default()
 }
 
 impl UsageState {
@@ -73,7 +73,7 @@
     }
 
     /// Notes that a request began to run at a boot time
-    fn note(&self, customer: CustomerName, boot: Duration) {
+    pub fn note(&self, customer: CustomerName, boot: Duration) {
         let mut begun = self.begun.borrow_mut();
         if begun.len() < MAX_BEGUN {
             begun.push(BegunRequest { customer, boot });
@@ -115,7 +115,7 @@
         {
             self.sort();
             let dropped = i64::try_from(self.own.borrow().dropped()).unwrap_or(i64::MAX);
-            if gateway.metrics.usage_dropped.set(dropped) < dropped {
+            if gateway.metrics.usage.dropped.set(dropped) < dropped {
                 log::warn!("event=usage_dropped total={dropped}");
             }
         }
--- a/crates/gateway/src/usage/reporting.rs
+++ b/crates/gateway/src/usage/reporting.rs
@@ -25,10 +25,13 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which an instance checks whether it has become the holder, beside being woken.
 const TERM_INTERVAL: Duration = Duration::from_secs(1);
-/// Interval of snapshots; renewals, which carry them, have the same.
-const SNAPSHOT_INTERVAL: Duration = Duration::from_secs(1);
-/// Most bytes of snapshots a second on average; larger ones are recorded less often.
+/// Interval of snapshots; a renewal carries the newest one.
+const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(250);
+/// Most bytes of snapshots a second on average; those for which a renewal a second is too often are staged less often.
 const SNAPSHOT_BYTES_PER_S: f64 = 32.0 * 1024.0;
+/// Size of a snapshot beyond which it contains only instances that may have died: 0.1 s of a link of 10 Mbit/s, so
+/// that it doesn't delay a renewal.
+const MAX_SNAPSHOT_BYTES: usize = 128 * 1024;
 /// Pause between two reports, so that a backlog takes few calls a second.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// First and longest pause after a call that failed.
@@ -180,8 +183,10 @@
         let bytes = stage_snapshot(self.gateway, self.usage, &self.snapshot.borrow());
         self.next_snapshot.set(Some(Instant::now() + SNAPSHOT_INTERVAL));
         let Some(bytes) = bytes else { return };
-        let pause = Duration::from_secs_f64(bytes.len() as f64 / SNAPSHOT_BYTES_PER_S);
-        self.next_snapshot.set(Some(Instant::now() + pause.max(SNAPSHOT_INTERVAL)));
+        let seconds = bytes.len() as f64 / SNAPSHOT_BYTES_PER_S;
+        if seconds > 1.0 {
+            self.next_snapshot.set(Some(Instant::now() + Duration::from_secs_f64(seconds)));
+        }
         self.snapshot.replace(bytes);
     }
 
@@ -248,7 +253,7 @@
             ControlOutcome::Declined(_) => "declined",
             ControlOutcome::Unanswered => "unanswered",
         };
-        self.gateway.metrics.usage_reported(name);
+        self.gateway.metrics.usage.reported(name);
         let fence = self.fence;
         log::info!("event=usage_reported window={window} outcome={name} fence={fence}");
     }
@@ -256,7 +261,15 @@
 
 /// Stages a snapshot of the counts unless it equals the last one; returns it if so
 pub fn stage_snapshot(gateway: &Gateway, usage: &UsageState, last: &Bytes) -> Option<Bytes> {
-    let bytes = encode(&usage.ledger.borrow().snapshot()).ok()?;
+    let ledger = usage.ledger.borrow();
+    let mut bytes = encode(&ledger.snapshot()).ok()?;
+    if bytes.len() > MAX_SNAPSHOT_BYTES {
+        bytes = encode(&ledger.snapshot_of_silent(boot_time())).ok()?;
+    }
+    if bytes.len() > MAX_SNAPSHOT_BYTES {
+        log::warn!("event=usage_snapshot_too_large bytes={}", bytes.len());
+        return None;
+    }
     if bytes == *last {
         return None;
     }
