--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -17,6 +17,7 @@
 use crate::state::Gateway;
 use decide::serving::health::SendResult;
 use decide::serving::send_history::RunStatus;
+use engine_stream::StreamItem;
 use http::Response;
 use plan::{check_versions, plan_path};
 use relay_events::stream_response;
@@ -92,6 +93,9 @@
                 gateway.record_result(&engine, SendResult::Answered);
                 record.endpoint = engine.id.clone();
                 record.first_byte();
+                if matches!(first, StreamItem::Events(_)) {
+                    call.count_stream();
+                }
                 call.record_begin(gateway, &engine);
                 call.history.record_send(RunStatus::MayHaveRun);
                 call.excluded.push(engine.id);
--- a/crates/gateway/src/generation/send.rs
+++ b/crates/gateway/src/generation/send.rs
@@ -47,6 +47,8 @@
     match started {
         Ok(started) => Some((instance, started)),
         Err(_) => {
+            // The other instance has answered, which it does after the first event.
+            call.usage.record_counted();
             call.history.record_send(RunStatus::MayHaveRun);
             None
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod serving_call;
 pub mod state;
 pub mod stream_origins;
+pub mod usage;
 
 pub use error::GatewayError;
 
@@ -130,6 +131,9 @@
     let started = Instant::now();
     let deadline = started + gateway.settings.stop_grace.saturating_sub(STOP_MARGIN);
     gateway.stopping.set(true);
+    if let Some(usage) = &gateway.usage {
+        usage.hand_over(gateway);
+    }
     // The lease is released while open connections are served to their end.
     gateway.duties.stop();
     log::info!("event=stop open_requests={}", gateway.open_requests.get());
@@ -139,6 +143,9 @@
     while gateway.open_connections.get() > 0 && Instant::now() < deadline {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
+    if let Some(usage) = &gateway.usage {
+        usage.finish().await;
+    }
     log::info!("event=stopped cut={}", gateway.open_requests.get());
     log::logger().flush();
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -45,6 +45,29 @@
     /// Returns of the store from a copy
     pub store_returns: Counter,
     pub duties: DutyMetrics,
+    pub usage: UsageMetrics,
+}
+
+/// Metrics of usage reports
+#[derive(Debug, Clone, Default)]
+pub struct UsageMetrics {
+    /// Requests that are in no report, since their window was fixed or there was no room
+    pub dropped: Gauge,
+    reports: Family<LabelSet, Counter>,
+}
+
+impl UsageMetrics {
+    fn register(&self, registry: &mut Registry) {
+        let dropped = self.dropped.clone();
+        registry.register("usage_dropped", "Requests in no usage report", dropped);
+        let reports = self.reports.clone();
+        registry.register("usage_reports", "Calls that report usage", reports);
+    }
+
+    /// Counts a call that reports usage
+    pub fn reported(&self, outcome: &'static str) {
+        self.reports.get_or_create(&vec![("outcome", outcome.into())]).inc();
+    }
 }
 
 /// Metrics of the duties
@@ -95,6 +118,7 @@
             store_era: Gauge::default(),
             store_returns: Counter::default(),
             duties: DutyMetrics::default(),
+            usage: UsageMetrics::default(),
         };
         metrics.register();
         metrics
@@ -112,6 +136,7 @@
         registry.register("answer_seconds", "Time to the end of the answer", self.whole.clone());
         registry.register("relays", "Requests relayed between instances", self.relays.clone());
         self.duties.register(registry);
+        self.usage.register(registry);
         let cut = self.endpoints_cut.clone();
         registry.register("endpoints_cut", "Whether no endpoint answers this instance", cut);
         let opened = self.connections_opened.clone();
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -9,6 +9,7 @@
 use crate::body::AnswerBody;
 use crate::part_tests::PartTest;
 use crate::state::Gateway;
+use crate::usage::begun::UsageMark;
 use catalogue::id::{EndpointId, PoolName};
 use decide::serving::crash_parts::PartDecision;
 use decide::serving::customers::Customer;
@@ -43,6 +44,8 @@
     pub route: RouteConfig,
     /// Customer that it belongs to, found at its arrival; `None` if it belongs to nobody
     pub customer: Option<Customer>,
+    /// Whether it is counted as usage
+    pub usage: UsageMark,
     /// Pool chosen among the route's targets
     pub pool: PoolName,
     /// Shape of its prompt; `None` for a request to a plain service
@@ -140,6 +143,7 @@
     ) -> bool {
         let may_start = !self.is_suspected(gateway) && self.is_admitted(gateway);
         if may_start {
+            self.record_service_send(gateway, endpoint);
             let endpoint = endpoint.clone();
             self.running.replace(Some(RunningSend { endpoint, awaits_event }));
         }
--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -132,6 +132,7 @@
     ) {
         let unanswered = self.unanswered_parts();
         self.end_run();
+        self.count_failure(error);
         let status = error.run_status();
         // A timeout caused by the client's short deadline says nothing about the endpoint.
         let result = match error {
@@ -182,6 +183,7 @@
         // The client has left. The endpoint may still crash on the request.
         let unanswered = self.unanswered_parts();
         if let Some(RunningSend { endpoint, .. }) = self.running.take() {
+            self.count_abandoned();
             let (id, started_at_ms) = (&endpoint.id, endpoint.started_at_ms);
             self.record_silence(id, started_at_ms, unanswered, SilenceCause::Abandoned);
         }
