Decode scaling rules and engines that may be taken away

Cause: the number of engines of a pool can be ordered within bounds, and the platform may take some engines away; neither was decoded.

Change: a pool has a ScalingRule if its service has autoscale; a listed endpoint states whether it is preemptible and when it leaves.

--- a/crates/decide/src/serving/endpoint_list.rs
+++ b/crates/decide/src/serving/endpoint_list.rs
@@ -47,6 +47,10 @@
     pub started_at_ms: u64,
     /// Number of orders that this incarnation has accepted
     pub sequence: u64,
+    /// Whether the platform may take it away
+    pub is_preemptible: bool,
+    /// Time from its entry until the platform takes it away; `None` if that isn't announced
+    pub leaves_in: Option<Duration>,
 }
 
 /// Change of an endpoint by a record
--- a/crates/decide/src/serving/route.rs
+++ b/crates/decide/src/serving/route.rs
@@ -3,7 +3,7 @@
 //! A configuration replaces the previous one as a whole, and only if its version is
 //! higher, so that an instance never returns to an older one.
 
-use catalogue::id::PoolName;
+use catalogue::id::{PoolName, ZoneName};
 use indexmap::IndexMap;
 use smol_str::SmolStr;
 use std::time::Duration;
@@ -89,6 +89,20 @@
     pub cache_tokens: u64,
 }
 
+/// Rule by which the number of a pool's engines is ordered
+#[derive(Debug, Clone, PartialEq)]
+pub struct ScalingRule {
+    /// Least and largest number of engines in each zone, of both kinds together
+    pub min: u32,
+    pub max: u32,
+    /// Time from an order until new engines serve
+    pub startup: Duration,
+    /// Price of a preemptible engine relative to another one; `None` if there are none
+    pub preemptible_price: Option<f64>,
+    /// Price of an engine-second by zone
+    pub zone_prices: IndexMap<ZoneName, f64>,
+}
+
 /// Pool of interchangeable endpoints
 #[derive(Debug, Clone, PartialEq)]
 pub struct PoolConfig {
@@ -98,6 +112,8 @@
     pub health_path: SmolStr,
     /// Capacity of the engines; `None` for a plain service
     pub engine: Option<EngineCapacity>,
+    /// Rule for the number of engines; `None` if it is fixed
+    pub scaling: Option<ScalingRule>,
 }
 
 /// Limits on clients' connections and requests
--- a/crates/decide/tests/serving_choice.rs
+++ b/crates/decide/tests/serving_choice.rs
@@ -61,6 +61,8 @@
         role: Some(role),
         started_at_ms: 1,
         sequence: 0,
+        is_preemptible: false,
+        leaves_in: None,
     }
 }
 
--- a/crates/decide/tests/serving_crash_parts.rs
+++ b/crates/decide/tests/serving_crash_parts.rs
@@ -47,6 +47,8 @@
         role: None,
         started_at_ms: 7,
         sequence: 1,
+        is_preemptible: false,
+        leaves_in: None,
     }
 }
 
--- a/crates/decide/tests/serving_crash_table.rs
+++ b/crates/decide/tests/serving_crash_table.rs
@@ -86,6 +86,8 @@
                 role: None,
                 started_at_ms: 7,
                 sequence: 1,
+                is_preemptible: false,
+                leaves_in: None,
             };
             table.record_alive(&listed, now + Duration::from_millis(*after));
         }
--- a/crates/decide/tests/serving_notice.rs
+++ b/crates/decide/tests/serving_notice.rs
@@ -72,6 +72,8 @@
         role: None,
         started_at_ms,
         sequence: 0,
+        is_preemptible: false,
+        leaves_in: None,
     }
 }
 
--- a/crates/decide/tests/serving_rate_limit.rs
+++ b/crates/decide/tests/serving_rate_limit.rs
@@ -49,6 +49,8 @@
         role: None,
         started_at_ms: 7,
         sequence: 1,
+        is_preemptible: false,
+        leaves_in: None,
     }
 }
 
--- a/crates/decide/tests/serving_state.rs
+++ b/crates/decide/tests/serving_state.rs
@@ -145,6 +145,8 @@
         role: Some(EngineRole::Mixed),
         started_at_ms: 7,
         sequence: 0,
+        is_preemptible: false,
+        leaves_in: None,
     }
 }
 
--- a/crates/decide/tests/serving_stream_origins.rs
+++ b/crates/decide/tests/serving_stream_origins.rs
@@ -34,6 +34,8 @@
         role: Some(EngineRole::Mixed),
         started_at_ms: 1,
         sequence: 0,
+        is_preemptible: false,
+        leaves_in: None,
     }
 }
 
--- a/crates/decide/tests/serving_timing.rs
+++ b/crates/decide/tests/serving_timing.rs
@@ -131,6 +131,8 @@
         role: Some(role),
         started_at_ms: 1,
         sequence: 0,
+        is_preemptible: false,
+        leaves_in: None,
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -251,5 +251,7 @@
         role: None,
         started_at_ms: 0,
         sequence: 0,
+        is_preemptible: false,
+        leaves_in: None,
     }
 }
--- a/crates/loadmodel/src/fleet.rs
+++ b/crates/loadmodel/src/fleet.rs
@@ -180,6 +180,8 @@
         role: Some(role),
         started_at_ms: 1,
         sequence: 0,
+        is_preemptible: false,
+        leaves_in: None,
     };
     let readers = (0..size.readers).map(|it| engine(format_smolstr!("p{it}"), EngineRole::Prefill));
     let mixed = (0..size.mixed).map(|it| engine(format_smolstr!("m{it}"), EngineRole::Mixed));
