Order engines while the lease of the duties is held

Cause: the number of engines was decided nowhere at run time.

An engine counts once it has answered a health check.

--- a/crates/decide/src/serving/engine_orders.rs
+++ b/crates/decide/src/serving/engine_orders.rs
@@ -121,10 +121,11 @@
         orders.and_then(|it| it.unavailable_until).is_none_or(|it| it <= now)
     }
 
-    /// Whether the subject's number was lowered lately
-    pub fn was_lowered(&self, subject: &OrderSubject, now: Instant) -> bool {
-        let lowered_at = self.subjects.get(subject).and_then(|it| it.lowered_at);
-        is_within(lowered_at, LOWERING_TIME, now)
+    /// Whether a recent lowering order is why engines leave: as many are present as it left
+    pub fn explains_leaving(&self, subject: &OrderSubject, present: u32, now: Instant) -> bool {
+        let Some(orders) = self.subjects.get(subject) else { return false };
+        is_within(orders.lowered_at, LOWERING_TIME, now)
+            && orders.ordered.is_some_and(|(count, _)| present >= count)
     }
 
     /// Whether an order may be given now
--- a/crates/decide/src/serving/fleet_size.rs
+++ b/crates/decide/src/serving/fleet_size.rs
@@ -28,6 +28,8 @@
 const KEPT_REGULAR: u32 = 2;
 /// Regular engines to keep at most, if none of the others decodes.
 const MAX_KEPT_REGULAR: u32 = 4;
+/// Longest time from the announcement until engines are taken away.
+const LEAVING_TIME: Duration = Duration::from_secs(4);
 /// Time without an answer from which an engine is replaced; a crashed one restarts within some seconds.
 const REPLACE_TIME: Duration = Duration::from_secs(6);
 
@@ -65,6 +67,7 @@
     shrunk_at: Option<Instant>,
     kept_regular: u32,
     silent_since: IndexMap<EndpointId, Instant>,
+    leaving_since: IndexMap<EndpointId, Instant>,
 }
 
 impl FleetPlan {
@@ -110,7 +113,7 @@
         let needed = self.update_needed(measured, inputs, now);
         decision.needed = needed;
         let offers = self.offers(inputs, now);
-        let target = spread(needed, &offers, &self.bounds(inputs));
+        let target = self.target(needed, &offers, &self.bounds(inputs));
         decision.orders = self.raise(&target, inputs, now);
         decision.orders.extend(self.shrink(needed, &target, inputs, now));
         decision
@@ -118,9 +121,15 @@
 
     /// Records what the list shows of engines that leave or don't answer
     fn observe(&mut self, inputs: &FleetInputs<'_>, now: Instant) {
-        for engine in inputs.engines.iter().filter(|it| it.is_preemptible && it.is_taken_away) {
+        let is_leaving = |it: &&EngineState| it.is_preemptible && it.is_taken_away && !it.is_ready;
+        let leaving = inputs.engines.iter().filter(is_leaving).collect::<Vec<_>>();
+        self.leaving_since.retain(|id, _| leaving.iter().any(|it| it.id == *id));
+        for engine in leaving {
+            let since = *self.leaving_since.entry(engine.id.clone()).or_insert(now);
             let subject = engine.subject();
-            if !engine.is_ready && !self.orders.was_lowered(&subject, now) {
+            // An entry that stays listed doesn't rule its zone out for good.
+            let present = inputs.present_of(&subject);
+            if now - since < LEAVING_TIME && !self.orders.explains_leaving(&subject, present, now) {
                 self.orders.record_taken_away(&subject, now);
             }
         }
@@ -159,6 +168,15 @@
         needed
     }
 
+    /// Spread for the number in force, with as many engines as at the start until demand has been measured
+    fn target(&self, needed: u32, offers: &[ZoneOffer], bounds: &SpreadBounds) -> FleetSpread {
+        let unmeasured = self.unmeasured.unwrap_or_default();
+        let is_enough =
+            |it: &FleetSpread| it.values().map(|it| it.total()).sum::<u32>() >= unmeasured;
+        let mut spreads = (needed..=needed.max(unmeasured)).map(|it| spread(it, offers, bounds));
+        spreads.find(is_enough).unwrap_or_else(|| spread(needed, offers, bounds))
+    }
+
     fn bounds(&self, inputs: &FleetInputs<'_>) -> SpreadBounds {
         let ScalingRule { min, max, preemptible_price, .. } = *inputs.rule;
         let preemptible_price = preemptible_price.unwrap_or(1.0);
--- a/crates/decide/src/serving/health.rs
+++ b/crates/decide/src/serving/health.rs
@@ -167,6 +167,12 @@
         exclude(present, |it| self.is_paused(it, now))
     }
 
+    /// Whether nothing speaks against the endpoint: it is neither gone, paused nor unreliable
+    pub fn is_sound(&self, endpoint: &ListedEndpoint, now: Instant) -> bool {
+        let is_failing = self.is_paused(endpoint, now) || self.is_unreliable(endpoint, now);
+        !is_failing && !self.is_gone(endpoint)
+    }
+
     /// Endpoints for a once-only request: without the unreliable ones unless too many are unreliable
     pub fn reliable(&self, usable: Vec<ListedEndpoint>, now: Instant) -> Vec<ListedEndpoint> {
         exclude(usable, |it| self.is_unreliable(it, now))
--- a/crates/decide/src/serving/load.rs
+++ b/crates/decide/src/serving/load.rs
@@ -97,7 +97,7 @@
     }
 
     /// Whether the others' work is known: by the messages of most instances, or through a leader
-    fn hears_others(&self) -> bool {
+    pub fn hears_others(&self) -> bool {
         let has_leaders = self.max_instances() > MAX_FULL_MESH_INSTANCES;
         let hears_leaders = has_leaders && (self.others.is_some() || !self.peers.is_empty());
         self.has_list && (hears_leaders || 2 * self.instance_count() > self.max_instances())
--- a/crates/decide/tests/serving_fleet_size.rs
+++ b/crates/decide/tests/serving_fleet_size.rs
@@ -28,6 +28,9 @@
     steps_give_up_a_third_at_most => small_steps(),
     last_decoders_stay => decoders_stay(),
     taken_away_engines_are_ordered_elsewhere_at_once => taken_away(),
+    // Guards against a loss right after a step that gave engines up being taken for its result.
+    loss_after_a_lowering_order_is_noticed => taken_away_after_lowering(),
+    engines_given_up_are_no_loss => given_up(),
     // Guards against crashed engines that count as capacity.
     silent_engines_are_replaced => silent_replaced(),
     // Guards against orders because the holder itself reaches no endpoint.
@@ -235,6 +238,41 @@
     verify_that!(later.iter().filter(|it| it.subject.zone == "b").count(), eq(1))
 }
 
+/// Engines after a zone's number was lowered from 10 to some number, with some more that leave
+fn lowered(course: &mut Course, leaving: usize) -> Vec<EngineState> {
+    let mut engines = engines(1, 10);
+    course.plan = settled(course, 12);
+    let lowered = course.decide(&engines).orders;
+    for order in lowered {
+        let of_subject = engines.iter_mut().filter(|it| it.subject() == order.subject);
+        let more = if order.subject.zone == "d" { leaving } else { 0 };
+        for engine in of_subject.take(10 - order.count as usize + more) {
+            (engine.is_ready, engine.is_taken_away) = (false, true);
+        }
+    }
+    engines
+}
+
+fn taken_away_after_lowering() -> Result<()> {
+    let mut course = Course::new(12.0);
+    let engines = lowered(&mut course, 10);
+    course.now += Duration::from_millis(500);
+    course.demand.read_ms_per_s *= 3.0;
+    let orders = course.run(&engines, 4);
+    let is_of_zone = |it: &&EngineOrder| it.subject.zone == "d" && it.subject.is_preemptible;
+    verify_that!(orders.iter().find(is_of_zone), none())
+}
+
+fn given_up() -> Result<()> {
+    let mut course = Course::new(12.0);
+    let engines = lowered(&mut course, 0);
+    course.now += Duration::from_millis(500);
+    course.demand.read_ms_per_s *= 3.0;
+    let orders = course.run(&engines, 4);
+    let is_of_zone = |it: &&EngineOrder| it.subject.zone == "d" && it.subject.is_preemptible;
+    verify_that!(orders.iter().find(is_of_zone), some(anything()))
+}
+
 /// Plan with a number in force and no orders
 fn settled(course: &mut Course, needed: u32) -> FleetPlan {
     let mut record = course.plan.record();
--- a/crates/gateway/src/endpoint_link.rs
+++ b/crates/gateway/src/endpoint_link.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::link::{CheckResult, LinkState};
-use http::Request;
+use http::{Request, StatusCode};
 use http_body_util::Full;
 use indexmap::IndexMap;
 use platform_adapter::engine::call_headers;
@@ -121,13 +121,21 @@
 
     /// Asks an endpoint for its health; any answer shows that it can be reached
     async fn check_endpoint(&self, endpoint: &ListedEndpoint) -> CheckResult {
+        self.ask_health(endpoint).await.err().unwrap_or(CheckResult::Answered)
+    }
+
+    /// Asks an endpoint for its health
+    ///
+    /// # Errors
+    /// Why there is no answer.
+    pub async fn ask_health(&self, endpoint: &ListedEndpoint) -> Result<StatusCode, CheckResult> {
         let path = {
             let config = self.config.borrow();
             let pool = config.as_ref().and_then(|it| it.pools.get(&endpoint.pool));
             pool.map_or_else(|| "/".to_owned(), |it| it.health_path.to_string())
         };
         let mut request = Request::new(Full::new(Bytes::new()));
-        let Ok(uri) = path.parse() else { return CheckResult::Silent };
+        let Ok(uri) = path.parse() else { return Err(CheckResult::Silent) };
         *request.uri_mut() = uri;
         *request.headers_mut() = call_headers(endpoint);
         let share = self.connection_share(&endpoint.pool);
@@ -136,9 +144,9 @@
             connection.exchange(request).await
         };
         match timeout(CHECK_TIMEOUT, exchange).await {
-            Ok(Ok(_)) => CheckResult::Answered,
-            Ok(Err(ExchangeError::ConnectTimedOut)) | Err(_) => CheckResult::Silent,
-            Ok(Err(_)) => CheckResult::Refused,
+            Ok(Ok(response)) => Ok(response.status()),
+            Ok(Err(ExchangeError::ConnectTimedOut)) | Err(_) => Err(CheckResult::Silent),
+            Ok(Err(_)) => Err(CheckResult::Refused),
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod duties;
 pub mod duty_messages;
 pub mod endpoint_link;
+pub mod engine_demand;
 pub mod error;
 pub mod events;
 pub mod follow;
@@ -34,6 +35,7 @@
 pub mod positions;
 pub mod ready;
 pub mod relay;
+pub mod scaling;
 pub mod serving_call;
 pub mod state;
 pub mod stream_origins;
@@ -96,6 +98,9 @@
     tasks.spawn(follow::follow_endpoints(gateway.clone()));
     tasks.spawn(expire_entries(gateway.clone()));
     tasks.spawn(endpoint_link::watch_link(gateway.clone()));
+    if gateway.settings.duties.as_ref().is_some_and(|it| it.has_scaling) {
+        tasks.spawn(scaling::scale_pools(gateway.clone()));
+    }
     peers::start(gateway.clone(), &mut tasks).await?;
     tasks.spawn(listen::accept(gateway.clone(), clients));
     loop {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,9 @@
     store_bytes: Family<LabelSet, Counter>,
     relays: Family<LabelSet, Counter>,
     duty_changes: Family<LabelSet, Counter>,
+    scale_orders: Family<LabelSet, Counter>,
+    engines_needed: Family<LabelSet, Gauge>,
+    engines_answering: Family<LabelSet, Gauge>,
     first_byte: HistogramFamily,
     whole: HistogramFamily,
     /// Connections opened to endpoints
@@ -61,6 +64,9 @@
             store_bytes: Family::default(),
             relays: Family::default(),
             duty_changes: Family::default(),
+            scale_orders: Family::default(),
+            engines_needed: Family::default(),
+            engines_answering: Family::default(),
             first_byte: Family::new_with_constructor(latency_histogram),
             whole: Family::new_with_constructor(latency_histogram),
             connections_opened: Counter::default(),
@@ -93,6 +99,12 @@
         registry.register("relays", "Requests relayed between instances", self.relays.clone());
         let changes = self.duty_changes.clone();
         registry.register("duty_changes", "Changes of the lease of the duties", changes);
+        let orders = self.scale_orders.clone();
+        registry.register("scale_orders", "Orders for engines", orders);
+        let needed = self.engines_needed.clone();
+        registry.register("engines_needed", "Engines that must remain if a zone is lost", needed);
+        let answering = self.engines_answering.clone();
+        registry.register("engines_answering", "Engines of scaled pools that answer", answering);
         let held = self.duty_held.clone();
         registry.register("duty_held", "Whether this instance holds the lease of the duties", held);
         let fence = self.duty_fence.clone();
@@ -144,6 +156,25 @@
         self.duty_changes.get_or_create(&vec![("change", change)]).inc();
     }
 
+    /// Counts an order for engines
+    pub fn scale_ordered(&self, pool: &SmolStr, outcome: &'static str) {
+        let labels = vec![("pool", pool.to_string()), ("outcome", outcome.into())];
+        self.scale_orders.get_or_create(&labels).inc();
+    }
+
+    /// Records the number of engines that a pool needs and has
+    pub fn engines(&self, pool: &SmolStr, needed: u32, answering: u32) {
+        let labels = vec![("pool", pool.to_string())];
+        self.engines_needed.get_or_create(&labels).set(i64::from(needed));
+        self.engines_answering.get_or_create(&labels).set(i64::from(answering));
+    }
+
+    /// Forgets the numbers of engines, since another instance decides
+    pub fn forget_engines(&self) {
+        self.engines_needed.clear();
+        self.engines_answering.clear();
+    }
+
     /// Counts a call to the store and the bytes that it received
     pub fn store_call(&self, call: &'static str, outcome: &'static str, bytes: usize) {
         let labels = vec![("call", call.into()), ("outcome", outcome.into())];
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -388,6 +388,9 @@
         {
             return self.refuse_part(gateway, part);
         }
+        if matches!(reason, "full" | "no_endpoint") {
+            gateway.scaling.record_refused(&self.pool);
+        }
         let answer = match self.history.final_step() {
             FinalStep::Fail if Instant::now() >= self.deadline => GatewayAnswer::TimedOut,
             FinalStep::Fail => GatewayAnswer::Failed,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,6 +13,7 @@
 use crate::origin_queries::OriginQueries;
 use crate::packed_config::{ConfigAnnouncement, PackedConfig};
 use crate::part_tests::PartSuspects;
+use crate::scaling::ScalingState;
 use bytes::Bytes;
 use catalogue::id::{EndpointId, InstanceId, PoolName};
 use decide::fingerprint::Fingerprint;
@@ -133,6 +134,8 @@
     pub link: EndpointLink<Gateway>,
     /// Duties that one instance at a time fulfils
     pub duties: DutyState,
+    /// Demand for engines whose number this instance decides
+    pub scaling: ScalingState,
     /// Other instances
     pub instances: Rc<RefCell<InstanceTable>>,
     /// What other instances say of their links
@@ -197,6 +200,7 @@
             deadline_peaks: RefCell::default(),
             connections: EndpointConnections::default(),
             link: EndpointLink::default(),
+            scaling: ScalingState::default(),
             instances: Rc::default(),
             reported_links: RefCell::default(),
             buffered_bytes: Cell::default(),
@@ -370,6 +374,7 @@
         let mut windows = self.retry_windows.borrow_mut();
         let window = windows.entry(pool.clone()).or_default();
         window.record_request(&self.settings.retry_limits, now);
+        self.scaling.record_asked(pool);
     }
 
     /// Whether a request with this time left is a client's retry after a refusal
@@ -434,18 +439,19 @@
     /// `None` if the work is another instance's
     endpoint: Option<EndpointId>,
     unread_tokens: u64,
+    counted_at: Instant,
 }
 
 impl WorkGuard {
     /// Counts a request that is about to be sent
     pub fn new(gateway: Rc<Gateway>, endpoint: EndpointId, unread_tokens: u64) -> WorkGuard {
         gateway.load.borrow_mut().record_sent(&endpoint, unread_tokens);
-        WorkGuard { gateway, endpoint: Some(endpoint), unread_tokens }
+        WorkGuard { gateway, endpoint: Some(endpoint), unread_tokens, counted_at: Instant::now() }
     }
 
     /// Guard of a request that another instance counts
     pub fn uncounted(gateway: Rc<Gateway>) -> WorkGuard {
-        WorkGuard { gateway, endpoint: None, unread_tokens: 0 }
+        WorkGuard { gateway, endpoint: None, unread_tokens: 0, counted_at: Instant::now() }
     }
 
     /// Removes the prompt's tokens from the load once the endpoint has read them
@@ -453,6 +459,7 @@
         let tokens = std::mem::take(&mut self.unread_tokens);
         if let Some(endpoint) = &self.endpoint {
             self.gateway.load.borrow_mut().record_read(endpoint, tokens);
+            self.gateway.record_read_time(endpoint, tokens, self.counted_at.elapsed());
         }
     }
 }
