Compare ways to decide the number of engines in the load model

Cause: what callers lose while engines start, or a zone's engines leave, can't be seen from single decisions.

Change: demand that doubles in 2 s, swings of 11 s with a burst, and a loss at a peak; a fixed, a reactive and the planned number of engines, with the gateway's decision as it is.

--- a/crates/loadmodel/src/lib.rs
+++ b/crates/loadmodel/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod fleet;
 pub mod policy;
 pub mod report;
+pub mod scaled_fleet;
+pub mod scaling;
 
 /// Simulated time, in milliseconds from the start.
 pub type SimTime = f64;
--- a/crates/loadmodel/src/main.rs
+++ b/crates/loadmodel/src/main.rs
@@ -6,6 +6,7 @@
 use loadmodel::engine::{EngineSpec, ShedRule};
 use loadmodel::fleet::{self, FleetSize};
 use loadmodel::policy::{POLICIES, policy};
+use loadmodel::scaling;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::path::PathBuf;
@@ -30,6 +31,7 @@
     --shed-ms N        length of the pause in milliseconds (300)
     --seconds N        length of a run in seconds (20)
     --seeds N          runs of each policy and pattern (3)
+    --scaling          compare ways to decide the number of engines instead
     --svg FILE         draw the fractions served in time
     --help             show this text
 ";
@@ -72,6 +74,7 @@
 }
 
 fn compare(mut arguments: pico_args::Arguments) -> Result<(), CommandError> {
+    let is_scaling = arguments.contains("--scaling");
     let name: Option<String> = arguments.opt_value_from_str("--policy")?;
     let policies = match name {
         Some(name) => vec![policy(&name).ok_or(CommandError::Policy(name))?],
@@ -99,6 +102,10 @@
     if let Some(extra) = arguments.finish().first() {
         return Err(CommandError::Unknown(extra.display().to_string()));
     }
+    if is_scaling {
+        scaling::compare(seeds);
+        return Ok(());
+    }
     let kinds = scaled_kinds(&size.engine, size.readers + size.mixed);
     println!(
         "pattern       policy           kind     asked  in_time  late  refused  p50_ms  p99_ms  read_again_k  shed"
