Count busy engines as needed, and keep some of each kind where the platform wants that

Cause: times per token can't be learned from equally long prompts, so that the measured demand would be too low; a platform may hold the least number of a zone for each kind.

Change: an engine that has a prompt to read counts for at least 0.6 of its time; after a declined order for none, the least number holds for each kind. State and decision of the orders are in modules of their own, which don't import each other.

--- a/crates/decide/src/serving/engine_orders.rs
+++ b/crates/decide/src/serving/engine_orders.rs
@@ -49,8 +49,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderOutcome {
     Accepted,
-    /// None are to be had, or the order was declined
+    /// None are to be had
     Unavailable,
+    /// Invalid to the platform
+    Declined,
     /// Too many calls
     Limited,
     /// No answer: it may still be carried out
@@ -115,6 +117,11 @@
         (!is_within(Some(at), startup + STARTUP_MARGIN, now)).then_some(count)
     }
 
+    /// Number that was ordered last
+    pub fn last(&self, subject: &OrderSubject) -> Option<u32> {
+        Some(self.subjects.get(subject)?.ordered?.0)
+    }
+
     /// Whether engines of the subject seem to be had
     pub fn is_available(&self, subject: &OrderSubject, now: Instant) -> bool {
         let orders = self.subjects.get(subject);
@@ -159,7 +166,7 @@
                 orders.ordered = None;
                 orders.rests_until = Some(now + LIMITED_REST);
             }
-            OrderOutcome::Unavailable => {
+            OrderOutcome::Unavailable | OrderOutcome::Declined => {
                 orders.ordered = None;
                 let rest = FIRST_REST * (1 << orders.unavailable_times.min(4));
                 orders.unavailable_times += 1;
--- a/crates/decide/src/serving/fleet_demand.rs
+++ b/crates/decide/src/serving/fleet_demand.rs
@@ -35,6 +35,8 @@
     pub unread_ms: f64,
     /// Requests in flight
     pub requests: f64,
+    /// Engines that have yet to read a prompt
+    pub busy: f64,
 }
 
 /// Demand for the engines of a pool
@@ -44,6 +46,8 @@
     pub read_ms_per_s: f64,
     /// Requests in flight
     pub requests: f64,
+    /// Engines that have a prompt to read
+    pub busy: f64,
     /// Fraction of the own requests that were refused for lack of capacity
     pub refused: f64,
 }
@@ -53,6 +57,7 @@
         EngineDemand {
             read_ms_per_s: self.read_ms_per_s.max(other.read_ms_per_s),
             requests: self.requests.max(other.requests),
+            busy: self.busy.max(other.busy),
             refused: self.refused.max(other.refused),
         }
     }
@@ -141,6 +146,7 @@
         EngineDemand {
             read_ms_per_s: mean(|it| it.unread_ms) / self.read_time().as_secs_f64(),
             requests: mean(|it| it.requests),
+            busy: mean(|it| it.busy),
             refused: (refused / (asked + ASKED_MARGIN)).min(0.9),
         }
     }
--- a/crates/decide/src/serving/fleet_inputs.rs
+++ b/crates/decide/src/serving/fleet_inputs.rs
@@ -14,6 +14,9 @@
 /// Use of the engines to plan for at the peak. An engine that is busy half of the time, chosen as the better of two,
 /// makes 1 of 100 requests wait for more than two prompts; and a burst of 1.8 stays below 1 while more engines start.
 pub const TARGET_USE: f64 = 0.5;
+/// Share of the time in which an engine has a prompt to read that counts as use in any case. Learned times per token are
+/// too low while all prompts are equally long; the rest of the share is the way there and back.
+const MIN_BUSY_SHARE: f64 = 0.6;
 /// Fraction of refused requests from which the engines count as too few, whatever their measured use.
 const MAX_REFUSED: f64 = 0.02;
 /// Bound on what refusals add to the measured need: refusals for another reason must not fill the zones.
@@ -80,7 +83,8 @@
             counted.iter().map(|it| 1000.0 * if it.is_decoder { speed } else { 1.0 }).sum();
         let read_use = self.demand.read_ms_per_s / read_ms.max(1.0);
         let in_use = read_use.max(self.demand.requests / self.decoder_slots().max(1.0));
-        let by_use = answering * in_use / TARGET_USE;
+        let in_use = (answering * in_use).max(self.demand.busy * MIN_BUSY_SHARE);
+        let by_use = in_use / TARGET_USE;
         let refused = self.demand.refused;
         let needed = if refused > MAX_REFUSED {
             let more = (by_use / (1.0 - refused)).max(answering * (1.0 + refused));
--- a/crates/decide/src/serving/fleet_size.rs
+++ b/crates/decide/src/serving/fleet_size.rs
@@ -10,7 +10,7 @@
 use super::engine_orders::{EngineOrder, OrderBook, OrderOutcome, OrderSubject};
 use super::fleet_inputs::{EngineState, FleetInputs};
 use super::fleet_shrink::ShrinkStep;
-use super::fleet_spread::{FleetSpread, SpreadBounds, ZoneOffer, spread};
+use super::fleet_spread::{FleetSpread, SpreadBounds, ZoneOffer, spread, subjects};
 use super::route::ScalingRule;
 use catalogue::id::EndpointId;
 use indexmap::{IndexMap, IndexSet};
@@ -53,6 +53,8 @@
     /// Engines that stay until demand has been measured; 0 once it has been
     pub unmeasured: Option<u32>,
     pub kept_regular: u32,
+    #[serde(default)]
+    pub keeps_kinds: bool,
     pub orders: Vec<EngineOrder>,
 }
 
@@ -66,6 +68,8 @@
     fallen_at: Option<Instant>,
     shrunk_at: Option<Instant>,
     kept_regular: u32,
+    /// Whether the least number of a zone applies to each kind
+    keeps_kinds: bool,
     silent_since: IndexMap<EndpointId, Instant>,
     leaving_since: IndexMap<EndpointId, Instant>,
 }
@@ -78,6 +82,7 @@
             needed: record.needed,
             unmeasured: record.unmeasured,
             kept_regular: record.kept_regular.min(MAX_KEPT_REGULAR),
+            keeps_kinds: record.keeps_kinds,
             ..FleetPlan::default()
         }
     }
@@ -86,11 +91,18 @@
     pub fn record(&self) -> PlanRecord {
         let orders = self.orders.orders();
         let (needed, unmeasured) = (self.needed, self.unmeasured);
-        PlanRecord { needed, unmeasured, kept_regular: self.kept_regular, orders }
+        let (kept_regular, keeps_kinds) = (self.kept_regular, self.keeps_kinds);
+        PlanRecord { needed, unmeasured, kept_regular, keeps_kinds, orders }
     }
 
     /// Records the outcome of an order
     pub fn record_outcome(&mut self, subject: &OrderSubject, outcome: OrderOutcome, now: Instant) {
+        let last = self.orders.last(subject);
+        if outcome == OrderOutcome::Declined && last == Some(0) && !self.keeps_kinds {
+            // Some platforms hold the least number for each kind; the next order keeps to that.
+            self.keeps_kinds = true;
+            return;
+        }
         self.orders.record_outcome(subject, outcome, now);
     }
 
@@ -180,7 +192,8 @@
     fn bounds(&self, inputs: &FleetInputs<'_>) -> SpreadBounds {
         let ScalingRule { min, max, preemptible_price, .. } = *inputs.rule;
         let preemptible_price = preemptible_price.unwrap_or(1.0);
-        SpreadBounds { min, max, regular: self.kept_regular, preemptible_price }
+        let kind_min = if self.keeps_kinds { min } else { 0 };
+        SpreadBounds { min, max, kind_min, regular: self.kept_regular, preemptible_price }
     }
 
     fn offers(&self, inputs: &FleetInputs<'_>, now: Instant) -> Vec<ZoneOffer> {
@@ -281,10 +294,3 @@
         orders
     }
 }
-
-fn subjects(target: &FleetSpread) -> impl Iterator<Item = (OrderSubject, u32)> {
-    target.iter().flat_map(|(zone, count)| {
-        let subject = |is_preemptible| OrderSubject { zone: zone.clone(), is_preemptible };
-        [(subject(true), count.preemptible), (subject(false), count.regular)]
-    })
-}
--- a/crates/decide/src/serving/fleet_spread.rs
+++ b/crates/decide/src/serving/fleet_spread.rs
@@ -4,6 +4,7 @@
 //! spread such that those that remain after the loss of any one zone's preemptible engines
 //! are as many as needed. Among such spreads the cheapest is taken.
 
+use super::engine_orders::OrderSubject;
 use catalogue::id::ZoneName;
 use indexmap::IndexMap;
 
@@ -42,6 +43,8 @@
     /// Least and largest number of engines in a zone, of both kinds together
     pub min: u32,
     pub max: u32,
+    /// Least number of engines of each kind in a zone
+    pub kind_min: u32,
     /// Least number of regular engines in all zones
     pub regular: u32,
     /// Price of a preemptible engine relative to a regular one
@@ -89,7 +92,8 @@
     let mut spread = by_price
         .iter()
         .map(|it| {
-            let kept = if it.has_regular { 0 } else { it.present.regular.min(bounds.max) };
+            let kept =
+                if it.has_regular { bounds.kind_min } else { it.present.regular.min(bounds.max) };
             (it.zone.clone(), ZoneCount { regular: kept, preemptible: 0 })
         })
         .collect::<FleetSpread>();
@@ -97,6 +101,7 @@
     let each = least_each(needed, &spread, by_price, bounds.max);
     for offer in by_price {
         let count = &mut spread[&offer.zone];
+        let each = each.max(bounds.kind_min);
         count.preemptible = preemptible(each, offer, count.regular, bounds.max);
     }
     for offer in by_price {
@@ -148,3 +153,11 @@
     });
     prices.sum()
 }
+
+/// Number of engines by subject
+pub fn subjects(target: &FleetSpread) -> impl Iterator<Item = (OrderSubject, u32)> {
+    target.iter().flat_map(|(zone, count)| {
+        let subject = |is_preemptible| OrderSubject { zone: zone.clone(), is_preemptible };
+        [(subject(true), count.preemptible), (subject(false), count.regular)]
+    })
+}
--- a/crates/decide/tests/serving_fleet_size.rs
+++ b/crates/decide/tests/serving_fleet_size.rs
@@ -31,6 +31,10 @@
     // Guards against a loss right after a step that gave engines up being taken for its result.
     loss_after_a_lowering_order_is_noticed => taken_away_after_lowering(),
     engines_given_up_are_no_loss => given_up(),
+    // Guards against a fleet that shrinks since times per token can't be learned from equally long prompts.
+    busy_engines_are_needed_whatever_was_learned => busy(),
+    // Guards against a fleet that stays dear if the platform wants some engines of each kind.
+    declined_last_engines_are_kept => declined(),
     // Guards against crashed engines that count as capacity.
     silent_engines_are_replaced => silent_replaced(),
     // Guards against orders because the holder itself reaches no endpoint.
@@ -74,7 +78,8 @@
     rule(zones).zone_prices.iter().map(offer).collect()
 }
 
-const BOUNDS: SpreadBounds = SpreadBounds { min: 1, max: 24, regular: 2, preemptible_price: 0.15 };
+const BOUNDS: SpreadBounds =
+    SpreadBounds { min: 1, max: 24, kind_min: 0, regular: 2, preemptible_price: 0.15 };
 
 fn spread_survives() -> Result<()> {
     for needed in 1..=70 {
@@ -281,6 +286,27 @@
     FleetPlan::resume(record, course.now)
 }
 
+fn busy() -> Result<()> {
+    let mut course = Course::new(1.0);
+    course.demand.busy = 20.0;
+    verify_that!(course.decide(&engines(6, 6)).measured, eq(24))
+}
+
+fn declined() -> Result<()> {
+    let mut course = Course::new(4.0);
+    let engines = engines(4, 4);
+    let mut orders = course.decide(&engines).orders;
+    orders.retain(|it| !it.subject.is_preemptible && it.count == 0);
+    verify_that!(orders, not(is_empty()))?;
+    for order in &orders {
+        course.plan.record_outcome(&order.subject, OrderOutcome::Declined, course.now);
+    }
+    let later = course.run(&engines, 10);
+    verify_that!(later.iter().all(|it| it.count > 0), eq(true))?;
+    let is_again = |it: &&EngineOrder| it.subject == orders[0].subject;
+    verify_that!(later.iter().find(is_again), some(anything()))
+}
+
 fn silent_replaced() -> Result<()> {
     let mut course = Course::new(30.0);
     course.plan = settled(&mut course, 30);
@@ -411,7 +437,7 @@
         for _ in 0..10 {
             meter.record_read(3000, Duration::from_millis(50));
         }
-        meter.record(DemandSample { unread_ms: 5.0 * 20.0, requests: 6.0 }, now);
+        meter.record(DemandSample { unread_ms: 5.0 * 20.0, requests: 6.0, busy: 4.0 }, now);
         now += Duration::from_millis(100);
     }
     verify_that!(meter.current().read_ms_per_s, near(2000.0, 60.0))
@@ -422,7 +448,7 @@
     let mut now = Instant::now();
     let mut run = |requests: f64, seconds: u32, meter: &mut DemandMeter| {
         for _ in 0..10 * seconds {
-            meter.record(DemandSample { unread_ms: 0.0, requests }, now);
+            meter.record(DemandSample { requests, ..DemandSample::default() }, now);
             now += Duration::from_millis(100);
         }
     };
--- a/crates/gateway/src/engine_demand.rs
+++ b/crates/gateway/src/engine_demand.rs
@@ -56,6 +56,7 @@
                 false => (load.own_at(&engine.id), instances),
             };
             sample.unread_ms += work.unread_tokens as f64 * factor * ms_per_token;
+            sample.busy += if work.unread_tokens > 0 { 1.0 } else { 0.0 };
             sample.requests += f64::from(work.requests) * factor;
         }
         let mut meters = self.scaling.meters.borrow_mut();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod ready;
 pub mod relay;
 pub mod scaling;
+pub mod scaling_state;
 pub mod serving_call;
 pub mod state;
 pub mod stream_origins;
--- a/crates/gateway/src/scaling.rs
+++ b/crates/gateway/src/scaling.rs
@@ -5,92 +5,23 @@
 //! with it. No request waits for any of this.
 
 use crate::state::Gateway;
-use bytes::Bytes;
-use catalogue::id::{EndpointId, Fence, PoolName};
-use decide::serving::endpoint_list::IncarnationStart;
+use catalogue::id::{Fence, PoolName};
 use decide::serving::engine_orders::{EngineOrder, OrderOutcome};
 use decide::serving::fleet_demand::DemandMeter;
 use decide::serving::fleet_inputs::FleetInputs;
-use decide::serving::fleet_size::{FleetDecision, FleetPlan, PlanRecord};
+use decide::serving::fleet_size::FleetDecision;
 use decide::serving::route::ScalingRule;
-use indexmap::IndexMap;
 use platform_adapter::control_api::{ControlClient, ControlOutcome, DutyToken, EndpointOrder};
-use serde::{Deserialize, Serialize};
-use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::{sleep, timeout};
 
 /// Key of the plans among the values of the duties.
 const PLAN_KEY: &str = "scale";
-/// Format of the recorded plans.
-const PLAN_FORMAT: u32 = 1;
 /// Interval at which the work in flight is sampled; a prompt is unread for some tens of milliseconds.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between two decisions; engines that are taken away leave within 2 s.
 const DECISION_INTERVAL: Duration = Duration::from_millis(500);
-/// Plans of all pools as the holder records them
-#[derive(Debug, Default)]
-#[derive(Serialize, Deserialize)]
-struct RecordedPlans {
-    format: u32,
-    pools: IndexMap<PoolName, PlanRecord>,
-}
-
-/// Demand for engines and plans for their number; empty unless this instance decides it
-#[derive(Default)]
-pub struct ScalingState {
-    pub meters: RefCell<IndexMap<PoolName, DemandMeter>>,
-    plans: RefCell<IndexMap<PoolName, FleetPlan>>,
-    /// Incarnations that have answered a health check
-    pub confirmed: RefCell<IndexMap<EndpointId, IncarnationStart>>,
-    /// Engines whose health is being checked
-    pub checking: RefCell<Vec<EndpointId>>,
-    /// Plans that were staged last
-    staged: RefCell<Bytes>,
-    /// Conflicts after which the lease isn't known to be held still; orders wait
-    conflicts: Cell<usize>,
-}
-
-impl ScalingState {
-    /// Records a request to a pool
-    pub fn record_asked(&self, pool: &PoolName) {
-        if let Some(meter) = self.meters.borrow_mut().get_mut(pool) {
-            meter.record_asked();
-        }
-    }
-
-    /// Records a request that was refused for lack of capacity
-    pub fn record_refused(&self, pool: &PoolName) {
-        if let Some(meter) = self.meters.borrow_mut().get_mut(pool) {
-            meter.record_refused();
-        }
-    }
-
-    /// Starts with the plans of the earlier holder
-    fn start(&self, recorded: Option<&Bytes>, now: Instant) {
-        let plans = recorded.and_then(|it| serde_json::from_slice::<RecordedPlans>(it).ok());
-        let plans = plans.map(|it| it.pools).unwrap_or_default().into_iter();
-        let plans = plans.map(|(pool, record)| (pool, FleetPlan::resume(record, now)));
-        *self.plans.borrow_mut() = plans.collect();
-        self.staged.take();
-    }
-
-    /// Forgets everything, since another instance decides
-    fn stop(&self) {
-        self.meters.take();
-        self.plans.take();
-        self.confirmed.take();
-    }
-
-    fn recorded(&self) -> Bytes {
-        let plans = self.plans.borrow();
-        let pools = plans.iter().map(|(pool, it)| (pool.clone(), it.record()));
-        let plans = RecordedPlans { format: PLAN_FORMAT, pools: pools.collect() };
-        Bytes::from(serde_json::to_vec(&plans).unwrap_or_default())
-    }
-}
-
 /// Decides the number of engines while this instance holds the lease, for the life of the process
 pub async fn scale_pools(gateway: Rc<Gateway>) {
     let Some(settings) = &gateway.settings.duties else { return std::future::pending().await };
@@ -208,7 +139,8 @@
 fn order_outcome(outcome: ControlOutcome) -> OrderOutcome {
     match outcome {
         ControlOutcome::Accepted => OrderOutcome::Accepted,
-        ControlOutcome::Conflict | ControlOutcome::Declined(_) => OrderOutcome::Unavailable,
+        ControlOutcome::Conflict => OrderOutcome::Unavailable,
+        ControlOutcome::Declined(_) => OrderOutcome::Declined,
         ControlOutcome::Limited => OrderOutcome::Limited,
         ControlOutcome::Unanswered => OrderOutcome::Uncertain,
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,7 +13,7 @@
 use crate::origin_queries::OriginQueries;
 use crate::packed_config::{ConfigAnnouncement, PackedConfig};
 use crate::part_tests::PartSuspects;
-use crate::scaling::ScalingState;
+use crate::scaling_state::ScalingState;
 use bytes::Bytes;
 use catalogue::id::{EndpointId, InstanceId, PoolName};
 use decide::fingerprint::Fingerprint;
--- a/crates/loadmodel/src/lib.rs
+++ b/crates/loadmodel/src/lib.rs
@@ -11,12 +11,14 @@
 
 pub mod arrivals;
 pub mod chart;
+pub mod demand_pattern;
 pub mod engine;
 pub mod fleet;
 pub mod policy;
 pub mod report;
 pub mod scaled_fleet;
 pub mod scaling;
+pub mod size_policy;
 
 /// Simulated time, in milliseconds from the start.
 pub type SimTime = f64;
--- a/crates/loadmodel/src/scaling.rs
+++ b/crates/loadmodel/src/scaling.rs
@@ -4,8 +4,9 @@
 //! would read them in time; a refused caller tries again once.
 
 use crate::SimTime;
-use crate::scaled_fleet::{COMMON_PARTS, ScaledFleet};
-use decide::serving::engine_orders::{EngineOrder, OrderSubject};
+use crate::demand_pattern::{CHANGE_AT, DemandPattern, END_AT, TRAFFIC_AT};
+use crate::scaled_fleet::{COMMON_PARTS, ScaledEngine, ScaledFleet};
+use crate::size_policy::{SizePolicy, reactive_orders};
 use decide::serving::fleet_demand::{DemandMeter, DemandSample};
 use decide::serving::fleet_inputs::{FleetInputs, TARGET_USE};
 use decide::serving::fleet_size::FleetPlan;
@@ -16,7 +17,6 @@
 use rand_distr::{Distribution, Exp, LogNormal};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::f64::consts::TAU;
 use std::time::{Duration, Instant};
 
 /// Requests a second, and mean time of their prompts at an engine that only reads; together a quarter of 48 engines.
@@ -32,18 +32,6 @@
 const MAX_ENGINES: u32 = 24;
 const STARTUP: Duration = Duration::from_secs(4);
 const PREEMPTIBLE_PRICE: f64 = 0.15;
-/// Times of the start of traffic, of the change of the pattern, and of the end.
-const TRAFFIC_AT: SimTime = 14_000.0;
-const CHANGE_AT: SimTime = 60_000.0;
-const END_AT: SimTime = 90_000.0;
-/// Swing of demand and its period; from the users' recorded days.
-const SWING: f64 = 0.27;
-const SWING_MS: SimTime = 11_000.0;
-/// Rate factor and length of a burst; from the users' recorded days.
-const BURST: f64 = 1.8;
-const BURST_MS: SimTime = 3000.0;
-/// Time in which the demand doubles.
-const DOUBLING_MS: SimTime = 2000.0;
 /// Engines of which the best is chosen; the gateway compares as many with the one that holds most of the prompt.
 const SAMPLED_ENGINES: usize = 2;
 /// Time after which a refused caller tries again, and its spread.
@@ -54,67 +42,6 @@
 const SAMPLE_STEPS: usize = 10;
 const DECISION_STEPS: usize = 50;
 
-/// Change of the demand over time
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum DemandPattern {
-    /// Doubles in 2 s and stays
-    Doubling,
-    /// Swings, with a burst
-    Swing,
-    /// Swings; at a peak, the platform takes away the preemptible engines of a zone
-    Loss,
-}
-
-impl DemandPattern {
-    pub const ALL: [DemandPattern; 3] =
-        [DemandPattern::Doubling, DemandPattern::Swing, DemandPattern::Loss];
-
-    /// Name in reports
-    pub fn name(self) -> &'static str {
-        match self {
-            DemandPattern::Doubling => "doubling",
-            DemandPattern::Swing => "swing",
-            DemandPattern::Loss => "loss",
-        }
-    }
-
-    fn factor(self, now: SimTime) -> f64 {
-        let since = now - CHANGE_AT;
-        // The change comes at a peak of the swing.
-        let swing = 1.0 + SWING * (TAU * since / SWING_MS).cos();
-        match self {
-            _ if now < TRAFFIC_AT => 0.0,
-            DemandPattern::Doubling => 1.0 + (since / DOUBLING_MS).clamp(0.0, 1.0),
-            DemandPattern::Swing if (0.0..BURST_MS).contains(&since) => swing * BURST,
-            DemandPattern::Swing | DemandPattern::Loss => swing,
-        }
-    }
-}
-
-/// Way to decide the number of engines
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SizePolicy {
-    /// The number of the start
-    Fixed,
-    /// As many preemptible engines as the current use needs
-    Reactive,
-    /// The gateway's
-    Planned,
-}
-
-impl SizePolicy {
-    pub const ALL: [SizePolicy; 3] = [SizePolicy::Fixed, SizePolicy::Reactive, SizePolicy::Planned];
-
-    /// Name in reports
-    pub fn name(self) -> &'static str {
-        match self {
-            SizePolicy::Fixed => "fixed",
-            SizePolicy::Reactive => "reactive",
-            SizePolicy::Planned => "planned",
-        }
-    }
-}
-
 /// Outcome of a run
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct SizeReport {
@@ -240,9 +167,7 @@
         }
         let ready = self.fleet.engines.iter_mut().filter(|it| it.state.is_ready);
         let sampled = ready.choose_multiple(&mut self.rng, SAMPLED_ENGINES);
-        let expected = |it: &&mut crate::scaled_fleet::ScaledEngine| {
-            it.expected_ms(call.work_ms, call.part, now).0
-        };
+        let expected = |it: &&mut ScaledEngine| it.expected_ms(call.work_ms, call.part, now).0;
         let best =
             sampled.into_iter().min_by(|one, other| expected(one).total_cmp(&expected(other)));
         let waited = now - call.arrived_at;
@@ -291,6 +216,8 @@
             sample.requests += 1.0;
         }
         sample.requests += generating;
+        let is_busy = |it: &&ScaledEngine| !it.queue.is_empty();
+        sample.busy = self.fleet.engines.iter().filter(is_busy).count() as f64;
         let at = self.at(now);
         self.meter.record(sample, at);
     }
@@ -333,21 +260,6 @@
     (CHANGE_AT..CHANGE_AT + 10_000.0).contains(&arrived_at)
 }
 
-/// Orders for what the current use needs at `TARGET_USE`, evenly over the zones
-fn reactive_orders(inputs: &FleetInputs<'_>) -> Vec<EngineOrder> {
-    let needed = inputs.measured().max(1);
-    let zones = inputs.zones();
-    let each = needed.div_ceil(u32::try_from(zones.len()).unwrap_or(1)).min(inputs.rule.max);
-    let orders = zones.into_iter().flat_map(|zone| {
-        let subject = |is_preemptible| OrderSubject { zone: zone.clone(), is_preemptible };
-        [(subject(true), each), (subject(false), 0)]
-    });
-    // What the first order of a preemptible engine replaces goes when it has come.
-    let has_replacements = inputs.engines.iter().any(|it| it.is_preemptible && it.is_ready);
-    let is_allowed = |it: &(OrderSubject, u32)| it.0.is_preemptible || has_replacements;
-    orders.filter(is_allowed).map(|(subject, count)| EngineOrder { subject, count }).collect()
-}
-
 /// Prints a table of all policies and patterns; `TARGET_USE` is that of the decision
 pub fn compare(seeds: u64) {
     println!("target use {TARGET_USE}");
--- a/crates/loadmodel/tests/scaling.rs
+++ b/crates/loadmodel/tests/scaling.rs
@@ -2,7 +2,9 @@
 
 use decide::serving::engine_orders::MAX_ORDERS;
 use googletest::prelude::*;
-use loadmodel::scaling::{DemandPattern, SizePolicy, SizeReport, run};
+use loadmodel::demand_pattern::DemandPattern;
+use loadmodel::scaling::{SizeReport, run};
+use loadmodel::size_policy::SizePolicy;
 use testcases::cases;
 
 cases! {
