--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod duty_messages;
 pub mod duty_task;
 pub mod endpoint_link;
+pub mod engine_demand;
 pub mod error;
 pub mod events;
 pub mod follow;
@@ -38,6 +39,8 @@
 pub mod ready;
 pub mod relay;
 pub mod request_record;
+pub mod scaling;
+pub mod scaling_state;
 pub mod serving_call;
 pub mod state;
 pub mod stream_origins;
@@ -101,6 +104,9 @@
     tasks.spawn(follow::follow_endpoints(gateway.clone()));
     tasks.spawn(expire_entries(gateway.clone()));
     tasks.spawn(endpoint_link::watch_link(gateway.clone()));
+    if gateway.settings.duties.as_ref().is_some_and(|it| it.has_scaling) {
+        tasks.spawn(scaling::scale_pools(gateway.clone()));
+    }
     peers::start(gateway.clone(), &mut tasks).await?;
     tasks.spawn(listen::accept(gateway.clone(), clients));
     loop {
