Read streams on while their clients are slow, and end stalled ones

Cause: a stream was polled only when the client's connection took bytes. Engines cut off answers that stayed unread; a client that took nothing was never given up, and its stream's deadline not checked; an engine that sent a byte now and then held a stream until the deadline. Whole answers weren't counted after they were read, and request bodies never.

Change: once a client's socket blocks, a task reads the stream into a bounded buffer (stream_buffer); while the client keeps up, its connection polls the events directly as before. Bounds for streams, answers and bodies come from limits.memory_mb (memory). A socket that takes nothing for 10 s is closed (client_socket), also between instances. A stream that completes no event for 20 pauses of its route, and at least 5 s, is given up or resumed. Sockets of clients have a send buffer of 32 KB.

Not measured: processor time per event.

--- a/crates/decide/src/serving/route.rs
+++ b/crates/decide/src/serving/route.rs
@@ -8,6 +8,12 @@
 use smol_str::SmolStr;
 use std::time::Duration;
 
+/// Wait for an event of a stream after which it is given up, in multiples of the pause that its route allows.
+/// A healthy engine's pauses grow to several times that while it reads long prompts or moves between batches.
+const EVENT_LIMIT_PAUSES: u32 = 20;
+/// Shortest such wait; an engine that is suspended for a moment goes on within it.
+const MIN_EVENT_LIMIT: Duration = Duration::from_secs(5);
+
 pub type RouteName = SmolStr;
 /// Version of a configuration; later configurations have higher versions.
 pub type ConfigVersion = u64;
@@ -66,6 +72,15 @@
 }
 
 impl RouteConfig {
+    /// Wait for the next event of a stream after which it is given up; `None` if only the deadline ends it
+    ///
+    /// A route that states no pause allows one as long as its objective.
+    pub fn event_limit(&self) -> Option<Duration> {
+        let pause = self.pause_limit.unwrap_or(self.objective);
+        let limit = pause.saturating_mul(EVENT_LIMIT_PAUSES).max(MIN_EVENT_LIMIT);
+        (!pause.is_zero()).then_some(limit)
+    }
+
     /// Target of a request, chosen by weight; `draw` is uniform in 0..1
     pub fn target(&self, draw: f64) -> &RouteTarget {
         let total: u32 = self.targets.iter().map(|it| it.weight).sum();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! A single attempt to send a request to an endpoint.
 
 use crate::connections::{EndpointConnection, ExchangeError};
+use crate::memory::MemoryShare;
 use crate::state::{Gateway, WorkGuard};
 use bytes::{Bytes, BytesMut};
 use decide::serving::endpoint_list::ListedEndpoint;
@@ -22,8 +23,6 @@
 const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
 /// Size up to which an answer is buffered whatever the others take.
 const USUAL_BUFFERED_BYTES: usize = 64 * 1024;
-/// Size of all buffered answers beyond which larger ones are given up.
-const MAX_TOTAL_BUFFERED_BYTES: usize = 16 * 1024 * 1024;
 
 /// Timeout of the rest of an answer that declines a request; it usually comes with the head.
 const DECLINED_REST_TIMEOUT: Duration = Duration::from_millis(50);
@@ -40,6 +39,8 @@
     pub id: smol_str::SmolStr,
     /// Address of the client
     pub caller: IpAddr,
+    /// Memory that the body takes
+    pub share: MemoryShare,
 }
 
 /// Error of a send to an endpoint
@@ -182,6 +183,8 @@
     pub headers: HeaderMap,
     /// Body, fully read
     pub body: Bytes,
+    /// Memory that the body takes
+    pub share: MemoryShare,
 }
 
 /// Destination of a send
@@ -276,49 +279,31 @@
 ) -> Result<WholeAnswer, SendError> {
     let OpenAnswer { head, headers, body, connection, work_guard } = answer;
     let body = timeout_at(deadline, read_buffered(gateway, body));
-    let body = body.await.map_err(|_| SendError::TimedOut)??;
+    let (body, share) = body.await.map_err(|_| SendError::TimedOut)??;
     drop(work_guard);
     if !head.closes_connection {
         gateway.connections.release(connection, head.idle_timeout);
     }
-    Ok(WholeAnswer { status: head.status, headers, body })
+    Ok(WholeAnswer { status: head.status, headers, body, share })
 }
 
 /// Reads a body; one that is larger than usual only while the buffers of all answers have room
-async fn read_buffered(gateway: &Gateway, mut body: Incoming) -> Result<Bytes, SendError> {
+async fn read_buffered(
+    gateway: &Gateway,
+    mut body: Incoming,
+) -> Result<(Bytes, MemoryShare), SendError> {
     let mut received = BytesMut::new();
-    let mut share = BufferShare { gateway, bytes: 0 };
+    let mut share = gateway.memory.answers.share();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| SendError::Truncated)?.into_data() else { continue };
         share.grow(data.len());
-        let is_large = share.bytes > USUAL_BUFFERED_BYTES;
-        if share.bytes > MAX_BUFFERED_BYTES
-            || is_large && gateway.buffered_bytes.get() > MAX_TOTAL_BUFFERED_BYTES
-        {
+        let is_large = share.bytes() > USUAL_BUFFERED_BYTES;
+        if share.bytes() > MAX_BUFFERED_BYTES || is_large && gateway.memory.answers.is_full() {
             return Err(SendError::Oversized);
         }
         received.extend_from_slice(&data);
     }
-    Ok(received.freeze())
-}
-
-/// Part of one answer in the buffers of all answers; returned when dropped
-struct BufferShare<'a> {
-    gateway: &'a Gateway,
-    bytes: usize,
-}
-
-impl BufferShare<'_> {
-    fn grow(&mut self, bytes: usize) {
-        self.bytes += bytes;
-        self.gateway.buffered_bytes.set(self.gateway.buffered_bytes.get() + bytes);
-    }
-}
-
-impl Drop for BufferShare<'_> {
-    fn drop(&mut self) {
-        self.gateway.buffered_bytes.set(self.gateway.buffered_bytes.get() - self.bytes);
-    }
+    Ok((received.freeze(), share))
 }
 
 /// Frees the cache of a prompt that no engine is going to fetch
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,19 +1,25 @@
 //! Response bodies sent to clients.
 
 use crate::error::RelayError;
+use crate::stream_buffer::{BufferedEvents, StreamBuffer};
 use bytes::Bytes;
 use futures_util::Stream;
 use http_body::{Body, Frame, SizeHint};
 use std::any::Any;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
+/// Size of the parts in which a whole answer is passed on. The HTTP library takes about one ahead, so
+/// that the guard of the body is held until most of it is sent.
+const PART_BYTES: usize = 16 * 1024;
+
 /// Stream of relayed events
 pub type EventStream = Pin<Box<dyn Stream<Item = Result<Bytes, RelayError>>>>;
 
 enum BodyContent {
     Whole(Bytes),
-    Events(EventStream),
+    Events(BufferedEvents),
 }
 
 /// Response body; its guard is dropped with it
@@ -29,13 +35,23 @@
     }
 
     /// Body that is streamed event by event
-    pub fn events(stream: EventStream) -> AnswerBody {
-        AnswerBody { content: BodyContent::Events(stream), _guard: None }
+    pub fn events(buffer: StreamBuffer) -> AnswerBody {
+        let events = BufferedEvents { buffer: Rc::new(buffer) };
+        AnswerBody { content: BodyContent::Events(events), _guard: None }
+    }
+
+    /// Buffer of its events; `None` if it is fully buffered
+    pub fn buffer(&self) -> Option<&Rc<StreamBuffer>> {
+        match &self.content {
+            BodyContent::Whole(_) => None,
+            BodyContent::Events(events) => Some(&events.buffer),
+        }
     }
 
-    /// Attaches a guard that is dropped when the body is sent or discarded
+    /// Attaches a guard, beside those that it has, that is dropped when the body is sent or discarded
     pub fn guarded(self, guard: impl Any) -> AnswerBody {
-        AnswerBody { _guard: Some(Box::new(guard)), ..self }
+        let AnswerBody { content, _guard } = self;
+        AnswerBody { content, _guard: Some(Box::new((guard, _guard))) }
     }
 }
 
@@ -49,9 +65,12 @@
     ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
         match &mut self.content {
             BodyContent::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
-            BodyContent::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
-            BodyContent::Events(stream) => {
-                stream.as_mut().poll_next(context).map(|it| it.map(|it| it.map(Frame::data)))
+            BodyContent::Whole(bytes) => {
+                let part = bytes.split_to(bytes.len().min(PART_BYTES));
+                Poll::Ready(Some(Ok(Frame::data(part))))
+            }
+            BodyContent::Events(events) => {
+                events.poll_next(context).map(|it| it.map(|it| it.map(Frame::data)))
             }
         }
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,11 +3,12 @@
 use crate::attempt::{ClientRequest, SendTarget, WholeAnswer, read_whole, send};
 use crate::body::AnswerBody;
 use crate::generation;
+use crate::memory::MemoryShare;
 use crate::relay::{self, RequestSource};
 use crate::request_record::RequestRecord;
 use crate::serving_call::{NOT_RELAYED, Refusal, SendWay, ServingCall, failure_name, relay_whole};
 use crate::state::{Gateway, WorkGuard};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use decide::serving::crash_table::REFUSAL_TIME;
 use decide::serving::health::SendResult;
 use decide::serving::pick::{PromptProgress, pick_service};
@@ -31,6 +32,9 @@
 const RETRY_JITTER: Duration = Duration::from_millis(200);
 /// `Retry-After` of an instance that is still starting.
 const START_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Size up to which a request's body is read whatever the others take; prompts are smaller.
+const USUAL_BODY_BYTES: usize = 16 * 1024;
+
 /// Serves a request and always returns a response
 pub async fn serve(
     gateway: &Rc<Gateway>,
@@ -116,7 +120,7 @@
     record.route = route.name.clone();
     let time_left = head.time_left.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived_at + time_left;
-    let body = read_body(body, config.limits.max_body_bytes, deadline).await?;
+    let (body, share) = read_body(gateway, body, config.limits.max_body_bytes, deadline).await?;
     let origin = match head.last_event {
         Some(_) if route.is_stream => Some(gateway.find_origin(route, &head).await?),
         _ => None,
@@ -154,18 +158,35 @@
         gateway: gateway.clone(),
         failed_connects: 0,
         unanswered_sends: 0,
-        request: ClientRequest { parts, body, id: head.id, caller: source.caller() },
+        request: ClientRequest { parts, body, id: head.id, caller: source.caller(), share },
     })
 }
 
-async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
-    match timeout_at(deadline, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(Refusal::new(GatewayAnswer::TooLarge, "body_too_large"))
+/// Reads a request's body; one that is larger than usual only while those of all requests have room
+async fn read_body(
+    gateway: &Gateway,
+    body: Incoming,
+    limit: usize,
+    deadline: Instant,
+) -> Result<(Bytes, MemoryShare), Refusal> {
+    let mut body = Limited::new(body, limit);
+    let mut received = BytesMut::new();
+    let mut share = gateway.memory.bodies.share();
+    loop {
+        let data = match timeout_at(deadline, body.frame()).await {
+            Ok(None) => return Ok((received.freeze(), share)),
+            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            Ok(Some(Err(error))) if error.is::<LengthLimitError>() => {
+                return Err(Refusal::new(GatewayAnswer::TooLarge, "body_too_large"));
+            }
+            Ok(Some(Err(_))) => return Err(Refusal::new(GatewayAnswer::Malformed, "body_broken")),
+            Err(_) => return Err(Refusal::new(GatewayAnswer::BodyTimedOut, "body_timed_out")),
+        };
+        share.grow(data.len());
+        if share.bytes() > USUAL_BODY_BYTES && gateway.memory.bodies.is_full() {
+            return Err(Refusal::new(GatewayAnswer::NotRun, "bodies_full"));
         }
-        Ok(Err(_)) => Err(Refusal::new(GatewayAnswer::Malformed, "body_broken")),
-        Err(_) => Err(Refusal::new(GatewayAnswer::BodyTimedOut, "body_timed_out")),
+        received.extend_from_slice(&data);
     }
 }
 
--- a/crates/gateway/src/generation/engine_stream.rs
+++ b/crates/gateway/src/generation/engine_stream.rs
@@ -16,6 +16,8 @@
     own_time: Duration,
     pub(super) first_event_at: Instant,
     pub(super) splitter: EventSplitter,
+    /// Wait for an event after which the stream is given up; `None` if only the deadline ends it
+    pub(super) event_limit: Option<Duration>,
     /// Instance that relays it; `None` if it comes from the engine
     pub(super) relay: Option<InstanceId>,
 }
@@ -30,18 +32,26 @@
     pub(super) fn new(answer: OpenAnswer, own_time: Duration) -> EngineStream {
         let first_event_at = Instant::now();
         let splitter = EventSplitter::default();
-        EngineStream { answer, own_time, first_event_at, splitter, relay: None }
+        EngineStream { answer, own_time, first_event_at, splitter, event_limit: None, relay: None }
     }
 
     /// Reads the next complete events, or the end
+    ///
+    /// Bytes that complete no event don't extend the wait: an engine that sends one now and then has stalled.
     pub(super) async fn next(
         &mut self,
         gateway: &Gateway,
         deadline: Instant,
     ) -> Result<StreamItem, SendError> {
+        let event_due = self.event_limit.and_then(|it| Instant::now().checked_add(it));
+        let until = event_due.map_or(deadline, |it| it.min(deadline));
         loop {
+            // A stream whose client is slow may be polled only now, with more bytes at hand.
+            if Instant::now() >= deadline {
+                return Err(SendError::TimedOut);
+            }
             let frame = tokio::select! {
-                frame = timeout_at(deadline, self.answer.body.frame()) => {
+                frame = timeout_at(until, self.answer.body.frame()) => {
                     frame.map_err(|_| SendError::TimedOut)?
                 }
                 () = gateway.link.silence(), if self.relay.is_none() => {
--- a/crates/gateway/src/generation/relay_events.rs
+++ b/crates/gateway/src/generation/relay_events.rs
@@ -8,6 +8,7 @@
 use crate::request_record::RequestRecord;
 use crate::serving_call::ServingCall;
 use crate::state::Gateway;
+use crate::stream_buffer::StreamBuffer;
 use async_stream::try_stream;
 use bytes::Bytes;
 use http::Response;
@@ -24,8 +25,10 @@
 ) -> Response<AnswerBody> {
     let status = stream.answer.head.status;
     let headers = client_headers(&stream.answer.headers);
-    let events = Box::pin(relay(gateway, call, record, stream, first));
-    let mut response = Response::new(AnswerBody::events(events));
+    let (id, deadline) = (call.request.id.clone(), call.deadline);
+    let events = Box::pin(relay(gateway.clone(), call, record, stream, first));
+    let buffer = StreamBuffer::new(gateway, id, deadline, events);
+    let mut response = Response::new(AnswerBody::events(buffer));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
--- a/crates/gateway/src/generation/send.rs
+++ b/crates/gateway/src/generation/send.rs
@@ -37,6 +37,8 @@
             let mut stream = EngineStream::new(answer, Duration::ZERO);
             stream.relay = Some(instance.clone());
             let first = stream.next(gateway, call.deadline).await;
+            // That instance gives up its engine after the same time, and resumes the stream itself.
+            stream.event_limit = call.route.event_limit().map(|it| it.saturating_mul(2));
             first.map(|first| Started::Streaming(Box::new(stream), first))
         }
         false => {
@@ -228,6 +230,7 @@
     let mut stream = EngineStream::new(answer, milliseconds(step.pick.own_ms));
     let first = stream.next(gateway, deadline).await?;
     stream.first_event_at = Instant::now();
+    stream.event_limit = call.route.event_limit();
     record_prompt_read(gateway, call, &step.engine, &step.pick, sent_at.elapsed());
     Ok(Started::Streaming(Box::new(stream), first))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod background;
 pub mod body;
+pub mod client_socket;
 pub mod connections;
 pub mod coverage;
 pub mod crash_evidence;
@@ -23,6 +24,7 @@
 pub mod link_evidence;
 pub mod listen;
 pub mod log_writer;
+pub mod memory;
 pub mod messages;
 pub mod metrics;
 pub mod notices;
@@ -36,6 +38,7 @@
 pub mod request_record;
 pub mod serving_call;
 pub mod state;
+pub mod stream_buffer;
 pub mod stream_origins;
 
 pub use error::GatewayError;
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -1,5 +1,6 @@
 //! Accepts and serves client connections.
 
+use crate::client_socket::{ActivityGuard, ConnectionActivity, WatchedSocket};
 use crate::forward;
 use crate::relay::RequestSource;
 use crate::state::{Gateway, RequestGuard};
@@ -8,17 +9,12 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::cell::Cell;
 use std::convert::Infallible;
-use std::io;
 use std::net::IpAddr;
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// Maximum number of client connections; leaves file descriptors for endpoints and the store.
@@ -68,123 +64,24 @@
     }
 }
 
-/// Activity of one client connection, for its timeouts
-struct ConnectionActivity {
-    open_requests: Cell<usize>,
-    idle_since: Cell<Instant>,
-    /// When the first byte of a still incomplete head arrived
-    head_since: Cell<Option<Instant>>,
-    head_started: Notify,
-}
-
-impl ConnectionActivity {
-    fn new() -> ConnectionActivity {
-        ConnectionActivity {
-            open_requests: Cell::default(),
-            idle_since: Cell::new(Instant::now()),
-            head_since: Cell::default(),
-            head_started: Notify::new(),
-        }
-    }
-
-    /// Time of the next check for an idle client or a slow head
-    fn next_check(&self, limits: &ClientLimits) -> Instant {
-        let idle_at = self.idle_since.get() + limits.idle_timeout;
-        self.head_since.get().map_or(idle_at, |it| idle_at.min(it + limits.head_timeout))
-    }
-
-    fn is_slow_head(&self, limits: &ClientLimits) -> bool {
-        self.head_since.get().is_some_and(|it| it + limits.head_timeout <= Instant::now())
-    }
-}
-
-/// Marks a connection as in use by a request until dropped
-struct ActivityGuard(Rc<ConnectionActivity>);
-
-impl ActivityGuard {
-    fn new(activity: Rc<ConnectionActivity>) -> ActivityGuard {
-        activity.open_requests.set(activity.open_requests.get() + 1);
-        activity.head_since.set(None);
-        ActivityGuard(activity)
-    }
-}
-
-impl Drop for ActivityGuard {
-    fn drop(&mut self) {
-        self.0.open_requests.set(self.0.open_requests.get() - 1);
-        self.0.idle_since.set(Instant::now());
-    }
-}
-
-/// Socket that records when a head starts to arrive
-struct WatchedSocket {
-    socket: TcpStream,
-    activity: Rc<ConnectionActivity>,
-}
-
-impl AsyncRead for WatchedSocket {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.socket).poll_read(context, buffer);
-        let activity = &self.activity;
-        let has_read = buffer.filled().len() > before;
-        if has_read && activity.open_requests.get() == 0 && activity.head_since.get().is_none() {
-            activity.head_since.set(Some(Instant::now()));
-            activity.head_started.notify_one();
-        }
-        polled
-    }
-}
-
-impl AsyncWrite for WatchedSocket {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(context, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.socket.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(context)
-    }
-}
-
 async fn serve(gateway: Rc<Gateway>, socket: TcpStream, caller: IpAddr) {
     let _guard = ConnectionGuard::new(gateway.clone());
-    if let Err(error) = socket.set_nodelay(true) {
-        log::debug!("event=connection_ended error={error}");
-        return;
-    }
     let limits = limits(&gateway);
     let activity = Rc::new(ConnectionActivity::new());
-    let socket = WatchedSocket { socket, activity: activity.clone() };
+    let socket = match WatchedSocket::new(socket, activity.clone()) {
+        Ok(socket) => socket,
+        Err(error) => {
+            log::debug!("event=connection_ended error={error}");
+            return;
+        }
+    };
     let service = {
         let gateway = gateway.clone();
         let activity = activity.clone();
         service_fn(move |request| {
             let gateway = gateway.clone();
             let in_use = ActivityGuard::new(activity.clone());
+            let activity = activity.clone();
             let open = RequestGuard::new(gateway.clone());
             async move {
                 let mut response =
@@ -193,6 +90,9 @@
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 let (parts, body) = response.into_parts();
+                if let Some(buffer) = body.buffer() {
+                    activity.set_stream(buffer);
+                }
                 let body = body.guarded((open, in_use));
                 Ok::<_, Infallible>(http::Response::from_parts(parts, body))
             }
@@ -224,6 +124,11 @@
             }
             // Loops to compute the next check again, which may now be sooner.
             () = activity.head_started.notified() => {}
+            () = activity.stalled() => {
+                log::info!("event=connection_closed reason=client_stalled");
+                gateway.metrics.clients_stalled.inc();
+                return;
+            }
             () = sleep_until(activity.next_check(&limits)) => {
                 if activity.is_slow_head(&limits) {
                     log::info!("event=connection_closed reason=slow_head");
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,12 @@
     pub connections_opened: Counter,
     /// Retries that the retry limits did not allow
     pub budget_empty: Counter,
+    /// Streams read on into a buffer because their client was slow
+    pub streams_read_on: Counter,
+    /// Clients given up that took nothing
+    pub clients_stalled: Counter,
+    /// Bytes held for clients and endpoints
+    pub held_bytes: Gauge,
     /// Log lines dropped because the queue was full
     pub lines_dropped: Gauge,
     /// Endpoints that accept new requests
@@ -59,6 +65,9 @@
             whole: Family::new_with_constructor(latency_histogram),
             connections_opened: Counter::default(),
             budget_empty: Counter::default(),
+            streams_read_on: Counter::default(),
+            clients_stalled: Counter::default(),
+            held_bytes: Gauge::default(),
             lines_dropped: Gauge::default(),
             endpoints_ready: Gauge::default(),
             config_version: Gauge::default(),
@@ -89,6 +98,11 @@
         registry.register("connections_opened", "Connections opened to endpoints", opened);
         let empty = self.budget_empty.clone();
         registry.register("budget_empty", "Retries refused by the retry budget", empty);
+        let read_on = self.streams_read_on.clone();
+        registry.register("streams_read_on", "Streams read on for a slow client", read_on);
+        let stalled = self.clients_stalled.clone();
+        registry.register("clients_stalled", "Clients given up that took nothing", stalled);
+        registry.register("held_bytes", "Bytes held for clients", self.held_bytes.clone());
         let dropped = self.lines_dropped.clone();
         registry.register("log_lines_dropped", "Log lines dropped", dropped);
         let ready = self.endpoints_ready.clone();
--- a/crates/gateway/src/peers/port.rs
+++ b/crates/gateway/src/peers/port.rs
@@ -2,6 +2,7 @@
 
 use super::config_transfer;
 use crate::body::AnswerBody;
+use crate::client_socket::{ConnectionActivity, WatchedSocket};
 use crate::forward;
 use crate::listen::ConnectionGuard;
 use crate::ready::page;
@@ -41,20 +42,37 @@
 }
 
 async fn serve_connection(gateway: Rc<Gateway>, socket: TcpStream, sender: IpAddr) {
-    if let Err(error) = socket.set_nodelay(true) {
-        log::debug!("event=peer_connection_ended error={error}");
-        return;
-    }
+    let activity = Rc::new(ConnectionActivity::new());
+    let socket = match WatchedSocket::new(socket, activity.clone()) {
+        Ok(socket) => socket,
+        Err(error) => {
+            log::debug!("event=peer_connection_ended error={error}");
+            return;
+        }
+    };
+    let watched = activity.clone();
     let service = service_fn(move |request| {
         let gateway = gateway.clone();
-        async move { Ok::<_, Infallible>(serve_request(&gateway, request, sender).await) }
+        let activity = watched.clone();
+        async move {
+            let response = serve_request(&gateway, request, sender).await;
+            if let Some(buffer) = response.body().buffer() {
+                activity.set_stream(buffer);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .serve_connection(TokioIo::new(socket), service);
-    if let Err(error) = connection.await {
-        log::debug!("event=peer_connection_ended error={error}");
+    tokio::select! {
+        ended = connection => {
+            if let Err(error) = ended {
+                log::debug!("event=peer_connection_ended error={error}");
+            }
+        }
+        () = activity.stalled() => log::info!("event=connection_closed reason=peer_stalled"),
     }
 }
 
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -34,6 +34,8 @@
     dropped_lines: impl Fn() -> usize + 'static,
 ) {
     serve_page(listener, move || {
+        let held = i64::try_from(gateway.memory.used()).unwrap_or(i64::MAX);
+        gateway.metrics.held_bytes.set(held);
         gateway.metrics.lines_dropped.set(i64::try_from(dropped_lines()).unwrap_or(i64::MAX));
         metrics_page(&gateway)
     })
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -193,7 +193,7 @@
 
 /// Converts an endpoint's complete answer into the response to the client
 pub fn relay_whole(answer: WholeAnswer) -> Response<AnswerBody> {
-    let mut response = Response::new(AnswerBody::whole(answer.body));
+    let mut response = Response::new(AnswerBody::whole(answer.body).guarded(answer.share));
     *response.status_mut() = answer.status;
     *response.headers_mut() = client_headers(&answer.headers);
     response
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,6 +8,7 @@
 use crate::duties::DutyState;
 use crate::incarnation_check::CheckedIncarnations;
 use crate::link_evidence::{EndpointLink, EvidenceKind, ReportedLink};
+use crate::memory::MemoryBudget;
 use crate::messages::{EndpointUpdate, FactRepair, PromptRead, ServingUpdate};
 use crate::metrics::GatewayMetrics;
 use crate::origin_queries::OriginQueries;
@@ -137,8 +138,8 @@
     pub instances: Rc<RefCell<InstanceTable>>,
     /// What other instances say of their links
     pub reported_links: RefCell<IndexMap<InstanceId, ReportedLink>>,
-    /// Bytes of answers that are being read
-    pub buffered_bytes: Cell<usize>,
+    /// Memory held for slow clients and endpoints
+    pub memory: MemoryBudget,
     pub metrics: GatewayMetrics,
     /// Whether SIGTERM was received
     pub stopping: Cell<bool>,
@@ -158,6 +159,7 @@
         Gateway {
             started_at: Instant::now(),
             store: StoreClient::new(settings.store_address),
+            memory: MemoryBudget::new(settings.memory_bytes),
             settings,
             config: RefCell::default(),
             config_read_at: Cell::default(),
@@ -199,7 +201,6 @@
             duties: DutyState::default(),
             instances: Rc::default(),
             reported_links: RefCell::default(),
-            buffered_bytes: Cell::default(),
             metrics: GatewayMetrics::default(),
             stopping: Cell::default(),
             is_closing: Cell::default(),
--- a/crates/gateway/tests/gateway/endpoint.rs
+++ b/crates/gateway/tests/gateway/endpoint.rs
@@ -19,6 +19,8 @@
 pub enum Step {
     /// Writes raw bytes
     Write(Vec<u8>),
+    /// Writes raw bytes; resets the connection if none of them is taken for this time
+    WriteUnread(Vec<u8>, Duration),
     /// Writes the same bytes again and again until the connection is closed
     Flood(Vec<u8>),
     /// Waits before the next step
@@ -214,6 +216,11 @@
         self.flooded.load(Ordering::SeqCst)
     }
 
+    /// Number of connections that are open now
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+
     /// Largest number of connections that were open at once
     pub fn most_open(&self) -> usize {
         self.most_open.load(Ordering::SeqCst)
@@ -310,6 +317,19 @@
     async fn run_step(&self, socket: &mut TcpStream, step: Step, index: usize) -> bool {
         match step {
             Step::Write(bytes) => socket.write_all(&bytes).await.is_ok(),
+            Step::WriteUnread(bytes, limit) => {
+                let mut left = bytes.as_slice();
+                while !left.is_empty() {
+                    match tokio::time::timeout(limit, socket.write(left)).await {
+                        Ok(Ok(count)) => left = &left[count..],
+                        Ok(Err(_)) | Err(_) => {
+                            let _ = socket.set_zero_linger();
+                            return false;
+                        }
+                    }
+                }
+                true
+            }
             Step::Flood(bytes) => {
                 while socket.write_all(&bytes).await.is_ok() {
                     self.flooded.fetch_add(bytes.len(), Ordering::SeqCst);
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -23,6 +23,7 @@
 mod proxy;
 mod rate_limits;
 mod retry_limits;
+mod slow_readers;
 mod soak;
 mod software_versions;
 mod store;
--- a/crates/gateway/tests/gateway/process.rs
+++ b/crates/gateway/tests/gateway/process.rs
@@ -221,6 +221,7 @@
 [limits]
 cpu_share = {cpu_share:.2}
 bandwidth_mbps = {bandwidth_mbps:.1}
+memory_mb = 160
 [bounds]
 drain_ms = 2000
 grace_s = 8
