Accept answers on reused connections only with the request's id, and never share one by equal ids

Cause: an answer without an id was accepted on any connection, and one with the id of an earlier request of the same id couldn't be told from the right one. A late second copy reached the next caller so; a late refusal made a request that ran be answered with 503.

Change: on a reused connection an answer must name the request (SendError::Unnamed, may have run, says nothing of the endpoint's health); a connection that has carried a request with the same id isn't reused for it. On a new connection an answer without an id counts as before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,6 +14,7 @@
 use platform_adapter::answer::{AnswerHead, decode_answer};
 use platform_adapter::engine::{cache_path, call_headers};
 use platform_adapter::head::{SendParameters, endpoint_headers};
+use smol_str::SmolStr;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,7 +37,7 @@
     /// Body, fully read
     pub body: Bytes,
     /// Id of the client's attempt
-    pub id: smol_str::SmolStr,
+    pub id: SmolStr,
     /// Address of the client
     pub caller: IpAddr,
     /// Memory that the body takes
@@ -53,6 +54,8 @@
     Declined(StatusCode),
     /// answer belongs to another request or is not signed
     Mismatched,
+    /// answer on a reused connection names no request, so that it may belong to an earlier one
+    Unnamed,
     /// endpoint closed the connection before the end of the answer
     Truncated,
     /// endpoint sent more than an answer may have
@@ -80,6 +83,7 @@
             | SendError::Unusable
             | SendError::NotAccepted
             | SendError::Suspected => None,
+            SendError::Unnamed => None,
             // A healthy endpoint may drop an idle connection at any time.
             SendError::Exchange(ExchangeError::Unsent | ExchangeError::Stale(_)) => None,
             SendError::Exchange(ExchangeError::Connect(_) | ExchangeError::ConnectTimedOut) => {
@@ -155,6 +159,7 @@
                 ExchangeError::Broken(_) | ExchangeError::Stale(_) | ExchangeError::InterimOnly,
             )
             | SendError::Mismatched
+            | SendError::Unnamed
             | SendError::Truncated
             | SendError::Oversized
             | SendError::TimedOut => RunStatus::MayHaveRun,
@@ -214,7 +219,7 @@
 ) -> Result<OpenAnswer, SendError> {
     let SendTarget { endpoint, work_guard, once, expects_signature, may_start } = target;
     let share = gateway.connection_share(&endpoint.pool);
-    let acquired = gateway.connections.acquire(endpoint, once, share);
+    let acquired = gateway.connections.acquire(endpoint, Some(&request.id), once, share);
     let mut connection = match timeout_at(deadline, acquired).await {
         Ok(connection) => connection.map_err(SendError::Exchange)?,
         Err(_) => return Err(SendError::Exchange(ExchangeError::ConnectTimedOut)),
@@ -246,9 +251,12 @@
     gateway.record_link_answer(is_new_connection);
     let (parts, body) = response.into_parts();
     let head = decode_answer(&parts);
-    // An endpoint that has not read the request's headers answers without an id.
-    if head.request_id.as_ref().is_some_and(|it| *it != request.id) {
-        return Err(SendError::Mismatched);
+    match &head.request_id {
+        Some(id) if *id != request.id => return Err(SendError::Mismatched),
+        // An endpoint that has not read the request's headers answers without an id. What comes so on a
+        // reused connection may be a late second copy, also of a refusal, which then promises nothing.
+        None if !is_new_connection => return Err(SendError::Unnamed),
+        _ => {}
     }
     gateway.record_alive(endpoint);
     gateway.record_notices(endpoint, &head);
@@ -325,8 +333,11 @@
     *request.uri_mut() = path.parse().map_err(|_| SendError::Unusable)?;
     *request.headers_mut() = call_headers(engine);
     let share = gateway.connection_share(&engine.pool);
-    let mut connection =
-        gateway.connections.acquire(engine, false, share).await.map_err(SendError::Exchange)?;
+    let mut connection = gateway
+        .connections
+        .acquire(engine, None, false, share)
+        .await
+        .map_err(SendError::Exchange)?;
     if !gateway.try_start_send(engine) {
         return Err(SendError::NotAccepted);
     }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -13,6 +13,7 @@
 use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
+use smol_str::SmolStr;
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
@@ -30,6 +31,11 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Margin before the endpoint's idle timeout; within it a connection is not reused.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// Longest time for which an idle connection is kept, whatever the endpoint states.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(300);
+/// Number of ids of earlier requests that a connection remembers. A late second copy of an answer follows
+/// within a few requests.
+const MAX_CARRIED_IDS: usize = 8;
 /// Maximum number of idle connections kept for each endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 /// Size of a connection's read buffer, which also bounds the head of an answer.
@@ -127,6 +133,8 @@
     idle_timeout: Duration,
     /// Whether it has carried an earlier request
     pub is_reused: bool,
+    /// Ids of the latest requests that it has carried, the newest last
+    carried: Vec<SmolStr>,
 }
 
 impl EndpointConnection {
@@ -156,6 +164,15 @@
     }
 }
 
+impl EndpointConnection {
+    fn record_carried(&mut self, id: &SmolStr) {
+        if self.carried.len() == MAX_CARRIED_IDS {
+            self.carried.remove(0);
+        }
+        self.carried.push(id.clone());
+    }
+}
+
 impl Drop for EndpointConnection {
     fn drop(&mut self) {
         self.task.abort();
@@ -185,6 +202,9 @@
 impl EndpointConnections {
     /// Returns an idle connection or opens one; a request that may run only once always gets a new one
     ///
+    /// `id` is that of a client's request. A connection that has carried one with the same id isn't reused: a late second copy of that
+    /// one's answer could not be told from the answer to this request.
+    ///
     /// An endpoint may already have closed an idle connection. If a send on it then fails, it is
     /// unknown whether the request ran.
     ///
@@ -193,14 +213,17 @@
     pub async fn acquire(
         &self,
         endpoint: &ListedEndpoint,
+        id: Option<&SmolStr>,
         once: bool,
         share: usize,
     ) -> Result<EndpointConnection, ExchangeError> {
-        let idle = if once { None } else { self.acquire_idle(endpoint) };
-        match idle {
-            Some(connection) => Ok(connection),
-            None => connect(endpoint, None, self.count_open(endpoint, share)).await,
-        }
+        let idle = if once { None } else { self.acquire_idle(endpoint, id) };
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => connect(endpoint, None, self.count_open(endpoint, share)).await?,
+        };
+        id.inspect(|it| connection.record_carried(it));
+        Ok(connection)
     }
 
     /// The same for a connection to another instance, from the own address, by which that one knows this instance
@@ -211,14 +234,17 @@
         &self,
         own: IpAddr,
         instance: &ListedEndpoint,
+        id: Option<&SmolStr>,
         once: bool,
         share: usize,
     ) -> Result<EndpointConnection, ExchangeError> {
-        let idle = if once { None } else { self.acquire_idle(instance) };
-        match idle {
-            Some(connection) => Ok(connection),
-            None => connect(instance, Some(own), self.count_open(instance, share)).await,
-        }
+        let idle = if once { None } else { self.acquire_idle(instance, id) };
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => connect(instance, Some(own), self.count_open(instance, share)).await?,
+        };
+        id.inspect(|it| connection.record_carried(it));
+        Ok(connection)
     }
 
     /// Whether another request to the endpoint stays within this instance's share of connections
@@ -228,12 +254,19 @@
         set.is_none_or(|it| it.open.get() - it.idle.len() < share)
     }
 
-    fn acquire_idle(&self, endpoint: &ListedEndpoint) -> Option<EndpointConnection> {
+    fn acquire_idle(
+        &self,
+        endpoint: &ListedEndpoint,
+        id: Option<&SmolStr>,
+    ) -> Option<EndpointConnection> {
         let mut sets = self.sets.borrow_mut();
         let set = sets.get_mut(&EndpointKey::from(endpoint))?;
         set.drop_stale(Instant::now());
         // The one used last has the most idle time left.
-        let index = set.idle.iter().rposition(|it| it.sender.is_ready())?;
+        let is_usable = |it: &EndpointConnection| {
+            it.sender.is_ready() && !id.is_some_and(|id| it.carried.contains(id))
+        };
+        let index = set.idle.iter().rposition(is_usable)?;
         Some(set.idle.remove(index))
     }
 
@@ -254,6 +287,8 @@
         connection.idle_since = Instant::now();
         connection.idle_timeout =
             idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |it| it.saturating_sub(IDLE_MARGIN));
+        // The sum of a time and what an endpoint states may be out of range.
+        connection.idle_timeout = connection.idle_timeout.min(MAX_IDLE_TIMEOUT);
         let mut sets = self.sets.borrow_mut();
         let set = sets.entry(connection.key.clone()).or_default();
         if set.idle.len() < MAX_IDLE_CONNECTIONS {
@@ -304,5 +339,6 @@
         idle_since: Instant::now(),
         idle_timeout: DEFAULT_IDLE_TIMEOUT,
         is_reused: false,
+        carried: Vec::new(),
     })
 }
--- a/crates/gateway/src/endpoint_link.rs
+++ b/crates/gateway/src/endpoint_link.rs
@@ -132,7 +132,7 @@
         *request.headers_mut() = call_headers(endpoint);
         let share = self.connection_share(&endpoint.pool);
         let exchange = async {
-            let mut connection = self.connections.acquire(endpoint, true, share).await?;
+            let mut connection = self.connections.acquire(endpoint, None, true, share).await?;
             connection.exchange(request).await
         };
         match timeout(CHECK_TIMEOUT, exchange).await {
--- a/crates/gateway/src/incarnation_check.rs
+++ b/crates/gateway/src/incarnation_check.rs
@@ -80,7 +80,7 @@
         *request.uri_mut() = REPORT_PATH.parse().ok()?;
         *request.headers_mut() = call_headers(engine);
         let share = self.connection_share(&engine.pool);
-        let mut connection = self.connections.acquire(engine, false, share).await.ok()?;
+        let mut connection = self.connections.acquire(engine, None, false, share).await.ok()?;
         let answer = connection.exchange(request).await.ok()?;
         if !answer.status().is_success() {
             return None;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -185,8 +185,13 @@
     let once = !call.route.retry_rule.allows_second_run();
     let target = connection_target(peer, instance);
     let deadline = call.answer_deadline(gateway);
-    let acquired =
-        gateway.connections.acquire_from(gateway.settings.ip, &target, once, MAX_CONNECTIONS);
+    let acquired = gateway.connections.acquire_from(
+        gateway.settings.ip,
+        &target,
+        Some(&call.request.id),
+        once,
+        MAX_CONNECTIONS,
+    );
     let mut connection = match timeout_at(deadline, acquired).await {
         Ok(Ok(connection)) => connection,
         Ok(Err(_)) | Err(_) => return RelayTry::NotRun("unreachable"),
--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -194,6 +194,7 @@
         SendError::Exchange(_) => "broken",
         SendError::Declined(_) => "declined",
         SendError::Mismatched => "foreign",
+        SendError::Unnamed => "unnamed",
         SendError::Truncated => "broken_off",
         SendError::Oversized => "oversized",
         SendError::TimedOut => "timed_out",
--- /dev/null
+++ b/crates/gateway/tests/gateway/late_answers.rs
@@ -0,0 +1,65 @@
+//! Answers that come late or twice on reused connections.
+
+use crate::deployment::{Deployment, endpoint, get_path};
+use crate::endpoint::{Arrival, FakeEndpoint, Step, answer, not_run};
+use googletest::prelude::*;
+use std::collections::HashMap;
+use std::sync::Mutex;
+use testcases::cases;
+
+cases! { async
+    // Guards against a late second copy of an answer that reaches the next caller of the connection.
+    late_copy_reaches_no_other_caller => late_copy(|it, body| answer(it, "200 OK", body), "id"),
+    late_copy_without_an_id_reaches_no_other_caller => late_copy(|_, body| without_id("200 OK", body), "id"),
+    // The clients repeat an id, so that the copy can't be told by it.
+    late_copy_with_an_equal_id_reaches_no_other_caller => late_copy(|it, body| answer(it, "200 OK", body), ""),
+    // Guards against a late refusal of an earlier request, by which one that runs is told not to have run.
+    late_refusal_without_an_id_is_no_promise => late_copy(|_, _| refusal_without_id(), "id"),
+    late_refusal_with_an_equal_id_is_no_promise => late_copy(|it, _| not_run(it, "503 Service Unavailable"), ""),
+    // A new connection has carried nothing before: its refusals count.
+    refusal_without_an_id_on_a_new_connection_counts => refused_connection(),
+}
+
+/// Statuses that promise that the request has not run
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+fn without_id(status: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!("HTTP/1.1 {status}\r\nX-Server-Stamp: s\r\nContent-Length: {length}\r\n\r\n{body}")
+        .into()
+}
+
+fn refusal_without_id() -> Vec<u8> {
+    b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".to_vec()
+}
+
+/// Each answer is the request line; before it comes a copy for the last request of the connection
+async fn late_copy(copy: fn(&Arrival, &str) -> Vec<u8>, id: &'static str) -> Result<()> {
+    let earlier = Mutex::new(HashMap::new());
+    let service = endpoint("service-1", move |it| {
+        let late = earlier.lock().expect("no panic").insert(it.connection, copy(it, &it.line));
+        let own = answer(it, "200 OK", &it.line);
+        late.into_iter().chain([own]).map(Step::Write).collect()
+    })
+    .await;
+    let deployment = Deployment::start(&[&service]).await;
+    for number in 0..10 {
+        let id = if id.is_empty() { "same".to_owned() } else { format!("{id}-{number}") };
+        let got = deployment.call(get_path("lookups", &number.to_string(), &id)).await;
+        let own = format!("GET /lookups/{number} HTTP/1.1");
+        verify_that!(got.status == 200 && got.body != own, eq(false))?;
+        verify_that!(PROMISES.contains(&got.status) && has_run(&service, &own), eq(false))?;
+    }
+    Ok(())
+}
+
+fn has_run(service: &FakeEndpoint, line: &str) -> bool {
+    service.arrivals().iter().any(|it| it.line == line)
+}
+
+async fn refused_connection() -> Result<()> {
+    let service = endpoint("service-1", |_| vec![Step::Write(refusal_without_id())]).await;
+    let deployment = Deployment::start(&[&service]).await;
+    let got = deployment.call(get_path("lookups", "1", "id-1")).await;
+    verify_that!(got.status, eq(503))
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod flood;
 mod generations;
 mod large_config;
+mod late_answers;
 mod malformed;
 mod notices;
 mod plain;
