Withhold an answer's promise not to have run after a send that may have run

Cause: after the answer of one send was lost, the next endpoint's 408, 421, 429 or 503 (or the one of another instance that relays) reached the caller, who takes them for the promise that nothing has run.

Change: such an answer becomes 502 if the request's history has a send that may have run (event=promise_withheld).

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,7 +6,7 @@
 use crate::memory::MemoryShare;
 use crate::relay::{self, RequestSource};
 use crate::request_record::RequestRecord;
-use crate::serving_call::{NOT_RELAYED, Refusal, SendWay, ServingCall, failure_name, relay_whole};
+use crate::serving_call::{NOT_RELAYED, Refusal, SendWay, ServingCall, failure_name};
 use crate::state::{Gateway, WorkGuard};
 use bytes::{Bytes, BytesMut};
 use decide::serving::crash_table::REFUSAL_TIME;
@@ -210,7 +210,7 @@
                 Ok(answer) => {
                     record.relayed_to = instance;
                     record.finish("relayed", answer.status.as_str());
-                    return Ok(relay_whole(answer));
+                    return Ok(call.relay_whole(answer));
                 }
                 Err(error) => {
                     reason = failure_name(&error);
@@ -279,7 +279,7 @@
                 }
                 record.endpoint = endpoint.id.clone();
                 record.finish("answered", answer.status.as_str());
-                return Ok(relay_whole(answer));
+                return Ok(call.relay_whole(answer));
             }
             Err(error) => {
                 reason = failure_name(&error);
@@ -290,7 +290,7 @@
     match failed {
         Some(answer) => {
             record.finish("answered", answer.status.as_str());
-            Ok(relay_whole(answer))
+            Ok(call.relay_whole(answer))
         }
         None => Err((call.give_up(gateway, reason), record)),
     }
--- a/crates/gateway/src/generation/send.rs
+++ b/crates/gateway/src/generation/send.rs
@@ -5,7 +5,7 @@
 use crate::attempt::{SendError, SendTarget, free_cache, read_whole, send};
 use crate::body::AnswerBody;
 use crate::relay;
-use crate::serving_call::{ServingCall, relay_whole};
+use crate::serving_call::ServingCall;
 use crate::state::Gateway;
 use catalogue::id::InstanceId;
 use decide::serving::endpoint_list::ListedEndpoint;
@@ -43,7 +43,7 @@
         }
         false => {
             let answer = read_whole(gateway, answer, call.deadline).await;
-            answer.map(|answer| Started::Failed(relay_whole(answer)))
+            answer.map(|answer| Started::Failed(call.relay_whole(answer)))
         }
     };
     match started {
@@ -225,7 +225,7 @@
     let answer = send(gateway, target, &call.request, &parameters, deadline).await?;
     if !answer.head.status.is_success() {
         let answer = read_whole(gateway, answer, call.deadline).await?;
-        return Ok(Started::Failed(relay_whole(answer)));
+        return Ok(Started::Failed(call.relay_whole(answer)));
     }
     let mut stream = EngineStream::new(answer, milliseconds(step.pick.own_ms));
     let first = stream.next(gateway, deadline).await?;
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -9,6 +9,7 @@
 use crate::body::AnswerBody;
 use crate::part_tests::PartTest;
 use crate::state::Gateway;
+use bytes::Bytes;
 use catalogue::id::{EndpointId, PoolName};
 use decide::serving::crash_parts::PartDecision;
 use decide::serving::endpoint_list::ListedEndpoint;
@@ -19,7 +20,7 @@
 use decide::serving::send_history::{FinalStep, SendHistory};
 use decide::serving::stream_origins::{SoftwareVersion, StreamOrigin};
 use http::Response;
-use platform_adapter::answer::{GatewayAnswer, client_headers};
+use platform_adapter::answer::{GatewayAnswer, client_headers, promises_not_run};
 use platform_adapter::head::{EngineStage, SendParameters};
 use smol_str::SmolStr;
 use std::cell::RefCell;
@@ -178,6 +179,21 @@
         }
     }
 
+    /// Converts an endpoint's complete answer into the response to the client
+    ///
+    /// An answer that promises that the request has not run doesn't stand if an earlier send may have run it.
+    pub fn relay_whole(&self, answer: WholeAnswer) -> Response<AnswerBody> {
+        if self.history.may_have_run && promises_not_run(answer.status) {
+            log::info!("event=promise_withheld id={} status={}", self.request.id, answer.status);
+            let failed = GatewayAnswer::Failed.response(Some(&self.request.id), None);
+            return failed.map(|()| AnswerBody::whole(Bytes::new()));
+        }
+        let mut response = Response::new(AnswerBody::whole(answer.body).guarded(answer.share));
+        *response.status_mut() = answer.status;
+        *response.headers_mut() = client_headers(&answer.headers);
+        response
+    }
+
     /// Parameters of a send to an endpoint
     pub fn parameters(&self, endpoint: &EndpointId, stage: EngineStage) -> SendParameters {
         SendParameters {
@@ -190,11 +206,3 @@
         }
     }
 }
-
-/// Converts an endpoint's complete answer into the response to the client
-pub fn relay_whole(answer: WholeAnswer) -> Response<AnswerBody> {
-    let mut response = Response::new(AnswerBody::whole(answer.body).guarded(answer.share));
-    *response.status_mut() = answer.status;
-    *response.headers_mut() = client_headers(&answer.headers);
-    response
-}
--- a/crates/gateway/tests/gateway/late_answers.rs
+++ b/crates/gateway/tests/gateway/late_answers.rs
@@ -1,5 +1,6 @@
-//! Answers that come late or twice on reused connections.
+//! Answers that come late or twice on reused connections, and what a client may be told after a send was lost.
 
+use crate::client::call;
 use crate::deployment::{Deployment, endpoint, get_path};
 use crate::endpoint::{Arrival, FakeEndpoint, Step, answer, not_run};
 use googletest::prelude::*;
@@ -18,6 +19,12 @@
     late_refusal_with_an_equal_id_is_no_promise => late_copy(|it, _| not_run(it, "503 Service Unavailable"), ""),
     // A new connection has carried nothing before: its refusals count.
     refusal_without_an_id_on_a_new_connection_counts => refused_connection(),
+    // Guard against a promise that the request has not run after the answer of an earlier send was lost.
+    refusal_after_a_lost_answer_is_no_promise => lost_then(|it| not_run(it, "503 Service Unavailable")),
+    limit_after_a_lost_answer_is_no_promise => lost_then(|it| answer(it, "429 Too Many Requests", "")),
+    error_after_a_lost_answer_is_no_promise => lost_then(|it| answer(it, "503 Service Unavailable", "")),
+    timeout_after_a_lost_answer_is_no_promise => lost_then(|it| answer(it, "408 Request Timeout", "")),
+    misdirection_after_a_lost_answer_is_no_promise => lost_then(|it| answer(it, "421 Misdirected Request", "")),
 }
 
 /// Statuses that promise that the request has not run
@@ -63,3 +70,22 @@
     let got = deployment.call(get_path("lookups", "1", "id-1")).await;
     verify_that!(got.status, eq(503))
 }
+
+/// The first endpoint runs the request and breaks off; the second one answers as given
+async fn lost_then(second: fn(&Arrival) -> Vec<u8>) -> Result<()> {
+    let first = endpoint("service-1", |_| vec![Step::Reset]).await;
+    let second = endpoint("service-2", move |it| vec![Step::Write(second(it))]).await;
+    let deployment = Deployment::start(&[&first, &second]).await;
+    let mut reached = false;
+    for number in 0..12 {
+        let path = number.to_string();
+        let id = format!("id-{number}");
+        let got = call(deployment.instance.clients, get_path("lookups", &path, &id)).await;
+        let line = format!("GET /lookups/{number} HTTP/1.1");
+        if has_run(&first, &line) {
+            reached = true;
+            verify_that!(PROMISES.contains(&got.status), eq(false))?;
+        }
+    }
+    verify_that!(reached, eq(true))
+}
