Withstand values and messages out of range

An error in the code that handles a datagram is logged (event=peer_message_failed) and ends neither task nor process.

--- a/crates/decide/src/serving/load.rs
+++ b/crates/decide/src/serving/load.rs
@@ -34,8 +34,8 @@
 impl WorkCount {
     fn add(self, other: WorkCount) -> WorkCount {
         WorkCount {
-            requests: self.requests + other.requests,
-            unread_tokens: self.unread_tokens + other.unread_tokens,
+            requests: self.requests.saturating_add(other.requests),
+            unread_tokens: self.unread_tokens.saturating_add(other.unread_tokens),
             demand: self.demand.saturating_add(other.demand),
             sent: self.sent.saturating_add(other.sent),
         }
--- a/crates/decide/src/serving/pick.rs
+++ b/crates/decide/src/serving/pick.rs
@@ -444,7 +444,7 @@
             return read_ms;
         }
         let slots = engine.slots.max(1);
-        let queued = f64::from((work.requests + 1).saturating_sub(slots));
+        let queued = f64::from(work.requests.saturating_add(1).saturating_sub(slots));
         let batch_ms = factor * time.ms_per_token * occupancy(engine, work) * FULL_BATCH_TOKENS;
         read_ms + batch_ms + queued * timing.hold_ms() / f64::from(slots)
     }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -31,6 +31,7 @@
 use repair::{DigestPair, RepairSchedule};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, UdpSocket};
@@ -103,7 +104,7 @@
     loop {
         match exchange.socket.recv_from(&mut buffer).await {
             Ok((length, address)) => match PeerMessage::decode(&buffer[..length]) {
-                Some(message) => exchange.handle_message(message, address),
+                Some(message) => handle_safely(&exchange, message, address),
                 None => log::debug!("event=peer_message_unreadable from={address}"),
             },
             Err(error) => log::debug!("event=peer_message_lost error={error}"),
@@ -111,6 +112,15 @@
     }
 }
 
+/// Handles a message; an error in the code ends neither the task nor the process
+fn handle_safely(exchange: &Rc<PeerExchange>, message: PeerMessage, address: SocketAddr) {
+    let instance = message.instance.clone();
+    let handle = || exchange.handle_message(message, address);
+    if catch_unwind(AssertUnwindSafe(handle)).is_err() {
+        log::error!("event=peer_message_failed instance={instance} from={address}");
+    }
+}
+
 impl PeerExchange {
     fn handle_message(self: &Rc<PeerExchange>, message: PeerMessage, address: SocketAddr) {
         let now = Instant::now();
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod ending_fleet;
 mod endpoint;
 mod era;
+mod extreme_values;
 mod flood;
 mod generations;
 mod large_config;
