Serve what has arrived when a stopping instance closes connections

Cause: 2.5 s after SIGTERM the HTTP library closed idle connections without reading requests that had arrived, and closed each connection accepted after that before its first request. An instance without open connections ended at once, whatever waited to be accepted.

Change: a connection with unread bytes or half a head is left to its answer, which closes it; one that is accepted while stopping gets 500 ms for its request; the process ends after two polls (100 ms) without a connection.

--- a/crates/gateway/src/client_socket.rs
+++ b/crates/gateway/src/client_socket.rs
@@ -1,7 +1,6 @@
 //! Socket of a client, watched for slow heads and for clients that take nothing.
 
 use crate::stream_buffer::StreamBuffer;
-use decide::serving::route::ClientLimits;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -51,14 +50,19 @@
     }
 
     /// Time of the next check for an idle client or a slow head
-    pub fn next_check(&self, limits: &ClientLimits) -> Instant {
-        let idle_at = self.idle_since.get() + limits.idle_timeout;
-        self.head_since.get().map_or(idle_at, |it| idle_at.min(it + limits.head_timeout))
+    pub fn next_check(&self, head_timeout: Duration, idle_timeout: Duration) -> Instant {
+        let idle_at = self.idle_since.get() + idle_timeout;
+        self.head_since.get().map_or(idle_at, |it| idle_at.min(it + head_timeout))
     }
 
     /// Whether a head has been incomplete for too long
-    pub fn is_slow_head(&self, limits: &ClientLimits) -> bool {
-        self.head_since.get().is_some_and(|it| it + limits.head_timeout <= Instant::now())
+    pub fn is_slow_head(&self, head_timeout: Duration) -> bool {
+        self.head_since.get().is_some_and(|it| it + head_timeout <= Instant::now())
+    }
+
+    /// Whether the connection is in use, or a request has begun to arrive
+    pub fn is_busy(&self) -> bool {
+        self.open_requests.get() > 0 || self.head_since.get().is_some()
     }
 
     /// Sets the stream that is sent next
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -66,6 +66,9 @@
 /// Polling interval for open connections while draining.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Number of polls in a row without an open connection after which an instance ends.
+const QUIET_POLLS: usize = 2;
+
 /// Serves until SIGTERM; `dropped_lines` returns the number of dropped log lines
 ///
 /// # Errors
@@ -133,8 +136,12 @@
     sleep_until(deadline.min(started + IDLE_CLOSE_DELAY)).await;
     gateway.close_idle.notify_waiters();
     gateway.is_closing.set(true);
-    while gateway.open_connections.get() > 0 && Instant::now() < deadline {
+    // Connections that have arrived and aren't accepted yet are not counted: they are within an interval.
+    let mut quiet_polls = 0;
+    while quiet_polls < QUIET_POLLS && Instant::now() < deadline {
         sleep(DRAIN_POLL_INTERVAL).await;
+        let is_quiet = gateway.open_connections.get() == 0;
+        quiet_polls = if is_quiet { quiet_polls + 1 } else { 0 };
     }
     log::info!("event=stopped cut={}", gateway.open_requests.get());
     log::logger().flush();
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -21,6 +21,8 @@
 const MAX_CONNECTIONS: usize = 3000;
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time that a stopping instance waits for the request of a connection that has just been opened.
+const CLOSING_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Smallest head buffer that the HTTP library allows.
 const MIN_BUFFER_BYTES: usize = 8192;
 /// Limits until a configuration is known.
@@ -98,6 +100,7 @@
             }
         })
     };
+    let handle = socket.handle();
     let mut connection = pin!(
         http1::Builder::new()
             .timer(TokioTimer::new())
@@ -106,10 +109,11 @@
             .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(TokioIo::new(socket), service)
     );
-    let mut is_closing = gateway.is_closing.get();
-    if is_closing {
-        connection.as_mut().graceful_shutdown();
-    }
+    // The library would close a connection at once that has sent nothing yet. Answers of a stopping instance
+    // close theirs.
+    let mut idle_timeout =
+        if gateway.is_closing.get() { CLOSING_IDLE_TIMEOUT } else { limits.idle_timeout };
+    let mut is_shut = false;
     loop {
         tokio::select! {
             result = connection.as_mut() => {
@@ -118,9 +122,13 @@
                 }
                 return;
             }
-            () = gateway.close_idle.notified(), if !is_closing => {
-                is_closing = true;
-                connection.as_mut().graceful_shutdown();
+            () = gateway.close_idle.notified(), if !is_shut => {
+                idle_timeout = CLOSING_IDLE_TIMEOUT;
+                // Nor has it read what has arrived since.
+                if activity.open_requests.get() > 0 || !handle.has_unread() {
+                    is_shut = true;
+                    connection.as_mut().graceful_shutdown();
+                }
             }
             // Loops to compute the next check again, which may now be sooner.
             () = activity.head_started.notified() => {}
@@ -129,15 +137,15 @@
                 gateway.metrics.clients_stalled.inc();
                 return;
             }
-            () = sleep_until(activity.next_check(&limits)) => {
-                if activity.is_slow_head(&limits) {
+            () = sleep_until(activity.next_check(limits.head_timeout, idle_timeout)) => {
+                if activity.is_slow_head(limits.head_timeout) {
                     log::info!("event=connection_closed reason=slow_head");
                     return;
                 }
-                if activity.open_requests.get() > 0 || is_closing {
+                if activity.is_busy() || is_shut || handle.has_unread() {
                     activity.idle_since.set(Instant::now());
-                } else if activity.idle_since.get() + limits.idle_timeout <= Instant::now() {
-                    is_closing = true;
+                } else if activity.idle_since.get() + idle_timeout <= Instant::now() {
+                    is_shut = true;
                     connection.as_mut().graceful_shutdown();
                 }
             }
--- a/crates/gateway/tests/gateway/drain.rs
+++ b/crates/gateway/tests/gateway/drain.rs
@@ -11,8 +11,14 @@
     idle_instance_stops_within_its_grace_period => idle(),
     running_stream_is_completed => running_stream(),
     requests_are_served_until_the_balancer_reacts => served_while_stopping(),
+    // Guard against requests that have arrived, and are cut since nothing has read them yet.
+    requests_that_arrive_with_the_close_are_served => just_arrived(),
+    connections_that_arrive_with_the_end_are_served => just_connected(),
 }
 
+/// Time from SIGTERM until idle connections are closed
+const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2500);
+
 async fn idle() -> Result<()> {
     let service =
         endpoint("service-1", |it| vec![Step::Write(answer(it, "200 OK", "right"))]).await;
@@ -62,3 +68,58 @@
     verify_that!(got.header("connection"), some(eq("close")))?;
     verify_that!(deployment.call(get("lookups", "id-3")).await.status, eq(200))
 }
+
+/// Requests arrive while the instance is suspended, just before it closes idle connections
+async fn just_arrived() -> Result<()> {
+    let service =
+        endpoint("service-1", |it| vec![Step::Write(answer(it, "200 OK", "right"))]).await;
+    let deployment = Deployment::start(&[&service]).await;
+    let mut kept = Vec::new();
+    for _ in 0..20 {
+        kept.push(RawClient::connect(deployment.instance.clients).await);
+    }
+    for (number, client) in kept.iter_mut().enumerate() {
+        client.write(get("lookups", &format!("first-{number}"))).await;
+        verify_that!(client.read().await.status, eq(200))?;
+    }
+    deployment.instance.terminate();
+    deployment.instance.wait_line("event=stop ").await;
+    tokio::time::sleep(IDLE_CLOSE_DELAY - Duration::from_millis(200)).await;
+    deployment.instance.pause(Duration::from_millis(500));
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    for (number, client) in kept.iter_mut().enumerate() {
+        client.write(get("lookups", &format!("kept-{number}"))).await;
+    }
+    let mut new = Vec::new();
+    for number in 0..20 {
+        let mut client = RawClient::connect(deployment.instance.clients).await;
+        client.write(get("lookups", &format!("new-{number}"))).await;
+        new.push(client);
+    }
+    for client in kept.iter_mut().chain(&mut new) {
+        verify_that!(client.read().await.status, eq(200))?;
+    }
+    Ok(())
+}
+
+/// The same without any open connection, so that the instance is about to end
+async fn just_connected() -> Result<()> {
+    let service =
+        endpoint("service-1", |it| vec![Step::Write(answer(it, "200 OK", "right"))]).await;
+    let deployment = Deployment::start(&[&service]).await;
+    deployment.instance.terminate();
+    deployment.instance.wait_line("event=stop ").await;
+    tokio::time::sleep(IDLE_CLOSE_DELAY - Duration::from_millis(200)).await;
+    deployment.instance.pause(Duration::from_millis(500));
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let mut new = Vec::new();
+    for number in 0..20 {
+        let mut client = RawClient::connect(deployment.instance.clients).await;
+        client.write(get("lookups", &format!("new-{number}"))).await;
+        new.push(client);
+    }
+    for client in &mut new {
+        verify_that!(client.read().await.status, eq(200))?;
+    }
+    Ok(())
+}
