--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! A single attempt to send a request to an endpoint.
 
 use crate::connections::{EndpointConnection, ExchangeError};
+use crate::memory::MemoryShare;
 use crate::state::{Gateway, WorkGuard};
 use bytes::{Bytes, BytesMut};
 use decide::serving::endpoint_list::ListedEndpoint;
@@ -13,6 +14,7 @@
 use platform_adapter::answer::{AnswerHead, decode_answer};
 use platform_adapter::engine::{cache_path, call_headers};
 use platform_adapter::head::{SendParameters, endpoint_headers};
+use smol_str::SmolStr;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,8 +24,6 @@
 const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
 /// Size up to which an answer is buffered whatever the others take.
 const USUAL_BUFFERED_BYTES: usize = 64 * 1024;
-/// Size of all buffered answers beyond which larger ones are given up.
-const MAX_TOTAL_BUFFERED_BYTES: usize = 16 * 1024 * 1024;
 
 /// Timeout of the rest of an answer that declines a request; it usually comes with the head.
 const DECLINED_REST_TIMEOUT: Duration = Duration::from_millis(50);
@@ -37,9 +37,11 @@
     /// Body, fully read
     pub body: Bytes,
     /// Id of the client's attempt
-    pub id: smol_str::SmolStr,
+    pub id: SmolStr,
     /// Address of the client
     pub caller: IpAddr,
+    /// Memory that the body takes
+    pub share: MemoryShare,
 }
 
 /// Error of a send to an endpoint
@@ -52,6 +54,8 @@
     Declined(StatusCode),
     /// answer belongs to another request or is not signed
     Mismatched,
+    /// answer on a reused connection names no request, so that it may belong to an earlier one
+    Unnamed,
     /// endpoint closed the connection before the end of the answer
     Truncated,
     /// endpoint sent more than an answer may have
@@ -79,6 +83,7 @@
             | SendError::Unusable
             | SendError::NotAccepted
             | SendError::Suspected => None,
+            SendError::Unnamed => None,
             // A healthy endpoint may drop an idle connection at any time.
             SendError::Exchange(ExchangeError::Unsent | ExchangeError::Stale(_)) => None,
             SendError::Exchange(ExchangeError::Connect(_) | ExchangeError::ConnectTimedOut) => {
@@ -154,6 +159,7 @@
                 ExchangeError::Broken(_) | ExchangeError::Stale(_) | ExchangeError::InterimOnly,
             )
             | SendError::Mismatched
+            | SendError::Unnamed
             | SendError::Truncated
             | SendError::Oversized
             | SendError::TimedOut => RunStatus::MayHaveRun,
@@ -182,6 +188,8 @@
     pub headers: HeaderMap,
     /// Body, fully read
     pub body: Bytes,
+    /// Memory that the body takes
+    pub share: MemoryShare,
 }
 
 /// Destination of a send
@@ -211,7 +219,7 @@
 ) -> Result<OpenAnswer, SendError> {
     let SendTarget { endpoint, work_guard, once, expects_signature, may_start } = target;
     let share = gateway.connection_share(&endpoint.pool);
-    let acquired = gateway.connections.acquire(endpoint, once, share);
+    let acquired = gateway.connections.acquire(endpoint, Some(&request.id), once, share);
     let mut connection = match timeout_at(deadline, acquired).await {
         Ok(connection) => connection.map_err(SendError::Exchange)?,
         Err(_) => return Err(SendError::Exchange(ExchangeError::ConnectTimedOut)),
@@ -243,9 +251,12 @@
     gateway.record_link_answer(is_new_connection);
     let (parts, body) = response.into_parts();
     let head = decode_answer(&parts);
-    // An endpoint that has not read the request's headers answers without an id.
-    if head.request_id.as_ref().is_some_and(|it| *it != request.id) {
-        return Err(SendError::Mismatched);
+    match &head.request_id {
+        Some(id) if *id != request.id => return Err(SendError::Mismatched),
+        // An endpoint that has not read the request's headers answers without an id. What comes so on a
+        // reused connection may be a late second copy, also of a refusal, which then promises nothing.
+        None if !is_new_connection => return Err(SendError::Unnamed),
+        _ => {}
     }
     gateway.record_alive(endpoint);
     gateway.record_notices(endpoint, &head);
@@ -276,49 +287,31 @@
 ) -> Result<WholeAnswer, SendError> {
     let OpenAnswer { head, headers, body, connection, work_guard } = answer;
     let body = timeout_at(deadline, read_buffered(gateway, body));
-    let body = body.await.map_err(|_| SendError::TimedOut)??;
+    let (body, share) = body.await.map_err(|_| SendError::TimedOut)??;
     drop(work_guard);
     if !head.closes_connection {
         gateway.connections.release(connection, head.idle_timeout);
     }
-    Ok(WholeAnswer { status: head.status, headers, body })
+    Ok(WholeAnswer { status: head.status, headers, body, share })
 }
 
 /// Reads a body; one that is larger than usual only while the buffers of all answers have room
-async fn read_buffered(gateway: &Gateway, mut body: Incoming) -> Result<Bytes, SendError> {
+async fn read_buffered(
+    gateway: &Gateway,
+    mut body: Incoming,
+) -> Result<(Bytes, MemoryShare), SendError> {
     let mut received = BytesMut::new();
-    let mut share = BufferShare { gateway, bytes: 0 };
+    let mut share = gateway.memory.answers.share();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| SendError::Truncated)?.into_data() else { continue };
         share.grow(data.len());
-        let is_large = share.bytes > USUAL_BUFFERED_BYTES;
-        if share.bytes > MAX_BUFFERED_BYTES
-            || is_large && gateway.buffered_bytes.get() > MAX_TOTAL_BUFFERED_BYTES
-        {
+        let is_large = share.bytes() > USUAL_BUFFERED_BYTES;
+        if share.bytes() > MAX_BUFFERED_BYTES || is_large && gateway.memory.answers.is_full() {
             return Err(SendError::Oversized);
         }
         received.extend_from_slice(&data);
     }
-    Ok(received.freeze())
-}
-
-/// Part of one answer in the buffers of all answers; returned when dropped
-struct BufferShare<'a> {
-    gateway: &'a Gateway,
-    bytes: usize,
-}
-
-impl BufferShare<'_> {
-    fn grow(&mut self, bytes: usize) {
-        self.bytes += bytes;
-        self.gateway.buffered_bytes.set(self.gateway.buffered_bytes.get() + bytes);
-    }
-}
-
-impl Drop for BufferShare<'_> {
-    fn drop(&mut self) {
-        self.gateway.buffered_bytes.set(self.gateway.buffered_bytes.get() - self.bytes);
-    }
+    Ok((received.freeze(), share))
 }
 
 /// Frees the cache of a prompt that no engine is going to fetch
@@ -340,8 +333,11 @@
     *request.uri_mut() = path.parse().map_err(|_| SendError::Unusable)?;
     *request.headers_mut() = call_headers(engine);
     let share = gateway.connection_share(&engine.pool);
-    let mut connection =
-        gateway.connections.acquire(engine, false, share).await.map_err(SendError::Exchange)?;
+    let mut connection = gateway
+        .connections
+        .acquire(engine, None, false, share)
+        .await
+        .map_err(SendError::Exchange)?;
     if !gateway.try_start_send(engine) {
         return Err(SendError::NotAccepted);
     }
--- a/crates/gateway/src/generation/send.rs
+++ b/crates/gateway/src/generation/send.rs
@@ -5,7 +5,7 @@
 use crate::attempt::{SendError, SendTarget, free_cache, read_whole, send};
 use crate::body::AnswerBody;
 use crate::relay;
-use crate::serving_call::{ServingCall, relay_whole};
+use crate::serving_call::ServingCall;
 use crate::state::Gateway;
 use catalogue::id::InstanceId;
 use decide::serving::endpoint_list::ListedEndpoint;
@@ -37,11 +37,13 @@
             let mut stream = EngineStream::new(answer, Duration::ZERO);
             stream.relay = Some(instance.clone());
             let first = stream.next(gateway, call.deadline).await;
+            // That instance gives up its engine after the same time, and resumes the stream itself.
+            stream.event_limit = call.route.event_limit().map(|it| it.saturating_mul(2));
             first.map(|first| Started::Streaming(Box::new(stream), first))
         }
         false => {
             let answer = read_whole(gateway, answer, call.deadline).await;
-            answer.map(|answer| Started::Failed(relay_whole(answer)))
+            answer.map(|answer| Started::Failed(call.relay_whole(answer)))
         }
     };
     match started {
@@ -225,11 +227,12 @@
     let answer = send(gateway, target, &call.request, &parameters, deadline).await?;
     if !answer.head.status.is_success() {
         let answer = read_whole(gateway, answer, call.deadline).await?;
-        return Ok(Started::Failed(relay_whole(answer)));
+        return Ok(Started::Failed(call.relay_whole(answer)));
     }
     let mut stream = EngineStream::new(answer, milliseconds(step.pick.own_ms));
     let first = stream.next(gateway, deadline).await?;
     stream.first_event_at = Instant::now();
+    stream.event_limit = call.route.event_limit();
     record_prompt_read(gateway, call, &step.engine, &step.pick, sent_at.elapsed());
     Ok(Started::Streaming(Box::new(stream), first))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod background;
 pub mod body;
 pub mod checked_incarnations;
+pub mod client_socket;
 pub mod connections;
 pub mod coverage;
 pub mod crash_evidence;
@@ -28,6 +29,7 @@
 pub mod link_evidence;
 pub mod listen;
 pub mod log_writer;
+pub mod memory;
 pub mod messages;
 pub mod metrics;
 pub mod notices;
@@ -43,6 +45,7 @@
 pub mod scaling_state;
 pub mod serving_call;
 pub mod state;
+pub mod stream_buffer;
 pub mod stream_origins;
 pub mod usage;
 
@@ -71,6 +74,9 @@
 /// Polling interval for open connections while draining.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Number of polls in a row without an open connection after which an instance ends.
+const QUIET_POLLS: usize = 2;
+
 /// Serves until SIGTERM; `dropped_lines` returns the number of dropped log lines
 ///
 /// # Errors
@@ -146,8 +152,12 @@
     sleep_until(deadline.min(started + IDLE_CLOSE_DELAY)).await;
     gateway.close_idle.notify_waiters();
     gateway.is_closing.set(true);
-    while gateway.open_connections.get() > 0 && Instant::now() < deadline {
+    // Connections that have arrived and aren't accepted yet are not counted: they are within an interval.
+    let mut quiet_polls = 0;
+    while quiet_polls < QUIET_POLLS && Instant::now() < deadline {
         sleep(DRAIN_POLL_INTERVAL).await;
+        let is_quiet = gateway.open_connections.get() == 0;
+        quiet_polls = if is_quiet { quiet_polls + 1 } else { 0 };
     }
     if let Some(usage) = &gateway.usage {
         usage.finish().await;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -36,6 +36,7 @@
 use repair::{DigestPair, RepairSchedule};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, UdpSocket};
@@ -128,13 +129,22 @@
     }
 }
 
+/// Handles a message; an error in the code ends neither the task nor the process
+fn handle_safely(exchange: &Rc<PeerExchange>, message: PeerMessage, address: SocketAddr) {
+    let instance = message.instance.clone();
+    let handle = || exchange.handle_message(message, address);
+    if catch_unwind(AssertUnwindSafe(handle)).is_err() {
+        log::error!("event=peer_message_failed instance={instance} from={address}");
+    }
+}
+
 impl PeerExchange {
     async fn handle_datagram(self: &Rc<PeerExchange>, bytes: &[u8], address: SocketAddr) {
         if bytes.first() == Some(&DUTY_BYTE) && self.gateway.settings.duties.is_some() {
             return duty_updates::receive(self, bytes, address).await;
         }
         match PeerMessage::decode(bytes) {
-            Some(message) => self.handle_message(message, address),
+            Some(message) => handle_safely(self, message, address),
             None => log::debug!("event=peer_message_unreadable from={address}"),
         }
     }
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -10,6 +10,7 @@
 use crate::part_tests::PartTest;
 use crate::state::Gateway;
 use crate::usage::begun::UsageMark;
+use bytes::Bytes;
 use catalogue::id::{EndpointId, PoolName};
 use decide::serving::crash_parts::PartDecision;
 use decide::serving::customers::Customer;
@@ -21,7 +22,7 @@
 use decide::serving::send_history::{FinalStep, SendHistory};
 use decide::serving::stream_origins::{SoftwareVersion, StreamOrigin};
 use http::Response;
-use platform_adapter::answer::{GatewayAnswer, client_headers};
+use platform_adapter::answer::{GatewayAnswer, client_headers, promises_not_run};
 use platform_adapter::head::{EngineStage, SendParameters};
 use smol_str::SmolStr;
 use std::cell::RefCell;
@@ -188,6 +189,21 @@
         }
     }
 
+    /// Converts an endpoint's complete answer into the response to the client
+    ///
+    /// An answer that promises that the request has not run doesn't stand if an earlier send may have run it.
+    pub fn relay_whole(&self, answer: WholeAnswer) -> Response<AnswerBody> {
+        if self.history.may_have_run && promises_not_run(answer.status) {
+            log::info!("event=promise_withheld id={} status={}", self.request.id, answer.status);
+            let failed = GatewayAnswer::Failed.response(Some(&self.request.id), None);
+            return failed.map(|()| AnswerBody::whole(Bytes::new()));
+        }
+        let mut response = Response::new(AnswerBody::whole(answer.body).guarded(answer.share));
+        *response.status_mut() = answer.status;
+        *response.headers_mut() = client_headers(&answer.headers);
+        response
+    }
+
     /// Parameters of a send to an endpoint
     pub fn parameters(&self, endpoint: &EndpointId, stage: EngineStage) -> SendParameters {
         let rank = self.customer.as_ref().and_then(|it| it.rank).unwrap_or(self.route.rank);
@@ -202,11 +218,3 @@
         }
     }
 }
-
-/// Converts an endpoint's complete answer into the response to the client
-pub fn relay_whole(answer: WholeAnswer) -> Response<AnswerBody> {
-    let mut response = Response::new(AnswerBody::whole(answer.body));
-    *response.status_mut() = answer.status;
-    *response.headers_mut() = client_headers(&answer.headers);
-    response
-}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,6 +8,7 @@
 use crate::coverage::TopicCoverage;
 use crate::duties::DutyState;
 use crate::link_evidence::{EndpointLink, EvidenceKind, ReportedLink};
+use crate::memory::MemoryBudget;
 use crate::messages::{EndpointUpdate, FactRepair, PromptRead, ServingUpdate};
 use crate::metrics::GatewayMetrics;
 use crate::origin_queries::OriginQueries;
@@ -145,8 +146,8 @@
     pub instances: Rc<RefCell<InstanceTable>>,
     /// What other instances say of their links
     pub reported_links: RefCell<IndexMap<InstanceId, ReportedLink>>,
-    /// Bytes of answers that are being read
-    pub buffered_bytes: Cell<usize>,
+    /// Memory held for slow clients and endpoints
+    pub memory: MemoryBudget,
     pub metrics: GatewayMetrics,
     /// Whether SIGTERM was received
     pub stopping: Cell<bool>,
@@ -169,6 +170,7 @@
             store: StoreClient::new(settings.store_address),
             duties: DutyState::new(&settings, metrics.duties.clone()),
             usage: UsageState::new(&settings),
+            memory: MemoryBudget::new(settings.memory_bytes),
             settings,
             config: RefCell::default(),
             config_read_at: Cell::default(),
@@ -211,7 +213,6 @@
             scaling: ScalingState::default(),
             instances: Rc::default(),
             reported_links: RefCell::default(),
-            buffered_bytes: Cell::default(),
             metrics,
             stopping: Cell::default(),
             is_closing: Cell::default(),
