Judge keys by the time since the configuration was known to be the newest

Cause: an instance that was frozen or suspended, or got its messages late, took an old configuration for current. It accepted keys that had been removed and refused new ones for good.

Change: the age of the configuration counts on the clock that includes suspended time, a read from when it was asked for, and another instance's update from that one's read. Updates that may have been queued over a freeze don't count, and a known newer version makes the configuration outdated at once.

--- a/crates/decide/src/serving/customers.rs
+++ b/crates/decide/src/serving/customers.rs
@@ -3,10 +3,10 @@
 //! Keys are kept and looked up as digests, so that the time of a look-up doesn't depend on
 //! how much of a key matches, and no key is in memory longer than its request.
 
+use super::config_age::ConfigAge;
 use catalogue::id::CustomerName;
 use indexmap::IndexMap;
 use sha2::{Digest, Sha256};
-use std::time::Duration;
 
 /// First 128 bits of the SHA-256 of a key.
 pub type KeyDigest = [u8; 16];
@@ -77,22 +77,6 @@
     Relayed(Option<&'a str>),
 }
 
-/// How current the configuration in force is
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ConfigAge {
-    /// Time since it was known to be the newest one; `None` if a newer one is known
-    pub age: Option<Duration>,
-    /// Time in which a new configuration must be in force
-    pub bound: Duration,
-}
-
-impl ConfigAge {
-    /// Whether a newer configuration may be in force elsewhere
-    pub fn is_outdated(&self) -> bool {
-        self.age.is_none_or(|it| it > self.bound)
-    }
-}
-
 /// Decision on the customer of a request
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CustomerDecision {
@@ -102,7 +86,7 @@
     Customer(Customer),
     /// The key is not in the configuration
     Unknown,
-    /// The key is not in the configuration, which may be out of date
+    /// The configuration may be out of date, and a newer one may decide otherwise
     Undecided,
     /// Another instance has found a customer that this one doesn't know, or none where one is needed
     Declined,
@@ -129,11 +113,15 @@
         CustomerClaim::Relayed(name) => name.and_then(|it| table.by_name(it)),
     };
     match (customer, claim) {
+        // Its key may have been removed during the freeze.
+        (Some(_), CustomerClaim::Key(_)) if age == ConfigAge::Thawing => {
+            CustomerDecision::Undecided
+        }
         (Some(customer), _) => CustomerDecision::Customer(customer.clone()),
         (None, CustomerClaim::Relayed(_)) => CustomerDecision::Declined,
         // A request without a key is refused by all configurations with customers.
         (None, CustomerClaim::Key(None)) => CustomerDecision::Unknown,
-        (None, CustomerClaim::Key(_)) if age.is_outdated() => CustomerDecision::Undecided,
+        (None, CustomerClaim::Key(_)) if age != ConfigAge::Current => CustomerDecision::Undecided,
         (None, CustomerClaim::Key(_)) => CustomerDecision::Unknown,
     }
 }
--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -4,6 +4,7 @@
 //! module does no I/O, reads no clock and generates no random numbers.
 
 pub mod cache;
+pub mod config_age;
 pub mod crash_parts;
 pub mod crash_table;
 pub mod customers;
--- a/crates/decide/tests/serving_customers.rs
+++ b/crates/decide/tests/serving_customers.rs
@@ -1,11 +1,10 @@
 //! Customers and their keys.
 
+use decide::serving::config_age::ConfigAge;
 use decide::serving::customers::{
-    ConfigAge, Customer, CustomerClaim, CustomerDecision, CustomerTable, decide_customer,
-    key_digest,
+    Customer, CustomerClaim, CustomerDecision, CustomerTable, decide_customer, key_digest,
 };
 use googletest::prelude::*;
-use std::time::Duration;
 use testcases::cases;
 
 cases! {
@@ -17,24 +16,27 @@
     key_listed_twice_belongs_to_the_first => find(b"shared", Some("a")),
     name_listed_twice_is_one_customer => one_name(),
 
-    known_key_is_accepted => decision(CustomerClaim::Key(Some(b"key-a")), AGED, customer("a")),
+    known_key_is_accepted => decision(CustomerClaim::Key(Some(b"key-a")), ConfigAge::Current, customer("a")),
     // Guards against customers that are turned away while the store is unavailable.
     known_key_is_accepted_whatever_the_age =>
-        decision(CustomerClaim::Key(Some(b"key-a")), OUTDATED, customer("a")),
-    unknown_key_is_refused => decision(CustomerClaim::Key(Some(b"x")), AGED, CustomerDecision::Unknown),
+        decision(CustomerClaim::Key(Some(b"key-a")), ConfigAge::Outdated, customer("a")),
+    unknown_key_is_refused => decision(CustomerClaim::Key(Some(b"x")), ConfigAge::Current, CustomerDecision::Unknown),
     // Guards against a 401 for a key that a newer configuration allows.
     unknown_key_is_undecided_beyond_the_bound =>
-        decision(CustomerClaim::Key(Some(b"x")), OUTDATED, CustomerDecision::Undecided),
-    unknown_key_is_undecided_while_a_newer_configuration_is_known =>
-        decision(CustomerClaim::Key(Some(b"x")), None, CustomerDecision::Undecided),
+        decision(CustomerClaim::Key(Some(b"x")), ConfigAge::Outdated, CustomerDecision::Undecided),
+    unknown_key_is_undecided_after_a_freeze =>
+        decision(CustomerClaim::Key(Some(b"x")), ConfigAge::Thawing, CustomerDecision::Undecided),
+    // Guards against a key that was removed while the instance was frozen.
+    known_key_is_undecided_after_a_freeze =>
+        decision(CustomerClaim::Key(Some(b"key-a")), ConfigAge::Thawing, CustomerDecision::Undecided),
     missing_key_is_refused_whatever_the_age =>
-        decision(CustomerClaim::Key(None), None, CustomerDecision::Unknown),
-    relayed_customer_is_found_by_name => decision(CustomerClaim::Relayed(Some("b")), None, customer("b")),
+        decision(CustomerClaim::Key(None), ConfigAge::Thawing, CustomerDecision::Unknown),
+    relayed_customer_is_found_by_name => decision(CustomerClaim::Relayed(Some("b")), ConfigAge::Thawing, customer("b")),
     relayed_unknown_customer_is_declined =>
-        decision(CustomerClaim::Relayed(Some("c")), AGED, CustomerDecision::Declined),
+        decision(CustomerClaim::Relayed(Some("c")), ConfigAge::Current, CustomerDecision::Declined),
     // Guards against a request that gets in through an instance that doesn't know customers yet.
     relayed_request_without_a_customer_is_declined =>
-        decision(CustomerClaim::Relayed(None), AGED, CustomerDecision::Declined),
+        decision(CustomerClaim::Relayed(None), ConfigAge::Current, CustomerDecision::Declined),
     relayed_customer_is_declined_without_customers => without_customers(
         CustomerClaim::Relayed(Some("a")),
         CustomerDecision::Declined,
@@ -44,10 +46,6 @@
     nobody_needs_a_key_on_a_public_route => public(),
 }
 
-const BOUND: Duration = Duration::from_secs(2);
-const AGED: Option<Duration> = Some(BOUND);
-const OUTDATED: Option<Duration> = Some(Duration::from_millis(2001));
-
 fn table() -> CustomerTable {
     let mut table = CustomerTable::default();
     let keys: [(&str, &[&str]); 2] =
@@ -76,24 +74,17 @@
     verify_that!(table.by_name("a").and_then(|it| it.rank), none())
 }
 
-fn decision(
-    claim: CustomerClaim<'_>,
-    age: Option<Duration>,
-    expected: CustomerDecision,
-) -> Result<()> {
-    let age = ConfigAge { age, bound: BOUND };
+fn decision(claim: CustomerClaim<'_>, age: ConfigAge, expected: CustomerDecision) -> Result<()> {
     verify_that!(decide_customer(Some(&table()), false, claim, age), eq(&expected))
 }
 
 fn without_customers(claim: CustomerClaim<'_>, expected: CustomerDecision) -> Result<()> {
-    let age = ConfigAge { age: AGED, bound: BOUND };
-    verify_that!(decide_customer(None, false, claim, age), eq(&expected))
+    verify_that!(decide_customer(None, false, claim, ConfigAge::Current), eq(&expected))
 }
 
 fn public() -> Result<()> {
-    let age = ConfigAge { age: AGED, bound: BOUND };
     for claim in [CustomerClaim::Key(Some(b"key-a")), CustomerClaim::Key(None)] {
-        let decision = decide_customer(Some(&table()), true, claim, age);
+        let decision = decide_customer(Some(&table()), true, claim, ConfigAge::Current);
         verify_that!(decision, eq(&CustomerDecision::Nobody))?;
     }
     Ok(())
--- a/crates/gateway/src/customer_keys.rs
+++ b/crates/gateway/src/customer_keys.rs
@@ -1,19 +1,19 @@
 //! Finds the customer of a request by its key, before the body is read.
 //!
 //! The configuration in force decides, also on open connections. While it may be out of
-//! date, a key that it doesn't know is refused with an answer that allows a retry.
+//! date, a key that it doesn't know is refused with an answer that allows a retry, and right
+//! after a freeze so is any other key.
 
+use crate::boot_clock::boot_time;
 use crate::relay::RequestSource;
 use crate::serving_call::Refusal;
 use crate::state::Gateway;
-use decide::serving::customers::{
-    ConfigAge, Customer, CustomerClaim, CustomerDecision, decide_customer,
-};
+use decide::serving::config_age::{BootTime, ConfigAge};
+use decide::serving::customers::{Customer, CustomerClaim, CustomerDecision, decide_customer};
 use decide::serving::route::{RouteConfig, ServingConfig};
 use http::HeaderMap;
 use platform_adapter::answer::GatewayAnswer;
 use platform_adapter::head::take_key;
-use std::time::{Duration, Instant};
 
 /// Reason of a refusal of a key that no configuration in force allows
 pub const UNKNOWN_KEY: &str = "unknown_key";
@@ -23,19 +23,15 @@
 pub const UNKNOWN_CUSTOMER: &str = "unknown_customer";
 
 impl Gateway {
-    /// Records that the configuration in force was the newest one at a time
-    pub fn confirm_config(&self, at: Instant) {
-        self.config_confirmed_at.set(self.config_confirmed_at.get().max(Some(at)));
-    }
-
-    /// Records that a newer configuration than the one in force is known to exist
-    pub fn void_config_confirmation(&self) {
-        self.config_confirmed_at.set(None);
+    /// Records that the configuration in force was the newest one when a read was asked for
+    pub fn confirm_config_read(&self, asked_at: BootTime) {
+        if let Some(version) = self.config.borrow().as_ref().map(|it| it.version) {
+            self.config_confirmation.borrow_mut().record_read(version, asked_at);
+        }
     }
 
     fn config_age(&self) -> ConfigAge {
-        let age: Option<Duration> = self.config_confirmed_at.get().map(|it| it.elapsed());
-        ConfigAge { age, bound: self.settings.config_bound }
+        self.config_confirmation.borrow_mut().age(self.settings.config_bound, boot_time())
     }
 }
 
@@ -50,13 +46,14 @@
     headers: &mut HeaderMap,
     source: &RequestSource,
 ) -> Result<Option<Customer>, Refusal> {
-    let key = config.customers.as_ref().and_then(|_| take_key(headers));
+    let table = config.customers.as_deref();
+    let key = table.and_then(|_| take_key(headers));
     let claim = match source {
         RequestSource::Client(_) => CustomerClaim::Key(key.as_ref().map(|it| it.as_bytes())),
         RequestSource::Instance { customer, .. } => CustomerClaim::Relayed(customer.as_deref()),
     };
-    let table = config.customers.as_deref();
-    match decide_customer(table, route.is_public, claim, gateway.config_age()) {
+    let age = table.map_or(ConfigAge::Current, |_| gateway.config_age());
+    match decide_customer(table, route.is_public, claim, age) {
         CustomerDecision::Nobody => Ok(None),
         CustomerDecision::Customer(customer) => Ok(Some(customer)),
         CustomerDecision::Unknown => Err(Refusal::new(GatewayAnswer::UnknownKey, UNKNOWN_KEY)),
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -6,6 +6,7 @@
 //! read it waits for such updates first. While the store is unavailable, both tasks keep
 //! the last known state.
 
+use crate::boot_clock::boot_time;
 use crate::coverage::{LEADER_WAIT_FRACTION, START_FRACTION};
 use crate::messages::EndpointUpdate;
 use crate::peers::config_transfer;
@@ -94,7 +95,7 @@
         let wait = poll_time(bound, has_missed || is_started);
         is_started = false;
         let is_first = position.is_none();
-        let sent_at = Instant::now();
+        let asked_at = boot_time();
         match read_from(&gateway, OPERATOR_TOPIC, position, wait).await {
             Ok((batch, to)) => {
                 backoff.succeeded();
@@ -109,7 +110,7 @@
                     }
                 }
                 // The store may have answered long before the answer was read, but not before it was asked.
-                gateway.confirm_config(sent_at);
+                gateway.confirm_config_read(asked_at);
                 if is_first {
                     is_started = true;
                     gateway.config_coverage.extend(bound.mul_f64(START_FRACTION), Instant::now());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod background;
 pub mod body;
+pub mod boot_clock;
 pub mod connections;
 pub mod coverage;
 pub mod crash_evidence;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -19,6 +19,7 @@
 pub use listing::{format_entry, parse_entry};
 
 use crate::background::BackgroundTasks;
+use crate::boot_clock::boot_time;
 use crate::error::GatewayError;
 use crate::messages::{
     MAX_MESSAGE_BYTES, MessageBody, PeerMessage, ServingUpdate, WorkScope, received_work, work_body,
@@ -297,6 +298,7 @@
         let now = Instant::now();
         exchange.send_repairs(now).await;
         gateway.load.borrow_mut().expire(now);
+        gateway.config_confirmation.borrow_mut().record_active(boot_time());
         gateway.update_limits(now);
         // A cut instance's requests don't reach the endpoints, or not before it gives them up.
         let work = match gateway.link.is_cut() {
--- a/crates/gateway/src/peers/store_updates.rs
+++ b/crates/gateway/src/peers/store_updates.rs
@@ -1,6 +1,7 @@
 //! Updates of the store, sent to the others by the instance that reads it.
 
 use super::PeerExchange;
+use crate::boot_clock::boot_time;
 use crate::coverage::{COVERAGE_FRACTION, LEADER_READ_AGE_FRACTION};
 use crate::follow::{apply_config, apply_endpoint_update};
 use crate::messages::{EndpointUpdate, MessageBody, StoreUpdate};
@@ -10,6 +11,7 @@
 use decide::serving::leader::PeerInstance;
 use decide::serving::route::ConfigVersion;
 use platform_adapter::config::without_keys;
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -89,10 +91,8 @@
             source: update.offers_config.then_some(sender),
         }));
         gateway.config_coverage.record_missed();
-        gateway.void_config_confirmation();
-    } else if let Some(read_at) = now.checked_sub(max_read_age(gateway)) {
-        gateway.confirm_config(read_at);
     }
+    confirm_config(gateway, version, update.config_version);
     gateway.endpoints_coverage.extend(coverage_time(gateway), now);
     let endpoints = update.endpoints;
     match gateway.endpoints_position() {
@@ -113,9 +113,16 @@
     settings.config_bound.min(settings.drain_bound).mul_f64(COVERAGE_FRACTION)
 }
 
-/// Largest age of the read of the configuration that an update tells of
-fn max_read_age(gateway: &Gateway) -> Duration {
-    gateway.settings.config_bound.mul_f64(LEADER_READ_AGE_FRACTION)
+/// Records what an update with the sender's version says of the age of the own one
+fn confirm_config(gateway: &Gateway, version: Option<ConfigVersion>, told: ConfigVersion) {
+    let mut confirmation = gateway.config_confirmation.borrow_mut();
+    let read_age = gateway.settings.config_bound.mul_f64(LEADER_READ_AGE_FRACTION);
+    match version.cmp(&Some(told)) {
+        Ordering::Less => confirmation.record_newer(told, boot_time()),
+        Ordering::Equal => confirmation.record_told(told, read_age, boot_time()),
+        // The sender lags behind.
+        Ordering::Greater => {}
+    }
 }
 
 fn has_recent_reads(gateway: &Gateway, now: Instant) -> bool {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,6 +17,7 @@
 use catalogue::id::{EndpointId, InstanceId, PoolName};
 use decide::fingerprint::Fingerprint;
 use decide::serving::cache::PromptCaches;
+use decide::serving::config_age::ConfigConfirmation;
 use decide::serving::crash_table::{CrashTable, FactDigest};
 use decide::serving::deadline::DeadlinePeak;
 use decide::serving::endpoint_list::IncarnationStart;
@@ -62,8 +63,8 @@
     pub config: RefCell<Option<Rc<ServingConfig>>>,
     /// Time of the last successful read of the configuration
     pub config_read_at: Cell<Option<Instant>>,
-    /// Time at which the configuration in force was the newest one; `None` if a newer one is known to exist
-    pub config_confirmed_at: Cell<Option<Instant>>,
+    /// When the configuration in force is known to have been the newest
+    pub config_confirmation: RefCell<ConfigConfirmation>,
     /// Whether this instance has to read the configuration itself
     pub config_coverage: TopicCoverage,
     /// Endpoints listed in the store
@@ -163,7 +164,7 @@
             settings,
             config: RefCell::default(),
             config_read_at: Cell::default(),
-            config_confirmed_at: Cell::default(),
+            config_confirmation: RefCell::default(),
             endpoints: RefCell::default(),
             endpoints_read_at: Cell::default(),
             endpoints_known_at: Cell::default(),
--- a/crates/gateway/tests/gateway/customers.rs
+++ b/crates/gateway/tests/gateway/customers.rs
@@ -30,6 +30,8 @@
     headers_pass_through_without_customers => passed_through(),
     // Guards against wrong refusals while the store can't be read.
     unknown_key_is_retryable_while_the_configuration_may_be_outdated => outdated(),
+    // Guards against an instance that goes on with the keys from before a freeze.
+    keys_that_changed_during_a_freeze_are_not_misjudged => frozen(),
     instance_without_configuration_refuses_nobody_for_good => without_configuration(),
     keys_are_in_no_log_line => not_logged(),
     relayed_request_carries_the_name => relayed(),
@@ -301,6 +303,44 @@
     verify_that!(status(&start, with_key(get("lookups", "4"), "x")).await, eq(401))
 }
 
+async fn frozen() -> Result<()> {
+    let start = start(script).await;
+    let instance = &start.deployment.instance;
+    let second = Instance::start(start.deployment.store.address, "instance-2").await;
+    sleep(CONTACT_TIME).await;
+    let mut clients = Vec::new();
+    for key in ["key-a", "key-c"] {
+        let mut client = RawClient::connect(instance.clients).await;
+        verify_that!(
+            client.exchange(with_key(get("lookups", "1"), "key-b")).await,
+            some(anything())
+        )?;
+        clients.push((client, with_key(get("lookups", "2"), key)));
+    }
+    instance.signal("STOP");
+    sleep(Duration::from_millis(500)).await;
+    put(&start.deployment.store, &customers(3, &[("b", "key-b", None), ("c", "key-c", None)]));
+    second.wait_line("event=config_applied version=3").await;
+    sleep(CONFIG_BOUND + Duration::from_millis(500)).await;
+    // Requests that wait for the instance are the first thing that it reads.
+    for (client, request) in &mut clients {
+        client.write(&*request).await;
+    }
+    instance.signal("CONT");
+    let thawed_at = Instant::now();
+    while thawed_at.elapsed() < Duration::from_secs(1) {
+        for (index, expected) in [[401, 503], [200, 503]].iter().enumerate() {
+            let status = clients[index].0.read().await.status;
+            verify_that!(expected.contains(&status), eq(true))?;
+        }
+        for (client, request) in &mut clients {
+            client.write(&*request).await;
+        }
+    }
+    let statuses = [clients[0].0.read().await.status, clients[1].0.read().await.status];
+    verify_that!(statuses, eq([401, 200]))
+}
+
 async fn without_configuration() -> Result<()> {
     let store = FakeStore::start().await;
     let instance = Instance::launch(store.address, "instance-1");
