--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -7,6 +7,7 @@
 pub mod config_age;
 pub mod crash_parts;
 pub mod crash_table;
+pub mod customer_share;
 pub mod customers;
 pub mod deadline;
 pub mod endpoint_list;
