Hold customers to their shares of a pool in an overload

Cause: the decision on shares was not in force at instances.

Change: a request that belongs to a customer is counted once its pool is chosen, and refused with 503 and a Retry-After of 0.8 to 1.2 s if it is beyond its customer's share; relayed and resumed requests are not counted. `event=beyond_share`, `shares_in_force` and `shares_lifted`, the counter `share_refusals` by pool and the gauge `pools_sharing` tell of it. Other parts may set the demand at other instances (`Gateway::set_others_demand`) and read the own one. Bodies are read in a module of their own.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -12,6 +12,7 @@
 use crate::peers::config_transfer;
 use crate::state::Gateway;
 use bytes::Bytes;
+use catalogue::id::PoolName;
 use decide::serving::endpoint_list::ListOffset;
 use decide::serving::store_era::{EraChange, TopicPosition};
 use platform::transfer::TransferProgress;
@@ -288,6 +289,9 @@
         config.version,
         config.routes.len()
     );
+    let has_shares =
+        |pool: &PoolName| config.customers.is_some() && config.pools.contains_key(pool);
+    gateway.customer_shares.borrow_mut().retain(|pool, _| has_shares(pool));
     gateway.metrics.config_version.set(i64::try_from(config.version).unwrap_or(i64::MAX));
     *current = Some(Rc::new(config));
     true
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -5,6 +5,7 @@
 use crate::customer_keys::{UNKNOWN_CUSTOMER, find_customer};
 use crate::generation;
 use crate::relay::{self, DeclinedRelay, RequestSource};
+use crate::request_body::{discard_body, read_body};
 use crate::serving_call::{
     NOT_RELAYED, Refusal, RequestRecord, SendWay, ServingCall, failure_name, relay_whole,
 };
@@ -17,7 +18,6 @@
 use decide::serving::send_history::{RunStatus, SendHistory};
 use http::header::{CONNECTION, EXPECT, HeaderValue};
 use http::{Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use platform_adapter::answer::GatewayAnswer;
 use platform_adapter::head::{EngineStage, decode_head};
@@ -25,7 +25,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 /// Shortest `Retry-After` of a refused request; clients that retry sooner meet the same overload.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(350);
@@ -58,13 +58,10 @@
     let mut record = RequestRecord::new(gateway.clone(), id.clone(), arrived_at);
     record.relayed_by = source.relay().cloned().unwrap_or_default();
     let result = match prepare_call(gateway, &mut record, parts, body, head, source).await {
-        Ok(call) => {
-            if call.route.is_stream {
-                generation::serve(gateway, call, record).await
-            } else {
-                serve_plain(gateway, call, record).await
-            }
-        }
+        Ok(call) => match gateway.share_refusal(&call) {
+            Some(refusal) => Err((refusal, record)),
+            None => serve_call(gateway, call, record).await,
+        },
         Err(RefusedCall { refusal, has_unread_body }) => {
             closes_connection |= has_unread_body;
             Err((refusal, record))
@@ -86,6 +83,23 @@
     if closes_connection { with_connection_close(response) } else { response }
 }
 
+/// Serves a request of whatever kind
+async fn serve_call(
+    gateway: &Rc<Gateway>,
+    call: ServingCall,
+    record: RequestRecord,
+) -> Result<Response<AnswerBody>, (Refusal, RequestRecord)> {
+    let shared_pool = gateway.shared_pool(&call);
+    let result = match call.route.is_stream {
+        true => generation::serve(gateway, call, record).await,
+        false => serve_plain(gateway, call, record).await,
+    };
+    if let Some(pool) = shared_pool {
+        gateway.record_share_outcome(&pool, &result);
+    }
+    result
+}
+
 fn gateway_answer(gateway: &Gateway, id: Option<&str>, refusal: &Refusal) -> Response<AnswerBody> {
     let answer = refusal.answer;
     let retry_after = match answer {
@@ -192,33 +206,6 @@
     })
 }
 
-/// Reads and drops a body, so that the connection can be used again; `false` if that takes too long
-async fn discard_body(mut body: Incoming, limit: usize, deadline: Instant) -> bool {
-    let read = async {
-        let mut bytes = 0;
-        while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else { return false };
-            bytes += frame.data_ref().map_or(0, Bytes::len);
-            if bytes > limit {
-                return false;
-            }
-        }
-        true
-    };
-    timeout_at(deadline, read).await.unwrap_or(false)
-}
-
-async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
-    match timeout_at(deadline, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(Refusal::new(GatewayAnswer::TooLarge, "body_too_large"))
-        }
-        Ok(Err(_)) => Err(Refusal::new(GatewayAnswer::Malformed, "body_broken")),
-        Err(_) => Err(Refusal::new(GatewayAnswer::BodyTimedOut, "body_timed_out")),
-    }
-}
-
 /// Serves a request to a plain service, with retries
 async fn serve_plain(
     gateway: &Rc<Gateway>,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,7 @@
     store_calls: Family<LabelSet, Counter>,
     store_bytes: Family<LabelSet, Counter>,
     relays: Family<LabelSet, Counter>,
+    share_refusals: Family<LabelSet, Counter>,
     first_byte: HistogramFamily,
     whole: HistogramFamily,
     /// Connections opened to endpoints
@@ -44,6 +45,8 @@
     pub store_era: Gauge,
     /// Returns of the store from a copy
     pub store_returns: Counter,
+    /// Pools in which customers are held to their shares
+    pub pools_sharing: Gauge,
 }
 
 impl Default for GatewayMetrics {
@@ -55,6 +58,7 @@
             store_calls: Family::default(),
             store_bytes: Family::default(),
             relays: Family::default(),
+            share_refusals: Family::default(),
             first_byte: Family::new_with_constructor(latency_histogram),
             whole: Family::new_with_constructor(latency_histogram),
             connections_opened: Counter::default(),
@@ -67,6 +71,7 @@
             endpoints_cut: Gauge::default(),
             store_era: Gauge::default(),
             store_returns: Counter::default(),
+            pools_sharing: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -83,6 +88,10 @@
         registry.register("first_byte_seconds", "Time to the first byte", self.first_byte.clone());
         registry.register("answer_seconds", "Time to the end of the answer", self.whole.clone());
         registry.register("relays", "Requests relayed between instances", self.relays.clone());
+        let refusals = self.share_refusals.clone();
+        registry.register("share_refusals", "Requests beyond their customer's share", refusals);
+        let sharing = self.pools_sharing.clone();
+        registry.register("pools_sharing", "Pools with shares of customers in force", sharing);
         let cut = self.endpoints_cut.clone();
         registry.register("endpoints_cut", "Whether no endpoint answers this instance", cut);
         let opened = self.connections_opened.clone();
@@ -125,6 +134,11 @@
         self.relays.get_or_create(&labels).inc();
     }
 
+    /// Counts a request beyond its customer's share
+    pub fn share_refused(&self, pool: &SmolStr) {
+        self.share_refusals.get_or_create(&vec![("pool", pool.to_string())]).inc();
+    }
+
     /// Counts a call to the store and the bytes that it received
     pub fn store_call(&self, call: &'static str, outcome: &'static str, bytes: usize) {
         let labels = vec![("call", call.into()), ("outcome", outcome.into())];
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
 use decide::serving::cache::PromptCaches;
 use decide::serving::config_age::ConfigConfirmation;
 use decide::serving::crash_table::{CrashTable, FactDigest};
+use decide::serving::customer_share::CustomerShares;
 use decide::serving::deadline::DeadlinePeak;
 use decide::serving::endpoint_list::IncarnationStart;
 use decide::serving::endpoint_list::{EndpointList, ListedEndpoint};
@@ -63,6 +64,8 @@
     pub config: RefCell<Option<Rc<ServingConfig>>>,
     /// Time of the last successful read of the configuration
     pub config_read_at: Cell<Option<Instant>>,
+    /// Demand of customers by pool, and their shares in an overload; empty without customers
+    pub customer_shares: RefCell<IndexMap<PoolName, CustomerShares>>,
     /// When the configuration in force is known to have been the newest
     pub config_confirmation: RefCell<ConfigConfirmation>,
     /// Whether this instance has to read the configuration itself
@@ -164,6 +167,7 @@
             settings,
             config: RefCell::default(),
             config_read_at: Cell::default(),
+            customer_shares: RefCell::default(),
             config_confirmation: RefCell::default(),
             endpoints: RefCell::default(),
             endpoints_read_at: Cell::default(),
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod crashing_lookups;
 mod crashing_parts;
+mod customer_shares;
 mod customers;
 mod cut;
 mod cut_instances;
--- a/crates/gateway/tests/gateway/process.rs
+++ b/crates/gateway/tests/gateway/process.rs
@@ -14,6 +14,7 @@
 const CLIENT_PORT: u16 = 18144;
 const READY_PORT: u16 = 18140;
 const PEER_PORT: u16 = 18160;
+const METRICS_PORT: u16 = 9464;
 
 static NEXT_ADDRESS: AtomicU8 = AtomicU8::new(1);
 
@@ -124,6 +125,11 @@
         SocketAddr::new(self.clients.ip(), PEER_PORT)
     }
 
+    /// Address of the metrics page
+    pub fn metrics(&self) -> SocketAddr {
+        SocketAddr::new(self.clients.ip(), METRICS_PORT)
+    }
+
     /// Id of its process
     pub fn process(&self) -> ProcessId {
         self.child.id()
