--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -6,11 +6,13 @@
 //! read it waits for such updates first. While the store is unavailable, both tasks keep
 //! the last known state.
 
+use crate::boot_clock::boot_time;
 use crate::coverage::{LEADER_WAIT_FRACTION, START_FRACTION};
 use crate::messages::EndpointUpdate;
 use crate::peers::config_transfer;
 use crate::state::Gateway;
 use bytes::Bytes;
+use catalogue::id::PoolName;
 use decide::serving::endpoint_list::ListOffset;
 use decide::serving::store_era::{EraChange, TopicPosition};
 use platform::transfer::TransferProgress;
@@ -95,7 +97,7 @@
         let wait = poll_time(bound, has_missed || is_started);
         is_started = false;
         let is_first = position.is_none();
-        let sent_at = Instant::now();
+        let asked_at = boot_time();
         match read_from(&gateway, OPERATOR_TOPIC, position, wait).await {
             Ok((batch, to)) => {
                 backoff.succeeded();
@@ -110,7 +112,7 @@
                     }
                 }
                 // The store may have answered long before the answer was read, but not before it was asked.
-                gateway.confirm_config(sent_at);
+                gateway.confirm_config_read(asked_at);
                 if is_first {
                     is_started = true;
                     gateway.config_coverage.extend(bound.mul_f64(START_FRACTION), Instant::now());
@@ -288,6 +290,9 @@
         config.version,
         config.routes.len()
     );
+    let has_shares =
+        |pool: &PoolName| config.customers.is_some() && config.pools.contains_key(pool);
+    gateway.customer_shares.borrow_mut().retain(|pool, _| has_shares(pool));
     gateway.metrics.config_version.set(i64::try_from(config.version).unwrap_or(i64::MAX));
     *current = Some(Rc::new(config));
     true
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,7 @@
     scale_orders: Family<LabelSet, Counter>,
     engines_needed: Family<LabelSet, Gauge>,
     engines_answering: Family<LabelSet, Gauge>,
+    share_refusals: Family<LabelSet, Counter>,
     first_byte: HistogramFamily,
     whole: HistogramFamily,
     /// Connections opened to endpoints
@@ -53,6 +54,8 @@
     pub store_era: Gauge,
     /// Returns of the store from a copy
     pub store_returns: Counter,
+    /// Pools in which customers are held to their shares
+    pub pools_sharing: Gauge,
     pub duties: DutyMetrics,
     pub usage: UsageMetrics,
 }
@@ -117,6 +120,7 @@
             scale_orders: Family::default(),
             engines_needed: Family::default(),
             engines_answering: Family::default(),
+            share_refusals: Family::default(),
             first_byte: Family::new_with_constructor(latency_histogram),
             whole: Family::new_with_constructor(latency_histogram),
             connections_opened: Counter::default(),
@@ -134,6 +138,7 @@
             store_returns: Counter::default(),
             duties: DutyMetrics::default(),
             usage: UsageMetrics::default(),
+            pools_sharing: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -158,6 +163,10 @@
         registry.register("engines_needed", "Engines that must remain if a zone is lost", needed);
         let answering = self.engines_answering.clone();
         registry.register("engines_answering", "Engines of scaled pools that answer", answering);
+        let refusals = self.share_refusals.clone();
+        registry.register("share_refusals", "Requests beyond their customer's share", refusals);
+        let sharing = self.pools_sharing.clone();
+        registry.register("pools_sharing", "Pools with shares of customers in force", sharing);
         let cut = self.endpoints_cut.clone();
         registry.register("endpoints_cut", "Whether no endpoint answers this instance", cut);
         let opened = self.connections_opened.clone();
@@ -224,6 +233,11 @@
         self.engines_answering.clear();
     }
 
+    /// Counts a request beyond its customer's share
+    pub fn share_refused(&self, pool: &SmolStr) {
+        self.share_refusals.get_or_create(&vec![("pool", pool.to_string())]).inc();
+    }
+
     /// Counts a call to the store and the bytes that it received
     pub fn store_call(&self, call: &'static str, outcome: &'static str, bytes: usize) {
         let labels = vec![("call", call.into()), ("outcome", outcome.into())];
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -20,6 +20,7 @@
 pub use listing::{format_entry, parse_entry};
 
 use crate::background::BackgroundTasks;
+use crate::boot_clock::boot_time;
 use crate::duty_messages::DUTY_BYTE;
 use crate::duty_task::hold_lease;
 use crate::error::GatewayError;
@@ -334,6 +335,7 @@
         let now = Instant::now();
         exchange.send_repairs(now).await;
         gateway.load.borrow_mut().expire(now);
+        gateway.config_confirmation.borrow_mut().record_active(boot_time());
         gateway.update_limits(now);
         // A cut instance's requests don't reach the endpoints, or not before it gives them up.
         let work = match gateway.link.is_cut() {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,7 +20,9 @@
 use catalogue::id::{EndpointId, InstanceId, PoolName};
 use decide::fingerprint::Fingerprint;
 use decide::serving::cache::PromptCaches;
+use decide::serving::config_age::ConfigConfirmation;
 use decide::serving::crash_table::{CrashTable, FactDigest};
+use decide::serving::customer_share::CustomerShares;
 use decide::serving::deadline::DeadlinePeak;
 use decide::serving::endpoint_list::IncarnationStart;
 use decide::serving::endpoint_list::{EndpointList, ListedEndpoint};
@@ -65,8 +67,10 @@
     pub config: RefCell<Option<Rc<ServingConfig>>>,
     /// Time of the last successful read of the configuration
     pub config_read_at: Cell<Option<Instant>>,
-    /// Time at which the configuration in force was the newest one; `None` if a newer one is known to exist
-    pub config_confirmed_at: Cell<Option<Instant>>,
+    /// Demand of customers by pool, and their shares in an overload; empty without customers
+    pub customer_shares: RefCell<IndexMap<PoolName, CustomerShares>>,
+    /// When the configuration in force is known to have been the newest
+    pub config_confirmation: RefCell<ConfigConfirmation>,
     /// Whether this instance has to read the configuration itself
     pub config_coverage: TopicCoverage,
     /// Endpoints listed in the store
@@ -174,7 +178,8 @@
             settings,
             config: RefCell::default(),
             config_read_at: Cell::default(),
-            config_confirmed_at: Cell::default(),
+            customer_shares: RefCell::default(),
+            config_confirmation: RefCell::default(),
             endpoints: RefCell::default(),
             endpoints_read_at: Cell::default(),
             endpoints_known_at: Cell::default(),
