--- a/crates/gateway/src/usage/reporting.rs
+++ b/crates/gateway/src/usage/reporting.rs
@@ -219,7 +219,7 @@
                     REPORT_INTERVAL
                 }
                 ControlOutcome::Conflict => {
-                    self.gateway.duties.give_up(self.gateway, self.fence);
+                    self.gateway.duties.give_up(self.fence);
                     return;
                 }
                 ControlOutcome::Declined(_) if declines + 1 == MAX_DECLINES => {
--- a/crates/gateway/tests/gateway/duty_values.rs
+++ b/crates/gateway/tests/gateway/duty_values.rs
@@ -2,9 +2,9 @@
 
 use crate::store::{FakeStore, StoreMode};
 use bytes::Bytes;
-use gateway::duties::lease_task::hold_lease;
 use gateway::duties::{DutyHolder, DutyWriteError};
 use gateway::duty_messages::{DUTY_BYTE, DutyMessage};
+use gateway::duty_task::hold_lease;
 use gateway::messages::PeerMessage;
 use gateway::state::Gateway;
 use googletest::prelude::*;
@@ -27,7 +27,8 @@
     // Guards against a release while a call under the lease is still on its way.
     release_waits_for_a_call => in_task(release_after_call),
     conflict_ends_the_term => in_task(conflict),
-    next_holder_has_the_values => in_task(next_holder),
+    next_holder_has_the_values => in_task(|store, it| next_holder(store, it, false)),
+    next_holder_has_the_values_after_lost_history => in_task(|store, it| next_holder(store, it, true)),
     duty_messages_are_decoded => messages(),
 }
 
@@ -133,19 +134,22 @@
 async fn conflict(_: FakeStore, gateway: Rc<Gateway>) -> Result<()> {
     let fence = gateway.duties.fence().or_fail()?;
     let subscriber = gateway.duties.subscribe();
-    gateway.duties.give_up(&gateway, fence);
+    gateway.duties.give_up(fence);
     verify_that!(gateway.duties.fence(), none())?;
     verify_that!(*subscriber.borrow(), none())?;
     tokio::time::sleep(Duration::from_millis(1300)).await;
     verify_that!(gateway.duties.fence(), none())
 }
 
-async fn next_holder(store: FakeStore, gateway: Rc<Gateway>) -> Result<()> {
+async fn next_holder(store: FakeStore, gateway: Rc<Gateway>, is_forgotten: bool) -> Result<()> {
     let other = start(&store, "instance-2");
     tokio::time::sleep(Duration::from_millis(300)).await;
     let written = gateway.duties.write("report", Bytes::from("one")).await;
     verify_that!(written, ok(eq(())))?;
     let first = gateway.duties.fence();
+    if is_forgotten {
+        store.forget_history(TOPIC);
+    }
     gateway.duties.stop();
     // At the first start of all, its start doesn't bar the other one, but a known holder does.
     tokio::time::sleep(Duration::from_millis(4300)).await;
