Split the modules of usage by their jobs

Change: gateway::usage has the state, the mark of a request, counting, sending and reporting in a module each; decide has windows and messages in usage_report and the estimate of a service's begin in work_time.

--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -28,3 +28,5 @@
 pub mod true_time;
 pub mod usage;
 pub mod usage_ledger;
+pub mod usage_report;
+pub mod work_time;
--- a/crates/decide/src/serving/usage.rs
+++ b/crates/decide/src/serving/usage.rs
@@ -6,27 +6,15 @@
 //! window once all instances have stated that their counts of it are complete, or once it
 //! can't wait longer. See `usage_ledger` for the holder's part.
 
-use super::true_time::UnixMicros;
+use super::usage_report::{
+    ReportTimes, SourceId, UsageAck, UsageReport, UsageSequence, UsageTiming, WindowCounts,
+    WindowNumber,
+};
 use catalogue::id::{CustomerName, Fence, InstanceId};
 use indexmap::IndexMap;
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// Number of a window, counted from the start of 1970 in true time.
-pub type WindowNumber = u64;
-/// Random id of one run of an instance, whose counts begin at zero.
-pub type SourceId = u64;
-/// Number of a message of one source.
-pub type UsageSequence = u32;
-
-/// Part of the time until a report is due for which the holder waits for the last counts.
-const PAUSE_FRACTION: f64 = 0.25;
-/// The same while an instance has not stated that its counts are complete.
-const MAX_PAUSE_FRACTION: f64 = 0.55;
-/// Time after a window's end at which an instance's counts of it are complete, except for slow requests to
-/// plain services, which are counted when they are answered.
-const CLOSE_DELAY: Duration = Duration::from_millis(300);
 /// Most windows that an instance keeps; older ones are dropped, which takes an outage of minutes.
 const MAX_OWN_WINDOWS: usize = 64;
 /// Most counts that an instance keeps, about 5 MB; the oldest windows beyond are dropped.
@@ -40,92 +28,6 @@
 /// Most messages whose acknowledgement is awaited.
 const MAX_UNACKNOWLEDGED: usize = 4 * MAX_REPORTS;
 
-/// Lengths of windows and of waits for their counts
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct UsageTiming {
-    pub window: Duration,
-    /// Time from a window's end until its report is fixed
-    pub pause: Duration,
-    /// The same at most, while counts may be missing
-    pub max_pause: Duration,
-}
-
-impl UsageTiming {
-    /// Times for windows whose reports are due some time after their end
-    pub fn new(window: Duration, due: Duration) -> UsageTiming {
-        let window = window.max(Duration::from_millis(1));
-        let max_pause = due.mul_f64(MAX_PAUSE_FRACTION);
-        UsageTiming { window, pause: due.mul_f64(PAUSE_FRACTION), max_pause }
-    }
-
-    /// Window of a time since the start of 1970
-    pub fn window_at(&self, unix: Duration) -> WindowNumber {
-        let window = unix.as_micros() / self.window.as_micros().max(1);
-        WindowNumber::try_from(window).unwrap_or(WindowNumber::MAX)
-    }
-
-    /// End of a window since the start of 1970
-    pub fn end(&self, window: WindowNumber) -> Duration {
-        let micros = (u128::from(window) + 1) * self.window.as_micros();
-        Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
-    }
-
-    /// First window whose counts at an instance may still change
-    pub fn open_at(&self, unix: Duration) -> WindowNumber {
-        self.window_at(unix.saturating_sub(CLOSE_DELAY))
-    }
-}
-
-/// Cumulative counts of one window.
-pub type WindowCounts = (WindowNumber, Vec<(CustomerName, u32)>);
-
-/// Message of an instance to the holder of the duties
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct UsageReport {
-    /// Token of the holder that it is meant for
-    pub fence: Fence,
-    pub instance: InstanceId,
-    pub source: SourceId,
-    pub sequence: UsageSequence,
-    /// Window in which the source started
-    pub first: WindowNumber,
-    /// Window at the time of the message
-    pub now: WindowNumber,
-    /// First window whose counts the holder may not know in full
-    pub open: WindowNumber,
-    /// First window that, as far as the source knows, is not fixed
-    pub unfixed: WindowNumber,
-    /// Whether the source ends and counts nothing more
-    pub is_last: bool,
-    /// What the sender's own clock says
-    pub clock: UnixMicros,
-    pub counts: Vec<WindowCounts>,
-}
-
-/// Answer of the holder of the duties
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct UsageAck {
-    /// Token of the holder
-    pub fence: Fence,
-    pub source: SourceId,
-    pub sequence: UsageSequence,
-    /// First window that is not fixed
-    pub unfixed: WindowNumber,
-    /// The fleet's time, once it is known
-    pub clock: Option<UnixMicros>,
-}
-
-/// Times that a message states
-#[derive(Debug, Clone, Copy)]
-pub struct ReportTimes {
-    /// True time since the start of 1970
-    pub unix: Duration,
-    /// What the own clock says
-    pub clock: UnixMicros,
-}
-
 #[derive(Debug, Clone, Copy, Default)]
 struct OwnCount {
     count: u32,
@@ -358,34 +260,3 @@
         }
     }
 }
-
-/// Usual time that services work on a request, by which a request that had to wait is placed
-#[derive(Debug, Clone, Copy, Default)]
-pub struct WorkTime {
-    usual: Option<Duration>,
-}
-
-/// Weight of a new work time in the usual one.
-const WORK_WEIGHT: f64 = 0.1;
-
-impl WorkTime {
-    /// Records the time of a request that a service took up at once
-    pub fn record(&mut self, took: Duration) {
-        self.usual = Some(match self.usual {
-            Some(usual) => usual.mul_f64(1.0 - WORK_WEIGHT) + took.mul_f64(WORK_WEIGHT),
-            None => took,
-        });
-    }
-
-    /// When a service began to work on a request, given the times of the send and of the answer
-    ///
-    /// A service with a free slot begins on arrival, which the send time misses by half a round trip. With all
-    /// slots in use, the answer time minus the usual work time misses it by the difference of this request's
-    /// work time from the usual one, at most by the time from the send to the answer.
-    pub fn begin(&self, sent_at: Duration, answered_at: Duration, had_slot: bool) -> Duration {
-        match self.usual {
-            Some(usual) if !had_slot => answered_at.saturating_sub(usual).max(sent_at),
-            _ => sent_at,
-        }
-    }
-}
--- a/crates/decide/src/serving/usage_ledger.rs
+++ b/crates/decide/src/serving/usage_ledger.rs
@@ -1,6 +1,6 @@
 //! Counts of all instances at the holder of the duties, and when a window is fixed.
 
-use super::usage::{SourceId, UsageAck, UsageReport, UsageTiming, WindowNumber};
+use super::usage_report::{SourceId, UsageAck, UsageReport, UsageTiming, WindowNumber};
 use catalogue::id::{CustomerName, Fence};
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
--- a/crates/decide/tests/serving_usage.rs
+++ b/crates/decide/tests/serving_usage.rs
@@ -1,8 +1,10 @@
 //! Usage of a fleet through lost messages and dying instances and holders.
 
 use catalogue::id::{CustomerName, Fence};
-use decide::serving::usage::{OwnUsage, ReportTimes, UsageReport, UsageTiming, WorkTime};
+use decide::serving::usage::OwnUsage;
 use decide::serving::usage_ledger::{LedgerTimes, UsageCounts, UsageLedger, WindowStep};
+use decide::serving::usage_report::{ReportTimes, UsageReport, UsageTiming};
+use decide::serving::work_time::WorkTime;
 use googletest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
--- a/crates/gateway/src/duty_messages.rs
+++ b/crates/gateway/src/duty_messages.rs
@@ -5,7 +5,7 @@
 
 use crate::duties::DutyHolder;
 use catalogue::id::Fence;
-use decide::serving::usage::{UsageAck, UsageReport};
+use decide::serving::usage_report::{UsageAck, UsageReport};
 use serde::{Deserialize, Serialize};
 use std::hash::Hasher;
 use twox_hash::XxHash3_64;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,7 +9,7 @@
     NOT_RELAYED, Refusal, RequestRecord, SendWay, ServingCall, failure_name, relay_whole,
 };
 use crate::state::{Gateway, WorkGuard};
-use crate::usage::begun::UsageMark;
+use crate::usage::mark::UsageMark;
 use bytes::Bytes;
 use decide::serving::crash_table::REFUSAL_TIME;
 use decide::serving::health::SendResult;
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -5,7 +5,7 @@
 use crate::link_evidence::EvidenceKind;
 use crate::part_tests::PartTest;
 use crate::state::Gateway;
-use crate::usage::begun::UsageMark;
+use crate::usage::mark::UsageMark;
 use catalogue::id::{CustomerName, EndpointId, InstanceId, PoolName};
 use decide::fingerprint::{Fingerprint, RequestContent, path_fingerprint, request_fingerprint};
 use decide::serving::crash_parts::PartDecision;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,7 +13,7 @@
 use crate::origin_queries::OriginQueries;
 use crate::packed_config::{ConfigAnnouncement, PackedConfig};
 use crate::part_tests::PartSuspects;
-use crate::usage::UsageState;
+use crate::usage::state::UsageState;
 use bytes::Bytes;
 use catalogue::id::{EndpointId, InstanceId, PoolName};
 use decide::fingerprint::Fingerprint;
@@ -165,7 +165,7 @@
             started_at: Instant::now(),
             store: StoreClient::new(settings.store_address),
             duties: DutyState::new(&settings, metrics.duties.clone()),
-            usage: UsageState::new(&settings),
+            usage: UsageState::new(&settings, metrics.usage.clone()),
             settings,
             config: RefCell::default(),
             config_read_at: Cell::default(),
--- a/crates/gateway/src/usage/begun.rs
+++ b/crates/gateway/src/usage/begun.rs
@@ -1,57 +1,15 @@
 //! Notes which requests have begun to run, each once, in the request path.
 
-use super::boot_time;
+use super::mark::ServiceSend;
+use super::state::boot_time;
 use crate::attempt::SendError;
 use crate::connections::ExchangeError;
 use crate::serving_call::ServingCall;
 use crate::state::Gateway;
-use catalogue::id::CustomerName;
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::send_history::RunStatus;
-use std::cell::Cell;
 use std::time::Duration;
 
-/// Request that began to run
-#[derive(Debug, Clone)]
-pub struct BegunRequest {
-    pub customer: CustomerName,
-    /// Boot time
-    pub boot: Duration,
-}
-
-/// Send of a request to a plain service
-#[derive(Debug, Clone, Copy)]
-struct ServiceSend {
-    sent_at: Duration,
-    /// Whether the service had a free slot, as far as is known
-    had_slot: bool,
-}
-
-/// What is known of a request's usage
-#[derive(Debug, Default)]
-pub struct UsageMark {
-    /// Whether this instance or another one has counted it
-    is_counted: Cell<bool>,
-    send: Cell<Option<ServiceSend>>,
-}
-
-impl UsageMark {
-    /// Mark of a request that arrives; another instance may have counted it before it relayed it
-    pub fn new(is_counted: bool) -> UsageMark {
-        UsageMark { is_counted: Cell::new(is_counted), send: Cell::default() }
-    }
-
-    /// Whether the request is counted
-    pub fn is_counted(&self) -> bool {
-        self.is_counted.get()
-    }
-
-    /// Records that another instance has counted the request
-    pub fn record_counted(&self) {
-        self.is_counted.set(true);
-    }
-}
-
 impl ServingCall {
     /// Whether it is to be counted once it begins to run
     ///
--- a/crates/gateway/src/usage/records.rs
+++ b/crates/gateway/src/usage/records.rs
@@ -4,8 +4,8 @@
 //! control API doesn't make the records grow.
 
 use bytes::Bytes;
-use decide::serving::usage::WindowNumber;
 use decide::serving::usage_ledger::{FixedReport, RECORD_FORMAT, UsageSnapshot};
+use decide::serving::usage_report::WindowNumber;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use smol_str::{SmolStr, format_smolstr};
--- a/crates/gateway/src/usage/reporting.rs
+++ b/crates/gateway/src/usage/reporting.rs
@@ -7,12 +7,12 @@
 use super::records::{
     MAX_FIXED, SNAPSHOT_KEY, decode_report, decode_snapshot, encode, report_key, report_keys,
 };
-use super::{UsageState, boot_time};
+use super::state::{UsageState, boot_time};
 use crate::state::Gateway;
 use bytes::Bytes;
 use catalogue::id::Fence;
-use decide::serving::usage::WindowNumber;
 use decide::serving::usage_ledger::{FixedReport, RECORD_FORMAT, UsageCounts, WindowStep};
+use decide::serving::usage_report::WindowNumber;
 use platform_adapter::control_api::{ControlClient, ControlOutcome, DutyToken, usage_body};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
--- a/crates/gateway/src/usage/sending.rs
+++ b/crates/gateway/src/usage/sending.rs
@@ -1,13 +1,13 @@
 //! Sends this instance's counts to the holder of the duties.
 
 use super::reporting::stage_snapshot;
-use super::{UsageState, boot_time};
+use super::state::{UsageState, boot_time};
 use crate::duties::DutyHolder;
 use crate::duty_messages::DutyMessage;
 use crate::state::Gateway;
 use bytes::Bytes;
 use catalogue::id::Fence;
-use decide::serving::usage::WindowNumber;
+use decide::serving::usage_report::WindowNumber;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -39,7 +39,7 @@
         // Both outcomes lead to the next messages.
         let _ = timeout(interval, usage.wake.notified()).await;
         let boot = boot_time();
-        usage.update(gateway, boot);
+        usage.update(gateway.load.borrow().listed_instances(), boot);
         let Some(holder) = gateway.duties.holder() else { continue };
         if holder.instance == gateway.settings.instance {
             deliver(gateway, usage, holder.fence, boot);
@@ -88,7 +88,7 @@
     pub fn hand_over(&self, gateway: &Gateway) {
         if let Some(fence) = gateway.duties.fence() {
             let boot = boot_time();
-            self.update(gateway, boot);
+            self.update(gateway.load.borrow().listed_instances(), boot);
             deliver(gateway, self, fence, boot);
             stage_snapshot(gateway, self, &Bytes::new());
         }
--- a/crates/gateway/tests/usage_cost.rs
+++ b/crates/gateway/tests/usage_cost.rs
@@ -1,7 +1,8 @@
 //! Processor time of counting a request.
 
 use catalogue::id::CustomerName;
-use gateway::usage::{UsageState, boot_time};
+use gateway::metrics::UsageMetrics;
+use gateway::usage::state::{UsageState, boot_time};
 use googletest::prelude::*;
 use platform_adapter::settings::InstanceSettings;
 use std::time::{Duration, Instant};
@@ -36,7 +37,7 @@
     let customers = customers.collect::<Vec<_>>();
     let mut least = Duration::MAX;
     for _ in 0..RUNS {
-        let usage = UsageState::new(&settings("\"usage\"")).or_fail()?;
+        let usage = UsageState::new(&settings("\"usage\""), UsageMetrics::default()).or_fail()?;
         let started_at = Instant::now();
         for customer in customers.iter().cycle().take(REQUESTS as usize) {
             usage.note(customer.clone(), boot_time());
@@ -48,5 +49,8 @@
 }
 
 fn without_duty() -> Result<()> {
-    verify_that!(UsageState::new(&settings("\"scale\"")).is_none(), eq(true))
+    verify_that!(
+        UsageState::new(&settings("\"scale\""), UsageMetrics::default()).is_none(),
+        eq(true)
+    )
 }
