--- a/crates/gateway/src/usage/begun.rs
+++ b/crates/gateway/src/usage/begun.rs
@@ -1,8 +1,8 @@
 //! Notes which requests have begun to run, each once, in the request path.
 
 use super::mark::ServiceSend;
-use super::state::boot_time;
 use crate::attempt::SendError;
+use crate::boot_clock::boot_time;
 use crate::connections::ExchangeError;
 use crate::serving_call::ServingCall;
 use crate::state::Gateway;
--- a/crates/gateway/src/usage/reporting.rs
+++ b/crates/gateway/src/usage/reporting.rs
@@ -7,7 +7,8 @@
 use super::records::{
     MAX_FIXED, SNAPSHOT_KEY, decode_report, decode_snapshot, encode, report_key, report_keys,
 };
-use super::state::{UsageState, boot_time};
+use super::state::UsageState;
+use crate::boot_clock::boot_time;
 use crate::state::Gateway;
 use bytes::Bytes;
 use catalogue::id::Fence;
--- a/crates/gateway/src/usage/sending.rs
+++ b/crates/gateway/src/usage/sending.rs
@@ -1,7 +1,8 @@
 //! Sends this instance's counts to the holder of the duties.
 
 use super::reporting::stage_snapshot;
-use super::state::{UsageState, boot_time};
+use super::state::UsageState;
+use crate::boot_clock::boot_time;
 use crate::duties::DutyHolder;
 use crate::duty_messages::DutyMessage;
 use crate::state::Gateway;
--- a/crates/gateway/src/usage/state.rs
+++ b/crates/gateway/src/usage/state.rs
@@ -1,5 +1,6 @@
 //! What an instance knows of usage.
 
+use crate::boot_clock::boot_time;
 use crate::metrics::UsageMetrics;
 use catalogue::id::{CustomerName, Fence};
 use decide::serving::route::RouteName;
@@ -10,7 +11,6 @@
 use decide::serving::work_time::WorkTime;
 use indexmap::IndexMap;
 use platform_adapter::settings::InstanceSettings;
-use rustix::time::{ClockId, clock_gettime};
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, SystemTime};
 use tokio::sync::Notify;
@@ -44,11 +44,6 @@
     metrics: UsageMetrics,
 }
 
-/// Time since the machine's boot, with the time that it was suspended
-pub fn boot_time() -> Duration {
-    Duration::try_from(clock_gettime(ClockId::Boottime)).unwrap_or_default()
-}
-
 impl UsageState {
     /// State of a starting instance; `None` if the settings have no usage duty
     pub fn new(settings: &InstanceSettings, metrics: UsageMetrics) -> Option<UsageState> {
--- a/crates/gateway/tests/usage_cost.rs
+++ b/crates/gateway/tests/usage_cost.rs
@@ -1,8 +1,9 @@
 //! Processor time of counting a request.
 
 use catalogue::id::CustomerName;
+use gateway::boot_clock::boot_time;
 use gateway::metrics::UsageMetrics;
-use gateway::usage::state::{UsageState, boot_time};
+use gateway::usage::state::UsageState;
 use googletest::prelude::*;
 use platform_adapter::settings::InstanceSettings;
 use std::time::{Duration, Instant};
