--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,7 +9,7 @@
 use crate::request_record::RequestRecord;
 use crate::serving_call::{NOT_RELAYED, Refusal, SendWay, ServingCall, failure_name};
 use crate::state::{Gateway, WorkGuard};
-use crate::usage::begun::UsageMark;
+use crate::usage::mark::UsageMark;
 use bytes::Bytes;
 use decide::serving::crash_table::REFUSAL_TIME;
 use decide::serving::health::SendResult;
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -9,7 +9,7 @@
 use crate::body::AnswerBody;
 use crate::part_tests::PartTest;
 use crate::state::Gateway;
-use crate::usage::begun::UsageMark;
+use crate::usage::mark::UsageMark;
 use bytes::Bytes;
 use catalogue::id::{EndpointId, PoolName};
 use decide::serving::crash_parts::PartDecision;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,7 +15,7 @@
 use crate::packed_config::{ConfigAnnouncement, PackedConfig};
 use crate::part_tests::PartSuspects;
 use crate::scaling_state::ScalingState;
-use crate::usage::UsageState;
+use crate::usage::state::UsageState;
 use bytes::Bytes;
 use catalogue::id::{EndpointId, InstanceId, PoolName};
 use decide::fingerprint::Fingerprint;
@@ -173,7 +173,7 @@
             started_at: Instant::now(),
             store: StoreClient::new(settings.store_address),
             duties: DutyState::new(&settings, metrics.duties.clone()),
-            usage: UsageState::new(&settings),
+            usage: UsageState::new(&settings, metrics.usage.clone()),
             memory: MemoryBudget::new(settings.memory_bytes),
             settings,
             config: RefCell::default(),
