--- a/crates/gateway/src/duties/mod.rs
+++ b/crates/gateway/src/duties/mod.rs
@@ -2,28 +2,27 @@
 //!
 //! The lease and what its holder records are in one topic, to which all writes are
 //! conditional appends. `decide::serving::duty_lease` decides when to take, renew and give
-//! up the lease; `lease_task` carries that out. Where the settings have no duties, no task
+//! up the lease; `duty_task` carries that out. Where the settings have no duties, no task
 //! runs and nothing is sent.
 
 pub mod candidacy;
 pub mod clock;
-pub mod lease_task;
-pub mod record;
-mod writes;
+pub mod writes;
 
-use crate::state::Gateway;
+use crate::metrics::DutyMetrics;
 use bytes::Bytes;
 use candidacy::DutyCandidacy;
 use catalogue::id::{Fence, InstanceId};
 use clock::lease_time;
-use decide::serving::duty_lease::{DutyLease, LeaseChange, LeaseTiming};
+use decide::serving::duty_lease::{DutyLease, LeaseChange, LeaseTiming, LossReason};
 use decide::serving::store_era::StoreEra;
 use indexmap::IndexMap;
 use platform_adapter::settings::InstanceSettings;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use std::cell::RefCell;
-use std::time::Duration;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::timeout;
 use writes::PendingWrites;
@@ -31,6 +30,9 @@
 /// Longest wait for the outcome of a write; two calls of the longest duration, with the read between them.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Longest delay of the release by calls under the lease; longer than their timeout.
+const MAX_RELEASE_DELAY: Duration = Duration::from_millis(1100);
+
 /// Instance that fulfils the duties
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -52,30 +54,52 @@
 
 impl std::error::Error for DutyWriteError {}
 
+/// Call under the lease that is being made; the release waits for its end
+#[derive(Debug)]
+pub struct DutyCall {
+    pub fence: Fence,
+    calls: Rc<Cell<usize>>,
+}
+
+impl Drop for DutyCall {
+    fn drop(&mut self) {
+        self.calls.set(self.calls.get() - 1);
+    }
+}
+
 /// What an instance knows of the duties
 #[derive(Default)]
 pub struct DutyState {
     fence: watch::Sender<Option<Fence>>,
     holder: RefCell<Option<DutyHolder>>,
-    values: RefCell<IndexMap<SmolStr, Bytes>>,
+    own: InstanceId,
+    metrics: DutyMetrics,
+    /// Newest values of the topic, as it was read and written
+    pub values: RefCell<IndexMap<SmolStr, Bytes>>,
     /// `None` where the settings have no duties
-    lease: RefCell<Option<DutyLease>>,
-    writes: RefCell<PendingWrites>,
+    pub lease: RefCell<Option<DutyLease>>,
+    /// Values to be recorded
+    pub writes: RefCell<PendingWrites>,
+    /// Number of calls under the lease that are being made
+    calls: Rc<Cell<usize>>,
+    /// Time of SIGTERM
+    stopped_at: Cell<Option<Instant>>,
     /// Whether to follow the lease
     pub candidacy: DutyCandidacy,
     /// Wakes the task of the lease
-    wake: Notify,
+    pub wake: Notify,
 }
 
 impl DutyState {
     /// State of a starting instance
-    pub fn new(settings: &InstanceSettings) -> DutyState {
+    pub fn new(settings: &InstanceSettings, metrics: DutyMetrics) -> DutyState {
         let lease = settings.duties.as_ref().map(|it| {
             let timing = LeaseTiming::new(it.lease_term);
             let (own, is_first) = (settings.instance.clone(), settings.is_first_start);
             DutyLease::new(own, rand::random(), timing, is_first, lease_time())
         });
-        DutyState { lease: RefCell::new(lease), ..DutyState::default() }
+        let own = settings.instance.clone();
+        DutyState { lease: RefCell::new(lease), own, metrics, ..DutyState::default() }
     }
 
     /// Fencing token if this instance holds the lease now; check it right before each call under the lease
@@ -83,6 +107,15 @@
         self.lease.borrow().as_ref()?.fence(lease_time())
     }
 
+    /// Begins a call under the lease; `None` if it isn't held
+    ///
+    /// Send it at once, and drop the result after its end: another instance must not call before it.
+    pub fn begin_call(&self) -> Option<DutyCall> {
+        let fence = self.fence()?;
+        self.calls.set(self.calls.get() + 1);
+        Some(DutyCall { fence, calls: self.calls.clone() })
+    }
+
     /// Rest of the own term, beyond which a call under the lease must not be waited for; `None` if the lease isn't held
     pub fn time_left(&self) -> Option<Duration> {
         self.lease.borrow().as_ref()?.time_left(lease_time())
@@ -130,8 +163,8 @@
     }
 
     /// Ends the term of a token, since the control API has seen a higher one
-    pub fn give_up(&self, gateway: &Gateway, fence: Fence) {
-        self.change(gateway, |lease| lease.give_up(fence));
+    pub fn give_up(&self, fence: Fence) {
+        self.change(|lease| lease.give_up(fence));
     }
 
     /// Ends the own term and has it released; the lease is not acquired any more
@@ -141,13 +174,20 @@
                 self.candidacy.want_successors();
             }
             lease.stop();
+            self.stopped_at.set(Some(Instant::now()));
             self.fence.send_if_modified(|it| it.take().is_some());
             self.wake.notify_one();
         }
     }
 
+    /// Whether the release has to wait for the end of calls
+    pub fn holds_back_release(&self) -> bool {
+        let stopped_at = self.stopped_at.get();
+        self.calls.get() > 0 && stopped_at.is_some_and(|it| it.elapsed() < MAX_RELEASE_DELAY)
+    }
+
     /// Records a holder that another instance has announced; `true` if its token is the highest so far
-    pub fn record_holder(&self, gateway: &Gateway, announced: &DutyHolder) -> bool {
+    pub fn record_holder(&self, announced: &DutyHolder) -> bool {
         let mut holder = self.holder.borrow_mut();
         let highest = holder.as_ref().map(|it| it.fence);
         if highest < Some(announced.fence) {
@@ -156,14 +196,14 @@
                 announced.instance,
                 announced.fence
             );
-            gateway.metrics.duty_fence.set(i64::try_from(announced.fence).unwrap_or(i64::MAX));
+            self.metrics.fence.set(i64::try_from(announced.fence).unwrap_or(i64::MAX));
             *holder = Some(announced.clone());
         }
         highest <= Some(announced.fence)
     }
 
     /// Applies a change to the lease, and logs and counts what it means for the own term
-    fn change(&self, gateway: &Gateway, change: impl FnOnce(&mut DutyLease) -> LeaseChange) {
+    pub fn change(&self, change: impl FnOnce(&mut DutyLease) -> LeaseChange) {
         let now = lease_time();
         let change = match self.lease.borrow_mut().as_mut() {
             Some(lease) => change(lease),
@@ -173,21 +213,24 @@
             LeaseChange::None => {}
             LeaseChange::Taken(fence) => {
                 log::info!("event=duty_taken fence={fence}");
-                gateway.metrics.duty_changed("taken".to_owned());
-                let instance = gateway.settings.instance.clone();
-                self.record_holder(gateway, &DutyHolder { instance, fence });
+                self.metrics.changed("taken".to_owned());
+                self.record_holder(&DutyHolder { instance: self.own.clone(), fence });
             }
             LeaseChange::Renewed(fence) => {
                 log::debug!("event=duty_renewed fence={fence}");
-                gateway.metrics.duty_changed("renewed".to_owned());
+                self.metrics.changed("renewed".to_owned());
             }
             LeaseChange::Lost(fence, reason) => {
                 log::warn!("event=duty_lost fence={fence} reason={reason}");
-                gateway.metrics.duty_changed(format!("lost_{reason}"));
+                self.metrics.changed(format!("lost_{reason}"));
+                if matches!(reason, LossReason::Era | LossReason::RecordGone) {
+                    // Others may acquire the lease sooner than this instance.
+                    self.candidacy.want_successors();
+                }
             }
             LeaseChange::Released(fence) => {
                 log::info!("event=duty_released fence={fence}");
-                gateway.metrics.duty_changed("released".to_owned());
+                self.metrics.changed("released".to_owned());
             }
         }
         let fence = self.lease.borrow().as_ref().and_then(|it| it.fence(now));
@@ -195,14 +238,13 @@
         if !has_term {
             self.writes.borrow_mut().fail();
         }
-        gateway.metrics.duty_held.set(i64::from(fence.is_some()));
+        self.metrics.held.set(i64::from(fence.is_some()));
         self.fence.send_if_modified(|it| std::mem::replace(it, fence) != fence);
     }
-}
 
-/// Ends the own term, since the store has come back from a copy
-pub fn observe_era(gateway: &Gateway, era: StoreEra) {
-    let duties = &gateway.duties;
-    duties.change(gateway, |lease| lease.observe_era(era, lease_time()));
-    duties.wake.notify_one();
+    /// Ends the own term, since the store has come back from a copy
+    pub fn observe_era(&self, era: StoreEra) {
+        self.change(|lease| lease.observe_era(era, lease_time()));
+        self.wake.notify_one();
+    }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,10 +22,6 @@
     store_calls: Family<LabelSet, Counter>,
     store_bytes: Family<LabelSet, Counter>,
     relays: Family<LabelSet, Counter>,
-    duty_changes: Family<LabelSet, Counter>,
-    scale_orders: Family<LabelSet, Counter>,
-    engines_needed: Family<LabelSet, Gauge>,
-    engines_answering: Family<LabelSet, Gauge>,
     first_byte: HistogramFamily,
     whole: HistogramFamily,
     /// Connections opened to endpoints
@@ -48,10 +44,71 @@
     pub store_era: Gauge,
     /// Returns of the store from a copy
     pub store_returns: Counter,
-    /// 1 while this instance holds the lease of the duties
-    pub duty_held: Gauge,
+    pub duties: DutyMetrics,
+    pub scaling: ScalingMetrics,
+}
+
+/// Metrics of the duties
+#[derive(Debug, Clone, Default)]
+pub struct DutyMetrics {
+    /// 1 while this instance holds the lease
+    pub held: Gauge,
     /// Highest fencing token that this instance has heard of
-    pub duty_fence: Gauge,
+    pub fence: Gauge,
+    changes: Family<LabelSet, Counter>,
+}
+
+impl DutyMetrics {
+    fn register(&self, registry: &mut Registry) {
+        let held = self.held.clone();
+        registry.register("duty_held", "Whether this instance holds the lease of the duties", held);
+        let fence = self.fence.clone();
+        registry.register("duty_fence", "Highest fencing token of the duties", fence);
+        let changes = self.changes.clone();
+        registry.register("duty_changes", "Changes of the lease of the duties", changes);
+    }
+
+    /// Counts a change of the lease
+    pub fn changed(&self, change: String) {
+        self.changes.get_or_create(&vec![("change", change)]).inc();
+    }
+}
+
+/// Metrics of the orders for engines, by pool
+#[derive(Clone, Default)]
+pub struct ScalingMetrics {
+    orders: Family<LabelSet, Counter>,
+    needed: Family<LabelSet, Gauge>,
+    answering: Family<LabelSet, Gauge>,
+}
+
+impl ScalingMetrics {
+    fn register(&self, registry: &mut Registry) {
+        registry.register("scale_orders", "Orders for engines", self.orders.clone());
+        let needed = self.needed.clone();
+        registry.register("engines_needed", "Engines that must remain if a zone is lost", needed);
+        let answering = self.answering.clone();
+        registry.register("engines_answering", "Engines of scaled pools that answer", answering);
+    }
+
+    /// Counts an order
+    pub fn ordered(&self, pool: &SmolStr, outcome: &'static str) {
+        let labels = vec![("pool", pool.to_string()), ("outcome", outcome.into())];
+        self.orders.get_or_create(&labels).inc();
+    }
+
+    /// Records the number of engines that a pool needs and has
+    pub fn record(&self, pool: &SmolStr, needed: u32, answering: u32) {
+        let labels = vec![("pool", pool.to_string())];
+        self.needed.get_or_create(&labels).set(i64::from(needed));
+        self.answering.get_or_create(&labels).set(i64::from(answering));
+    }
+
+    /// Forgets the numbers of engines, since another instance decides
+    pub fn forget(&self) {
+        self.needed.clear();
+        self.answering.clear();
+    }
 }
 
 impl Default for GatewayMetrics {
@@ -63,10 +120,6 @@
             store_calls: Family::default(),
             store_bytes: Family::default(),
             relays: Family::default(),
-            duty_changes: Family::default(),
-            scale_orders: Family::default(),
-            engines_needed: Family::default(),
-            engines_answering: Family::default(),
             first_byte: Family::new_with_constructor(latency_histogram),
             whole: Family::new_with_constructor(latency_histogram),
             connections_opened: Counter::default(),
@@ -79,8 +132,8 @@
             endpoints_cut: Gauge::default(),
             store_era: Gauge::default(),
             store_returns: Counter::default(),
-            duty_held: Gauge::default(),
-            duty_fence: Gauge::default(),
+            duties: DutyMetrics::default(),
+            scaling: ScalingMetrics::default(),
         };
         metrics.register();
         metrics
@@ -97,18 +150,8 @@
         registry.register("first_byte_seconds", "Time to the first byte", self.first_byte.clone());
         registry.register("answer_seconds", "Time to the end of the answer", self.whole.clone());
         registry.register("relays", "Requests relayed between instances", self.relays.clone());
-        let changes = self.duty_changes.clone();
-        registry.register("duty_changes", "Changes of the lease of the duties", changes);
-        let orders = self.scale_orders.clone();
-        registry.register("scale_orders", "Orders for engines", orders);
-        let needed = self.engines_needed.clone();
-        registry.register("engines_needed", "Engines that must remain if a zone is lost", needed);
-        let answering = self.engines_answering.clone();
-        registry.register("engines_answering", "Engines of scaled pools that answer", answering);
-        let held = self.duty_held.clone();
-        registry.register("duty_held", "Whether this instance holds the lease of the duties", held);
-        let fence = self.duty_fence.clone();
-        registry.register("duty_fence", "Highest fencing token of the duties", fence);
+        self.duties.register(registry);
+        self.scaling.register(registry);
         let cut = self.endpoints_cut.clone();
         registry.register("endpoints_cut", "Whether no endpoint answers this instance", cut);
         let opened = self.connections_opened.clone();
@@ -151,30 +194,6 @@
         self.relays.get_or_create(&labels).inc();
     }
 
-    /// Counts a change of the lease of the duties
-    pub fn duty_changed(&self, change: String) {
-        self.duty_changes.get_or_create(&vec![("change", change)]).inc();
-    }
-
-    /// Counts an order for engines
-    pub fn scale_ordered(&self, pool: &SmolStr, outcome: &'static str) {
-        let labels = vec![("pool", pool.to_string()), ("outcome", outcome.into())];
-        self.scale_orders.get_or_create(&labels).inc();
-    }
-
-    /// Records the number of engines that a pool needs and has
-    pub fn engines(&self, pool: &SmolStr, needed: u32, answering: u32) {
-        let labels = vec![("pool", pool.to_string())];
-        self.engines_needed.get_or_create(&labels).set(i64::from(needed));
-        self.engines_answering.get_or_create(&labels).set(i64::from(answering));
-    }
-
-    /// Forgets the numbers of engines, since another instance decides
-    pub fn forget_engines(&self) {
-        self.engines_needed.clear();
-        self.engines_answering.clear();
-    }
-
     /// Counts a call to the store and the bytes that it received
     pub fn store_call(&self, call: &'static str, outcome: &'static str, bytes: usize) {
         let labels = vec![("call", call.into()), ("outcome", outcome.into())];
