--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,9 +22,6 @@
     store_calls: Family<LabelSet, Counter>,
     store_bytes: Family<LabelSet, Counter>,
     relays: Family<LabelSet, Counter>,
-    scale_orders: Family<LabelSet, Counter>,
-    engines_needed: Family<LabelSet, Gauge>,
-    engines_answering: Family<LabelSet, Gauge>,
     share_refusals: Family<LabelSet, Counter>,
     first_byte: HistogramFamily,
     whole: HistogramFamily,
@@ -57,6 +54,7 @@
     /// Pools in which customers are held to their shares
     pub pools_sharing: Gauge,
     pub duties: DutyMetrics,
+    pub scaling: ScalingMetrics,
     pub usage: UsageMetrics,
 }
 
@@ -108,6 +106,43 @@
     }
 }
 
+/// Metrics of the orders for engines, by pool
+#[derive(Clone, Default)]
+pub struct ScalingMetrics {
+    orders: Family<LabelSet, Counter>,
+    needed: Family<LabelSet, Gauge>,
+    answering: Family<LabelSet, Gauge>,
+}
+
+impl ScalingMetrics {
+    fn register(&self, registry: &mut Registry) {
+        registry.register("scale_orders", "Orders for engines", self.orders.clone());
+        let needed = self.needed.clone();
+        registry.register("engines_needed", "Engines that must remain if a zone is lost", needed);
+        let answering = self.answering.clone();
+        registry.register("engines_answering", "Engines of scaled pools that answer", answering);
+    }
+
+    /// Counts an order
+    pub fn ordered(&self, pool: &SmolStr, outcome: &'static str) {
+        let labels = vec![("pool", pool.to_string()), ("outcome", outcome.into())];
+        self.orders.get_or_create(&labels).inc();
+    }
+
+    /// Records the number of engines that a pool needs and has
+    pub fn record(&self, pool: &SmolStr, needed: u32, answering: u32) {
+        let labels = vec![("pool", pool.to_string())];
+        self.needed.get_or_create(&labels).set(i64::from(needed));
+        self.answering.get_or_create(&labels).set(i64::from(answering));
+    }
+
+    /// Forgets the numbers of engines, since another instance decides
+    pub fn forget(&self) {
+        self.needed.clear();
+        self.answering.clear();
+    }
+}
+
 impl Default for GatewayMetrics {
     fn default() -> GatewayMetrics {
         let mut metrics = GatewayMetrics {
@@ -117,9 +152,6 @@
             store_calls: Family::default(),
             store_bytes: Family::default(),
             relays: Family::default(),
-            scale_orders: Family::default(),
-            engines_needed: Family::default(),
-            engines_answering: Family::default(),
             share_refusals: Family::default(),
             first_byte: Family::new_with_constructor(latency_histogram),
             whole: Family::new_with_constructor(latency_histogram),
@@ -139,6 +171,7 @@
             duties: DutyMetrics::default(),
             usage: UsageMetrics::default(),
             pools_sharing: Gauge::default(),
+            scaling: ScalingMetrics::default(),
         };
         metrics.register();
         metrics
@@ -157,16 +190,11 @@
         registry.register("relays", "Requests relayed between instances", self.relays.clone());
         self.duties.register(registry);
         self.usage.register(registry);
-        let orders = self.scale_orders.clone();
-        registry.register("scale_orders", "Orders for engines", orders);
-        let needed = self.engines_needed.clone();
-        registry.register("engines_needed", "Engines that must remain if a zone is lost", needed);
-        let answering = self.engines_answering.clone();
-        registry.register("engines_answering", "Engines of scaled pools that answer", answering);
         let refusals = self.share_refusals.clone();
         registry.register("share_refusals", "Requests beyond their customer's share", refusals);
         let sharing = self.pools_sharing.clone();
         registry.register("pools_sharing", "Pools with shares of customers in force", sharing);
+        self.scaling.register(registry);
         let cut = self.endpoints_cut.clone();
         registry.register("endpoints_cut", "Whether no endpoint answers this instance", cut);
         let opened = self.connections_opened.clone();
@@ -214,25 +242,6 @@
         self.relays.get_or_create(&labels).inc();
     }
 
-    /// Counts an order for engines
-    pub fn scale_ordered(&self, pool: &SmolStr, outcome: &'static str) {
-        let labels = vec![("pool", pool.to_string()), ("outcome", outcome.into())];
-        self.scale_orders.get_or_create(&labels).inc();
-    }
-
-    /// Records the number of engines that a pool needs and has
-    pub fn engines(&self, pool: &SmolStr, needed: u32, answering: u32) {
-        let labels = vec![("pool", pool.to_string())];
-        self.engines_needed.get_or_create(&labels).set(i64::from(needed));
-        self.engines_answering.get_or_create(&labels).set(i64::from(answering));
-    }
-
-    /// Forgets the numbers of engines, since another instance decides
-    pub fn forget_engines(&self) {
-        self.engines_needed.clear();
-        self.engines_answering.clear();
-    }
-
     /// Counts a request beyond its customer's share
     pub fn share_refused(&self, pool: &SmolStr) {
         self.share_refusals.get_or_create(&vec![("pool", pool.to_string())]).inc();
--- a/crates/gateway/src/scaling.rs
+++ b/crates/gateway/src/scaling.rs
@@ -36,7 +36,7 @@
             gateway.scaling.start(gateway.duties.value(PLAN_KEY).as_ref(), Instant::now());
             scale_for_term(&gateway, &client, fence).await;
             gateway.scaling.stop();
-            gateway.metrics.forget_engines();
+            gateway.metrics.scaling.forget();
         }
         // The end of a term may be noticed before it is announced.
         sleep(SAMPLE_INTERVAL).await;
@@ -83,18 +83,17 @@
         is_preemptible: subject.is_preemptible,
     };
     let token = DutyToken { holder: gateway.settings.instance.clone(), fence };
-    if gateway.duties.fence() != Some(fence) {
-        return;
-    }
+    let Some(call) = gateway.duties.begin_call().filter(|it| it.fence == fence) else { return };
     let left = gateway.duties.time_left().unwrap_or_default();
-    let call = timeout(left, client.order_endpoints(&token, &endpoints));
-    let outcome = call.await.unwrap_or(ControlOutcome::Unanswered);
+    let answer = timeout(left, client.order_endpoints(&token, &endpoints)).await;
+    drop(call);
+    let outcome = answer.unwrap_or(ControlOutcome::Unanswered);
     log::info!(
         "event=scale_ordered pool={pool} zone={} preemptible={} count={count} fence={fence} outcome={outcome:?}",
         subject.zone,
         subject.is_preemptible,
     );
-    gateway.metrics.scale_ordered(&pool, outcome_name(outcome));
+    gateway.metrics.scaling.ordered(&pool, outcome_name(outcome));
     let checks_fence = gateway.settings.duties.as_ref().is_some_and(|it| it.checks_fence);
     if outcome == ControlOutcome::Conflict && checks_fence {
         confirm_lease(&gateway, fence).await;
@@ -174,7 +173,7 @@
         let plan = plans.entry(pool.clone()).or_default();
         let before = plan.record().needed.unwrap_or_default();
         let decision = plan.decide(&inputs, now);
-        self.metrics.engines(pool, decision.needed, decision.answering);
+        self.metrics.scaling.record(pool, decision.needed, decision.answering);
         if !decision.orders.is_empty() || before != decision.needed {
             log_decision(pool, &inputs, meter, &decision);
         }
