Check that all slow clients' streams are whole

Cause: slow_clients_of_streams_stay_within_the_memory expected whole streams, but the one engine was full by the route's objective, so that some of the 200 requests were refused (failed in the whole suite).

Change: the route's objective admits all 200; the test checks that the engine got 200 requests and that all 200 streams are whole. No bound is changed.

--- a/crates/gateway/tests/gateway/slow_readers.rs
+++ b/crates/gateway/tests/gateway/slow_readers.rs
@@ -125,7 +125,13 @@
     let engine = endpoint("engine-1", large_stream(400, 500)).await;
     let service =
         endpoint("service-1", |it| vec![Step::Write(answer(it, "200 OK", "right"))]).await;
-    let deployment = deployment(&[&engine, &service], |_| ()).await;
+    // No stream is refused, though one engine gets them all.
+    let deployment = deployment(&[&engine, &service], |it| {
+        for route in it["routes"].as_array_mut().expect("routes") {
+            route["target_latency_ms"] = 20_000.into();
+        }
+    })
+    .await;
     let mut clients = Vec::new();
     for number in 0..SLOW_CLIENTS {
         let mut client = slow_connection(&deployment).await?;
@@ -133,7 +139,10 @@
         clients.push(client);
     }
     sleep(Duration::from_secs(2)).await;
-    verify_that!(metric(&deployment, "held_bytes").await, gt(1e6))?;
+    verify_that!(engine.arrivals().len(), eq(SLOW_CLIENTS))?;
+    let held = metric(&deployment, "held_bytes").await;
+    println!("bytes held for {SLOW_CLIENTS} slow clients: {held}");
+    verify_that!(held, gt(1e6))?;
     // A client that keeps up is served as fast as ever.
     for number in 0..20 {
         let start = Instant::now();
@@ -144,9 +153,9 @@
     println!("peak memory with {SLOW_CLIENTS} slow clients of streams: {peak}");
     verify_that!(peak, lt(INSTANCE_MEMORY))?;
     let reads = clients.iter_mut().map(|it| read_slowly(it, 4096, Duration::from_millis(20)));
-    for got in futures_util::future::join_all(reads).await {
-        verify_that!(got?.ends_with(STREAM_END), eq(true))?;
-    }
+    let reads = futures_util::future::join_all(reads).await;
+    let is_whole = |it: &Result<Vec<u8>>| it.as_ref().is_ok_and(|it| it.ends_with(STREAM_END));
+    verify_that!(reads.iter().filter(|it| is_whole(it)).count(), eq(SLOW_CLIENTS))?;
     sleep(Duration::from_millis(500)).await;
     verify_that!(metric(&deployment, "held_bytes").await, eq(0.0))
 }
