Decide about hedged requests, and compare policies in the load model

Cause: a tenth of slow endpoints decides the p99 of requests that may be repeated.

Change: decide::serving::hedge learns the delay (95th percentile of recent times to the first byte, at least twice the median), bounds hedges to the configured ratio and 3 in 100, names each reason against one, and remembers slow endpoints. loadmodel::hedging plays off, naive (at the median) and the product's policy with the same service times.

--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -9,6 +9,7 @@
 pub mod deadline;
 pub mod endpoint_list;
 pub mod health;
+pub mod hedge;
 pub mod leader;
 pub mod link;
 pub mod load;
--- a/crates/loadmodel/src/lib.rs
+++ b/crates/loadmodel/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod chart;
 pub mod engine;
 pub mod fleet;
+pub mod hedging;
 pub mod policy;
 pub mod report;
 
