Send second copies of late requests to plain services

Change: a service's hedge_ratio is decoded (0: off). The first send of an idempotent request gets a copy after the learned delay at another endpoint of the same software version (hedged_send). The first head wins, the other connection is closed before the answer is read. Copies take from the retry window while less than half of it is used. Slow endpoints count three requests more when one is picked. Metrics hedges_total, log lines event=hedge. Without a ratio nothing is recorded.

--- a/crates/decide/src/serving/pick.rs
+++ b/crates/decide/src/serving/pick.rs
@@ -226,10 +226,23 @@
     zone: &ZoneName,
     excluded: &[EndpointId],
     draw: u64,
+) -> Option<&'a ListedEndpoint> {
+    pick_paced(endpoints, load, zone, excluded, draw, |_| 0)
+}
+
+/// The same, where an endpoint counts as many more requests in flight as `slow_penalty` returns
+pub fn pick_paced<'a>(
+    endpoints: impl Iterator<Item = &'a ListedEndpoint>,
+    load: &FleetLoad,
+    zone: &ZoneName,
+    excluded: &[EndpointId],
+    draw: u64,
+    slow_penalty: impl Fn(&ListedEndpoint) -> u32,
 ) -> Option<&'a ListedEndpoint> {
     endpoints.filter(|it| !excluded.contains(&it.id)).min_by_key(|it| {
-        let penalty = if it.zone == *zone { 0 } else { OTHER_ZONE_PENALTY_REQUESTS };
-        (load.total_at(&it.id).requests + penalty, weight(draw, &it.id))
+        let zone_penalty = if it.zone == *zone { 0 } else { OTHER_ZONE_PENALTY_REQUESTS };
+        let requests = load.total_at(&it.id).requests.saturating_add(zone_penalty);
+        (requests.saturating_add(slow_penalty(it)), weight(draw, &it.id))
     })
 }
 
--- a/crates/decide/src/serving/retry_window.rs
+++ b/crates/decide/src/serving/retry_window.rs
@@ -14,6 +14,9 @@
 /// window may hold the share from before the restart and the one earned since.
 const USED_SLACK_FRACTION: f64 = 0.4;
 
+/// Fraction of the allowed retries that hedges may use; the rest is for retries.
+const SPARE_FRACTION: f64 = 0.5;
+
 /// Retry limits of the deployment
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryLimits {
@@ -56,6 +59,15 @@
         (self.retries.len() as f64) + 1.0 <= allowed_by_ratio + slack
     }
 
+    /// Whether less than half of the allowed retries are used, so that others than retries may use one
+    pub fn has_spare(&mut self, limits: &RetryLimits, slack: f64, now: Instant) -> bool {
+        if !self.has_retry(limits, slack, now) {
+            return false;
+        }
+        let allowed_by_ratio = limits.ratio * USED_RATIO_FRACTION * self.requests.len() as f64;
+        (self.retries.len() as f64) < (allowed_by_ratio + slack) * SPARE_FRACTION
+    }
+
     /// Records a retry if one is allowed; `false` otherwise
     pub fn try_take(&mut self, limits: &RetryLimits, slack: f64, now: Instant) -> bool {
         let is_allowed = self.has_retry(limits, slack, now);
--- a/crates/decide/src/serving/route.rs
+++ b/crates/decide/src/serving/route.rs
@@ -111,6 +111,8 @@
     pub max_connections: u32,
     /// Path that answers whether an endpoint is healthy
     pub health_path: SmolStr,
+    /// Second copies that may be sent per request; 0: none
+    pub hedge_ratio: f64,
     /// Capacity of the engines; `None` for a plain service
     pub engine: Option<EngineCapacity>,
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,25 +1,26 @@
 //! Serves a request: decodes the head, matches a route, reads the body and sends it to endpoints.
 
-use crate::attempt::{ClientRequest, SendTarget, WholeAnswer, read_whole, send};
+use crate::attempt::{ClientRequest, WholeAnswer, read_whole};
 use crate::body::AnswerBody;
 use crate::generation;
+use crate::hedged_send::{PlainSend, send_plain};
 use crate::memory::MemoryShare;
 use crate::relay::{self, RequestSource};
 use crate::request_record::RequestRecord;
 use crate::serving_call::{NOT_RELAYED, Refusal, SendWay, ServingCall, failure_name};
-use crate::state::{Gateway, WorkGuard};
+use crate::state::Gateway;
 use bytes::{Bytes, BytesMut};
 use decide::serving::crash_table::REFUSAL_TIME;
+use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::health::SendResult;
-use decide::serving::pick::{PromptProgress, pick_service};
-use decide::serving::route::RetryRule;
+use decide::serving::pick::{PromptProgress, pick_paced};
 use decide::serving::send_history::{RunStatus, SendHistory};
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use platform_adapter::answer::GatewayAnswer;
-use platform_adapter::head::{EngineStage, decode_head};
+use platform_adapter::head::decode_head;
 use smol_str::SmolStr;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -156,6 +157,7 @@
         part_test: None,
         running: RefCell::default(),
         gateway: gateway.clone(),
+        hedge: RefCell::default(),
         failed_connects: 0,
         unanswered_sends: 0,
         request: ClientRequest { parts, body, id: head.id, caller: source.caller(), share },
@@ -196,7 +198,6 @@
     mut call: ServingCall,
     mut record: RequestRecord,
 ) -> Result<Response<AnswerBody>, (Refusal, RequestRecord)> {
-    let once = call.route.retry_rule == RetryRule::Once;
     let mut failed: Option<WholeAnswer> = None;
     let mut reason = "no_endpoint";
     while let Some(way) = call.next_way(gateway).await {
@@ -223,7 +224,9 @@
         let picked = {
             let load = gateway.load.borrow();
             let draw = rand::random();
-            pick_service(endpoints.iter(), &load, &gateway.settings.zone, &call.excluded, draw)
+            let penalty = |it: &ListedEndpoint| gateway.slow_penalty(&call, it);
+            let (endpoints, zone) = (endpoints.iter(), &gateway.settings.zone);
+            pick_paced(endpoints, &load, zone, &call.excluded, draw, penalty)
         };
         let Some(endpoint) = picked else {
             if call.wait_for_pause(gateway).await {
@@ -242,21 +245,12 @@
             gateway.load.borrow().total_at(&endpoint.id).requests,
             gateway.choice_inputs(),
         );
-        let parameters = call.parameters(&endpoint.id, EngineStage::Whole);
-        let work_guard = WorkGuard::new(gateway.clone(), endpoint.id.clone(), 0);
-        let may_start = || call.start_run(gateway, endpoint, false);
-        let target = SendTarget {
-            endpoint,
-            work_guard,
-            once,
-            expects_signature: true,
-            may_start: &may_start,
-        };
-        let deadline = call.answer_deadline(gateway);
-        let answer = match send(gateway, target, &call.request, &parameters, deadline).await {
-            Ok(answer) => read_whole(gateway, answer, deadline).await,
-            Err(error) => Err(error),
-        };
+        let PlainSend { endpoint, answer, failed: lost } =
+            send_plain(gateway, &call, endpoint, &endpoints).await;
+        if let Some((endpoint, error)) = lost {
+            call.record_failure(gateway, &endpoint, &error);
+        }
+        let endpoint = &endpoint;
         match answer {
             Ok(answer)
                 if answer.status.is_server_error() && call.route.retry_rule.allows_second_run() =>
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod follow;
 pub mod forward;
 pub mod generation;
+pub mod hedged_send;
 pub mod incarnation_check;
 pub mod link_evidence;
 pub mod listen;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,7 @@
     store_calls: Family<LabelSet, Counter>,
     store_bytes: Family<LabelSet, Counter>,
     relays: Family<LabelSet, Counter>,
+    hedges: Family<LabelSet, Counter>,
     first_byte: HistogramFamily,
     whole: HistogramFamily,
     /// Connections opened to endpoints
@@ -61,6 +62,7 @@
             store_calls: Family::default(),
             store_bytes: Family::default(),
             relays: Family::default(),
+            hedges: Family::default(),
             first_byte: Family::new_with_constructor(latency_histogram),
             whole: Family::new_with_constructor(latency_histogram),
             connections_opened: Counter::default(),
@@ -92,6 +94,7 @@
         registry.register("first_byte_seconds", "Time to the first byte", self.first_byte.clone());
         registry.register("answer_seconds", "Time to the end of the answer", self.whole.clone());
         registry.register("relays", "Requests relayed between instances", self.relays.clone());
+        registry.register("hedges", "Second copies, and why there were none", self.hedges.clone());
         let cut = self.endpoints_cut.clone();
         registry.register("endpoints_cut", "Whether no endpoint answers this instance", cut);
         let opened = self.connections_opened.clone();
@@ -139,6 +142,12 @@
         self.relays.get_or_create(&labels).inc();
     }
 
+    /// Counts a second copy of a request (`sent`, `won`, `wasted`), or the reason against one
+    pub fn hedged(&self, pool: &SmolStr, outcome: &'static str) {
+        let labels = vec![("pool", pool.to_string()), ("outcome", outcome.into())];
+        self.hedges.get_or_create(&labels).inc();
+    }
+
     /// Counts a call to the store and the bytes that it received
     pub fn store_call(&self, call: &'static str, outcome: &'static str, bytes: usize) {
         let labels = vec![("call", call.into()), ("outcome", outcome.into())];
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -73,6 +73,8 @@
     pub part_test: Option<PartTest>,
     /// Send that an endpoint may be running
     pub running: RefCell<Option<RunningSend>>,
+    /// Endpoint that may be running its second copy
+    pub hedge: RefCell<Option<ListedEndpoint>>,
     /// State in which it records that its client has left
     pub gateway: Rc<Gateway>,
     /// Connection attempts that failed before anything was sent
@@ -144,6 +146,15 @@
         may_start
     }
 
+    /// Starts the second copy of a request unless a crash forbids it; `false` if so
+    pub fn start_hedge(&self, gateway: &Gateway, endpoint: &ListedEndpoint) -> bool {
+        let may_start = !self.is_suspected(gateway);
+        if may_start {
+            self.hedge.replace(Some(endpoint.clone()));
+        }
+        may_start
+    }
+
     /// Records that no endpoint runs the request any more
     pub fn end_run(&self) {
         self.running.take();
--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -18,7 +18,7 @@
 
 impl ServingCall {
     /// Whether the request is suspected of crashing endpoints, here or at other instances
-    pub(super) fn is_suspected(&self, gateway: &Gateway) -> bool {
+    pub fn is_suspected(&self, gateway: &Gateway) -> bool {
         // Avoids hashing the body: usually no endpoint has crashed.
         if gateway.crashes.borrow().is_empty() {
             return false;
@@ -81,6 +81,20 @@
         }
     }
 
+    /// Records that one of two copies has ended; the endpoint of the other one, if that has not failed, may
+    /// still crash on it
+    pub fn end_hedge(&self, has_won: bool, other_has_failed: bool) {
+        let hedge = self.hedge.take();
+        let first = self.running.take().map(|it| it.endpoint);
+        let (winner, loser) = if has_won { (hedge, first) } else { (first, hedge) };
+        let loser = loser.filter(|_| !other_has_failed);
+        if let Some(ListedEndpoint { id, started_at_ms, .. }) = loser {
+            self.record_silence(&id, started_at_ms, Vec::new(), SilenceCause::Abandoned);
+        }
+        let running = winner.map(|endpoint| RunningSend { endpoint, awaits_event: false });
+        self.running.replace(running);
+    }
+
     /// Records that the end of the request at an endpoint was not seen
     fn record_silence(
         &self,
@@ -185,6 +199,9 @@
             let (id, started_at_ms) = (&endpoint.id, endpoint.started_at_ms);
             self.record_silence(id, started_at_ms, unanswered, SilenceCause::Abandoned);
         }
+        if let Some(ListedEndpoint { id, started_at_ms, .. }) = self.hedge.take() {
+            self.record_silence(&id, started_at_ms, Vec::new(), SilenceCause::Abandoned);
+        }
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,6 +23,7 @@
 use decide::serving::endpoint_list::IncarnationStart;
 use decide::serving::endpoint_list::{EndpointList, ListedEndpoint};
 use decide::serving::health::{EndpointHealth, SendResult};
+use decide::serving::hedge::HedgeHistory;
 use decide::serving::leader::InstanceTable;
 use decide::serving::load::FleetLoad;
 use decide::serving::notice::EndpointNotices;
@@ -127,6 +128,8 @@
     pub pending_update: RefCell<ServingUpdate>,
     /// Recent requests and retries by pool
     pub retry_windows: RefCell<IndexMap<PoolName, RetryWindow>>,
+    /// Recent requests and hedges by pool, where the configuration allows hedges
+    pub hedges: RefCell<IndexMap<PoolName, HedgeHistory>>,
     /// Largest recent time left of requests by route, to detect clients' retries
     pub deadline_peaks: RefCell<IndexMap<RouteName, DeadlinePeak>>,
     pub connections: EndpointConnections,
@@ -195,6 +198,7 @@
             has_joined: Cell::default(),
             pending_update: RefCell::default(),
             retry_windows: RefCell::default(),
+            hedges: RefCell::default(),
             deadline_peaks: RefCell::default(),
             connections: EndpointConnections::default(),
             link: EndpointLink::default(),
@@ -397,6 +401,14 @@
         window.has_retry(&self.settings.retry_limits, slack, now)
     }
 
+    /// Whether the retry limits of a pool leave more than its retries need
+    pub fn has_spare_retries(&self, pool: &PoolName, now: Instant) -> bool {
+        let slack = self.slack_share(now);
+        let mut windows = self.retry_windows.borrow_mut();
+        let window = windows.entry(pool.clone()).or_default();
+        window.has_spare(&self.settings.retry_limits, slack, now)
+    }
+
     /// Records a retry to a pool if one is allowed; `false` otherwise
     pub fn try_take_retry(&self, pool: &PoolName, now: Instant) -> bool {
         let slack = self.slack_share(now);
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod extreme_values;
 mod flood;
 mod generations;
+mod hedges;
 mod large_config;
 mod late_answers;
 mod malformed;
