Send second copies of late streams before their first event

Cause: hedges reached plain services only.

Change: a resumable generation whose prompt one engine reads and answers, with at most 1,024 tokens to read, gets a copy at a second engine of the same version while the endpoint list is current. Its wait is recorded in proportion to what was expected. Inputs, metrics and log lines of both kinds are in hedges.rs.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -6,6 +6,7 @@
 //! closed.
 
 mod engine_stream;
+mod hedge;
 mod plan;
 mod relay_events;
 mod resume;
@@ -63,7 +64,7 @@
             reason = SUSPECTED_PART;
             break;
         }
-        let path = match plan_path(gateway, &call) {
+        let path = match plan_path(gateway, &call, None) {
             Ok(path) => path,
             Err(NO_ENDPOINT) if call.wait_for_pause(gateway).await => continue,
             Err(failure) => {
--- a/crates/gateway/src/generation/plan.rs
+++ b/crates/gateway/src/generation/plan.rs
@@ -27,17 +27,19 @@
     pub(super) generate: EngineStep,
 }
 
-/// Chooses the engines for a generation; the error is the reason for the log
+/// Chooses the engines for a generation, without one that it waits at; the error is the reason for the log
 pub(super) fn plan_path(
     gateway: &Rc<Gateway>,
     call: &ServingCall,
+    waits_at: Option<&EndpointId>,
 ) -> Result<EnginePath, &'static str> {
     let endpoints = gateway.ready_endpoints(call);
     let prompt = call.prompt.clone().unwrap_or_default();
+    let excluded = call.excluded.iter().chain(waits_at).cloned().collect::<Vec<_>>();
     let request = GenerationRequest {
         prompt: &prompt,
         zone: &gateway.settings.zone,
-        excluded: &call.excluded,
+        excluded: &excluded,
         objective: call.route.objective,
         pause_limit: call.route.pause_limit,
         time_left: call.deadline.saturating_duration_since(Instant::now()),
--- a/crates/gateway/src/generation/resume.rs
+++ b/crates/gateway/src/generation/resume.rs
@@ -43,7 +43,7 @@
         if !call.admit_parts(gateway).await {
             return None;
         }
-        let path = plan_path(gateway, call).ok()?;
+        let path = plan_path(gateway, call, None).ok()?;
         if !check_versions(gateway, call, &path).await {
             continue;
         }
--- a/crates/gateway/src/generation/send.rs
+++ b/crates/gateway/src/generation/send.rs
@@ -1,6 +1,7 @@
 //! Sends a generation along a planned path, or through another instance, and waits for its first event.
 
 use super::engine_stream::{EngineStream, StreamItem};
+use super::hedge::{FirstEvent, send_first};
 use super::plan::{EnginePath, EngineStep, plan_path};
 use crate::attempt::{SendError, SendTarget, free_cache, read_whole, send};
 use crate::body::AnswerBody;
@@ -105,7 +106,7 @@
         // Its notice may have arrived while the prompt was read.
         step if cache.is_some() && !gateway.accepts(&step.engine) => {
             let engine = step.engine;
-            let replanned = plan_path(gateway, call);
+            let replanned = plan_path(gateway, call, None);
             replanned.map_err(|_| (engine, SendError::NotAccepted))?.generate
         }
         step => step,
@@ -114,8 +115,14 @@
         Some(held) => EngineStage::Decode { source: held.source.clone() },
         None => EngineStage::Whole,
     };
-    let engine = generate.engine.clone();
-    let started = send_generation(gateway, call, generate, stage, resume_after).await;
+    let FirstEvent { engine, started, failed } =
+        send_first(gateway, call, generate, stage, resume_after).await;
+    if let Some((engine, error)) = failed {
+        // What is recorded of the other copy, which goes on, stays.
+        let running = call.running.take();
+        call.record_failure(gateway, &engine, &error);
+        call.running.replace(running);
+    }
     if matches!(started, Ok(Started::Streaming(..))) {
         call.record_part_answers(gateway);
     }
@@ -201,18 +208,22 @@
 }
 
 /// Sends a request to the engine that generates and waits for the first event
-async fn send_generation(
+pub(super) async fn send_generation(
     gateway: &Rc<Gateway>,
     call: &ServingCall,
     step: EngineStep,
     stage: EngineStage,
     resume_after: Option<SmolStr>,
+    is_hedge: bool,
 ) -> Result<Started, SendError> {
     let once = call.route.retry_rule == RetryRule::Once;
     let mut parameters = call.parameters(&step.engine.id, stage);
     parameters.resume_after = resume_after;
     parameters.parts_source = step.parts_source;
-    let may_start = || call.start_run(gateway, &step.engine, true);
+    let may_start = || match is_hedge {
+        true => call.start_hedge(gateway, &step.engine),
+        false => call.start_run(gateway, &step.engine, true),
+    };
     let target = SendTarget {
         endpoint: &step.engine,
         work_guard: step.work_guard,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod forward;
 pub mod generation;
 pub mod hedged_send;
+pub mod hedges;
 pub mod incarnation_check;
 pub mod link_evidence;
 pub mod listen;
--- a/crates/gateway/tests/gateway/hedges.rs
+++ b/crates/gateway/tests/gateway/hedges.rs
@@ -1,9 +1,11 @@
-//! Second copies of requests to plain services.
+//! Second copies of late requests to plain services, and of streams before their first event.
 
 use crate::client::RawClient;
 use crate::deployment::{Deployment, config, endpoint, get_path, list_software, post};
-use crate::endpoint::{Arrival, FakeEndpoint, Step, answer};
+use crate::endpoint::{Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, stream_head};
 use googletest::prelude::*;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use testcases::cases;
 use tokio::time::sleep;
@@ -17,6 +19,11 @@
     entry_is_never_hedged => not_hedged(0.5, "entries", "v1"),
     // Guards against a copy at another software version, which may answer otherwise.
     other_software_version_gets_no_copy => not_hedged(0.5, "lookups", "v2"),
+    // Guards against a stream whose first event waits for one slow engine, or that both copies write to.
+    late_resumable_stream_is_hedged_before_its_first_event => hedged_stream("resumed", 200, 2),
+    stream_that_may_run_once_is_never_hedged => hedged_stream("streams", 200, 1),
+    // Guards against a long prompt that a second engine reads.
+    long_prompt_is_not_hedged => hedged_stream("resumed", 3000, 1),
     // Guards against a copy that works on after its client has left.
     client_that_leaves_cancels_both_copies => client_leaves(),
 }
@@ -27,19 +34,18 @@
 const HANG_TIME: Duration = Duration::from_millis(800);
 
 /// Answers soon; requests to a path with `late` only at the endpoint that isn't asked first
-fn late_once(arrival: &Arrival, has_hung: &std::sync::atomic::AtomicBool) -> Vec<Step> {
+fn late_once(arrival: &Arrival, has_hung: &AtomicBool) -> Vec<Step> {
     let usual = vec![
         Step::Pause(Duration::from_millis(5)),
         Step::Write(answer(arrival, "200 OK", "right")),
     ];
-    let is_first =
-        arrival.line.contains("/late") && !has_hung.swap(true, std::sync::atomic::Ordering::SeqCst);
+    let is_first = arrival.line.contains("/late") && !has_hung.swap(true, Ordering::SeqCst);
     let all_hang = arrival.line.contains("/always");
     if is_first || all_hang { [vec![Step::Pause(HANG_TIME)], usual].concat() } else { usual }
 }
 
 async fn learned(ratio: f64, version: &str) -> Result<(Deployment, [FakeEndpoint; 2])> {
-    let has_hung = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let has_hung = Arc::new(AtomicBool::new(false));
     let flag = has_hung.clone();
     let first = endpoint("service-1", move |it| late_once(it, &flag)).await;
     let second = endpoint("service-2", move |it| late_once(it, &has_hung)).await;
@@ -97,3 +103,47 @@
     verify_that!(late.len(), eq(2))?;
     verify_that!(late.iter().all(|it| it.was_abandoned), eq(true))
 }
+
+/// Generation of a prompt that no engine has cached
+fn stream_request(route: &str, path: &str, id: &str, tokens: usize) -> String {
+    format!(
+        "POST /{route}/{path} HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: {id}\r\n\
+         X-Deadline-Ms: 1500\r\nX-Model: m\r\nX-Token-Count: {tokens},130\r\n\
+         X-Prompt-Prefix: own-{id}:{tokens}\r\nContent-Length: 4\r\n\r\ntext"
+    )
+}
+
+async fn hedged_stream(route: &'static str, tokens: usize, copies: usize) -> Result<()> {
+    let has_hung = Arc::new(AtomicBool::new(false));
+    let script = move |it: &Arrival| {
+        let is_late = it.line.contains("/late") && !has_hung.swap(true, Ordering::SeqCst);
+        let pause = if is_late { HANG_TIME } else { Duration::from_millis(5) };
+        let events = (1..=3).map(|it| Step::Write(chunk(&event(it))));
+        let mut steps = vec![Step::Pause(pause), Step::Write(stream_head(it))];
+        steps.extend(events);
+        steps.push(Step::Write(STREAM_END.to_vec()));
+        steps
+    };
+    let engines = [endpoint("engine-1", script.clone()).await, endpoint("engine-2", script).await];
+    let deployment = Deployment::start(&engines.each_ref()).await;
+    let mut config = config(2, 2000);
+    config["services"][1]["hedge_ratio"] = 0.5.into();
+    deployment.store.put("keyed.op", "config", config.to_string().as_bytes());
+    deployment.instance.wait_line("event=config_applied version=2").await;
+    sleep(Duration::from_millis(300)).await;
+    let whole = (1..=3).map(event).collect::<String>();
+    for number in 0..LEARNED_REQUESTS {
+        let request = stream_request("resumed", "x", &format!("id-{number}"), 200);
+        let got = deployment.call(request).await;
+        verify_that!((got.status, got.body == whole), eq((200, true)))?;
+    }
+    let start = Instant::now();
+    let got = deployment.call(stream_request(route, "late", "late-1", tokens)).await;
+    verify_that!((got.status, got.is_whole, got.body == whole), eq((200, true, true)))?;
+    let is_early = start.elapsed() < Duration::from_millis(400);
+    verify_that!(is_early, eq(copies == 2))?;
+    sleep(Duration::from_millis(300)).await;
+    let late = late_arrivals(&engines, "/late");
+    verify_that!(late.len(), eq(copies))?;
+    verify_that!(late.iter().filter(|it| it.was_abandoned).count(), eq(copies - 1))
+}
