--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -19,6 +19,7 @@
 pub mod fleet_size;
 pub mod fleet_spread;
 pub mod health;
+pub mod hedge;
 pub mod leader;
 pub mod link;
 pub mod load;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,7 @@
     store_bytes: Family<LabelSet, Counter>,
     relays: Family<LabelSet, Counter>,
     share_refusals: Family<LabelSet, Counter>,
+    hedges: Family<LabelSet, Counter>,
     first_byte: HistogramFamily,
     whole: HistogramFamily,
     /// Connections opened to endpoints
@@ -153,6 +154,7 @@
             store_bytes: Family::default(),
             relays: Family::default(),
             share_refusals: Family::default(),
+            hedges: Family::default(),
             first_byte: Family::new_with_constructor(latency_histogram),
             whole: Family::new_with_constructor(latency_histogram),
             connections_opened: Counter::default(),
@@ -195,6 +197,7 @@
         let sharing = self.pools_sharing.clone();
         registry.register("pools_sharing", "Pools with shares of customers in force", sharing);
         self.scaling.register(registry);
+        registry.register("hedges", "Second copies, and why there were none", self.hedges.clone());
         let cut = self.endpoints_cut.clone();
         registry.register("endpoints_cut", "Whether no endpoint answers this instance", cut);
         let opened = self.connections_opened.clone();
@@ -247,6 +250,12 @@
         self.share_refusals.get_or_create(&vec![("pool", pool.to_string())]).inc();
     }
 
+    /// Counts a second copy of a request (`sent`, `won`, `wasted`), or the reason against one
+    pub fn hedged(&self, pool: &SmolStr, outcome: &'static str) {
+        let labels = vec![("pool", pool.to_string()), ("outcome", outcome.into())];
+        self.hedges.get_or_create(&labels).inc();
+    }
+
     /// Counts a call to the store and the bytes that it received
     pub fn store_call(&self, call: &'static str, outcome: &'static str, bytes: usize) {
         let labels = vec![("call", call.into()), ("outcome", outcome.into())];
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -22,6 +22,7 @@
 mod fleet_control;
 mod flood;
 mod generations;
+mod hedges;
 mod large_config;
 mod late_answers;
 mod malformed;
--- a/crates/loadmodel/src/lib.rs
+++ b/crates/loadmodel/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod demand_pattern;
 pub mod engine;
 pub mod fleet;
+pub mod hedging;
 pub mod policy;
 pub mod report;
 pub mod scaled_fleet;
