--- a/crates/gateway/tests/gateway/duty_values.rs
+++ b/crates/gateway/tests/gateway/duty_values.rs
@@ -32,7 +32,8 @@
     duty_messages_are_decoded => messages(),
 }
 
-fn settings(store: SocketAddr, name: &str) -> InstanceSettings {
+/// Settings of an instance with duties
+pub fn settings(store: SocketAddr, name: &str) -> InstanceSettings {
     let text = format!(
         "bootstrap = true\nnode_name = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"zone-a\"\n\
          port_range = [18160, 18168]\n\
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod deployment;
 mod drain;
 mod duties;
+mod duty_soak;
 mod duty_values;
 mod ending_fleet;
 mod endpoint;
--- a/crates/standins/tests/matrix/duties.rs
+++ b/crates/standins/tests/matrix/duties.rs
@@ -21,6 +21,7 @@
 ];
 
 const MODEL: &str = "decide::serving_duty_lease_model::one_holder_through_faults";
+const SOAK: &str = "gateway::duty_soak::calls_are_right_through_faults";
 const NO_MESSAGE: FaultCell = Reason("the lease is read from the store alone");
 
 /// Lease of the duties on the users' platform.
@@ -32,7 +33,7 @@
         &[
             Test(&["gateway::duties::another_acquires_after_sigkill_of_the_holder"]),
             Test(&["gateway::duties::another_acquires_after_sigkill_of_the_holder"]),
-            Test(&[MODEL]),
+            Test(&[MODEL, SOAK]),
         ],
         &[
             Test(&["gateway::duties::another_acquires_after_sigstop_of_the_holder"]),
