--- a/crates/gateway/tests/gateway/usage.rs
+++ b/crates/gateway/tests/gateway/usage.rs
@@ -31,6 +31,8 @@
 
 cases! { async
     reports_equal_what_the_endpoints_ran => exact(),
+    // Guards against requests that ran although nobody saw their answer.
+    requests_whose_answer_is_not_seen_are_counted_once => unanswered(),
     // Guards against requests that two instances count, or none.
     relayed_requests_are_counted_once => relayed(),
     request_that_another_instance_has_counted_is_not_counted => already_counted(),
@@ -68,6 +70,12 @@
         return vec![Step::Write(match id {
             // Ran, and failed.
             _ if id.starts_with("failing") => answer(arrival, "500 Internal Server Error", "no"),
+            // Its client leaves while the service works.
+            _ if id.starts_with("left") => return vec![Step::Hang],
+            // The service ends while it works.
+            _ if id.starts_with("reset") => {
+                return vec![Step::Pause(Duration::from_millis(20)), Step::Reset];
+            }
             _ if id.starts_with("declined") => not_run(arrival, "503 Service Unavailable"),
             _ => answer(arrival, "200 OK", "right"),
         })];
@@ -280,6 +288,28 @@
     verify_that!(calls, eq(fleet.reported()?.len()))
 }
 
+async fn unanswered() -> Result<()> {
+    let fleet = UsageFleet::start(2).await;
+    for number in 0..6 {
+        UsageFleet::leave_edge().await;
+        let clients = fleet.instances[number % 2].clients;
+        let reset = with_key(post("entries", &format!("reset-{number}"), "once"), "a");
+        // Later ones may be refused, while no service is reliable enough.
+        call(clients, reset).await;
+        let mut leaving = RawClient::connect(clients).await;
+        leaving.write(with_key(get("lookups", &format!("left-{number}")), "b")).await;
+        sleep(Duration::from_millis(150)).await;
+        drop(leaving);
+        sleep(Duration::from_millis(700)).await;
+    }
+    let arrivals = fleet.endpoints.iter().flat_map(FakeEndpoint::arrivals);
+    let ids = arrivals.filter_map(|it| it.header("x-request-id").map(str::to_owned));
+    let ids = ids.collect::<BTreeSet<_>>();
+    verify_that!(ids.iter().filter(|it| it.starts_with("reset")).count(), ge(2))?;
+    verify_that!(ids.iter().filter(|it| it.starts_with("left")).count(), ge(2))?;
+    fleet.verify_reports(REPORT_BOUND).await
+}
+
 async fn relayed() -> Result<()> {
     let fleet = UsageFleet::start(3).await;
     let holder = fleet.wait_holder().await?;
--- a/crates/standins/tests/matrix/mod.rs
+++ b/crates/standins/tests/matrix/mod.rs
@@ -6,6 +6,7 @@
 mod once;
 mod platform;
 mod serving;
+mod usage;
 
 /// Faults of the product's own interface, one per row of its tables.
 const FAULTS: [&str; 14] = [
@@ -57,4 +58,5 @@
     change::CHANGE,
     platform::PLATFORM,
     duties::DUTIES,
+    usage::USAGE,
 ];
