Send customers between instances as a change of the version before

Cause: digests of 26,000 keys are 0.4 MB that can't be compressed. No instance offers that to dozens of others over its link, so each would read 1.6 MB from the store for one removed key, at 295 instances by calculation 5.9 s at 80 MB/s, beyond the bound of 2 to 3 s.

Change: the instance that reads for others states the customers as a change of the version that was in force before, which usually fits into a message. An instance in which another version is in force logs `event=config_base_unknown` and reads the store.

--- a/crates/decide/src/serving/customers.rs
+++ b/crates/decide/src/serving/customers.rs
@@ -5,7 +5,7 @@
 
 use super::config_age::ConfigAge;
 use catalogue::id::CustomerName;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use sha2::{Digest, Sha256};
 
 /// First 128 bits of the SHA-256 of a key.
@@ -57,6 +57,43 @@
         self.customers.get(name)
     }
 
+    /// Keys of each customer
+    fn keys(&self) -> IndexMap<&CustomerName, Vec<KeyDigest>> {
+        let mut keys = self.customers.keys().map(|it| (it, Vec::new())).collect::<IndexMap<_, _>>();
+        for (digest, owner) in &self.owners {
+            keys[*owner].push(*digest);
+        }
+        keys.values_mut().for_each(|it| it.sort_unstable());
+        keys
+    }
+
+    /// What makes this table of an earlier one
+    pub fn change_from(&self, base: &CustomerTable) -> CustomerChange {
+        let (base_keys, own_keys) = (base.keys(), self.keys());
+        let is_changed = |it: &&Customer| {
+            base.by_name(&it.name) != Some(*it) || base_keys.get(&it.name) != own_keys.get(&it.name)
+        };
+        let changed = self.customers.values().filter(is_changed);
+        let changed = changed.map(|it| (it.clone(), own_keys[&it.name].clone())).collect();
+        let removed = base.customers.keys().filter(|it| self.by_name(it).is_none());
+        CustomerChange { removed: removed.cloned().collect(), changed }
+    }
+
+    /// Table that a change makes of this one
+    pub fn changed_by(&self, change: CustomerChange) -> CustomerTable {
+        let keys = self.keys();
+        let replaced = change.changed.iter().map(|it| &it.0.name).chain(&change.removed);
+        let replaced = replaced.cloned().collect::<IndexSet<_>>();
+        let mut table = CustomerTable::default();
+        for customer in self.customers.values().filter(|it| !replaced.contains(&it.name)) {
+            table.insert(customer.clone(), keys[&customer.name].iter().copied());
+        }
+        for (customer, keys) in change.changed {
+            table.insert(customer, keys);
+        }
+        table
+    }
+
     /// Number of customers
     pub fn len(&self) -> usize {
         self.customers.len()
@@ -68,6 +105,15 @@
     }
 }
 
+/// Difference between the customers of two configurations
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct CustomerChange {
+    /// Customers that are gone
+    pub removed: Vec<CustomerName>,
+    /// Customers that are new, or whose rank or keys are others, with all of their keys
+    pub changed: Vec<(Customer, Vec<KeyDigest>)>,
+}
+
 /// What a request says of its customer
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CustomerClaim<'a> {
--- a/crates/decide/tests/serving_customers.rs
+++ b/crates/decide/tests/serving_customers.rs
@@ -5,6 +5,8 @@
     Customer, CustomerClaim, CustomerDecision, CustomerTable, decide_customer, key_digest,
 };
 use googletest::prelude::*;
+use proptest::prelude::{any, prop};
+use proptest::{prop_assert_eq, proptest};
 use testcases::cases;
 
 cases! {
@@ -44,6 +46,34 @@
     nobody_needs_a_key_without_customers =>
         without_customers(CustomerClaim::Key(Some(b"x")), CustomerDecision::Nobody),
     nobody_needs_a_key_on_a_public_route => public(),
+    change_of_a_table_lists_only_what_differs => small_change(),
+}
+
+proptest! {
+    /// Guards against an instance whose customers, from a change, differ from those in the store
+    #[test]
+    fn change_makes_one_table_of_the_other(
+        before in prop::collection::vec((0..6_u8, any::<Option<bool>>(), prop::collection::vec(0..12_u8, 0..4)), 0..8),
+        after in prop::collection::vec((0..6_u8, any::<Option<bool>>(), prop::collection::vec(0..12_u8, 0..4)), 0..8),
+    ) {
+        let [before, after] = [before, after].map(|customers| {
+            let mut table = CustomerTable::default();
+            for (name, rank, keys) in customers {
+                let name = format!("customer-{name}").into();
+                let customer = Customer { name, rank: rank.map(u8::from) };
+                table.insert(customer, keys.into_iter().map(|it| key_digest(&[it])));
+            }
+            table
+        });
+        let changed = before.changed_by(after.change_from(&before));
+        prop_assert_eq!(changed.len(), after.len());
+        for key in 0..12 {
+            prop_assert_eq!(changed.find(&[key]), after.find(&[key]));
+        }
+        for name in (0..6).map(|it| format!("customer-{it}")) {
+            prop_assert_eq!(changed.by_name(&name), after.by_name(&name));
+        }
+    }
 }
 
 fn table() -> CustomerTable {
@@ -89,3 +119,12 @@
     }
     Ok(())
 }
+
+fn small_change() -> Result<()> {
+    let (before, mut after) = (table(), table());
+    verify_that!(after.change_from(&before), eq(&Default::default()))?;
+    after.insert(Customer { name: "c".into(), rank: Some(1) }, [key_digest(b"key-c")]);
+    let change = after.change_from(&before);
+    verify_that!((change.removed.len(), change.changed.len()), eq((0, 1)))?;
+    verify_that!(before.change_from(&after).removed, elements_are![eq("c")])
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -14,9 +14,10 @@
 use bytes::Bytes;
 use catalogue::id::PoolName;
 use decide::serving::endpoint_list::ListOffset;
+use decide::serving::route::ServingConfig;
 use decide::serving::store_era::{EraChange, TopicPosition};
 use platform::transfer::TransferProgress;
-use platform_adapter::config::{CONFIG_KEY, decode_config};
+use platform_adapter::config::{CONFIG_KEY, ConfigFault, decode_config_on};
 use platform_adapter::endpoint_list::decode_entry;
 use platform_adapter::store::{
     ENDPOINT_TOPIC, KeyedRecord, OPERATOR_TOPIC, RecordBatch, StoreError,
@@ -271,8 +272,18 @@
 
 /// Applies a configuration if it is newer than the one in force; `true` if it is
 pub fn apply_config(gateway: &Gateway, value: &[u8], source: &str) -> bool {
-    let config = match decode_config(value) {
+    let before = gateway.config.borrow().clone();
+    let customers = |it: &Rc<ServingConfig>| Some((it.version, it.customers.clone()?));
+    let base = before.as_ref().and_then(customers);
+    let config = match decode_config_on(value, base.as_ref().map(|it| (it.0, &*it.1))) {
         Ok(config) => config,
+        Err(ConfigFault::OtherBase) => {
+            log::info!(
+                "event=config_base_unknown source={source} in_force={:?}",
+                before.map(|it| it.version)
+            );
+            return false;
+        }
         Err(error) => {
             log::error!("event=config_unreadable source={source} error={error}");
             return false;
@@ -294,6 +305,7 @@
     gateway.customer_shares.borrow_mut().retain(|pool, _| has_shares(pool));
     gateway.metrics.config_version.set(i64::try_from(config.version).unwrap_or(i64::MAX));
     *current = Some(Rc::new(config));
+    *gateway.previous_customers.borrow_mut() = base;
     true
 }
 
--- a/crates/gateway/src/peers/store_updates.rs
+++ b/crates/gateway/src/peers/store_updates.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use decide::serving::leader::PeerInstance;
 use decide::serving::route::ConfigVersion;
-use platform_adapter::config::without_keys;
+use platform_adapter::config::{with_customer_change, without_keys};
 use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -58,11 +58,7 @@
 ///
 /// Neither contains keys of customers.
 fn message_config(gateway: &Gateway, version: ConfigVersion, value: Bytes) -> Option<Vec<u8>> {
-    let has_customers = gateway.config.borrow().as_ref().is_some_and(|it| it.customers.is_some());
-    let value = match has_customers {
-        true => without_keys(&value).ok()?.into(),
-        false => value,
-    };
+    let value = shared_config(gateway, value)?;
     if value.len() <= MAX_CONFIG_BYTES {
         return Some(value.to_vec());
     }
@@ -70,6 +66,22 @@
     None
 }
 
+/// Configuration without keys, with its customers as a change of the version before if there are any in both
+///
+/// Whoever has another version reads the store. Digests of thousands of keys would neither fit into
+/// a message nor, for as many instances, into a link.
+fn shared_config(gateway: &Gateway, value: Bytes) -> Option<Bytes> {
+    let Some(customers) = gateway.config.borrow().as_ref().and_then(|it| it.customers.clone())
+    else {
+        return Some(value);
+    };
+    let shared = match &*gateway.previous_customers.borrow() {
+        Some((base, before)) => with_customer_change(&value, *base, &customers.change_from(before)),
+        None => without_keys(&value),
+    };
+    shared.ok().map(Bytes::from)
+}
+
 /// Applies an update from the instance that reads the store; one of an earlier era is ignored
 pub fn apply(gateway: &Gateway, update: StoreUpdate, sender: SocketAddr, now: Instant) {
     let era = update.config_end.era;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,6 +20,7 @@
 use decide::serving::config_age::ConfigConfirmation;
 use decide::serving::crash_table::{CrashTable, FactDigest};
 use decide::serving::customer_share::CustomerShares;
+use decide::serving::customers::CustomerTable;
 use decide::serving::deadline::DeadlinePeak;
 use decide::serving::endpoint_list::IncarnationStart;
 use decide::serving::endpoint_list::{EndpointList, ListedEndpoint};
@@ -31,7 +32,7 @@
 use decide::serving::prompt::PromptPrefix;
 use decide::serving::rate_limit::EndpointLimits;
 use decide::serving::retry_window::RetryWindow;
-use decide::serving::route::{RouteName, ServingConfig};
+use decide::serving::route::{ConfigVersion, RouteName, ServingConfig};
 use decide::serving::silence::SilentRequests;
 use decide::serving::store_era::{EraTracker, StoreEra, TopicPosition};
 use decide::serving::stream_origins::{ListedVersions, StreamOrigins};
@@ -66,6 +67,8 @@
     pub config_read_at: Cell<Option<Instant>>,
     /// Demand of customers by pool, and their shares in an overload; empty without customers
     pub customer_shares: RefCell<IndexMap<PoolName, CustomerShares>>,
+    /// Customers of the configuration that was in force before, of which others may know
+    pub previous_customers: RefCell<Option<(ConfigVersion, Rc<CustomerTable>)>>,
     /// When the configuration in force is known to have been the newest
     pub config_confirmation: RefCell<ConfigConfirmation>,
     /// Whether this instance has to read the configuration itself
@@ -168,6 +171,7 @@
             config: RefCell::default(),
             config_read_at: Cell::default(),
             customer_shares: RefCell::default(),
+            previous_customers: RefCell::default(),
             config_confirmation: RefCell::default(),
             endpoints: RefCell::default(),
             endpoints_read_at: Cell::default(),
--- a/crates/gateway/tests/gateway/customers.rs
+++ b/crates/gateway/tests/gateway/customers.rs
@@ -19,6 +19,8 @@
     removed_key_is_refused_on_an_open_connection => removed(),
     // Guards against an instance that refuses a key which the others accept.
     new_key_is_accepted_by_all_instances_at_once => added(),
+    // Guards against a change of one key among thousands that each instance reads from the store itself.
+    change_among_13_000_customers_is_in_force_in_time => many(),
     refused_request_keeps_its_connection_whatever_its_body => kept_open(),
     // Guards against a body that is asked for only to be dropped.
     expectation_is_not_met_for_a_refused_request => expectation(),
@@ -152,6 +154,40 @@
     verify_that!(told.count(), ge(1))
 }
 
+async fn many() -> Result<()> {
+    let start = start(script).await;
+    let store = &start.deployment.store;
+    let second = Instance::start(store.address, "instance-2").await;
+    sleep(CONTACT_TIME).await;
+    let all = |version: u64, last: usize| {
+        let mut config = config(version, 2000);
+        let customer =
+            |it| json!({"name": format!("c{it}"), "api_keys": [format!("key-{it:0>28}")]});
+        config["tenants"] = (1..13_000).chain([last]).map(customer).collect();
+        config
+    };
+    let instances = [&start.deployment.instance, &second];
+    put(store, &all(3, 13_000));
+    for instance in instances {
+        instance.wait_line("event=config_applied version=3").await;
+    }
+    sleep(CONTACT_TIME).await;
+    put(store, &all(4, 13_001));
+    sleep(CONFIG_BOUND).await;
+    for instance in instances {
+        for (key, expected) in [(13_000, 401), (13_001, 200), (7, 200)] {
+            let request = with_key(get("lookups", "1"), &format!("key-{key:0>28}"));
+            verify_that!(call(instance.clients, request).await.status, eq(expected))?;
+        }
+    }
+    let is_told = |it: &&&Instance| {
+        it.lines()
+            .iter()
+            .any(|it| it.contains("config_applied version=4 before=Some(3) source=peer"))
+    };
+    verify_that!(instances.iter().filter(is_told).count(), eq(1))
+}
+
 async fn kept_open() -> Result<()> {
     let start = start(script).await;
     let mut client = RawClient::connect(start.deployment.instance.clients).await;
