--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -3,7 +3,6 @@
 use crate::error::RelayError;
 use crate::stream_buffer::{BufferedEvents, StreamBuffer};
 use bytes::Bytes;
-use futures_util::Stream;
 use http_body::{Body, Frame, SizeHint};
 use std::any::Any;
 use std::pin::Pin;
@@ -14,9 +13,6 @@
 /// that the guard of the body is held until most of it is sent.
 const PART_BYTES: usize = 16 * 1024;
 
-/// Stream of relayed events
-pub type EventStream = Pin<Box<dyn Stream<Item = Result<Bytes, RelayError>>>>;
-
 enum BodyContent {
     Whole(Bytes),
     Events(BufferedEvents),
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -6,6 +6,7 @@
 //! closed.
 
 mod engine_stream;
+mod generate;
 mod hedge;
 mod plan;
 mod relay_events;
@@ -19,10 +20,11 @@
 use decide::serving::health::SendResult;
 use decide::serving::send_history::RunStatus;
 use engine_stream::StreamItem;
+use generate::Started;
 use http::Response;
 use plan::{check_versions, plan_path};
 use relay_events::stream_response;
-use send::{Started, relay_stream, start_stream};
+use send::{relay_stream, start_stream};
 use std::rc::Rc;
 
 /// Reason of a refusal while no endpoint accepts the request
--- a/crates/gateway/src/generation/hedge.rs
+++ b/crates/gateway/src/generation/hedge.rs
@@ -1,7 +1,7 @@
 //! Second copy of a resumable generation at another engine, before its first event.
 
+use super::generate::{Started, send_generation};
 use super::plan::{EngineStep, plan_path};
-use super::send::{Started, send_generation};
 use crate::attempt::SendError;
 use crate::hedges::HedgeTry;
 use crate::serving_call::ServingCall;
--- a/crates/gateway/src/generation/resume.rs
+++ b/crates/gateway/src/generation/resume.rs
@@ -1,8 +1,9 @@
 //! Resumes a stream that has failed after its first event.
 
 use super::engine_stream::{EngineStream, StreamItem};
+use super::generate::Started;
 use super::plan::{check_versions, plan_path};
-use super::send::{Started, relay_stream, start_stream};
+use super::send::{relay_stream, start_stream};
 use crate::attempt::SendError;
 use crate::serving_call::{SendWay, ServingCall};
 use crate::state::Gateway;
--- a/crates/gateway/src/generation/send.rs
+++ b/crates/gateway/src/generation/send.rs
@@ -1,20 +1,19 @@
 //! Sends a generation along a planned path, or through another instance, and waits for its first event.
 
-use super::engine_stream::{EngineStream, StreamItem};
+use super::engine_stream::EngineStream;
+use super::generate::{Started, milliseconds, record_prompt_read};
 use super::hedge::{FirstEvent, send_first};
 use super::plan::{EnginePath, EngineStep, plan_path};
 use crate::attempt::{SendError, SendTarget, free_cache, read_whole, send};
-use crate::body::AnswerBody;
 use crate::relay;
 use crate::serving_call::ServingCall;
 use crate::state::Gateway;
 use catalogue::id::InstanceId;
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::health::SendResult;
-use decide::serving::pick::{EnginePick, PromptProgress};
-use decide::serving::route::RetryRule;
+use decide::serving::pick::PromptProgress;
 use decide::serving::send_history::RunStatus;
-use http::{Response, StatusCode};
+use http::StatusCode;
 use platform_adapter::engine::decode_cache_source;
 use platform_adapter::head::{EngineStage, TakenUp};
 use smol_str::SmolStr;
@@ -58,26 +57,6 @@
     }
 }
 
-/// Result of a send along a path: a stream, or a complete error answer of the engine
-pub(super) enum Started {
-    Streaming(Box<EngineStream>, StreamItem),
-    Failed(Response<AnswerBody>),
-}
-
-/// Records that the engine of a pick has read the prompt, and how long that took
-fn record_prompt_read(
-    gateway: &Gateway,
-    call: &ServingCall,
-    engine: &ListedEndpoint,
-    pick: &EnginePick,
-    took: Duration,
-) {
-    gateway.record_wait(&call.pool, pick, took);
-    if let Some(prompt) = &call.prompt {
-        gateway.record_prompt_read(engine, prompt.prefixes(), pick.sample(took));
-    }
-}
-
 /// Sends along a path and waits for the first event; also returns the engine that answered or failed
 pub(super) async fn start_stream(
     gateway: &Rc<Gateway>,
@@ -208,46 +187,3 @@
     let source = decode_cache_source(&engine, &answer.body).map_err(|_| SendError::Mismatched)?;
     Ok(HeldCache { gateway: gateway.clone(), engine, source, is_taken: false })
 }
-
-/// Sends a request to the engine that generates and waits for the first event
-pub(super) async fn send_generation(
-    gateway: &Rc<Gateway>,
-    call: &ServingCall,
-    step: EngineStep,
-    stage: EngineStage,
-    resume_after: Option<SmolStr>,
-    is_hedge: bool,
-) -> Result<Started, SendError> {
-    let once = call.route.retry_rule == RetryRule::Once;
-    let mut parameters = call.parameters(&step.engine.id, stage);
-    parameters.resume_after = resume_after;
-    parameters.parts_source = step.parts_source;
-    let may_start = || match is_hedge {
-        true => call.start_hedge(gateway, &step.engine),
-        false => call.start_run(gateway, &step.engine, true),
-    };
-    let target = SendTarget {
-        endpoint: &step.engine,
-        work_guard: step.work_guard,
-        once,
-        expects_signature: true,
-        may_start: &may_start,
-    };
-    let deadline = call.answer_deadline(gateway);
-    let sent_at = Instant::now();
-    let answer = send(gateway, target, &call.request, &parameters, deadline).await?;
-    if !answer.head.status.is_success() {
-        let answer = read_whole(gateway, answer, call.deadline).await?;
-        return Ok(Started::Failed(call.relay_whole(answer)));
-    }
-    let mut stream = EngineStream::new(answer, milliseconds(step.pick.own_ms));
-    let first = stream.next(gateway, deadline).await?;
-    stream.first_event_at = Instant::now();
-    stream.event_limit = call.route.event_limit();
-    record_prompt_read(gateway, call, &step.engine, &step.pick, sent_at.elapsed());
-    Ok(Started::Streaming(Box::new(stream), first))
-}
-
-fn milliseconds(time: f64) -> Duration {
-    Duration::try_from_secs_f64(time / 1000.0).unwrap_or_default()
-}
--- a/crates/gateway/src/stream_buffer.rs
+++ b/crates/gateway/src/stream_buffer.rs
@@ -6,11 +6,11 @@
 //! nothing. The buffer is bounded per stream and over all streams; beyond that the
 //! engine waits. The connection ends stalled clients (`client_socket`).
 
-use crate::body::EventStream;
 use crate::error::RelayError;
 use crate::memory::{HeldBytes, MemoryShare};
 use crate::state::Gateway;
 use bytes::Bytes;
+use futures_util::Stream;
 use smol_str::SmolStr;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -20,6 +20,9 @@
 use std::task::{Context, Poll, Waker, ready};
 use tokio::time::{Instant, Sleep, sleep_until};
 
+/// Stream of relayed events
+pub type EventStream = Pin<Box<dyn Stream<Item = Result<Bytes, RelayError>>>>;
+
 /// Bytes that one stream may hold, as large as the largest event.
 const MAX_STREAM_BYTES: usize = 256 * 1024;
 
