Reset connections of HTTP/1.0 clients whose stream is cut

Cause: such a client knows a stream's end by that of its connection. When a stream was cut, or the instance killed, the system closed the connection in good order, so that half a stream looked whole.

Change: while a stream is sent to a client of HTTP/1.0, closing its socket resets the connection; once the stream has ended whole, it is closed as usual. Clients of HTTP/1.1 miss the last chunk, as before.

A stream of chunks that an engine's system closes early was cut before, too; its test guards that.

--- a/crates/gateway/src/client_socket.rs
+++ b/crates/gateway/src/client_socket.rs
@@ -134,6 +134,14 @@
         let socket = self.0.borrow();
         matches!(SockRef::from(&*socket).peek(&mut byte), Ok(count) if count > 0)
     }
+
+    /// Sets whether the end of the connection is a reset, whoever closes it, also the system after a crash
+    pub fn set_reset(&self, is_reset: bool) {
+        let linger = is_reset.then_some(Duration::ZERO);
+        if let Err(error) = SockRef::from(&*self.0.borrow()).set_linger(linger) {
+            log::debug!("event=linger_not_set error={error}");
+        }
+    }
 }
 
 /// Socket that records when a head starts to arrive, and when the client takes no bytes
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -6,6 +6,8 @@
 use crate::state::{Gateway, RequestGuard};
 use decide::serving::route::ClientLimits;
 use http::header::{CONNECTION, HeaderValue};
+use http::{Request, Version};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -77,13 +79,17 @@
             return;
         }
     };
+    let handle = socket.handle();
     let service = {
         let gateway = gateway.clone();
         let activity = activity.clone();
-        service_fn(move |request| {
+        let handle = handle.clone();
+        service_fn(move |request: Request<Incoming>| {
             let gateway = gateway.clone();
             let in_use = ActivityGuard::new(activity.clone());
             let activity = activity.clone();
+            let handle = handle.clone();
+            let is_unframed = request.version() == Version::HTTP_10;
             let open = RequestGuard::new(gateway.clone());
             async move {
                 let mut response =
@@ -94,13 +100,17 @@
                 let (parts, body) = response.into_parts();
                 if let Some(buffer) = body.buffer() {
                     activity.set_stream(buffer);
+                    if is_unframed {
+                        // Nothing but the connection's end tells such a client that the stream is whole.
+                        handle.set_reset(true);
+                        buffer.on_whole(move || handle.set_reset(false));
+                    }
                 }
                 let body = body.guarded((open, in_use));
                 Ok::<_, Infallible>(http::Response::from_parts(parts, body))
             }
         })
     };
-    let handle = socket.handle();
     let mut connection = pin!(
         http1::Builder::new()
             .timer(TokioTimer::new())
--- a/crates/gateway/src/stream_buffer.rs
+++ b/crates/gateway/src/stream_buffer.rs
@@ -44,6 +44,8 @@
     is_blocked: Cell<bool>,
     /// Whether the task that reads on is running
     has_reader: Cell<bool>,
+    /// Called once the client's connection has taken the last event of a whole stream
+    on_whole: RefCell<Option<Box<dyn FnOnce()>>>,
     reader: Cell<Option<Waker>>,
 }
 
@@ -68,10 +70,16 @@
             is_awaited: Cell::default(),
             is_blocked: Cell::default(),
             has_reader: Cell::default(),
+            on_whole: RefCell::default(),
             reader: Cell::default(),
         }
     }
 
+    /// Calls a function once the stream has ended whole
+    pub fn on_whole(&self, call: impl FnOnce() + 'static) {
+        self.on_whole.replace(Some(Box::new(call)));
+    }
+
     /// Records whether the client's socket takes bytes; while it takes none, the events are read on
     pub fn set_blocked(self: &Rc<StreamBuffer>, is_blocked: bool) {
         let was_blocked = self.is_blocked.replace(is_blocked);
@@ -123,6 +131,15 @@
         if polled.is_ready() {
             self.wake_reader();
         }
+        match &polled {
+            Poll::Ready(None) => {
+                let call = self.on_whole.take();
+                call.into_iter().for_each(|it| it());
+            }
+            // What follows an error is no whole stream.
+            Poll::Ready(Some(Err(_))) => drop(self.on_whole.take()),
+            _ => {}
+        }
         polled
     }
 
--- a/crates/gateway/tests/gateway/streams.rs
+++ b/crates/gateway/tests/gateway/streams.rs
@@ -12,6 +12,12 @@
     events_are_relayed_as_they_come => relayed_at_once(),
     resumable_stream_continues_after_its_last_complete_event => resumed(),
     non_resumable_stream_is_cut => truncated(),
+    // Guards against a stream that a crashed engine's system closes in good order, taken for whole.
+    stream_without_its_last_chunk_is_cut => closed_early(),
+    // Guard against a stream that is cut and looks whole, since its end is that of the connection.
+    stream_to_a_client_of_http_1_0_is_whole => to_http_1_0(true),
+    cut_stream_to_a_client_of_http_1_0_is_reset => to_http_1_0(false),
+    stream_to_a_client_of_http_1_0_is_reset_by_a_kill => killed_to_http_1_0(),
     stream_that_fails_before_its_first_event_is_retried => early_failure(),
     client_disconnect_ends_the_stream => client_disconnects(),
     slow_stream_is_not_ended_before_its_deadline => slow_stream(),
@@ -88,6 +94,54 @@
     verify_that!(first.arrivals().len(), eq(1))
 }
 
+async fn closed_early() -> Result<()> {
+    let engine = endpoint("engine-1", |it| {
+        vec![Step::Write(stream_head(it)), Step::Write(chunk(&event(1))), Step::Close]
+    })
+    .await;
+    let deployment = Deployment::start(&[&engine]).await;
+    let got = deployment.call(generation("streams", "id-1")).await;
+    verify_that!((got.status, got.is_whole), eq((200, false)))?;
+    verify_that!(got.body, eq(&event(1)))
+}
+
+/// Reads an answer of HTTP/1.0 to the end of its connection; also whether that is in good order
+async fn read_unframed(client: &mut RawClient) -> (String, bool) {
+    let mut bytes = Vec::new();
+    let read = tokio::io::AsyncReadExt::read_to_end(&mut client.socket, &mut bytes).await;
+    (String::from_utf8_lossy(&bytes).into_owned(), read.is_ok())
+}
+
+fn http_1_0(id: &str) -> String {
+    generation("streams", id).replace("HTTP/1.1", "HTTP/1.0")
+}
+
+async fn to_http_1_0(is_whole: bool) -> Result<()> {
+    let script = if is_whole { complete_script } else { broken_script };
+    let engine = endpoint("engine-1", script).await;
+    let deployment = Deployment::start(&[&engine]).await;
+    let mut client = RawClient::connect(deployment.instance.clients).await;
+    client.write(http_1_0("id-1")).await;
+    let (got, is_in_order) = read_unframed(&mut client).await;
+    verify_that!(got, contains_substring(event(1)))?;
+    verify_that!(got.ends_with(&event(4)), eq(is_whole))?;
+    verify_that!(is_in_order, eq(is_whole))
+}
+
+async fn killed_to_http_1_0() -> Result<()> {
+    let engine = endpoint("engine-1", |it| {
+        vec![Step::Write(stream_head(it)), Step::Write(chunk(&event(1))), Step::Hang]
+    })
+    .await;
+    let deployment = Deployment::start(&[&engine]).await;
+    let mut client = RawClient::connect(deployment.instance.clients).await;
+    client.write(http_1_0("id-1")).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    deployment.instance.signal("KILL");
+    let (_, is_in_order) = read_unframed(&mut client).await;
+    verify_that!(is_in_order, eq(false))
+}
+
 async fn early_failure() -> Result<()> {
     let first = endpoint("engine-1", |it| vec![Step::Write(stream_head(it)), Step::Reset]).await;
     let second = endpoint("engine-2", complete_script).await;
