--- a/crates/decide/src/serving/fleet_inputs.rs
+++ b/crates/decide/src/serving/fleet_inputs.rs
@@ -127,6 +127,12 @@
         u32::try_from(self.engines.iter().filter(|it| it.is_ready).count()).unwrap_or(u32::MAX)
     }
 
+    /// Regular engines that are listed as ready
+    pub fn present_regular(&self) -> u32 {
+        let regular = self.engines.iter().filter(|it| it.is_ready && !it.is_preemptible);
+        u32::try_from(regular.count()).unwrap_or(u32::MAX)
+    }
+
     /// Zones in which engines are or may be ordered
     pub fn zones(&self) -> IndexSet<ZoneName> {
         let listed = self.engines.iter().filter(|it| it.is_ready).map(|it| &it.zone);
--- a/crates/decide/src/serving/fleet_size.rs
+++ b/crates/decide/src/serving/fleet_size.rs
@@ -163,8 +163,12 @@
     fn update_needed(&mut self, measured: u32, inputs: &FleetInputs<'_>, now: Instant) -> u32 {
         let zones = u32::try_from(inputs.zones().len()).unwrap_or(u32::MAX);
         let most = inputs.rule.max.saturating_mul(zones);
-        let present = self.unmeasured.unwrap_or_else(|| inputs.present_total());
-        self.unmeasured = Some(if inputs.shows_low_demand() { 0 } else { present });
+        self.unmeasured = Some(match self.unmeasured {
+            _ if inputs.shows_low_demand() => 0,
+            Some(0) => 0,
+            // Engines that start with the instances are listed one after the other.
+            present => present.unwrap_or(inputs.present_total()).max(inputs.present_regular()),
+        });
         let before = self.needed.unwrap_or_else(|| inputs.present_need());
         let lowest = (f64::from(before) * FALL_FRACTION).floor() as u32;
         let has_fallen = self.fallen_at.is_some_and(|it| now - it < FALL_INTERVAL);
--- a/crates/decide/tests/serving_fleet_size.rs
+++ b/crates/decide/tests/serving_fleet_size.rs
@@ -43,6 +43,8 @@
     fleet_stays_without_evidence => no_evidence(),
     // Guards against fewer engines than at the start before any demand was seen, as in the time before traffic.
     number_at_the_start_stays_until_measured => number_at_start(),
+    // Guards against engines that are given up before traffic since the others weren't listed yet at the first decision.
+    engines_listed_late_count_as_at_the_start => listed_late(),
     refusals_add_engines_up_to_a_bound => refusals(),
     unanswered_order_is_not_contradicted => unanswered(),
     unavailable_zone_is_tried_again_with_backoff => backoff(),
@@ -353,6 +355,19 @@
     verify_that!(of_kind(&course.run(&engines(2, 10), 1), false), is_empty())
 }
 
+fn listed_late() -> Result<()> {
+    let mut course = Course::new(0.0);
+    (course.measured_for, course.idle_for) = (Duration::ZERO, None);
+    verify_that!(of_kind(&course.run(&engines(3, 0), 2), false), is_empty())?;
+    course.now += Duration::from_secs(1);
+    verify_that!(of_kind(&course.run(&engines(12, 0), 8), false), is_empty())?;
+    course.now += STARTUP;
+    // Three preemptible engines a zone have come; 48 engines are to stay.
+    let orders = course.run(&engines(12, 3), 1);
+    let given_up: u32 = of_kind(&orders, false).iter().map(|it| 12 - it).sum();
+    verify_that!(given_up, le(12))
+}
+
 fn refusals() -> Result<()> {
     let needed = |refused| {
         let mut course = Course::new(20.0);
