Reset control calls that are given up, and check the term before they are written

Cause: a call that was dropped after its timeout could be delivered by the kernel seconds later, when a partition healed, with a token that was outdated by then. The term was checked before connecting only.

Change: each call has a connection of its own with a zero linger time, and asks whether the term still holds right before it is written.

--- a/crates/gateway/src/scaling.rs
+++ b/crates/gateway/src/scaling.rs
@@ -85,7 +85,8 @@
     let token = DutyToken { holder: gateway.settings.instance.clone(), fence };
     let Some(call) = gateway.duties.begin_call().filter(|it| it.fence == fence) else { return };
     let left = gateway.duties.time_left().unwrap_or_default();
-    let answer = timeout(left, client.order_endpoints(&token, &endpoints)).await;
+    let may_send = || gateway.duties.fence() == Some(fence);
+    let answer = timeout(left, client.order_endpoints(&token, &endpoints, may_send)).await;
     drop(call);
     let outcome = answer.unwrap_or(ControlOutcome::Unanswered);
     log::info!(
@@ -109,8 +110,7 @@
 ///
 /// A conflict may mean that the control API has seen a higher token.
 async fn confirm_lease(gateway: &Gateway, fence: Fence) {
-    let conflicts = &gateway.scaling.conflicts;
-    conflicts.set(conflicts.get() + 1);
+    let _pause = gateway.duties.pause_calls();
     while gateway.duties.fence() == Some(fence) {
         if gateway.duties.holder().is_some_and(|it| it.fence > fence) {
             gateway.duties.give_up(fence);
@@ -122,7 +122,6 @@
         }
         sleep(SAMPLE_INTERVAL).await;
     }
-    conflicts.set(conflicts.get() - 1);
 }
 
 fn outcome_name(outcome: ControlOutcome) -> &'static str {
@@ -153,7 +152,7 @@
         rule: &ScalingRule,
         now: Instant,
     ) -> Vec<EngineOrder> {
-        if self.link.is_cut() || self.scaling.conflicts.get() > 0 {
+        if self.link.is_cut() || self.duties.has_paused_calls() {
             return Vec::new();
         }
         let engines = self.engine_states(pool, now);
--- a/crates/gateway/src/usage/reporting.rs
+++ b/crates/gateway/src/usage/reporting.rs
@@ -209,7 +209,8 @@
                 sleep(CHECK_INTERVAL).await;
                 continue;
             };
-            let outcome = timeout(left, client.report_usage(&token, body)).await;
+            let may_send = || self.gateway.duties.fence() == Some(self.fence);
+            let outcome = timeout(left, client.report_usage(&token, body, may_send)).await;
             drop(call);
             let outcome = outcome.unwrap_or(ControlOutcome::Unanswered);
             self.record_outcome(report.window, outcome);
--- a/crates/gateway/tests/gateway/control.rs
+++ b/crates/gateway/tests/gateway/control.rs
@@ -147,7 +147,7 @@
     let client = ControlClient::new(control.address);
     let body = usage_body(7, &[("acme".into(), 3)].into_iter().collect());
     let started_at = Instant::now();
-    verify_that!(client.report_usage(&token(5), body).await, eq(expected))?;
+    verify_that!(client.report_usage(&token(5), body, || true).await, eq(expected))?;
     verify_that!(started_at.elapsed(), lt(Duration::from_millis(1500)))?;
     let call = control.calls().into_iter().next().or_fail()?;
     verify_that!((call.path.as_str(), call.holder.as_str()), eq(("/usage", "instance-1")))?;
@@ -164,8 +164,8 @@
         count: 3,
         is_preemptible: false,
     };
-    let first = client.order_endpoints(&token(6), &order).await;
-    let second = client.order_endpoints(&token(5), &order).await;
+    let first = client.order_endpoints(&token(6), &order, || true).await;
+    let second = client.order_endpoints(&token(5), &order, || true).await;
     let expected = if checks_fence { ControlOutcome::Conflict } else { ControlOutcome::Accepted };
     verify_that!((first, second), eq((ControlOutcome::Accepted, expected)))
 }
--- a/crates/gateway/tests/gateway/duty_soak.rs
+++ b/crates/gateway/tests/gateway/duty_soak.rs
@@ -62,7 +62,7 @@
         sleep(CALL_INTERVAL).await;
         let Some(call) = gateway.duties.begin_call() else { continue };
         let token = DutyToken { holder: gateway.settings.instance.clone(), fence: call.fence };
-        client.report_usage(&token, usage_body(1, &Default::default())).await;
+        client.report_usage(&token, usage_body(1, &Default::default()), || true).await;
     }
 }
 
