Pause all calls after a conflict, and back off from appends that fail

Cause: after a 409 that may mean a higher token, usage reports and orders that were already under way went on with the token. A store that declined appends at once got dozens of calls a second.

Change: no call under the lease begins until a write has shown that it is held. Appends that fail are repeated after 20 ms to 0.6 s. The order of a successor that another instance states is bounded.

--- a/crates/gateway/src/duties/candidacy.rs
+++ b/crates/gateway/src/duties/candidacy.rs
@@ -12,6 +12,8 @@
 /// Time for which an instance that was asked, or that hears of no holder, is a candidate; a term and a margin pass
 /// between its first read and its acquisition.
 const CANDIDACY_TIME: Duration = Duration::from_secs(12);
+/// Highest order of a candidate; instances ask no more than this.
+const MAX_ORDER: u32 = 10;
 /// Delay of a candidate behind the one that was asked with the next lower order, so that they seldom race.
 const ORDER_DELAY: Duration = Duration::from_millis(150);
 /// Time without a holder, in waits of the lease, after which others become candidates.
@@ -46,7 +48,8 @@
 
     /// Records that the holder asks for a successor
     pub fn record_request(&self, after: Fence, order: u8, now: Instant) {
-        self.start(Some(after), now + ORDER_DELAY * u32::from(order), now);
+        let order = u32::from(order).min(MAX_ORDER);
+        self.start(Some(after), now + ORDER_DELAY * order, now);
     }
 
     fn start(&self, after: Option<Fence>, from: Instant, now: Instant) {
--- a/crates/gateway/src/duties/mod.rs
+++ b/crates/gateway/src/duties/mod.rs
@@ -67,6 +67,17 @@
     }
 }
 
+/// Lets no call under the lease begin until dropped
+pub struct CallPause {
+    pauses: Rc<Cell<usize>>,
+}
+
+impl Drop for CallPause {
+    fn drop(&mut self) {
+        self.pauses.set(self.pauses.get() - 1);
+    }
+}
+
 /// What an instance knows of the duties
 #[derive(Default)]
 pub struct DutyState {
@@ -82,6 +93,8 @@
     pub writes: RefCell<PendingWrites>,
     /// Number of calls under the lease that are being made
     calls: Rc<Cell<usize>>,
+    /// Number of reasons for which no call may begin
+    call_pauses: Rc<Cell<usize>>,
     /// Time of SIGTERM
     stopped_at: Cell<Option<Instant>>,
     /// Whether to follow the lease
@@ -111,11 +124,22 @@
     ///
     /// Send it at once, and drop the result after its end: another instance must not call before it.
     pub fn begin_call(&self) -> Option<DutyCall> {
-        let fence = self.fence()?;
+        let fence = self.fence().filter(|_| self.call_pauses.get() == 0)?;
         self.calls.set(self.calls.get() + 1);
         Some(DutyCall { fence, calls: self.calls.clone() })
     }
 
+    /// Lets no call under the lease begin until the result is dropped
+    pub fn pause_calls(&self) -> CallPause {
+        self.call_pauses.set(self.call_pauses.get() + 1);
+        CallPause { pauses: self.call_pauses.clone() }
+    }
+
+    /// Whether no call may begin now
+    pub fn has_paused_calls(&self) -> bool {
+        self.call_pauses.get() > 0
+    }
+
     /// Rest of the own term, beyond which a call under the lease must not be waited for; `None` if the lease isn't held
     pub fn time_left(&self) -> Option<Duration> {
         self.lease.borrow().as_ref()?.time_left(lease_time())
--- a/crates/gateway/src/duty_task/mod.rs
+++ b/crates/gateway/src/duty_task/mod.rs
@@ -13,6 +13,7 @@
 use platform_adapter::store::{DUTY_TOPIC, RecordBatch, StoreError};
 use record::{LEASE_KEY, decode_lease, encode_lease, lease_records};
 use smol_str::SmolStr;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::{sleep, timeout};
@@ -23,6 +24,8 @@
 const MAX_POLL: Duration = Duration::from_secs(2);
 /// Pause after a declined or unanswered append, before the topic is read.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(20);
+/// Doublings of that pause while the store declines appends again and again.
+const MAX_DOUBLINGS: u32 = 5;
 /// Pause after a read of another era or of records that are gone.
 const VOID_PAUSE: Duration = Duration::from_millis(100);
 
@@ -30,7 +33,7 @@
 pub async fn hold_lease(gateway: Rc<Gateway>, reads_for_others: impl Fn(Instant) -> bool) {
     let Some(settings) = &gateway.settings.duties else { return };
     let timing = LeaseTiming::new(settings.lease_term);
-    let task = LeaseTask { gateway: &gateway, timing };
+    let task = LeaseTask { gateway: &gateway, timing, failed_appends: Cell::default() };
     let mut backoff = StoreBackoff::new(DUTY_TOPIC);
     let mut was_candidate = false;
     loop {
@@ -64,6 +67,8 @@
 struct LeaseTask<'a> {
     gateway: &'a Gateway,
     timing: LeaseTiming,
+    /// Appends in a row that the store has declined for another reason than the topic's end
+    failed_appends: Cell<u32>,
 }
 
 impl LeaseTask<'_> {
@@ -203,8 +208,12 @@
                 log::info!("event=store_answer_dropped topic={DUTY_TOPIC} call=append");
                 sleep(CONFLICT_PAUSE).await;
             }
-            Ok(()) => self.apply_acknowledged(&append, records),
+            Ok(()) => {
+                self.failed_appends.set(0);
+                self.apply_acknowledged(&append, records);
+            }
             Err(StoreError::OtherEnd { end }) => {
+                self.failed_appends.set(0);
                 log::info!("event=duty_append_declined at={} end={end}", append.at.offset);
                 self.with_lease(|it| it.declined(&append, end));
                 sleep(CONFLICT_PAUSE).await;
@@ -212,7 +221,9 @@
             Err(error) => {
                 let append = append.record.append;
                 log::info!("event=duty_append_unanswered append={append} error=\"{error}\"");
-                sleep(CONFLICT_PAUSE).await;
+                let failures = self.failed_appends.get();
+                self.failed_appends.set(failures.saturating_add(1));
+                sleep(CONFLICT_PAUSE * (1 << failures.min(MAX_DOUBLINGS))).await;
             }
         }
     }
--- a/crates/gateway/src/scaling_state.rs
+++ b/crates/gateway/src/scaling_state.rs
@@ -7,7 +7,7 @@
 use decide::serving::fleet_size::{FleetPlan, PlanRecord};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::time::Instant;
 
 /// Format of the recorded plans.
@@ -31,8 +31,6 @@
     pub checking: RefCell<Vec<EndpointId>>,
     /// Plans that were staged last
     pub staged: RefCell<Bytes>,
-    /// Conflicts after which the lease isn't known to be held still; orders wait
-    pub conflicts: Cell<usize>,
 }
 
 impl ScalingState {
