Wait after a release of an earlier era of the store

Cause: a release that is carried out late, after the store has come back from a copy and another instance has acquired the lease, let a third one acquire it at once.

Change: only a release of the current era shortens the wait.

--- a/crates/decide/src/serving/duty_lease/mod.rs
+++ b/crates/decide/src/serving/duty_lease/mod.rs
@@ -251,7 +251,7 @@
         if !(is_first && view.lease.is_none()) {
             longest = longest.max(left(self.started_at, wait));
             longest = longest.max(match &view.lease {
-                Some(lease) => left(lease.read_at, self.wait_after(lease)),
+                Some(lease) => left(lease.read_at, self.wait_after(lease, view.position.era)),
                 None => left(view.read_at, wait),
             });
         }
@@ -259,13 +259,15 @@
     }
 
     /// Time to wait after a record was read
-    fn wait_after(&self, lease: &SeenLease) -> Duration {
+    fn wait_after(&self, lease: &SeenLease, era: StoreEra) -> Duration {
         let wait = self.timing.wait();
         let Some(record) = &lease.record else { return wait };
         // An instance that held the lease before the last holder comes back only a term after that one's end.
         let is_return = record.previous.as_ref() == Some(&self.own) && record.holder != self.own;
+        // A release of an earlier era may have been carried out late, after another instance's term has begun.
+        let is_current = record.fence >> ERA_SHIFT == era;
         match (record.act, is_return) {
-            (LeaseAct::Release, false) => Duration::ZERO,
+            (LeaseAct::Release, false) if is_current => Duration::ZERO,
             (LeaseAct::Release, true) => wait,
             (_, false) => wait,
             (_, true) => self.timing.term + wait,
