--- a/crates/decide/src/serving/engine_orders.rs
+++ b/crates/decide/src/serving/engine_orders.rs
@@ -26,6 +26,9 @@
 /// First and longest rest after none were to be had; that lasts for some seconds.
 const FIRST_REST: Duration = Duration::from_secs(3);
 const MAX_REST: Duration = Duration::from_secs(30);
+/// Time after a lowering order in which its engines may still be listed as ready: an order without an answer may be
+/// executed seconds later.
+const LISTING_TIME: Duration = Duration::from_secs(6);
 /// Time after a lowering order in which engines that leave are the result of it.
 const LOWERING_TIME: Duration = Duration::from_secs(15);
 
@@ -82,7 +85,9 @@
     pub fn resume(orders: impl IntoIterator<Item = EngineOrder>, now: Instant) -> OrderBook {
         let subjects = orders.into_iter().map(|it| {
             let ordered = Some((it.count, now));
-            (it.subject, SubjectOrders { ordered, ..SubjectOrders::default() })
+            // Two holders keep to the interval between two orders, too.
+            let times = VecDeque::from([now]);
+            (it.subject, SubjectOrders { ordered, times, ..SubjectOrders::default() })
         });
         OrderBook { subjects: subjects.collect() }
     }
@@ -135,6 +140,18 @@
             && orders.ordered.is_some_and(|(count, _)| present >= count)
     }
 
+    /// Whether engines that a recent order gives up are still listed
+    pub fn has_open_lowering(
+        &self,
+        present_of: impl Fn(&OrderSubject) -> u32,
+        now: Instant,
+    ) -> bool {
+        self.subjects.iter().any(|(subject, it)| {
+            is_within(it.lowered_at, LISTING_TIME, now)
+                && it.ordered.is_some_and(|(count, _)| present_of(subject) > count)
+        })
+    }
+
     /// Whether an order may be given now
     pub fn may_order(&self, subject: &OrderSubject, is_lowering: bool, now: Instant) -> bool {
         let Some(orders) = self.subjects.get(subject) else { return true };
@@ -175,6 +192,13 @@
         }
     }
 
+    /// Records that the last order was not accepted and changes nothing
+    pub fn withdraw(&mut self, subject: &OrderSubject) {
+        if let Some(orders) = self.subjects.get_mut(subject) {
+            orders.ordered = None;
+        }
+    }
+
     /// Records that the platform takes engines of a subject away; none are to be had for a time
     pub fn record_taken_away(&mut self, subject: &OrderSubject, now: Instant) {
         let orders = self.subjects.entry(subject.clone()).or_default();
--- a/crates/decide/src/serving/fleet_shrink.rs
+++ b/crates/decide/src/serving/fleet_shrink.rs
@@ -11,6 +11,8 @@
 pub struct ShrinkStep {
     needed: u32,
     needed_total: u32,
+    /// Least number of engines of a zone
+    zone_min: u32,
     left: u32,
     answering: FleetSpread,
     decoders: IndexMap<OrderSubject, u32>,
@@ -23,6 +25,7 @@
         let mut step = ShrinkStep {
             needed,
             needed_total,
+            zone_min: inputs.rule.min,
             left: 0,
             answering: FleetSpread::new(),
             decoders: IndexMap::new(),
@@ -44,8 +47,9 @@
     /// Takes an engine of a subject if the others suffice; the platform chooses which one, so a decoder is assumed
     pub fn try_take(&mut self, subject: &OrderSubject) -> bool {
         let Some(count) = self.answering.get_mut(&subject.zone) else { return false };
+        let is_least = count.total() <= self.zone_min;
         let kind = if subject.is_preemptible { &mut count.preemptible } else { &mut count.regular };
-        if self.left == 0 || *kind == 0 {
+        if self.left == 0 || *kind == 0 || is_least {
             return false;
         }
         *kind -= 1;
--- a/crates/decide/src/serving/fleet_size.rs
+++ b/crates/decide/src/serving/fleet_size.rs
@@ -101,6 +101,7 @@
         if outcome == OrderOutcome::Declined && last == Some(0) && !self.keeps_kinds {
             // Some platforms hold the least number for each kind; the next order keeps to that.
             self.keeps_kinds = true;
+            self.orders.withdraw(subject);
             return;
         }
         self.orders.record_outcome(subject, outcome, now);
@@ -263,7 +264,10 @@
         inputs: &FleetInputs<'_>,
         now: Instant,
     ) -> Vec<EngineOrder> {
-        if self.shrunk_at.is_some_and(|it| now - it < SHRINK_INTERVAL) {
+        // Engines that are given up and still listed would count as capacity.
+        if self.shrunk_at.is_some_and(|it| now - it < SHRINK_INTERVAL)
+            || self.orders.has_open_lowering(|it| inputs.present_of(it), now)
+        {
             return Vec::new();
         }
         let startup = inputs.rule.startup;
--- a/crates/decide/tests/serving_fleet_size.rs
+++ b/crates/decide/tests/serving_fleet_size.rs
@@ -45,6 +45,10 @@
     number_at_the_start_stays_until_measured => number_at_start(),
     // Guards against engines that are given up before traffic since the others weren't listed yet at the first decision.
     engines_listed_late_count_as_at_the_start => listed_late(),
+    // Guards against a zone below its least number while its replacements are not to be had.
+    zones_keep_their_least_number => least_number(),
+    // Guards against engines that are given up twice, since those of the last order are still listed.
+    engines_given_up_and_still_listed_are_no_capacity => open_lowering(),
     refusals_add_engines_up_to_a_bound => refusals(),
     unanswered_order_is_not_contradicted => unanswered(),
     unavailable_zone_is_tried_again_with_backoff => backoff(),
@@ -368,6 +372,25 @@
     verify_that!(given_up, le(12))
 }
 
+fn least_number() -> Result<()> {
+    let mut course = Course::new(4.0);
+    let mut engines = engines(1, 8);
+    engines.retain(|it| it.zone != "d" || !it.is_preemptible);
+    let orders = course.run(&engines, 40);
+    let lowest = orders.iter().filter(|it| it.subject.zone == "d" && !it.subject.is_preemptible);
+    verify_that!(lowest.map(|it| it.count).min().unwrap_or(1), ge(1))
+}
+
+fn open_lowering() -> Result<()> {
+    let mut course = Course::new(4.0);
+    let engines = engines(4, 10);
+    let first = course.decide(&engines).orders;
+    verify_that!(first, not(is_empty()))?;
+    // One interval of steps later, the list still shows all of them.
+    course.now += Duration::from_millis(3200);
+    verify_that!(course.decide(&engines).orders, is_empty())
+}
+
 fn refusals() -> Result<()> {
     let needed = |refused| {
         let mut course = Course::new(20.0);
