Count a cancelled copy of a hedged request as a send

Cause: a signed 429, 408 or 421 of one endpoint won while the other copy was cancelled halfway. Nothing recorded that copy, so the client could be told that the request had not run, and a retry could exceed max_attempts.

Change: the endpoint of the cancelled copy is returned with the result; the caller records that it may have run the request and excludes it before the answer is converted. Error answers to generations are converted after that.

Measured: 9 cases of gateway hedges pass, the new one of a 429 to a plain service among them; no case for a generation.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -264,11 +264,14 @@
             gateway.load.borrow().total_at(&endpoint.id).requests,
             gateway.choice_inputs(),
         );
-        let PlainSend { endpoint, answer, failed: lost } =
+        let PlainSend { endpoint, answer, failed: lost, abandoned } =
             send_plain(gateway, &call, endpoint, &endpoints).await;
         if let Some((endpoint, error)) = lost {
             call.record_failure(gateway, &endpoint, &error);
         }
+        if let Some(abandoned) = abandoned {
+            call.record_abandoned(abandoned);
+        }
         let endpoint = &endpoint;
         if answer.is_ok() {
             call.count_answer();
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -45,8 +45,9 @@
         if way == SendWay::Relay {
             let sends = call.history.sends;
             match relay_stream(gateway, &mut call, None).await {
-                Some((instance, Started::Failed(response))) => {
+                Some((instance, Started::Failed(answer))) => {
                     record.relayed_to = instance;
+                    let response = call.relay_whole(answer);
                     record.finish("relayed", response.status().as_str());
                     return Ok(response);
                 }
@@ -83,11 +84,12 @@
             break;
         }
         match start_stream(gateway, &mut call, &mut cache, path, None).await {
-            Ok((engine, Started::Failed(response))) => {
+            Ok((engine, Started::Failed(answer))) => {
                 call.end_run();
                 gateway.metrics.sent(&call.pool, "server_error");
                 gateway.record_result(&engine, SendResult::Failed);
                 record.endpoint = engine.id;
+                let response = call.relay_whole(answer);
                 record.finish("answered", response.status().as_str());
                 return Ok(response);
             }
--- a/crates/gateway/src/generation/generate.rs
+++ b/crates/gateway/src/generation/generate.rs
@@ -2,14 +2,12 @@
 
 use super::engine_stream::{EngineStream, StreamItem};
 use super::plan::EngineStep;
-use crate::attempt::{SendError, SendTarget, read_whole, send};
-use crate::body::AnswerBody;
+use crate::attempt::{SendError, SendTarget, WholeAnswer, read_whole, send};
 use crate::serving_call::ServingCall;
 use crate::state::Gateway;
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::pick::EnginePick;
 use decide::serving::route::RetryRule;
-use http::Response;
 use platform_adapter::head::EngineStage;
 use smol_str::SmolStr;
 use std::rc::Rc;
@@ -19,7 +17,7 @@
 /// Result of a send along a path: a stream, or a complete error answer of the engine
 pub(super) enum Started {
     Streaming(Box<EngineStream>, StreamItem),
-    Failed(Response<AnswerBody>),
+    Failed(WholeAnswer),
 }
 
 /// Records that the engine of a pick has read the prompt, and how long that took
@@ -66,7 +64,7 @@
     let answer = send(gateway, target, &call.request, &parameters, deadline).await?;
     if !answer.head.status.is_success() {
         let answer = read_whole(gateway, answer, call.deadline).await?;
-        return Ok(Started::Failed(call.relay_whole(answer)));
+        return Ok(Started::Failed(answer));
     }
     let mut stream = EngineStream::new(answer, milliseconds(step.pick.own_ms));
     let first = stream.next(gateway, deadline).await?;
--- a/crates/gateway/src/generation/hedge.rs
+++ b/crates/gateway/src/generation/hedge.rs
@@ -29,6 +29,8 @@
     pub(super) started: Result<Started, SendError>,
     /// Engine whose copy had failed before
     pub(super) failed: Option<(ListedEndpoint, SendError)>,
+    /// Engine whose copy was cancelled, and which may have run it
+    pub(super) abandoned: Option<ListedEndpoint>,
 }
 
 /// Sends to the engine of a step, and to another one if the first event is late
@@ -47,7 +49,7 @@
         && gateway.may_hedge(call, RetryRule::Resumable);
     if !is_hedged {
         let started = send_generation(gateway, call, step, stage, resume_after, false).await;
-        return FirstEvent { engine: own, started, failed: None };
+        return FirstEvent { engine: own, started, failed: None, abandoned: None };
     }
     let sent_at = Instant::now();
     let scale = EXPECTED_UNIT_MS / step.pick.expected_ms;
@@ -62,27 +64,47 @@
         None => hedge_step(gateway, call, &own, sent_at.elapsed(), scale),
     };
     let result = match (early, target) {
-        (Some(started), _) => FirstEvent { engine: own.clone(), started, failed: None },
-        (None, None) => FirstEvent { engine: own.clone(), started: first.await, failed: None },
+        (Some(started), _) => {
+            FirstEvent { engine: own.clone(), started, failed: None, abandoned: None }
+        }
+        (None, None) => {
+            FirstEvent { engine: own.clone(), started: first.await, failed: None, abandoned: None }
+        }
         (None, Some(step)) => {
             let other = step.engine.clone();
             let second =
                 Box::pin(send_generation(gateway, call, step, EngineStage::Whole, None, true));
             // The other copy is dropped, and its connection closed, before the stream goes on.
             let result = match select(first, second).await {
-                Either::Left((Ok(started), _)) => {
-                    FirstEvent { engine: own.clone(), started: Ok(started), failed: None }
-                }
-                Either::Right((Ok(started), _)) => {
-                    FirstEvent { engine: other.clone(), started: Ok(started), failed: None }
-                }
+                Either::Left((Ok(started), _)) => FirstEvent {
+                    engine: own.clone(),
+                    started: Ok(started),
+                    failed: None,
+                    abandoned: Some(other.clone()),
+                },
+                Either::Right((Ok(started), _)) => FirstEvent {
+                    engine: other.clone(),
+                    started: Ok(started),
+                    failed: None,
+                    abandoned: Some(own.clone()),
+                },
                 Either::Left((Err(error), second)) => {
                     let failed = Some((own.clone(), error));
-                    FirstEvent { engine: other.clone(), started: second.await, failed }
+                    FirstEvent {
+                        engine: other.clone(),
+                        started: second.await,
+                        failed,
+                        abandoned: None,
+                    }
                 }
                 Either::Right((Err(error), first)) => {
                     let failed = Some((other.clone(), error));
-                    FirstEvent { engine: own.clone(), started: first.await, failed }
+                    FirstEvent {
+                        engine: own.clone(),
+                        started: first.await,
+                        failed,
+                        abandoned: None,
+                    }
                 }
             };
             let has_won = result.engine.id == other.id && result.started.is_ok();
--- a/crates/gateway/src/generation/send.rs
+++ b/crates/gateway/src/generation/send.rs
@@ -43,7 +43,7 @@
         }
         false => {
             let answer = read_whole(gateway, answer, call.deadline).await;
-            answer.map(|answer| Started::Failed(call.relay_whole(answer)))
+            answer.map(Started::Failed)
         }
     };
     match started {
@@ -96,7 +96,7 @@
         Some(held) => EngineStage::Decode { source: held.source.clone() },
         None => EngineStage::Whole,
     };
-    let FirstEvent { engine, started, failed } =
+    let FirstEvent { engine, started, failed, abandoned } =
         send_first(gateway, call, generate, stage, resume_after).await;
     if let Some((engine, error)) = failed {
         // What is recorded of the other copy, which goes on, stays.
@@ -104,6 +104,9 @@
         call.record_failure(gateway, &engine, &error);
         call.running.replace(running);
     }
+    if let Some(abandoned) = abandoned {
+        call.record_abandoned(abandoned);
+    }
     if matches!(started, Ok(Started::Streaming(..))) {
         call.record_part_answers(gateway);
     }
--- a/crates/gateway/src/hedged_send.rs
+++ b/crates/gateway/src/hedged_send.rs
@@ -23,6 +23,8 @@
     pub answer: Result<WholeAnswer, SendError>,
     /// Endpoint whose copy had failed before
     pub failed: Option<(ListedEndpoint, SendError)>,
+    /// Endpoint whose copy was cancelled, and which may have run it
+    pub abandoned: Option<ListedEndpoint>,
 }
 
 /// Head of the answer that came first
@@ -30,6 +32,7 @@
     endpoint: ListedEndpoint,
     answer: Result<OpenAnswer, SendError>,
     failed: Option<(ListedEndpoint, SendError)>,
+    abandoned: Option<ListedEndpoint>,
 }
 
 /// Sends to an endpoint, and to another of `endpoints` if its answer is late
@@ -44,13 +47,13 @@
         send_hedged(gateway, call, endpoint, endpoints, deadline).await
     } else {
         let answer = send_copy(gateway, call, endpoint, false, deadline).await;
-        FirstAnswer { endpoint: endpoint.clone(), answer, failed: None }
+        FirstAnswer { endpoint: endpoint.clone(), answer, failed: None, abandoned: None }
     };
     let answer = match first.answer {
         Ok(answer) => read_whole(gateway, answer, deadline).await,
         Err(error) => Err(error),
     };
-    PlainSend { endpoint: first.endpoint, answer, failed: first.failed }
+    PlainSend { endpoint: first.endpoint, answer, failed: first.failed, abandoned: first.abandoned }
 }
 
 async fn send_copy(
@@ -97,25 +100,38 @@
     };
     let own = endpoint.clone();
     let result = match (early, target) {
-        (Some(answer), _) => FirstAnswer { endpoint: own, answer, failed: None },
-        (None, None) => FirstAnswer { endpoint: own, answer: first.await, failed: None },
+        (Some(answer), _) => FirstAnswer { endpoint: own, answer, failed: None, abandoned: None },
+        (None, None) => {
+            FirstAnswer { endpoint: own, answer: first.await, failed: None, abandoned: None }
+        }
         (None, Some(target)) => {
             let second = Box::pin(send_copy(gateway, call, &target, true, deadline));
             // The other copy is dropped, and its connection closed, before the answer is read.
             let result = match select(first, second).await {
-                Either::Left((Ok(answer), _)) => {
-                    FirstAnswer { endpoint: own, answer: Ok(answer), failed: None }
-                }
-                Either::Right((Ok(answer), _)) => {
-                    FirstAnswer { endpoint: target.clone(), answer: Ok(answer), failed: None }
-                }
+                Either::Left((Ok(answer), _)) => FirstAnswer {
+                    endpoint: own,
+                    answer: Ok(answer),
+                    failed: None,
+                    abandoned: Some(target.clone()),
+                },
+                Either::Right((Ok(answer), _)) => FirstAnswer {
+                    endpoint: target.clone(),
+                    answer: Ok(answer),
+                    failed: None,
+                    abandoned: Some(own),
+                },
                 Either::Left((Err(error), second)) => {
                     let failed = Some((own, error));
-                    FirstAnswer { endpoint: target.clone(), answer: second.await, failed }
+                    FirstAnswer {
+                        endpoint: target.clone(),
+                        answer: second.await,
+                        failed,
+                        abandoned: None,
+                    }
                 }
                 Either::Right((Err(error), first)) => {
                     let failed = Some((target.clone(), error));
-                    FirstAnswer { endpoint: own, answer: first.await, failed }
+                    FirstAnswer { endpoint: own, answer: first.await, failed, abandoned: None }
                 }
             };
             let has_won = result.endpoint.id == target.id && result.answer.is_ok();
--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -95,6 +95,12 @@
         self.running.replace(running);
     }
 
+    /// Records a copy that was cancelled when the other one was answered: it may have run, and counts as a send
+    pub fn record_abandoned(&mut self, endpoint: ListedEndpoint) {
+        self.history.record_send(RunStatus::MayHaveRun);
+        self.excluded.push(endpoint.id);
+    }
+
     /// Records that the end of the request at an endpoint was not seen
     fn record_silence(
         &self,
--- a/crates/gateway/tests/gateway/hedges.rs
+++ b/crates/gateway/tests/gateway/hedges.rs
@@ -13,6 +13,8 @@
 cases! { async
     // Guards against a copy that doesn't help, or whose loser works on.
     late_request_is_hedged_and_the_loser_cancelled => hedged(),
+    // Guards against a promise that a request has not run while a cancelled copy of it may have.
+    cancelled_copy_forbids_the_promise_that_nothing_ran => answered_by_copy("late-429", 502),
     // Guards against copies that the configuration doesn't allow.
     nothing_is_hedged_without_a_ratio => not_hedged(0.0, "lookups", "v1"),
     // Guards against a request that runs twice though it may run only once.
@@ -35,13 +37,18 @@
 
 /// Answers soon; requests to a path with `late` only at the endpoint that isn't asked first
 fn late_once(arrival: &Arrival, has_hung: &AtomicBool) -> Vec<Step> {
-    let usual = vec![
-        Step::Pause(Duration::from_millis(5)),
-        Step::Write(answer(arrival, "200 OK", "right")),
-    ];
+    let usual = |status| {
+        vec![Step::Pause(Duration::from_millis(5)), Step::Write(answer(arrival, status, "right"))]
+    };
     let is_first = arrival.line.contains("/late") && !has_hung.swap(true, Ordering::SeqCst);
     let all_hang = arrival.line.contains("/always");
-    if is_first || all_hang { [vec![Step::Pause(HANG_TIME)], usual].concat() } else { usual }
+    if is_first || all_hang {
+        return [vec![Step::Pause(HANG_TIME)], usual("200 OK")].concat();
+    }
+    match () {
+        () if arrival.line.contains("/late-429") => usual("429 Too Many Requests"),
+        () => usual("200 OK"),
+    }
 }
 
 async fn learned(ratio: f64, version: &str) -> Result<(Deployment, [FakeEndpoint; 2])> {
@@ -82,6 +89,14 @@
     Ok(())
 }
 
+/// Sends a request whose second copy is answered with an error while the first one is late
+async fn answered_by_copy(path: &str, status: u16) -> Result<()> {
+    let (deployment, endpoints) = learned(0.5, "v1").await?;
+    let got = deployment.call(get_path("lookups", path, "late-1")).await;
+    verify_that!(got.status, eq(status))?;
+    verify_that!(late_arrivals(&endpoints, "/late").len(), eq(2))
+}
+
 async fn not_hedged(ratio: f64, route: &str, version: &str) -> Result<()> {
     let (deployment, endpoints) = learned(ratio, version).await?;
     let request = match route {
