Let no error answer cancel the other copy of a hedged request

Cause: a server error or an error answer of an engine won against a copy that would have succeeded, and cancelled it.

Change: only a started stream, or a head without a server error, wins at once. After anything else the other copy is awaited, and the better result is used; the endpoint with the error counts as failed.

Measured: 10 cases of gateway hedges pass, the new one of a 500 to a plain service among them, before a last change to the time for reading an error's body, which is not covered by a case; no case for a generation.

--- a/crates/gateway/src/generation/hedge.rs
+++ b/crates/gateway/src/generation/hedge.rs
@@ -3,12 +3,12 @@
 use super::generate::{Started, send_generation};
 use super::plan::{EngineStep, plan_path};
 use crate::attempt::SendError;
+use crate::copy_race::{CopyRace, OtherCopy, race};
 use crate::hedges::HedgeTry;
 use crate::serving_call::ServingCall;
 use crate::state::Gateway;
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::route::RetryRule;
-use futures_util::future::{Either, select};
 use platform_adapter::head::EngineStage;
 use smol_str::SmolStr;
 use std::rc::Rc;
@@ -29,7 +29,7 @@
     pub(super) started: Result<Started, SendError>,
     /// Engine whose copy had failed before
     pub(super) failed: Option<(ListedEndpoint, SendError)>,
-    /// Engine whose copy was cancelled, and which may have run it
+    /// Engine that may have run the copy that was cancelled or answered with an error
     pub(super) abandoned: Option<ListedEndpoint>,
 }
 
@@ -74,42 +74,14 @@
             let other = step.engine.clone();
             let second =
                 Box::pin(send_generation(gateway, call, step, EngineStage::Whole, None, true));
-            // The other copy is dropped, and its connection closed, before the stream goes on.
-            let result = match select(first, second).await {
-                Either::Left((Ok(started), _)) => FirstEvent {
-                    engine: own.clone(),
-                    started: Ok(started),
-                    failed: None,
-                    abandoned: Some(other.clone()),
-                },
-                Either::Right((Ok(started), _)) => FirstEvent {
-                    engine: other.clone(),
-                    started: Ok(started),
-                    failed: None,
-                    abandoned: Some(own.clone()),
-                },
-                Either::Left((Err(error), second)) => {
-                    let failed = Some((own.clone(), error));
-                    FirstEvent {
-                        engine: other.clone(),
-                        started: second.await,
-                        failed,
-                        abandoned: None,
-                    }
-                }
-                Either::Right((Err(error), first)) => {
-                    let failed = Some((other.clone(), error));
-                    FirstEvent {
-                        engine: own.clone(),
-                        started: first.await,
-                        failed,
-                        abandoned: None,
-                    }
-                }
-            };
-            let has_won = result.engine.id == other.id && result.started.is_ok();
-            gateway.end_hedge(call, &other, has_won, result.failed.is_some());
-            result
+            // A cancelled copy's connection is closed before the stream goes on.
+            let CopyRace { is_second, answer, other: end } = race(first, second, is_usable).await;
+            let has_won = is_second && answer.is_ok();
+            gateway.end_hedge(call, &other, has_won, !matches!(end, OtherCopy::Cancelled));
+            let (engine, loser) =
+                if is_second { (other, own.clone()) } else { (own.clone(), other) };
+            let (failed, abandoned) = gateway.split_loser(call, loser, end);
+            FirstEvent { engine, started: answer, failed, abandoned }
         }
     };
     let took = sent_at.elapsed().mul_f64(scale);
@@ -117,6 +89,14 @@
     result
 }
 
+/// Whether a result of one copy makes the other one unnecessary
+fn is_usable(started: &Started) -> bool {
+    match started {
+        Started::Streaming(..) => true,
+        Started::Failed(answer) => !answer.status.is_server_error(),
+    }
+}
+
 /// Step for a second copy of a generation that waits at `first`; `None` if there is to be none
 fn hedge_step(
     gateway: &Rc<Gateway>,
--- a/crates/gateway/src/hedged_send.rs
+++ b/crates/gateway/src/hedged_send.rs
@@ -1,17 +1,17 @@
 //! Sends a request to a plain service, with a second copy to another endpoint if the first one is late.
 //!
-//! The first head of an answer wins; the other connection is closed at once. Only the first
+//! The first head without a server error wins; the other connection is closed at once. Only the first
 //! send of a request that may be repeated is hedged, and only to an endpoint with the same
 //! software version.
 
 use crate::attempt::{OpenAnswer, SendError, SendTarget, WholeAnswer, read_whole, send};
+use crate::copy_race::{CopyRace, OtherCopy, race};
 use crate::hedges::HedgeTry;
 use crate::serving_call::ServingCall;
 use crate::state::{Gateway, WorkGuard};
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::pick::pick_paced;
 use decide::serving::route::RetryRule;
-use futures_util::future::{Either, select};
 use platform_adapter::head::EngineStage;
 use std::rc::Rc;
 use tokio::time::{Instant, timeout};
@@ -23,7 +23,7 @@
     pub answer: Result<WholeAnswer, SendError>,
     /// Endpoint whose copy had failed before
     pub failed: Option<(ListedEndpoint, SendError)>,
-    /// Endpoint whose copy was cancelled, and which may have run it
+    /// Endpoint that may have run the copy that was cancelled or answered with an error
     pub abandoned: Option<ListedEndpoint>,
 }
 
@@ -49,6 +49,12 @@
         let answer = send_copy(gateway, call, endpoint, false, deadline).await;
         FirstAnswer { endpoint: endpoint.clone(), answer, failed: None, abandoned: None }
     };
+    let is_error = |it: &OpenAnswer| it.head.status.is_server_error();
+    let deadline = match &first.answer {
+        // Waiting for the other copy may have used up the time of a send.
+        Ok(answer) if is_error(answer) && first.failed.is_some() => call.deadline,
+        _ => deadline,
+    };
     let answer = match first.answer {
         Ok(answer) => read_whole(gateway, answer, deadline).await,
         Err(error) => Err(error),
@@ -89,7 +95,10 @@
 ) -> FirstAnswer {
     let sent_at = Instant::now();
     let delay = gateway.start_hedged(&call.pool);
-    let mut first = Box::pin(send_copy(gateway, call, endpoint, false, deadline));
+    let send_to = |to: ListedEndpoint, is_hedge| async move {
+        send_copy(gateway, call, &to, is_hedge, deadline).await
+    };
+    let mut first = Box::pin(send_to(endpoint.clone(), false));
     let early = match delay {
         Some(delay) => timeout(delay, first.as_mut()).await.ok(),
         None => Some(first.as_mut().await),
@@ -105,38 +114,15 @@
             FirstAnswer { endpoint: own, answer: first.await, failed: None, abandoned: None }
         }
         (None, Some(target)) => {
-            let second = Box::pin(send_copy(gateway, call, &target, true, deadline));
-            // The other copy is dropped, and its connection closed, before the answer is read.
-            let result = match select(first, second).await {
-                Either::Left((Ok(answer), _)) => FirstAnswer {
-                    endpoint: own,
-                    answer: Ok(answer),
-                    failed: None,
-                    abandoned: Some(target.clone()),
-                },
-                Either::Right((Ok(answer), _)) => FirstAnswer {
-                    endpoint: target.clone(),
-                    answer: Ok(answer),
-                    failed: None,
-                    abandoned: Some(own),
-                },
-                Either::Left((Err(error), second)) => {
-                    let failed = Some((own, error));
-                    FirstAnswer {
-                        endpoint: target.clone(),
-                        answer: second.await,
-                        failed,
-                        abandoned: None,
-                    }
-                }
-                Either::Right((Err(error), first)) => {
-                    let failed = Some((target.clone(), error));
-                    FirstAnswer { endpoint: own, answer: first.await, failed, abandoned: None }
-                }
-            };
-            let has_won = result.endpoint.id == target.id && result.answer.is_ok();
-            gateway.end_hedge(call, &target, has_won, result.failed.is_some());
-            result
+            let second = Box::pin(send_to(target.clone(), true));
+            // A cancelled copy's connection is closed before the answer is read.
+            let is_usable = |it: &OpenAnswer| !it.head.status.is_server_error();
+            let CopyRace { is_second, answer, other } = race(first, second, is_usable).await;
+            let has_won = is_second && answer.is_ok();
+            gateway.end_hedge(call, &target, has_won, !matches!(other, OtherCopy::Cancelled));
+            let (endpoint, loser) = if is_second { (target, own) } else { (own, target) };
+            let (failed, abandoned) = gateway.split_loser(call, loser, other);
+            FirstAnswer { endpoint, answer, failed, abandoned }
         }
     };
     gateway.record_first_byte(
--- a/crates/gateway/src/hedges.rs
+++ b/crates/gateway/src/hedges.rs
@@ -1,10 +1,12 @@
 //! Glue of the decision on second copies: its inputs, metrics and log lines.
 
 use crate::attempt::SendError;
+use crate::copy_race::OtherCopy;
 use crate::serving_call::ServingCall;
 use crate::state::Gateway;
 use catalogue::id::{EndpointId, PoolName};
 use decide::serving::endpoint_list::ListedEndpoint;
+use decide::serving::health::SendResult;
 use decide::serving::hedge::{HedgeReason, HedgeRequest, SLOW_PENALTY_REQUESTS};
 use decide::serving::route::RetryRule;
 use http::StatusCode;
@@ -118,6 +120,24 @@
         call.end_hedge(has_won, other_has_failed);
     }
 
+    /// Endpoint of the copy that is not chosen, with its error, or as one that may have run it
+    pub fn split_loser(
+        &self,
+        call: &ServingCall,
+        loser: ListedEndpoint,
+        end: OtherCopy,
+    ) -> (Option<(ListedEndpoint, SendError)>, Option<ListedEndpoint>) {
+        match end {
+            OtherCopy::Cancelled => (None, Some(loser)),
+            OtherCopy::Failed(error) => (Some((loser, error)), None),
+            OtherCopy::Answered => {
+                self.metrics.sent(&call.pool, "server_error");
+                self.record_result(&loser, SendResult::Failed);
+                (None, Some(loser))
+            }
+        }
+    }
+
     /// Records the wait for the first byte of a request that was sent to `first`, or a refusal for lack of
     /// capacity
     pub fn record_first_byte(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod checked_incarnations;
 pub mod client_socket;
 pub mod connections;
+pub mod copy_race;
 pub mod coverage;
 pub mod crash_evidence;
 pub mod crash_parts;
--- a/crates/gateway/tests/gateway/hedges.rs
+++ b/crates/gateway/tests/gateway/hedges.rs
@@ -15,6 +15,8 @@
     late_request_is_hedged_and_the_loser_cancelled => hedged(),
     // Guards against a promise that a request has not run while a cancelled copy of it may have.
     cancelled_copy_forbids_the_promise_that_nothing_ran => answered_by_copy("late-429", 502),
+    // Guards against an error answer that cancels a copy which would succeed.
+    error_answer_does_not_cancel_the_other_copy => answered_by_copy("late-500", 200),
     // Guards against copies that the configuration doesn't allow.
     nothing_is_hedged_without_a_ratio => not_hedged(0.0, "lookups", "v1"),
     // Guards against a request that runs twice though it may run only once.
@@ -47,6 +49,7 @@
     }
     match () {
         () if arrival.line.contains("/late-429") => usual("429 Too Many Requests"),
+        () if arrival.line.contains("/late-500") => usual("500 Internal Server Error"),
         () => usual("200 OK"),
     }
 }
