Count every refusal for lack of capacity against hedges

Cause: only a decline that ended a request that might be hedged was recorded. Declines of other requests, of a copy whose other copy succeeded, and the gateway's own refusals for full endpoints were not, so that copies went out under overload.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -146,6 +146,17 @@
         }
     }
 
+    /// Whether the endpoint declined the request for lack of capacity
+    pub fn is_overload(&self) -> bool {
+        match self {
+            SendError::Declined(status) => {
+                matches!(*status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
+            }
+            SendError::Prefill(error) => error.is_overload(),
+            _ => false,
+        }
+    }
+
     /// Whether the request may have run at the endpoint
     pub fn run_status(&self) -> RunStatus {
         match self {
--- a/crates/gateway/src/generation/hedge.rs
+++ b/crates/gateway/src/generation/hedge.rs
@@ -84,8 +84,10 @@
             FirstEvent { engine, started: answer, failed, abandoned }
         }
     };
-    let took = sent_at.elapsed().mul_f64(scale);
-    gateway.record_first_byte(&call.pool, &own.id, took, result.started.as_ref().err());
+    if result.started.is_ok() {
+        let took = sent_at.elapsed().mul_f64(scale);
+        gateway.record_first_byte(&call.pool, &own.id, took);
+    }
     result
 }
 
--- a/crates/gateway/src/hedged_send.rs
+++ b/crates/gateway/src/hedged_send.rs
@@ -125,12 +125,9 @@
             FirstAnswer { endpoint, answer, failed, abandoned }
         }
     };
-    gateway.record_first_byte(
-        &call.pool,
-        &endpoint.id,
-        sent_at.elapsed(),
-        result.answer.as_ref().err(),
-    );
+    if result.answer.is_ok() {
+        gateway.record_first_byte(&call.pool, &endpoint.id, sent_at.elapsed());
+    }
     result
 }
 
--- a/crates/gateway/src/hedges.rs
+++ b/crates/gateway/src/hedges.rs
@@ -9,7 +9,6 @@
 use decide::serving::health::SendResult;
 use decide::serving::hedge::{HedgeReason, HedgeRequest, SLOW_PENALTY_REQUESTS};
 use decide::serving::route::RetryRule;
-use http::StatusCode;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -138,24 +137,17 @@
         }
     }
 
-    /// Records the wait for the first byte of a request that was sent to `first`, or a refusal for lack of
-    /// capacity
-    pub fn record_first_byte(
-        &self,
-        pool: &PoolName,
-        first: &EndpointId,
-        took: Duration,
-        error: Option<&SendError>,
-    ) {
-        let now = std::time::Instant::now();
-        let mut histories = self.hedges.borrow_mut();
-        let Some(history) = histories.get_mut(pool) else { return };
-        match error {
-            None => history.record_time(first, took, now),
-            Some(SendError::Declined(
-                StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS,
-            )) => history.record_refusal(now),
-            Some(_) => {}
+    /// Records the wait for the first byte of a request that was sent to `first`
+    pub fn record_first_byte(&self, pool: &PoolName, first: &EndpointId, took: Duration) {
+        if let Some(history) = self.hedges.borrow_mut().get_mut(pool) {
+            history.record_time(first, took, std::time::Instant::now());
+        }
+    }
+
+    /// Records that a request of the pool was refused for lack of capacity, by an endpoint or this gateway
+    pub fn record_overload(&self, pool: &PoolName) {
+        if let Some(history) = self.hedges.borrow_mut().get_mut(pool) {
+            history.record_refusal(std::time::Instant::now());
         }
     }
 }
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -183,6 +183,9 @@
         {
             return self.refuse_part(gateway, part);
         }
+        if reason == "full" {
+            gateway.record_overload(&self.pool);
+        }
         if matches!(reason, "full" | "no_endpoint") {
             gateway.scaling.record_refused(&self.pool);
         }
--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -162,6 +162,9 @@
         if let Some(result) = result {
             gateway.record_result(endpoint, result);
         }
+        if error.is_overload() {
+            gateway.record_overload(&endpoint.pool);
+        }
         if error.is_refused_connection() {
             let refused = endpoint.clone();
             gateway.hold_evidence(endpoint, EvidenceKind::Connect, move |gateway| {
--- a/crates/gateway/tests/gateway/hedges.rs
+++ b/crates/gateway/tests/gateway/hedges.rs
@@ -2,7 +2,9 @@
 
 use crate::client::RawClient;
 use crate::deployment::{Deployment, config, endpoint, get_path, list_software, post};
-use crate::endpoint::{Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, stream_head};
+use crate::endpoint::{
+    Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, not_run, stream_head,
+};
 use googletest::prelude::*;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -17,6 +19,8 @@
     cancelled_copy_forbids_the_promise_that_nothing_ran => answered_by_copy("late-429", 502),
     // Guards against an error answer that cancels a copy which would succeed.
     error_answer_does_not_cancel_the_other_copy => answered_by_copy("late-500", 200),
+    // Guards against copies that add to an overload which only requests without copies have met.
+    declined_request_without_copies_withholds_hedges => overloaded(),
     // Guards against copies that the configuration doesn't allow.
     nothing_is_hedged_without_a_ratio => not_hedged(0.0, "lookups", "v1"),
     // Guards against a request that runs twice though it may run only once.
@@ -48,6 +52,9 @@
         return [vec![Step::Pause(HANG_TIME)], usual("200 OK")].concat();
     }
     match () {
+        () if arrival.line.contains("/declined") => {
+            vec![Step::Write(not_run(arrival, "503 Service Unavailable"))]
+        }
         () if arrival.line.contains("/late-429") => usual("429 Too Many Requests"),
         () if arrival.line.contains("/late-500") => usual("500 Internal Server Error"),
         () => usual("200 OK"),
@@ -100,6 +107,17 @@
     verify_that!(late_arrivals(&endpoints, "/late").len(), eq(2))
 }
 
+async fn overloaded() -> Result<()> {
+    let (deployment, endpoints) = learned(0.5, "v1").await?;
+    let request = post("entries", "declined-1", "once").replace("/x ", "/declined ");
+    deployment.call(request).await;
+    verify_that!(late_arrivals(&endpoints, "/declined").len(), ge(1))?;
+    verify_that!(deployment.call(get_path("lookups", "late", "late-1")).await.status, eq(200))?;
+    verify_that!(late_arrivals(&endpoints, "/late").len(), eq(1))?;
+    deployment.instance.wait_line("reason=overload").await;
+    Ok(())
+}
+
 async fn not_hedged(ratio: f64, route: &str, version: &str) -> Result<()> {
     let (deployment, endpoints) = learned(ratio, version).await?;
     let request = match route {
