Look up the hedge history once for each pick

Cause: pick_paced looked the pool's history up, and read the clock, for each endpoint, also where the pool has none.

Change: the history is looked up once per pick; without one the penalty is 0 without a look-up or a reading of the clock.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -13,7 +13,6 @@
 use crate::usage::mark::UsageMark;
 use bytes::Bytes;
 use decide::serving::crash_table::REFUSAL_TIME;
-use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::health::SendResult;
 use decide::serving::pick::{PromptProgress, pick_paced};
 use decide::serving::send_history::{RunStatus, SendHistory};
@@ -243,7 +242,7 @@
         let picked = {
             let load = gateway.load.borrow();
             let draw = rand::random();
-            let penalty = |it: &ListedEndpoint| gateway.slow_penalty(&call, it);
+            let penalty = gateway.slow_penalties(&call.pool);
             let (endpoints, zone) = (endpoints.iter(), &gateway.settings.zone);
             pick_paced(endpoints, &load, zone, &call.excluded, draw, penalty)
         };
--- a/crates/gateway/src/hedged_send.rs
+++ b/crates/gateway/src/hedged_send.rs
@@ -144,7 +144,7 @@
     };
     let target = {
         let (load, zone) = (gateway.load.borrow(), &gateway.settings.zone);
-        let penalty = |it: &ListedEndpoint| gateway.slow_penalty(call, it);
+        let penalty = gateway.slow_penalties(&call.pool);
         let others = endpoints.iter().filter(fits);
         pick_paced(others, &load, zone, &call.excluded, rand::random(), penalty)
     };
--- a/crates/gateway/src/hedges.rs
+++ b/crates/gateway/src/hedges.rs
@@ -9,6 +9,7 @@
 use decide::serving::health::SendResult;
 use decide::serving::hedge::{HedgeReason, HedgeRequest, SLOW_PENALTY_REQUESTS};
 use decide::serving::route::RetryRule;
+use std::cell::Ref;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -42,13 +43,15 @@
         config.as_ref().and_then(|it| it.pools.get(pool)).map_or(0.0, |it| it.hedge_ratio)
     }
 
-    /// Requests in flight that an endpoint counts as besides its own, since it is slow
-    pub fn slow_penalty(&self, call: &ServingCall, endpoint: &ListedEndpoint) -> u32 {
-        let histories = self.hedges.borrow();
-        let history = histories.get(&call.pool);
-        let now = std::time::Instant::now();
-        let is_slow = history.is_some_and(|it| it.is_slow(&endpoint.id, now));
-        if is_slow { SLOW_PENALTY_REQUESTS } else { 0 }
+    /// Requests in flight that each endpoint of a pool counts as besides its own, since it is slow; 0 for all
+    /// without a history
+    pub fn slow_penalties(&self, pool: &PoolName) -> impl Fn(&ListedEndpoint) -> u32 + '_ {
+        let history = Ref::filter_map(self.hedges.borrow(), |it| it.get(pool)).ok();
+        let history = history.map(|it| (it, std::time::Instant::now()));
+        move |endpoint| {
+            let is_slow = history.as_ref().is_some_and(|(it, now)| it.is_slow(&endpoint.id, *now));
+            if is_slow { SLOW_PENALTY_REQUESTS } else { 0 }
+        }
     }
 
     /// Counts a request that may be hedged; returns the delay before that
--- a/crates/gateway/tests/gateway/hedges.rs
+++ b/crates/gateway/tests/gateway/hedges.rs
@@ -21,6 +21,8 @@
     error_answer_does_not_cancel_the_other_copy => answered_by_copy("late-500", 200),
     // Guards against copies that add to an overload which only requests without copies have met.
     declined_request_without_copies_withholds_hedges => overloaded(),
+    // Guards against a slow endpoint that goes on to be asked first.
+    slow_endpoint_is_asked_last => slow_is_avoided(),
     // Guards against copies that the configuration doesn't allow.
     nothing_is_hedged_without_a_ratio => not_hedged(0.0, "lookups", "v1"),
     // Guards against a request that runs twice though it may run only once.
@@ -64,7 +66,11 @@
 async fn learned(ratio: f64, version: &str) -> Result<(Deployment, [FakeEndpoint; 2])> {
     let has_hung = Arc::new(AtomicBool::new(false));
     let flag = has_hung.clone();
-    let first = endpoint("service-1", move |it| late_once(it, &flag)).await;
+    let first = endpoint("service-1", move |it| {
+        let pause = it.line.contains("/slow").then_some(Step::Pause(SLOW_TIME));
+        pause.into_iter().chain(late_once(it, &flag)).collect()
+    });
+    let first = first.await;
     let second = endpoint("service-2", move |it| late_once(it, &has_hung)).await;
     let deployment = Deployment::start(&[&first, &second]).await;
     list_software(&deployment.store, &second, "ready", None, 1, version);
@@ -118,6 +124,24 @@
     Ok(())
 }
 
+/// Requests that take many times the usual at one endpoint, and later ones of which it should get few
+const SLOW_TIME: Duration = Duration::from_millis(60);
+const SLOW_REQUESTS: usize = 60;
+const LATER_REQUESTS: usize = 30;
+
+async fn slow_is_avoided() -> Result<()> {
+    let (deployment, endpoints) = learned(0.5, "v1").await?;
+    for (path, count) in [("slow", SLOW_REQUESTS), ("later", LATER_REQUESTS)] {
+        for number in 0..count {
+            let id = format!("{path}-{number}");
+            verify_that!(deployment.call(get_path("lookups", path, &id)).await.status, eq(200))?;
+        }
+    }
+    let at_slow = endpoints[0].arrivals();
+    let at_slow = at_slow.iter().filter(|it| it.line.contains("/later")).count();
+    verify_that!(at_slow, lt(LATER_REQUESTS / 4))
+}
+
 async fn not_hedged(ratio: f64, route: &str, version: &str) -> Result<()> {
     let (deployment, endpoints) = learned(ratio, version).await?;
     let request = match route {
