--- a/crates/gateway/src/hedges.rs
+++ b/crates/gateway/src/hedges.rs
@@ -1,13 +1,15 @@
 //! Glue of the decision on second copies: its inputs, metrics and log lines.
 
 use crate::attempt::SendError;
+use crate::copy_race::OtherCopy;
 use crate::serving_call::ServingCall;
 use crate::state::Gateway;
 use catalogue::id::{EndpointId, PoolName};
 use decide::serving::endpoint_list::ListedEndpoint;
+use decide::serving::health::SendResult;
 use decide::serving::hedge::{HedgeReason, HedgeRequest, SLOW_PENALTY_REQUESTS};
 use decide::serving::route::RetryRule;
-use http::StatusCode;
+use std::cell::Ref;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -41,13 +43,15 @@
         config.as_ref().and_then(|it| it.pools.get(pool)).map_or(0.0, |it| it.hedge_ratio)
     }
 
-    /// Requests in flight that an endpoint counts as besides its own, since it is slow
-    pub fn slow_penalty(&self, call: &ServingCall, endpoint: &ListedEndpoint) -> u32 {
-        let histories = self.hedges.borrow();
-        let history = histories.get(&call.pool);
-        let now = std::time::Instant::now();
-        let is_slow = history.is_some_and(|it| it.is_slow(&endpoint.id, now));
-        if is_slow { SLOW_PENALTY_REQUESTS } else { 0 }
+    /// Requests in flight that each endpoint of a pool counts as besides its own, since it is slow; 0 for all
+    /// without a history
+    pub fn slow_penalties(&self, pool: &PoolName) -> impl Fn(&ListedEndpoint) -> u32 + '_ {
+        let history = Ref::filter_map(self.hedges.borrow(), |it| it.get(pool)).ok();
+        let history = history.map(|it| (it, std::time::Instant::now()));
+        move |endpoint| {
+            let is_slow = history.as_ref().is_some_and(|(it, now)| it.is_slow(&endpoint.id, *now));
+            if is_slow { SLOW_PENALTY_REQUESTS } else { 0 }
+        }
     }
 
     /// Counts a request that may be hedged; returns the delay before that
@@ -118,24 +122,35 @@
         call.end_hedge(has_won, other_has_failed);
     }
 
-    /// Records the wait for the first byte of a request that was sent to `first`, or a refusal for lack of
-    /// capacity
-    pub fn record_first_byte(
+    /// Endpoint of the copy that is not chosen, with its error, or as one that may have run it
+    pub fn split_loser(
         &self,
-        pool: &PoolName,
-        first: &EndpointId,
-        took: Duration,
-        error: Option<&SendError>,
-    ) {
-        let now = std::time::Instant::now();
-        let mut histories = self.hedges.borrow_mut();
-        let Some(history) = histories.get_mut(pool) else { return };
-        match error {
-            None => history.record_time(first, took, now),
-            Some(SendError::Declined(
-                StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS,
-            )) => history.record_refusal(now),
-            Some(_) => {}
+        call: &ServingCall,
+        loser: ListedEndpoint,
+        end: OtherCopy,
+    ) -> (Option<(ListedEndpoint, SendError)>, Option<ListedEndpoint>) {
+        match end {
+            OtherCopy::Cancelled => (None, Some(loser)),
+            OtherCopy::Failed(error) => (Some((loser, error)), None),
+            OtherCopy::Answered => {
+                self.metrics.sent(&call.pool, "server_error");
+                self.record_result(&loser, SendResult::Failed);
+                (None, Some(loser))
+            }
+        }
+    }
+
+    /// Records the wait for the first byte of a request that was sent to `first`
+    pub fn record_first_byte(&self, pool: &PoolName, first: &EndpointId, took: Duration) {
+        if let Some(history) = self.hedges.borrow_mut().get_mut(pool) {
+            history.record_time(first, took, std::time::Instant::now());
+        }
+    }
+
+    /// Records that a request of the pool was refused for lack of capacity, by an endpoint or this gateway
+    pub fn record_overload(&self, pool: &PoolName) {
+        if let Some(history) = self.hedges.borrow_mut().get_mut(pool) {
+            history.record_refusal(std::time::Instant::now());
         }
     }
 }
--- a/crates/gateway/tests/gateway/hedges.rs
+++ b/crates/gateway/tests/gateway/hedges.rs
@@ -2,7 +2,9 @@
 
 use crate::client::RawClient;
 use crate::deployment::{Deployment, config, endpoint, get_path, list_software, post};
-use crate::endpoint::{Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, stream_head};
+use crate::endpoint::{
+    Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, not_run, stream_head,
+};
 use googletest::prelude::*;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -13,6 +15,14 @@
 cases! { async
     // Guards against a copy that doesn't help, or whose loser works on.
     late_request_is_hedged_and_the_loser_cancelled => hedged(),
+    // Guards against a promise that a request has not run while a cancelled copy of it may have.
+    cancelled_copy_forbids_the_promise_that_nothing_ran => answered_by_copy("late-429", 502),
+    // Guards against an error answer that cancels a copy which would succeed.
+    error_answer_does_not_cancel_the_other_copy => answered_by_copy("late-500", 200),
+    // Guards against copies that add to an overload which only requests without copies have met.
+    declined_request_without_copies_withholds_hedges => overloaded(),
+    // Guards against a slow endpoint that goes on to be asked first.
+    slow_endpoint_is_asked_last => slow_is_avoided(),
     // Guards against copies that the configuration doesn't allow.
     nothing_is_hedged_without_a_ratio => not_hedged(0.0, "lookups", "v1"),
     // Guards against a request that runs twice though it may run only once.
@@ -35,19 +45,32 @@
 
 /// Answers soon; requests to a path with `late` only at the endpoint that isn't asked first
 fn late_once(arrival: &Arrival, has_hung: &AtomicBool) -> Vec<Step> {
-    let usual = vec![
-        Step::Pause(Duration::from_millis(5)),
-        Step::Write(answer(arrival, "200 OK", "right")),
-    ];
+    let usual = |status| {
+        vec![Step::Pause(Duration::from_millis(5)), Step::Write(answer(arrival, status, "right"))]
+    };
     let is_first = arrival.line.contains("/late") && !has_hung.swap(true, Ordering::SeqCst);
     let all_hang = arrival.line.contains("/always");
-    if is_first || all_hang { [vec![Step::Pause(HANG_TIME)], usual].concat() } else { usual }
+    if is_first || all_hang {
+        return [vec![Step::Pause(HANG_TIME)], usual("200 OK")].concat();
+    }
+    match () {
+        () if arrival.line.contains("/declined") => {
+            vec![Step::Write(not_run(arrival, "503 Service Unavailable"))]
+        }
+        () if arrival.line.contains("/late-429") => usual("429 Too Many Requests"),
+        () if arrival.line.contains("/late-500") => usual("500 Internal Server Error"),
+        () => usual("200 OK"),
+    }
 }
 
 async fn learned(ratio: f64, version: &str) -> Result<(Deployment, [FakeEndpoint; 2])> {
     let has_hung = Arc::new(AtomicBool::new(false));
     let flag = has_hung.clone();
-    let first = endpoint("service-1", move |it| late_once(it, &flag)).await;
+    let first = endpoint("service-1", move |it| {
+        let pause = it.line.contains("/slow").then_some(Step::Pause(SLOW_TIME));
+        pause.into_iter().chain(late_once(it, &flag)).collect()
+    });
+    let first = first.await;
     let second = endpoint("service-2", move |it| late_once(it, &has_hung)).await;
     let deployment = Deployment::start(&[&first, &second]).await;
     list_software(&deployment.store, &second, "ready", None, 1, version);
@@ -82,6 +105,43 @@
     Ok(())
 }
 
+/// Sends a request whose second copy is answered with an error while the first one is late
+async fn answered_by_copy(path: &str, status: u16) -> Result<()> {
+    let (deployment, endpoints) = learned(0.5, "v1").await?;
+    let got = deployment.call(get_path("lookups", path, "late-1")).await;
+    verify_that!(got.status, eq(status))?;
+    verify_that!(late_arrivals(&endpoints, "/late").len(), eq(2))
+}
+
+async fn overloaded() -> Result<()> {
+    let (deployment, endpoints) = learned(0.5, "v1").await?;
+    let request = post("entries", "declined-1", "once").replace("/x ", "/declined ");
+    deployment.call(request).await;
+    verify_that!(late_arrivals(&endpoints, "/declined").len(), ge(1))?;
+    verify_that!(deployment.call(get_path("lookups", "late", "late-1")).await.status, eq(200))?;
+    verify_that!(late_arrivals(&endpoints, "/late").len(), eq(1))?;
+    deployment.instance.wait_line("reason=overload").await;
+    Ok(())
+}
+
+/// Requests that take many times the usual at one endpoint, and later ones of which it should get few
+const SLOW_TIME: Duration = Duration::from_millis(60);
+const SLOW_REQUESTS: usize = 60;
+const LATER_REQUESTS: usize = 30;
+
+async fn slow_is_avoided() -> Result<()> {
+    let (deployment, endpoints) = learned(0.5, "v1").await?;
+    for (path, count) in [("slow", SLOW_REQUESTS), ("later", LATER_REQUESTS)] {
+        for number in 0..count {
+            let id = format!("{path}-{number}");
+            verify_that!(deployment.call(get_path("lookups", path, &id)).await.status, eq(200))?;
+        }
+    }
+    let at_slow = endpoints[0].arrivals();
+    let at_slow = at_slow.iter().filter(|it| it.line.contains("/later")).count();
+    verify_that!(at_slow, lt(LATER_REQUESTS / 4))
+}
+
 async fn not_hedged(ratio: f64, route: &str, version: &str) -> Result<()> {
     let (deployment, endpoints) = learned(ratio, version).await?;
     let request = match route {
