Serve requests whose head has arrived in part at a planned stop

Cause: when a stopping instance closes idle connections, a connection counted as idle if its first part of a head was already read: the socket had nothing unread and no request was open.

Change: a connection with an incomplete head is left open; the answer then closes it, or the timeout of heads does.

Measured: the new test in drain fails without the change; with it all tests of drain pass.

--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -134,8 +134,8 @@
             }
             () = gateway.close_idle.notified(), if !is_shut => {
                 idle_timeout = CLOSING_IDLE_TIMEOUT;
-                // Nor has it read what has arrived since.
-                if activity.open_requests.get() > 0 || !handle.has_unread() {
+                // Nor has it read what has arrived since, and it would drop a head of which a part has arrived.
+                if activity.open_requests.get() > 0 || !(activity.is_busy() || handle.has_unread()) {
                     is_shut = true;
                     connection.as_mut().graceful_shutdown();
                 }
--- a/crates/gateway/tests/gateway/drain.rs
+++ b/crates/gateway/tests/gateway/drain.rs
@@ -14,6 +14,8 @@
     // Guard against requests that have arrived, and are cut since nothing has read them yet.
     requests_that_arrive_with_the_close_are_served => just_arrived(),
     connections_that_arrive_with_the_end_are_served => just_connected(),
+    // Guards against a request that is dropped since the close finds a part of its head read.
+    request_whose_head_is_half_there_at_the_close_is_served => half_head(),
 }
 
 /// Time from SIGTERM until idle connections are closed
@@ -123,3 +125,27 @@
     }
     Ok(())
 }
+
+/// The close of idle connections comes between two parts of a head, on a used and on a new connection
+async fn half_head() -> Result<()> {
+    let service =
+        endpoint("service-1", |it| vec![Step::Write(answer(it, "200 OK", "right"))]).await;
+    let deployment = Deployment::start(&[&service]).await;
+    let mut kept = RawClient::connect(deployment.instance.clients).await;
+    kept.write(get("lookups", "id-1")).await;
+    verify_that!(kept.read().await.status, eq(200))?;
+    let new = RawClient::connect(deployment.instance.clients).await;
+    deployment.instance.terminate();
+    deployment.instance.wait_line("event=stop ").await;
+    tokio::time::sleep(IDLE_CLOSE_DELAY - Duration::from_millis(500)).await;
+    let mut clients = [kept, new];
+    for client in &mut clients {
+        client.write(&get("lookups", "id-2")[..20]).await;
+    }
+    tokio::time::sleep(Duration::from_millis(1000)).await;
+    for client in &mut clients {
+        client.write(&get("lookups", "id-2")[20..]).await;
+        verify_that!(client.read().await.status, eq(200))?;
+    }
+    Ok(())
+}
