Wait for room for large answers instead of giving them up

Cause: while slow clients filled the memory for answers, an answer over 64 KiB to any caller ended as oversized, which counted against a sound endpoint and repeated or lost its work.

Change: reading stops until there is room or the deadline passes. Lack of room is an error of its own that says nothing about the endpoint. One answer at a time may go beyond the bound, since answers read in part would otherwise wait for each other.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -62,6 +62,8 @@
     Oversized,
     /// endpoint did not answer in time
     TimedOut,
+    /// answer could not be read in time for lack of memory
+    NoRoom,
     /// request or the endpoint's address is invalid
     Unusable,
     /// endpoint accepts no requests by its notices
@@ -83,7 +85,7 @@
             | SendError::Unusable
             | SendError::NotAccepted
             | SendError::Suspected => None,
-            SendError::Unnamed => None,
+            SendError::Unnamed | SendError::NoRoom => None,
             // A healthy endpoint may drop an idle connection at any time.
             SendError::Exchange(ExchangeError::Unsent | ExchangeError::Stale(_)) => None,
             SendError::Exchange(ExchangeError::Connect(_) | ExchangeError::ConnectTimedOut) => {
@@ -162,6 +164,7 @@
             | SendError::Unnamed
             | SendError::Truncated
             | SendError::Oversized
+            | SendError::NoRoom
             | SendError::TimedOut => RunStatus::MayHaveRun,
             SendError::Exchange(_) => RunStatus::NotRun,
         }
@@ -289,15 +292,14 @@
 /// Reads the rest of an answer and returns its connection to the idle ones
 ///
 /// # Errors
-/// `Truncated`, `Oversized` or `TimedOut`.
+/// `Truncated`, `Oversized`, `TimedOut` or `NoRoom`.
 pub async fn read_whole(
     gateway: &Gateway,
     answer: OpenAnswer,
     deadline: Instant,
 ) -> Result<WholeAnswer, SendError> {
     let OpenAnswer { head, headers, body, connection, work_guard } = answer;
-    let body = timeout_at(deadline, read_buffered(gateway, body));
-    let (body, share) = body.await.map_err(|_| SendError::TimedOut)??;
+    let (body, share) = read_buffered(gateway, body, deadline).await?;
     drop(work_guard);
     if !head.closes_connection {
         gateway.connections.release(connection, head.idle_timeout);
@@ -305,23 +307,34 @@
     Ok(WholeAnswer { status: head.status, headers, body, share })
 }
 
-/// Reads a body; one that is larger than usual only while the buffers of all answers have room
+/// Reads a body; one that is larger than usual waits while the buffers of all answers are full
 async fn read_buffered(
     gateway: &Gateway,
     mut body: Incoming,
+    deadline: Instant,
 ) -> Result<(Bytes, MemoryShare), SendError> {
     let mut received = BytesMut::new();
     let mut share = gateway.memory.answers.share();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| SendError::Truncated)?.into_data() else { continue };
+    let mut has_waited = false;
+    // An endpoint whose answer isn't read may be late or close the connection, and is not to blame.
+    let failure = |error, has_waited| if has_waited { SendError::NoRoom } else { error };
+    loop {
+        if share.bytes() >= USUAL_BUFFERED_BYTES && !share.may_grow() {
+            has_waited = true;
+            let room = timeout_at(deadline, share.wait_room());
+            room.await.map_err(|_| SendError::NoRoom)?;
+        }
+        let frame = timeout_at(deadline, body.frame());
+        let frame = frame.await.map_err(|_| failure(SendError::TimedOut, has_waited))?;
+        let Some(frame) = frame else { return Ok((received.freeze(), share)) };
+        let frame = frame.map_err(|_| failure(SendError::Truncated, has_waited))?;
+        let Ok(data) = frame.into_data() else { continue };
         share.grow(data.len());
-        let is_large = share.bytes() > USUAL_BUFFERED_BYTES;
-        if share.bytes() > MAX_BUFFERED_BYTES || is_large && gateway.memory.answers.is_full() {
+        if share.bytes() > MAX_BUFFERED_BYTES {
             return Err(SendError::Oversized);
         }
         received.extend_from_slice(&data);
     }
-    Ok((received.freeze(), share))
 }
 
 /// Frees the cache of a prompt that no engine is going to fetch
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -5,6 +5,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use tokio::sync::Notify;
 
 /// Memory of an instance whose settings state none, in bytes; that of the smallest one.
 const DEFAULT_MEMORY: usize = 160_000_000;
@@ -37,38 +38,61 @@
 
     /// Bytes that are held now, of all kinds
     pub fn used(&self) -> usize {
-        [&self.streams, &self.answers, &self.bodies].iter().map(|it| it.used.get()).sum()
+        [&self.streams, &self.answers, &self.bodies].iter().map(|it| it.state.used.get()).sum()
     }
 }
 
 /// Bytes held for one purpose, with their bound
 #[derive(Debug, Clone)]
 pub struct HeldBytes {
+    state: Rc<HeldState>,
+}
+
+#[derive(Debug)]
+struct HeldState {
     limit: usize,
-    used: Rc<Cell<usize>>,
+    used: Cell<usize>,
+    /// Whether a share has been admitted beyond the bound
+    has_overdraft: Cell<bool>,
+    /// Notified once there is room again
+    room: Notify,
+}
+
+impl HeldState {
+    fn is_full(&self) -> bool {
+        self.used.get() >= self.limit
+    }
 }
 
 impl HeldBytes {
     fn new(limit: usize) -> HeldBytes {
-        HeldBytes { limit, used: Rc::default() }
+        let state = HeldState {
+            limit,
+            used: Cell::default(),
+            has_overdraft: Cell::default(),
+            room: Notify::new(),
+        };
+        HeldBytes { state: Rc::new(state) }
     }
 
     /// Whether the bound is reached
     pub fn is_full(&self) -> bool {
-        self.used.get() >= self.limit
+        self.state.is_full()
     }
 
     /// Share of one request, empty at first
     pub fn share(&self) -> MemoryShare {
-        MemoryShare { used: self.used.clone(), bytes: 0 }
+        MemoryShare { state: self.state.clone(), bytes: 0, has_overdraft: false }
     }
 }
 
 /// Bytes held for one request, returned when dropped
 #[derive(Debug)]
 pub struct MemoryShare {
-    used: Rc<Cell<usize>>,
+    state: Rc<HeldState>,
     bytes: usize,
+    /// Whether it may grow though the bound is reached
+    has_overdraft: bool,
 }
 
 impl MemoryShare {
@@ -80,19 +104,50 @@
     /// Adds bytes, whether or not the bound is reached
     pub fn grow(&mut self, bytes: usize) {
         self.bytes += bytes;
-        self.used.set(self.used.get() + bytes);
+        self.state.used.set(self.state.used.get() + bytes);
     }
 
     /// Returns bytes
     pub fn shrink(&mut self, bytes: usize) {
         let bytes = bytes.min(self.bytes);
         self.bytes -= bytes;
-        self.used.set(self.used.get() - bytes);
+        let was_full = self.state.is_full();
+        self.state.used.set(self.state.used.get() - bytes);
+        if was_full && !self.state.is_full() {
+            self.state.room.notify_waiters();
+        }
+    }
+
+    /// Whether the share may grow; beyond the bound one share at a time may, until it is dropped
+    ///
+    /// Without it, shares that have filled the memory in part would all wait for each other.
+    pub fn may_grow(&mut self) -> bool {
+        if !self.has_overdraft && self.state.is_full() {
+            self.has_overdraft = !self.state.has_overdraft.replace(true);
+            return self.has_overdraft;
+        }
+        true
+    }
+
+    /// Waits until the share may grow
+    pub async fn wait_room(&mut self) {
+        let state = self.state.clone();
+        loop {
+            let room = state.room.notified();
+            if self.may_grow() {
+                return;
+            }
+            room.await;
+        }
     }
 }
 
 impl Drop for MemoryShare {
     fn drop(&mut self) {
         self.shrink(self.bytes);
+        if self.has_overdraft {
+            self.state.has_overdraft.set(false);
+            self.state.room.notify_waiters();
+        }
     }
 }
--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -217,6 +217,7 @@
         SendError::Truncated => "broken_off",
         SendError::Oversized => "oversized",
         SendError::TimedOut => "timed_out",
+        SendError::NoRoom => "no_room",
         SendError::Unusable => "unusable",
         SendError::NotAccepted => "not_accepted",
         SendError::Suspected => "suspected",
--- a/crates/gateway/tests/gateway/slow_readers.rs
+++ b/crates/gateway/tests/gateway/slow_readers.rs
@@ -18,6 +18,8 @@
     slow_clients_of_streams_stay_within_the_memory => many_slow_clients(),
     // Guards against whole answers that aren't counted once they are read.
     slow_clients_of_plain_answers_stay_within_the_memory => many_plain_clients(),
+    // Guards against a sound endpoint that counts as broken, and its work as lost, while slow clients fill the memory.
+    large_answer_waits_for_room => large_answer_waits(),
     // Guards against a stream that is held for ever by a client that reads nothing.
     client_that_never_reads_frees_the_engine => never_reads(),
     // Guards against work that goes on after a slow client has left.
@@ -185,6 +187,30 @@
     verify_that!(metric(&deployment, "held_bytes").await, eq(0.0))
 }
 
+/// Slow clients hold more than all answers may; another client's answer comes once they have left
+async fn large_answer_waits() -> Result<()> {
+    const CLIENTS: usize = 20;
+    let body = "x".repeat(2_000_000);
+    let service =
+        endpoint("service-1", move |it| vec![Step::Write(answer(it, "200 OK", &body))]).await;
+    let deployment = deployment(&[&service], |_| ()).await;
+    let request = |id: &str| get("lookups", id).replace("1500", "15000");
+    let mut slow = Vec::new();
+    for number in 0..CLIENTS {
+        let mut client = slow_connection(&deployment).await?;
+        client.write(request(&format!("id-{number}"))).await;
+        slow.push(client);
+    }
+    sleep(Duration::from_secs(1)).await;
+    let mut waiting = RawClient::connect(deployment.instance.clients).await;
+    waiting.write(request("waiting")).await;
+    sleep(Duration::from_millis(500)).await;
+    drop(slow);
+    let got = waiting.read().await;
+    verify_that!((got.status, got.is_whole, got.body.len()), eq((200, true, 2_000_000)))?;
+    verify_that!(service.arrivals().len(), eq(CLIENTS + 1))
+}
+
 /// An engine that sends without end, to a client that reads nothing
 async fn never_reads() -> Result<()> {
     let engine = endpoint("engine-1", |it| {
