Keep the reset of HTTP/1.0 streams until their end is written

Cause: the reset was lifted when the HTTP library had taken the last event, up to a head buffer before the socket had. An instance that ended then left a cut stream whose connection closed like that of a whole one.

Change: the end of the stream only sets a flag; the socket's shutdown lifts the reset, unless a write is still pending.

Measured: the new test in slow_readers fails without the change; with it it passes, as do the tests of HTTP/1.0 in streams and unframed.

--- a/crates/gateway/src/client_socket.rs
+++ b/crates/gateway/src/client_socket.rs
@@ -125,29 +125,39 @@
 
 /// Handle of a socket that the HTTP library owns
 #[derive(Clone)]
-pub struct SocketHandle(Rc<RefCell<TcpStream>>);
+pub struct SocketHandle {
+    socket: Rc<RefCell<TcpStream>>,
+    is_whole: Rc<Cell<bool>>,
+}
 
 impl SocketHandle {
     /// Whether bytes have arrived that nobody has read
     pub fn has_unread(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
-        let socket = self.0.borrow();
+        let socket = self.socket.borrow();
         matches!(SockRef::from(&*socket).peek(&mut byte), Ok(count) if count > 0)
     }
 
     /// Sets whether the end of the connection is a reset, whoever closes it, also the system after a crash
     pub fn set_reset(&self, is_reset: bool) {
         let linger = is_reset.then_some(Duration::ZERO);
-        if let Err(error) = SockRef::from(&*self.0.borrow()).set_linger(linger) {
+        if let Err(error) = SockRef::from(&*self.socket.borrow()).set_linger(linger) {
             log::debug!("event=linger_not_set error={error}");
         }
     }
+
+    /// Records that the answer is whole; its connection ends without a reset once all of it is written
+    pub fn set_whole(&self) {
+        self.is_whole.set(true);
+    }
 }
 
 /// Socket that records when a head starts to arrive, and when the client takes no bytes
 pub struct WatchedSocket {
     socket: Rc<RefCell<TcpStream>>,
     activity: Rc<ConnectionActivity>,
+    /// Whether the answer is whole that only the connection's end marks
+    is_whole: Rc<Cell<bool>>,
 }
 
 impl WatchedSocket {
@@ -158,12 +168,16 @@
     pub fn new(socket: TcpStream, activity: Rc<ConnectionActivity>) -> io::Result<WatchedSocket> {
         socket.set_nodelay(true)?;
         SockRef::from(&socket).set_send_buffer_size(SEND_BUFFER_BYTES)?;
-        Ok(WatchedSocket { socket: Rc::new(RefCell::new(socket)), activity })
+        Ok(WatchedSocket {
+            socket: Rc::new(RefCell::new(socket)),
+            activity,
+            is_whole: Rc::default(),
+        })
     }
 
     /// Handle that outlives the connection's use of the socket
     pub fn handle(&self) -> SocketHandle {
-        SocketHandle(self.socket.clone())
+        SocketHandle { socket: self.socket.clone(), is_whole: self.is_whole.clone() }
     }
 
     fn poll_socket<T>(
@@ -227,6 +241,11 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The HTTP library may hold a whole answer of which the socket has not taken the rest.
+        let is_blocked = self.activity.blocked_since.get().is_some();
+        if !is_blocked && self.is_whole.replace(false) {
+            self.handle().set_reset(false);
+        }
         self.poll_socket(|it| it.poll_shutdown(context))
     }
 }
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -103,7 +103,7 @@
                     if is_unframed {
                         // Nothing but the connection's end tells such a client that the stream is whole.
                         handle.set_reset(true);
-                        buffer.on_whole(move || handle.set_reset(false));
+                        buffer.on_whole(move || handle.set_whole());
                     }
                 }
                 let body = body.guarded((open, in_use));
--- a/crates/gateway/tests/gateway/slow_readers.rs
+++ b/crates/gateway/tests/gateway/slow_readers.rs
@@ -24,6 +24,8 @@
     client_that_never_reads_frees_the_engine => never_reads(),
     // Guards against work that goes on after a slow client has left.
     slow_client_that_leaves_frees_the_engine_at_once => slow_client_leaves(),
+    // Guards against the cut answer of a killed instance that looks whole to a client of HTTP/1.0.
+    unwritten_rest_of_a_killed_instance_is_reset => killed_before_written(),
     // Guards against a stall that lasts as long as the engine sends single bytes.
     stream_that_completes_no_event_is_given_up => stalled_stream("streams", false),
     resumable_stream_that_completes_no_event_is_resumed => stalled_stream("resumed", true),
@@ -244,6 +246,41 @@
     verify_that!(engine.open(), eq(0))
 }
 
+/// Streams around the size that the sockets take, so that the instance still holds the end of some
+async fn killed_before_written() -> Result<()> {
+    const EVENT_BYTES: usize = 2000;
+    let engine = endpoint("engine-1", |it| {
+        let events = it.header("x-request-id").and_then(|it| it.parse().ok()).expect("a number");
+        large_stream(events, EVENT_BYTES)(it)
+    })
+    .await;
+    let deployment = deployment(&[&engine], |it| {
+        for route in it["routes"].as_array_mut().expect("routes") {
+            route["target_latency_ms"] = 20_000.into();
+        }
+    })
+    .await;
+    let mut clients = Vec::new();
+    for events in 10..90 {
+        let mut client = slow_connection(&deployment).await?;
+        let request = long_generation("streams", &events.to_string());
+        client.write(request.replace("HTTP/1.1", "HTTP/1.0")).await;
+        clients.push((events, client));
+    }
+    sleep(Duration::from_millis(1500)).await;
+    deployment.instance.signal("KILL");
+    sleep(Duration::from_millis(200)).await;
+    let mut resets = 0;
+    for (events, mut client) in clients {
+        let mut got = Vec::new();
+        let is_reset = client.socket.read_to_end(&mut got).await.is_err();
+        let is_whole = got.ends_with(large_event(events, EVENT_BYTES).as_bytes());
+        verify_that!((events, is_reset || is_whole), eq((events, true)))?;
+        resets += usize::from(is_reset);
+    }
+    verify_that!(resets, all!(gt(0), lt(80)))
+}
+
 async fn stalled_stream(route: &'static str, is_whole: bool) -> Result<()> {
     let stalled = endpoint("engine-1", |it| {
         let mut steps = vec![Step::Write(stream_head(it)), Step::Write(chunk(&event(1)))];
