--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -103,7 +103,7 @@
                     if is_unframed {
                         // Nothing but the connection's end tells such a client that the stream is whole.
                         handle.set_reset(true);
-                        buffer.on_whole(move || handle.set_reset(false));
+                        buffer.on_whole(move || handle.set_whole());
                     }
                 }
                 let body = body.guarded((open, in_use));
@@ -134,8 +134,8 @@
             }
             () = gateway.close_idle.notified(), if !is_shut => {
                 idle_timeout = CLOSING_IDLE_TIMEOUT;
-                // Nor has it read what has arrived since.
-                if activity.open_requests.get() > 0 || !handle.has_unread() {
+                // Nor has it read what has arrived since, and it would drop a head of which a part has arrived.
+                if activity.open_requests.get() > 0 || !(activity.is_busy() || handle.has_unread()) {
                     is_shut = true;
                     connection.as_mut().graceful_shutdown();
                 }
