Remove a client's own headers of a relay before relaying

Cause: x-relayed-* headers of a client went along with a relayed request. A forged address beside the customer let an older build run it without the customer, and a forged mark hid it from usage.

Change: They are removed before the own ones are set, and a request with both forms of the caller's address is not taken as a relayed one.

Measured: customers::relayed_request_carries_the_name (now with forged headers) and customers::relayed_request_of_an_unknown_customer_is_declined (now with both forms) pass.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -29,6 +29,8 @@
 use std::time::{Duration, Instant};
 use tokio::time::timeout_at;
 
+/// Start of the names of the headers by which instances describe a relayed request.
+const RELAYED_PREFIX: &str = "x-relayed-";
 /// Instance that relays the request.
 const RELAYED_BY: HeaderName = HeaderName::from_static("x-relayed-by");
 /// Address of the caller.
@@ -93,7 +95,7 @@
     }
 }
 
-/// Takes the headers of a relayed request off; `None` if it isn't one or they are malformed
+/// Takes the headers of a relayed request off; `None` if it isn't one or they are malformed or contradictory
 pub fn take_source(headers: &mut HeaderMap) -> Option<RequestSource> {
     let mut take = |name: HeaderName| {
         let value = headers.remove(name)?;
@@ -101,12 +103,13 @@
     };
     let (instance, caller, sends) = (take(RELAYED_BY), take(RELAYED_FOR), take(RELAYED_SENDS));
     let is_counted = take(RELAYED_COUNTED).is_some();
-    let (caller, customer) = match take(RELAYED_FOR_CUSTOMER) {
-        Some(both) => {
+    let (caller, customer) = match (caller, take(RELAYED_FOR_CUSTOMER)) {
+        (None, Some(both)) => {
             let (caller, customer) = both.split_once(' ')?;
             (SmolStr::new(caller), Some(CustomerName::new(customer)))
         }
-        None => (caller?, None),
+        (Some(caller), None) => (caller, None),
+        (Some(_), Some(_)) | (None, None) => return None,
     };
     let caller = caller.parse().ok()?;
     let sends = sends?.parse().ok()?;
@@ -264,6 +267,7 @@
     *request.method_mut() = client.parts.method.clone();
     *request.uri_mut() = client.parts.uri.path_and_query()?.as_str().parse().ok()?;
     let mut headers = relayed_headers(&client.parts.headers, time_left(call.deadline), taken_up);
+    remove_forged(&mut headers);
     let relayed_for = match &call.customer {
         Some(customer) => (RELAYED_FOR_CUSTOMER, format!("{} {}", client.caller, customer.name)),
         None => (RELAYED_FOR, client.caller.to_string()),
@@ -282,6 +286,16 @@
     Some(request)
 }
 
+/// Removes the headers of a relayed request that the client has sent itself
+///
+/// An older build that finds the client's address beside the customer would run the request without the customer.
+fn remove_forged(headers: &mut HeaderMap) {
+    let is_internal = |it: &&HeaderName| it.as_str().starts_with(RELAYED_PREFIX);
+    for name in headers.keys().filter(is_internal).cloned().collect::<Vec<_>>() {
+        headers.remove(name);
+    }
+}
+
 /// Another instance as the target of a connection
 fn connection_target(peer: &PeerInstance, instance: &InstanceId) -> ListedEndpoint {
     ListedEndpoint {
--- a/crates/gateway/tests/gateway/customers.rs
+++ b/crates/gateway/tests/gateway/customers.rs
@@ -432,7 +432,9 @@
     let sender = &fleet.instances[0];
     fleet.cuts.cut(sender.process(), CutMode::Reset);
     sleep(CONTACT_TIME).await;
-    let lookup = with_headers(with_key(get("lookups", "relayed-1"), "key-a"), "X-Tenant: b");
+    // The caller's own headers of a relay must neither be believed nor reach an older build.
+    let forged = "X-Tenant: b\r\nX-Relayed-For: 127.0.8.9\r\nX-Relayed-Counted: 1";
+    let lookup = with_headers(with_key(get("lookups", "relayed-1"), "key-a"), forged);
     let stream = with_key(generation("resumed", "relayed-2"), "key-a");
     for request in [lookup, stream] {
         verify_that!(call(sender.clients, request).await.status, eq(200))?;
@@ -459,6 +461,7 @@
         // An instance that doesn't know customers yet passes on what its caller sent.
         ("X-Relayed-For: 127.0.8.1\r\nX-Credential: key-a\r\nX-Tenant: a", Some("declined")),
         ("X-Relayed-For-Customer: 127.0.8.1", None),
+        ("X-Relayed-For: 127.0.8.1\r\nX-Relayed-For-Customer: 127.0.8.1 a", None),
     ] {
         let headers = format!("X-Relayed-By: instance-0\r\nX-Relayed-Sends: 0\r\n{headers}");
         let request = with_headers(get("lookups", "relayed-1"), &headers);
