Count a hedged request though its other copy is lost

Cause: The failure of the lost copy was recorded before the answer and used up the mark of the send, so that the request, which had run, was counted nowhere.

Change: An answer is counted before the lost copy's failure is recorded.

Measured: usage::hedged_request_is_counted_though_a_copy_is_lost passes; without the change it fails with 120 of 123 requests counted.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -266,13 +266,14 @@
         );
         let PlainSend { endpoint, answer, failed: lost } =
             send_plain(gateway, &call, endpoint, &endpoints).await;
+        // Before the lost copy's failure, which would use up the mark of the send.
+        if answer.is_ok() {
+            call.count_answer();
+        }
         if let Some((endpoint, error)) = lost {
             call.record_failure(gateway, &endpoint, &error);
         }
         let endpoint = &endpoint;
-        if answer.is_ok() {
-            call.count_answer();
-        }
         match answer {
             Ok(answer)
                 if answer.status.is_server_error() && call.route.retry_rule.allows_second_run() =>
--- a/crates/gateway/tests/gateway/usage.rs
+++ b/crates/gateway/tests/gateway/usage.rs
@@ -33,6 +33,8 @@
     reports_equal_what_the_endpoints_ran => exact(),
     // Guards against requests that ran although nobody saw their answer.
     requests_whose_answer_is_not_seen_are_counted_once => unanswered(),
+    // Guards against a request that isn't counted since one of its two copies was declined.
+    hedged_request_is_counted_though_a_copy_is_lost => lost_copy(),
     // Guards against requests that two instances count, or none.
     relayed_requests_are_counted_once => relayed(),
     request_that_another_instance_has_counted_is_not_counted => already_counted(),
@@ -82,6 +84,15 @@
             {
                 not_run(arrival, "503 Service Unavailable")
             }
+            // Declined late by one service, and answered by the other one later still.
+            _ if id.starts_with("hedged") => {
+                let is_lost = arrival.header("x-expect-instance") == Some("service-1");
+                let (pause, reply) = match is_lost {
+                    true => (150, not_run(arrival, "503 Service Unavailable")),
+                    false => (300, answer(arrival, "200 OK", "right")),
+                };
+                return vec![Step::Pause(Duration::from_millis(pause)), Step::Write(reply)];
+            }
             _ if id.starts_with("refused") => not_run(arrival, "503 Service Unavailable"),
             _ => answer(arrival, "200 OK", "right"),
         })];
@@ -102,6 +113,18 @@
     request.replacen("\r\nHost:", &format!("\r\nX-Credential: key-{key}\r\nHost:"), 1)
 }
 
+/// Configuration with the customers `a`, `b` and `c`, and one public route
+fn usage_config(version: u64) -> Value {
+    let mut config = config(version, 2000);
+    let customer = |it: &str| json!({"name": it, "api_keys": [format!("key-{it}")]});
+    config["tenants"] = ["a", "b", "c"].into_iter().map(customer).collect::<Value>();
+    let routes = config["routes"].as_array_mut().expect("routes");
+    for route in routes.iter_mut().filter(|it| it["name"] == "single-streams") {
+        route["public"] = true.into();
+    }
+    config
+}
+
 impl UsageFleet {
     async fn start(instances: usize) -> UsageFleet {
         UsageFleet::start_with(instances, true).await
@@ -109,13 +132,7 @@
 
     async fn start_with(instances: usize, has_duty: bool) -> UsageFleet {
         let store = FakeStore::start().await;
-        let mut config = config(1, 2000);
-        let customer = |it: &str| json!({"name": it, "api_keys": [format!("key-{it}")]});
-        config["tenants"] = ["a", "b", "c"].into_iter().map(customer).collect::<Value>();
-        let routes = config["routes"].as_array_mut().expect("routes");
-        for route in routes.iter_mut().filter(|it| it["name"] == "single-streams") {
-            route["public"] = true.into();
-        }
+        let config = usage_config(1);
         store.put("keyed.op", "config", config.to_string().as_bytes());
         let (cuts, mut endpoints) = (CutSwitch::default(), Vec::new());
         for id in ["service-1", "service-2", "engine-1", "engine-2"] {
@@ -321,6 +338,27 @@
     fleet.verify_reports(REPORT_BOUND).await
 }
 
+async fn lost_copy() -> Result<()> {
+    let fleet = UsageFleet::start(1).await;
+    let mut config = usage_config(2);
+    config["services"][0]["hedge_ratio"] = 0.5.into();
+    fleet.store.put("keyed.op", "config", config.to_string().as_bytes());
+    fleet.instances[0].wait_line("event=config_applied version=2").await;
+    sleep(Duration::from_millis(300)).await;
+    let clients = fleet.instances[0].clients;
+    // The first ones teach the usual time to the first byte.
+    let learned = (0..120).map(|it| format!("lookup-{it}"));
+    for id in learned.chain((0..3).map(|it| format!("hedged-{it}"))) {
+        UsageFleet::leave_edge().await;
+        verify_that!(call(clients, with_key(get("lookups", &id), "a")).await.status, eq(200))?;
+    }
+    let arrivals = fleet.endpoints.iter().flat_map(FakeEndpoint::arrivals);
+    let is_copy = |it: &Arrival| it.header("x-request-id").is_some_and(|it| it.contains("hedged"));
+    verify_that!(arrivals.filter(is_copy).count(), ge(4))?;
+    fleet.instances[0].wait_line("event=hedge").await;
+    fleet.verify_reports(REPORT_BOUND).await
+}
+
 async fn relayed() -> Result<()> {
     let fleet = UsageFleet::start(3).await;
     let holder = fleet.wait_holder().await?;
