Repeat usage reports while the control API fails

Cause: Answers with 5xx and 408 counted as declines, so a fault of the control API of some seconds made reports be given up after five calls. The pause also stayed long after a report was given up.

Change: 5xx and 408 are retried like a missing answer, without a limit. Giving up a report resets the pause.

Measured: usage::reports_wait_while_the_control_api_fails, _times_out and _is_silent pass.

--- a/crates/gateway/src/usage/reporting.rs
+++ b/crates/gateway/src/usage/reporting.rs
@@ -14,6 +14,7 @@
 use catalogue::id::Fence;
 use decide::serving::usage_ledger::{FixedReport, RECORD_FORMAT, UsageCounts, WindowStep};
 use decide::serving::usage_report::WindowNumber;
+use http::StatusCode;
 use platform_adapter::control_api::{ControlClient, ControlOutcome, DutyToken, usage_body};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -213,7 +214,7 @@
             drop(call);
             let outcome = outcome.unwrap_or(ControlOutcome::Unanswered);
             self.record_outcome(report.window, outcome);
-            let pause = match outcome {
+            let pause = match without_temporary(outcome) {
                 ControlOutcome::Accepted => {
                     self.remove(report.window);
                     (backoff, declines) = (MIN_BACKOFF, 0);
@@ -226,13 +227,13 @@
                 ControlOutcome::Declined(_) if declines + 1 == MAX_DECLINES => {
                     log::warn!("event=usage_given_up window={} reason=declined", report.window);
                     self.remove(report.window);
-                    declines = 0;
+                    (backoff, declines) = (MIN_BACKOFF, 0);
                     REPORT_INTERVAL
                 }
-                ControlOutcome::Declined(_)
+                retried @ (ControlOutcome::Declined(_)
                 | ControlOutcome::Limited
-                | ControlOutcome::Unanswered => {
-                    declines += u32::from(matches!(outcome, ControlOutcome::Declined(_)));
+                | ControlOutcome::Unanswered) => {
+                    declines += u32::from(matches!(retried, ControlOutcome::Declined(_)));
                     let pause = backoff.mul_f64(0.75 + rand::random::<f64>() / 2.0);
                     backoff = MAX_BACKOFF.min(backoff * 2);
                     pause
@@ -260,6 +261,18 @@
     }
 }
 
+/// Outcome with a fault of the control API, rather than of the report, taken for a missing answer
+fn without_temporary(outcome: ControlOutcome) -> ControlOutcome {
+    match outcome {
+        ControlOutcome::Declined(status)
+            if status.is_server_error() || status == StatusCode::REQUEST_TIMEOUT =>
+        {
+            ControlOutcome::Unanswered
+        }
+        other => other,
+    }
+}
+
 /// Stages a snapshot of the counts unless it equals the last one; returns it if so
 pub fn stage_snapshot(gateway: &Gateway, usage: &UsageState, last: &Bytes) -> Option<Bytes> {
     let ledger = usage.ledger.borrow();
--- a/crates/gateway/tests/gateway/usage.rs
+++ b/crates/gateway/tests/gateway/usage.rs
@@ -41,6 +41,9 @@
     // Guards against two different reports of a window, or none, if the holder dies after it has fixed some.
     next_holder_repeats_fixed_reports_to_the_byte => holder_killed(),
     reports_wait_while_the_control_api_is_silent => silent_control(),
+    // Guard against reports that are given up while the control API fails.
+    reports_wait_while_the_control_api_fails => failing_control(StatusCode::BAD_GATEWAY),
+    reports_wait_while_the_control_api_times_out => failing_control(StatusCode::REQUEST_TIMEOUT),
     reports_wait_while_the_store_is_down => store_down(),
     // Guards against a second, different report of a window whose record the store has forgotten.
     no_window_is_reported_anew_after_a_return_of_the_store => store_return(),
@@ -456,6 +459,25 @@
     verify_that!(windows.is_sorted(), eq(true))
 }
 
+async fn failing_control(status: StatusCode) -> Result<()> {
+    let mut fleet = UsageFleet::start(1).await;
+    fleet.wait_holder().await?;
+    fleet.control.set_mode(ControlMode::Refusing(status));
+    fleet.send_load(&fleet.all(), Duration::from_secs(3)).await?;
+    // Six calls take up to 10 s with backoff.
+    let until = Instant::now() + Duration::from_secs(20);
+    while fleet.control.calls().len() < 6 {
+        verify_that!(Instant::now(), lt(until))?;
+        sleep(Duration::from_millis(50)).await;
+    }
+    let calls = fleet.control.calls();
+    verify_that!(calls.iter().all(|it| it.body == calls[0].body), eq(true))?;
+    fleet.control.set_mode(ControlMode::Normal);
+    fleet.verify_reports(REPORT_BOUND).await?;
+    let lines = usage_lines(&fleet.instances[0]);
+    verify_that!(lines.iter().any(|it| it.contains("event=usage_given_up")), eq(false))
+}
+
 async fn store_down() -> Result<()> {
     let mut fleet = UsageFleet::start(3).await;
     fleet.wait_holder().await?;
