Don't confirm the configuration by one that is unreadable

Cause: A read whose newest configuration could not be decoded, and each read without a change after it, made the one in force current, so that keys of the newer one were refused for good.

Change: Such reads confirm nothing until a readable configuration follows.

Measured: customers::unknown_key_is_retryable_while_the_newest_configuration_is_unreadable passes, as do customers::unknown_key_*, customers::keys_* and config::unreadable_configuration_is_ignored.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -88,6 +88,8 @@
     let bound = gateway.settings.config_bound;
     let mut backoff = StoreBackoff::new(OPERATOR_TOPIC);
     let mut is_started = false;
+    // Until a readable one follows, reads without a change don't make the one in force current either.
+    let mut is_unreadable = false;
     loop {
         let has_missed = gateway.config_coverage.wait_until_due().await;
         let is_known = gateway.config_position().is_some();
@@ -105,15 +107,18 @@
                 gateway.config_read_at.set(Some(Instant::now()));
                 gateway.record_config_read(to);
                 for record in batch.records.iter().filter(|it| it.key == CONFIG_KEY) {
-                    if let Some(value) = &record.value
-                        && apply_config(&gateway, value, "store")
-                    {
+                    let Some(value) = &record.value else { continue };
+                    let change = apply_config(&gateway, value, "store");
+                    is_unreadable = change == ConfigChange::Unreadable;
+                    if change == ConfigChange::Applied {
                         *gateway.config_update.borrow_mut() = Some(value.clone());
                         gateway.update_ready.notify_one();
                     }
                 }
                 // The store may have answered long before the answer was read, but not before it was asked.
-                gateway.confirm_config_read(asked_at);
+                if !is_unreadable {
+                    gateway.confirm_config_read(asked_at);
+                }
                 if is_first {
                     is_started = true;
                     gateway.config_coverage.extend(bound.mul_f64(START_FRACTION), Instant::now());
@@ -271,8 +276,17 @@
     is_in_force()
 }
 
-/// Applies a configuration if it is newer than the one in force; `true` if it is
-pub fn apply_config(gateway: &Gateway, value: &[u8], source: &str) -> bool {
+/// Result of applying a configuration
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConfigChange {
+    Applied,
+    /// Not newer than the one in force
+    Ignored,
+    Unreadable,
+}
+
+/// Applies a configuration if it is newer than the one in force
+pub fn apply_config(gateway: &Gateway, value: &[u8], source: &str) -> ConfigChange {
     let before = gateway.config.borrow().clone();
     let customers = |it: &Rc<ServingConfig>| Some((it.version, it.customers.clone()?));
     let base = before.as_ref().and_then(customers);
@@ -283,18 +297,18 @@
                 "event=config_base_unknown source={source} in_force={:?}",
                 before.map(|it| it.version)
             );
-            return false;
+            return ConfigChange::Unreadable;
         }
         Err(error) => {
             log::error!("event=config_unreadable source={source} error={error}");
-            return false;
+            return ConfigChange::Unreadable;
         }
     };
     let mut current = gateway.config.borrow_mut();
     let before = current.as_ref().map(|it| it.version);
     if !config.replaces(current.as_deref()) {
         log::debug!("event=config_ignored version={} in_force={before:?}", config.version);
-        return false;
+        return ConfigChange::Ignored;
     }
     log::info!(
         "event=config_applied version={} before={before:?} source={source} routes={}",
@@ -307,7 +321,7 @@
     gateway.metrics.config_version.set(i64::try_from(config.version).unwrap_or(i64::MAX));
     *current = Some(Rc::new(config));
     *gateway.previous_customers.borrow_mut() = base;
-    true
+    ConfigChange::Applied
 }
 
 fn apply_endpoints(
--- a/crates/gateway/tests/gateway/customers.rs
+++ b/crates/gateway/tests/gateway/customers.rs
@@ -32,6 +32,7 @@
     headers_pass_through_without_customers => passed_through(),
     // Guards against wrong refusals while the store can't be read.
     unknown_key_is_retryable_while_the_configuration_may_be_outdated => outdated(),
+    unknown_key_is_retryable_while_the_newest_configuration_is_unreadable => unreadable(),
     // Guards against an instance that goes on with the keys from before a freeze.
     keys_that_changed_during_a_freeze_are_not_misjudged => frozen(),
     instance_without_configuration_refuses_nobody_for_good => without_configuration(),
@@ -377,6 +378,22 @@
     verify_that!(statuses, eq([401, 200]))
 }
 
+async fn unreadable() -> Result<()> {
+    let start = start(script).await;
+    let unknown = || with_key(get("lookups", "1"), "key-x");
+    verify_that!(status(&start, unknown()).await, eq(401))?;
+    start.deployment.store.put("keyed.op", "config", b"{");
+    start.deployment.instance.wait_line("event=config_unreadable").await;
+    // Reads without a change follow.
+    sleep(CONFIG_BOUND * 2).await;
+    verify_that!(status(&start, unknown()).await, eq(503))?;
+    verify_that!(status(&start, with_key(get("lookups", "2"), "key-a")).await, eq(200))?;
+    put(&start.deployment.store, &customers(9, &[("a", "key-a", None)]));
+    start.deployment.instance.wait_line("event=config_applied version=9").await;
+    sleep(REFUSAL_TIME).await;
+    verify_that!(status(&start, unknown()).await, eq(401))
+}
+
 async fn without_configuration() -> Result<()> {
     let store = FakeStore::start().await;
     let instance = Instance::launch(store.address, "instance-1");
