Send a configuration to others only while it is in force

Cause: The configuration read last was queued without its version. If another instance brought a newer one without customers before it was sent, the keys were taken for none and sent along.

Change: The version is queued with it, and it is dropped unless that is the one in force.

Measured: configuration_that_is_not_in_force_is_not_sent (tests/messages.rs), customers::new_key_*, customers::removed_key_*, customers::change_among_* and config::newer_* pass. The race itself is not played.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -9,6 +9,7 @@
 use crate::boot_clock::boot_time;
 use crate::coverage::{LEADER_WAIT_FRACTION, START_FRACTION};
 use crate::messages::EndpointUpdate;
+use crate::packed_config::StoredConfig;
 use crate::peers::config_transfer;
 use crate::state::Gateway;
 use bytes::Bytes;
@@ -111,8 +112,7 @@
                     let change = apply_config(&gateway, value, "store");
                     is_unreadable = change == ConfigChange::Unreadable;
                     if change == ConfigChange::Applied {
-                        *gateway.config_update.borrow_mut() = Some(value.clone());
-                        gateway.update_ready.notify_one();
+                        queue_config(&gateway, value);
                     }
                 }
                 // The store may have answered long before the answer was read, but not before it was asked.
@@ -207,6 +207,14 @@
     gateway.update_ready.notify_one();
 }
 
+/// Queues the configuration in force, as it was read, to be sent to other instances
+fn queue_config(gateway: &Gateway, value: &Bytes) {
+    let version = gateway.config.borrow().as_ref().map(|it| it.version);
+    let queued = version.map(|version| StoredConfig { version, value: value.clone() });
+    *gateway.config_update.borrow_mut() = queued;
+    gateway.update_ready.notify_one();
+}
+
 /// Longest wait of a read for a change; none if changes may have been missed or updates to others are due
 fn poll_time(bound: Duration, is_due: bool) -> Duration {
     if is_due { Duration::ZERO } else { bound.mul_f64(LEADER_WAIT_FRACTION) }
--- a/crates/gateway/src/packed_config.rs
+++ b/crates/gateway/src/packed_config.rs
@@ -37,6 +37,22 @@
     pub source: Option<SocketAddr>,
 }
 
+/// Configuration read from the store, as the store holds it
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredConfig {
+    pub version: ConfigVersion,
+    pub value: Bytes,
+}
+
+impl StoredConfig {
+    /// Its value if its version is the one in force
+    ///
+    /// Whether it contains keys that must not be sent is known of the one in force only.
+    pub fn value_in_force(self, in_force: ConfigVersion) -> Option<Bytes> {
+        (self.version == in_force).then_some(self.value)
+    }
+}
+
 /// Compressed configuration
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PackedConfig {
--- a/crates/gateway/src/peers/store_updates.rs
+++ b/crates/gateway/src/peers/store_updates.rs
@@ -42,6 +42,8 @@
         };
         let endpoints = endpoints.unwrap_or(EndpointUpdate { from: to, to, records: Vec::new() });
         let recipients = recipients(&exchange);
+        // Another instance may have brought a newer one since the read.
+        let read_config = read_config.and_then(|it| it.value_in_force(config_version));
         let config = read_config.and_then(|it| message_config(&gateway, config_version, it));
         let packed = gateway.packed_config.borrow().clone();
         let offers_config = packed.is_some_and(|it| {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,11 +12,10 @@
 use crate::messages::{EndpointUpdate, FactRepair, PromptRead, ServingUpdate};
 use crate::metrics::GatewayMetrics;
 use crate::origin_queries::OriginQueries;
-use crate::packed_config::{ConfigAnnouncement, PackedConfig};
+use crate::packed_config::{ConfigAnnouncement, PackedConfig, StoredConfig};
 use crate::part_tests::PartSuspects;
 use crate::scaling_state::ScalingState;
 use crate::usage::state::UsageState;
-use bytes::Bytes;
 use catalogue::id::{EndpointId, InstanceId, PoolName};
 use decide::fingerprint::Fingerprint;
 use decide::serving::cache::PromptCaches;
@@ -88,8 +87,8 @@
     pub endpoints_coverage: TopicCoverage,
     /// Endpoint records read last, to be sent to other instances
     pub endpoint_update: RefCell<Option<EndpointUpdate>>,
-    /// Configuration read last, as the store holds it, to be sent to other instances
-    pub config_update: RefCell<Option<Bytes>>,
+    /// Configuration read last, to be sent to other instances
+    pub config_update: RefCell<Option<StoredConfig>>,
     /// Configuration that this instance transfers to others
     pub packed_config: RefCell<Option<PackedConfig>>,
     /// Newest configuration that another instance has announced
--- a/crates/gateway/tests/messages.rs
+++ b/crates/gateway/tests/messages.rs
@@ -1,5 +1,6 @@
 //! Messages between instances: their size, and what is dropped when one is full.
 
+use bytes::Bytes;
 use catalogue::id::EndpointId;
 use decide::serving::crash_table::{BrokenEndpoint, CrashFact, EndpointStatus};
 use decide::serving::health::HealthUpdate;
@@ -11,6 +12,7 @@
     BegunStreams, FactRepair, MAX_MESSAGE_BYTES, MessageBody, PeerMessage, PromptRead,
     ServingUpdate, WorkScope, work_body,
 };
+use gateway::packed_config::StoredConfig;
 use googletest::prelude::*;
 use testcases::cases;
 
@@ -130,7 +132,15 @@
     verify_that!(update.health.last(), some(eq(&newest)))
 }
 
+fn check_stored_config() -> Result<()> {
+    let config = StoredConfig { version: 3, value: Bytes::from_static(b"with keys") };
+    verify_that!(config.clone().value_in_force(4), none())?;
+    verify_that!(config.value_in_force(3), some(eq("with keys")))
+}
+
 cases! {
+    // Guards against keys of an earlier configuration that are sent since the one in force has none.
+    configuration_that_is_not_in_force_is_not_sent => check_stored_config(),
     begun_streams_take_few_bytes => check_stream_bytes(),
     // Guard against messages that nobody can decode, since they are too large.
     work_at_the_design_size_fits_into_a_message => check_work_fits(),
