Lift customers' shares while refusals are rare

Cause: Shares stayed in force as long as one request in 2 s was refused, and refusals after broken connections or failed sends counted like a lack of capacity.

Change: Shares stay in force down to 0.005 refusals of the requests let in. Only the reasons that tell of a lack of capacity count.

--- a/crates/decide/src/serving/customer_share.rs
+++ b/crates/decide/src/serving/customer_share.rs
@@ -29,6 +29,9 @@
 const MIN_REFUSED: u32 = 3;
 /// The same as a fraction of the answers; occasional refusals are no overload.
 const MIN_REFUSED_FRACTION: f64 = 0.02;
+/// Refusals as a fraction of the requests that were let in, down to which an overload lasts. Shares that hold a flood
+/// back leave few refusals, but a single one in the window must not keep them in force.
+const MIN_LASTING_FRACTION: f64 = 0.005;
 /// Standard deviations by which a customer's demand must exceed the level, so that few are held back for what they
 /// send by chance within the window. Without this, capacity stays unused.
 const CERTAINTY: f64 = 1.5;
@@ -259,7 +262,9 @@
         let is_overload =
             refused >= MIN_REFUSED && f64::from(refused) >= MIN_REFUSED_FRACTION * answered;
         // While shares hold a flood back, few other requests are refused.
-        self.has_overload = is_overload || self.has_overload && refused > 0;
+        let least = MIN_LASTING_FRACTION * (f64::from(served) + f64::from(refused));
+        let lasts = refused > 0 && f64::from(refused) >= least;
+        self.has_overload = is_overload || self.has_overload && lasts;
         if !self.has_overload || served == 0 {
             return None;
         }
--- a/crates/decide/tests/serving_customer_share.rs
+++ b/crates/decide/tests/serving_customer_share.rs
@@ -33,6 +33,8 @@
     burst_of_all_customers_uses_all_capacity => burst(0.5),
     load_from_nothing_uses_all_capacity => burst(0.0),
     few_refusals_are_no_overload => few_refusals(),
+    // Guards against shares that a single refusal now and then keeps in force.
+    single_refusals_do_not_keep_shares_in_force => single_refusals(),
     unheard_demand_expires => others_expire(),
     // Guards against memory that grows with the number of customers.
     demand_of_too_many_customers_is_not_kept => bounded(),
@@ -270,6 +272,19 @@
     verify_that!(shares.is_limiting(), eq(false))
 }
 
+fn single_refusals() -> Result<()> {
+    let (mut shares, start) = overloaded();
+    verify_that!(shares.is_limiting(), eq(true))?;
+    for number in 0..5000 {
+        let now = start + Duration::from_millis(number);
+        let is_refused = number % 1000 == 0;
+        let outcome = if is_refused { ShareOutcome::Refused } else { ShareOutcome::Served };
+        shares.decide(&"a".into(), 0.0, now);
+        shares.record_outcome(outcome, now);
+    }
+    verify_that!(shares.is_limiting(), eq(false))
+}
+
 /// Shares in an overload in which half of the requests of `a` are served, and the time
 fn overloaded() -> (CustomerShares, Instant) {
     let start = Instant::now();
--- a/crates/gateway/src/customer_shares.rs
+++ b/crates/gateway/src/customer_shares.rs
@@ -5,7 +5,7 @@
 
 use crate::body::AnswerBody;
 use crate::request_record::RequestRecord;
-use crate::serving_call::{NOT_RELAYED, Refusal, ServingCall};
+use crate::serving_call::{Refusal, ServingCall};
 use crate::state::Gateway;
 use catalogue::id::{CustomerName, PoolName};
 use decide::serving::customer_share::{CustomerShares, RequestRate, ShareDecision, ShareOutcome};
@@ -22,6 +22,9 @@
 /// Jitter added to `MIN_RETRY_AFTER`.
 const RETRY_JITTER: Duration = Duration::from_millis(400);
 
+/// Reasons of refusals for lack of capacity. Endpoints decline what exceeds theirs, until retries have no budget.
+const CAPACITY_REASONS: [&str; 5] = ["full", "no_endpoint", "paused", "declined", "no_budget"];
+
 /// Result of serving a request
 type ServeResult = Result<Response<AnswerBody>, (Refusal, RequestRecord)>;
 
@@ -91,6 +94,6 @@
 }
 
 /// Whether a request was refused since no endpoint had capacity for it
-fn is_for_capacity(refusal: &Refusal) -> bool {
-    refusal.answer == GatewayAnswer::NotRun && refusal.reason != NOT_RELAYED
+pub fn is_for_capacity(refusal: &Refusal) -> bool {
+    refusal.answer == GatewayAnswer::NotRun && CAPACITY_REASONS.contains(&refusal.reason)
 }
--- a/crates/gateway/tests/gateway/customer_shares.rs
+++ b/crates/gateway/tests/gateway/customer_shares.rs
@@ -4,7 +4,10 @@
 use crate::deployment::{Deployment, config, endpoint, get, list};
 use crate::endpoint::{Arrival, FakeEndpoint, Step, answer, not_run};
 use crate::process::Instance;
+use gateway::customer_shares::is_for_capacity;
+use gateway::serving_call::Refusal;
 use googletest::prelude::*;
+use platform_adapter::answer::GatewayAnswer;
 use serde_json::{Value, json};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -18,6 +21,8 @@
     flood_of_one_customer_costs_the_others_little => flood(),
     // Guards against shares that hold anybody back while there is capacity.
     nobody_is_held_back_without_an_overload => no_overload(),
+    // Guards against shares that crashes and broken connections keep in force.
+    only_lack_of_capacity_counts_as_an_overload => reasons(),
 }
 
 const CUSTOMERS: usize = 20;
@@ -36,6 +41,18 @@
 /// Whether each request was served, by customer
 type Tallies = Arc<Mutex<Vec<Vec<bool>>>>;
 
+async fn reasons() -> Result<()> {
+    let is_counted = |answer, reason| is_for_capacity(&Refusal::new(answer, reason));
+    for reason in ["full", "no_endpoint", "paused", "declined", "no_budget"] {
+        verify_that!(is_counted(GatewayAnswer::NotRun, reason), eq(true))?;
+        verify_that!(is_counted(GatewayAnswer::Failed, reason), eq(false))?;
+    }
+    for reason in ["not_relayed", "broken", "suspected_part", "send_failed", "config_outdated"] {
+        verify_that!(is_counted(GatewayAnswer::NotRun, reason), eq(false))?;
+    }
+    Ok(())
+}
+
 /// Service that declines what exceeds its capacity, counted over 0.25 s
 async fn limited_service(capacity: usize) -> FakeEndpoint {
     let accepted = Mutex::new(VecDeque::<Instant>::new());
