Acknowledge known counts though the ledger is full

Cause: Counts that the holder had already counted against its bound again, so that a full ledger refused messages sent anew, for example after a change of the holder. An instance whose message was refused was taken for silent, and windows were fixed without it.

Change: Only new counts need room, and an instance is recorded as alive before the check.

Measured: serving_usage passes (28 tests, two of them new).

--- a/crates/decide/src/serving/usage_ledger.rs
+++ b/crates/decide/src/serving/usage_ledger.rs
@@ -134,14 +134,14 @@
             self.record_fixed(report.unfixed);
         }
         let ahead = self.timing.window_at(times.unix) + MAX_WINDOWS_AHEAD;
-        let new = report.counts.iter().map(|it| it.1.len()).sum::<usize>();
-        if self.entries + new > MAX_ENTRIES {
+        // An instance whose counts find no room is alive nevertheless.
+        self.record_source(report, ahead, times.boot);
+        if self.entries + self.new_entries(report, ahead) > MAX_ENTRIES {
             self.refused += 1;
             return None;
         }
-        self.record_source(report, ahead, times.boot);
         for (window, counts) in &report.counts {
-            if *window < self.unfixed() || *window > ahead {
+            if !self.is_accepted(*window, ahead) {
                 continue;
             }
             let sources = self.windows.entry(*window).or_default();
@@ -156,6 +156,23 @@
         Some(UsageAck { fence, source, sequence, unfixed: self.unfixed(), clock: None })
     }
 
+    /// Whether counts of a window are kept
+    fn is_accepted(&self, window: WindowNumber, ahead: WindowNumber) -> bool {
+        self.unfixed() <= window && window <= ahead
+    }
+
+    /// Number of counts in a message that are to be added to the known ones
+    fn new_entries(&self, report: &UsageReport, ahead: WindowNumber) -> usize {
+        let accepted = report.counts.iter().filter(|it| self.is_accepted(it.0, ahead));
+        let new_in = |(window, counts): &(WindowNumber, Vec<(CustomerName, u32)>)| {
+            let known = self.windows.get(window).and_then(|it| it.get(&report.source));
+            let is_new =
+                |it: &&(CustomerName, u32)| known.is_none_or(|known| !known.contains_key(&it.0));
+            counts.iter().filter(is_new).count()
+        };
+        accepted.map(new_in).sum()
+    }
+
     fn record_source(&mut self, report: &UsageReport, ahead: WindowNumber, boot: Duration) {
         let last = report.now.min(ahead);
         let first = report.first.min(last);
--- a/crates/decide/tests/serving_usage.rs
+++ b/crates/decide/tests/serving_usage.rs
@@ -50,6 +50,10 @@
     many_customers_are_split_over_bounded_messages => many_customers(),
     windows_beyond_the_bound_are_dropped => many_windows(),
     counts_beyond_the_bound_are_refused => many_counts(),
+    // Guards against counts that a full ledger refuses though it has them.
+    known_counts_are_acknowledged_beyond_the_bound => known_counts(),
+    // Guards against a window that is fixed without an instance whose counts find no room yet.
+    refused_instance_is_waited_for => refused_instance(),
     request_with_a_free_slot_begins_with_its_send => begins(10, true, 0),
     request_that_waits_begins_a_work_time_before_its_answer => begins(70, false, 50),
     request_that_works_long_does_not_begin_before_its_send => begins(10, false, 0),
@@ -457,6 +461,37 @@
     verify_that!(fleet.own[39].has_unacked(1), eq(true))
 }
 
+/// Instances with 13,000 customers each, of which the last one's counts find no room
+fn full_ledger() -> Fleet {
+    let mut fleet = Fleet::new(31);
+    for instance in 0..31 {
+        for number in 0..13_000 {
+            fleet.count(instance, number, 1000);
+        }
+        fleet.run(instance..instance + 1, 2000, 2500);
+    }
+    fleet
+}
+
+fn known_counts() -> Result<()> {
+    let mut fleet = full_ledger();
+    let refused = fleet.ledger.refused();
+    verify_that!(refused, gt(0))?;
+    // All counts are sent anew.
+    fleet.fence += 1;
+    fleet.run(0..1, 2500, 3000);
+    verify_that!(fleet.own[0].has_unacked(fleet.fence), eq(false))?;
+    verify_that!(fleet.ledger.refused(), eq(refused))
+}
+
+fn refused_instance() -> Result<()> {
+    let mut fleet = full_ledger();
+    fleet.run(0..30, 2500, WINDOW + DUE / 4 + 500);
+    verify_that!(fleet.fixed.len(), eq(0))?;
+    fleet.run(0..30, WINDOW + DUE / 4 + 500, WINDOW + DUE);
+    verify_that!(fleet.fixed.first().map(|it| it.1.len()), some(eq(13_000)))
+}
+
 /// Requests usually take 20 ms; this one is sent at time 0 and answered later
 fn begins(answered_at: u64, had_slot: bool, expected: u64) -> Result<()> {
     let mut work_time = WorkTime::default();
