Don't take a stale relay for a counted request

Cause: A relayed request to a plain service that failed on a reused connection, which the other instance had closed, was marked as counted there, and then counted nowhere.

Change: Such a relay has the outcome stale and leaves the request uncounted. It still counts as one that may have run.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -133,6 +133,8 @@
     /// The instance has not run the request
     NotRun(&'static str),
     MayHaveRun(&'static str),
+    /// Usually the instance closed the reused connection before the request arrived
+    Stale,
 }
 
 impl Gateway {
@@ -189,6 +191,7 @@
         let outcome = match &result {
             RelayTry::Answered(_) => "answered",
             RelayTry::NotRun(outcome) | RelayTry::MayHaveRun(outcome) => *outcome,
+            RelayTry::Stale => "stale",
         };
         log::info!("event=relayed id={} to={instance} outcome={outcome}", call.request.id);
         gateway.metrics.relayed("out", outcome);
@@ -202,6 +205,8 @@
                 }
                 call.history.record_send(RunStatus::MayHaveRun);
             }
+            // It has probably not been counted there.
+            RelayTry::Stale => call.history.record_send(RunStatus::MayHaveRun),
         }
     }
     None
@@ -234,6 +239,7 @@
     match timeout_at(deadline, connection.exchange(request)).await {
         Ok(Ok(response)) => open_answer(gateway, connection, response),
         Ok(Err(ExchangeError::Unsent)) => RelayTry::NotRun("unsent"),
+        Ok(Err(ExchangeError::Stale(_))) => RelayTry::Stale,
         Ok(Err(_)) => RelayTry::MayHaveRun("broken"),
         Err(_) => RelayTry::MayHaveRun("timed_out"),
     }
--- a/crates/gateway/tests/gateway/usage.rs
+++ b/crates/gateway/tests/gateway/usage.rs
@@ -37,6 +37,8 @@
     hedged_request_is_counted_though_a_copy_is_lost => lost_copy(),
     // Guards against requests that two instances count, or none.
     relayed_requests_are_counted_once => relayed(),
+    // Guards against a request that is taken for counted at an instance that it never reached.
+    request_that_a_stale_connection_lost_is_counted_elsewhere => stale_relay(),
     request_that_another_instance_has_counted_is_not_counted => already_counted(),
     // Guards against two different reports of a window, or none, if the holder dies after it has fixed some.
     next_holder_repeats_fixed_reports_to_the_byte => holder_killed(),
@@ -390,6 +392,39 @@
     fleet.verify_reports(REPORT_BOUND).await
 }
 
+async fn stale_relay() -> Result<()> {
+    let fleet = UsageFleet::start(3).await;
+    let holder = fleet.wait_holder().await?;
+    let others = fleet.others(holder);
+    let (cut, frozen) = (&fleet.instances[others[0]], &fleet.instances[others[1]]);
+    sleep(Duration::from_secs(3)).await;
+    fleet.cuts.cut(cut.process(), CutMode::Reset);
+    // Connections to both other instances remain.
+    for number in 0..60 {
+        let lookup = with_key(get("lookups", &format!("relayed-{number}")), "a");
+        call(cut.clients, lookup).await;
+        sleep(Duration::from_millis(20)).await;
+    }
+    // Its counts arrive within a quarter of a second.
+    sleep(Duration::from_millis(600)).await;
+    UsageFleet::leave_edge().await;
+    frozen.signal("STOP");
+    // One of these waits at the frozen instance, until that is killed.
+    let lookups = async {
+        for number in 0..6 {
+            let lookup = with_key(get("lookups", &format!("stale-{number}")), "b");
+            call(cut.clients, lookup).await;
+        }
+    };
+    let kill = async {
+        sleep(Duration::from_millis(400)).await;
+        frozen.signal("KILL");
+    };
+    tokio::join!(lookups, kill);
+    cut.wait_line("outcome=stale").await;
+    fleet.verify_reports(REPORT_BOUND).await
+}
+
 async fn already_counted() -> Result<()> {
     let fleet = UsageFleet::start(2).await;
     let sender = fleet.instances[0].clients.ip().to_string();
