Don't hedge requests whose prompt parts are suspected or under test

Cause: a request that was admitted as the single test of a suspected part got a second copy, so that two engines could crash.

Change: a second copy needs that nothing in the request is suspected and that it is no test.

--- a/crates/gateway/src/hedges.rs
+++ b/crates/gateway/src/hedges.rs
@@ -36,6 +36,7 @@
             && call.route.max_attempts >= 2
             && !call.is_relayed
             && self.hedge_ratio(&call.pool) > 0.0
+            && call.may_copy(self)
     }
 
     fn hedge_ratio(&self, pool: &PoolName) -> f64 {
@@ -64,8 +65,7 @@
 
     /// Whether what this instance knows of endpoints and load is up to date
     fn is_current(&self) -> bool {
-        let is_recent = |it: std::time::Instant| it.elapsed() <= self.settings.config_bound;
-        let has_store = self.endpoints_known_at.get().is_some_and(is_recent);
+        let has_store = self.endpoints_age().is_some_and(|it| it <= self.settings.config_bound);
         let is_alone = self.load.borrow().listed_instances() == Some(1);
         let links = self.reported_links.borrow();
         let has_others = is_alone || links.values().any(|it| it.at.elapsed() < MAX_MESSAGE_AGE);
@@ -79,7 +79,7 @@
         let request = HedgeRequest {
             ratio: self.hedge_ratio(&call.pool),
             time_left: time_left.mul_f64(hedge.scale),
-            is_suspected: call.is_suspected(self),
+            is_suspected: !call.may_copy(self),
             is_current: self.is_current(),
             target_load: hedge.target.map(|(it, requests)| (requests, it.slots)),
             has_spare_retries: self.has_spare_retries(&call.pool, now),
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -103,6 +103,7 @@
 }
 
 /// Send that an endpoint may be running
+#[derive(Debug, Clone)]
 pub struct RunningSend {
     endpoint: ListedEndpoint,
     /// Whether an engine is to answer and has not begun
@@ -153,9 +154,16 @@
         may_start
     }
 
+    /// Whether two endpoints may run it at once: nothing in it is suspected of crashing them
+    ///
+    /// The single test of a suspected part must not crash two engines.
+    pub fn may_copy(&self, gateway: &Gateway) -> bool {
+        !self.is_suspected(gateway) && self.part_test.is_none() && self.is_admitted(gateway)
+    }
+
     /// Starts the second copy of a request unless a crash forbids it; `false` if so
     pub fn start_hedge(&self, gateway: &Gateway, endpoint: &ListedEndpoint) -> bool {
-        let may_start = !self.is_suspected(gateway);
+        let may_start = self.may_copy(gateway);
         if may_start {
             self.hedge.replace(Some(endpoint.clone()));
         }
