Count the time of a suspension in the age of the endpoint list

Cause: after a suspension of the machine, the steady clock showed an old list as current, so that a stream could go on at an engine that had come back with another version.

Change: the age of the list and of checked incarnations counts by the clock that goes on during a suspension.

Measured: clippy; not run on a suspended machine.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -152,7 +152,7 @@
             Ok((batch, to)) => {
                 let was_unavailable = backoff.succeeded();
                 gateway.endpoints_read_at.set(Some(Instant::now()));
-                gateway.endpoints_known_at.set(Some(Instant::now()));
+                gateway.endpoints_known_at.set(Some(boot_time()));
                 apply_endpoints(&gateway, &batch, position.is_none(), was_unavailable);
                 gateway.record_endpoints_read(to);
                 queue_update(&gateway, &batch, position, to);
--- a/crates/gateway/src/incarnation_check.rs
+++ b/crates/gateway/src/incarnation_check.rs
@@ -5,13 +5,14 @@
 //! that has stated the listed start of its incarnation. A stream that has begun at any other
 //! engine is not resumed.
 
+use crate::boot_clock::boot_time;
 use crate::state::Gateway;
 use bytes::Bytes;
 use decide::serving::endpoint_list::{IncarnationStart, ListedEndpoint};
 use http::Request;
 use http_body_util::{BodyExt, Full, Limited};
 use platform_adapter::engine::{REPORT_PATH, call_headers, decode_report_start};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::timeout;
 
 /// Time to wait for an engine's report; a first event waits for it, so it is a fraction of the objectives.
@@ -26,22 +27,27 @@
     /// Whether the endpoint list is recent enough to show all incarnations
     pub fn is_list_current(&self) -> bool {
         let max_age = self.settings.drain_bound.mul_f64(MAX_LIST_AGE_FRACTION);
-        self.endpoints_known_at.get().is_some_and(|it| it.elapsed() <= max_age)
+        self.endpoints_age().is_some_and(|it| it <= max_age)
+    }
+
+    /// Time since the endpoint list was known to be current; `None` if it never was
+    pub fn endpoints_age(&self) -> Option<Duration> {
+        self.endpoints_known_at.get().map(|it| boot_time().saturating_sub(it))
     }
 
     /// Whether an engine is the listed incarnation; asks it if the list may be out of date
     pub async fn is_listed_incarnation(&self, engine: &ListedEndpoint) -> bool {
-        if self.is_list_current() || self.checked_incarnations.is_checked(engine, Instant::now()) {
+        if self.is_list_current() || self.checked_incarnations.is_checked(engine, boot_time()) {
             return true;
         }
-        let asked_at = Instant::now();
+        let asked_at = boot_time();
         let stated = timeout(REPORT_TIMEOUT, self.ask_incarnation(engine)).await;
         let is_listed = stated == Ok(Some(engine.started_at_ms));
         log::info!(
             "event=incarnation_checked endpoint={} listed={} stated={stated:?} is_listed={is_listed} took_ms={}",
             engine.id,
             engine.started_at_ms,
-            asked_at.elapsed().as_millis(),
+            (boot_time() - asked_at).as_millis(),
         );
         if is_listed {
             self.checked_incarnations.record(engine, asked_at);
--- a/crates/gateway/src/peers/store_updates.rs
+++ b/crates/gateway/src/peers/store_updates.rs
@@ -110,10 +110,12 @@
     gateway.endpoints_coverage.extend(coverage_time(gateway), now);
     let endpoints = update.endpoints;
     match gateway.endpoints_position() {
-        Some(position) if endpoints.to <= position => gateway.endpoints_known_at.set(Some(now)),
+        Some(position) if endpoints.to <= position => {
+            gateway.endpoints_known_at.set(Some(boot_time()));
+        }
         Some(position) if endpoints.from <= position => {
             apply_endpoint_update(gateway, endpoints);
-            gateway.endpoints_known_at.set(Some(now));
+            gateway.endpoints_known_at.set(Some(boot_time()));
         }
         _ => gateway.endpoints_coverage.record_missed(),
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
 use catalogue::id::{EndpointId, InstanceId, PoolName};
 use decide::fingerprint::Fingerprint;
 use decide::serving::cache::PromptCaches;
+use decide::serving::config_age::BootTime;
 use decide::serving::config_age::ConfigConfirmation;
 use decide::serving::connection_reuse::ReuseMonitor;
 use decide::serving::crash_table::{CrashTable, FactDigest};
@@ -81,8 +82,9 @@
     pub endpoints: RefCell<EndpointList>,
     /// Time of the last successful read of the endpoints
     pub endpoints_read_at: Cell<Option<Instant>>,
-    /// Time at which the endpoint list was known to be current, by a read or another instance's update
-    pub endpoints_known_at: Cell<Option<Instant>>,
+    /// Time at which the endpoint list was known to be current, by a read or another instance's update, also counting
+    /// the time for which the machine is suspended
+    pub endpoints_known_at: Cell<Option<BootTime>>,
     /// Whether this instance has to read the endpoints itself
     pub endpoints_coverage: TopicCoverage,
     /// Endpoint records read last, to be sent to other instances
