Name reported configurations and updated instances by usual terms

Cause: the names in new code said that something is told.

Change: record_reported, reported, updated; comments to match. No logic changes.

--- a/crates/decide/src/serving/config_age.rs
+++ b/crates/decide/src/serving/config_age.rs
@@ -60,7 +60,7 @@
     }
 
     /// Records that another instance, which has read at most `read_age` ago, has this version in force as well
-    pub fn record_told(&mut self, version: ConfigVersion, read_age: Duration, now: BootTime) {
+    pub fn record_reported(&mut self, version: ConfigVersion, read_age: Duration, now: BootTime) {
         self.record_active(now);
         if !self.is_within(QUEUE_TIME, now) {
             self.record_read(version, now.saturating_sub(read_age));
--- a/crates/decide/tests/serving_config_age.rs
+++ b/crates/decide/tests/serving_config_age.rs
@@ -9,7 +9,7 @@
     configuration_that_was_never_read_is_outdated => never_read(),
     read_counts_from_when_it_was_asked_for => read(),
     // Guards against an age that counts from the message and not from what the sender knew.
-    told_configuration_counts_from_the_senders_read => told(),
+    reported_configuration_counts_from_the_senders_read => reported(),
     // Guards against a 401 for a key of a configuration that is known to exist.
     newer_configuration_makes_it_outdated_at_once => newer(),
     read_that_was_asked_for_before_is_void => newer_during_a_read(),
@@ -54,9 +54,9 @@
     verify_that!(confirmation.age(BOUND, at(2001)), eq(ConfigAge::Outdated))
 }
 
-fn told() -> Result<()> {
+fn reported() -> Result<()> {
     let mut confirmation = ConfigConfirmation::default();
-    confirmation.record_told(5, Duration::from_millis(900), at(1000));
+    confirmation.record_reported(5, Duration::from_millis(900), at(1000));
     stay_active(&mut confirmation, 1000, 2100);
     verify_that!(confirmation.age(BOUND, at(2100)), eq(ConfigAge::Current))?;
     verify_that!(confirmation.age(BOUND, at(2101)), eq(ConfigAge::Outdated))
@@ -92,10 +92,10 @@
 fn queued() -> Result<()> {
     let mut confirmation = confirmed();
     confirmation.record_active(at(10));
-    confirmation.record_told(5, Duration::from_millis(900), at(5000));
-    confirmation.record_told(5, Duration::from_millis(900), at(5050));
+    confirmation.record_reported(5, Duration::from_millis(900), at(5000));
+    confirmation.record_reported(5, Duration::from_millis(900), at(5050));
     verify_that!(confirmation.age(BOUND, at(5060)), eq(ConfigAge::Thawing))?;
-    confirmation.record_told(5, Duration::from_millis(900), at(5150));
+    confirmation.record_reported(5, Duration::from_millis(900), at(5150));
     verify_that!(confirmation.age(BOUND, at(5160)), eq(ConfigAge::Current))
 }
 
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -203,7 +203,7 @@
     /// Returns an idle connection or opens one; a request that may run only once always gets a new one
     ///
     /// `id` is that of a client's request. A connection that has carried one with the same id isn't reused: a late second copy of that
-    /// one's answer could not be told from the answer to this request.
+    /// one's answer could not be distinguished from the answer to this request.
     ///
     /// An endpoint may already have closed an idle connection. If a send on it then fails, it is
     /// unknown whether the request ran.
--- a/crates/gateway/src/peers/store_updates.rs
+++ b/crates/gateway/src/peers/store_updates.rs
@@ -130,12 +130,12 @@
 }
 
 /// Records what an update with the sender's version says of the age of the own one
-fn confirm_config(gateway: &Gateway, version: Option<ConfigVersion>, told: ConfigVersion) {
+fn confirm_config(gateway: &Gateway, version: Option<ConfigVersion>, reported: ConfigVersion) {
     let mut confirmation = gateway.config_confirmation.borrow_mut();
     let read_age = gateway.settings.config_bound.mul_f64(LEADER_READ_AGE_FRACTION);
-    match version.cmp(&Some(told)) {
-        Ordering::Less => confirmation.record_newer(told, boot_time()),
-        Ordering::Equal => confirmation.record_told(told, read_age, boot_time()),
+    match version.cmp(&Some(reported)) {
+        Ordering::Less => confirmation.record_newer(reported, boot_time()),
+        Ordering::Equal => confirmation.record_reported(reported, read_age, boot_time()),
         // The sender lags behind.
         Ordering::Greater => {}
     }
--- a/crates/gateway/tests/gateway/customers.rs
+++ b/crates/gateway/tests/gateway/customers.rs
@@ -147,12 +147,12 @@
             is_accepted[index] = got.status == 200;
         }
     }
-    let told = instances.iter().filter(|it| {
+    let updated = instances.iter().filter(|it| {
         it.lines()
             .iter()
             .any(|line| line.contains("config_applied version=3 before=Some(2) source=peer"))
     });
-    verify_that!(told.count(), ge(1))
+    verify_that!(updated.count(), ge(1))
 }
 
 async fn many() -> Result<()> {
@@ -181,12 +181,12 @@
             verify_that!(call(instance.clients, request).await.status, eq(expected))?;
         }
     }
-    let is_told = |it: &&&Instance| {
+    let is_updated = |it: &&&Instance| {
         it.lines()
             .iter()
             .any(|it| it.contains("config_applied version=4 before=Some(3) source=peer"))
     };
-    verify_that!(instances.iter().filter(is_told).count(), eq(1))
+    verify_that!(instances.iter().filter(is_updated).count(), eq(1))
 }
 
 async fn kept_open() -> Result<()> {
--- a/crates/gateway/tests/gateway/late_answers.rs
+++ b/crates/gateway/tests/gateway/late_answers.rs
@@ -1,4 +1,4 @@
-//! Answers that come late or twice on reused connections, and what a client may be told after a send was lost.
+//! Answers that come late or twice on reused connections, and what a client may be answered after a send was lost.
 
 use crate::client::call;
 use crate::deployment::{Deployment, endpoint, get_path};
@@ -12,9 +12,9 @@
     // Guards against a late second copy of an answer that reaches the next caller of the connection.
     late_copy_reaches_no_other_caller => late_copy(|it, body| answer(it, "200 OK", body), "id"),
     late_copy_without_an_id_reaches_no_other_caller => late_copy(|_, body| without_id("200 OK", body), "id"),
-    // The clients repeat an id, so that the copy can't be told by it.
+    // The clients repeat an id, so that it does not identify the copy.
     late_copy_with_an_equal_id_reaches_no_other_caller => late_copy(|it, body| answer(it, "200 OK", body), ""),
-    // Guards against a late refusal of an earlier request, by which one that runs is told not to have run.
+    // Guards against a late refusal of an earlier request, that would be taken for the answer to one that runs.
     late_refusal_without_an_id_is_no_promise => late_copy(|_, _| refusal_without_id(), "id"),
     late_refusal_with_an_equal_id_is_no_promise => late_copy(|it, _| not_run(it, "503 Service Unavailable"), ""),
     // A new connection has carried nothing before: its refusals count.
