Serve and count what comes while a stopping instance sends its last counts

Cause: beside load, usage::stopped_instances_send_their_last_counts misses one or two requests: connections that came while the last counts were sent were neither waited for nor counted. A hedged request of which both copies failed lost its mark with the first one.

Change: the drain goes on if connections were accepted meanwhile; the mark is kept until a copy has begun.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -158,6 +158,23 @@
     sleep_until(deadline.min(started + IDLE_CLOSE_DELAY)).await;
     gateway.close_idle.notify_waiters();
     gateway.is_closing.set(true);
+    loop {
+        wait_until_quiet(gateway, deadline).await;
+        let accepted = gateway.accepted_connections.get();
+        if let Some(usage) = &gateway.usage {
+            usage.finish().await;
+        }
+        // A connection that came meanwhile may bring requests that are still to be answered and counted.
+        if gateway.accepted_connections.get() == accepted || Instant::now() >= deadline {
+            break;
+        }
+    }
+    log::info!("event=stopped cut={}", gateway.open_requests.get());
+    log::logger().flush();
+}
+
+/// Waits until no client connection is open
+async fn wait_until_quiet(gateway: &Gateway, deadline: Instant) {
     // Connections that have arrived and aren't accepted yet are not counted: they are within an interval.
     let mut quiet_polls = 0;
     while quiet_polls < QUIET_POLLS && Instant::now() < deadline {
@@ -165,11 +182,6 @@
         let is_quiet = gateway.open_connections.get() == 0;
         quiet_polls = if is_quiet { quiet_polls + 1 } else { 0 };
     }
-    if let Some(usage) = &gateway.usage {
-        usage.finish().await;
-    }
-    log::info!("event=stopped cut={}", gateway.open_requests.get());
-    log::logger().flush();
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, GatewayError> {
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -58,6 +58,7 @@
     /// Counts one more open connection
     pub fn new(gateway: Rc<Gateway>) -> ConnectionGuard {
         gateway.open_connections.set(gateway.open_connections.get() + 1);
+        gateway.accepted_connections.set(gateway.accepted_connections.get() + 1);
         ConnectionGuard(gateway)
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -173,6 +173,8 @@
     pub open_requests: Cell<usize>,
     /// Number of open client connections
     pub open_connections: Cell<usize>,
+    /// Number of client connections accepted so far
+    pub accepted_connections: Cell<u64>,
 }
 
 impl Gateway {
@@ -237,6 +239,7 @@
             close_idle: Notify::new(),
             open_requests: Cell::default(),
             open_connections: Cell::default(),
+            accepted_connections: Cell::default(),
         }
     }
 
--- a/crates/gateway/src/usage/begun.rs
+++ b/crates/gateway/src/usage/begun.rs
@@ -69,9 +69,9 @@
             SendError::Mismatched => false,
             other => other.run_status() == RunStatus::MayHaveRun,
         };
-        let send = self.usage.send.take();
+        // The other copy of a hedged request may still have begun.
         if has_begun {
-            self.count_send(send);
+            self.count_send(self.usage.send.take());
         }
     }
 
