Refuse streams that may outlast the drain

Change: once idle connections are being closed, a stream whose deadline is after the end of the drain is refused as not run.

Measured: the new case of drain fails without the change (200 for 503 was seen with a shorter deadline) and passes; all seven pass.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -165,6 +165,10 @@
     };
     record.customer = customer.as_ref().map(|it| it.name.clone()).unwrap_or_default();
     let (body, share) = read_body(gateway, body, max_body_bytes, deadline).await?;
+    // A stream that may outlast the drain would be cut; another instance can serve it whole.
+    if route.is_stream && gateway.drained_by.get().is_some_and(|it| it < deadline) {
+        return Err(Refusal::new(GatewayAnswer::NotRun, "stopping").into());
+    }
     let origin = match head.last_event {
         Some(_) if route.is_stream => Some(gateway.find_origin(route, &head).await?),
         _ => None,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -158,6 +158,7 @@
     sleep_until(deadline.min(started + IDLE_CLOSE_DELAY)).await;
     gateway.close_idle.notify_waiters();
     gateway.is_closing.set(true);
+    gateway.drained_by.set(Some(deadline));
     loop {
         wait_until_quiet(gateway, deadline).await;
         let accepted = gateway.accepted_connections.get();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -165,6 +165,8 @@
     pub metrics: GatewayMetrics,
     /// Whether SIGTERM was received
     pub stopping: Cell<bool>,
+    /// End of the drain, once idle client connections are being closed
+    pub drained_by: Cell<Option<tokio::time::Instant>>,
     /// Whether idle client connections are being closed
     pub is_closing: Cell<bool>,
     /// Notifies client connections to close once idle
@@ -235,6 +237,7 @@
             reported_links: RefCell::default(),
             metrics,
             stopping: Cell::default(),
+            drained_by: Cell::default(),
             is_closing: Cell::default(),
             close_idle: Notify::new(),
             open_requests: Cell::default(),
--- a/crates/gateway/tests/gateway/drain.rs
+++ b/crates/gateway/tests/gateway/drain.rs
@@ -16,6 +16,8 @@
     connections_that_arrive_with_the_end_are_served => just_connected(),
     // Guards against a request that is dropped since the close finds a part of its head read.
     request_whose_head_is_half_there_at_the_close_is_served => half_head(),
+    // Guards against a stream that is taken late in the drain and cut at its end.
+    stream_that_may_outlast_the_drain_is_refused => late_stream(),
 }
 
 /// Time from SIGTERM until idle connections are closed
@@ -55,6 +57,40 @@
     verify_that!(deployment.instance.wait_exit().await, some(eq(0)))
 }
 
+/// Streams of 1.5 s keep the instance busy; one that may take until after the end of the drain comes beside the last
+async fn late_stream() -> Result<()> {
+    let engine = endpoint("engine-1", |it| {
+        let mut steps = vec![Step::Write(stream_head(it))];
+        for number in 1..=15 {
+            steps.push(Step::Write(chunk(&event(number))));
+            steps.push(Step::Pause(Duration::from_millis(100)));
+        }
+        steps.push(Step::Write(STREAM_END.to_vec()));
+        steps
+    })
+    .await;
+    let deployment = Deployment::start(&[&engine]).await;
+    let request = |id: &str| generation("streams", id).replace("Ms: 1500", "Ms: 1900");
+    let start = Instant::now();
+    deployment.instance.terminate();
+    let mut clients = Vec::new();
+    for (number, at_ms) in [2300, 3500, 4700, 5300].into_iter().enumerate() {
+        tokio::time::sleep(Duration::from_millis(at_ms).saturating_sub(start.elapsed())).await;
+        let mut client = RawClient::connect(deployment.instance.clients).await;
+        client.write(request(&format!("id-{number}"))).await;
+        clients.push(client);
+    }
+    // The drain ends 7.5 s after SIGTERM.
+    tokio::time::sleep(Duration::from_millis(5900).saturating_sub(start.elapsed())).await;
+    let late = deployment.call(request("late")).await;
+    verify_that!(late.status, eq(503))?;
+    for mut client in clients {
+        let got = client.read().await;
+        verify_that!((got.status, got.is_whole), eq((200, true)))?;
+    }
+    Ok(())
+}
+
 async fn served_while_stopping() -> Result<()> {
     let service =
         endpoint("service-1", |it| vec![Step::Write(answer(it, "200 OK", "right"))]).await;
