--- a/crates/standins/tests/matrix/platform.rs
+++ b/crates/standins/tests/matrix/platform.rs
@@ -4,7 +4,7 @@
 use super::ProtocolTable;
 
 /// Faults on the users' platform, one per row.
-const PLATFORM_FAULTS: [&str; 15] = [
+const PLATFORM_FAULTS: [&str; 23] = [
     "store comes back from a copy",
     "store away",
     "instance starts",
@@ -20,6 +20,14 @@
     "instance cut from all endpoints",
     "platform takes engines of a zone away",
     "orders for engines are declined or unanswered",
+    "client reads slowly or nothing",
+    "endpoint sends bytes that complete no event",
+    "answer breaks off halfway",
+    "late second copy of an answer",
+    "answer is lost, then another endpoint refuses",
+    "value or datagram out of range",
+    "endpoint is slow",
+    "request arrives as a stopping instance closes",
 ];
 
 /// Serving on the users' platform.
@@ -186,5 +194,70 @@
             ]),
             Test(&["decide::serving_fleet_size::next_holder_goes_on"]),
         ],
+        &[
+            Test(&[
+                "gateway::slow_readers::slow_clients_of_plain_answers_stay_within_the_memory",
+                "gateway::slow_readers::slow_request_bodies_stay_within_the_memory",
+            ]),
+            Test(&[
+                "gateway::slow_readers::stream_of_a_slow_client_is_whole",
+                "gateway::slow_readers::slow_clients_of_streams_stay_within_the_memory",
+                "gateway::slow_readers::client_that_never_reads_frees_the_engine",
+            ]),
+            Reason("the relaying instance reads on in the same way"),
+        ],
+        &[
+            Reason("a plain answer ends at its time limit"),
+            Test(&[
+                "gateway::slow_readers::stream_that_completes_no_event_is_given_up",
+                "gateway::slow_readers::resumable_stream_that_completes_no_event_is_resumed",
+            ]),
+            Reason("given up there after the same time, here after twice that"),
+        ],
+        &[
+            Test(&["gateway::plain::lookup_is_retried_after_a_truncated_answer"]),
+            Test(&[
+                "gateway::streams::stream_without_its_last_chunk_is_cut",
+                "gateway::streams::cut_stream_to_a_client_of_http_1_0_is_reset",
+            ]),
+            Reason("relayed in chunks, with the same check"),
+        ],
+        &[
+            Test(&[
+                "gateway::late_answers::late_copy_without_an_id_reaches_no_other_caller",
+                "gateway::late_answers::late_copy_with_an_equal_id_reaches_no_other_caller",
+            ]),
+            Reason("the same check of each head"),
+            Reason("instances send no second copies"),
+        ],
+        &[
+            Test(&["gateway::late_answers::limit_after_a_lost_answer_is_no_promise"]),
+            Reason("the same check of each complete answer"),
+            Reason("the same for an answer of the instance that relays"),
+        ],
+        &[
+            Test(&[
+                "gateway::extreme_values::largest_idle_timeout",
+                "gateway::extreme_values::largest_values_of_a_configuration",
+            ]),
+            Reason("the same connections and limits"),
+            Test(&["gateway::extreme_values::damaged_datagrams"]),
+        ],
+        &[
+            Test(&["gateway::hedges::late_request_is_hedged_and_the_loser_cancelled"]),
+            Test(&[
+                "gateway::hedges::late_resumable_stream_is_hedged_before_its_first_event",
+                "gateway::hedges::long_prompt_is_not_hedged",
+            ]),
+            Reason("each instance learns by itself"),
+        ],
+        &[
+            Test(&[
+                "gateway::drain::requests_that_arrive_with_the_close_are_served",
+                "gateway::drain::connections_that_arrive_with_the_end_are_served",
+            ]),
+            Reason("the same connections"),
+            Reason("a stopping instance declines relayed requests"),
+        ],
     ],
 };
