--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -13,11 +13,15 @@
 import socket
 import struct
 import subprocess
+import sys
 import threading
 import time
 import tomllib
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
+# A script that is stopped ends its processes too.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
 
