Name requests that the end of the process cuts in the log

Cause: event=stopped only counts the requests in flight, and the writer of the log was owned by the metrics task, which is dropped before the tasks of the connections. Change: the writer outlives all tasks. A request that the end of the process leaves without a whole answer gets its line as outcome=cut_by_stop, at WARN, which the limit on lines doesn't suppress.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -170,6 +170,7 @@
             break;
         }
     }
+    gateway.has_stopped.set(true);
     log::info!("event=stopped cut={}", gateway.open_requests.get());
     log::logger().flush();
 }
--- a/crates/gateway/src/log_writer.rs
+++ b/crates/gateway/src/log_writer.rs
@@ -94,8 +94,9 @@
         LogWriter { _worker: worker, dropped }
     }
 
-    /// Number of lines dropped so far
-    pub fn dropped(&self) -> usize {
-        self.dropped.dropped_lines()
+    /// Returns the number of lines dropped so far, also after the writer has ended
+    pub fn dropped_lines(&self) -> impl Fn() -> usize + 'static {
+        let dropped = self.dropped.clone();
+        move || dropped.dropped_lines()
     }
 }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -74,7 +74,8 @@
         return ExitCode::SUCCESS;
     }
     let log_writer = LogWriter::start();
-    match gateway::run(settings, move || log_writer.dropped()) {
+    // The writer outlives all tasks: those that are dropped with the runtime log what they leave undone.
+    match gateway::run(settings, log_writer.dropped_lines()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("event=failed error=\"{error}\"");
--- a/crates/gateway/src/request_record.rs
+++ b/crates/gateway/src/request_record.rs
@@ -2,12 +2,17 @@
 
 use crate::state::Gateway;
 use catalogue::id::{CustomerName, EndpointId, InstanceId};
+use log::Level;
 use smol_str::SmolStr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Writes the log line and metrics of a request; if dropped unfinished, the client has disconnected
+/// Outcome of a request that the end of the process leaves without a whole answer
+const CUT_BY_STOP: &str = "cut_by_stop";
+
+/// Writes the log line and metrics of a request; if dropped unfinished, the client has disconnected or the
+/// instance has stopped
 pub struct RequestRecord {
     gateway: Rc<Gateway>,
     id: SmolStr,
@@ -57,7 +62,10 @@
         self.is_finished = true;
         let took = self.arrived_at.elapsed();
         let config = self.gateway.config.borrow().as_ref().map_or(0, |it| it.version);
-        log::info!(
+        // Warnings are exempt from the limit on lines.
+        let level = if outcome == CUT_BY_STOP { Level::Warn } else { Level::Info };
+        log::log!(
+            level,
             "event=done id={} route={} customer={} outcome={outcome} detail={detail} endpoint={} relayed_by={} relayed_to={} first_ms={} took_ms={} config={config}",
             self.id,
             self.route,
@@ -76,7 +84,8 @@
 impl Drop for RequestRecord {
     fn drop(&mut self) {
         if !self.is_finished {
-            self.finish("client_left", "");
+            let outcome = if self.gateway.has_stopped.get() { CUT_BY_STOP } else { "client_left" };
+            self.finish(outcome, "");
         }
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -165,6 +165,8 @@
     pub metrics: GatewayMetrics,
     /// Whether SIGTERM was received
     pub stopping: Cell<bool>,
+    /// Whether the drain has ended, so that the process exits
+    pub has_stopped: Cell<bool>,
     /// End of the drain, once idle client connections are being closed
     pub drained_by: Cell<Option<tokio::time::Instant>>,
     /// Whether idle client connections are being closed
@@ -237,6 +239,7 @@
             reported_links: RefCell::default(),
             metrics,
             stopping: Cell::default(),
+            has_stopped: Cell::default(),
             drained_by: Cell::default(),
             is_closing: Cell::default(),
             close_idle: Notify::new(),
