Stop listening before the end of a stop, and answer what is left

Callers saw requests, among them once-only ones that an endpoint had run, end without an answer 7.5 s after SIGTERM of their instance. Cause: the drain ended when no connection was open, or at a fixed time whatever was in flight. While fewer than half of a zone's instances are in rotation the load balancer uses all of them, so that new requests came up to the last millisecond and were dropped with the process. Change: a stop has stages (gateway::stop). The listener is closed once the instance is quiet, or 1.3 s before the exit, after the connections in its queue were accepted; a request that can't be expected to end in time is refused at once, with a short Retry-After, since another instance can serve it; whatever is left 0.25 s before the exit gets a final answer: 504 if an endpoint may have run it, else 503. Why this works: a request is accepted only while there is time for its answer, and no request that was read depends on the exit any more; a new connection to a closed listener is refused before anything is sent.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -10,6 +10,7 @@
 use crate::request_record::RequestRecord;
 use crate::serving_call::{NOT_RELAYED, Refusal, SendWay, ServingCall, failure_name};
 use crate::state::Gateway;
+use crate::stop::{SendMark, StopStage};
 use crate::usage::mark::UsageMark;
 use bytes::Bytes;
 use decide::serving::crash_table::REFUSAL_TIME;
@@ -34,6 +35,11 @@
 /// `Retry-After` of an instance that is still starting.
 const START_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Longest `Retry-After` of a stopping instance: another one can serve the request at once.
+const STOP_RETRY_JITTER: Duration = Duration::from_millis(100);
+/// Reason of an answer that a planned stop causes
+const STOPPING: &str = "stopping";
+
 /// Serves a request and always returns a response
 pub async fn serve(
     gateway: &Rc<Gateway>,
@@ -58,14 +64,23 @@
     let mut closes_connection = head.is_chunked;
     let mut record = RequestRecord::new(gateway.clone(), id.clone(), arrived_at);
     record.relayed_by = source.relay().cloned().unwrap_or_default();
-    let result = match prepare_call(gateway, &mut record, parts, body, head, source).await {
-        Ok(call) => match gateway.share_refusal(&call) {
-            Some(refusal) => Err((refusal, record)),
-            None => serve_call(gateway, call, record).await,
-        },
-        Err(RefusedCall { refusal, has_unread_body }) => {
-            closes_connection |= has_unread_body;
-            Err((refusal, record))
+    let sent = record.sent.clone();
+    let served = async {
+        match prepare_call(gateway, &mut record, parts, body, head, source).await {
+            Ok(call) => match gateway.share_refusal(&call) {
+                Some(refusal) => Err((refusal, record)),
+                None => serve_call(gateway, call, record).await,
+            },
+            Err(RefusedCall { refusal, has_unread_body }) => {
+                closes_connection |= has_unread_body;
+                Err((refusal, record))
+            }
+        }
+    };
+    let result = tokio::select! {
+        result = served => result,
+        () = gateway.stop.reached(StopStage::Answering) => {
+            return gateway_answer(gateway, Some(&id), &final_refusal(&sent));
         }
     };
     let response = match result {
@@ -84,6 +99,20 @@
     if closes_connection { with_connection_close(response) } else { response }
 }
 
+/// Answer to a request that a planned stop ends
+fn final_refusal(sent: &SendMark) -> Refusal {
+    if sent.may_have_run() {
+        return Refusal::new(GatewayAnswer::TimedOut, STOPPING);
+    }
+    stop_refusal()
+}
+
+/// Refusal of a request that can't be expected to end before the process does
+fn stop_refusal() -> Refusal {
+    let retry_after = Some(STOP_RETRY_JITTER.mul_f64(rand::random::<f64>()));
+    Refusal { answer: GatewayAnswer::NotRun, reason: STOPPING, retry_after }
+}
+
 /// Serves a request of whatever kind
 async fn serve_call(
     gateway: &Rc<Gateway>,
@@ -165,9 +194,9 @@
     };
     record.customer = customer.as_ref().map(|it| it.name.clone()).unwrap_or_default();
     let (body, share) = read_body(gateway, body, max_body_bytes, deadline).await?;
-    // A stream that may outlast the drain would be cut; another instance can serve it whole.
-    if route.is_stream && gateway.drained_by.get().is_some_and(|it| it < deadline) {
-        return Err(Refusal::new(GatewayAnswer::NotRun, "stopping").into());
+    // Another instance can serve it whole.
+    if !gateway.stop.may_serve(deadline, route.objective, route.is_stream) {
+        return Err(stop_refusal().into());
     }
     let origin = match head.last_event {
         Some(_) if route.is_stream => Some(gateway.find_origin(route, &head).await?),
@@ -191,6 +220,7 @@
         held_version: None,
         sent_at: arrived_at,
         deadline,
+        sent: record.sent.clone(),
         history: match &source {
             RequestSource::Client(_) => SendHistory::new(),
             RequestSource::Instance { sends, .. } => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod scaling_state;
 pub mod serving_call;
 pub mod state;
+pub mod stop;
 pub mod stream_buffer;
 pub mod stream_origins;
 pub mod usage;
@@ -66,23 +67,12 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::sleep;
 
 /// Port of the metrics page; must match `deploy/system.toml`.
 pub const METRICS_PORT: u16 = 9464;
-/// Time from SIGTERM until idle connections are closed. The load balancer probes once a second and
-/// removes an instance after two failed probes.
-const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2500);
-/// Margin between the end of the drain and the SIGKILL that follows a SIGTERM.
-const STOP_MARGIN: Duration = Duration::from_millis(500);
 /// Interval between expiry runs; well below the idle timeout of connections.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
-/// Polling interval for open connections while draining.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Number of polls in a row without an open connection after which an instance ends.
-const QUIET_POLLS: usize = 2;
-
 /// Serves until SIGTERM; `dropped_lines` returns the number of dropped log lines
 ///
 /// # Errors
@@ -102,7 +92,7 @@
     settings: InstanceSettings,
     dropped_lines: impl Fn() -> usize + 'static,
 ) -> Result<(), GatewayError> {
-    let mut stop = signal(SignalKind::terminate()).map_err(GatewayError::Runtime)?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(GatewayError::Runtime)?;
     let mut reload = signal(SignalKind::hangup()).map_err(GatewayError::Runtime)?;
     let clients = bind(settings.client_address).await?;
     let ready = bind(settings.ready_address).await?;
@@ -123,13 +113,13 @@
     tasks.spawn(listen::accept(gateway.clone(), clients));
     loop {
         tokio::select! {
-            _ = stop.recv() => break,
+            _ = terminate.recv() => break,
             error = tasks.ended() => return Err(error),
             // Settings are fixed for the life of the process; the configuration comes from the store.
             _ = reload.recv() => log::info!("event=reload outcome=unchanged"),
         }
     }
-    drain(&gateway).await;
+    stop::drain(&gateway).await;
     Ok(())
 }
 
@@ -144,48 +134,6 @@
     }
 }
 
-/// Fails readiness probes, waits for open connections within the grace period and returns
-async fn drain(gateway: &Gateway) {
-    let started = Instant::now();
-    let deadline = started + gateway.settings.stop_grace.saturating_sub(STOP_MARGIN);
-    gateway.stopping.set(true);
-    if let Some(usage) = &gateway.usage {
-        usage.hand_over(gateway);
-    }
-    // The lease is released while open connections are served to their end.
-    gateway.duties.stop();
-    log::info!("event=stop open_requests={}", gateway.open_requests.get());
-    sleep_until(deadline.min(started + IDLE_CLOSE_DELAY)).await;
-    gateway.close_idle.notify_waiters();
-    gateway.is_closing.set(true);
-    gateway.drained_by.set(Some(deadline));
-    loop {
-        wait_until_quiet(gateway, deadline).await;
-        let accepted = gateway.accepted_connections.get();
-        if let Some(usage) = &gateway.usage {
-            usage.finish().await;
-        }
-        // A connection that came meanwhile may bring requests that are still to be answered and counted.
-        if gateway.accepted_connections.get() == accepted || Instant::now() >= deadline {
-            break;
-        }
-    }
-    gateway.has_stopped.set(true);
-    log::info!("event=stopped cut={}", gateway.open_requests.get());
-    log::logger().flush();
-}
-
-/// Waits until no client connection is open
-async fn wait_until_quiet(gateway: &Gateway, deadline: Instant) {
-    // Connections that have arrived and aren't accepted yet are not counted: they are within an interval.
-    let mut quiet_polls = 0;
-    while quiet_polls < QUIET_POLLS && Instant::now() < deadline {
-        sleep(DRAIN_POLL_INTERVAL).await;
-        let is_quiet = gateway.open_connections.get() == 0;
-        quiet_polls = if is_quiet { quiet_polls + 1 } else { 0 };
-    }
-}
-
 async fn bind(address: SocketAddr) -> Result<TcpListener, GatewayError> {
     TcpListener::bind(address).await.map_err(|error| GatewayError::Bind { address, error })
 }
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -4,6 +4,7 @@
 use crate::forward;
 use crate::relay::RequestSource;
 use crate::state::{Gateway, RequestGuard};
+use crate::stop::StopStage;
 use decide::serving::route::ClientLimits;
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Version};
@@ -12,6 +13,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
+use std::io;
 use std::net::IpAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -35,20 +37,51 @@
     idle_timeout: Duration::from_secs(15),
 };
 
-/// Accepts client connections for the life of the process
+/// Accepts client connections until a planned stop ends that, and closes the listener
 pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((socket, client)) if gateway.open_connections.get() < MAX_CONNECTIONS => {
-                tokio::task::spawn_local(serve(gateway.clone(), socket, client.ip()));
-            }
-            Ok(_) => log::warn!("event=connection_refused reason=limit limit={MAX_CONNECTIONS}"),
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = gateway.stop.reached(StopStage::NotListening) => break,
+        };
+        match accepted {
+            Ok((socket, client)) => start_connection(&gateway, socket, client.ip()),
             Err(error) => {
                 log::warn!("event=accept_failed error={error}");
                 sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    if let Err(error) = accept_queued(&gateway, listener) {
+        log::warn!("event=accept_failed error={error}");
+    }
+    gateway.stop.record_closed_listener();
+}
+
+/// Accepts the connections that clients have opened already, and closes the listener
+fn accept_queued(gateway: &Rc<Gateway>, listener: TcpListener) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((socket, client)) => {
+                socket.set_nonblocking(true)?;
+                start_connection(gateway, TcpStream::from_std(socket)?, client.ip());
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+fn start_connection(gateway: &Rc<Gateway>, socket: TcpStream, client: IpAddr) {
+    if gateway.open_connections.get() >= MAX_CONNECTIONS {
+        log::warn!("event=connection_refused reason=limit limit={MAX_CONNECTIONS}");
+        return;
+    }
+    // Counted from here on, so that a stop doesn't overlook a connection whose task has yet to start.
+    let open = ConnectionGuard::new(gateway.clone());
+    tokio::task::spawn_local(serve(gateway.clone(), socket, client, open));
 }
 
 /// Counts an open client connection until dropped
@@ -58,7 +91,6 @@
     /// Counts one more open connection
     pub fn new(gateway: Rc<Gateway>) -> ConnectionGuard {
         gateway.open_connections.set(gateway.open_connections.get() + 1);
-        gateway.accepted_connections.set(gateway.accepted_connections.get() + 1);
         ConnectionGuard(gateway)
     }
 }
@@ -69,8 +101,7 @@
     }
 }
 
-async fn serve(gateway: Rc<Gateway>, socket: TcpStream, caller: IpAddr) {
-    let _guard = ConnectionGuard::new(gateway.clone());
+async fn serve(gateway: Rc<Gateway>, socket: TcpStream, caller: IpAddr, _open: ConnectionGuard) {
     let limits = limits(&gateway);
     let activity = Rc::new(ConnectionActivity::new());
     let socket = match WatchedSocket::new(socket, activity.clone()) {
@@ -95,7 +126,7 @@
             async move {
                 let mut response =
                     forward::serve(&gateway, request, RequestSource::Client(caller)).await;
-                if gateway.stopping.get() {
+                if gateway.stop.has_reached(StopStage::Unready) {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 let (parts, body) = response.into_parts();
@@ -122,8 +153,8 @@
     );
     // The library would close a connection at once that has sent nothing yet. Answers of a stopping instance
     // close theirs.
-    let mut idle_timeout =
-        if gateway.is_closing.get() { CLOSING_IDLE_TIMEOUT } else { limits.idle_timeout };
+    let mut is_closing = gateway.stop.has_reached(StopStage::ClosingIdle);
+    let mut idle_timeout = if is_closing { CLOSING_IDLE_TIMEOUT } else { limits.idle_timeout };
     let mut is_shut = false;
     loop {
         tokio::select! {
@@ -133,7 +164,8 @@
                 }
                 return;
             }
-            () = gateway.close_idle.notified(), if !is_shut => {
+            () = gateway.stop.reached(StopStage::ClosingIdle), if !is_closing => {
+                is_closing = true;
                 idle_timeout = CLOSING_IDLE_TIMEOUT;
                 // Nor has it read what has arrived since, and it would drop a head of which a part has arrived.
                 if activity.open_requests.get() > 0 || !(activity.is_busy() || handle.has_unread()) {
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -2,6 +2,7 @@
 
 use crate::body::AnswerBody;
 use crate::state::Gateway;
+use crate::stop::StopStage;
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use hyper::server::conn::http1;
@@ -20,7 +21,7 @@
 /// Answers readiness probes: 200 if new connections are accepted, else 503
 pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
     serve_page(listener, move || {
-        let is_ready = gateway.is_ready() && !gateway.stopping.get();
+        let is_ready = gateway.is_ready() && !gateway.stop.has_reached(StopStage::Unready);
         let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         page(status, Bytes::new())
     })
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -236,6 +236,7 @@
         Ok(Ok(connection)) => connection,
         Ok(Err(_)) | Err(_) => return RelayTry::NotRun("unreachable"),
     };
+    call.sent.record_send();
     match timeout_at(deadline, connection.exchange(request)).await {
         Ok(Ok(response)) => open_answer(gateway, connection, response),
         Ok(Err(ExchangeError::Unsent)) => RelayTry::NotRun("unsent"),
--- a/crates/gateway/src/request_record.rs
+++ b/crates/gateway/src/request_record.rs
@@ -1,6 +1,7 @@
 //! Log line and metrics of a request.
 
 use crate::state::Gateway;
+use crate::stop::{SendMark, StopStage};
 use catalogue::id::{CustomerName, EndpointId, InstanceId};
 use log::Level;
 use smol_str::SmolStr;
@@ -8,7 +9,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Outcome of a request that the end of the process leaves without a whole answer
+/// Outcome of a request that a planned stop ends
 const CUT_BY_STOP: &str = "cut_by_stop";
 
 /// Writes the log line and metrics of a request; if dropped unfinished, the client has disconnected or the
@@ -20,6 +21,8 @@
     pub arrived_at: Instant,
     is_finished: bool,
     first_byte_after: Option<Duration>,
+    /// Whether an endpoint may have run it
+    pub sent: SendMark,
     /// Name of the route; empty until one matches
     pub route: SmolStr,
     /// Name of the customer; empty until one is found
@@ -42,6 +45,7 @@
             arrived_at,
             is_finished: false,
             first_byte_after: None,
+            sent: SendMark::default(),
             route,
             customer: CustomerName::default(),
             endpoint,
@@ -84,8 +88,12 @@
 impl Drop for RequestRecord {
     fn drop(&mut self) {
         if !self.is_finished {
-            let outcome = if self.gateway.has_stopped.get() { CUT_BY_STOP } else { "client_left" };
-            self.finish(outcome, "");
+            if self.gateway.stop.has_reached(StopStage::Answering) {
+                let detail = if self.sent.may_have_run() { "may_have_run" } else { "not_run" };
+                self.finish(CUT_BY_STOP, detail);
+            } else {
+                self.finish("client_left", "");
+            }
         }
     }
 }
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -9,6 +9,7 @@
 use crate::body::AnswerBody;
 use crate::part_tests::PartTest;
 use crate::state::Gateway;
+use crate::stop::SendMark;
 use crate::usage::mark::UsageMark;
 use bytes::Bytes;
 use catalogue::id::{EndpointId, PoolName};
@@ -65,6 +66,8 @@
     pub sent_at: Instant,
     /// Time by which the answer must be complete
     pub deadline: Instant,
+    /// Whether an endpoint may have run it
+    pub sent: SendMark,
     /// Outcomes of the sends so far
     pub history: SendHistory,
     /// Endpoints that must not be tried again
@@ -148,6 +151,7 @@
         let may_start = !self.is_suspected(gateway) && self.is_admitted(gateway);
         if may_start {
             self.record_service_send(gateway, endpoint);
+            self.sent.record_send();
             let endpoint = endpoint.clone();
             self.running.replace(Some(RunningSend { endpoint, awaits_event }));
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,6 +15,7 @@
 use crate::packed_config::{ConfigAnnouncement, PackedConfig, StoredConfig};
 use crate::part_tests::PartSuspects;
 use crate::scaling_state::ScalingState;
+use crate::stop::StopState;
 use crate::usage::state::UsageState;
 use catalogue::id::{EndpointId, InstanceId, PoolName};
 use decide::fingerprint::Fingerprint;
@@ -163,22 +164,12 @@
     /// Memory held for slow clients and endpoints
     pub memory: MemoryBudget,
     pub metrics: GatewayMetrics,
-    /// Whether SIGTERM was received
-    pub stopping: Cell<bool>,
-    /// Whether the drain has ended, so that the process exits
-    pub has_stopped: Cell<bool>,
-    /// End of the drain, once idle client connections are being closed
-    pub drained_by: Cell<Option<tokio::time::Instant>>,
-    /// Whether idle client connections are being closed
-    pub is_closing: Cell<bool>,
-    /// Notifies client connections to close once idle
-    pub close_idle: Notify,
+    /// Progress of a planned stop
+    pub stop: StopState,
     /// Number of requests whose answer is incomplete
     pub open_requests: Cell<usize>,
     /// Number of open client connections
     pub open_connections: Cell<usize>,
-    /// Number of client connections accepted so far
-    pub accepted_connections: Cell<u64>,
 }
 
 impl Gateway {
@@ -238,14 +229,9 @@
             instances: Rc::default(),
             reported_links: RefCell::default(),
             metrics,
-            stopping: Cell::default(),
-            has_stopped: Cell::default(),
-            drained_by: Cell::default(),
-            is_closing: Cell::default(),
-            close_idle: Notify::new(),
+            stop: StopState::default(),
             open_requests: Cell::default(),
             open_connections: Cell::default(),
-            accepted_connections: Cell::default(),
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/stop.rs
@@ -0,0 +1,189 @@
+//! Planned stop of an instance.
+//!
+//! SIGTERM starts a sequence of stages. The instance turns unready and serves on while the
+//! load balancer reacts; then it closes idle connections. New ones may come as long as the
+//! process listens, since the balancer falls back to unready instances when few others are
+//! left. So the instance stops listening once it is quiet, or early enough for the requests
+//! that it has accepted to end. Those that are left before the process exits get a
+//! final answer, which tells whether an endpoint may have run them.
+
+use crate::state::Gateway;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Time from SIGTERM until idle connections are closed. The load balancer probes once a second and
+/// removes an instance after two failed probes.
+const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2500);
+/// Margin between the exit of the process and the SIGKILL that follows a SIGTERM.
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Time in which final answers are written before the exit.
+const FINAL_ANSWER_TIME: Duration = Duration::from_millis(250);
+/// Time for requests that have been accepted to end before the final answers, as a fraction of the grace period.
+const LAST_REQUESTS_FRACTION: f64 = 0.13;
+/// Expected time of an answer in multiples of the route's objective. Most take half of it.
+const ANSWER_OBJECTIVES: f64 = 3.0;
+/// Polling interval for open connections.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Number of polls in a row without an open connection after which a listening instance is quiet.
+const QUIET_POLLS: usize = 2;
+
+/// Stage of a planned stop, in their order
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopStage {
+    #[default]
+    Serving,
+    /// Not ready; serves on, and closes each connection with its next answer
+    Unready,
+    /// Closes idle connections
+    ClosingIdle,
+    /// Takes no more connections
+    NotListening,
+    /// Gives final answers to the requests that are left
+    Answering,
+}
+
+/// Times of a stop's stages
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopTimes {
+    pub close_idle: Instant,
+    pub stop_listening: Instant,
+    pub answer: Instant,
+    pub exit: Instant,
+}
+
+impl StopTimes {
+    /// Times of a stop that starts now and must end within a grace period
+    pub fn within(start: Instant, grace: Duration) -> StopTimes {
+        let exit = start + grace.saturating_sub(EXIT_MARGIN);
+        let before =
+            |time: Instant, span: Duration| time.checked_sub(span).unwrap_or(start).max(start);
+        let answer = before(exit, FINAL_ANSWER_TIME);
+        let stop_listening = before(answer, grace.mul_f64(LAST_REQUESTS_FRACTION));
+        let close_idle = stop_listening.min(start + IDLE_CLOSE_DELAY);
+        StopTimes { close_idle, stop_listening, answer, exit }
+    }
+}
+
+/// Progress of a planned stop
+#[derive(Debug, Default)]
+pub struct StopState {
+    stage: Cell<StopStage>,
+    has_changed: Notify,
+    times: Cell<Option<StopTimes>>,
+    has_closed_listener: Cell<bool>,
+}
+
+impl StopState {
+    /// Whether a stage has begun
+    pub fn has_reached(&self, stage: StopStage) -> bool {
+        self.stage.get() >= stage
+    }
+
+    /// Waits until a stage has begun
+    pub async fn reached(&self, stage: StopStage) {
+        loop {
+            let has_changed = self.has_changed.notified();
+            if self.has_reached(stage) {
+                return;
+            }
+            has_changed.await;
+        }
+    }
+
+    /// Records that the listener for clients is closed
+    pub fn record_closed_listener(&self) {
+        self.has_closed_listener.set(true);
+    }
+
+    /// Whether a request can be expected to end before the process does
+    ///
+    /// A stream lasts for an unknown time, so it may start late only if its deadline is early enough.
+    pub fn may_serve(&self, deadline: Instant, objective: Duration, is_stream: bool) -> bool {
+        let Some(times) = self.times.get() else { return true };
+        if is_stream {
+            return !self.has_reached(StopStage::ClosingIdle) || deadline <= times.exit;
+        }
+        deadline.min(Instant::now() + objective.mul_f64(ANSWER_OBJECTIVES)) <= times.answer
+    }
+
+    fn begin(&self, times: StopTimes) {
+        self.times.set(Some(times));
+        self.enter(StopStage::Unready);
+    }
+
+    fn enter(&self, stage: StopStage) {
+        self.stage.set(stage);
+        self.has_changed.notify_waiters();
+    }
+}
+
+/// Whether a request has been handed to an endpoint, also known once its call is dropped
+#[derive(Debug, Clone, Default)]
+pub struct SendMark(Rc<Cell<bool>>);
+
+impl SendMark {
+    /// Records that an endpoint may run the request from now on
+    pub fn record_send(&self) {
+        self.0.set(true);
+    }
+
+    /// Whether an endpoint may have run the request
+    pub fn may_have_run(&self) -> bool {
+        self.0.get()
+    }
+}
+
+/// Goes through the stages of a stop; returns when the process is to exit
+pub async fn drain(gateway: &Gateway) {
+    let stop = &gateway.stop;
+    let times = StopTimes::within(Instant::now(), gateway.settings.stop_grace);
+    stop.begin(times);
+    if let Some(usage) = &gateway.usage {
+        usage.hand_over(gateway);
+    }
+    // The lease is released while open connections are served to their end.
+    gateway.duties.stop();
+    log::info!("event=stop open_requests={}", gateway.open_requests.get());
+    sleep_until(times.close_idle).await;
+    enter(gateway, StopStage::ClosingIdle);
+    wait_until_quiet(gateway, times.stop_listening).await;
+    enter(gateway, StopStage::NotListening);
+    wait_until_ended(gateway, times.answer).await;
+    enter(gateway, StopStage::Answering);
+    wait_until_ended(gateway, times.exit).await;
+    if let Some(usage) = &gateway.usage {
+        usage.finish().await;
+    }
+    log::info!("event=stopped cut={}", gateway.open_requests.get());
+}
+
+fn enter(gateway: &Gateway, stage: StopStage) {
+    log::info!(
+        "event=stop_stage stage={stage:?} open_requests={} open_connections={}",
+        gateway.open_requests.get(),
+        gateway.open_connections.get(),
+    );
+    gateway.stop.enter(stage);
+}
+
+/// Waits until no client connection is open and none comes
+async fn wait_until_quiet(gateway: &Gateway, limit: Instant) {
+    let mut quiet_polls = 0;
+    while quiet_polls < QUIET_POLLS && Instant::now() < limit {
+        sleep(POLL_INTERVAL).await;
+        let is_quiet = gateway.open_connections.get() == 0;
+        quiet_polls = if is_quiet { quiet_polls + 1 } else { 0 };
+    }
+}
+
+/// Waits until the listener and all client connections are closed
+async fn wait_until_ended(gateway: &Gateway, limit: Instant) {
+    let has_ended =
+        || gateway.stop.has_closed_listener.get() && gateway.open_connections.get() == 0;
+    while !has_ended() && Instant::now() < limit {
+        sleep(POLL_INTERVAL).await;
+    }
+}
