Let an early refusal reach a client that still sends its body

Callers whose bodies came in chunks saw a broken connection instead of a refusal, most of all at an instance that had just been started again after a stop; they could not know that their once-only request had not run. Cause: a request that is refused before its body has been read was answered and its connection closed at once. Bytes that arrive at a closed socket reset the connection; a client then fails in its write and may lose the answer that it has received. Change: the response says that its request's body is unread; the connection then is closed for writing, and what the client still sends is read and dropped until it closes too, for a second or the size of a body at most. Why this works: no byte meets a closed socket before the client has had the answer (RFC 9112, section 9.6).

--- a/crates/gateway/src/client_socket.rs
+++ b/crates/gateway/src/client_socket.rs
@@ -3,16 +3,17 @@
 use crate::stream_buffer::StreamBuffer;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 
 /// Time after which a client is given up whose socket has taken no byte. A healthy client reads within a
 /// second; one that is suspended or moves between networks comes back within some.
@@ -20,10 +21,15 @@
 /// Send buffer of a client's socket, which the system doubles. By default it grows to megabytes for a
 /// client that reads slowly; the socket is writable again once a third is free.
 const SEND_BUFFER_BYTES: usize = 32 * 1024;
+/// Longest time for which the rest of a refused request is read.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+const DISCARD_BUFFER_BYTES: usize = 4096;
 
 /// Activity of one client connection, for its timeouts
 pub struct ConnectionActivity {
     pub open_requests: Cell<usize>,
+    /// Whether a request was answered before its body had been read to its end
+    pub has_unread_body: Cell<bool>,
     pub idle_since: Cell<Instant>,
     /// When the first byte of a still incomplete head arrived
     head_since: Cell<Option<Instant>>,
@@ -40,6 +46,7 @@
     pub fn new() -> ConnectionActivity {
         ConnectionActivity {
             open_requests: Cell::default(),
+            has_unread_body: Cell::default(),
             idle_since: Cell::new(Instant::now()),
             head_since: Cell::default(),
             head_started: Notify::new(),
@@ -138,6 +145,35 @@
         matches!(SockRef::from(&*socket).peek(&mut byte), Ok(count) if count > 0)
     }
 
+    /// Reads and drops up to `limit` bytes that the client still sends after its answer
+    ///
+    /// Bytes that arrive at a closed socket reset the connection, and the client may lose the answer.
+    pub async fn discard_rest(&self, limit: usize) {
+        let mut scratch = vec![0; DISCARD_BUFFER_BYTES];
+        let read = async {
+            let mut bytes = 0;
+            while bytes < limit {
+                match poll_fn(|context| self.poll_discard(context, &mut scratch)).await {
+                    Ok(0) | Err(_) => return,
+                    Ok(count) => bytes += count,
+                }
+            }
+        };
+        // The client may keep the connection open for as long as it likes.
+        let _ = timeout(DISCARD_TIME, read).await;
+    }
+
+    fn poll_discard(
+        &self,
+        context: &mut Context<'_>,
+        scratch: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let mut buffer = ReadBuf::new(scratch);
+        let mut socket = self.socket.borrow_mut();
+        ready!(Pin::new(&mut *socket).poll_read(context, &mut buffer))?;
+        Poll::Ready(Ok(buffer.filled().len()))
+    }
+
     /// Sets whether the end of the connection is a reset, whoever closes it, also the system after a crash
     pub fn set_reset(&self, is_reset: bool) {
         let linger = is_reset.then_some(Duration::ZERO);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -19,6 +19,7 @@
 use decide::serving::send_history::{RunStatus, SendHistory};
 use http::header::{CONNECTION, EXPECT, HeaderValue};
 use http::{Request, Response};
+use http_body::Body;
 use hyper::body::Incoming;
 use platform_adapter::answer::GatewayAnswer;
 use platform_adapter::head::decode_head;
@@ -53,15 +54,14 @@
         Err(fault) => {
             log::info!("event=refused reason=malformed error=\"{fault}\"");
             gateway.metrics.answered(&SmolStr::default(), GatewayAnswer::Malformed.name());
-            return with_connection_close(gateway_answer(
-                gateway,
-                None,
-                &Refusal::new(GatewayAnswer::Malformed, "malformed"),
-            ));
+            let refusal = Refusal::new(GatewayAnswer::Malformed, "malformed");
+            let response = with_connection_close(gateway_answer(gateway, None, &refusal));
+            return if body.is_end_stream() { response } else { with_unread_body(response) };
         }
     };
     let id = head.id.clone();
-    let mut closes_connection = head.is_chunked;
+    let closes_connection = head.is_chunked;
+    let mut has_unread_body = false;
     let mut record = RequestRecord::new(gateway.clone(), id.clone(), arrived_at);
     record.relayed_by = source.relay().cloned().unwrap_or_default();
     let sent = record.sent.clone();
@@ -71,16 +71,16 @@
                 Some(refusal) => Err((refusal, record)),
                 None => serve_call(gateway, call, record).await,
             },
-            Err(RefusedCall { refusal, has_unread_body }) => {
-                closes_connection |= has_unread_body;
-                Err((refusal, record))
+            Err(refused) => {
+                has_unread_body = refused.has_unread_body;
+                Err((refused.refusal, record))
             }
         }
     };
     let result = tokio::select! {
         result = served => result,
         () = gateway.stop.reached(StopStage::Answering) => {
-            return gateway_answer(gateway, Some(&id), &final_refusal(&sent));
+            return with_unread_body(gateway_answer(gateway, Some(&id), &final_refusal(&sent)));
         }
     };
     let response = match result {
@@ -94,6 +94,9 @@
             response
         }
     };
+    if has_unread_body {
+        return with_unread_body(response);
+    }
     // The HTTP library hides a `Content-Length` beside chunked encoding, which allows request
     // smuggling. Closing the connection ensures that nothing after the body is read.
     if closes_connection { with_connection_close(response) } else { response }
@@ -149,13 +152,30 @@
     response
 }
 
+/// Extension of a response to a request whose body has not been read to its end
+#[derive(Debug, Clone, Copy)]
+pub struct UnreadBody;
+
+/// Closes the connection, since the rest of the request is in it
+fn with_unread_body(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
+    response.extensions_mut().insert(UnreadBody);
+    with_connection_close(response)
+}
+
 /// Refusal of a request before it is sent
 struct RefusedCall {
     refusal: Refusal,
-    /// Whether the connection must be closed, since the rest of the request is in it
     has_unread_body: bool,
 }
 
+impl RefusedCall {
+    /// Refusal whose request's body has not been read
+    fn before_body(answer: GatewayAnswer, reason: &'static str, body: &Incoming) -> RefusedCall {
+        let has_unread_body = !body.is_end_stream();
+        RefusedCall { refusal: Refusal::new(answer, reason), has_unread_body }
+    }
+}
+
 impl From<Refusal> for RefusedCall {
     fn from(refusal: Refusal) -> RefusedCall {
         RefusedCall { refusal, has_unread_body: false }
@@ -174,10 +194,10 @@
     let arrived_at = record.arrived_at;
     let config = gateway.config.borrow().clone();
     let Some(config) = config.filter(|_| gateway.is_ready()) else {
-        return Err(Refusal::new(GatewayAnswer::NotRun, "starting").into());
+        return Err(RefusedCall::before_body(GatewayAnswer::NotRun, "starting", &body));
     };
     let Some(route) = config.route(&head.host, parts.uri.path()) else {
-        return Err(Refusal::new(GatewayAnswer::NoRoute, "no_route").into());
+        return Err(RefusedCall::before_body(GatewayAnswer::NoRoute, "no_route", &body));
     };
     record.route = route.name.clone();
     let time_left = head.time_left.unwrap_or(route.timeout).min(route.timeout);
@@ -193,7 +213,9 @@
         }
     };
     record.customer = customer.as_ref().map(|it| it.name.clone()).unwrap_or_default();
-    let (body, share) = read_body(gateway, body, max_body_bytes, deadline).await?;
+    let (body, share) = read_body(gateway, body, max_body_bytes, deadline)
+        .await
+        .map_err(|refusal| RefusedCall { refusal, has_unread_body: true })?;
     // Another instance can serve it whole.
     if !gateway.stop.may_serve(deadline, route.objective, route.is_stream) {
         return Err(stop_refusal().into());
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -1,7 +1,7 @@
 //! Accepts and serves client connections.
 
 use crate::client_socket::{ActivityGuard, ConnectionActivity, WatchedSocket};
-use crate::forward;
+use crate::forward::{self, UnreadBody};
 use crate::relay::RequestSource;
 use crate::state::{Gateway, RequestGuard};
 use crate::stop::StopStage;
@@ -126,6 +126,9 @@
             async move {
                 let mut response =
                     forward::serve(&gateway, request, RequestSource::Client(caller)).await;
+                if response.extensions().get::<UnreadBody>().is_some() {
+                    activity.has_unread_body.set(true);
+                }
                 if gateway.stop.has_reached(StopStage::Unready) {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -162,7 +165,7 @@
                 if let Err(error) = result {
                     log::debug!("event=connection_ended error={error}");
                 }
-                return;
+                break;
             }
             () = gateway.stop.reached(StopStage::ClosingIdle), if !is_closing => {
                 is_closing = true;
@@ -194,6 +197,9 @@
             }
         }
     }
+    if activity.has_unread_body.get() {
+        handle.discard_rest(limits.max_body_bytes.max(MIN_BUFFER_BYTES)).await;
+    }
 }
 
 fn limits(gateway: &Gateway) -> ClientLimits {
