Test planned stops of a zone with signals, restarts and configurations drawn from a seed

The tests of the stop use one instance and one event each. The new soak runs a zone of three processes behind a model of the platform's load balancer, with clients that write bodies in parts, endpoints that fall silent, and SIGTERM, SIGHUP, restarts and configurations that overlap, and checks the users' rules on planned stops.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -37,6 +37,7 @@
 mod slow_readers;
 mod soak;
 mod software_versions;
+mod stop_soak;
 mod store;
 mod streams;
 mod unframed;
--- a/crates/gateway/tests/gateway/process.rs
+++ b/crates/gateway/tests/gateway/process.rs
@@ -1,9 +1,10 @@
 //! Runs an instance as a process.
 
+use std::ffi::{OsStr, OsString};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -67,6 +68,8 @@
     ready: SocketAddr,
     lines: InstanceLog,
     settings: PathBuf,
+    /// Program that it runs
+    build: OsString,
 }
 
 impl Instance {
@@ -95,22 +98,18 @@
         // Every other instance may run an earlier build.
         let earlier = std::env::var_os(EARLIER_BUILD_VARIABLE).filter(|_| last.is_multiple_of(2));
         let build = earlier.unwrap_or_else(|| env!("CARGO_BIN_EXE_persimmonlift-gateway").into());
-        let mut child = Command::new(build)
-            .env("PERSIMMONLIFT_NODE_FILE", &settings)
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("binary starts");
-        let lines = InstanceLog::default();
-        let output = BufReader::new(child.stdout.take().expect("piped"));
-        let collected = lines.clone();
-        std::thread::spawn(move || {
-            for line in output.lines().map_while(Result::ok) {
-                collected.lock().expect("no panic").push(line);
-            }
-        });
+        let (child, lines) = spawn(&build, &settings);
         let address = |port| SocketAddr::new(ip.parse().expect("an address"), port);
         let (clients, ready) = (address(CLIENT_PORT), address(READY_PORT));
-        Instance { child, clients, ready, lines, settings }
+        Instance { child, clients, ready, lines, settings, build }
+    }
+
+    /// Starts the process again, with an empty log, after it has exited
+    pub fn restart(&mut self) {
+        let settings = std::fs::read_to_string(&self.settings).expect("its settings");
+        let settings = settings.replace("bootstrap = true", "bootstrap = false");
+        std::fs::write(&self.settings, settings).expect("temporary directory");
+        (self.child, self.lines) = spawn(&self.build, &self.settings);
     }
 
     /// Status code of a readiness probe; 0 if it cannot connect
@@ -131,6 +130,11 @@
         }
     }
 
+    /// Address of its readiness probe
+    pub fn ready(&self) -> SocketAddr {
+        self.ready
+    }
+
     /// Address for other instances
     pub fn peers(&self) -> SocketAddr {
         SocketAddr::new(self.clients.ip(), PEER_PORT)
@@ -196,6 +200,16 @@
         });
     }
 
+    /// Sends SIGKILL; the process may have exited already
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+    }
+
+    /// How the process has exited; `None` while it runs
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("a child")
+    }
+
     /// Waits for the process to exit; returns its exit code
     pub async fn wait_exit(&mut self) -> Option<i32> {
         let until = Instant::now() + START_TIMEOUT;
@@ -218,6 +232,24 @@
     }
 }
 
+/// Starts a process whose log lines are collected
+fn spawn(build: &OsStr, settings: &Path) -> (Child, InstanceLog) {
+    let mut child = Command::new(build)
+        .env("PERSIMMONLIFT_NODE_FILE", settings)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("binary starts");
+    let lines = InstanceLog::default();
+    let output = BufReader::new(child.stdout.take().expect("piped"));
+    let collected = lines.clone();
+    std::thread::spawn(move || {
+        for line in output.lines().map_while(Result::ok) {
+            collected.lock().expect("no panic").push(line);
+        }
+    });
+    (child, lines)
+}
+
 fn settings_text(ip: &str, store: SocketAddr, name: &str, size: InstanceSize) -> String {
     let InstanceSize {
         config_ms, cpu_share, bandwidth_mbps, is_first_start, seed, control, ..
--- /dev/null
+++ b/crates/gateway/tests/gateway/stop_soak.rs
@@ -0,0 +1,272 @@
+//! Stops, reloads and restarts of a zone's instances at random, under load and through changes of the configuration.
+//!
+//! A seed determines the signals and their times: SIGTERM to one, two or all instances, also again and in quick
+//! series, SIGHUP to running and stopping ones, either right after a start. Instances are restarted as the platform does,
+//! and killed `grace_s` after SIGTERM. Endpoints fall silent for about a second. Clients choose instances through a
+//! model of the platform's load balancer, and write bodies in parts. The checks are the users' rules on planned stops.
+//!
+//! Whether a process has read a whole request can't be seen on a socket. A connection that ends by FIN more than
+//! `loss_slack_ms` after the last byte was sent proves it: the system answers unread bytes with a reset. After a reset, the
+//! process may or may not have read the request; then only an arrival at an endpoint or a log line of the request counts.
+//! A process that dies of a signal before its first log line has not set its handlers yet; this is printed, but allowed.
+//!
+//! `STOP_SOAK_SEEDS=FROM..TO` selects the seeds, `STOP_SOAK_INSTANCES` and `STOP_SOAK_CLIENTS` the size,
+//! `STOP_SOAK_SECONDS` the length:
+//! `STOP_SOAK_SEEDS=1..51 cargo test -p gateway --test gateway stop_soak::planned_stops_of_given -- --nocapture`.
+
+mod checks;
+mod clients;
+mod endpoints;
+mod exchange;
+mod machines;
+
+use crate::deployment::config;
+use crate::store::FakeStore;
+use clients::{Balancer, ClientRequest, is_ready, is_served, send_requests};
+use endpoints::{POOLS, SilentEndpoint};
+use exchange::Exchange;
+use googletest::prelude::*;
+use machines::{ProcessRecord, ZoneMachine};
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use testcases::cases;
+use tokio::task::{JoinSet, LocalSet};
+use tokio::time::sleep;
+
+/// Default time during which instances are stopped, in seconds, and numbers of instances and of clients.
+const STOP_SECONDS: usize = 14;
+const INSTANCES: usize = 3;
+const CLIENTS: usize = 40;
+const DEFAULT_SEEDS: &str = "3..4";
+/// Time after the last event within which every instance must serve again: it may have to stop twice first.
+const RECOVERY_TIME: Duration = Duration::from_secs(20);
+/// Pauses between SIGTERMs to several instances.
+const STAGGER: Duration = Duration::from_secs(1);
+const SERIES_PAUSE: Duration = Duration::from_millis(200);
+
+cases! { async
+    // Guard against requests that end without an answer around a planned stop.
+    planned_stops_of_seed_1 => soak(1),
+    planned_stops_of_seed_2 => soak(2),
+    planned_stops_of_given_seeds => given_seeds(),
+}
+
+async fn given_seeds() -> Result<()> {
+    let range = std::env::var("STOP_SOAK_SEEDS").unwrap_or(DEFAULT_SEEDS.to_owned());
+    let (from, to) = range.split_once("..").expect("FROM..TO");
+    let mut failed = Vec::new();
+    for seed in from.parse()?..to.parse()? {
+        if soak(seed).await.is_err() {
+            failed.push(seed);
+        }
+    }
+    verify_that!(failed, eq(&Vec::<u64>::new()))
+}
+
+fn size(variable: &str, default: usize) -> usize {
+    let given = std::env::var(variable);
+    given.map_or(default, |it| it.parse().expect("a number"))
+}
+
+/// Request of a client and what it saw
+struct RequestRecord {
+    request: ClientRequest,
+    /// Index of the process that it was sent to
+    process: usize,
+    seen: Exchange,
+}
+
+/// Time limits of a configuration
+struct ConfigRecord {
+    put_at: Instant,
+    /// Timeout of plain routes
+    timeout: Duration,
+}
+
+struct StopRun {
+    started_at: Instant,
+    store: FakeStore,
+    endpoints: Vec<SilentEndpoint>,
+    machines: Vec<RefCell<ZoneMachine>>,
+    /// All processes in the order of their starts
+    processes: RefCell<Vec<ProcessRecord>>,
+    balancer: Balancer,
+    records: RefCell<Vec<RequestRecord>>,
+    configs: RefCell<Vec<ConfigRecord>>,
+    /// Connections that failed, and connections on which bytes came without a request
+    failed_connects: Cell<usize>,
+    unasked_bytes: Cell<usize>,
+    is_over: Cell<bool>,
+}
+
+impl StopRun {
+    /// Puts a configuration; plain requests go to one of the first two pools
+    fn configure(&self, timeout: Duration, idle_timeout_ms: u64, pool: &str) {
+        let mut configs = self.configs.borrow_mut();
+        let mut config = config(1 + 3 * configs.len() as u64, 9000);
+        for route in config["routes"].as_array_mut().expect("routes") {
+            if route["kind"] != "stream" {
+                route["timeout_ms"] = json!(timeout.as_millis() as u64);
+                route["service"] = pool.into();
+            }
+        }
+        let spare = json!({"name": "spare", "health_path": "/healthz", "max_conns": 100});
+        config["services"].as_array_mut().expect("services").push(spare);
+        config["limits"]["idle_timeout_ms"] = idle_timeout_ms.into();
+        self.store.put("keyed.op", "config", config.to_string().as_bytes());
+        configs.push(ConfigRecord { put_at: Instant::now(), timeout });
+    }
+}
+
+async fn soak(seed: u64) -> Result<()> {
+    LocalSet::new().run_until(run(seed)).await
+}
+
+async fn run(seed: u64) -> Result<()> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let store = FakeStore::start().await;
+    let length = Duration::from_secs(size("STOP_SOAK_SECONDS", STOP_SECONDS) as u64);
+    let endpoints = endpoints::start_all(&store, length + RECOVERY_TIME, &mut rng).await;
+    let mut run = StopRun {
+        started_at: Instant::now(),
+        store,
+        endpoints,
+        machines: Vec::new(),
+        processes: RefCell::default(),
+        balancer: Balancer::default(),
+        records: RefCell::default(),
+        configs: RefCell::default(),
+        failed_connects: Cell::default(),
+        unasked_bytes: Cell::default(),
+        is_over: Cell::default(),
+    };
+    run.configure(Duration::from_millis(4000), 15000, POOLS[0]);
+    let numbers = 0..size("STOP_SOAK_INSTANCES", INSTANCES);
+    let machines = numbers.map(|it| ZoneMachine::launch(&run, it)).collect::<Vec<_>>();
+    for machine in &machines {
+        machine.instance.wait_ready().await;
+    }
+    run.machines = machines.into_iter().map(RefCell::new).collect();
+    let run = Rc::new(run);
+    let mut keeping = JoinSet::new();
+    keeping.spawn_local(Balancer::probe_all(run.clone()));
+    keeping.spawn_local(machines::keep_running(run.clone(), SmallRng::seed_from_u64(seed + 1)));
+    let mut clients = JoinSet::new();
+    for number in 0..size("STOP_SOAK_CLIENTS", CLIENTS) {
+        let rng = SmallRng::seed_from_u64(seed * 1000 + number as u64);
+        clients.spawn_local(send_requests(run.clone(), number, rng));
+    }
+    sleep(Duration::from_secs(1)).await;
+    let until = Instant::now() + length;
+    tokio::join!(
+        stop_instances(&run, until, SmallRng::seed_from_u64(seed + 2)),
+        change_config(&run, until, SmallRng::seed_from_u64(seed + 3)),
+    );
+    let idle = recover(&run).await;
+    run.is_over.set(true);
+    clients.join_all().await;
+    checks::check(&run, seed, &idle)
+}
+
+/// Sends signals to instances until a moment
+async fn stop_instances(run: &Rc<StopRun>, until: Instant, mut rng: SmallRng) {
+    let rng = &mut rng;
+    while Instant::now() < until {
+        let mut indices = (0..run.machines.len()).collect::<Vec<_>>();
+        let count = rng.random_range(1..=indices.len());
+        rand::seq::SliceRandom::shuffle(indices.as_mut_slice(), rng);
+        let first = indices[0];
+        let stopping = indices.iter().copied().find(|it| run.is_stopping(*it));
+        let moment = Duration::from_millis(rng.random_range(0..3000));
+        match rng.random_range(0..12) {
+            0 | 1 => run.signal(first, "TERM"),
+            // Two of three
+            2..=4 => {
+                for index in indices.iter().take(indices.len().div_ceil(3) * 2) {
+                    run.signal(*index, "TERM");
+                    sleep(STAGGER.min(STAGGER * 2 / indices.len() as u32)).await;
+                }
+            }
+            5 => indices.iter().for_each(|it| run.signal(*it, "TERM")),
+            6 => {
+                for index in &indices[..count] {
+                    run.signal(*index, "TERM");
+                    sleep(SERIES_PAUSE).await;
+                }
+            }
+            7 => {
+                let index = stopping.unwrap_or(first);
+                run.signal(index, "TERM");
+                sleep(moment / 3).await;
+                run.signal(index, "TERM");
+                sleep(moment).await;
+                run.signal(index, "TERM");
+            }
+            8 => indices[..count].iter().for_each(|it| run.signal(*it, "HUP")),
+            9 => {
+                let index = stopping.unwrap_or(first);
+                run.signal(index, "TERM");
+                sleep(moment).await;
+                run.signal(index, "HUP");
+            }
+            _ => {
+                let signal = *["TERM", "HUP"].choose(rng).expect("not empty");
+                let delay = Duration::from_millis(rng.random_range(0..300));
+                run.machines[first].borrow_mut().signal_after_start = Some((signal, delay));
+                run.signal(first, "TERM");
+            }
+        }
+        sleep(Duration::from_millis(rng.random_range(50..2500))).await;
+    }
+}
+
+/// Changes the configuration until a moment
+async fn change_config(run: &StopRun, until: Instant, mut rng: SmallRng) {
+    let (mut timeout_ms, mut idle_timeout_ms, mut pool) = (4000, 15000, POOLS[0]);
+    while Instant::now() < until {
+        sleep(Duration::from_millis(rng.random_range(300..3000))).await;
+        match rng.random_range(0..4) {
+            0 => timeout_ms = rng.random_range(2500..5000),
+            // Clients reuse connections that have been idle for up to four fifths of it.
+            1 => idle_timeout_ms = rng.random_range(4000..15000),
+            2 => pool = if pool == POOLS[0] { POOLS[1] } else { POOLS[0] },
+            _ => {}
+        }
+        run.configure(Duration::from_millis(timeout_ms), idle_timeout_ms, pool);
+    }
+}
+
+/// Waits until all instances serve requests again; returns the indices of those that do not in time
+async fn recover(run: &Rc<StopRun>) -> Vec<usize> {
+    let until = Instant::now() + RECOVERY_TIME;
+    let mut missing = (0..run.machines.len()).collect::<Vec<_>>();
+    let mut number = 0;
+    while !missing.is_empty() && Instant::now() < until {
+        let mut still_missing = Vec::new();
+        for index in missing {
+            number += 1;
+            let machine = &run.machines[index];
+            let (ready, clients) = {
+                let machine = machine.borrow();
+                (machine.instance.ready(), machine.instance.clients)
+            };
+            let mut rng = SmallRng::seed_from_u64(number);
+            let entry = ClientRequest::entry(format!("entry-{number}"), &mut rng);
+            let lookup = ClientRequest::lookup(format!("lookup-{number}"));
+            let is_back = is_ready(ready).await
+                && is_served(clients, &entry).await
+                && is_served(clients, &lookup).await;
+            if !is_back || run.is_stopping(index) {
+                still_missing.push(index);
+            }
+        }
+        missing = still_missing;
+        sleep(Duration::from_millis(100)).await;
+    }
+    missing
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/stop_soak/endpoints.rs
@@ -0,0 +1,158 @@
+//! Endpoints whose work and silences are drawn from a seed.
+
+use crate::endpoint::{Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, stream_head};
+use crate::store::FakeStore;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Pools; routes of plain requests move between the first two.
+pub const POOLS: [&str; 3] = ["plain", "spare", "engines"];
+const ENDPOINTS_PER_POOL: usize = 3;
+/// Work in milliseconds, fraction of requests with more of it, and how much more.
+const WORK_MS: std::ops::RangeInclusive<u64> = 20..=90;
+const LONG_FRACTION: f64 = 0.08;
+const LONG_FACTOR: u64 = 5;
+/// Events of a stream, and of a long one.
+const EVENTS: std::ops::RangeInclusive<usize> = 3..=8;
+const LONG_STREAM_EVENTS: std::ops::RangeInclusive<usize> = 20..=60;
+
+/// When an endpoint does nothing
+#[derive(Debug, Clone, Default)]
+pub struct Silences(Vec<(Instant, Instant)>);
+
+impl Silences {
+    /// Time at which work of this length ends that begins at a moment
+    fn end_of(&self, begun_at: Instant, work: Duration) -> Instant {
+        let mut end = begun_at + work;
+        for (from, to) in &self.0 {
+            if *from <= end && *to > begun_at {
+                end += *to - (*from).max(begun_at);
+            }
+        }
+        end
+    }
+}
+
+/// Endpoint with its silences
+pub struct SilentEndpoint {
+    pub endpoint: FakeEndpoint,
+    silences: Arc<Silences>,
+}
+
+impl SilentEndpoint {
+    /// Time at which the endpoint is done with a request
+    pub fn end_of(&self, arrival: &Arrival) -> Instant {
+        let times = times(arrival, &self.silences);
+        times.last().copied().unwrap_or(arrival.at)
+    }
+}
+
+/// Starts the endpoints of all pools, which fall silent for about a second in the time from now on, and lists them
+pub async fn start_all(
+    store: &FakeStore,
+    length: Duration,
+    rng: &mut SmallRng,
+) -> Vec<SilentEndpoint> {
+    let count = POOLS.len() * ENDPOINTS_PER_POOL;
+    let mut silences = vec![Silences::default(); count];
+    let (start, mut at) = (Instant::now(), Duration::from_secs(2));
+    while at < length {
+        let all = rng.random::<bool>();
+        let time = Duration::from_millis(rng.random_range(900..1300));
+        for it in &mut silences {
+            if all || rng.random::<bool>() {
+                it.0.push((start + at, start + at + time));
+            }
+        }
+        at += time + Duration::from_millis(rng.random_range(500..5000));
+    }
+    let mut endpoints = Vec::new();
+    for (index, silences) in silences.into_iter().enumerate() {
+        let pool = POOLS[index % POOLS.len()];
+        let silences = Arc::new(silences);
+        let own = silences.clone();
+        let id = format!("{pool}-{index}");
+        let endpoint = FakeEndpoint::start(&id, move |it| steps(it, &own)).await;
+        let mut entry = json!({
+            "service": pool, "address": endpoint.address, "zone": "zone-a", "version": "v1",
+            "slots": 50, "state": "ready", "cold_left_ms": 0, "sequence": 1,
+            "born": endpoint.start_of_incarnation(1)
+        });
+        if pool == "engines" {
+            entry["stage"] = "decode".into();
+        }
+        store.put("keyed.servers", &id, entry.to_string().as_bytes());
+        endpoints.push(SilentEndpoint { endpoint, silences });
+    }
+    endpoints
+}
+
+/// Body of the answer to the request with this id
+pub fn answer_body(id: &str) -> String {
+    format!("answer of {id}")
+}
+
+/// Events of the stream for the request with this id, after one of them
+pub fn stream_body(id: &str, last_event: usize) -> String {
+    (last_event + 1..=event_count(id)).map(event).collect()
+}
+
+fn generator(id: &str, purpose: &str) -> SmallRng {
+    let mut hasher = DefaultHasher::new();
+    (id, purpose).hash(&mut hasher);
+    SmallRng::seed_from_u64(hasher.finish())
+}
+
+fn event_count(id: &str) -> usize {
+    let mut rng = generator(id, "events");
+    let range = if rng.random_bool(LONG_FRACTION) { LONG_STREAM_EVENTS } else { EVENTS };
+    rng.random_range(range)
+}
+
+fn last_event(arrival: &Arrival) -> usize {
+    arrival.header("last-event-id").map_or(0, |it| it.parse().expect("a number"))
+}
+
+/// Times of all parts of an answer
+fn times(arrival: &Arrival, silences: &Silences) -> Vec<Instant> {
+    let id = arrival.header("x-request-id").unwrap_or_default();
+    let mut rng = generator(id, "work");
+    let is_stream = arrival.header("x-token-count").is_some();
+    let parts = if is_stream { event_count(id).saturating_sub(last_event(arrival)) } else { 1 };
+    let mut now = arrival.at;
+    let mut times = Vec::new();
+    for _ in 0..parts {
+        let is_long = !is_stream && rng.random_bool(LONG_FRACTION);
+        let factor = if is_long { LONG_FACTOR } else { 1 };
+        let work = Duration::from_millis(rng.random_range(WORK_MS) * factor);
+        now = silences.end_of(now, work);
+        times.push(now);
+    }
+    times
+}
+
+fn steps(arrival: &Arrival, silences: &Silences) -> Vec<Step> {
+    let id = arrival.header("x-request-id").unwrap_or_default();
+    let times = times(arrival, silences);
+    let starts = [arrival.at].into_iter().chain(times.iter().copied());
+    let pauses = times.iter().zip(starts).map(|(end, start)| *end - start);
+    if arrival.header("x-token-count").is_none() {
+        let mut steps = pauses.map(Step::Pause).collect::<Vec<_>>();
+        steps.push(Step::Write(answer(arrival, "200 OK", &answer_body(id))));
+        return steps;
+    }
+    let mut steps = Vec::new();
+    for (number, pause) in (last_event(arrival) + 1..).zip(pauses) {
+        steps.push(Step::Pause(pause));
+        if steps.len() == 1 {
+            steps.push(Step::Write(stream_head(arrival)));
+        }
+        steps.push(Step::Write(chunk(&event(number))));
+    }
+    steps.push(Step::Write(STREAM_END.to_vec()));
+    steps
+}
