--- a/crates/gateway/src/request_record.rs
+++ b/crates/gateway/src/request_record.rs
@@ -1,13 +1,19 @@
 //! Log line and metrics of a request.
 
 use crate::state::Gateway;
+use crate::stop::{SendMark, StopStage};
 use catalogue::id::{CustomerName, EndpointId, InstanceId};
+use log::Level;
 use smol_str::SmolStr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Writes the log line and metrics of a request; if dropped unfinished, the client has disconnected
+/// Outcome of a request that a planned stop ends
+const CUT_BY_STOP: &str = "cut_by_stop";
+
+/// Writes the log line and metrics of a request; if dropped unfinished, the client has disconnected or the
+/// instance has stopped
 pub struct RequestRecord {
     gateway: Rc<Gateway>,
     id: SmolStr,
@@ -15,6 +21,8 @@
     pub arrived_at: Instant,
     is_finished: bool,
     first_byte_after: Option<Duration>,
+    /// Whether an endpoint may have run it
+    pub sent: SendMark,
     /// Name of the route; empty until one matches
     pub route: SmolStr,
     /// Name of the customer; empty until one is found
@@ -37,6 +45,7 @@
             arrived_at,
             is_finished: false,
             first_byte_after: None,
+            sent: SendMark::default(),
             route,
             customer: CustomerName::default(),
             endpoint,
@@ -57,7 +66,10 @@
         self.is_finished = true;
         let took = self.arrived_at.elapsed();
         let config = self.gateway.config.borrow().as_ref().map_or(0, |it| it.version);
-        log::info!(
+        // Warnings are exempt from the limit on lines.
+        let level = if outcome == CUT_BY_STOP { Level::Warn } else { Level::Info };
+        log::log!(
+            level,
             "event=done id={} route={} customer={} outcome={outcome} detail={detail} endpoint={} relayed_by={} relayed_to={} first_ms={} took_ms={} config={config}",
             self.id,
             self.route,
@@ -76,7 +88,12 @@
 impl Drop for RequestRecord {
     fn drop(&mut self) {
         if !self.is_finished {
-            self.finish("client_left", "");
+            if self.gateway.stop.has_reached(StopStage::Answering) {
+                let detail = if self.sent.may_have_run() { "may_have_run" } else { "not_run" };
+                self.finish(CUT_BY_STOP, detail);
+            } else {
+                self.finish("client_left", "");
+            }
         }
     }
 }
