Test planned stops: silent endpoints answer no health checks either, and odd seeds have duties

Endpoints of the soak that were silent answered health checks at once, which suspended processes don't do. An instance therefore never concluded that it is cut from all of them. Instances of odd seeds now have duties, so that a stop includes the last usage report.

--- a/crates/gateway/tests/gateway/endpoint.rs
+++ b/crates/gateway/tests/gateway/endpoint.rs
@@ -95,6 +95,8 @@
     starts: Arc<Mutex<IndexMap<usize, u64>>>,
     /// Cuts of instances from it
     cuts: CutSwitch,
+    /// Times in which it answers neither health checks nor queries of its reports
+    page_silences: Arc<Mutex<Vec<(Instant, Instant)>>>,
 }
 
 impl FakeEndpoint {
@@ -126,6 +128,7 @@
             has_new_ids: Arc::default(),
             starts: Arc::default(),
             cuts,
+            page_silences: Arc::default(),
         };
         tokio::spawn(endpoint.clone().run(listener));
         endpoint
@@ -175,6 +178,19 @@
         }
     }
 
+    /// Holds its answers to health checks and queries of its reports between two moments
+    pub fn silence_pages(&self, from: Instant, to: Instant) {
+        self.page_silences.lock().expect("no panic").push((from, to));
+    }
+
+    async fn wait_for_pages(&self) {
+        let now = Instant::now();
+        let silences = self.page_silences.lock().expect("no panic").clone();
+        if let Some((_, to)) = silences.iter().find(|it| (it.0..it.1).contains(&now)) {
+            sleep(*to - now).await;
+        }
+    }
+
     /// Times of its ends
     pub fn ends(&self) -> Vec<Instant> {
         self.ends.lock().expect("no panic").clone()
@@ -279,6 +295,7 @@
         while let Some(arrival) = read_request(&mut socket, &mut buffer).await {
             let mut arrival = Arrival { connection, ..arrival };
             if arrival.line.starts_with("GET /healthz ") {
+                self.wait_for_pages().await;
                 let healthy = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
                 if socket.write_all(healthy).await.is_err() {
                     return;
@@ -286,6 +303,7 @@
                 continue;
             }
             if arrival.line.starts_with("GET /api/report ") {
+                self.wait_for_pages().await;
                 let body = format!("{{\"born\":{}}}", self.start_of_incarnation(unix_ms()));
                 if socket.write_all(&answer(&arrival, "200 OK", &body)).await.is_err() {
                     return;
--- a/crates/gateway/tests/gateway/stop_soak.rs
+++ b/crates/gateway/tests/gateway/stop_soak.rs
@@ -3,7 +3,8 @@
 //! A seed determines the signals and their times: SIGTERM to one, two or all instances, also again and in quick
 //! series, SIGHUP to running and stopping ones, either right after a start. Instances are restarted as the platform does,
 //! and killed `grace_s` after SIGTERM. Endpoints fall silent for about a second. Clients choose instances through a
-//! model of the platform's load balancer, and write bodies in parts. The checks are the users' rules on planned stops.
+//! model of the platform's load balancer, and write bodies in parts. Instances of odd seeds have duties. The checks are
+//! the users' rules on planned stops.
 //!
 //! Whether a process has read a whole request can't be seen on a socket. A connection that ends by FIN more than
 //! `loss_slack_ms` after the last byte was sent proves it: the system answers unread bytes with a reset. After a reset, the
@@ -20,6 +21,7 @@
 mod exchange;
 mod machines;
 
+use crate::control::FakeControl;
 use crate::deployment::config;
 use crate::store::FakeStore;
 use clients::{Balancer, ClientRequest, is_ready, is_served, send_requests};
@@ -146,8 +148,11 @@
         is_over: Cell::default(),
     };
     run.configure(Duration::from_millis(4000), 15000, POOLS[0]);
+    // An instance with duties hands over its usage reports before it exits.
+    let control = FakeControl::start(false).await;
+    let control = (!seed.is_multiple_of(2)).then_some(control.address);
     let numbers = 0..size("STOP_SOAK_INSTANCES", INSTANCES);
-    let machines = numbers.map(|it| ZoneMachine::launch(&run, it)).collect::<Vec<_>>();
+    let machines = numbers.map(|it| ZoneMachine::launch(&run, it, control)).collect::<Vec<_>>();
     for machine in &machines {
         machine.instance.wait_ready().await;
     }
--- a/crates/gateway/tests/gateway/stop_soak/endpoints.rs
+++ b/crates/gateway/tests/gateway/stop_soak/endpoints.rs
@@ -77,6 +77,9 @@
         let own = silences.clone();
         let id = format!("{pool}-{index}");
         let endpoint = FakeEndpoint::start(&id, move |it| steps(it, &own)).await;
+        for (from, to) in &silences.0 {
+            endpoint.silence_pages(*from, *to);
+        }
         let mut entry = json!({
             "service": pool, "address": endpoint.address, "zone": "zone-a", "version": "v1",
             "slots": 50, "state": "ready", "cold_left_ms": 0, "sequence": 1,
--- a/crates/gateway/tests/gateway/stop_soak/machines.rs
+++ b/crates/gateway/tests/gateway/stop_soak/machines.rs
@@ -1,9 +1,10 @@
 //! Machines on which instances are stopped and started again, as the platform does.
 
 use super::StopRun;
-use crate::process::{Instance, InstanceLog};
+use crate::process::{Instance, InstanceLog, InstanceSize};
 use rand::Rng;
 use rand::rngs::SmallRng;
+use std::net::SocketAddr;
 use std::process::ExitStatus;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -54,8 +55,10 @@
 
 impl ZoneMachine {
     /// Starts the first process
-    pub fn launch(run: &StopRun, machine: usize) -> ZoneMachine {
-        let instance = Instance::launch(run.store.address, &format!("instance-{machine}"));
+    pub fn launch(run: &StopRun, machine: usize, control: Option<SocketAddr>) -> ZoneMachine {
+        let size = InstanceSize { control, ..InstanceSize::default() };
+        let name = format!("instance-{machine}");
+        let instance = Instance::launch_sized(run.store.address, &name, size);
         let mut processes = run.processes.borrow_mut();
         processes.push(ProcessRecord::new(machine, &instance));
         ZoneMachine { instance, process: processes.len() - 1, signal_after_start: None }
