--- a/crates/gateway/tests/gateway/stop_soak/checks.rs
+++ b/crates/gateway/tests/gateway/stop_soak/checks.rs
@@ -205,7 +205,8 @@
     });
     let name = format!("id={} ", request.id);
     let log = process.log.lock().expect("no panic");
-    let lines = log.iter().filter(|it| it.contains(&name) || it.contains("event=stop"));
+    let names = [&name, "event=stop", "event=endpoints_cut", "event=endpoints_regained"];
+    let lines = log.iter().filter(|line| names.iter().any(|it| line.contains(it)));
     let lines = lines.map(|it| format!("\n    {it}")).collect::<String>();
     format!(
         "id={} route={} machine={} sent_at={} all_sent_at={} ended_at={} ending={:?} status={} \
