--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -38,6 +38,7 @@
 mod soak;
 mod software_versions;
 mod stop;
+mod stop_soak;
 mod store;
 mod streams;
 mod unframed;
