--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod duties;
 mod duty_soak;
 mod duty_values;
+mod early_refusals;
 mod ending_fleet;
 mod endpoint;
 mod era;
