--- a/crates/gateway/tests/gateway/stop.rs
+++ b/crates/gateway/tests/gateway/stop.rs
@@ -29,6 +29,12 @@
     unroutable_body_in_chunks_is_refused => refused_without_a_route(),
     // Guards against a cut request that no log line names.
     cut_stream_is_named_in_the_log => cut_stream(),
+    // Guards against a process that runs again only after all times of its stop and exits without a final answer.
+    suspended_instance_answers_before_it_exits => suspended(),
+    // Guards against final answers that come too soon.
+    late_answer_is_delivered => arrived_answer(Duration::ZERO),
+    // Guards against an answer that has arrived, and is replaced by a failure since the final answers begin.
+    answer_that_has_arrived_is_delivered_at_the_end => arrived_answer(Duration::from_millis(400)),
 }
 
 /// Time from SIGTERM until idle connections are closed
@@ -255,3 +261,39 @@
     };
     verify_that!(lines.iter().filter(|it| is_named(it)).count(), eq(1))
 }
+
+/// The process is suspended from the start of its stop until after the time of its exit
+async fn suspended() -> Result<()> {
+    let service = endpoint("service-1", |_| vec![Step::Hang]).await;
+    let mut deployment = start_slow(&service).await;
+    let mut client = RawClient::connect(deployment.instance.clients).await;
+    client.write(chunked_head("id-1", LONG_TIMEOUT_MS)).await;
+    client.write(FIRST_CHUNK).await;
+    client.write(LAST_CHUNKS).await;
+    sleep(Duration::from_millis(200)).await;
+    deployment.instance.terminate();
+    deployment.instance.wait_line("event=stop ").await;
+    deployment.instance.pause(GRACE_TIME - Duration::from_millis(400));
+    let got = client.read().await;
+    verify_that!((got.status, got.is_whole), eq((504, true)))?;
+    verify_that!(deployment.instance.wait_exit().await, some(eq(0)))
+}
+
+/// The endpoint answers 7.1 s after SIGTERM; the process may be suspended from before that until after the begin of the
+/// final answers
+async fn arrived_answer(suspension: Duration) -> Result<()> {
+    let head_start = Duration::from_millis(200);
+    let service = service(Duration::from_millis(7100) + head_start).await;
+    let mut deployment = start_slow(&service).await;
+    let mut client = RawClient::connect(deployment.instance.clients).await;
+    client.write(chunked_head("id-1", LONG_TIMEOUT_MS)).await;
+    client.write(FIRST_CHUNK).await;
+    client.write(LAST_CHUNKS).await;
+    sleep(head_start).await;
+    deployment.instance.terminate();
+    sleep(Duration::from_millis(6950)).await;
+    deployment.instance.pause(suspension);
+    let got = client.read().await;
+    verify_that!((got.status, got.is_whole), eq((200, true)))?;
+    verify_that!(deployment.instance.wait_exit().await, some(eq(0)))
+}
