Test the final answer to a request with a second copy: one test that fails

start_hedge doesn't record the send. While the first copy still waits for a connection, the second one may run and the final answer of a stop promises that nothing has run.

--- a/crates/gateway/tests/gateway/hedges.rs
+++ b/crates/gateway/tests/gateway/hedges.rs
@@ -6,11 +6,14 @@
     Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, not_run, stream_head,
 };
 use googletest::prelude::*;
+use serde_json::json;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use testcases::cases;
-use tokio::time::sleep;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::{sleep, timeout};
 
 cases! { async
     // Guards against a copy that doesn't help, or whose loser works on.
@@ -36,6 +39,8 @@
     long_prompt_is_not_hedged => hedged_stream("resumed", 3000, 1),
     // Guards against a copy that works on after its client has left.
     client_that_leaves_cancels_both_copies => client_leaves(),
+    // Guards against a promise that a request has not run while its second copy runs and the first one waits for a connection.
+    stop_promises_nothing_of_a_request_whose_copy_was_sent => stopped_with_a_copy(),
 }
 
 /// Requests that teach the usual time to the first byte, and the budget of hedges and retries.
@@ -207,3 +212,66 @@
     verify_that!(late.len(), eq(copies))?;
     verify_that!(late.iter().filter(|it| it.was_abandoned).count(), eq(copies - 1))
 }
+
+/// Address at which connections are neither accepted nor refused, and what keeps it so
+async fn unresponsive_address() -> Result<(SocketAddr, TcpListener, Vec<TcpStream>)> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind("127.0.0.1:0".parse()?)?;
+    let listener = socket.listen(1)?;
+    let address = listener.local_addr()?;
+    let mut queued = Vec::new();
+    while let Ok(stream) = timeout(Duration::from_millis(200), TcpStream::connect(address)).await {
+        queued.push(stream?);
+    }
+    Ok((address, listener, queued))
+}
+
+async fn stopped_with_a_copy() -> Result<()> {
+    let script = |it: &Arrival| match it.line.contains("/hang") {
+        true => vec![Step::Hang],
+        false => {
+            vec![Step::Pause(Duration::from_millis(5)), Step::Write(answer(it, "200 OK", "right"))]
+        }
+    };
+    let (first, second) =
+        (endpoint("service-1", script).await, endpoint("service-2", script).await);
+    let deployment = Deployment::start(&[&first, &second]).await;
+    let mut config = config(2, 20_000);
+    config["services"][0]["hedge_ratio"] = 0.5.into();
+    config["routes"][0]["target_latency_ms"] = 4000.into();
+    deployment.store.put("keyed.op", "config", config.to_string().as_bytes());
+    deployment.instance.wait_line("event=config_applied version=2").await;
+    sleep(Duration::from_millis(300)).await;
+    for number in 0..LEARNED_REQUESTS {
+        let got = deployment.call(get_path("lookups", "x", &format!("id-{number}"))).await;
+        verify_that!(got.status, eq(200))?;
+    }
+    let (address, _listener, _queued) = unresponsive_address().await?;
+    let entry = json!({
+        "service": "plain", "address": address, "zone": "zone-a", "version": "v1", "slots": 6,
+        "state": "ready", "cold_left_ms": 0, "sequence": 1, "born": 2
+    });
+    deployment.store.put("keyed.servers", "service-1", entry.to_string().as_bytes());
+    sleep(Duration::from_millis(300)).await;
+    let instance = deployment.instance.clients;
+    let clients = (0..3).map(|number| {
+        let request = get_path("lookups", "hang", &format!("hang-{number}"));
+        let request = request.replace("Ms: 1500", "Ms: 20000");
+        tokio::spawn(async move { crate::client::call(instance, request).await.status })
+    });
+    let clients = clients.collect::<Vec<_>>();
+    sleep(Duration::from_millis(300)).await;
+    deployment.instance.terminate();
+    // Other answers show that the link is sound.
+    for number in 0..30 {
+        deployment.call(get_path("lookups", "x", &format!("other-{number}"))).await;
+        sleep(Duration::from_millis(150)).await;
+    }
+    let mut statuses = Vec::new();
+    for client in clients {
+        statuses.push(client.await?);
+    }
+    let has_run = second.arrivals().iter().filter(|it| it.line.contains("/hang")).count();
+    verify_that!(has_run, eq(3))?;
+    verify_that!(statuses, each(eq(&504)))
+}
