Record the send of a second copy for the final answer of a stop

Callers could get 503, which promises that a request has not run, although its second copy was running. Cause: start_hedge didn't record the send. While the first copy still waited for a connection nothing else had. Change: start_hedge records it.

--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -169,6 +169,7 @@
     pub fn start_hedge(&self, gateway: &Gateway, endpoint: &ListedEndpoint) -> bool {
         let may_start = self.may_copy(gateway);
         if may_start {
+            self.sent.record_send();
             self.hedge.replace(Some(endpoint.clone()));
         }
         may_start
