Give final answers also after a suspension over the end of a stop

Callers of an instance that was suspended over the last moments of its stop got no answer, or 504 instead of an answer that had arrived. Cause: the stages of a stop end at fixed times. Past the exit the final answers had no time at all, and past their own time they overtook answers that were in the socket already. Change: what has arrived is read before the final answers, a served answer goes first, and final answers get 0.25 s from when they begin. The log tells a cut stream from a final answer, and event=stopped is a warning if it cut something.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -78,6 +78,7 @@
         }
     };
     let result = tokio::select! {
+        biased;
         result = served => result,
         () = gateway.stop.reached(StopStage::Answering) => {
             return with_unread_body(gateway_answer(gateway, Some(&id), &final_refusal(&sent)));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -73,6 +73,7 @@
 pub const METRICS_PORT: u16 = 9464;
 /// Interval between expiry runs; well below the idle timeout of connections.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Serves until SIGTERM; `dropped_lines` returns the number of dropped log lines
 ///
 /// # Errors
--- a/crates/gateway/src/request_record.rs
+++ b/crates/gateway/src/request_record.rs
@@ -89,7 +89,11 @@
     fn drop(&mut self) {
         if !self.is_finished {
             if self.gateway.stop.has_reached(StopStage::Answering) {
-                let detail = if self.sent.may_have_run() { "may_have_run" } else { "not_run" };
+                let detail = match (self.first_byte_after, self.sent.may_have_run()) {
+                    (Some(_), _) => "stream_cut",
+                    (None, true) => "may_have_run",
+                    (None, false) => "not_run",
+                };
                 self.finish(CUT_BY_STOP, detail);
             } else {
                 self.finish("client_left", "");
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -8,6 +8,7 @@
 //! final answer, which tells whether an endpoint may have run them.
 
 use crate::state::Gateway;
+use log::Level;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -152,12 +153,18 @@
     wait_until_quiet(gateway, times.stop_listening).await;
     enter(gateway, StopStage::NotListening);
     wait_until_ended(gateway, times.answer).await;
+    if gateway.open_connections.get() > 0 {
+        // Answers that have arrived while the process was suspended are read first.
+        sleep(POLL_INTERVAL).await;
+    }
     enter(gateway, StopStage::Answering);
-    wait_until_ended(gateway, times.exit).await;
+    wait_until_ended(gateway, times.exit.max(Instant::now() + FINAL_ANSWER_TIME)).await;
     if let Some(usage) = &gateway.usage {
         usage.finish().await;
     }
-    log::info!("event=stopped cut={}", gateway.open_requests.get());
+    let cut = gateway.open_requests.get();
+    let level = if cut > 0 { Level::Warn } else { Level::Info };
+    log::log!(level, "event=stopped cut={cut}");
 }
 
 fn enter(gateway: &Gateway, stage: StopStage) {
--- a/crates/gateway/tests/gateway/stop.rs
+++ b/crates/gateway/tests/gateway/stop.rs
@@ -41,7 +41,7 @@
 const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2500);
 /// Time from SIGTERM until the instance must have exited: `grace_s` of its settings
 const GRACE_TIME: Duration = Duration::from_secs(8);
-/// Timeout of the routes of `slow_config`; longer than an instance takes to stop
+/// Timeout of the routes of `start_slow`; longer than an instance takes to stop
 const LONG_TIMEOUT_MS: u64 = 20_000;
 const CLIENTS: usize = 8;
 
