Let each early refusal reach its sender: large bodies, relays, the HTTP library's own

Callers of a starting instance lost the refusal of a body of more than 8 KB, and those with a head that is too large that refusal; another instance lost a declined relay and answered 502 for a once-only request. Change: one bound for all (8 MB, a second); the port of the instances and refusals of the HTTP library close their connections in the same way.

--- a/crates/gateway/src/client_socket.rs
+++ b/crates/gateway/src/client_socket.rs
@@ -24,6 +24,8 @@
 /// Longest time for which the rest of a refused request is read.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 const DISCARD_BUFFER_BYTES: usize = 4096;
+/// Most bytes of it that are read.
+const MAX_DISCARDED_BYTES: usize = 8 * 1024 * 1024;
 
 /// Activity of one client connection, for its timeouts
 pub struct ConnectionActivity {
@@ -145,14 +147,14 @@
         matches!(SockRef::from(&*socket).peek(&mut byte), Ok(count) if count > 0)
     }
 
-    /// Reads and drops up to `limit` bytes that the client still sends after its answer
+    /// Reads and drops what the client still sends after its answer, for a limited time
     ///
     /// Bytes that arrive at a closed socket reset the connection, and the client may lose the answer.
-    pub async fn discard_rest(&self, limit: usize) {
+    pub async fn discard_rest(&self) {
         let mut scratch = vec![0; DISCARD_BUFFER_BYTES];
         let read = async {
             let mut bytes = 0;
-            while bytes < limit {
+            while bytes < MAX_DISCARDED_BYTES {
                 match poll_fn(|context| self.poll_discard(context, &mut scratch)).await {
                     Ok(0) | Err(_) => return,
                     Ok(count) => bytes += count,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -35,7 +35,6 @@
 const RETRY_JITTER: Duration = Duration::from_millis(200);
 /// `Retry-After` of an instance that is still starting.
 const START_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// Longest `Retry-After` of a stopping instance: another one can serve the request at once.
 const STOP_RETRY_JITTER: Duration = Duration::from_millis(100);
 /// Reason of an answer that a planned stop causes
@@ -56,7 +55,7 @@
             gateway.metrics.answered(&SmolStr::default(), GatewayAnswer::Malformed.name());
             let refusal = Refusal::new(GatewayAnswer::Malformed, "malformed");
             let response = with_connection_close(gateway_answer(gateway, None, &refusal));
-            return if body.is_end_stream() { response } else { with_unread_body(response) };
+            return with_body_state(response, &body);
         }
     };
     let id = head.id.clone();
@@ -157,6 +156,11 @@
 #[derive(Debug, Clone, Copy)]
 pub struct UnreadBody;
 
+/// Marks an answer to a request whose body has not been read, unless it has none
+pub fn with_body_state(response: Response<AnswerBody>, body: &Incoming) -> Response<AnswerBody> {
+    if body.is_end_stream() { response } else { with_unread_body(response) }
+}
+
 /// Closes the connection, since the rest of the request is in it
 fn with_unread_body(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
     response.extensions_mut().insert(UnreadBody);
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -164,6 +164,10 @@
             result = connection.as_mut() => {
                 if let Err(error) = result {
                     log::debug!("event=connection_ended error={error}");
+                    if error.is_parse() {
+                        // The library has refused the request in the middle of its head.
+                        activity.has_unread_body.set(true);
+                    }
                 }
                 break;
             }
@@ -198,7 +202,7 @@
         }
     }
     if activity.has_unread_body.get() {
-        handle.discard_rest(limits.max_body_bytes.max(MIN_BUFFER_BYTES)).await;
+        handle.discard_rest().await;
     }
 }
 
--- a/crates/gateway/src/peers/port.rs
+++ b/crates/gateway/src/peers/port.rs
@@ -3,7 +3,7 @@
 use super::config_transfer;
 use crate::body::AnswerBody;
 use crate::client_socket::{ConnectionActivity, WatchedSocket};
-use crate::forward;
+use crate::forward::{self, UnreadBody};
 use crate::listen::ConnectionGuard;
 use crate::ready::page;
 use crate::relay::{DeclinedRelay, mark, take_source};
@@ -51,12 +51,16 @@
             return;
         }
     };
+    let handle = socket.handle();
     let watched = activity.clone();
     let service = service_fn(move |request| {
         let gateway = gateway.clone();
         let activity = watched.clone();
         async move {
             let response = serve_request(&gateway, request, sender).await;
+            if response.extensions().get::<UnreadBody>().is_some() {
+                activity.has_unread_body.set(true);
+            }
             if let Some(buffer) = response.body().buffer() {
                 activity.set_stream(buffer);
             }
@@ -73,7 +77,13 @@
                 log::debug!("event=peer_connection_ended error={error}");
             }
         }
-        () = activity.stalled() => log::info!("event=connection_closed reason=peer_stalled"),
+        () = activity.stalled() => {
+            log::info!("event=connection_closed reason=peer_stalled");
+            return;
+        }
+    }
+    if activity.has_unread_body.get() {
+        handle.discard_rest().await;
     }
 }
 
@@ -91,7 +101,8 @@
     if !is_known || !is_able {
         log::info!("event=relay_declined sender={sender} known={is_known}");
         gateway.metrics.relayed("in", "declined");
-        return mark(page(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()), false);
+        let declined = mark(page(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()), false);
+        return forward::with_body_state(declined, request.body());
     }
     gateway.metrics.relayed("in", "served");
     // A stopping instance waits for it as for its own clients.
