Wait for silent endpoints unless a request can go on elsewhere

Callers saw streams end in their middle, 1.1 s after all endpoints had fallen silent, though the endpoints went on 0.1 s later and the deadline was seconds away. It happens with and without a change of the configuration.

Cause: 0.7 s into the silence the link counts as cut, and 0.4 s later everything that waits is given up, so that it can be sent through another instance. `EngineStream::next` also gave up streams that may run only once, which nothing can take up; and requests that may be repeated were given up although no other instance reached the endpoints either, or they had no attempt left.

What waits is now given up only if it may be sent again and another instance reaches the endpoints. The first event and the later ones follow the same rule as the head of an answer.

Tests: requests of all kinds, streams before and after their first event, wait while endpoints are silent for 1.0 to 1.3 s and the configuration changes, is reloaded, or arrives between the parts of a request.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::connections::{EndpointConnection, ExchangeError};
 use crate::memory::MemoryShare;
+use crate::serving_call::ServingCall;
 use crate::state::{Gateway, WorkGuard};
 use bytes::{Bytes, BytesMut};
 use decide::serving::endpoint_list::ListedEndpoint;
@@ -210,6 +211,8 @@
 pub struct SendTarget<'a> {
     /// Endpoint that receives the request
     pub endpoint: &'a ListedEndpoint,
+    /// Call that the request is sent for
+    pub call: &'a ServingCall,
     /// Counts the request in the endpoint's load until the answer is complete
     pub work_guard: WorkGuard,
     /// Whether the request may run only once
@@ -233,8 +236,15 @@
     parameters: &SendParameters,
     deadline: Instant,
 ) -> Result<OpenAnswer, SendError> {
-    let SendTarget { endpoint, work_guard, once, reuses_connection, expects_signature, may_start } =
-        target;
+    let SendTarget {
+        endpoint,
+        call,
+        work_guard,
+        once,
+        reuses_connection,
+        expects_signature,
+        may_start,
+    } = target;
     let share = gateway.connection_share(&endpoint.pool);
     let acquired =
         gateway.connections.acquire(endpoint, Some(&request.id), !reuses_connection, share);
@@ -269,8 +279,7 @@
             Err(_) => return Err(SendError::TimedOut),
         },
         () = gateway.check_if_silent(endpoint) => return Err(SendError::TimedOut),
-        // A request that may run only once can't be sent elsewhere.
-        () = gateway.link.silence(), if !once => return Err(SendError::TimedOut),
+        () = call.relay_due(gateway, once) => return Err(SendError::TimedOut),
     };
     gateway.record_link_answer(is_new_connection);
     let (parts, body) = response.into_parts();
--- a/crates/gateway/src/generation/engine_stream.rs
+++ b/crates/gateway/src/generation/engine_stream.rs
@@ -2,9 +2,11 @@
 
 use crate::attempt::{OpenAnswer, SendError};
 use crate::events::EventSplitter;
+use crate::serving_call::ServingCall;
 use crate::state::Gateway;
 use bytes::Bytes;
 use catalogue::id::InstanceId;
+use decide::serving::route::RetryRule;
 use http_body_util::BodyExt;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -41,8 +43,10 @@
     pub(super) async fn next(
         &mut self,
         gateway: &Gateway,
+        call: &ServingCall,
         deadline: Instant,
     ) -> Result<StreamItem, SendError> {
+        let once = call.route.retry_rule == RetryRule::Once;
         let event_due = self.event_limit.and_then(|it| Instant::now().checked_add(it));
         let until = event_due.map_or(deadline, |it| it.min(deadline));
         loop {
@@ -54,7 +58,7 @@
                 frame = timeout_at(until, self.answer.body.frame()) => {
                     frame.map_err(|_| SendError::TimedOut)?
                 }
-                () = gateway.link.silence(), if self.relay.is_none() => {
+                () = call.relay_due(gateway, once), if self.relay.is_none() => {
                     return Err(SendError::TimedOut);
                 }
             };
--- a/crates/gateway/src/generation/generate.rs
+++ b/crates/gateway/src/generation/generate.rs
@@ -53,6 +53,7 @@
     };
     let target = SendTarget {
         endpoint: &step.engine,
+        call,
         work_guard: step.work_guard,
         once,
         reuses_connection: !once || gateway.may_reuse_connection(&call.pool),
@@ -67,7 +68,7 @@
         return Ok(Started::Failed(answer));
     }
     let mut stream = EngineStream::new(answer, milliseconds(step.pick.own_ms));
-    let first = stream.next(gateway, deadline).await?;
+    let first = stream.next(gateway, call, deadline).await?;
     stream.first_event_at = Instant::now();
     stream.event_limit = call.route.event_limit();
     record_prompt_read(gateway, call, &step.engine, &step.pick, sent_at.elapsed());
--- a/crates/gateway/src/generation/relay_events.rs
+++ b/crates/gateway/src/generation/relay_events.rs
@@ -60,7 +60,7 @@
                 }
             }
             let paused_at = Instant::now();
-            item = match stream.next(&gateway, call.deadline).await {
+            item = match stream.next(&gateway, &call, call.deadline).await {
                 Ok(next) => {
                     if matches!(next, StreamItem::Events(_)) {
                         gateway.record_pause(&call.pool, paused_at.elapsed());
--- a/crates/gateway/src/generation/send.rs
+++ b/crates/gateway/src/generation/send.rs
@@ -36,7 +36,7 @@
         true => {
             let mut stream = EngineStream::new(answer, Duration::ZERO);
             stream.relay = Some(instance.clone());
-            let first = stream.next(gateway, call.deadline).await;
+            let first = stream.next(gateway, call, call.deadline).await;
             // That instance gives up its engine after the same time, and resumes the stream itself.
             stream.event_limit = call.route.event_limit().map(|it| it.saturating_mul(2));
             first.map(|first| Started::Streaming(Box::new(stream), first))
@@ -169,6 +169,7 @@
     let may_start = || call.start_run(gateway, &engine, false);
     let target = SendTarget {
         endpoint: &engine,
+        call,
         work_guard: step.work_guard,
         once: false,
         reuses_connection: true,
--- a/crates/gateway/src/hedged_send.rs
+++ b/crates/gateway/src/hedged_send.rs
@@ -77,6 +77,7 @@
     };
     let target = SendTarget {
         endpoint,
+        call,
         work_guard,
         once: call.route.retry_rule == RetryRule::Once,
         reuses_connection: call.route.retry_rule != RetryRule::Once,
--- a/crates/gateway/src/serving_call/limits.rs
+++ b/crates/gateway/src/serving_call/limits.rs
@@ -75,6 +75,23 @@
         self.deadline.min(Instant::now() + limit.max(expected.mul_f64(PREFILL_TIMEOUT_FACTOR)))
     }
 
+    /// Waits until the link has been cut for a while and the request can go on through another instance; never, if
+    /// what was sent may run only `once`
+    ///
+    /// A silent endpoint may still answer, so a request that can't go on elsewhere waits for it.
+    pub async fn relay_due(&self, gateway: &Gateway, once: bool) {
+        let has_sends_left = self.history.sends < self.route.max_attempts;
+        if once || !self.may_resume || self.is_relayed || !has_sends_left {
+            return std::future::pending().await;
+        }
+        loop {
+            gateway.link.silence().await;
+            if gateway.has_relays() {
+                return;
+            }
+        }
+    }
+
     /// Waits for a paused endpoint if none accepts requests; `false` if the request is to be refused
     pub async fn wait_for_pause(&self, gateway: &Gateway) -> bool {
         let Some(PauseStep::Wait(pause)) = gateway.pause_step(self) else { return false };
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod config;
+mod config_changes;
 mod control;
 mod crash_evidence;
 mod crashes;
