Apply longer timeouts of a new configuration to open connections

Clients found a connection closed that had been idle for less than the limit in force, and a head cut that took less than its limit: a connection kept the `idle_timeout_ms` and `header_timeout_ms` of the configuration at which it was opened.

A connection now takes the limits in force when a head begins, and before it is closed by a timeout the longer ones of a newer configuration. Shorter ones apply from the next request on, so that none ends what was in time when it began.

--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -71,7 +71,7 @@
 
 async fn serve(gateway: Rc<Gateway>, socket: TcpStream, caller: IpAddr) {
     let _guard = ConnectionGuard::new(gateway.clone());
-    let limits = limits(&gateway);
+    let mut limits = current_limits(&gateway);
     let activity = Rc::new(ConnectionActivity::new());
     let socket = match WatchedSocket::new(socket, activity.clone()) {
         Ok(socket) => socket,
@@ -122,10 +122,13 @@
     );
     // The library would close a connection at once that has sent nothing yet. Answers of a stopping instance
     // close theirs.
-    let mut idle_timeout =
-        if gateway.is_closing.get() { CLOSING_IDLE_TIMEOUT } else { limits.idle_timeout };
+    let idle_timeout = |limits: &ClientLimits| match gateway.is_closing.get() {
+        true => CLOSING_IDLE_TIMEOUT,
+        false => limits.idle_timeout,
+    };
     let mut is_shut = false;
     loop {
+        let next_check = activity.next_check(limits.head_timeout, idle_timeout(&limits));
         tokio::select! {
             result = connection.as_mut() => {
                 if let Err(error) = result {
@@ -134,7 +137,6 @@
                 return;
             }
             () = gateway.close_idle.notified(), if !is_shut => {
-                idle_timeout = CLOSING_IDLE_TIMEOUT;
                 // Nor has it read what has arrived since, and it would drop a head of which a part has arrived.
                 if activity.open_requests.get() > 0 || !(activity.is_busy() || handle.has_unread()) {
                     is_shut = true;
@@ -142,20 +144,24 @@
                 }
             }
             // Loops to compute the next check again, which may now be sooner.
-            () = activity.head_started.notified() => {}
+            () = activity.head_started.notified() => limits = current_limits(&gateway),
             () = activity.stalled() => {
                 log::info!("event=connection_closed reason=client_stalled");
                 gateway.metrics.clients_stalled.inc();
                 return;
             }
-            () = sleep_until(activity.next_check(limits.head_timeout, idle_timeout)) => {
+            () = sleep_until(next_check) => {
+                // Shorter timeouts of a newer configuration apply from the next request on.
+                let current = current_limits(&gateway);
+                limits.head_timeout = limits.head_timeout.max(current.head_timeout);
+                limits.idle_timeout = limits.idle_timeout.max(current.idle_timeout);
                 if activity.is_slow_head(limits.head_timeout) {
                     log::info!("event=connection_closed reason=slow_head");
                     return;
                 }
                 if activity.is_busy() || is_shut || handle.has_unread() {
                     activity.idle_since.set(Instant::now());
-                } else if activity.idle_since.get() + idle_timeout <= Instant::now() {
+                } else if activity.idle_since.get() + idle_timeout(&limits) <= Instant::now() {
                     is_shut = true;
                     connection.as_mut().graceful_shutdown();
                 }
@@ -164,6 +170,6 @@
     }
 }
 
-fn limits(gateway: &Gateway) -> ClientLimits {
+fn current_limits(gateway: &Gateway) -> ClientLimits {
     gateway.config.borrow().as_ref().map_or(DEFAULT_LIMITS, |it| it.limits)
 }
--- a/crates/gateway/tests/gateway/config_changes.rs
+++ b/crates/gateway/tests/gateway/config_changes.rs
@@ -42,7 +42,9 @@
     head_in_parts_outlasts_a_shorter_idle_timeout => arriving_head("idle_timeout_ms", 300),
     head_in_parts_outlasts_a_lower_size_limit => arriving_head("max_header_bytes", 100),
     // Guard against an open connection that goes on with the limits of the version at which it was opened.
+    connection_is_kept_for_a_longer_idle_timeout => kept_connection(),
     connection_idle_for_longer_than_a_shorter_timeout_is_served => shortened_idle(),
+    slow_head_is_read_within_a_longer_timeout => raised_limit("header_timeout_ms", 300, slow_head),
     larger_body_is_read_on_an_open_connection => raised_limit("max_body_bytes", 10, large_body),
 }
 
@@ -432,6 +434,22 @@
     deployment.instance.wait_line(&format!("event=config_applied version={version} ")).await;
 }
 
+/// Clients reuse connections that were idle for up to four fifths of the limit in force
+async fn kept_connection() -> Result<()> {
+    let deployment = one_service().await;
+    lower_limit(&deployment, 3, "idle_timeout_ms", 800).await;
+    let mut client = RawClient::connect(deployment.instance.clients).await;
+    client.write(get("lookups", "id-1")).await;
+    verify_that!(client.read().await.status, eq(200))?;
+    lower_limit(&deployment, 4, "idle_timeout_ms", 4000).await;
+    for id in ["id-2", "id-3"] {
+        sleep(Duration::from_millis(2500)).await;
+        let got = client.exchange(get("lookups", id)).await;
+        verify_that!(got.map(|it| it.status), some(eq(200)))?;
+    }
+    Ok(())
+}
+
 /// The client has chosen the connection by the limit that was in force before
 async fn shortened_idle() -> Result<()> {
     let deployment = one_service().await;
@@ -448,6 +466,12 @@
 /// Parts of a request, 800 ms apart
 type RequestParts = fn() -> Vec<String>;
 
+fn slow_head() -> Vec<String> {
+    let request = get("lookups", "id-2");
+    let (first, second) = request.split_at(20);
+    vec![first.to_owned(), second.to_owned()]
+}
+
 fn large_body() -> Vec<String> {
     vec![post("entries", "id-2", &"a".repeat(5000))]
 }
