Keep waiting for an endpoint if no other one accepts the request

Callers of a pool with one endpoint got 502 for requests that may be repeated, 1.3 s into a silence and seconds before their deadline, though the endpoint answered just then. The same happened once beside the removal of a pool, whose instances then share one connection to each endpoint, so that no other endpoint takes a retry.

Cause: an endpoint was given up after three times the objective, so that the request is retried elsewhere, without regard to whether there is an elsewhere. The request is now given up at that time, or later, once an endpoint accepts it that it has not been sent to; at the latest at its deadline.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -225,7 +225,7 @@
     pub may_start: &'a dyn Fn() -> bool,
 }
 
-/// Sends a request and waits until `deadline` for the head of its answer
+/// Sends a request and waits for the head of its answer, from `retry_at` on only while nothing else can take it
 ///
 /// # Errors
 /// `SendError`; `SendError::run_status` tells whether the request may have run.
@@ -234,7 +234,7 @@
     target: SendTarget<'_>,
     request: &ClientRequest,
     parameters: &SendParameters,
-    deadline: Instant,
+    retry_at: Instant,
 ) -> Result<OpenAnswer, SendError> {
     let SendTarget {
         endpoint,
@@ -248,7 +248,7 @@
     let share = gateway.connection_share(&endpoint.pool);
     let acquired =
         gateway.connections.acquire(endpoint, Some(&request.id), !reuses_connection, share);
-    let mut connection = match timeout_at(deadline, acquired).await {
+    let mut connection = match timeout_at(retry_at, acquired).await {
         Ok(connection) => connection.map_err(SendError::Exchange)?,
         Err(_) => return Err(SendError::Exchange(ExchangeError::ConnectTimedOut)),
     };
@@ -267,17 +267,18 @@
     let outgoing = endpoint_request(request, parameters).ok_or(SendError::Unusable)?;
     let is_new_connection = !connection.is_reused;
     let response = tokio::select! {
-        response = timeout_at(deadline, connection.exchange(outgoing)) => match response {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) => {
+        biased;
+        response = connection.exchange(outgoing) => match response {
+            Ok(response) => response,
+            Err(error) => {
                 if matches!(error, ExchangeError::Stale(_)) {
                     let now = std::time::Instant::now();
                     gateway.reuse_monitor.borrow_mut().record_stale(&endpoint.pool, now);
                 }
                 return Err(SendError::Exchange(error));
             }
-            Err(_) => return Err(SendError::TimedOut),
         },
+        () = call.retry_due(gateway, endpoint, retry_at) => return Err(SendError::TimedOut),
         () = gateway.check_if_silent(endpoint) => return Err(SendError::TimedOut),
         () = call.relay_due(gateway, once) => return Err(SendError::TimedOut),
     };
@@ -297,7 +298,7 @@
         let status = head.status;
         let answer = OpenAnswer { head, headers: parts.headers, body, connection, work_guard };
         // Reading the rest only serves to reuse the connection.
-        let rest_deadline = deadline.min(Instant::now() + DECLINED_REST_TIMEOUT);
+        let rest_deadline = call.deadline.min(Instant::now() + DECLINED_REST_TIMEOUT);
         if let Err(error) = read_whole(gateway, answer, rest_deadline).await {
             log::debug!("event=declined_answer_broken id={} error={error}", request.id);
         }
--- a/crates/gateway/src/generation/generate.rs
+++ b/crates/gateway/src/generation/generate.rs
@@ -60,15 +60,19 @@
         expects_signature: true,
         may_start: &may_start,
     };
-    let deadline = call.answer_deadline(gateway);
+    let retry_at = call.answer_deadline(gateway);
     let sent_at = Instant::now();
-    let answer = send(gateway, target, &call.request, &parameters, deadline).await?;
+    let answer = send(gateway, target, &call.request, &parameters, retry_at).await?;
     if !answer.head.status.is_success() {
         let answer = read_whole(gateway, answer, call.deadline).await?;
         return Ok(Started::Failed(answer));
     }
     let mut stream = EngineStream::new(answer, milliseconds(step.pick.own_ms));
-    let first = stream.next(gateway, call, deadline).await?;
+    let first = tokio::select! {
+        biased;
+        first = stream.next(gateway, call, call.deadline) => first?,
+        () = call.retry_due(gateway, &step.engine, retry_at) => return Err(SendError::TimedOut),
+    };
     stream.first_event_at = Instant::now();
     stream.event_limit = call.route.event_limit();
     record_prompt_read(gateway, call, &step.engine, &step.pick, sent_at.elapsed());
--- a/crates/gateway/src/hedged_send.rs
+++ b/crates/gateway/src/hedged_send.rs
@@ -53,6 +53,8 @@
     let deadline = match &first.answer {
         // Waiting for the other copy may have used up the time of a send.
         Ok(answer) if is_error(answer) && first.failed.is_some() => call.deadline,
+        // So may waiting for an endpoint that was the only one.
+        Ok(_) if Instant::now() >= deadline => call.deadline,
         _ => deadline,
     };
     let answer = match first.answer {
--- a/crates/gateway/src/serving_call/limits.rs
+++ b/crates/gateway/src/serving_call/limits.rs
@@ -7,7 +7,7 @@
 use decide::serving::route::RetryRule;
 use decide::serving::send_history::RunStatus;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 /// Failed connection attempts after which a request is refused; they count apart from sends, since
 /// none of them reached an endpoint.
@@ -19,6 +19,8 @@
 const PREFILL_TIMEOUT_OBJECTIVES: f64 = 2.0;
 /// The same in multiples of the expected time, for prompts that take longer than the objective.
 const PREFILL_TIMEOUT_FACTOR: f64 = 3.0;
+/// Pause between two checks whether an endpoint accepts a request that waits at a silent one.
+const RETRY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 impl ServingCall {
     /// Whether another send is allowed and the deadline has not passed
@@ -58,7 +60,7 @@
     }
 
     /// Time until which to wait for an endpoint's answer: the request's deadline, or sooner if the
-    /// request can be retried elsewhere
+    /// request may be retried elsewhere
     pub fn answer_deadline(&self, gateway: &Gateway) -> Instant {
         let mut after = self.history;
         after.record_send(RunStatus::MayHaveRun);
@@ -92,6 +94,14 @@
         }
     }
 
+    /// Waits until a time, and on until another endpoint than the silent one accepts the request or its deadline passes
+    pub async fn retry_due(&self, gateway: &Gateway, silent: &ListedEndpoint, retry_at: Instant) {
+        sleep_until(retry_at).await;
+        while Instant::now() < self.deadline && !gateway.has_alternative(self, silent) {
+            sleep_until(self.deadline.min(Instant::now() + RETRY_CHECK_INTERVAL)).await;
+        }
+    }
+
     /// Waits for a paused endpoint if none accepts requests; `false` if the request is to be refused
     pub async fn wait_for_pause(&self, gateway: &Gateway) -> bool {
         let Some(PauseStep::Wait(pause)) = gateway.pause_step(self) else { return false };
@@ -102,6 +112,21 @@
 }
 
 impl Gateway {
+    /// Whether an endpoint that the request hasn't been sent to accepts it now
+    fn has_alternative(&self, call: &ServingCall, endpoint: &ListedEndpoint) -> bool {
+        let now = std::time::Instant::now();
+        let share = self.connection_share(&call.pool);
+        let (running, hedge) = (call.running.borrow(), call.hedge.borrow());
+        let current = [Some(endpoint), running.as_ref().map(|it| &it.endpoint), hedge.as_ref()];
+        let is_alternative = |it: &ListedEndpoint| {
+            let is_current = current.iter().flatten().any(|current| current.id == it.id);
+            let is_tried = is_current || call.excluded.contains(&it.id);
+            !is_tried && call.fits(it) && self.connections.has_capacity(it, share)
+        };
+        let list = self.endpoints.borrow();
+        list.ready(now).any(|it| is_alternative(it) && self.accepts(it))
+    }
+
     /// Endpoints that accept a request now
     pub fn ready_endpoints(&self, call: &ServingCall) -> Vec<ListedEndpoint> {
         let (pool, rule) = (&call.pool, call.route.retry_rule);
--- a/crates/gateway/tests/gateway/config_changes.rs
+++ b/crates/gateway/tests/gateway/config_changes.rs
@@ -17,6 +17,7 @@
     // Guard against an answer that ends before its deadline since the endpoints are silent meanwhile.
     requests_outlast_the_silence_of_all_endpoints => waiting(1000, ALL, unchanged),
     requests_outlast_a_longer_silence_of_all_endpoints => waiting(1300, ALL, unchanged),
+    requests_outlast_the_silence_of_the_only_endpoint => waiting(1300, ONLY, unchanged),
     requests_outlast_the_silence_of_most_endpoints => waiting(1100, MOST, unchanged),
     // Guard against a request that is given up for another instance, which no endpoint answers either.
     requests_to_a_fleet_outlast_the_silence_of_all_endpoints => fleet_waiting(3),
@@ -29,6 +30,7 @@
     requests_outlast_a_shorter_timeout_beside_sound_endpoints => waiting(1100, MOST, shorten_timeouts),
     requests_outlast_a_change_of_kind => waiting(1200, ALL, change_kinds),
     requests_outlast_a_lower_connection_limit => waiting(1200, ALL, limit_connections),
+    requests_outlast_the_removal_of_their_pools => waiting(1200, ALL, remove_pools),
     // Guard against a request that a reload ends.
     requests_outlast_reloads_in_series => reloads(false),
     requests_outlast_reloads_while_stopping => reloads(true),
@@ -61,6 +63,7 @@
 }
 
 const ALL: PoolSize = PoolSize { silent: 3, sound: 0 };
+const ONLY: PoolSize = PoolSize { silent: 1, sound: 0 };
 const MOST: PoolSize = PoolSize { silent: 3, sound: 2 };
 
 /// Change of a configuration
