Test a reload that comes before it is handled (fails)

A SIGHUP that comes while the process still reads its settings ends it: the handlers are installed only after that, and the default action of the signal is the end of the process. No request is lost, since nothing listens yet, but the instance is missing until it is started again. The test starts an instance whose settings are a pipe, sends SIGHUP and then writes the settings.

--- a/crates/gateway/tests/gateway/config_changes.rs
+++ b/crates/gateway/tests/gateway/config_changes.rs
@@ -7,6 +7,7 @@
 use crate::ending_fleet::EndingFleet;
 use crate::endpoint::{Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, stream_head};
 use crate::process::Instance;
+use crate::store::FakeStore;
 use googletest::prelude::*;
 use serde_json::Value;
 use std::time::{Duration, Instant};
@@ -35,6 +36,8 @@
     requests_outlast_reloads_in_series => reloads(false),
     requests_outlast_reloads_while_stopping => reloads(true),
     reloads_beside_configurations_end_no_request => reloads_beside_changes(),
+    // Guards against a process that a reload ends, since it comes before the signal is handled.
+    reload_of_a_starting_instance_does_not_end_it => early_reload(),
     // Guard against a request that is cut since its configuration changes while it arrives.
     body_in_chunks_outlasts_the_removal_of_its_route => arriving(remove_routes),
     body_in_chunks_outlasts_the_removal_of_its_pool => arriving(remove_pools),
@@ -389,6 +392,24 @@
     silent.check_answers(sent).await
 }
 
+/// The instance is still reading its settings
+async fn early_reload() -> Result<()> {
+    let store = FakeStore::start().await;
+    let (instance, settings) = Instance::launch_reading(store.address, "instance-1");
+    sleep(Duration::from_millis(500)).await;
+    instance.signal("HUP");
+    sleep(Duration::from_millis(100)).await;
+    settings.write();
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(10) {
+        if instance.lines().iter().any(|it| it.contains("event=start ")) {
+            return Ok(());
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    verify_that!(instance.lines(), contains(contains_substring("event=start ")))
+}
+
 async fn one_service() -> Deployment {
     let service = endpoint("service-1", script).await;
     let deployment = Deployment::start(&[&service]).await;
--- a/crates/gateway/tests/gateway/process.rs
+++ b/crates/gateway/tests/gateway/process.rs
@@ -1,7 +1,9 @@
 //! Runs an instance as a process.
 
-use std::io::{BufRead, BufReader};
+use std::fs::OpenOptions;
+use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
+use std::os::unix::fs::OpenOptionsExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -15,6 +17,8 @@
 const READY_PORT: u16 = 18140;
 const PEER_PORT: u16 = 18160;
 const METRICS_PORT: u16 = 9464;
+/// Flag by which a pipe that nobody reads isn't opened.
+const O_NONBLOCK: i32 = 0o4000;
 /// Environment variable with the path of an earlier build, for runs by hand.
 const EARLIER_BUILD_VARIABLE: &str = "SOAK_EARLIER_BUILD";
 
@@ -84,14 +88,23 @@
 
     /// Starts an instance of this size without waiting
     pub fn launch_sized(store: SocketAddr, name: &str, size: InstanceSize) -> Instance {
-        // Each instance needs its own address, since the metrics port is fixed. The process id keeps
-        // parallel test binaries apart.
-        let last = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
-        let pid = std::process::id();
-        let ip = format!("127.{}.{}.{last}", 1 + (pid >> 8) % 254, pid % 256);
-        let settings = std::env::temp_dir().join(format!("persimmonlift-{pid}-{last}.toml"));
-        std::fs::write(&settings, settings_text(&ip, store, name, size))
+        let (last, settings) = next_settings();
+        std::fs::write(&settings, settings_text(&own_address(last), store, name, size))
             .expect("temporary directory");
+        Instance::spawn(last, settings)
+    }
+
+    /// Starts an instance that waits for its settings until they are written
+    pub fn launch_reading(store: SocketAddr, name: &str) -> (Instance, PendingSettings) {
+        let (last, path) = next_settings();
+        let status = Command::new("mkfifo").arg(&path).status().expect("mkfifo runs");
+        assert!(status.success(), "no pipe at {path:?}");
+        let text = settings_text(&own_address(last), store, name, InstanceSize::default());
+        (Instance::spawn(last, path.clone()), PendingSettings { path, text })
+    }
+
+    fn spawn(last: u8, settings: PathBuf) -> Instance {
+        let ip = own_address(last);
         // Every other instance may run an earlier build.
         let earlier = std::env::var_os(EARLIER_BUILD_VARIABLE).filter(|_| last.is_multiple_of(2));
         let build = earlier.unwrap_or_else(|| env!("CARGO_BIN_EXE_persimmonlift-gateway").into());
@@ -209,6 +222,37 @@
     }
 }
 
+/// Settings that an instance is yet to read
+pub struct PendingSettings {
+    path: PathBuf,
+    text: String,
+}
+
+impl PendingSettings {
+    /// Writes the settings if the instance still waits for them
+    pub fn write(self) {
+        let pipe = OpenOptions::new().write(true).custom_flags(O_NONBLOCK).open(&self.path);
+        if let Ok(mut pipe) = pipe {
+            let _ = pipe.write_all(self.text.as_bytes());
+        }
+    }
+}
+
+/// Number of the next instance's address, and the path of its settings
+fn next_settings() -> (u8, PathBuf) {
+    let last = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
+    let pid = std::process::id();
+    (last, std::env::temp_dir().join(format!("persimmonlift-{pid}-{last}.toml")))
+}
+
+/// Address of an instance
+///
+/// Each instance needs its own, since the metrics port is fixed. The process id keeps parallel test binaries apart.
+fn own_address(last: u8) -> String {
+    let pid = std::process::id();
+    format!("127.{}.{}.{last}", 1 + (pid >> 8) % 254, pid % 256)
+}
+
 impl Drop for Instance {
     fn drop(&mut self) {
         // Errors are ignored, since the process may have exited already.
