Test a larger head on a connection opened under a lower limit (fails)

A connection keeps the `max_header_bytes` in force when it was opened: the read buffer of the HTTP library is sized then. A head within a raised limit is answered 431 on such a connection.

--- a/crates/gateway/tests/gateway/config_changes.rs
+++ b/crates/gateway/tests/gateway/config_changes.rs
@@ -50,6 +50,7 @@
     connection_is_kept_for_a_longer_idle_timeout => kept_connection(),
     connection_idle_for_longer_than_a_shorter_timeout_is_served => shortened_idle(),
     slow_head_is_read_within_a_longer_timeout => raised_limit("header_timeout_ms", 300, slow_head),
+    larger_head_is_read_on_an_open_connection => raised_limit("max_header_bytes", 8192, large_head),
     larger_body_is_read_on_an_open_connection => raised_limit("max_body_bytes", 10, large_body),
 }
 
@@ -496,6 +497,11 @@
     vec![first.to_owned(), second.to_owned()]
 }
 
+fn large_head() -> Vec<String> {
+    let header = format!("\r\nX-Large: {}\r\nHost:", "a".repeat(12_000));
+    vec![get("lookups", "id-2").replacen("\r\nHost:", &header, 1)]
+}
+
 fn large_body() -> Vec<String> {
     vec![post("entries", "id-2", &"a".repeat(5000))]
 }
