Read on after a record without key and value

Cause: a record of a keyed topic that is empty, or whose key would end beyond it, was taken for a truncated answer. The read was repeated at the same offset and failed again, until the store dropped the record, so that endpoints and configurations that came later were not followed. The offset of the next read was also derived from the last record that could be decoded. Change: such a record is skipped, and a batch states the offset at which to read on. An answer that ends within a record remains an error. Whether the store accepts such records isn't stated in its protocol.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -14,7 +14,6 @@
 use crate::state::Gateway;
 use bytes::Bytes;
 use catalogue::id::PoolName;
-use decide::serving::endpoint_list::ListOffset;
 use decide::serving::route::ServingConfig;
 use decide::serving::store_era::{EraChange, TopicPosition};
 use platform::transfer::TransferProgress;
@@ -180,7 +179,8 @@
         let value = value.map(Bytes::from);
         KeyedRecord { key, value, offset }
     });
-    let batch = RecordBatch { records: records.collect(), end: update.to.offset };
+    let end = update.to.offset;
+    let batch = RecordBatch { records: records.collect(), end, next: end };
     log::debug!("event=endpoints_told from={} to={}", update.from.offset, update.to.offset);
     gateway.record_endpoints_read(update.to);
     apply_endpoints(gateway, &batch, false, false);
@@ -246,17 +246,8 @@
         let records = batch.records.len();
         log::info!("event=store_read topic={topic} call={call} records={records} {progress}");
     }
-    let offset = next_offset(&batch, position);
-    Ok((batch, TopicPosition { era, offset }))
-}
-
-/// Offset of the next read: after the last record, or the topic's end after a full read
-fn next_offset(batch: &RecordBatch, position: Option<TopicPosition>) -> ListOffset {
-    match (position, batch.records.last()) {
-        (Some(_), Some(record)) => record.offset + 1,
-        (Some(from), None) => from.offset,
-        (None, _) => batch.end,
-    }
+    let to = TopicPosition { era, offset: batch.next };
+    Ok((batch, to))
 }
 
 /// Fetches the configuration announced last if another instance offers it; `true` if it is in force now
