Add the weights of a route's targets without overflow

Cause: the weights were added as 32-bit integers. Weights up to that range are accepted, so that their sum could overflow: each request on the route then panics where overflow is checked, and is sent by wrong weights where it isn't. Change: they are added as floating-point numbers, which is exact in that range. The store is said to accept only valid configurations, so this is a precaution.

--- a/crates/decide/src/serving/route.rs
+++ b/crates/decide/src/serving/route.rs
@@ -87,8 +87,8 @@
 
     /// Target of a request, chosen by weight; `draw` is uniform in 0..1
     pub fn target(&self, draw: f64) -> &RouteTarget {
-        let total: u32 = self.targets.iter().map(|it| it.weight).sum();
-        let mut remaining = draw * f64::from(total);
+        let total: f64 = self.targets.iter().map(|it| f64::from(it.weight)).sum();
+        let mut remaining = draw * total;
         for target in &self.targets {
             remaining -= f64::from(target.weight);
             if remaining < 0.0 {
