Test instances beside records of another writer, from end to end

The stand-in of the store has pages, of at most 500 keys or 1 MB as the platform's, and records of any bytes.

--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -18,9 +18,12 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
-/// Size limit of the records in an answer, in bytes; the first record is sent in any case.
+/// Size limit of the records in an answer or on a page, in bytes; the first record is sent in any case.
 const MAX_READ_BYTES: usize = 1024 * 1024;
 
+/// Keys on a page of newest records.
+const PAGE_ITEMS: usize = 500;
+
 /// How the store answers
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StoreMode {
@@ -39,6 +42,8 @@
     first: u64,
     records: Vec<(String, Vec<u8>)>,
     newest: IndexMap<String, (Vec<u8>, u64)>,
+    /// Records without key and value, by offset
+    raw: IndexMap<u64, Vec<u8>>,
 }
 
 impl Topic {
@@ -163,6 +168,16 @@
         self.changed.notify_waiters();
     }
 
+    /// Appends a record of these bytes, which need not be a key and a value
+    pub fn put_raw(&self, topic: &str, content: &[u8]) {
+        let mut state = self.state.lock().expect("no panic");
+        let topic = state.topics.entry(topic.to_owned()).or_default();
+        topic.raw.insert(topic.end(), content.to_vec());
+        topic.records.push((String::new(), Vec::new()));
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// Drops the history of a topic, but not the newest record of each key
     pub fn forget_history(&self, topic: &str) {
         let mut state = self.state.lock().expect("no panic");
@@ -265,11 +280,21 @@
     fn newest(&self, query: &IndexMap<String, String>) -> Response<Full<Bytes>> {
         let mut state = self.state.lock().expect("no panic");
         let topic = state.topics.entry(query["topic"].clone()).or_default();
-        let items = topic.newest.iter().map(|(key, (value, offset))| {
+        let after = query.get("after").map(|it| percent_decode(it));
+        let skipped = after.and_then(|it| topic.newest.get_index_of(&it)).map_or(0, |it| it + 1);
+        let mut bytes = 0;
+        let later = topic.newest.iter().skip(skipped).take(PAGE_ITEMS);
+        let shown = later.take_while(|(_, (value, _))| {
+            bytes += value.len();
+            bytes <= MAX_READ_BYTES || bytes == value.len()
+        });
+        let items = shown.map(|(key, (value, offset))| {
             serde_json::json!({"key": key, "value": STANDARD.encode(value), "offset": offset})
         });
+        let items = items.collect::<Vec<_>>();
+        let has_more = topic.newest.len() > skipped + items.len();
         let page = serde_json::json!({
-            "items": items.collect::<Vec<_>>(), "more_pages": false, "end": topic.end()
+            "items": items, "more_pages": has_more, "end": topic.end()
         });
         Response::new(Full::from(page.to_string()))
     }
@@ -300,10 +325,16 @@
         body.extend_from_slice(&topic.end().to_be_bytes());
         body.extend_from_slice(&topic.first.to_be_bytes());
         let skipped = usize::try_from(from.saturating_sub(topic.first)).expect("small");
-        for (key, value) in topic.records.iter().skip(skipped) {
+        for (offset, (key, value)) in (topic.first..).zip(&topic.records).skip(skipped) {
             if body.len() > 16 && body.len() + value.len() > MAX_READ_BYTES {
                 break;
             }
+            if let Some(raw) = topic.raw.get(&offset) {
+                let length = u32::try_from(raw.len()).expect("small");
+                body.extend_from_slice(&length.to_be_bytes());
+                body.extend_from_slice(raw);
+                continue;
+            }
             let length = u32::try_from(1 + key.len() + value.len()).expect("small");
             body.extend_from_slice(&length.to_be_bytes());
             body.push(u8::try_from(key.len()).expect("short key"));
@@ -363,3 +394,20 @@
     let pairs = text.split('&').filter_map(|it| it.split_once('='));
     pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
 }
+
+fn percent_decode(text: &str) -> String {
+    let mut bytes = text.bytes();
+    let mut decoded = Vec::new();
+    while let Some(byte) = bytes.next() {
+        decoded.push(match byte {
+            b'%' => {
+                let digits = [bytes.next(), bytes.next()].map(Option::unwrap_or_default);
+                let digits = str::from_utf8(&digits).expect("two digits");
+                u8::from_str_radix(digits, 16).expect("two digits")
+            }
+            b'+' => b' ',
+            other => other,
+        });
+    }
+    String::from_utf8_lossy(&decoded).into_owned()
+}
