--- a/crates/decide/src/serving/usage_ledger.rs
+++ b/crates/decide/src/serving/usage_ledger.rs
@@ -23,6 +23,9 @@
 /// Windows after the present one for which counts are accepted, since clocks differ a little.
 const MAX_WINDOWS_AHEAD: WindowNumber = 2;
 
+/// Largest error of a clock by which a holder has recorded windows.
+const MAX_CLOCK_ERROR: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Counts by customer, in the order of the names
 pub type UsageCounts = Vec<(CustomerName, u64)>;
 
@@ -108,6 +111,11 @@
         self.unfixed.unwrap_or_default()
     }
 
+    /// Whether a window lies so far ahead that no holder can have recorded it, whatever its clock
+    pub fn is_out_of_range(&self, window: WindowNumber, unix: Duration) -> bool {
+        window > self.timing.window_at(unix + MAX_CLOCK_ERROR)
+    }
+
     /// Number of messages that were refused for lack of room
     pub fn refused(&self) -> u64 {
         self.refused
@@ -338,3 +346,12 @@
     names: Vec<CustomerName>,
     windows: Vec<(WindowNumber, Vec<SourceCounts>)>,
 }
+
+impl UsageSnapshot {
+    /// Last window that it names
+    pub fn last_window(&self) -> WindowNumber {
+        let sources = self.sources.iter().map(|it| it.1.max(it.2));
+        let windows = self.windows.iter().map(|it| it.0);
+        sources.chain(windows).fold(self.unfixed, WindowNumber::max)
+    }
+}
--- a/crates/gateway/src/usage/reporting.rs
+++ b/crates/gateway/src/usage/reporting.rs
@@ -82,6 +82,10 @@
         let snapshot = duties.value(SNAPSHOT_KEY);
         let records = report_keys().filter_map(|it| duties.value(&it));
         let mut fixed = records.filter_map(|it| decode_report(&it)).collect::<Vec<_>>();
+        let unix = usage.ledger_times(boot_time()).unix;
+        // Windows that no holder can have recorded would leave none to report.
+        let is_odd = |window| usage.ledger.borrow().is_out_of_range(window, unix);
+        fixed.retain(|it| it.unaccepted <= it.window && !is_odd(it.window));
         fixed.sort_by_key(|it| it.window);
         let unaccepted = fixed.iter().map(|it| it.unaccepted).max().unwrap_or_default();
         {
@@ -95,7 +99,9 @@
             if unfixed > 0 {
                 ledger.record_fixed(unfixed);
             }
-            if let Some(snapshot) = snapshot.as_deref().and_then(decode_snapshot) {
+            let snapshot = snapshot.as_deref().and_then(decode_snapshot);
+            let snapshot = snapshot.filter(|it| !ledger.is_out_of_range(it.last_window(), unix));
+            if let Some(snapshot) = snapshot {
                 ledger.merge(&snapshot);
             }
         }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -28,6 +28,7 @@
 mod late_answers;
 mod malformed;
 mod notices;
+mod odd_duty_records;
 mod odd_records;
 mod plain;
 mod process;
