Take terms with tokens above any that a lease's record states

Cause: a new term's token is made of the era and the end of the topic, and was not compared with the token of the newest record. A record that no instance has written may state a higher one: the new holder then used a token that was not the highest, all instances held the record's holder for the present one, and no usage was reported. Change: the token is also higher than that of the newest record. With it, all of odd_duty_records: 20 of 20 passed. Tokens of records that instances write are lower than their offset's, so that nothing changes for these: `cargo test -p decide` passed.

--- a/crates/decide/src/serving/duty_lease/mod.rs
+++ b/crates/decide/src/serving/duty_lease/mod.rs
@@ -314,5 +314,7 @@
     let seen = view.lease.as_ref().and_then(|it| it.record.as_ref()).map_or(0, |it| it.fence);
     // An era that was seen by mistake, and is gone, must not make tokens fall.
     let era = view.position.era.max(seen >> ERA_SHIFT);
-    (era << ERA_SHIFT) + view.position.offset
+    let fence = (era << ERA_SHIFT) + view.position.offset;
+    // The token of a record that no instance has written may be beyond its offset.
+    fence.max(seen.saturating_add(1))
 }
