--- a/crates/gateway/src/usage/reporting.rs
+++ b/crates/gateway/src/usage/reporting.rs
@@ -86,6 +86,10 @@
         let mut fixed = records.iter().filter_map(|it| decode_report(it)).collect::<Vec<_>>();
         let eras = records.iter().filter_map(|it| report_era(it));
         let recorded_in = eras.chain(snapshot.as_deref().and_then(snapshot_era)).max();
+        let unix = usage.ledger_times(boot_time()).unix;
+        // Windows that no holder can have recorded would leave none to report.
+        let is_odd = |window| usage.ledger.borrow().is_out_of_range(window, unix);
+        fixed.retain(|it| it.unaccepted <= it.window && !is_odd(it.window));
         fixed.sort_by_key(|it| it.window);
         let unaccepted = fixed.iter().map(|it| it.unaccepted).max().unwrap_or_default();
         {
@@ -99,14 +103,16 @@
             if unfixed > 0 {
                 ledger.record_fixed(unfixed);
             }
-            if let Some(snapshot) = snapshot.as_deref().and_then(decode_snapshot) {
+            let snapshot = snapshot.as_deref().and_then(decode_snapshot);
+            let snapshot = snapshot.filter(|it| !ledger.is_out_of_range(it.last_window(), unix));
+            if let Some(snapshot) = snapshot {
                 ledger.merge(&snapshot);
             }
             let era = token_era(fence);
             let has_seen_return = *gateway.era_changes.borrow() == era;
             if recorded_in.is_some_and(|it| it < era) && !has_seen_return {
                 // Reports that were accepted before the return may be in no record.
-                ledger.give_up_begun(usage.ledger_times(boot_time()).unix);
+                ledger.give_up_begun(unix);
                 let unfixed = ledger.unfixed();
                 log::warn!("event=usage_given_up before={unfixed} reason=store_returned era={era}");
             }
