Gateway: fail an answer whose head follows a part of another one

What callers saw: 429 or 503, "not run", for a request that an engine was running, also for streams that may run once; and an endpoint's 500 as a 200.

Cause: a faulty endpoint writes a part of an earlier answer on a kept connection after the next request was sent, and then the true answer. If the part ends in the reason or in a header's value, both parse as one head: status and X-Not-Run of the earlier answer, id and signature of the true one. The id matched, so the refusal was believed, or relayed.

On a reused connection such an answer fails the send: the request may have run, and the connection is closed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -56,6 +56,8 @@
     Mismatched,
     /// answer on a reused connection names no request, so that it may belong to an earlier one
     Unnamed,
+    /// head of the answer follows a part of another one
+    Joined,
     /// endpoint closed the connection before the end of the answer
     Truncated,
     /// endpoint sent more than an answer may have
@@ -95,7 +97,7 @@
             | SendError::Truncated
             | SendError::Oversized
             | SendError::TimedOut => Some(SendResult::Broken),
-            SendError::Mismatched => Some(SendResult::Failed),
+            SendError::Mismatched | SendError::Joined => Some(SendResult::Failed),
             SendError::Prefill(error) => error.result(),
         }
     }
@@ -173,6 +175,7 @@
             )
             | SendError::Mismatched
             | SendError::Unnamed
+            | SendError::Joined
             | SendError::Truncated
             | SendError::Oversized
             | SendError::NoRoom
@@ -280,6 +283,8 @@
         // An endpoint that has not read the request's headers answers without an id. What comes so on a
         // reused connection may be a late second copy, also of a refusal, which then promises nothing.
         None if !is_new_connection => return Err(SendError::Unnamed),
+        // The part belongs to an earlier answer, and with it perhaps the status.
+        _ if head.is_joined && !is_new_connection => return Err(SendError::Joined),
         _ => {}
     }
     gateway.record_alive(endpoint);
--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -223,6 +223,7 @@
         SendError::Declined(_) => "declined",
         SendError::Mismatched => "foreign",
         SendError::Unnamed => "unnamed",
+        SendError::Joined => "joined",
         SendError::Truncated => "broken_off",
         SendError::Oversized => "oversized",
         SendError::TimedOut => "timed_out",
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -38,6 +38,7 @@
 mod soak;
 mod software_versions;
 mod store;
+mod stray_refusals;
 mod streams;
 mod unframed;
 mod usage;
