Gateway: send streams on no connection that has carried a refusal

What callers saw: 503, "not run", for a stream that an engine was running.

Cause: a faulty endpoint writes an earlier refusal once more on a kept connection and gives it the id of the request that it has just read. Nothing in such an answer tells it from a true refusal. The send counted as not run, the connection was kept, and the engine went on with the stream.

Change: a connection records that it has carried a refusal, or a status that promises the same. Streams, which may be kept off a second run, are sent only on other ones, and the refusal of a stream closes its connection, which also ends a run behind a false refusal. Other requests that may run only once got a new connection before. Those that may run again, prefill calls and calls of the gateway itself still use every kept connection.

Cost: one connection for each refused stream.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,6 @@
 //! A single attempt to send a request to an endpoint.
 
-use crate::connections::{EndpointConnection, ExchangeError};
+use crate::connections::{ConnectionReuse, EndpointConnection, ExchangeError};
 use crate::memory::MemoryShare;
 use crate::state::{Gateway, WorkGuard};
 use bytes::{Bytes, BytesMut};
@@ -11,7 +11,7 @@
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use platform_adapter::answer::{AnswerHead, decode_answer};
+use platform_adapter::answer::{AnswerHead, decode_answer, promises_not_run};
 use platform_adapter::engine::{cache_path, call_headers};
 use platform_adapter::head::{SendParameters, endpoint_headers};
 use smol_str::SmolStr;
@@ -217,8 +217,8 @@
     pub work_guard: WorkGuard,
     /// Whether the request may run only once
     pub once: bool,
-    /// Whether it may be sent on a connection that has carried another request
-    pub reuses_connection: bool,
+    /// Connections that may carry it
+    pub reuse: ConnectionReuse,
     /// Whether the answer must carry the endpoint's signature; answers to prefill calls do not
     pub expects_signature: bool,
     /// Starts the request once a connection is open; `false` if it must not be sent
@@ -236,11 +236,9 @@
     parameters: &SendParameters,
     deadline: Instant,
 ) -> Result<OpenAnswer, SendError> {
-    let SendTarget { endpoint, work_guard, once, reuses_connection, expects_signature, may_start } =
-        target;
+    let SendTarget { endpoint, work_guard, once, reuse, expects_signature, may_start } = target;
     let share = gateway.connection_share(&endpoint.pool);
-    let acquired =
-        gateway.connections.acquire(endpoint, Some(&request.id), !reuses_connection, share);
+    let acquired = gateway.connections.acquire(endpoint, Some(&request.id), reuse, share);
     let mut connection = match timeout_at(deadline, acquired).await {
         Ok(connection) => connection.map_err(SendError::Exchange)?,
         Err(_) => return Err(SendError::Exchange(ExchangeError::ConnectTimedOut)),
@@ -289,8 +287,13 @@
     }
     gateway.record_alive(endpoint);
     gateway.record_notices(endpoint, &head);
+    connection.has_refused |= head.has_not_run || promises_not_run(head.status);
     if head.has_not_run {
         let status = head.status;
+        // No other stream may use the connection. Closing it also ends the run if the refusal was false.
+        if reuse == ConnectionReuse::Unrefused {
+            return Err(SendError::Declined(status));
+        }
         let answer = OpenAnswer { head, headers: parts.headers, body, connection, work_guard };
         // Reading the rest only serves to reuse the connection.
         let rest_deadline = deadline.min(Instant::now() + DECLINED_REST_TIMEOUT);
@@ -374,7 +377,7 @@
     let share = gateway.connection_share(&engine.pool);
     let mut connection = gateway
         .connections
-        .acquire(engine, None, false, share)
+        .acquire(engine, None, ConnectionReuse::Any, share)
         .await
         .map_err(SendError::Exchange)?;
     if !gateway.try_start_send(engine) {
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -3,6 +3,10 @@
 //! A connection carries one request at a time. It is reused only after a complete
 //! answer to that request. Dropping it earlier closes it at once, so that the endpoint
 //! stops working on the request.
+//!
+//! A faulty endpoint may write a refusal once more, where the answer to the next request
+//! is expected. So what may not run after it was refused uses no connection that has
+//! carried a refusal.
 
 use bytes::Bytes;
 use decide::serving::endpoint_list::ListedEndpoint;
@@ -89,6 +93,17 @@
     }
 }
 
+/// Connections that may carry a request, besides a new one
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionReuse {
+    /// None
+    Never,
+    /// Those that have carried no refusal, of which a copy could be taken for an answer that promises something
+    Unrefused,
+    /// All
+    Any,
+}
+
 /// Key of a connection: an endpoint's incarnation and its address
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct EndpointKey {
@@ -133,6 +148,8 @@
     idle_timeout: Duration,
     /// Whether it has carried an earlier request
     pub is_reused: bool,
+    /// Whether an endpoint has refused a request on it
+    pub has_refused: bool,
     /// Ids of the latest requests that it has carried, the newest last
     carried: Vec<SmolStr>,
 }
@@ -200,7 +217,7 @@
 }
 
 impl EndpointConnections {
-    /// Returns an idle connection or opens one; a request that may run only once always gets a new one
+    /// Returns an idle connection or opens one
     ///
     /// `id` is that of a client's request. A connection that has carried one with the same id isn't reused: a late second copy of that
     /// one's answer could not be distinguished from the answer to this request.
@@ -214,10 +231,10 @@
         &self,
         endpoint: &ListedEndpoint,
         id: Option<&SmolStr>,
-        once: bool,
+        reuse: ConnectionReuse,
         share: usize,
     ) -> Result<EndpointConnection, ExchangeError> {
-        let idle = if once { None } else { self.acquire_idle(endpoint, id) };
+        let idle = self.acquire_idle(endpoint, id, reuse);
         let mut connection = match idle {
             Some(connection) => connection,
             None => connect(endpoint, None, self.count_open(endpoint, share)).await?,
@@ -235,10 +252,10 @@
         own: IpAddr,
         instance: &ListedEndpoint,
         id: Option<&SmolStr>,
-        once: bool,
+        reuse: ConnectionReuse,
         share: usize,
     ) -> Result<EndpointConnection, ExchangeError> {
-        let idle = if once { None } else { self.acquire_idle(instance, id) };
+        let idle = self.acquire_idle(instance, id, reuse);
         let mut connection = match idle {
             Some(connection) => connection,
             None => connect(instance, Some(own), self.count_open(instance, share)).await?,
@@ -258,13 +275,19 @@
         &self,
         endpoint: &ListedEndpoint,
         id: Option<&SmolStr>,
+        reuse: ConnectionReuse,
     ) -> Option<EndpointConnection> {
+        if reuse == ConnectionReuse::Never {
+            return None;
+        }
         let mut sets = self.sets.borrow_mut();
         let set = sets.get_mut(&EndpointKey::from(endpoint))?;
         set.drop_stale(Instant::now());
         // The one used last has the most idle time left.
         let is_usable = |it: &EndpointConnection| {
-            it.sender.is_ready() && !id.is_some_and(|id| it.carried.contains(id))
+            it.sender.is_ready()
+                && !id.is_some_and(|id| it.carried.contains(id))
+                && !(it.has_refused && reuse == ConnectionReuse::Unrefused)
         };
         let index = set.idle.iter().rposition(is_usable)?;
         Some(set.idle.remove(index))
@@ -339,6 +362,7 @@
         idle_since: Instant::now(),
         idle_timeout: DEFAULT_IDLE_TIMEOUT,
         is_reused: false,
+        has_refused: false,
         carried: Vec::new(),
     })
 }
--- a/crates/gateway/src/endpoint_link.rs
+++ b/crates/gateway/src/endpoint_link.rs
@@ -5,7 +5,7 @@
 //! requests suspected of crashing them. Evidence against an endpoint is therefore held back until another one has
 //! answered, and dropped if the link turns out to be cut while others reach the endpoints.
 
-use crate::connections::ExchangeError;
+use crate::connections::{ConnectionReuse, ExchangeError};
 use crate::link_evidence::{EvidenceKind, SILENCE_LIMIT};
 use crate::state::Gateway;
 use bytes::Bytes;
@@ -140,7 +140,8 @@
         *request.headers_mut() = call_headers(endpoint);
         let share = self.connection_share(&endpoint.pool);
         let exchange = async {
-            let mut connection = self.connections.acquire(endpoint, None, true, share).await?;
+            let mut connection =
+                self.connections.acquire(endpoint, None, ConnectionReuse::Never, share).await?;
             connection.exchange(request).await
         };
         match timeout(CHECK_TIMEOUT, exchange).await {
--- a/crates/gateway/src/generation/generate.rs
+++ b/crates/gateway/src/generation/generate.rs
@@ -3,6 +3,7 @@
 use super::engine_stream::{EngineStream, StreamItem};
 use super::plan::EngineStep;
 use crate::attempt::{SendError, SendTarget, WholeAnswer, read_whole, send};
+use crate::connections::ConnectionReuse;
 use crate::serving_call::ServingCall;
 use crate::state::Gateway;
 use decide::serving::endpoint_list::ListedEndpoint;
@@ -51,11 +52,15 @@
         true => call.start_hedge(gateway, &step.engine),
         false => call.start_run(gateway, &step.engine, true),
     };
+    let reuse = match once && !gateway.may_reuse_connection(&call.pool) {
+        true => ConnectionReuse::Never,
+        false => ConnectionReuse::Unrefused,
+    };
     let target = SendTarget {
         endpoint: &step.engine,
         work_guard: step.work_guard,
         once,
-        reuses_connection: !once || gateway.may_reuse_connection(&call.pool),
+        reuse,
         expects_signature: true,
         may_start: &may_start,
     };
--- a/crates/gateway/src/generation/send.rs
+++ b/crates/gateway/src/generation/send.rs
@@ -5,6 +5,7 @@
 use super::hedge::{FirstEvent, send_first};
 use super::plan::{EnginePath, EngineStep, plan_path};
 use crate::attempt::{SendError, SendTarget, free_cache, read_whole, send};
+use crate::connections::ConnectionReuse;
 use crate::relay;
 use crate::serving_call::ServingCall;
 use crate::state::Gateway;
@@ -171,7 +172,7 @@
         endpoint: &engine,
         work_guard: step.work_guard,
         once: false,
-        reuses_connection: true,
+        reuse: ConnectionReuse::Any,
         expects_signature: false,
         may_start: &may_start,
     };
--- a/crates/gateway/src/hedged_send.rs
+++ b/crates/gateway/src/hedged_send.rs
@@ -5,6 +5,7 @@
 //! software version.
 
 use crate::attempt::{OpenAnswer, SendError, SendTarget, WholeAnswer, read_whole, send};
+use crate::connections::ConnectionReuse;
 use crate::copy_race::{CopyRace, OtherCopy, race};
 use crate::hedges::HedgeTry;
 use crate::serving_call::ServingCall;
@@ -75,11 +76,12 @@
         true => call.start_hedge(gateway, endpoint),
         false => call.start_run(gateway, endpoint, false),
     };
+    let once = call.route.retry_rule == RetryRule::Once;
     let target = SendTarget {
         endpoint,
         work_guard,
-        once: call.route.retry_rule == RetryRule::Once,
-        reuses_connection: call.route.retry_rule != RetryRule::Once,
+        once,
+        reuse: if once { ConnectionReuse::Never } else { ConnectionReuse::Any },
         expects_signature: true,
         may_start: &may_start,
     };
--- a/crates/gateway/src/incarnation_check.rs
+++ b/crates/gateway/src/incarnation_check.rs
@@ -6,6 +6,7 @@
 //! engine is not resumed.
 
 use crate::boot_clock::boot_time;
+use crate::connections::ConnectionReuse;
 use crate::state::Gateway;
 use bytes::Bytes;
 use decide::serving::endpoint_list::{IncarnationStart, ListedEndpoint};
@@ -61,7 +62,8 @@
         *request.uri_mut() = REPORT_PATH.parse().ok()?;
         *request.headers_mut() = call_headers(engine);
         let share = self.connection_share(&engine.pool);
-        let mut connection = self.connections.acquire(engine, None, false, share).await.ok()?;
+        let mut connection =
+            self.connections.acquire(engine, None, ConnectionReuse::Any, share).await.ok()?;
         let answer = connection.exchange(request).await.ok()?;
         if !answer.status().is_success() {
             return None;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,7 +7,7 @@
 //! on that port with its configuration.
 
 use crate::attempt::{OpenAnswer, time_left};
-use crate::connections::{EndpointConnection, ExchangeError};
+use crate::connections::{ConnectionReuse, EndpointConnection, ExchangeError};
 use crate::link_evidence::ReportedLink;
 use crate::serving_call::ServingCall;
 use crate::state::{Gateway, WorkGuard};
@@ -222,14 +222,17 @@
     let Some(request) = relay_request(gateway, call, taken_up) else {
         return RelayTry::NotRun("unusable");
     };
-    let once = !call.route.retry_rule.allows_second_run();
+    let reuse = match call.route.retry_rule.allows_second_run() {
+        true => ConnectionReuse::Any,
+        false => ConnectionReuse::Never,
+    };
     let target = connection_target(peer, instance);
     let deadline = call.answer_deadline(gateway);
     let acquired = gateway.connections.acquire_from(
         gateway.settings.ip,
         &target,
         Some(&call.request.id),
-        once,
+        reuse,
         MAX_CONNECTIONS,
     );
     let mut connection = match timeout_at(deadline, acquired).await {
--- a/crates/gateway/tests/gateway/stray_refusals.rs
+++ b/crates/gateway/tests/gateway/stray_refusals.rs
@@ -4,33 +4,38 @@
 use crate::endpoint::{Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, stream_head};
 use googletest::prelude::*;
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use testcases::cases;
 
 cases! { async
     // Guard against "not run" for a request that runs, and against a second run of one that may run only once.
-    copy_is_no_promise => after(Earlier::Refused, |it, _| write(&refusal(it, 503, ""))),
-    copy_of_a_limit_is_no_promise => after(Earlier::Refused, |it, _| write(&refusal(it, 429, ""))),
-    copy_of_a_misdirection_is_no_promise => after(Earlier::Refused, |it, _| write(&refusal(it, 421, ""))),
-    copy_of_a_timeout_is_no_promise => after(Earlier::Refused, |it, _| write(&refusal(it, 408, ""))),
-    copy_of_a_rejection_is_no_promise => after(Earlier::Refused, |it, _| write(&refusal(it, 400, ""))),
-    copy_that_closes_is_no_promise => after(Earlier::Refused, |it, _| write(&refusal(it, 503, "Connection: close\r\n"))),
-    copy_without_an_id_is_no_promise => after(Earlier::Refused, |it, _| write(&without_id(&refusal(it, 503, "")))),
-    copy_without_its_mark_is_no_promise => after(Earlier::Refused, |it, _| write(&unmarked(&refusal(it, 503, "")))),
-    copy_without_id_and_mark_is_no_promise => after(Earlier::Refused, |it, _| write(&unmarked(&without_id(&refusal(it, 503, ""))))),
-    copy_that_comes_twice_is_no_promise => after(Earlier::Refused, |it, _| write(&refusal(it, 503, "").repeat(2))),
-    copy_after_interim_answers_is_no_promise => after(Earlier::Refused, |it, _| write(&after_interim(&refusal(it, 503, "")))),
-    copy_in_two_parts_is_no_promise => after(Earlier::Refused, |it, _| in_parts(&refusal(it, 503, ""))),
-    copy_after_an_answer_is_no_promise => after(Earlier::Answered, |it, _| write(&refusal(it, 503, ""))),
-    copy_without_an_id_after_an_answer_is_no_promise => after(Earlier::Answered, |it, _| write(&without_id(&refusal(it, 503, "")))),
+    copy_is_no_promise => after(|it, _| write(&refusal(it, 503, ""))),
+    copy_of_a_limit_is_no_promise => after(|it, _| write(&refusal(it, 429, ""))),
+    copy_of_a_misdirection_is_no_promise => after(|it, _| write(&refusal(it, 421, ""))),
+    copy_of_a_timeout_is_no_promise => after(|it, _| write(&refusal(it, 408, ""))),
+    copy_of_a_rejection_is_no_promise => after(|it, _| write(&refusal(it, 400, ""))),
+    copy_that_closes_is_no_promise => after(|it, _| write(&refusal(it, 503, "Connection: close\r\n"))),
+    copy_without_an_id_is_no_promise => after(|it, _| write(&without_id(&refusal(it, 503, "")))),
+    copy_without_its_mark_is_no_promise => after(|it, _| write(&unmarked(&refusal(it, 503, "")))),
+    copy_without_id_and_mark_is_no_promise => after(|it, _| write(&unmarked(&without_id(&refusal(it, 503, ""))))),
+    copy_that_comes_twice_is_no_promise => after(|it, _| write(&refusal(it, 503, "").repeat(2))),
+    copy_after_interim_answers_is_no_promise => after(|it, _| write(&after_interim(&refusal(it, 503, "")))),
+    copy_in_two_parts_is_no_promise => after(|it, _| in_parts(&refusal(it, 503, ""))),
     // Guard against a part of a refusal that is read with the head of the next answer as one head.
-    part_up_to_the_reason_is_no_promise => after(Earlier::Answered, |it, _| part(&refusal(it, 503, ""), "503 Ser")),
-    part_up_to_the_status_is_no_promise => after(Earlier::Answered, |it, _| part(&refusal(it, 429, ""), "429 ")),
-    part_up_to_a_header_is_no_promise => after(Earlier::Answered, |it, _| part(&refusal(it, 503, ""), "text/")),
-    part_up_to_its_id_is_no_promise => after(Earlier::Answered, |it, _| part(&refusal(it, 503, ""), "X-Request-Id: ")),
+    part_up_to_the_reason_is_no_promise => after(|it, _| part(&refusal(it, 503, ""), "503 Ser")),
+    part_up_to_the_status_is_no_promise => after(|it, _| part(&refusal(it, 429, ""), "429 ")),
+    part_up_to_a_header_is_no_promise => after(|it, _| part(&refusal(it, 503, ""), "text/")),
+    part_up_to_its_id_is_no_promise => after(|it, _| part(&refusal(it, 503, ""), "X-Request-Id: ")),
     // Guards against an endpoint's error that is relayed as a success, with the status of another answer.
     part_of_a_success_before_an_error_is_no_success => error_after(|it| part(&refusal(it, 200, ""), "200 Ser")),
+    // Guards against an endpoint that gives the copy the id of the request that it has just read.
+    copy_with_the_next_id_is_no_promise => after_refusal(STREAMS, |_, it| write(&refusal(it, 503, ""))),
+    // Guard against connections that are opened without need: only a stream's refusal costs one.
+    refusals_of_streams_that_run_once_close_connections => connections("single-streams", 5),
+    refusals_of_streams_that_are_resumed_close_connections => connections("resumed", 5),
+    refusals_of_other_requests_close_none => connections("lookups", 1),
     // Guard against bytes after an answer that are read as the answer to the next request.
     connection_with_a_copy_in_the_same_segment_is_closed => closed(Duration::ZERO, |it| refusal(it, 503, "")),
     idle_connection_with_a_copy_is_closed => closed(IDLE, |it| refusal(it, 503, "")),
@@ -46,6 +51,8 @@
 /// Statuses that promise that the request has not run
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 const REQUESTS: usize = 8;
+const STREAMS: &[&str] = &["single-streams", "resumed"];
+const ROUTES: &[&str] = &["single-streams", "resumed", "entries", "lookups"];
 
 type Copy = fn(&Arrival, &Arrival) -> Vec<Step>;
 
@@ -163,25 +170,36 @@
     deployment.instance.wait_line("event=config_applied version=2").await;
 }
 
+fn request(route: &str, id: &str) -> String {
+    match route {
+        "lookups" => get_path(route, "x", id),
+        "entries" => post(route, id, "once"),
+        _ => generation(route, id),
+    }
+}
+
 /// Each kind of request, while copies come before the answers
-async fn after(earlier: Earlier, copy: Copy) -> Result<()> {
+async fn after(copy: Copy) -> Result<()> {
+    send_all(Earlier::Answered, ROUTES, copy).await?;
+    send_all(Earlier::Refused, ROUTES, copy).await
+}
+
+async fn after_refusal(routes: &[&str], copy: Copy) -> Result<()> {
+    send_all(Earlier::Refused, routes, copy).await
+}
+
+async fn send_all(earlier: Earlier, routes: &[&str], copy: Copy) -> Result<()> {
     let runs = Runs::default();
     let endpoints = ["service-1", "service-2", "engine-1", "engine-2"];
     let endpoints = endpoints.map(|it| copying(it, earlier, copy, &runs));
     let endpoints = futures_util::future::join_all(endpoints).await;
     let deployment = Deployment::start(&endpoints.iter().collect::<Vec<_>>()).await;
     share_connections(&deployment).await;
-    for route in ["single-streams", "resumed", "entries", "lookups"] {
-        let is_stream = matches!(route, "resumed" | "single-streams");
+    for route in routes.iter().copied() {
+        let is_stream = STREAMS.contains(&route);
         for number in 0..REQUESTS {
             let id = format!("{route}-{number}");
-            let got = deployment
-                .call(match route {
-                    "lookups" => get_path(route, "x", &id),
-                    "entries" => post(route, &id, "once"),
-                    _ => generation(route, &id),
-                })
-                .await;
+            let got = deployment.call(request(route, &id)).await;
             let count = runs.count(&id);
             let is_broken_promise = PROMISES.contains(&got.status) && count > 0;
             verify_that!((&id, got.status, is_broken_promise), eq((&id, got.status, false)))?;
@@ -194,12 +212,39 @@
                 verify_that!(got.header("x-request-id"), some(eq(id.as_str())))?;
             }
         }
-        // Requests that may run only once, other than streams, get a new connection each.
-        verify_that!((route, runs.has_copies(route)), eq((route, route != "entries")))?;
+        let has_copies = match route {
+            "lookups" => true,
+            // Each gets a new connection.
+            "entries" => false,
+            // They use no connection that has carried a refusal.
+            _ => earlier == Earlier::Answered,
+        };
+        verify_that!((route, runs.has_copies(route)), eq((route, has_copies)))?;
     }
     Ok(())
 }
 
+/// Connections for 20 requests in turn, of which four are refused
+async fn connections(route: &str, expected: usize) -> Result<()> {
+    let count = AtomicUsize::new(0);
+    let script = move |it: &Arrival| match count.fetch_add(1, Ordering::SeqCst) % 5 {
+        2 => write(&refusal(it, 503, "")),
+        _ => own_answer(it),
+    };
+    let id = if STREAMS.contains(&route) { "engine-1" } else { "service-1" };
+    let endpoint = endpoint(id, script).await;
+    let deployment = Deployment::start(&[&endpoint]).await;
+    share_connections(&deployment).await;
+    let mut refused = 0;
+    for number in 0..20 {
+        let got = deployment.call(request(route, &format!("id-{number}"))).await;
+        refused += usize::from(got.status == 503);
+    }
+    verify_that!(refused, eq(4))?;
+    let connections = endpoint.arrivals().iter().map(|it| it.connection).max();
+    verify_that!(connections, some(eq(expected)))
+}
+
 /// An error of the endpoint after a part of another answer
 async fn error_after(copy: fn(&Arrival) -> Vec<Step>) -> Result<()> {
     let last = Mutex::new(HashMap::new());
