--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -44,6 +44,7 @@
 mod stop;
 mod stop_soak;
 mod store;
+mod stray_refusals;
 mod streams;
 mod unframed;
 mod usage;
