Gateway: relay only events in order from an engine's stream

What clients saw: text, JSON or the whole head of an error in the middle of a stream, if an engine wrote it into its body; the events of a second run after those of the first, if the engine that was to resume the stream ignored Last-Event-Id, repeated the last event, or sent no ids; and the stream from its beginning again, if an engine sent only a comment and broke off, or if the events had no ids.

Cause: a stream was split at blank lines, and whatever stood between them counted as events. The id of the last event was that of the last engine's answer alone, so that it was lost with an answer that had none yet.

Change: each block must consist of fields and comments. On a route whose streams may be resumed, the ids of events are increasing numbers, and the first event of a resumed stream has one. The stream ends before the first fault, and is resumed or cut. The position goes from one answer to the next; after an event without a number, the stream can't be resumed. Where streams aren't resumed, the order of events stays the engine's.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! A single attempt to send a request to an endpoint.
 
 use crate::connections::{EndpointConnection, ExchangeError};
+use crate::events::EventFault;
 use crate::memory::MemoryShare;
 use crate::state::{Gateway, WorkGuard};
 use bytes::{Bytes, BytesMut};
@@ -60,6 +61,8 @@
     Truncated,
     /// endpoint sent more than an answer may have
     Oversized,
+    /// {0}
+    BadEvents(EventFault),
     /// endpoint did not answer in time
     TimedOut,
     /// answer could not be read in time for lack of memory
@@ -94,6 +97,7 @@
             SendError::Exchange(ExchangeError::Broken(_) | ExchangeError::InterimOnly)
             | SendError::Truncated
             | SendError::Oversized
+            | SendError::BadEvents(_)
             | SendError::TimedOut => Some(SendResult::Broken),
             SendError::Mismatched => Some(SendResult::Failed),
             SendError::Prefill(error) => error.result(),
@@ -175,6 +179,7 @@
             | SendError::Unnamed
             | SendError::Truncated
             | SendError::Oversized
+            | SendError::BadEvents(_)
             | SendError::NoRoom
             | SendError::TimedOut => RunStatus::MayHaveRun,
             SendError::Exchange(_) => RunStatus::NotRun,
--- a/crates/gateway/src/generation/engine_stream.rs
+++ b/crates/gateway/src/generation/engine_stream.rs
@@ -1,11 +1,14 @@
 //! Event stream of one engine's answer, or of another instance that relays it.
 
 use crate::attempt::{OpenAnswer, SendError};
-use crate::events::EventSplitter;
+use crate::events::{EventSplitter, StreamPosition};
+use crate::serving_call::ServingCall;
 use crate::state::Gateway;
 use bytes::Bytes;
 use catalogue::id::InstanceId;
+use decide::serving::route::RetryRule;
 use http_body_util::BodyExt;
+use smol_str::SmolStr;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -29,9 +32,22 @@
 }
 
 impl EngineStream {
-    pub(super) fn new(answer: OpenAnswer, own_time: Duration) -> EngineStream {
+    /// Stream of an answer to a request that resumes after an event, or that the client sent
+    pub(super) fn new(
+        answer: OpenAnswer,
+        call: &ServingCall,
+        resume_after: Option<SmolStr>,
+        own_time: Duration,
+    ) -> EngineStream {
         let first_event_at = Instant::now();
-        let splitter = EventSplitter::default();
+        let after = resume_after.or_else(|| call.last_event.clone());
+        let splitter = match call.route.retry_rule {
+            RetryRule::Resumable => {
+                EventSplitter::new(after.map_or(StreamPosition::Start, StreamPosition::After))
+            }
+            // What the engine sends is the answer, in whatever order.
+            RetryRule::Once | RetryRule::Retryable => EventSplitter::default(),
+        };
         EngineStream { answer, own_time, first_event_at, splitter, event_limit: None, relay: None }
     }
 
@@ -45,6 +61,9 @@
     ) -> Result<StreamItem, SendError> {
         let event_due = self.event_limit.and_then(|it| Instant::now().checked_add(it));
         let until = event_due.map_or(deadline, |it| it.min(deadline));
+        if let Some(fault) = self.splitter.fault() {
+            return Err(SendError::BadEvents(fault));
+        }
         loop {
             // A stream whose client is slow may be polled only now, with more bytes at hand.
             if Instant::now() >= deadline {
@@ -64,7 +83,7 @@
                 Some(Err(_)) => return Err(SendError::Truncated),
                 Some(Ok(frame)) => {
                     let Some(data) = frame.data_ref() else { continue };
-                    let events = self.splitter.push(data).map_err(|_| SendError::Oversized)?;
+                    let events = self.splitter.push(data).map_err(SendError::BadEvents)?;
                     if let Some(events) = events {
                         self.answer.work_guard.record_prompt_read();
                         return Ok(StreamItem::Events(events));
--- a/crates/gateway/src/generation/generate.rs
+++ b/crates/gateway/src/generation/generate.rs
@@ -45,7 +45,7 @@
 ) -> Result<Started, SendError> {
     let once = call.route.retry_rule == RetryRule::Once;
     let mut parameters = call.parameters(&step.engine.id, stage);
-    parameters.resume_after = resume_after;
+    parameters.resume_after = resume_after.clone();
     parameters.parts_source = step.parts_source;
     let may_start = || match is_hedge {
         true => call.start_hedge(gateway, &step.engine),
@@ -66,7 +66,7 @@
         let answer = read_whole(gateway, answer, call.deadline).await?;
         return Ok(Started::Failed(answer));
     }
-    let mut stream = EngineStream::new(answer, milliseconds(step.pick.own_ms));
+    let mut stream = EngineStream::new(answer, call, resume_after, milliseconds(step.pick.own_ms));
     let first = stream.next(gateway, deadline).await?;
     stream.first_event_at = Instant::now();
     stream.event_limit = call.route.event_limit();
--- a/crates/gateway/src/generation/relay_events.rs
+++ b/crates/gateway/src/generation/relay_events.rs
@@ -68,7 +68,7 @@
                     next
                 }
                 Err(error) => {
-                    let last = stream.splitter.last_id().cloned().or(call.last_event.clone());
+                    let position = stream.splitter.position().clone();
                     // Closes the connection, so that this engine stops before another one resumes.
                     let is_relayed = stream.relay.is_some();
                     drop(stream);
@@ -76,7 +76,7 @@
                     if let Some(engine) = call.excluded.last().filter(|_| !is_relayed) {
                         call.record_crash_evidence(&gateway, engine, Vec::new(), &error);
                     }
-                    match resume(&gateway, &mut call, &error, last).await {
+                    match resume(&gateway, &mut call, &error, position).await {
                         Some((resumed, next)) => {
                             if let Some(instance) = &resumed.relay {
                                 record.relayed_to = instance.clone();
--- a/crates/gateway/src/generation/resume.rs
+++ b/crates/gateway/src/generation/resume.rs
@@ -5,10 +5,10 @@
 use super::plan::{check_versions, plan_path};
 use super::send::{relay_stream, start_stream};
 use crate::attempt::SendError;
+use crate::events::StreamPosition;
 use crate::serving_call::{SendWay, ServingCall};
 use crate::state::Gateway;
 use decide::serving::send_history::RunStatus;
-use smol_str::SmolStr;
 use std::rc::Rc;
 
 /// Resumes a failed stream on another engine; `None` if that is not possible
@@ -16,12 +16,13 @@
     gateway: &Rc<Gateway>,
     call: &mut ServingCall,
     error: &SendError,
-    last: Option<SmolStr>,
+    position: StreamPosition,
 ) -> Option<(EngineStream, StreamItem)> {
     let mut cache = None;
     log::info!(
-        "event=stream_broken id={} after={last:?} version={} sends={} parts={} error=\"{error}\"",
+        "event=stream_broken id={} after={} version={} sends={} parts={} error=\"{error}\"",
         call.request.id,
+        position.name(),
         call.origin.as_ref().map_or("none", |it| it.version.as_str()),
         call.history.sends,
         call.describe_parts(),
@@ -29,6 +30,11 @@
     if !call.may_resume {
         return None;
     }
+    let last = match position {
+        StreamPosition::Start => None,
+        StreamPosition::After(id) => Some(id),
+        StreamPosition::Unknown => return None,
+    };
     while let Some(way) = call.next_way(gateway).await {
         if way == SendWay::Relay {
             let sends = call.history.sends;
--- a/crates/gateway/src/generation/send.rs
+++ b/crates/gateway/src/generation/send.rs
@@ -27,14 +27,14 @@
     call: &mut ServingCall,
     after: Option<SmolStr>,
 ) -> Option<(InstanceId, Started)> {
-    let taken_up = after.map(|after| {
+    let taken_up = after.clone().map(|after| {
         let begun_by = call.begun_by.as_ref().unwrap_or(&call.request.id).clone();
         TakenUp { begun_by, after }
     });
     let (instance, answer) = relay::send(gateway, call, taken_up).await?;
     let started = match answer.head.status.is_success() {
         true => {
-            let mut stream = EngineStream::new(answer, Duration::ZERO);
+            let mut stream = EngineStream::new(answer, call, after, Duration::ZERO);
             stream.relay = Some(instance.clone());
             let first = stream.next(gateway, call.deadline).await;
             // That instance gives up its engine after the same time, and resumes the stream itself.
--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -225,6 +225,7 @@
         SendError::Unnamed => "unnamed",
         SendError::Truncated => "broken_off",
         SendError::Oversized => "oversized",
+        SendError::BadEvents(_) => "bad_events",
         SendError::TimedOut => "timed_out",
         SendError::NoRoom => "no_room",
         SendError::Unusable => "unusable",
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests: instances run as processes between raw clients and stand-ins of the platform.
 
+mod broken_streams;
 mod client;
 mod config;
 mod control;
