Gateway: resume a stream only with an answer of the same kind

What clients saw: a stream that had broken off ended as if it were complete, if the next engine answered with 204, with an empty body of another type, or with a head without length and the end of the connection. A request whose engine ended right after such a head got a complete stream of no events.

Cause: any success without events counted as the rest of the stream, since an engine may have broken off after its last event. Where only the end of the connection marks the end, that of an engine that has ended looks the same.

Change: the answer that resumes a stream has the status, content type and encoding of the first one. An answer without any event isn't complete if only its connection marks its end. An empty answer in chunks or with a length, of the same kind, still completes a stream (stream_that_breaks_after_its_last_event_is_whole).

--- a/crates/gateway/src/generation/engine_stream.rs
+++ b/crates/gateway/src/generation/engine_stream.rs
@@ -7,6 +7,10 @@
 use bytes::Bytes;
 use catalogue::id::InstanceId;
 use decide::serving::route::RetryRule;
+use http::StatusCode;
+use http::header::{
+    CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, TRANSFER_ENCODING,
+};
 use http_body_util::BodyExt;
 use smol_str::SmolStr;
 use std::time::Duration;
@@ -25,6 +29,15 @@
     pub(super) relay: Option<InstanceId>,
 }
 
+/// What the head of an answer states of its body
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct BodyKind {
+    status: StatusCode,
+    /// Type without parameters, in lower case
+    content_type: Option<SmolStr>,
+    encoding: Option<HeaderValue>,
+}
+
 /// Next item of a stream
 pub(super) enum StreamItem {
     Events(Bytes),
@@ -51,6 +64,26 @@
         EngineStream { answer, own_time, first_event_at, splitter, event_limit: None, relay: None }
     }
 
+    /// Kind of its body, in which the streams of one answer agree
+    pub(super) fn body_kind(&self) -> BodyKind {
+        let headers = &self.answer.headers;
+        let content_type = headers.get(CONTENT_TYPE).and_then(|it| it.to_str().ok());
+        let content_type = content_type.and_then(|it| it.split(';').next());
+        BodyKind {
+            status: self.answer.head.status,
+            content_type: content_type.map(|it| it.trim().to_ascii_lowercase().into()),
+            encoding: headers.get(CONTENT_ENCODING).cloned(),
+        }
+    }
+
+    /// Whether its end is only that of the connection, as after a crash of the engine
+    fn is_unframed(&self) -> bool {
+        let headers = &self.answer.headers;
+        self.answer.head.status != StatusCode::NO_CONTENT
+            && !headers.contains_key(CONTENT_LENGTH)
+            && !headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Reads the next complete events, or the end
     ///
     /// Bytes that complete no event don't extend the wait: an engine that sends one now and then has stalled.
@@ -79,6 +112,9 @@
             };
             match frame {
                 None if self.splitter.is_inside_event() => return Err(SendError::Truncated),
+                None if self.is_unframed() && !self.splitter.has_events() => {
+                    return Err(SendError::Truncated);
+                }
                 None => return Ok(StreamItem::End),
                 Some(Err(_)) => return Err(SendError::Truncated),
                 Some(Ok(frame)) => {
--- a/crates/gateway/src/generation/relay_events.rs
+++ b/crates/gateway/src/generation/relay_events.rs
@@ -42,6 +42,7 @@
     mut stream: EngineStream,
     mut item: StreamItem,
 ) -> impl futures_util::Stream<Item = Result<Bytes, RelayError>> {
+    let kind = stream.body_kind();
     try_stream! {
         loop {
             match item {
@@ -76,7 +77,7 @@
                     if let Some(engine) = call.excluded.last().filter(|_| !is_relayed) {
                         call.record_crash_evidence(&gateway, engine, Vec::new(), &error);
                     }
-                    match resume(&gateway, &mut call, &error, position).await {
+                    match resume(&gateway, &mut call, &error, position, &kind).await {
                         Some((resumed, next)) => {
                             if let Some(instance) = &resumed.relay {
                                 record.relayed_to = instance.clone();
--- a/crates/gateway/src/generation/resume.rs
+++ b/crates/gateway/src/generation/resume.rs
@@ -1,6 +1,6 @@
 //! Resumes a stream that has failed after its first event.
 
-use super::engine_stream::{EngineStream, StreamItem};
+use super::engine_stream::{BodyKind, EngineStream, StreamItem};
 use super::generate::Started;
 use super::plan::{check_versions, plan_path};
 use super::send::{relay_stream, start_stream};
@@ -11,12 +11,13 @@
 use decide::serving::send_history::RunStatus;
 use std::rc::Rc;
 
-/// Resumes a failed stream on another engine; `None` if that is not possible
+/// Resumes a failed stream on another engine, with a body of the same kind; `None` if that is not possible
 pub(super) async fn resume(
     gateway: &Rc<Gateway>,
     call: &mut ServingCall,
     error: &SendError,
     position: StreamPosition,
+    kind: &BodyKind,
 ) -> Option<(EngineStream, StreamItem)> {
     let mut cache = None;
     log::info!(
@@ -41,7 +42,10 @@
             match relay_stream(gateway, call, last.clone()).await {
                 Some((_, Started::Streaming(stream, item))) => {
                     call.history.record_send(RunStatus::MayHaveRun);
-                    return Some((*stream, item));
+                    if stream.body_kind() == *kind {
+                        return Some((*stream, item));
+                    }
+                    continue;
                 }
                 None if call.history.sends > sends => continue,
                 Some((_, Started::Failed(_))) | None => return None,
@@ -58,6 +62,10 @@
             return None;
         }
         match start_stream(gateway, call, &mut cache, path, last.clone()).await {
+            Ok((engine, Started::Streaming(stream, _))) if stream.body_kind() != *kind => {
+                drop(stream);
+                call.record_failure(gateway, &engine, &SendError::Mismatched);
+            }
             Ok((engine, Started::Streaming(stream, item))) => {
                 call.history.record_send(RunStatus::MayHaveRun);
                 call.excluded.push(engine.id);
--- a/crates/gateway/tests/gateway/broken_streams.rs
+++ b/crates/gateway/tests/gateway/broken_streams.rs
@@ -45,12 +45,17 @@
     stream_without_ids_cuts_the_stream => resumed(|it| stream_of(it, "data: piece 3\n\ndata: piece 4\n\n"), End::Cut(2)),
     stream_with_ids_of_letters_cuts_the_stream => resumed(|it| stream_of(it, "id: c\ndata: piece 3\n\n"), End::Cut(2)),
     // Guard against a stream that ends as if it were complete.
+    answer_204_cuts_the_stream => resumed(|it| head_only(it, "204 No Content"), End::Cut(2)),
+    empty_answer_of_another_type_cuts_the_stream => resumed(|it| written(answer(it, "200 OK", "")), End::Cut(2)),
+    empty_answer_without_length_cuts_the_stream => resumed(|it| unframed(it, Step::Close), End::Cut(2)),
     answer_without_length_that_is_reset_cuts_the_stream => resumed(|it| unframed(it, Step::Reset), End::Cut(2)),
     head_before_a_close_cuts_the_stream => resumed(|it| vec![Step::Write(stream_head(it)), Step::Close], End::Cut(2)),
     head_before_a_reset_cuts_the_stream => resumed(|it| vec![Step::Write(stream_head(it)), Step::Reset], End::Cut(2)),
     head_before_silence_cuts_the_stream => resumed(|it| vec![Step::Write(stream_head(it)), Step::Hang], End::Cut(2)),
     interim_answer_before_silence_cuts_the_stream => resumed(|_| vec![Step::Write("HTTP/1.1 102 Processing\r\n\r\n".into()), Step::Hang], End::Cut(2)),
     no_answer_cuts_the_stream => resumed(|_| vec![Step::Close], End::Cut(2)),
+    // Guards against a stream of no events, of an engine that ended before the first one.
+    stream_that_ends_before_its_first_event_has_failed => ended_at_once(),
     // Guards against a stream that is cut though only its end was missing.
     stream_that_breaks_after_its_last_event_is_whole => broken_after_last_event(),
     // Guards against a stream that begins again since an engine sent only comments before it broke off.
@@ -205,6 +210,13 @@
     written([head.into_bytes(), chunk(&event(3)), STREAM_END.to_vec()].concat())
 }
 
+fn head_only(arrival: &Arrival, status: &str) -> Vec<Step> {
+    let id = arrival.header("x-request-id").unwrap_or_default();
+    let head =
+        format!("HTTP/1.1 {status}\r\nX-Request-Id: {id}\r\nX-Server-Stamp: stamp-{id}\r\n\r\n");
+    written(head.into_bytes())
+}
+
 fn head_without_length(arrival: &Arrival) -> String {
     let id = arrival.header("x-request-id").unwrap_or_default();
     format!(
@@ -283,6 +295,16 @@
     blocks.filter(|it| !it.starts_with(": ") && !it.starts_with("retry: ")).collect()
 }
 
+async fn ended_at_once() -> Result<()> {
+    let (deployment, engines) = start(|it| unframed(it, Step::Close), goes_on).await;
+    for (route, sends) in [("streams", 1), ("resumed", 3)] {
+        let got = deployment.call(generation_with(route, route, &[], 100)).await;
+        verify_that!((got.status, got.is_whole), eq((502, true)))?;
+        verify_that!(arrivals_of(&engines, route).len(), eq(sends))?;
+    }
+    Ok(())
+}
+
 async fn broken_after_last_event() -> Result<()> {
     let first = |it: &Arrival| {
         let events = (1..=EVENTS).map(event).collect::<String>();
