Gateway: send the events before the error that cuts a stream

What clients saw: no answer at all, a connection that closed after the request was read, if a stream's first events arrived together with what breaks it.

Cause: the HTTP library drops what it has not yet sent, also the head, when a body fails at once after its events. It sends it when the body is pending.

Change: the stream's buffer is pending once before it returns an error.

A client whose socket takes no bytes at that moment may still lose the events that the library holds.

--- a/crates/gateway/src/stream_buffer.rs
+++ b/crates/gateway/src/stream_buffer.rs
@@ -41,6 +41,8 @@
     memory: HeldBytes,
     share: RefCell<MemoryShare>,
     has_ended: Cell<bool>,
+    /// Whether the client's connection has been made to wait before the error
+    has_delayed_error: Cell<bool>,
     /// Whether the client's connection waits for the next event, which it polls itself
     is_awaited: Cell<bool>,
     /// Whether the client's socket takes no more bytes
@@ -70,6 +72,7 @@
             share: RefCell::new(memory.share()),
             memory,
             has_ended: Cell::default(),
+            has_delayed_error: Cell::default(),
             is_awaited: Cell::default(),
             is_blocked: Cell::default(),
             has_reader: Cell::default(),
@@ -130,6 +133,15 @@
             }
             None => self.poll_events(context),
         };
+        let polled = match polled {
+            // The HTTP library sends the events that it has when the body is pending, and drops them when it fails.
+            Poll::Ready(Some(Err(error))) if !self.has_delayed_error.replace(true) => {
+                self.held.borrow_mut().push_front(Err(error));
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            polled => polled,
+        };
         self.is_awaited.set(polled.is_pending());
         if polled.is_ready() {
             self.wake_reader();
