Test streams that go on through another instance and then meet errors

An instance that is cut from the endpoints sends streams through another one, in which the same answers of engines may be joined to a stream. Eight answers of the next engine, for streams that begin at an engine and through the other instance.

Errors with a status, and refusals, cut the stream there too.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -33,6 +33,7 @@
 mod process;
 mod proxy;
 mod rate_limits;
+mod relayed_streams;
 mod retry_limits;
 mod scaling;
 mod slow_readers;
--- /dev/null
+++ b/crates/gateway/tests/gateway/relayed_streams.rs
@@ -0,0 +1,122 @@
+//! Streams that go on through another instance, after which an engine answers with something else.
+
+use crate::client::{RawAnswer, RawClient};
+use crate::cut::CutMode;
+use crate::deployment::{generation_with, post};
+use crate::ending_fleet::{CONTACT_TIME, EndingFleet};
+use crate::endpoint::{Arrival, STREAM_END, Step, answer, chunk, event, not_run, stream_head};
+use googletest::prelude::*;
+use std::time::Duration;
+use testcases::cases;
+use tokio::time::sleep;
+
+cases! { async
+    // Guard against an error, or events that come twice, in a stream that another instance relays, or an end as if
+    // it were complete.
+    stream_that_goes_on_through_another_instance_is_cut => cut(Begin::Direct),
+    stream_that_begins_through_another_instance_is_cut => cut(Begin::Relayed),
+}
+
+/// How a stream begins
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Begin {
+    /// At an engine that the instance is cut from later
+    Direct,
+    /// Through another instance
+    Relayed,
+}
+
+/// Answers of the next engine, by the start of the request's id, and the number of events that its client gets
+const NEXT_ANSWERS: [(&str, usize); 8] = [
+    ("whole", 4),
+    ("500", 2),
+    ("503", 2),
+    ("declined", 2),
+    ("text", 3),
+    ("again", 2),
+    ("json", 2),
+    ("unframed", 2),
+];
+
+const ERROR_HEAD: &str = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+
+fn script(arrival: &Arrival) -> Vec<Step> {
+    if arrival.header("x-token-count").is_none() {
+        return vec![Step::Write(answer(arrival, "200 OK", "right"))];
+    }
+    let id = arrival.header("x-request-id").unwrap_or_default();
+    let (next, begin) = id.split_once('-').expect("two parts");
+    if arrival.header("last-event-id").is_none() {
+        let events = format!("{}{}", event(1), event(2));
+        let end = if begin == "Direct" { Step::Hang } else { Step::Reset };
+        let bytes = [stream_head(arrival), chunk(&events)].concat();
+        return vec![Step::Write(bytes), Step::Pause(Duration::from_millis(50)), end];
+    }
+    let stream =
+        |events: String| [stream_head(arrival), chunk(&events), STREAM_END.into()].concat();
+    let bytes = match next {
+        "whole" => stream(event(3) + &event(4)),
+        "500" => answer(arrival, "500 Internal Server Error", "failed\n\n"),
+        "503" => answer(arrival, "503 Service Unavailable", "failed\n\n"),
+        "declined" => not_run(arrival, "503 Service Unavailable"),
+        "text" if arrival.header("last-event-id") == Some("2") => stream(event(3) + ERROR_HEAD),
+        "text" => stream(ERROR_HEAD.to_owned()),
+        "again" => stream((1..=4).map(event).collect()),
+        "json" => answer(arrival, "200 OK", "{\n\n}\n\n"),
+        _ => {
+            let head = String::from_utf8(stream_head(arrival)).expect("text");
+            head.replace("Transfer-Encoding: chunked\r\n", "").into_bytes()
+        }
+    };
+    vec![Step::Write(bytes), Step::Pause(Duration::from_millis(50)), Step::Close]
+}
+
+/// Requests by which an instance notices that it is cut
+async fn notice_cut(fleet: &EndingFleet, id: &str) {
+    let address = fleet.instances[0].clients;
+    let calls = (0..6).map(|number| {
+        let id = format!("{id}-{number}");
+        async move {
+            let mut client = RawClient::connect(address).await;
+            client.exchange(post("entries", &id, &id)).await
+        }
+    });
+    futures_util::future::join_all(calls).await;
+}
+
+async fn stream_through(fleet: &EndingFleet, begin: Begin, id: &str) -> RawAnswer {
+    let instance = &fleet.instances[0];
+    let mut client = RawClient::connect(instance.clients).await;
+    let request = generation_with("resumed", id, &[], 100);
+    if begin == Begin::Direct {
+        client.write(&request).await;
+        sleep(Duration::from_millis(300)).await;
+    }
+    fleet.cuts.cut(instance.process(), CutMode::Reset);
+    notice_cut(fleet, id).await;
+    if begin == Begin::Relayed {
+        client.write(&request).await;
+    }
+    let got = client.read().await;
+    fleet.cuts.heal(instance.process());
+    sleep(CONTACT_TIME).await;
+    got
+}
+
+async fn cut(begin: Begin) -> Result<()> {
+    let engines = (0..8).map(|it| format!("engine-{it}"));
+    let services = (0..2).map(|it| format!("service-{it}"));
+    let fleet = EndingFleet::start(services.chain(engines), script, 3).await;
+    let mut faults = Vec::new();
+    for (next, count) in NEXT_ANSWERS {
+        let id = format!("{next}-{begin:?}");
+        let got = stream_through(&fleet, begin, &id).await;
+        let is_right = got.body == (1..=count).map(event).collect::<String>();
+        let relayed = format!("event=relayed id={id} ");
+        let is_relayed = fleet.instances[0].lines().iter().any(|it| it.contains(&relayed));
+        if got.status != 200 || !is_right || got.is_whole != (next == "whole") || !is_relayed {
+            faults.push((id, got.status, got.is_whole, is_relayed, got.body));
+        }
+    }
+    verify_that!(faults, is_empty())
+}
