Gateway: resume a stream of another instance at its software version

What clients saw: a stream that began through another instance went on at an engine of another software version, if that instance ended once this one reached the engines again.

Cause: an instance that relays a stream through another one doesn't know what it has begun at, and took that for a stream that has not begun.

Change: before it resumes such a stream itself, it looks up its origin as for one that a client takes up: in what other instances have told it, by asking them, and in the endpoint list if that shows one version only. A stream whose origin isn't certain is cut.

--- a/crates/gateway/src/generation/resume.rs
+++ b/crates/gateway/src/generation/resume.rs
@@ -9,6 +9,7 @@
 use crate::serving_call::{SendWay, ServingCall};
 use crate::state::Gateway;
 use decide::serving::send_history::RunStatus;
+use decide::serving::stream_origins::stream_key;
 use std::rc::Rc;
 
 /// Resumes a failed stream on another engine, with a body of the same kind; `None` if that is not possible
@@ -51,6 +52,13 @@
                 Some((_, Started::Failed(_))) | None => return None,
             }
         }
+        // Another instance has begun it.
+        if call.origin.is_none() {
+            let stream = stream_key(&call.request.id);
+            let (origin, _) = gateway.stream_origin(&call.route, Some(stream)).await?;
+            call.pool = origin.pool.clone();
+            call.origin = Some(origin);
+        }
         if !call.admit_parts(gateway).await {
             return None;
         }
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -122,6 +122,30 @@
         answer
     }
 
+    /// Origin of a stream on a route, and how it was found; `None` if it isn't certain
+    pub async fn stream_origin(
+        &self,
+        route: &RouteConfig,
+        stream: Option<StreamKey>,
+    ) -> Option<(StreamOrigin, &'static str)> {
+        let pool = &route.targets[0].pool;
+        let known = stream.and_then(|it| self.stream_origins.borrow().get(it).cloned());
+        let views = match (known, stream) {
+            (Some(origin), _) => return Some((origin, "own")),
+            (None, Some(stream)) => match self.ask_origin(stream, pool).await {
+                Ok(origin) => return Some((origin, "peer")),
+                Err(views) => views,
+            },
+            (None, None) => Vec::new(),
+        };
+        // A stream of a split route may have begun in another pool.
+        let is_certain = route.targets.len() == 1
+            && !stream.is_some_and(|it| self.stream_origins.borrow().is_ambiguous(it));
+        let views = views.into_iter().chain([self.version_view(pool)]);
+        let version = VersionView::agree(views).filter(|_| is_certain)?;
+        Some((StreamOrigin { pool: pool.clone(), version }, "list"))
+    }
+
     /// Origin of the stream that a request takes up
     ///
     /// # Errors
@@ -133,22 +157,9 @@
     ) -> Result<StreamOrigin, Refusal> {
         let pool = &route.targets[0].pool;
         let stream = head.begun_by.as_deref().map(stream_key);
-        let known = stream.and_then(|it| self.stream_origins.borrow().get(it).cloned());
-        let asked = match (known, stream) {
-            (Some(origin), _) => Ok((origin, "own")),
-            (None, Some(stream)) => self.ask_origin(stream, pool).await.map(|it| (it, "peer")),
-            (None, None) => Err(Vec::new()),
-        };
-        let found = asked.or_else(|views| {
-            // A stream of a split route may have begun in another pool.
-            let is_certain = route.targets.len() == 1
-                && !stream.is_some_and(|it| self.stream_origins.borrow().is_ambiguous(it));
-            let views = views.into_iter().chain([self.version_view(pool)]);
-            let version = VersionView::agree(views).filter(|_| is_certain).ok_or(())?;
-            Ok::<_, ()>((StreamOrigin { pool: pool.clone(), version }, "list"))
-        });
+        let found = self.stream_origin(route, stream).await;
         let begun_by = head.begun_by.as_deref().unwrap_or("none");
-        let Ok((origin, source)) = found else {
+        let Some((origin, source)) = found else {
             log::info!("event=stream_unknown id={} begun_by={begun_by} pool={pool}", head.id);
             return Err(Refusal::new(GatewayAnswer::NotRun, "stream_unknown"));
         };
--- a/crates/gateway/tests/gateway/relayed_streams.rs
+++ b/crates/gateway/tests/gateway/relayed_streams.rs
@@ -1,11 +1,16 @@
 //! Streams that go on through another instance, after which an engine answers with something else.
 
 use crate::client::{RawAnswer, RawClient};
-use crate::cut::CutMode;
-use crate::deployment::{generation_with, post};
+use crate::cut::{CutMode, CutSwitch};
+use crate::deployment::{config, generation_with, list_software, post, stage_of, unix_ms};
 use crate::ending_fleet::{CONTACT_TIME, EndingFleet};
-use crate::endpoint::{Arrival, STREAM_END, Step, answer, chunk, event, not_run, stream_head};
+use crate::endpoint::{
+    Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, not_run, stream_head,
+};
+use crate::process::Instance;
+use crate::store::FakeStore;
 use googletest::prelude::*;
+use std::collections::HashSet;
 use std::time::Duration;
 use testcases::cases;
 use tokio::time::sleep;
@@ -15,6 +20,8 @@
     // it were complete.
     stream_that_goes_on_through_another_instance_is_cut => cut(Begin::Direct),
     stream_that_begins_through_another_instance_is_cut => cut(Begin::Relayed),
+    // Guards against a stream of another instance that goes on at another software version.
+    stream_that_begins_through_another_instance_keeps_its_version => versions(),
 }
 
 /// How a stream begins
@@ -120,3 +127,78 @@
     }
     verify_that!(faults, is_empty())
 }
+
+/// Streams that begin through other instances, which end then; few enough for the retry limits.
+const STREAMS: usize = 8;
+const JOIN_TIME: Duration = Duration::from_millis(2500);
+/// Time in which a change of the list is in force.
+const LIST_TIME: Duration = Duration::from_millis(800);
+
+async fn versions() -> Result<()> {
+    let store = FakeStore::start().await;
+    store.put("keyed.op", "config", config(1, 15_000).to_string().as_bytes());
+    let cuts = CutSwitch::default();
+    let mut engines = Vec::new();
+    for number in 0..6 {
+        let id = format!("engine-{number}");
+        let engine =
+            FakeEndpoint::start_behind(&id, cuts.clone(), |it| match it.header("last-event-id") {
+                Some(_) => script(it),
+                None => {
+                    let bytes = [stream_head(it), chunk(&(event(1) + &event(2)))].concat();
+                    vec![Step::Write(bytes), Step::Hang]
+                }
+            })
+            .await;
+        if number % 2 == 0 {
+            list_software(&store, &engine, "ready", stage_of(&engine), unix_ms(), "v1");
+        }
+        engines.push(engine);
+    }
+    let mut instances = (0..3)
+        .map(|it| Instance::launch(store.address, &format!("instance-{it}")))
+        .collect::<Vec<_>>();
+    for instance in &instances {
+        instance.wait_ready().await;
+    }
+    sleep(JOIN_TIME).await;
+    let address = instances[0].clients;
+    cuts.cut(instances[0].process(), CutMode::Reset);
+    let calls = (0..STREAMS).map(|number| {
+        let id = format!("whole-{number}");
+        let request = generation_with("resumed", &id, &[], 100);
+        tokio::spawn(async move {
+            let mut client = RawClient::connect(address).await;
+            client.write(request.replace("X-Deadline-Ms: 1500", "X-Deadline-Ms: 15000")).await;
+            client.read().await
+        })
+    });
+    let calls = calls.collect::<Vec<_>>();
+    sleep(CONTACT_TIME).await;
+    // Engines of another version, which are less busy than those that the streams have begun at.
+    for engine in engines.iter().skip(1).step_by(2) {
+        list_software(&store, engine, "ready", stage_of(engine), unix_ms(), "v2");
+    }
+    cuts.heal(instances[0].process());
+    sleep(LIST_TIME).await;
+    instances[0].wait_line("event=endpoints_regained").await;
+    instances.truncate(1);
+    let answers = futures_util::future::join_all(calls).await;
+    let whole = answers.iter().flatten().filter(|it| it.status == 200 && it.is_whole).count();
+    let mut mixed = Vec::new();
+    for number in 0..STREAMS {
+        let id = format!("whole-{number}");
+        let own = engines
+            .iter()
+            .enumerate()
+            .flat_map(|(index, it)| it.arrivals().into_iter().map(move |it| (index % 2, it)));
+        let own = own.filter(|it| it.1.header("x-request-id") == Some(&id));
+        let versions = own.map(|it| it.0).collect::<HashSet<_>>();
+        if versions.len() > 1 {
+            mixed.push((id, versions));
+        }
+    }
+    println!("{whole} of {STREAMS} streams whole, mixed: {mixed:?}");
+    verify_that!(mixed, is_empty())?;
+    verify_that!(whole, ge(STREAMS * 3 / 4))
+}
