--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! A single attempt to send a request to an endpoint.
 
 use crate::connections::{ConnectionReuse, EndpointConnection, ExchangeError};
+use crate::events::EventFault;
 use crate::memory::MemoryShare;
 use crate::serving_call::ServingCall;
 use crate::state::{Gateway, WorkGuard};
@@ -63,6 +64,8 @@
     Truncated,
     /// endpoint sent more than an answer may have
     Oversized,
+    /// {0}
+    BadEvents(EventFault),
     /// endpoint did not answer in time
     TimedOut,
     /// answer could not be read in time for lack of memory
@@ -97,6 +100,7 @@
             SendError::Exchange(ExchangeError::Broken(_) | ExchangeError::InterimOnly)
             | SendError::Truncated
             | SendError::Oversized
+            | SendError::BadEvents(_)
             | SendError::TimedOut => Some(SendResult::Broken),
             SendError::Mismatched | SendError::Joined => Some(SendResult::Failed),
             SendError::Prefill(error) => error.result(),
@@ -179,6 +183,7 @@
             | SendError::Joined
             | SendError::Truncated
             | SendError::Oversized
+            | SendError::BadEvents(_)
             | SendError::NoRoom
             | SendError::TimedOut => RunStatus::MayHaveRun,
             SendError::Exchange(_) => RunStatus::NotRun,
--- a/crates/gateway/src/generation/engine_stream.rs
+++ b/crates/gateway/src/generation/engine_stream.rs
@@ -1,13 +1,18 @@
 //! Event stream of one engine's answer, or of another instance that relays it.
 
 use crate::attempt::{OpenAnswer, SendError};
-use crate::events::EventSplitter;
+use crate::events::{EventSplitter, StreamPosition};
 use crate::serving_call::ServingCall;
 use crate::state::Gateway;
 use bytes::Bytes;
 use catalogue::id::InstanceId;
 use decide::serving::route::RetryRule;
+use http::StatusCode;
+use http::header::{
+    CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, TRANSFER_ENCODING,
+};
 use http_body_util::BodyExt;
+use smol_str::SmolStr;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -24,6 +29,15 @@
     pub(super) relay: Option<InstanceId>,
 }
 
+/// What the head of an answer states of its body
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct BodyKind {
+    status: StatusCode,
+    /// Type without parameters, in lower case
+    content_type: Option<SmolStr>,
+    encoding: Option<HeaderValue>,
+}
+
 /// Next item of a stream
 pub(super) enum StreamItem {
     Events(Bytes),
@@ -31,12 +45,45 @@
 }
 
 impl EngineStream {
-    pub(super) fn new(answer: OpenAnswer, own_time: Duration) -> EngineStream {
+    /// Stream of an answer to a request that resumes after an event, or that the client sent
+    pub(super) fn new(
+        answer: OpenAnswer,
+        call: &ServingCall,
+        resume_after: Option<SmolStr>,
+        own_time: Duration,
+    ) -> EngineStream {
         let first_event_at = Instant::now();
-        let splitter = EventSplitter::default();
+        let after = resume_after.or_else(|| call.last_event.clone());
+        let splitter = match call.route.retry_rule {
+            RetryRule::Resumable => {
+                EventSplitter::new(after.map_or(StreamPosition::Start, StreamPosition::After))
+            }
+            // What the engine sends is the answer, in whatever order.
+            RetryRule::Once | RetryRule::Retryable => EventSplitter::default(),
+        };
         EngineStream { answer, own_time, first_event_at, splitter, event_limit: None, relay: None }
     }
 
+    /// Kind of its body, in which the streams of one answer agree
+    pub(super) fn body_kind(&self) -> BodyKind {
+        let headers = &self.answer.headers;
+        let content_type = headers.get(CONTENT_TYPE).and_then(|it| it.to_str().ok());
+        let content_type = content_type.and_then(|it| it.split(';').next());
+        BodyKind {
+            status: self.answer.head.status,
+            content_type: content_type.map(|it| it.trim().to_ascii_lowercase().into()),
+            encoding: headers.get(CONTENT_ENCODING).cloned(),
+        }
+    }
+
+    /// Whether its end is only that of the connection, as after a crash of the engine
+    fn is_unframed(&self) -> bool {
+        let headers = &self.answer.headers;
+        self.answer.head.status != StatusCode::NO_CONTENT
+            && !headers.contains_key(CONTENT_LENGTH)
+            && !headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Reads the next complete events, or the end
     ///
     /// Bytes that complete no event don't extend the wait: an engine that sends one now and then has stalled.
@@ -49,6 +96,9 @@
         let once = call.route.retry_rule == RetryRule::Once;
         let event_due = self.event_limit.and_then(|it| Instant::now().checked_add(it));
         let until = event_due.map_or(deadline, |it| it.min(deadline));
+        if let Some(fault) = self.splitter.fault() {
+            return Err(SendError::BadEvents(fault));
+        }
         loop {
             // A stream whose client is slow may be polled only now, with more bytes at hand.
             if Instant::now() >= deadline {
@@ -64,11 +114,14 @@
             };
             match frame {
                 None if self.splitter.is_inside_event() => return Err(SendError::Truncated),
+                None if self.is_unframed() && !self.splitter.has_events() => {
+                    return Err(SendError::Truncated);
+                }
                 None => return Ok(StreamItem::End),
                 Some(Err(_)) => return Err(SendError::Truncated),
                 Some(Ok(frame)) => {
                     let Some(data) = frame.data_ref() else { continue };
-                    let events = self.splitter.push(data).map_err(|_| SendError::Oversized)?;
+                    let events = self.splitter.push(data).map_err(SendError::BadEvents)?;
                     if let Some(events) = events {
                         self.answer.work_guard.record_prompt_read();
                         return Ok(StreamItem::Events(events));
--- a/crates/gateway/src/generation/relay_events.rs
+++ b/crates/gateway/src/generation/relay_events.rs
@@ -42,6 +42,7 @@
     mut stream: EngineStream,
     mut item: StreamItem,
 ) -> impl futures_util::Stream<Item = Result<Bytes, RelayError>> {
+    let kind = stream.body_kind();
     try_stream! {
         loop {
             match item {
@@ -68,7 +69,7 @@
                     next
                 }
                 Err(error) => {
-                    let last = stream.splitter.last_id().cloned().or(call.last_event.clone());
+                    let position = stream.splitter.position().clone();
                     // Closes the connection, so that this engine stops before another one resumes.
                     let is_relayed = stream.relay.is_some();
                     drop(stream);
@@ -76,7 +77,7 @@
                     if let Some(engine) = call.excluded.last().filter(|_| !is_relayed) {
                         call.record_crash_evidence(&gateway, engine, Vec::new(), &error);
                     }
-                    match resume(&gateway, &mut call, &error, last).await {
+                    match resume(&gateway, &mut call, &error, position, &kind).await {
                         Some((resumed, next)) => {
                             if let Some(instance) = &resumed.relay {
                                 record.relayed_to = instance.clone();
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests: instances run as processes between raw clients and stand-ins of the platform.
 
+mod broken_streams;
 mod client;
 mod config;
 mod config_changes;
@@ -36,6 +37,7 @@
 mod process;
 mod proxy;
 mod rate_limits;
+mod relayed_streams;
 mod retry_limits;
 mod scaling;
 mod slow_readers;
