--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -10,6 +10,7 @@
 use crate::request_record::RequestRecord;
 use crate::serving_call::{NOT_RELAYED, Refusal, SendWay, ServingCall, failure_name};
 use crate::state::Gateway;
+use crate::stop::{SendMark, StopStage};
 use crate::usage::mark::UsageMark;
 use bytes::Bytes;
 use decide::serving::crash_table::REFUSAL_TIME;
@@ -18,6 +19,7 @@
 use decide::serving::send_history::{RunStatus, SendHistory};
 use http::header::{CONNECTION, EXPECT, HeaderValue};
 use http::{Request, Response};
+use http_body::Body;
 use hyper::body::Incoming;
 use platform_adapter::answer::GatewayAnswer;
 use platform_adapter::head::decode_head;
@@ -34,6 +36,11 @@
 /// `Retry-After` of an instance that is still starting.
 const START_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Longest `Retry-After` of a stopping instance: another one can serve the request at once.
+const STOP_RETRY_JITTER: Duration = Duration::from_millis(100);
+/// Reason of an answer that a planned stop causes
+const STOPPING: &str = "stopping";
+
 /// Serves a request and always returns a response
 pub async fn serve(
     gateway: &Rc<Gateway>,
@@ -47,25 +54,33 @@
         Err(fault) => {
             log::info!("event=refused reason=malformed error=\"{fault}\"");
             gateway.metrics.answered(&SmolStr::default(), GatewayAnswer::Malformed.name());
-            return with_connection_close(gateway_answer(
-                gateway,
-                None,
-                &Refusal::new(GatewayAnswer::Malformed, "malformed"),
-            ));
+            let refusal = Refusal::new(GatewayAnswer::Malformed, "malformed");
+            let response = with_connection_close(gateway_answer(gateway, None, &refusal));
+            return if body.is_end_stream() { response } else { with_unread_body(response) };
         }
     };
     let id = head.id.clone();
-    let mut closes_connection = head.is_chunked;
+    let closes_connection = head.is_chunked;
+    let mut has_unread_body = false;
     let mut record = RequestRecord::new(gateway.clone(), id.clone(), arrived_at);
     record.relayed_by = source.relay().cloned().unwrap_or_default();
-    let result = match prepare_call(gateway, &mut record, parts, body, head, source).await {
-        Ok(call) => match gateway.share_refusal(&call) {
-            Some(refusal) => Err((refusal, record)),
-            None => serve_call(gateway, call, record).await,
-        },
-        Err(RefusedCall { refusal, has_unread_body }) => {
-            closes_connection |= has_unread_body;
-            Err((refusal, record))
+    let sent = record.sent.clone();
+    let served = async {
+        match prepare_call(gateway, &mut record, parts, body, head, source).await {
+            Ok(call) => match gateway.share_refusal(&call) {
+                Some(refusal) => Err((refusal, record)),
+                None => serve_call(gateway, call, record).await,
+            },
+            Err(refused) => {
+                has_unread_body = refused.has_unread_body;
+                Err((refused.refusal, record))
+            }
+        }
+    };
+    let result = tokio::select! {
+        result = served => result,
+        () = gateway.stop.reached(StopStage::Answering) => {
+            return with_unread_body(gateway_answer(gateway, Some(&id), &final_refusal(&sent)));
         }
     };
     let response = match result {
@@ -79,11 +94,28 @@
             response
         }
     };
+    if has_unread_body {
+        return with_unread_body(response);
+    }
     // The HTTP library hides a `Content-Length` beside chunked encoding, which allows request
     // smuggling. Closing the connection ensures that nothing after the body is read.
     if closes_connection { with_connection_close(response) } else { response }
 }
 
+/// Answer to a request that a planned stop ends
+fn final_refusal(sent: &SendMark) -> Refusal {
+    if sent.may_have_run() {
+        return Refusal::new(GatewayAnswer::TimedOut, STOPPING);
+    }
+    stop_refusal()
+}
+
+/// Refusal of a request that can't be expected to end before the process does
+fn stop_refusal() -> Refusal {
+    let retry_after = Some(STOP_RETRY_JITTER.mul_f64(rand::random::<f64>()));
+    Refusal { answer: GatewayAnswer::NotRun, reason: STOPPING, retry_after }
+}
+
 /// Serves a request of whatever kind
 async fn serve_call(
     gateway: &Rc<Gateway>,
@@ -120,13 +152,30 @@
     response
 }
 
+/// Extension of a response to a request whose body has not been read to its end
+#[derive(Debug, Clone, Copy)]
+pub struct UnreadBody;
+
+/// Closes the connection, since the rest of the request is in it
+fn with_unread_body(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
+    response.extensions_mut().insert(UnreadBody);
+    with_connection_close(response)
+}
+
 /// Refusal of a request before it is sent
 struct RefusedCall {
     refusal: Refusal,
-    /// Whether the connection must be closed, since the rest of the request is in it
     has_unread_body: bool,
 }
 
+impl RefusedCall {
+    /// Refusal whose request's body has not been read
+    fn before_body(answer: GatewayAnswer, reason: &'static str, body: &Incoming) -> RefusedCall {
+        let has_unread_body = !body.is_end_stream();
+        RefusedCall { refusal: Refusal::new(answer, reason), has_unread_body }
+    }
+}
+
 impl From<Refusal> for RefusedCall {
     fn from(refusal: Refusal) -> RefusedCall {
         RefusedCall { refusal, has_unread_body: false }
@@ -145,10 +194,10 @@
     let arrived_at = record.arrived_at;
     let config = gateway.config.borrow().clone();
     let Some(config) = config.filter(|_| gateway.is_ready()) else {
-        return Err(Refusal::new(GatewayAnswer::NotRun, "starting").into());
+        return Err(RefusedCall::before_body(GatewayAnswer::NotRun, "starting", &body));
     };
     let Some(route) = config.route(&head.host, parts.uri.path()) else {
-        return Err(Refusal::new(GatewayAnswer::NoRoute, "no_route").into());
+        return Err(RefusedCall::before_body(GatewayAnswer::NoRoute, "no_route", &body));
     };
     record.route = route.name.clone();
     let time_left = head.time_left.unwrap_or(route.timeout).min(route.timeout);
@@ -164,10 +213,12 @@
         }
     };
     record.customer = customer.as_ref().map(|it| it.name.clone()).unwrap_or_default();
-    let (body, share) = read_body(gateway, body, max_body_bytes, deadline).await?;
-    // A stream that may outlast the drain would be cut; another instance can serve it whole.
-    if route.is_stream && gateway.drained_by.get().is_some_and(|it| it < deadline) {
-        return Err(Refusal::new(GatewayAnswer::NotRun, "stopping").into());
+    let (body, share) = read_body(gateway, body, max_body_bytes, deadline)
+        .await
+        .map_err(|refusal| RefusedCall { refusal, has_unread_body: true })?;
+    // Another instance can serve it whole.
+    if !gateway.stop.may_serve(deadline, route.objective, route.is_stream) {
+        return Err(stop_refusal().into());
     }
     let origin = match head.last_event {
         Some(_) if route.is_stream => Some(gateway.find_origin(route, &head).await?),
@@ -191,6 +242,7 @@
         held_version: None,
         sent_at: arrived_at,
         deadline,
+        sent: record.sent.clone(),
         history: match &source {
             RequestSource::Client(_) => SendHistory::new(),
             RequestSource::Instance { sends, .. } => {
