Survive a reload that comes before the settings are read

A process that got SIGHUP right after its start ended by the signal. Cause: the handler was installed with the tasks, after the settings had been read. Change: the runtime and the handler come first. A signal between the start of the program and its main function still ends it.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -65,6 +65,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
 use tokio::time::sleep;
@@ -74,19 +75,33 @@
 /// Interval between expiry runs; well below the idle timeout of connections.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Starts the runtime; a reload doesn't end the process from now on
+///
+/// # Errors
+/// `GatewayError::Runtime`
+pub fn start_runtime() -> Result<Runtime, GatewayError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(GatewayError::Runtime)?;
+    {
+        let _context = runtime.enter();
+        // The handler stays when the stream is dropped.
+        drop(signal(SignalKind::hangup()).map_err(GatewayError::Runtime)?);
+    }
+    Ok(runtime)
+}
+
 /// Serves until SIGTERM; `dropped_lines` returns the number of dropped log lines
 ///
 /// # Errors
-/// `GatewayError` if an address can't be bound, the runtime can't start or a background task ends.
+/// `GatewayError` if an address can't be bound, or a background task ends.
 pub fn run(
+    runtime: &Runtime,
     settings: InstanceSettings,
     dropped_lines: impl Fn() -> usize + 'static,
 ) -> Result<(), GatewayError> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(GatewayError::Runtime)?;
-    LocalSet::new().block_on(&runtime, serve(settings, dropped_lines))
+    LocalSet::new().block_on(runtime, serve(settings, dropped_lines))
 }
 
 async fn serve(
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -61,6 +61,13 @@
 }
 
 fn run(command: CommandLine) -> ExitCode {
+    let runtime = match gateway::start_runtime() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("persimmonlift-gateway: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
     let settings = match settings_path(command.settings).and_then(|it| InstanceSettings::read(&it))
     {
         Ok(settings) => settings,
@@ -75,7 +82,7 @@
     }
     let log_writer = LogWriter::start();
     // The writer outlives all tasks: those that are dropped with the runtime log what they leave undone.
-    match gateway::run(settings, log_writer.dropped_lines()) {
+    match gateway::run(&runtime, settings, log_writer.dropped_lines()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("event=failed error=\"{error}\"");
