End the drain of a server under new connections

Cause: as in the gateway's stop, new connections kept the drain from ending: the listener was closed only once none had come for 20 ms, and the bound was counted from then on. Change: the connections that wait are accepted, then the listener is closed.

--- a/crates/persimmonlift/src/server.rs
+++ b/crates/persimmonlift/src/server.rs
@@ -26,8 +26,6 @@
 const MAX_STREAMS: u32 = 256;
 /// Pause after a failed accept, to avoid a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Wait for each further connection that the kernel had accepted before the drain.
-const BACKLOG_WAIT: Duration = Duration::from_millis(20);
 /// Time to read the first request of the last accepted connections.
 const FIRST_READ_WAIT: Duration = Duration::from_millis(200);
 /// Interval of HTTP/2 pings.
@@ -71,8 +69,8 @@
         let address = listener.local_addr()?;
         let (stop, stopped) = oneshot::channel();
         let connections = Arc::new(Semaphore::new(limits.max_connections));
-        let acceptor = ConnectionAcceptor { listener, limits, answer, connections };
-        let task = tokio::spawn(acceptor.run(stopped));
+        let acceptor = ConnectionAcceptor { limits, answer, connections };
+        let task = tokio::spawn(acceptor.run(listener, stopped));
         Ok(HttpServer { address, stop: Some(stop), task })
     }
 
@@ -97,20 +95,19 @@
 }
 
 struct ConnectionAcceptor {
-    listener: TcpListener,
     limits: ServerLimits,
     answer: Arc<AnswerFn>,
     connections: Arc<Semaphore>,
 }
 
 impl ConnectionAcceptor {
-    async fn run(self, mut stopped: oneshot::Receiver<Duration>) -> bool {
+    async fn run(self, listener: TcpListener, mut stopped: oneshot::Receiver<Duration>) -> bool {
         let graceful = GracefulShutdown::new();
         let mut tasks = tokio::task::JoinSet::new();
         let bound = loop {
             tokio::select! {
                 bound = &mut stopped => break bound.unwrap_or_default(),
-                accepted = self.listener.accept() => match accepted {
+                accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => self.serve(stream, graceful.watcher(), &mut tasks),
                     Err(error) => {
                         log::warn!("event=accept_failed reason=\"{error}\"");
@@ -123,12 +120,13 @@
         // The kernel has already accepted the connections in the backlog, so their callers may
         // have sent requests. Closing the listener, or a connection before its first read,
         // would reset them.
-        while let Ok(Ok((stream, _))) =
-            tokio::time::timeout(BACKLOG_WAIT, self.listener.accept()).await
-        {
+        let backlog = accept_backlog(listener).unwrap_or_else(|error| {
+            log::warn!("event=accept_failed reason=\"{error}\"");
+            Vec::new()
+        });
+        for stream in backlog {
             self.serve(stream, graceful.watcher(), &mut tasks);
         }
-        drop(self.listener);
         tokio::time::sleep(FIRST_READ_WAIT).await;
         tokio::time::timeout(bound, graceful.shutdown()).await.is_ok()
     }
@@ -155,6 +153,23 @@
     }
 }
 
+/// Accepts the connections that wait, and closes the listener
+fn accept_backlog(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
+    let listener = listener.into_std()?;
+    let mut backlog = Vec::new();
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                backlog.push(TcpStream::from_std(stream)?);
+            }
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+            // Usually no connection waits any more.
+            Err(_) => return Ok(backlog),
+        }
+    }
+}
+
 fn connection_builder(limits: &ServerLimits) -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
     builder
