Try an endpoint directly when no other instance takes a request over

Callers saw resumable streams end in their middle while all endpoints were silent, and 502 for requests that may be repeated. Cause: an instance that takes itself for cut gives up what it waits for to send it through another instance. If the others decline, since they see the same silence or are stopping, or refuse it as not run, the stream ended. Change: what may have run already then goes to an endpoint directly, and waits for it. What was never sent is still refused at once.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -278,10 +278,16 @@
 ) -> Result<Response<AnswerBody>, (Refusal, RequestRecord)> {
     let mut failed: Option<WholeAnswer> = None;
     let mut reason = "no_endpoint";
+    let mut has_declined = false;
     while let Some(way) = call.next_way(gateway).await {
-        if way == SendWay::Relay {
+        if way == SendWay::Relay && !has_declined {
             let Some((instance, answer)) = relay::send(gateway, &mut call, None).await else {
                 reason = NOT_RELAYED;
+                if call.history.may_have_run {
+                    // The others reach no endpoint either, so one that is only silent may answer.
+                    has_declined = true;
+                    continue;
+                }
                 break;
             };
             let deadline = call.answer_deadline(gateway);
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -41,8 +41,9 @@
 ) -> Result<Response<AnswerBody>, (Refusal, RequestRecord)> {
     let mut reason = NO_ENDPOINT;
     let mut cache = None;
+    let mut has_declined = false;
     while let Some(way) = call.next_way(gateway).await {
-        if way == SendWay::Relay {
+        if way == SendWay::Relay && !has_declined {
             let sends = call.history.sends;
             match relay_stream(gateway, &mut call, None).await {
                 Some((instance, Started::Failed(answer))) => {
@@ -58,6 +59,8 @@
                     return Ok(stream_response(gateway.clone(), call, record, *stream, first));
                 }
                 None if call.history.sends > sends => continue,
+                // The others reach no endpoint either, so one that is only silent may answer.
+                None if call.history.may_have_run => has_declined = true,
                 None => {
                     reason = NOT_RELAYED;
                     break;
--- a/crates/gateway/src/generation/resume.rs
+++ b/crates/gateway/src/generation/resume.rs
@@ -10,6 +10,7 @@
 use crate::state::Gateway;
 use decide::serving::send_history::RunStatus;
 use decide::serving::stream_origins::stream_key;
+use platform_adapter::answer::promises_not_run;
 use std::rc::Rc;
 
 /// Resumes a failed stream on another engine, with a body of the same kind; `None` if that is not possible
@@ -37,8 +38,9 @@
         StreamPosition::After(id) => Some(id),
         StreamPosition::Unknown => return None,
     };
+    let mut has_declined = false;
     while let Some(way) = call.next_way(gateway).await {
-        if way == SendWay::Relay {
+        if way == SendWay::Relay && !has_declined {
             let sends = call.history.sends;
             match relay_stream(gateway, call, last.clone()).await {
                 Some((_, Started::Streaming(stream, item))) => {
@@ -49,7 +51,12 @@
                     continue;
                 }
                 None if call.history.sends > sends => continue,
-                Some((_, Started::Failed(_))) | None => return None,
+                // The others can't run it either, so an endpoint that is only silent may answer.
+                None => has_declined = true,
+                Some((_, Started::Failed(answer))) if promises_not_run(answer.status) => {
+                    has_declined = true;
+                }
+                Some((_, Started::Failed(_))) => return None,
             }
         }
         // Another instance has begun it.
