Wait at an endpoint once the other instances have declined a request

Callers of an instance that takes itself for cut saw streams end and 502 while the only other instance was stopping. Cause: after the others had declined, the request went to an endpoint directly, but was given up there after 0.4 s again, since instances that decline still say that they reach endpoints. Change: the call records that it was declined, and is not given up for a relay again.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -255,6 +255,7 @@
             }
         },
         is_relayed: source.relay().is_some(),
+        has_declined_relay: false,
         begun_by: head.begun_by,
         excluded: Vec::new(),
         progress: PromptProgress::Unread,
@@ -278,14 +279,13 @@
 ) -> Result<Response<AnswerBody>, (Refusal, RequestRecord)> {
     let mut failed: Option<WholeAnswer> = None;
     let mut reason = "no_endpoint";
-    let mut has_declined = false;
     while let Some(way) = call.next_way(gateway).await {
-        if way == SendWay::Relay && !has_declined {
+        if way == SendWay::Relay {
             let Some((instance, answer)) = relay::send(gateway, &mut call, None).await else {
                 reason = NOT_RELAYED;
                 if call.history.may_have_run {
                     // The others reach no endpoint either, so one that is only silent may answer.
-                    has_declined = true;
+                    call.has_declined_relay = true;
                     continue;
                 }
                 break;
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -41,9 +41,8 @@
 ) -> Result<Response<AnswerBody>, (Refusal, RequestRecord)> {
     let mut reason = NO_ENDPOINT;
     let mut cache = None;
-    let mut has_declined = false;
     while let Some(way) = call.next_way(gateway).await {
-        if way == SendWay::Relay && !has_declined {
+        if way == SendWay::Relay {
             let sends = call.history.sends;
             match relay_stream(gateway, &mut call, None).await {
                 Some((instance, Started::Failed(answer))) => {
@@ -60,7 +59,10 @@
                 }
                 None if call.history.sends > sends => continue,
                 // The others reach no endpoint either, so one that is only silent may answer.
-                None if call.history.may_have_run => has_declined = true,
+                None if call.history.may_have_run => {
+                    call.has_declined_relay = true;
+                    continue;
+                }
                 None => {
                     reason = NOT_RELAYED;
                     break;
--- a/crates/gateway/src/generation/resume.rs
+++ b/crates/gateway/src/generation/resume.rs
@@ -38,9 +38,8 @@
         StreamPosition::After(id) => Some(id),
         StreamPosition::Unknown => return None,
     };
-    let mut has_declined = false;
     while let Some(way) = call.next_way(gateway).await {
-        if way == SendWay::Relay && !has_declined {
+        if way == SendWay::Relay {
             let sends = call.history.sends;
             match relay_stream(gateway, call, last.clone()).await {
                 Some((_, Started::Streaming(stream, item))) => {
@@ -52,9 +51,13 @@
                 }
                 None if call.history.sends > sends => continue,
                 // The others can't run it either, so an endpoint that is only silent may answer.
-                None => has_declined = true,
+                None => {
+                    call.has_declined_relay = true;
+                    continue;
+                }
                 Some((_, Started::Failed(answer))) if promises_not_run(answer.status) => {
-                    has_declined = true;
+                    call.has_declined_relay = true;
+                    continue;
                 }
                 Some((_, Started::Failed(_))) => return None,
             }
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -92,6 +92,8 @@
     pub unanswered_sends: u32,
     /// Whether another instance relays it, so that this one must not
     pub is_relayed: bool,
+    /// Whether the other instances have declined to take it over after it had been sent
+    pub has_declined_relay: bool,
     /// Id of the request that brought the first event of a stream that the client takes up
     pub begun_by: Option<SmolStr>,
 }
--- a/crates/gateway/src/serving_call/limits.rs
+++ b/crates/gateway/src/serving_call/limits.rs
@@ -44,7 +44,7 @@
             }
         }
         // All instances may be cut, or most endpoints have ended: one of the others may answer.
-        if way == SendWay::Relay && !gateway.has_relays() {
+        if way == SendWay::Relay && (self.has_declined_relay || !gateway.has_relays()) {
             way = SendWay::Direct;
             if self.failed_connects > 0 {
                 return None;
@@ -83,7 +83,8 @@
     /// A silent endpoint may still answer, so a request that can't go on elsewhere waits for it.
     pub async fn relay_due(&self, gateway: &Gateway, once: bool) {
         let has_sends_left = self.history.sends < self.route.max_attempts;
-        if once || !self.may_resume || self.is_relayed || !has_sends_left {
+        let may_relay = self.may_resume && !self.is_relayed && !self.has_declined_relay;
+        if once || !may_relay || !has_sends_left {
             return std::future::pending().await;
         }
         loop {
--- a/crates/gateway/tests/gateway/config_changes.rs
+++ b/crates/gateway/tests/gateway/config_changes.rs
@@ -23,6 +23,8 @@
     // Guard against a request that is given up for another instance, which no endpoint answers either.
     requests_to_a_fleet_outlast_the_silence_of_all_endpoints => fleet_waiting(3),
     requests_to_one_instance_of_a_fleet_outlast_the_silence_of_all_endpoints => fleet_waiting(1),
+    // Guards against the same while the only other instance declines what it should take over, since it stops.
+    requests_outlast_a_silence_while_the_other_instance_stops => silence_beside_a_stop(),
     // Guard against a request of the version before that a change of its route or pool ends.
     requests_outlast_the_removal_of_their_routes => waiting(1200, ALL, remove_routes),
     requests_outlast_a_move_to_another_pool => waiting(1200, ALL, move_routes),
@@ -353,6 +355,27 @@
     check_answers(&fleet.instances, &fleet.endpoints, sent).await
 }
 
+async fn silence_beside_a_stop() -> Result<()> {
+    let services = (0..3).map(|it| format!("service-{it}"));
+    let engines = (0..3).map(|it| format!("engine-{it}"));
+    let fleet = EndingFleet::start(services.chain(engines), script, 2).await;
+    let config = config(2, 4000).to_string();
+    fleet.store.put("keyed.op", "config", config.as_bytes());
+    for instance in &fleet.instances {
+        instance.wait_line("event=config_applied version=2 ").await;
+    }
+    let instance = &fleet.instances[0];
+    let mut sent = send_begun(instance).await;
+    let start = Instant::now();
+    fleet.cuts.cut(instance.process(), CutMode::Hang);
+    sent.extend(send_all(instance).await);
+    fleet.instances[1].terminate();
+    instance.wait_line("event=endpoints_cut ").await;
+    sleep(Duration::from_millis(2000).saturating_sub(start.elapsed())).await;
+    fleet.cuts.heal_all();
+    check_answers(&fleet.instances, &fleet.endpoints, sent).await
+}
+
 /// Reloads come every 20 ms while requests wait, and first of all a stop if `is_stopping`
 async fn reloads(is_stopping: bool) -> Result<()> {
     let silent = SilentDeployment::start(ALL).await;
