--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,17 +10,16 @@
 use decide::serving::health::SendResult;
 use decide::serving::send_history::RunStatus;
 use http::request::Parts;
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use platform_adapter::answer::{AnswerHead, decode_answer, promises_not_run};
-use platform_adapter::engine::{cache_path, call_headers};
 use platform_adapter::head::{SendParameters, endpoint_headers};
 use smol_str::SmolStr;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 /// Largest answer that is buffered; answers of plain services are about a kilobyte.
 const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
@@ -29,8 +28,6 @@
 
 /// Timeout of the rest of an answer that declines a request; it usually comes with the head.
 const DECLINED_REST_TIMEOUT: Duration = Duration::from_millis(50);
-/// Timeout of calls that are not made for a client.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Request received from a client
 pub struct ClientRequest {
@@ -365,40 +362,6 @@
     }
 }
 
-/// Frees the cache of a prompt that no engine is going to fetch
-///
-/// # Errors
-/// `SendError`; the engine then frees the cache after its own timeout. Nothing is sent to an engine that
-/// accepts no requests.
-pub async fn free_cache(
-    gateway: &Gateway,
-    engine: &ListedEndpoint,
-    source: &str,
-) -> Result<(), SendError> {
-    if !gateway.accepts(engine) {
-        return Err(SendError::NotAccepted);
-    }
-    let path = cache_path(source).ok_or(SendError::Unusable)?;
-    let mut request = Request::new(Full::new(Bytes::new()));
-    *request.method_mut() = Method::DELETE;
-    *request.uri_mut() = path.parse().map_err(|_| SendError::Unusable)?;
-    *request.headers_mut() = call_headers(engine);
-    let share = gateway.connection_share(&engine.pool);
-    let mut connection = gateway
-        .connections
-        .acquire(engine, None, ConnectionReuse::Any, share)
-        .await
-        .map_err(SendError::Exchange)?;
-    if !gateway.try_start_send(engine) {
-        return Err(SendError::NotAccepted);
-    }
-    let answer = timeout(CALL_TIMEOUT, connection.exchange(request))
-        .await
-        .map_err(|_| SendError::TimedOut)?
-        .map_err(SendError::Exchange)?;
-    if answer.status().is_success() { Ok(()) } else { Err(SendError::Declined(answer.status())) }
-}
-
 fn endpoint_request(
     request: &ClientRequest,
     parameters: &SendParameters,
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -6,6 +6,7 @@
 //! closed.
 
 mod engine_stream;
+mod free_cache;
 mod generate;
 mod hedge;
 mod plan;
--- a/crates/gateway/src/generation/send.rs
+++ b/crates/gateway/src/generation/send.rs
@@ -1,10 +1,11 @@
 //! Sends a generation along a planned path, or through another instance, and waits for its first event.
 
 use super::engine_stream::EngineStream;
+use super::free_cache::free_cache;
 use super::generate::{Started, milliseconds, record_prompt_read};
 use super::hedge::{FirstEvent, send_first};
 use super::plan::{EnginePath, EngineStep, plan_path};
-use crate::attempt::{SendError, SendTarget, free_cache, read_whole, send};
+use crate::attempt::{SendError, SendTarget, read_whole, send};
 use crate::connections::ConnectionReuse;
 use crate::relay;
 use crate::serving_call::ServingCall;
