--- a/crates/standins/tests/matrix/platform.rs
+++ b/crates/standins/tests/matrix/platform.rs
@@ -4,7 +4,7 @@
 use super::ProtocolTable;
 
 /// Faults on the users' platform, one per row.
-const PLATFORM_FAULTS: [&str; 23] = [
+const PLATFORM_FAULTS: [&str; 27] = [
     "store comes back from a copy",
     "store away",
     "instance starts",
@@ -28,6 +28,10 @@
     "value or datagram out of range",
     "endpoint is slow",
     "request arrives as a stopping instance closes",
+    "all endpoints are silent for a second",
+    "requests come until a stopping instance exits",
+    "endpoint is silent over a whole stop",
+    "body is still arriving",
 ];
 
 /// Serving on the users' platform.
@@ -259,5 +263,33 @@
             Reason("the same connections"),
             Reason("a stopping instance declines relayed requests"),
         ],
+        &[
+            Test(&["gateway::config_changes::requests_outlast_the_silence_of_all_endpoints"]),
+            Reason("the same test"),
+            Test(&[
+                "gateway::config_changes::requests_to_a_fleet_outlast_the_silence_of_all_endpoints",
+            ]),
+        ],
+        &[
+            Test(&[
+                "gateway::stop::requests_that_come_until_the_end_are_answered",
+                "gateway::stop::signals_while_stopping_cut_nothing",
+            ]),
+            Test(&["gateway::drain::stream_that_may_outlast_the_drain_is_refused"]),
+            Reason("a stopping instance declines relayed requests"),
+        ],
+        &[
+            Test(&["gateway::stop::silent_endpoint_is_answered_for_at_the_end"]),
+            Test(&["gateway::stop::cut_stream_is_named_in_the_log"]),
+            Reason("relayed requests get the same final answer"),
+        ],
+        &[
+            Test(&[
+                "gateway::stop::unfinished_body_is_answered_at_the_end",
+                "gateway::stop::starting_instance_refuses_a_body_in_chunks",
+            ]),
+            Reason("bodies of generations are read in the same way"),
+            Reason("instances send whole bodies"),
+        ],
     ],
 };
