Untangle sends from calls, and the drain from the stages of a stop

Cause: a send to an endpoint took the whole call only to know when to give up, and the stages of a stop stood in one module with the drain that goes through them, so that attempt and serving_call, and state and stop, imported each other. Change: a send takes a future that ends when it is given up (ServingCall::given_up) and its times; drain is a module of its own. Nothing else changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,7 +3,6 @@
 use crate::connections::{ConnectionReuse, EndpointConnection, ExchangeError};
 use crate::events::EventFault;
 use crate::memory::MemoryShare;
-use crate::serving_call::ServingCall;
 use crate::state::{Gateway, WorkGuard};
 use bytes::{Bytes, BytesMut};
 use decide::serving::endpoint_list::ListedEndpoint;
@@ -216,21 +215,21 @@
 pub struct SendTarget<'a> {
     /// Endpoint that receives the request
     pub endpoint: &'a ListedEndpoint,
-    /// Call that the request is sent for
-    pub call: &'a ServingCall,
     /// Counts the request in the endpoint's load until the answer is complete
     pub work_guard: WorkGuard,
-    /// Whether the request may run only once
-    pub once: bool,
     /// Connections that may carry it
     pub reuse: ConnectionReuse,
     /// Whether the answer must carry the endpoint's signature; answers to prefill calls do not
     pub expects_signature: bool,
     /// Starts the request once a connection is open; `false` if it must not be sent
     pub may_start: &'a dyn Fn() -> bool,
+    /// Time until which to wait for a connection
+    pub connect_by: Instant,
+    /// Time by which the client must have the answer
+    pub deadline: Instant,
 }
 
-/// Sends a request and waits for the head of its answer, from `retry_at` on only while nothing else can take it
+/// Sends a request and waits for the head of its answer until `given_up` ends
 ///
 /// # Errors
 /// `SendError`; `SendError::run_status` tells whether the request may have run.
@@ -239,13 +238,12 @@
     target: SendTarget<'_>,
     request: &ClientRequest,
     parameters: &SendParameters,
-    retry_at: Instant,
+    given_up: impl Future<Output = ()>,
 ) -> Result<OpenAnswer, SendError> {
-    let SendTarget { endpoint, call, work_guard, once, reuse, expects_signature, may_start } =
-        target;
+    let SendTarget { endpoint, work_guard, reuse, expects_signature, may_start, .. } = target;
     let share = gateway.connection_share(&endpoint.pool);
     let acquired = gateway.connections.acquire(endpoint, Some(&request.id), reuse, share);
-    let mut connection = match timeout_at(retry_at, acquired).await {
+    let mut connection = match timeout_at(target.connect_by, acquired).await {
         Ok(connection) => connection.map_err(SendError::Exchange)?,
         Err(_) => return Err(SendError::Exchange(ExchangeError::ConnectTimedOut)),
     };
@@ -275,9 +273,8 @@
                 return Err(SendError::Exchange(error));
             }
         },
-        () = call.retry_due(gateway, endpoint, retry_at) => return Err(SendError::TimedOut),
+        () = given_up => return Err(SendError::TimedOut),
         () = gateway.check_if_silent(endpoint) => return Err(SendError::TimedOut),
-        () = call.relay_due(gateway, once) => return Err(SendError::TimedOut),
     };
     gateway.record_link_answer(is_new_connection);
     let (parts, body) = response.into_parts();
@@ -302,7 +299,7 @@
         }
         let answer = OpenAnswer { head, headers: parts.headers, body, connection, work_guard };
         // Reading the rest only serves to reuse the connection.
-        let rest_deadline = call.deadline.min(Instant::now() + DECLINED_REST_TIMEOUT);
+        let rest_deadline = target.deadline.min(Instant::now() + DECLINED_REST_TIMEOUT);
         if let Err(error) = read_whole(gateway, answer, rest_deadline).await {
             log::debug!("event=declined_answer_broken id={} error={error}", request.id);
         }
--- a/crates/gateway/src/generation/generate.rs
+++ b/crates/gateway/src/generation/generate.rs
@@ -56,18 +56,19 @@
         true => ConnectionReuse::Never,
         false => ConnectionReuse::Unrefused,
     };
+    let retry_at = call.answer_deadline(gateway);
     let target = SendTarget {
         endpoint: &step.engine,
-        call,
         work_guard: step.work_guard,
-        once,
         reuse,
         expects_signature: true,
         may_start: &may_start,
+        connect_by: retry_at,
+        deadline: call.deadline,
     };
-    let retry_at = call.answer_deadline(gateway);
     let sent_at = Instant::now();
-    let answer = send(gateway, target, &call.request, &parameters, retry_at).await?;
+    let given_up = call.given_up(gateway, &step.engine, retry_at, once);
+    let answer = send(gateway, target, &call.request, &parameters, given_up).await?;
     if !answer.head.status.is_success() {
         let answer = read_whole(gateway, answer, call.deadline).await?;
         return Ok(Started::Failed(answer));
--- a/crates/gateway/src/generation/send.rs
+++ b/crates/gateway/src/generation/send.rs
@@ -169,18 +169,20 @@
     let engine = step.engine;
     let sent_at = Instant::now();
     let may_start = || call.start_run(gateway, &engine, false);
+    let expected = milliseconds(step.pick.expected_ms);
+    let deadline = call.prefill_deadline(expected);
     let target = SendTarget {
         endpoint: &engine,
-        call,
         work_guard: step.work_guard,
-        once: false,
         reuse: ConnectionReuse::Any,
         expects_signature: false,
         may_start: &may_start,
+        connect_by: deadline,
+        deadline: call.deadline,
     };
-    let expected = milliseconds(step.pick.expected_ms);
-    let deadline = call.prefill_deadline(expected);
-    let answer = send(gateway, target, &call.request, &parameters, deadline).await?;
+    // Reading a prompt has no effect, so that it may be done again for any request.
+    let given_up = call.given_up(gateway, &engine, deadline, false);
+    let answer = send(gateway, target, &call.request, &parameters, given_up).await?;
     let answer = read_whole(gateway, answer, deadline).await?;
     let took = sent_at.elapsed();
     log::info!(
--- a/crates/gateway/src/hedged_send.rs
+++ b/crates/gateway/src/hedged_send.rs
@@ -81,14 +81,15 @@
     let once = call.route.retry_rule == RetryRule::Once;
     let target = SendTarget {
         endpoint,
-        call,
         work_guard,
-        once,
         reuse: if once { ConnectionReuse::Never } else { ConnectionReuse::Any },
         expects_signature: true,
         may_start: &may_start,
+        connect_by: deadline,
+        deadline: call.deadline,
     };
-    send(gateway, target, &call.request, &parameters, deadline).await
+    let given_up = call.given_up(gateway, endpoint, deadline, once);
+    send(gateway, target, &call.request, &parameters, given_up).await
 }
 
 async fn send_hedged(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod crash_parts;
 pub mod customer_keys;
 pub mod customer_shares;
+pub mod drain;
 pub mod duties;
 pub mod duty_messages;
 pub mod duty_task;
@@ -135,7 +136,7 @@
             _ = reload.recv() => log::info!("event=reload outcome=unchanged"),
         }
     }
-    stop::drain(&gateway).await;
+    drain::drain(&gateway).await;
     Ok(())
 }
 
--- a/crates/gateway/src/serving_call/limits.rs
+++ b/crates/gateway/src/serving_call/limits.rs
@@ -77,6 +77,20 @@
         self.deadline.min(Instant::now() + limit.max(expected.mul_f64(PREFILL_TIMEOUT_FACTOR)))
     }
 
+    /// Waits until an endpoint's answer is no longer waited for, since the request can go on elsewhere
+    pub async fn given_up(
+        &self,
+        gateway: &Gateway,
+        endpoint: &ListedEndpoint,
+        retry_at: Instant,
+        once: bool,
+    ) {
+        tokio::select! {
+            () = self.retry_due(gateway, endpoint, retry_at) => {}
+            () = self.relay_due(gateway, once) => {}
+        }
+    }
+
     /// Waits until the link has been cut for a while and the request can go on through another instance; never, if
     /// what was sent may run only `once`
     ///
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -1,19 +1,17 @@
-//! Planned stop of an instance.
+//! Stages of a planned stop.
 //!
-//! SIGTERM starts a sequence of stages. The instance turns unready and serves on while the
+//! SIGTERM starts the sequence, see `drain`. The instance turns unready and serves on while the
 //! load balancer reacts; then it closes idle connections. New ones may come as long as the
 //! process listens, since the balancer falls back to unready instances when few others are
 //! left. So the instance stops listening once it is quiet, or early enough for the requests
 //! that it has accepted to end. Those that are left before the process exits get a
 //! final answer, which tells whether an endpoint may have run them.
 
-use crate::state::Gateway;
-use log::Level;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::Instant;
 
 /// Time from SIGTERM until idle connections are closed. The load balancer probes once a second and
 /// removes an instance after two failed probes.
@@ -21,15 +19,11 @@
 /// Margin between the exit of the process and the SIGKILL that follows a SIGTERM.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 /// Time in which final answers are written before the exit.
-const FINAL_ANSWER_TIME: Duration = Duration::from_millis(250);
+pub const FINAL_ANSWER_TIME: Duration = Duration::from_millis(250);
 /// Time for requests that have been accepted to end before the final answers, as a fraction of the grace period.
 const LAST_REQUESTS_FRACTION: f64 = 0.13;
 /// Expected time of an answer in multiples of the route's objective. Most take half of it.
 const ANSWER_OBJECTIVES: f64 = 3.0;
-/// Polling interval for open connections.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Number of polls in a row without an open connection after which a listening instance is quiet.
-const QUIET_POLLS: usize = 2;
 
 /// Stage of a planned stop, in their order
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -99,6 +93,11 @@
         self.has_closed_listener.set(true);
     }
 
+    /// Whether the listener for clients is closed
+    pub fn has_closed_listener(&self) -> bool {
+        self.has_closed_listener.get()
+    }
+
     /// Whether a request can be expected to end before the process does
     ///
     /// A stream lasts for an unknown time, so it may start late only if its deadline is early enough.
@@ -110,12 +109,14 @@
         deadline.min(Instant::now() + objective.mul_f64(ANSWER_OBJECTIVES)) <= times.answer
     }
 
-    fn begin(&self, times: StopTimes) {
+    /// Starts the stop
+    pub fn begin(&self, times: StopTimes) {
         self.times.set(Some(times));
         self.enter(StopStage::Unready);
     }
 
-    fn enter(&self, stage: StopStage) {
+    /// Begins a stage
+    pub fn enter(&self, stage: StopStage) {
         self.stage.set(stage);
         self.has_changed.notify_waiters();
     }
@@ -136,61 +137,3 @@
         self.0.get()
     }
 }
-
-/// Goes through the stages of a stop; returns when the process is to exit
-pub async fn drain(gateway: &Gateway) {
-    let stop = &gateway.stop;
-    let times = StopTimes::within(Instant::now(), gateway.settings.stop_grace);
-    stop.begin(times);
-    if let Some(usage) = &gateway.usage {
-        usage.hand_over(gateway);
-    }
-    // The lease is released while open connections are served to their end.
-    gateway.duties.stop();
-    log::info!("event=stop open_requests={}", gateway.open_requests.get());
-    sleep_until(times.close_idle).await;
-    enter(gateway, StopStage::ClosingIdle);
-    wait_until_quiet(gateway, times.stop_listening).await;
-    enter(gateway, StopStage::NotListening);
-    wait_until_ended(gateway, times.answer).await;
-    if gateway.open_connections.get() > 0 {
-        // Answers that have arrived while the process was suspended are read first.
-        sleep(POLL_INTERVAL).await;
-    }
-    enter(gateway, StopStage::Answering);
-    wait_until_ended(gateway, times.exit.max(Instant::now() + FINAL_ANSWER_TIME)).await;
-    if let Some(usage) = &gateway.usage {
-        usage.finish().await;
-    }
-    let cut = gateway.open_requests.get();
-    let level = if cut > 0 { Level::Warn } else { Level::Info };
-    log::log!(level, "event=stopped cut={cut}");
-}
-
-fn enter(gateway: &Gateway, stage: StopStage) {
-    log::info!(
-        "event=stop_stage stage={stage:?} open_requests={} open_connections={}",
-        gateway.open_requests.get(),
-        gateway.open_connections.get(),
-    );
-    gateway.stop.enter(stage);
-}
-
-/// Waits until no client connection is open and none comes
-async fn wait_until_quiet(gateway: &Gateway, limit: Instant) {
-    let mut quiet_polls = 0;
-    while quiet_polls < QUIET_POLLS && Instant::now() < limit {
-        sleep(POLL_INTERVAL).await;
-        let is_quiet = gateway.open_connections.get() == 0;
-        quiet_polls = if is_quiet { quiet_polls + 1 } else { 0 };
-    }
-}
-
-/// Waits until the listener and all client connections are closed
-async fn wait_until_ended(gateway: &Gateway, limit: Instant) {
-    let has_ended =
-        || gateway.stop.has_closed_listener.get() && gateway.open_connections.get() == 0;
-    while !has_ended() && Instant::now() < limit {
-        sleep(POLL_INTERVAL).await;
-    }
-}
