--- a/crates/decide/src/serving/duty_lease/mod.rs
+++ b/crates/decide/src/serving/duty_lease/mod.rs
@@ -309,12 +309,12 @@
     }
 }
 
-/// Token of a term that begins at the end of the topic, higher than that of its newest record
 /// Era of the store in which a token was given out
 pub fn token_era(fence: Fence) -> StoreEra {
     fence >> ERA_SHIFT
 }
 
+/// Token of a term that begins at the end of the topic, higher than that of its newest record
 fn next_fence(view: &TopicView) -> Fence {
     let seen = view.lease.as_ref().and_then(|it| it.record.as_ref()).map_or(0, |it| it.fence);
     // An era that was seen by mistake, and is gone, must not make tokens fall.
--- a/crates/decide/src/serving/usage_ledger.rs
+++ b/crates/decide/src/serving/usage_ledger.rs
@@ -22,7 +22,6 @@
 const MAX_SOURCES: usize = 4000;
 /// Windows after the present one for which counts are accepted, since clocks differ a little.
 const MAX_WINDOWS_AHEAD: WindowNumber = 2;
-
 /// Largest error of a clock by which a holder has recorded windows.
 const MAX_CLOCK_ERROR: Duration = Duration::from_secs(24 * 60 * 60);
 
--- a/crates/gateway/src/duty_task/record.rs
+++ b/crates/gateway/src/duty_task/record.rs
@@ -8,6 +8,8 @@
 
 /// Key of the lease
 pub const LEASE_KEY: &str = "lease";
+/// Largest token of a lease; later terms need higher ones.
+const MAX_FENCE: Fence = Fence::MAX / 2;
 
 /// Encodes the record of the lease
 ///
@@ -17,9 +19,6 @@
     Ok((SmolStr::new_static(LEASE_KEY), Bytes::from(serde_json::to_vec(record)?)))
 }
 
-/// Largest token of a lease; later terms need higher ones.
-const MAX_FENCE: Fence = Fence::MAX / 2;
-
 /// Decodes a record of the lease; `None` if it is deleted, malformed, out of range or of another format
 pub fn decode_lease(record: &KeyedRecord) -> Option<LeaseRecord> {
     let record: LeaseRecord = serde_json::from_slice(record.value.as_deref()?).ok()?;
