End the test of a prompt part with its evidence

What callers saw: a part that crashes engines, and on which answers had begun before, is tested again some seconds after its last crash.

Cause: the crash of a test counts only once the link is known to be sound, up to 0.4 s later, but the test had ended at once. The same request was then admitted as the next test of the part, before its first crash was a strike, and so were requests that waited for the test.

Change: the test of a part is moved into the evidence, and ends when that is applied or dropped. A request whose own test has failed waits for that, at most as long as evidence is held, and is decided on again.

--- a/crates/gateway/src/crash_parts.rs
+++ b/crates/gateway/src/crash_parts.rs
@@ -4,6 +4,7 @@
 //! parts of the prompt; a first event clears them. Prompts that are read apart succeed with
 //! a crashing part, too, and clear nothing. All instances exchange strikes and begun answers.
 
+use crate::endpoint_link::MAX_HOLD_TIME;
 use crate::messages::ServingUpdate;
 use crate::part_tests::PartTest;
 use crate::serving_call::{MIN_SUSPECT_RETRY_AFTER, Refusal, SUSPECTED_PART, ServingCall};
@@ -39,7 +40,13 @@
     /// Whether the next send may start by the parts of the prompt; waits a moment if it has to be the only test of one
     pub async fn admit_parts(&mut self, gateway: &Gateway) -> bool {
         self.part_test = None;
-        let until = self.arrived_at + self.route.objective.mul_f64(TEST_WAIT_FRACTION);
+        let wait = self.route.objective.mul_f64(TEST_WAIT_FRACTION);
+        let until = match self.history.sends {
+            0 => self.arrived_at + wait,
+            // Its own test may have failed, and ends with the evidence.
+            _ => tokio::time::Instant::now() + wait.max(MAX_HOLD_TIME),
+        };
+        let until = until.min(self.deadline);
         loop {
             let parts = match self.part_decision(gateway) {
                 PartDecision::Admit => return true,
--- a/crates/gateway/src/endpoint_link.rs
+++ b/crates/gateway/src/endpoint_link.rs
@@ -26,6 +26,8 @@
 const CHECKED_ENDPOINTS: usize = 3;
 /// Time for which evidence waits for an answer of another endpoint before a check.
 const HOLD_TIME: Duration = Duration::from_millis(100);
+/// Maximum time for which evidence is held back.
+pub const MAX_HOLD_TIME: Duration = HOLD_TIME.saturating_add(CHECK_TIMEOUT);
 /// Pause between two checks while the link is cut.
 const CHECK_PAUSE: Duration = Duration::from_millis(250);
 impl Gateway {
--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -174,8 +174,11 @@
         if error.is_disconnect() {
             let (broken, parts) = (endpoint.clone(), unanswered.clone());
             let now = std::time::Instant::now();
+            // A test of a part ends with its evidence: until then, the strikes allow another one.
+            let part_test = self.part_test.take();
             gateway.hold_evidence(endpoint, EvidenceKind::Broken, move |gateway| {
                 ServingCall::record_part_strikes(gateway, &broken, parts, now);
+                drop(part_test);
             });
         }
         let endpoint = &endpoint.id;
--- a/crates/gateway/tests/gateway/crashing_parts.rs
+++ b/crates/gateway/tests/gateway/crashing_parts.rs
@@ -4,6 +4,7 @@
 use crate::deployment::generation_with;
 use crate::ending_fleet::{CONTACT_TIME, DOWN_TIME, EndingFleet, served_fraction};
 use crate::endpoint::{Arrival, STREAM_END, Step, chunk, event, stream_head};
+use futures_util::future::join_all;
 use googletest::prelude::*;
 use std::time::{Duration, Instant};
 use testcases::cases;
@@ -25,6 +26,8 @@
     crashing_part_whose_clients_leave_before_the_end_is_refused => played(PartTest { patience: IMPATIENT, ..PartTest::default() }),
     // Guards against a part that is tested again and again, since answers on it had begun before.
     crashing_part_that_had_been_sound_is_refused => played(PartTest { sound_before: true, ..PartTest::default() }),
+    // Guards against a test of a part that ends several engines, since its requests are sent on before the crash counts.
+    test_of_a_crashing_part_ends_one_engine => tested(),
     // Guards against sound parts that are refused for long, since all engines ended at once under them.
     sound_parts_are_served_after_all_engines_have_ended => all_ended(),
     // Facts reach the others through leaders.
@@ -166,6 +169,33 @@
     Ok(())
 }
 
+/// Time after the last crash of a part that had been sound in which it is tested again.
+const TEST_DELAY: Duration = Duration::from_millis(6500);
+/// Requests that come with the one that tests the part.
+const SIMULTANEOUS: usize = 4;
+
+async fn tested() -> Result<()> {
+    let PartTest { route, crashing, own_tokens, .. } = PartTest::default();
+    let ids = (0..ENGINES * 2).map(|it| format!("engine-{it}"));
+    let fleet = EndingFleet::start(ids, script, 1).await;
+    let address = fleet.instances[0].clients;
+    let request = |id: &str| generation_with(route, id, &crashing(0), own_tokens);
+    verify_that!(call(address, request("early")).await.status, eq(200))?;
+    for number in 0..CRASHES * 2 {
+        if fleet.ends().len() < CRASHES {
+            call(address, request(&format!("crash-{number}"))).await;
+            sleep(CRASH_INTERVAL).await;
+        }
+    }
+    let before = fleet.ends().len();
+    verify_that!(before, ge(CRASHES))?;
+    sleep(TEST_DELAY).await;
+    let requests = (0..SIMULTANEOUS).map(|it| request(&format!("test-{it}")));
+    join_all(requests.map(|it| call(address, it))).await;
+    sleep(CRASH_INTERVAL).await;
+    verify_that!(fleet.ends().len() - before, eq(1))
+}
+
 /// Interval of a load that keeps every engine reading prompts.
 const HEAVY_INTERVAL: Duration = Duration::from_millis(5);
 
