Let the system send on what is left of an answer at the exit

A client that reads slowly lost the rest of a large answer that was ready when its instance exited: the process held it, and the socket's send buffer had room for some tens of kilobytes only.

At the begin of the final answers each client's socket gets a large send buffer, so that the system takes what is left and sends it on after the exit. How much it takes is limited by the system (net.core.wmem_max); beyond that an answer is still cut.

The test's client needs 4 s for 160,000 bytes that its endpoint sends 6.5 s after SIGTERM.

--- a/crates/gateway/src/client_socket.rs
+++ b/crates/gateway/src/client_socket.rs
@@ -22,6 +22,9 @@
 /// Send buffer of a client's socket, which the system doubles. By default it grows to megabytes for a
 /// client that reads slowly; the socket is writable again once a third is free.
 const SEND_BUFFER_BYTES: usize = 32 * 1024;
+/// Send buffer for what is left of an answer when the process is about to exit; the system sends it on
+/// afterwards, and may limit it to less.
+const LAST_SEND_BUFFER_BYTES: usize = 4 * 1024 * 1024;
 /// Longest time for which the rest of a refused request is read.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 const DISCARD_BUFFER_BYTES: usize = 4096;
@@ -156,6 +159,14 @@
         matches!(SockRef::from(&*socket).peek(&mut byte), Ok(count) if count > 0)
     }
 
+    /// Lets the system take what is left of an answer, which it sends on after the process has exited
+    pub fn enlarge_send_buffer(&self) {
+        let socket = self.socket.borrow();
+        if let Err(error) = SockRef::from(&*socket).set_send_buffer_size(LAST_SEND_BUFFER_BYTES) {
+            log::debug!("event=send_buffer_unchanged error={error}");
+        }
+    }
+
     /// Reads and drops what the client still sends after its answer, for a limited time
     ///
     /// Bytes that arrive at a closed socket reset the connection, and the client may lose the answer.
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -159,6 +159,7 @@
         };
     let shut_down = |it: &mut Connection<_, _>| Pin::new(it).graceful_shutdown();
     let mut is_shut = false;
+    let mut is_ending = false;
     loop {
         let next_check = activity.next_check(limits.head_timeout, idle_timeout(&limits));
         tokio::select! {
@@ -180,6 +181,10 @@
                     shut_down(&mut connection);
                 }
             }
+            () = gateway.stop.reached(StopStage::Answering), if !is_ending => {
+                is_ending = true;
+                handle.enlarge_send_buffer();
+            }
             () = activity.reader_outdated.notified(), if !is_shut => {
                 let Parts { io, read_buf, service, .. } = connection.into_parts();
                 connection = open_reader(&gateway, io.into_inner(), read_buf, service);
--- a/crates/gateway/tests/gateway/stop.rs
+++ b/crates/gateway/tests/gateway/stop.rs
@@ -9,7 +9,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use testcases::cases;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
 use tokio::time::{sleep, sleep_until, timeout};
 
 cases! { async
@@ -35,6 +36,8 @@
     late_answer_is_delivered => arrived_answer(Duration::ZERO),
     // Guards against an answer that has arrived, and is replaced by a failure since the final answers begin.
     answer_that_has_arrived_is_delivered_at_the_end => arrived_answer(Duration::from_millis(400)),
+    // Guards against a large answer that is cut with the process, since its client takes longer to read it.
+    large_answer_to_a_slow_client_outlasts_the_process => large_answer(),
 }
 
 /// Time from SIGTERM until idle connections are closed
@@ -297,3 +300,36 @@
     verify_that!((got.status, got.is_whole), eq((200, true)))?;
     verify_that!(deployment.instance.wait_exit().await, some(eq(0)))
 }
+
+/// The endpoint answers 6.5 s after SIGTERM, and the client needs 4 s to read the answer
+async fn large_answer() -> Result<()> {
+    const BODY_BYTES: usize = 160_000;
+    const PART_BYTES: usize = 4096;
+    let service = endpoint("service-1", |it| {
+        let body = "x".repeat(BODY_BYTES);
+        vec![Step::Pause(Duration::from_millis(6700)), Step::Write(answer(it, "200 OK", &body))]
+    })
+    .await;
+    let mut deployment = start_slow(&service).await;
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(u32::try_from(PART_BYTES)?)?;
+    let mut client = RawClient::of(socket.connect(deployment.instance.clients).await?);
+    client.write(chunked_head("id-1", LONG_TIMEOUT_MS)).await;
+    client.write(FIRST_CHUNK).await;
+    client.write(LAST_CHUNKS).await;
+    sleep(Duration::from_millis(200)).await;
+    deployment.instance.terminate();
+    let mut got = Vec::new();
+    let mut part = [0; PART_BYTES];
+    loop {
+        let count = timeout(Duration::from_secs(20), client.socket.read(&mut part)).await??;
+        if count == 0 {
+            break;
+        }
+        got.extend_from_slice(&part[..count]);
+        sleep(Duration::from_millis(100)).await;
+    }
+    let body = got.windows(4).position(|it| it == b"\r\n\r\n").map(|it| got.len() - it - 4);
+    verify_that!(body, some(eq(BODY_BYTES)))?;
+    verify_that!(deployment.instance.wait_exit().await, some(eq(0)))
+}
