Decline relayed requests until the exit, and those that a stop ends

A request that one instance relayed to another that was stopping could be lost to its caller in two ways:

- Declined over the exit.
The decline was written at once, but the process exited while the rest of the body was arriving, and the reset destroyed the answer.
The sender then can't tell whether a once-only request has run, and may not send it elsewhere.
The stop didn't count such connections, and the port listened until the exit.
- Ended by the stop.
A request that the stop ended before it was sent to an endpoint was answered with a final 503 marked as served, so the sender passed it on to the caller instead of trying elsewhere.

The instances' port now stops listening with the clients' port. A stop waits for the first request of a connection, and for the rest of one that is declined. A stop's refusal that says that the request has not run is marked as declined.

Before, early_refusals::declined_relay_reaches_its_sender_over_the_exit failed with a broken pipe, and unfinished_relay_is_declined_at_the_end_ of_a_stop with "served"; both pass, and so do all of early_refusals, stop and drain.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -87,11 +87,7 @@
         Ok(response) => response,
         Err((refusal, mut record)) => {
             record.finish(refusal.answer.name(), refusal.reason);
-            let mut response = gateway_answer(gateway, Some(&id), &refusal);
-            if refusal.reason == UNKNOWN_CUSTOMER {
-                response.extensions_mut().insert(DeclinedRelay);
-            }
-            response
+            gateway_answer(gateway, Some(&id), &refusal)
         }
     };
     if has_unread_body {
@@ -144,7 +140,12 @@
         }
         _ => None,
     };
-    answer.response(id, retry_after).map(|()| AnswerBody::whole(Bytes::new()))
+    let mut response = answer.response(id, retry_after).map(|()| AnswerBody::whole(Bytes::new()));
+    let is_stopping = refusal.reason == STOPPING && answer == GatewayAnswer::NotRun;
+    if refusal.reason == UNKNOWN_CUSTOMER || is_stopping {
+        response.extensions_mut().insert(DeclinedRelay);
+    }
+    response
 }
 
 fn with_connection_close(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -126,7 +126,7 @@
         tasks.spawn(scaling::scale_pools(gateway.clone()));
     }
     peers::start(gateway.clone(), &mut tasks).await?;
-    tasks.spawn(listen::accept(gateway.clone(), clients));
+    tasks.spawn(listen::accept(gateway.clone(), clients, listen::start_connection));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -39,35 +39,44 @@
     idle_timeout: Duration::from_secs(15),
 };
 
-/// Accepts client connections until a planned stop ends that, and closes the listener
-pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
+/// Accepts connections until a planned stop ends that, and closes the listener
+pub async fn accept(
+    gateway: Rc<Gateway>,
+    listener: TcpListener,
+    start_connection: impl Fn(&Rc<Gateway>, TcpStream, IpAddr),
+) {
+    gateway.stop.record_listener();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = gateway.stop.reached(StopStage::NotListening) => break,
         };
         match accepted {
-            Ok((socket, client)) => start_connection(&gateway, socket, client.ip()),
+            Ok((socket, sender)) => start_connection(&gateway, socket, sender.ip()),
             Err(error) => {
                 log::warn!("event=accept_failed error={error}");
                 sleep(ACCEPT_PAUSE).await;
             }
         }
     }
-    if let Err(error) = accept_queued(&gateway, listener) {
+    let start_queued = |socket, sender| start_connection(&gateway, socket, sender);
+    if let Err(error) = accept_queued(listener, start_queued) {
         log::warn!("event=accept_failed error={error}");
     }
     gateway.stop.record_closed_listener();
 }
 
-/// Accepts the connections that clients have opened already, and closes the listener
-fn accept_queued(gateway: &Rc<Gateway>, listener: TcpListener) -> io::Result<()> {
+/// Accepts the connections that have been opened already, and closes the listener
+fn accept_queued(
+    listener: TcpListener,
+    start_connection: impl Fn(TcpStream, IpAddr),
+) -> io::Result<()> {
     let listener = listener.into_std()?;
     loop {
         match listener.accept() {
-            Ok((socket, client)) => {
+            Ok((socket, sender)) => {
                 socket.set_nonblocking(true)?;
-                start_connection(gateway, TcpStream::from_std(socket)?, client.ip());
+                start_connection(TcpStream::from_std(socket)?, sender.ip());
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
             Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
@@ -76,7 +85,8 @@
     }
 }
 
-fn start_connection(gateway: &Rc<Gateway>, socket: TcpStream, client: IpAddr) {
+/// Serves a client's connection in the background
+pub fn start_connection(gateway: &Rc<Gateway>, socket: TcpStream, client: IpAddr) {
     if gateway.open_connections.get() >= MAX_CONNECTIONS {
         log::warn!("event=connection_refused reason=limit limit={MAX_CONNECTIONS}");
         return;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -24,6 +24,7 @@
 use crate::duty_messages::DUTY_BYTE;
 use crate::duty_task::hold_lease;
 use crate::error::GatewayError;
+use crate::listen;
 use crate::messages::{
     MAX_MESSAGE_BYTES, MessageBody, PeerMessage, ServingUpdate, WorkScope, received_work, work_body,
 };
@@ -85,7 +86,7 @@
         UdpSocket::bind(address).await.map_err(|error| GatewayError::Bind { address, error })?;
     let listener =
         TcpListener::bind(address).await.map_err(|error| GatewayError::Bind { address, error })?;
-    tasks.spawn(port::serve(gateway.clone(), listener));
+    tasks.spawn(listen::accept(gateway.clone(), listener, port::start_connection));
     let table = gateway.instances.clone();
     tasks.spawn(listing::keep_listed(gateway.clone(), table.clone()));
     let exchange = Rc::new(PeerExchange {
--- a/crates/gateway/src/peers/port.rs
+++ b/crates/gateway/src/peers/port.rs
@@ -15,34 +15,31 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
+use tokio::net::TcpStream;
 
 /// Timeout for reading the head of a request, and for an idle connection.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Accepts connections of other instances for the life of the process
-pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((socket, sender)) => {
-                tokio::task::spawn_local(serve_connection(gateway.clone(), socket, sender.ip()));
-            }
-            Err(error) => {
-                log::warn!("event=accept_failed error={error}");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+/// Serves a connection of another instance in the background
+///
+/// A stopping instance waits for its first request, which arrives at once, and for others that are being
+/// served or declined. Another one that finds its request unread can't tell whether it has run.
+pub fn start_connection(gateway: &Rc<Gateway>, socket: TcpStream, sender: IpAddr) {
+    let open = ConnectionGuard::new(gateway.clone());
+    tokio::task::spawn_local(serve_connection(gateway.clone(), socket, sender, open));
 }
 
-async fn serve_connection(gateway: Rc<Gateway>, socket: TcpStream, sender: IpAddr) {
+async fn serve_connection(
+    gateway: Rc<Gateway>,
+    socket: TcpStream,
+    sender: IpAddr,
+    open: ConnectionGuard,
+) {
     let activity = Rc::new(ConnectionActivity::new());
     let socket = match WatchedSocket::new(socket, activity.clone()) {
         Ok(socket) => socket,
@@ -53,18 +50,24 @@
     };
     let handle = socket.handle();
     let watched = activity.clone();
-    let service = service_fn(move |request| {
+    // Between requests the connection doesn't count as open.
+    let waiting = Rc::new(Cell::new(Some(open)));
+    let service = service_fn(|request| {
         let gateway = gateway.clone();
         let activity = watched.clone();
+        let waiting = waiting.clone();
         async move {
+            let open = waiting.take().unwrap_or_else(|| ConnectionGuard::new(gateway.clone()));
             let response = serve_request(&gateway, request, sender).await;
-            if response.extensions().get::<UnreadBody>().is_some() {
-                activity.has_unread_body.set(true);
-            }
             if let Some(buffer) = response.body().buffer() {
                 activity.set_stream(buffer);
             }
-            Ok::<_, Infallible>(response)
+            if response.extensions().get::<UnreadBody>().is_some() {
+                activity.has_unread_body.set(true);
+                waiting.set(Some(open));
+                return Ok(response);
+            }
+            Ok::<_, Infallible>(response.map(|body| body.guarded(open)))
         }
     });
     let connection = http1::Builder::new()
@@ -105,12 +108,11 @@
         return forward::with_body_state(declined, request.body());
     }
     gateway.metrics.relayed("in", "served");
-    // A stopping instance waits for it as for its own clients.
-    let guards = (RequestGuard::new(gateway.clone()), ConnectionGuard::new(gateway.clone()));
+    let open = RequestGuard::new(gateway.clone());
     let response = forward::serve(gateway, request, source).await;
     // Another instance may serve it: it has not run, and this one has been cut meanwhile.
     let is_declined = (response.status() == StatusCode::SERVICE_UNAVAILABLE
         && gateway.link.is_cut())
         || response.extensions().get::<DeclinedRelay>().is_some();
-    mark(response, !is_declined).map(|body| body.guarded(guards))
+    mark(response, !is_declined).map(|body| body.guarded(open))
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -116,7 +116,7 @@
     Some(RequestSource::Instance { instance: instance?, caller, sends, customer, is_counted })
 }
 
-/// Extension of a response that declines a relayed request whose customer is unknown here
+/// Extension of a response that declines a relayed request, which another instance may be able to serve
 #[derive(Debug, Clone, Copy)]
 pub struct DeclinedRelay;
 
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -74,7 +74,8 @@
     stage: Cell<StopStage>,
     has_changed: Notify,
     times: Cell<Option<StopTimes>>,
-    has_closed_listener: Cell<bool>,
+    /// Number of listeners that are open
+    open_listeners: Cell<usize>,
 }
 
 impl StopState {
@@ -94,9 +95,14 @@
         }
     }
 
-    /// Records that the listener for clients is closed
+    /// Records a listener that the end of listening closes
+    pub fn record_listener(&self) {
+        self.open_listeners.set(self.open_listeners.get() + 1);
+    }
+
+    /// Records that a listener is closed
     pub fn record_closed_listener(&self) {
-        self.has_closed_listener.set(true);
+        self.open_listeners.set(self.open_listeners.get() - 1);
     }
 
     /// Whether a request can be expected to end before the process does
@@ -176,7 +182,7 @@
     gateway.stop.enter(stage);
 }
 
-/// Waits until no client connection is open and none comes
+/// Waits until no connection is open and none comes
 async fn wait_until_quiet(gateway: &Gateway, limit: Instant) {
     let mut quiet_polls = 0;
     while quiet_polls < QUIET_POLLS && Instant::now() < limit {
@@ -186,10 +192,10 @@
     }
 }
 
-/// Waits until the listener and all client connections are closed
+/// Waits until the listeners and all connections are closed
 async fn wait_until_ended(gateway: &Gateway, limit: Instant) {
     let has_ended =
-        || gateway.stop.has_closed_listener.get() && gateway.open_connections.get() == 0;
+        || gateway.stop.open_listeners.get() == 0 && gateway.open_connections.get() == 0;
     while !has_ended() && Instant::now() < limit {
         sleep(POLL_INTERVAL).await;
     }
