Answer the requests that are left when a background task ends

The end of a background task ended the process at once, and cut all requests without an answer. Now they get final answers first, as at the end of a planned stop: 503 if nothing was sent to an endpoint, 504 if one may have run the request.

The test runs an instance in a thread, since nothing from outside ends a background task. Without the change both of its clients are cut (status 0 where 504 is required); with it, both are answered.

--- a/crates/gateway/src/background.rs
+++ b/crates/gateway/src/background.rs
@@ -1,7 +1,8 @@
 //! Tasks that run for the life of the process.
 //!
 //! An instance that has lost one of them would serve on without configuration, endpoints or
-//! messages, so the end of any of them ends the process. The platform starts it again.
+//! messages, so the end of any of them ends the process, after final answers to the requests
+//! that are left. The platform starts it again.
 
 use crate::error::GatewayError;
 use std::future::Future;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -66,7 +66,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 
@@ -108,8 +108,8 @@
     settings: InstanceSettings,
     dropped_lines: impl Fn() -> usize + 'static,
 ) -> Result<(), GatewayError> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(GatewayError::Runtime)?;
-    let mut reload = signal(SignalKind::hangup()).map_err(GatewayError::Runtime)?;
+    let terminate = signal(SignalKind::terminate()).map_err(GatewayError::Runtime)?;
+    let reload = signal(SignalKind::hangup()).map_err(GatewayError::Runtime)?;
     let clients = bind(settings.client_address).await?;
     let ready = bind(settings.ready_address).await?;
     let metrics = bind(SocketAddr::new(settings.ip, METRICS_PORT)).await?;
@@ -127,15 +127,31 @@
     }
     peers::start(gateway.clone(), &mut tasks).await?;
     tasks.spawn(listen::accept(gateway.clone(), clients, listen::start_connection));
+    run_tasks(&gateway, tasks, terminate, reload).await
+}
+
+/// Runs background tasks until a planned stop, or until one of them ends
+///
+/// # Errors
+/// `GatewayError::TaskFailed`, after final answers to the requests that are left
+pub async fn run_tasks(
+    gateway: &Gateway,
+    mut tasks: BackgroundTasks,
+    mut terminate: Signal,
+    mut reload: Signal,
+) -> Result<(), GatewayError> {
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            error = tasks.ended() => return Err(error),
+            error = tasks.ended() => {
+                stop::end_requests(gateway).await;
+                return Err(error);
+            }
             // Settings are fixed for the life of the process; the configuration comes from the store.
             _ = reload.recv() => log::info!("event=reload outcome=unchanged"),
         }
     }
-    stop::drain(&gateway).await;
+    stop::drain(gateway).await;
     Ok(())
 }
 
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -173,6 +173,15 @@
     log::log!(level, "event=stopped cut={cut}");
 }
 
+/// Gives final answers to all requests at once; returns when the process is to exit
+pub async fn end_requests(gateway: &Gateway) {
+    let now = Instant::now();
+    let exit = now + FINAL_ANSWER_TIME;
+    gateway.stop.begin(StopTimes { close_idle: now, stop_listening: now, answer: now, exit });
+    enter(gateway, StopStage::Answering);
+    wait_until_ended(gateway, exit).await;
+}
+
 fn enter(gateway: &Gateway, stage: StopStage) {
     log::info!(
         "event=stop_stage stage={stage:?} open_requests={} open_connections={}",
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -23,6 +23,7 @@
 mod endpoint;
 mod era;
 mod extreme_values;
+mod failed_task;
 mod fleet_control;
 mod flood;
 mod generations;
--- a/crates/gateway/tests/gateway/process.rs
+++ b/crates/gateway/tests/gateway/process.rs
@@ -252,6 +252,12 @@
     }
 }
 
+/// Settings of an instance that runs in the process of the tests
+pub fn local_settings(store: SocketAddr) -> String {
+    let last = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
+    settings_text(&own_address(last), store, "instance-1", InstanceSize::default())
+}
+
 /// Number of the next instance's address, and the path of its settings
 fn next_settings() -> (u8, PathBuf) {
     let last = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
