--- a/crates/gateway/src/client_socket.rs
+++ b/crates/gateway/src/client_socket.rs
@@ -1,6 +1,7 @@
 //! Socket of a client, watched for slow heads and for clients that take nothing.
 
 use crate::stream_buffer::StreamBuffer;
+use bytes::Bytes;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
@@ -21,6 +22,9 @@
 /// Send buffer of a client's socket, which the system doubles. By default it grows to megabytes for a
 /// client that reads slowly; the socket is writable again once a third is free.
 const SEND_BUFFER_BYTES: usize = 32 * 1024;
+/// Send buffer for what is left of an answer when the process is about to exit; the system sends it on
+/// afterwards, and may limit it to less.
+const LAST_SEND_BUFFER_BYTES: usize = 4 * 1024 * 1024;
 /// Longest time for which the rest of a refused request is read.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 const DISCARD_BUFFER_BYTES: usize = 4096;
@@ -36,6 +40,8 @@
     /// When the first byte of a still incomplete head arrived
     head_since: Cell<Option<Instant>>,
     pub head_started: Notify,
+    /// Notified when a head would be read by a reader that is outdated
+    pub reader_outdated: Notify,
     /// Since when the socket has taken no more bytes; `None` if it takes them
     blocked_since: Cell<Option<Instant>>,
     has_blocked: Notify,
@@ -52,6 +58,7 @@
             idle_since: Cell::new(Instant::now()),
             head_since: Cell::default(),
             head_started: Notify::new(),
+            reader_outdated: Notify::new(),
             blocked_since: Cell::default(),
             has_blocked: Notify::new(),
             stream: RefCell::default(),
@@ -74,6 +81,11 @@
         self.open_requests.get() > 0 || self.head_since.get().is_some()
     }
 
+    /// Whether all requests that have arrived are answered, so that the next byte begins a head
+    fn is_between_requests(&self) -> bool {
+        !self.is_busy() && !self.has_unread_body.get() && self.blocked_since.get().is_none()
+    }
+
     /// Sets the stream that is sent next
     pub fn set_stream(&self, buffer: &Rc<StreamBuffer>) {
         self.stream.replace(Rc::downgrade(buffer));
@@ -147,6 +159,14 @@
         matches!(SockRef::from(&*socket).peek(&mut byte), Ok(count) if count > 0)
     }
 
+    /// Lets the system take what is left of an answer, which it sends on after the process has exited
+    pub fn enlarge_send_buffer(&self) {
+        let socket = self.socket.borrow();
+        if let Err(error) = SockRef::from(&*socket).set_send_buffer_size(LAST_SEND_BUFFER_BYTES) {
+            log::debug!("event=send_buffer_unchanged error={error}");
+        }
+    }
+
     /// Reads and drops what the client still sends after its answer, for a limited time
     ///
     /// Bytes that arrive at a closed socket reset the connection, and the client may lose the answer.
@@ -196,6 +216,10 @@
     activity: Rc<ConnectionActivity>,
     /// Whether the answer is whole that only the connection's end marks
     is_whole: Rc<Cell<bool>>,
+    /// Whether the socket's reader can't read the next head as it must be read by now
+    is_outdated: Option<Box<dyn Fn() -> bool>>,
+    /// Bytes that an earlier reader has taken ahead
+    rest: Bytes,
 }
 
 impl WatchedSocket {
@@ -210,9 +234,29 @@
             socket: Rc::new(RefCell::new(socket)),
             activity,
             is_whole: Rc::default(),
+            is_outdated: None,
+            rest: Bytes::new(),
         })
     }
 
+    /// Reads these bytes first, and no head while its reader is outdated
+    pub fn read_by(self, rest: Bytes, is_outdated: impl Fn() -> bool + 'static) -> WatchedSocket {
+        WatchedSocket { rest, is_outdated: Some(Box::new(is_outdated)), ..self }
+    }
+
+    fn poll_rest(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.rest.is_empty() {
+            return self.poll_socket(|it| it.poll_read(context, buffer));
+        }
+        let count = self.rest.len().min(buffer.remaining());
+        buffer.put_slice(&self.rest.split_to(count));
+        Poll::Ready(Ok(()))
+    }
+
     /// Handle that outlives the connection's use of the socket
     pub fn handle(&self) -> SocketHandle {
         SocketHandle { socket: self.socket.clone(), is_whole: self.is_whole.clone() }
@@ -237,12 +281,17 @@
 
 impl AsyncRead for WatchedSocket {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let is_outdated = self.is_outdated.as_ref().is_some_and(|it| it());
+        if is_outdated && self.activity.is_between_requests() {
+            self.activity.reader_outdated.notify_one();
+            return Poll::Pending;
+        }
         let before = buffer.filled().len();
-        let polled = self.poll_socket(|it| it.poll_read(context, buffer));
+        let polled = self.poll_rest(context, buffer);
         let activity = &self.activity;
         let has_read = buffer.filled().len() > before;
         if has_read && activity.open_requests.get() == 0 && activity.head_since.get().is_none() {
