Bound the windows in messages on usage

What callers saw: after one message that states the last or a far window as the first one that is not fixed, the holder of the duties reports no usage any more, and tells all instances to drop theirs. After one that states that its sender started in 1970, a holder that knows no fixed window yet reports all windows since then one by one, before the present ones.

Cause: the ledger took both numbers as they were stated. Windows of counts were bounded already, as were records in the topic.

Change: a window that no holder can have fixed by its clock is not taken for fixed, by the bound that holds for records. The first window to report is at most as old as the windows that instances keep.

Tests: serving_odd_usage, 11 cases; before the change last_window_as_not_fixed, far_window_as_not_fixed, first_window_of_all and first_window_long_ago failed (no window of the sound instance reported in 20 s), now all pass, and the 28 cases of serving_usage.

--- a/crates/decide/src/serving/usage.rs
+++ b/crates/decide/src/serving/usage.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 /// Most windows that an instance keeps; older ones are dropped, which takes an outage of minutes.
-const MAX_OWN_WINDOWS: usize = 64;
+pub(super) const MAX_OWN_WINDOWS: usize = 64;
 /// Most counts that an instance keeps, about 5 MB; the oldest windows beyond are dropped.
 const MAX_OWN_ENTRIES: usize = 60_000;
 /// Most bytes of the counts in one message.
--- a/crates/decide/src/serving/usage_ledger.rs
+++ b/crates/decide/src/serving/usage_ledger.rs
@@ -1,5 +1,6 @@
 //! Counts of all instances at the holder of the duties, and when a window is fixed.
 
+use super::usage::MAX_OWN_WINDOWS;
 use super::usage_report::{SourceId, UsageAck, UsageReport, UsageTiming, WindowNumber};
 use catalogue::id::{CustomerName, Fence};
 use indexmap::{IndexMap, IndexSet};
@@ -138,7 +139,7 @@
         fence: Fence,
         times: LedgerTimes,
     ) -> Option<UsageAck> {
-        if report.unfixed > 0 {
+        if report.unfixed > 0 && !self.is_out_of_range(report.unfixed, times.unix) {
             self.record_fixed(report.unfixed);
         }
         let ahead = self.timing.window_at(times.unix) + MAX_WINDOWS_AHEAD;
@@ -223,7 +224,10 @@
         }
         let Some(window) = self.unfixed else {
             let first = self.sources.values().map(|it| it.first).min();
-            self.unfixed = first.map(|it| if is_first_start { it } else { it + 1 });
+            let first = first.map(|it| if is_first_start { it } else { it + 1 });
+            // No instance has kept counts of the windows before.
+            let oldest = self.timing.window_at(times.unix).saturating_sub(MAX_OWN_WINDOWS as u64);
+            self.unfixed = first.map(|it| it.max(oldest));
             return WindowStep::Wait;
         };
         let end = self.timing.end(window);
