Withhold a signed refusal that an endpoint has not marked as not run

What callers saw: 503, 429, 408 or 421 with the endpoint's signature, which reads as 'not run, try again', for a request that the endpoint may have run, also one that may run only once.

Cause: an endpoint's status was relayed unchanged unless an earlier send may have run the request. Only the mark of a refusal states that it has not run; a signed answer without it doesn't.

Change: such an answer becomes a 502 of the gateway's own, without the signature, as after a lost answer.

Tests: late_answers::signed_{error,limit,timeout,misdirection}_is_no_promise, for a once-only entry, a lookup and both kinds of streams.

--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -23,7 +23,7 @@
 use decide::serving::send_history::{FinalStep, SendHistory};
 use decide::serving::stream_origins::{SoftwareVersion, StreamOrigin};
 use http::Response;
-use platform_adapter::answer::{GatewayAnswer, client_headers, promises_not_run};
+use platform_adapter::answer::{GatewayAnswer, client_headers, is_signed, promises_not_run};
 use platform_adapter::head::{EngineStage, SendParameters};
 use smol_str::SmolStr;
 use std::cell::RefCell;
@@ -220,9 +220,11 @@
 
     /// Converts an endpoint's complete answer into the response to the client
     ///
-    /// An answer that promises that the request has not run doesn't stand if an earlier send may have run it.
+    /// An answer that promises that the request has not run doesn't stand if an earlier send may have run it, or if
+    /// an endpoint has signed it: endpoints mark what they have not run.
     pub fn relay_whole(&self, answer: WholeAnswer) -> Response<AnswerBody> {
-        if self.history.may_have_run && promises_not_run(answer.status) {
+        let may_have_run = self.history.may_have_run || is_signed(&answer.headers);
+        if may_have_run && promises_not_run(answer.status) {
             log::info!("event=promise_withheld id={} status={}", self.request.id, answer.status);
             let failed = GatewayAnswer::Failed.response(Some(&self.request.id), None);
             return failed.map(|()| AnswerBody::whole(Bytes::new()));
--- a/crates/gateway/tests/gateway/late_answers.rs
+++ b/crates/gateway/tests/gateway/late_answers.rs
@@ -1,7 +1,7 @@
 //! Answers that come late or twice on reused connections, and what a client may be answered after a send was lost.
 
 use crate::client::call;
-use crate::deployment::{Deployment, endpoint, get_path};
+use crate::deployment::{Deployment, endpoint, generation, get_path, post};
 use crate::endpoint::{Arrival, FakeEndpoint, Step, answer, not_run};
 use googletest::prelude::*;
 use std::collections::HashMap;
@@ -25,6 +25,11 @@
     error_after_a_lost_answer_is_no_promise => lost_then(|it| answer(it, "503 Service Unavailable", "")),
     timeout_after_a_lost_answer_is_no_promise => lost_then(|it| answer(it, "408 Request Timeout", "")),
     misdirection_after_a_lost_answer_is_no_promise => lost_then(|it| answer(it, "421 Misdirected Request", "")),
+    // Guard against "not run" for a request that its endpoint has run and answered so, without stating that it has not.
+    signed_error_is_no_promise => signed("503 Service Unavailable"),
+    signed_limit_is_no_promise => signed("429 Too Many Requests"),
+    signed_timeout_is_no_promise => signed("408 Request Timeout"),
+    signed_misdirection_is_no_promise => signed("421 Misdirected Request"),
 }
 
 /// Statuses that promise that the request has not run
@@ -89,3 +94,25 @@
     }
     verify_that!(reached, eq(true))
 }
+
+/// The only endpoint of each pool runs the request and answers with a signed status
+async fn signed(status: &'static str) -> Result<()> {
+    let answered = move |it: &Arrival| vec![Step::Write(answer(it, status, "failed"))];
+    let service = endpoint("service-1", answered).await;
+    let engine = endpoint("engine-1", answered).await;
+    let deployment = Deployment::start(&[&service, &engine]).await;
+    let requests = [
+        post("entries", "id-1", "once"),
+        get_path("lookups", "x", "id-2"),
+        generation("single-streams", "id-3"),
+        generation("resumed", "id-4"),
+    ];
+    for request in &requests {
+        let got = deployment.call(request).await;
+        verify_that!((got.status, got.is_whole), eq((502, true)))?;
+        // The signature stands for the endpoint's own status.
+        verify_that!(got.header("x-server-stamp"), none())?;
+    }
+    let runs = [&service, &engine].map(|it| it.arrivals().len());
+    verify_that!(runs, eq([2, 2]))
+}
