Resume a stream at a further engine after an error answer

What callers saw: a stream that broke off was cut although another engine, attempts and time were left, since the next engine answered with an error such as 500.

Cause: an error answer ended the resume at once, while a lost or malformed answer let it go on.

Change: the error counts as a send that may have run, like that of a plain service, and the resume goes on within the attempts and the retry limits of the route.

Tests: broken_streams::stream_goes_on_after_*, for ten ways to break off each.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -347,11 +347,7 @@
             Ok(answer)
                 if answer.status.is_server_error() && call.route.retry_rule.allows_second_run() =>
             {
-                gateway.metrics.sent(&call.pool, "server_error");
-                call.end_run();
-                gateway.record_result(endpoint, SendResult::Failed);
-                call.history.record_send(RunStatus::MayHaveRun);
-                call.excluded.push(endpoint.id.clone());
+                call.record_error_answer(gateway, endpoint);
                 failed = Some(answer);
             }
             Ok(answer) => {
--- a/crates/gateway/src/generation/resume.rs
+++ b/crates/gateway/src/generation/resume.rs
@@ -89,10 +89,7 @@
                 call.excluded.push(engine.id);
                 return Some((*stream, item));
             }
-            Ok((_, Started::Failed(_))) => {
-                call.end_run();
-                return None;
-            }
+            Ok((engine, Started::Failed(_))) => call.record_error_answer(gateway, &engine),
             Err((engine, error)) => call.record_failure(gateway, &engine, &error),
         }
     }
--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -8,6 +8,7 @@
 use decide::fingerprint::{Fingerprint, RequestContent, path_fingerprint, request_fingerprint};
 use decide::serving::crash_table::{BrokenEndpoint, EndpointStatus};
 use decide::serving::endpoint_list::{IncarnationStart, ListedEndpoint};
+use decide::serving::health::SendResult;
 use decide::serving::pick::PromptProgress;
 use decide::serving::prompt::PartKey;
 use decide::serving::route::RetryRule;
@@ -143,6 +144,15 @@
         }
     }
 
+    /// Records that an endpoint has answered with an error, after which another one may run the request
+    pub fn record_error_answer(&mut self, gateway: &Gateway, endpoint: &ListedEndpoint) {
+        self.end_run();
+        gateway.metrics.sent(&self.pool, "server_error");
+        gateway.record_result(endpoint, SendResult::Failed);
+        self.history.record_send(RunStatus::MayHaveRun);
+        self.excluded.push(endpoint.id.clone());
+    }
+
     /// Records a failed send to an endpoint
     pub fn record_failure(
         &mut self,
--- a/crates/gateway/tests/gateway/broken_streams.rs
+++ b/crates/gateway/tests/gateway/broken_streams.rs
@@ -8,8 +8,9 @@
     Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, not_run, stream_head,
 };
 use googletest::prelude::*;
-use std::sync::Arc;
+use std::collections::HashSet;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use testcases::cases;
 use tokio::io::AsyncReadExt;
@@ -18,6 +19,24 @@
     // Guard against a stream that doesn't go on though the next engine could.
     engine_that_goes_on_completes_the_stream => resumed(goes_on, End::Whole),
     engine_that_goes_on_after_comments_completes_the_stream => resumed(goes_on_after_comments, End::Whole),
+    engine_that_goes_on_after_an_interim_answer_completes_the_stream => resumed(|it| after_interim(goes_on(it)), End::Whole),
+    engine_that_goes_on_with_trailers_completes_the_stream => resumed(|it| with_end(it, "0\r\nX-Trailer: 1\r\n\r\n"), End::Whole),
+    // Guard against a stream whose end is taken for whole though what follows the last chunk is not.
+    engines_that_end_with_a_part_of_trailers_cut_the_stream => resumed(|it| closed(with_end(it, "0\r\nX-Trail")), End::Cut(4)),
+    engines_that_end_with_an_error_as_trailers_cut_the_stream => resumed(|it| with_end(it, &format!("0\r\n{ERROR_HEAD}\r\n\r\n")), End::Cut(4)),
+    // Guard against a stream that is cut by the error of one engine though another one could go on.
+    stream_goes_on_after_an_error_500 => failed_between(|it| error(it, "500 Internal Server Error")),
+    stream_goes_on_after_an_error_502 => failed_between(|it| error(it, "502 Bad Gateway")),
+    stream_goes_on_after_an_error_504 => failed_between(|it| error(it, "504 Gateway Timeout")),
+    stream_goes_on_after_an_error_503_that_may_have_run => failed_between(|it| error(it, "503 Service Unavailable")),
+    stream_goes_on_after_an_error_429_that_may_have_run => failed_between(|it| error(it, "429 Too Many Requests")),
+    stream_goes_on_after_an_error_400 => failed_between(|it| error(it, "400 Bad Request")),
+    stream_goes_on_after_an_unsigned_error => failed_between(unsigned_error),
+    stream_goes_on_after_a_text_of_an_error => failed_between(|it| stream_of(it, ERROR_TEXT)),
+    stream_goes_on_after_another_answer => failed_between(|it| written(answer(it, "200 OK", "{}"))),
+    stream_goes_on_after_an_interim_answer_and_no_other => failed_between(|_| vec![Step::Write("HTTP/1.1 103 Early Hints\r\n\r\n".into()), PAUSE, Step::Close]),
+    // Guards against events that are lost or come twice if the next engine breaks the stream off as well.
+    stream_that_breaks_twice_is_whole => broken_twice(),
     // Guard against an error's text or head in the middle of a stream.
     error_500_cuts_the_stream => resumed(|it| error(it, "500 Internal Server Error"), End::Cut(2)),
     error_502_cuts_the_stream => resumed(|it| error(it, "502 Bad Gateway"), End::Cut(2)),
@@ -66,6 +85,8 @@
     stream_that_may_run_once_is_cut_after_its_events => once(),
     // Guards against a cut stream that looks whole to a client of HTTP/1.0.
     stream_to_a_client_of_http_1_0_is_reset => to_http_1_0(),
+    // Guards against the same to a client that has the connection closed after the answer.
+    stream_to_a_client_that_closes_has_no_end => to_closing_client(),
     // Guard against an answer to a client that takes a stream up which isn't the engine's.
     error_500_reaches_a_client_that_takes_a_stream_up => taken_up(|it| error(it, "500 Internal Server Error"), 500),
     error_404_reaches_a_client_that_takes_a_stream_up => taken_up(|it| error(it, "404 Not Found"), 404),
@@ -172,6 +193,22 @@
     stream_of(arrival, &(after(arrival) + 1..=EVENTS).map(event).collect::<String>())
 }
 
+/// The rest of the stream with other bytes as its end
+fn with_end(arrival: &Arrival, end: &str) -> Vec<Step> {
+    let events = (after(arrival) + 1..=EVENTS).map(event).collect::<String>();
+    let chunks = if events.is_empty() { String::new() } else { chunk_text(&events) };
+    written([stream_head(arrival), chunks.into_bytes(), end.into()].concat())
+}
+
+fn closed(steps: Vec<Step>) -> Vec<Step> {
+    [steps, vec![PAUSE, Step::Close]].concat()
+}
+
+fn after_interim(steps: Vec<Step>) -> Vec<Step> {
+    let interim = Step::Write("HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n".into());
+    [vec![interim, PAUSE], steps].concat()
+}
+
 fn goes_on_after_comments(arrival: &Arrival) -> Vec<Step> {
     let events = (after(arrival) + 1..=EVENTS).map(event).collect::<String>();
     stream_of(arrival, &format!(": wait\n\nretry: 500\n\n{events}: end\n\n"))
@@ -335,6 +372,60 @@
     verify_that!((arrivals.len(), resumed), eq((3, 2)))
 }
 
+/// Each way to break a stream off; the second engine answers in this way, and the third one goes on
+async fn failed_between(second: fn(&Arrival) -> Vec<Step>) -> Result<()> {
+    let resumed = Arc::new(Mutex::new(HashSet::new()));
+    let next = move |it: &Arrival| {
+        let id = it.header("x-request-id").unwrap_or_default().to_owned();
+        let is_second = resumed.lock().expect("no panic").insert(id);
+        if is_second { second(it) } else { goes_on(it) }
+    };
+    let (deployment, engines) = start(|it| begins(it, way_of(it)), next).await;
+    let expected = (1..=EVENTS).map(event).collect::<String>();
+    for way in BREAKS {
+        let id = format!("{way:?}");
+        let got = deployment.call(generation_with("resumed", &id, &[], 100)).await;
+        let sends = arrivals_of(&engines, &id).len();
+        verify_that!((way, got.is_whole, &got.body, sends), eq((way, true, &expected, 3)))?;
+    }
+    Ok(())
+}
+
+/// The second engine breaks the stream off in the same way, one event later
+async fn broken_twice() -> Result<()> {
+    let next = |it: &Arrival| match after(it) {
+        2 => {
+            let way = way_of(it);
+            let steps = begins(it, way);
+            let moved = |bytes: Vec<u8>| {
+                let text = String::from_utf8(bytes).expect("text");
+                let (one, two) = (event(1), event(2));
+                let begun = chunk_text(&format!("{one}{two}"));
+                let text = text.replacen(&begun, &chunk_text(&event(3)), 1);
+                text.replacen(&format!("{one}{two}"), &event(3), 1).into_bytes()
+            };
+            let steps = steps.into_iter().map(|it| match it {
+                Step::Write(bytes) => Step::Write(moved(bytes)),
+                other => other,
+            });
+            steps.collect()
+        }
+        _ => goes_on(it),
+    };
+    let (deployment, engines) = start(|it| begins(it, way_of(it)), next).await;
+    let expected = (1..=EVENTS).map(event).collect::<String>();
+    for way in BREAKS {
+        let id = format!("{way:?}");
+        let got = deployment.call(generation_with("resumed", &id, &[], 100)).await;
+        verify_that!((way, got.is_whole, &got.body), eq((way, true, &expected)))?;
+        let arrivals = arrivals_of(&engines, &id);
+        let mut positions = arrivals.iter().map(after).collect::<Vec<_>>();
+        positions.sort_unstable();
+        verify_that!(positions, eq(&vec![0, 2, 3]))?;
+    }
+    Ok(())
+}
+
 async fn broken_without_ids() -> Result<()> {
     let events = "data: piece 1\n\ndata: piece 2\n\n";
     let first = move |it: &Arrival| {
@@ -380,6 +471,21 @@
     Ok(())
 }
 
+async fn to_closing_client() -> Result<()> {
+    let next = |it: &Arrival| error(it, "500 Internal Server Error");
+    let (deployment, engines) = start(|it| begins(it, way_of(it)), next).await;
+    for way in BREAKS {
+        let id = format!("{way:?}");
+        let request = generation_with("resumed", &id, &[], 100);
+        let request = request.replacen("\r\nHost:", "\r\nConnection: close\r\nHost:", 1);
+        let got = deployment.call(request).await;
+        let events = format!("{}{}", event(1), event(2));
+        verify_that!((got.status, got.is_whole, &got.body), eq((200, false, &events)))?;
+        verify_that!(arrivals_of(&engines, &id).len(), ge(2))?;
+    }
+    Ok(())
+}
+
 /// Sends a request that takes a stream up, which the engines answer in this way
 async fn taken_up(next: fn(&Arrival) -> Vec<Step>, status: u16) -> Result<()> {
     let (deployment, engines) = start(goes_on, next).await;
