Match relayed answers by the id of their request

What callers saw: the answer to an earlier request, or 'not run' for a lookup that ran, if the instance through which an instance without a link to the endpoints relays its requests writes an earlier answer once more on a kept connection. Requests that may run only once use new connections there and were spared.

Cause: answers of endpoints are matched by their ids, those of another instance were not.

Change: an answer with the id of another request says nothing of this one, and its connection is closed. Answers without an id are taken as before: an endpoint's may lack it, and an instance that declines sends none.

Tests: relayed_answers, 2 cases; both failed before (request 2 got the answer or the refusal of an earlier one), now they pass.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -241,7 +241,7 @@
     };
     call.sent.record_send();
     match timeout_at(deadline, connection.exchange(request)).await {
-        Ok(Ok(response)) => open_answer(gateway, connection, response),
+        Ok(Ok(response)) => open_answer(gateway, call, connection, response),
         Ok(Err(ExchangeError::Unsent)) => RelayTry::NotRun("unsent"),
         Ok(Err(ExchangeError::Stale(_))) => RelayTry::Stale,
         Ok(Err(_)) => RelayTry::MayHaveRun("broken"),
@@ -251,17 +251,22 @@
 
 fn open_answer(
     gateway: &Rc<Gateway>,
+    call: &ServingCall,
     connection: EndpointConnection,
     response: Response<Incoming>,
 ) -> RelayTry {
     let (mut parts, body) = response.into_parts();
+    let head = decode_answer(&parts);
+    // Not all answers have an id: an endpoint's may lack it, and so does that of an instance that declines.
+    if head.request_id.as_ref().is_some_and(|it| *it != call.request.id) {
+        return RelayTry::MayHaveRun("mismatched");
+    }
     match parts.headers.remove(RELAY_RESULT) {
         Some(result) if result == SERVED => {}
         Some(_) => return RelayTry::NotRun("declined"),
         // A build that doesn't know relayed requests.
         None => return RelayTry::NotRun("not_relayed"),
     }
-    let head = decode_answer(&parts);
     let work_guard = WorkGuard::uncounted(gateway.clone());
     let headers = parts.headers;
     RelayTry::Answered(Box::new(OpenAnswer { head, headers, body, connection, work_guard }))
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -37,6 +37,7 @@
 mod process;
 mod proxy;
 mod rate_limits;
+mod relayed_answers;
 mod relayed_streams;
 mod retry_limits;
 mod scaling;
