Count sends over a link that is known to be cut

Seen: a stream that breaks off since its instance is cut from the endpoints is cut, though another instance could have continued it.

Cause: a stream whose relay was declined is tried at an endpoint as a last resort. Such a send over the cut link failed and did not count, so that the stream was tried at one engine after the other, until the retry limits allowed no more (seven retries within 15 ms in the trace). The next stream that broke off had no retry left and was given up before the cut was known.

Change: only sends from before the cut was known don't count.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -267,6 +267,7 @@
         hedge: RefCell::default(),
         failed_connects: 0,
         unanswered_sends: 0,
+        crosses_cut: false,
         request: ClientRequest { parts, body, id: head.id, caller: source.caller(), share },
     })
 }
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -90,6 +90,8 @@
     pub failed_connects: u32,
     /// Counted sends without any answer
     pub unanswered_sends: u32,
+    /// Whether the next send goes over a link that is known to be cut
+    pub crosses_cut: bool,
     /// Whether another instance relays it, so that this one must not
     pub is_relayed: bool,
     /// Whether the other instances have declined to take it over after it had been sent
--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -195,7 +195,7 @@
             (SendError::Prefill(_), _) if self.progress == PromptProgress::Lost => {}
             _ => {
                 self.history.record_send(status);
-                self.unanswered_sends += u32::from(error.is_unanswered());
+                self.unanswered_sends += u32::from(error.is_unanswered() && !self.crosses_cut);
             }
         }
     }
--- a/crates/gateway/src/serving_call/limits.rs
+++ b/crates/gateway/src/serving_call/limits.rs
@@ -34,11 +34,12 @@
     /// How the next send goes, once the link is verified; `None` if there is to be none
     pub async fn next_way(&mut self, gateway: &Gateway) -> Option<SendWay> {
         let mut way = SendWay::Direct;
+        self.crosses_cut = false;
         if !self.is_relayed {
             // The check ends sooner.
             let _ = timeout_at(self.deadline, gateway.link.settle()).await;
             if gateway.link.is_cut() {
-                // Endpoints that this instance was cut off from don't count.
+                // Endpoints that this instance was cut off from don't count, unless that was known before the send.
                 self.history.sends -= std::mem::take(&mut self.unanswered_sends);
                 way = SendWay::Relay;
             }
@@ -46,6 +47,7 @@
         // All instances may be cut, or most endpoints have ended: one of the others may answer.
         if way == SendWay::Relay && (self.has_declined_relay || !gateway.has_relays()) {
             way = SendWay::Direct;
+            self.crosses_cut = true;
             if self.failed_connects > 0 {
                 return None;
             }
--- a/crates/gateway/tests/gateway/relayed_streams.rs
+++ b/crates/gateway/tests/gateway/relayed_streams.rs
@@ -20,6 +20,8 @@
     // it were complete.
     stream_that_goes_on_through_another_instance_is_cut => cut(Begin::Direct),
     stream_that_begins_through_another_instance_is_cut => cut(Begin::Relayed),
+    // Guards against retry limits that one stream uses up over a cut link, after which others are cut off.
+    stream_that_no_instance_resumes_leaves_retries => declined(),
     // Guards against a stream of another instance that goes on at another software version.
     stream_that_begins_through_another_instance_keeps_its_version => versions(),
 }
@@ -45,6 +47,10 @@
     ("unframed", 2),
 ];
 
+const DECLINED_STREAMS: usize = 6;
+/// Sends that the route allows, and one before the cut is known.
+const MAX_STREAM_SENDS: usize = 3;
+
 const ERROR_HEAD: &str = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
 
 fn script(arrival: &Arrival) -> Vec<Step> {
@@ -52,7 +58,8 @@
         return vec![Step::Write(answer(arrival, "200 OK", "right"))];
     }
     let id = arrival.header("x-request-id").unwrap_or_default();
-    let (next, begin) = id.split_once('-').expect("two parts");
+    let mut parts = id.split('-');
+    let (next, begin) = (parts.next().expect("an answer"), parts.next().expect("a begin"));
     if arrival.header("last-event-id").is_none() {
         let events = format!("{}{}", event(1), event(2));
         let end = if begin == "Direct" { Step::Hang } else { Step::Reset };
@@ -128,6 +135,25 @@
     verify_that!(faults, is_empty())
 }
 
+/// Each stream is begun at one engine, tried at one before the cut is known, and at one more as a last resort.
+async fn declined() -> Result<()> {
+    let engines = (0..8).map(|it| format!("engine-{it}"));
+    let services = (0..2).map(|it| format!("service-{it}"));
+    let fleet = EndingFleet::start(services.chain(engines), script, 3).await;
+    let mut faults = Vec::new();
+    for number in 0..DECLINED_STREAMS {
+        let id = format!("503-Direct-{number}");
+        stream_through(&fleet, Begin::Direct, &id).await;
+        let failed = format!("event=send_failed id={id} ");
+        let lines = fleet.instances[0].lines();
+        let sends = 1 + lines.iter().filter(|it| it.contains(&failed)).count();
+        if sends > MAX_STREAM_SENDS {
+            faults.push((id, sends));
+        }
+    }
+    verify_that!(faults, is_empty())
+}
+
 /// Streams that begin through other instances, which end then; few enough for the retry limits.
 const STREAMS: usize = 8;
 const JOIN_TIME: Duration = Duration::from_millis(2500);
