--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -41,6 +41,15 @@
     log::log!(level, "event=stopped cut={cut}");
 }
 
+/// Gives final answers to all requests at once; returns when the process is to exit
+pub async fn end_requests(gateway: &Gateway) {
+    let now = Instant::now();
+    let exit = now + FINAL_ANSWER_TIME;
+    gateway.stop.begin(StopTimes { close_idle: now, stop_listening: now, answer: now, exit });
+    enter(gateway, StopStage::Answering);
+    wait_until_ended(gateway, exit).await;
+}
+
 fn enter(gateway: &Gateway, stage: StopStage) {
     log::info!(
         "event=stop_stage stage={stage:?} open_requests={} open_connections={}",
@@ -50,7 +59,7 @@
     gateway.stop.enter(stage);
 }
 
-/// Waits until no client connection is open and none comes
+/// Waits until no connection is open and none comes
 async fn wait_until_quiet(gateway: &Gateway, limit: Instant) {
     let mut quiet_polls = 0;
     while quiet_polls < QUIET_POLLS && Instant::now() < limit {
@@ -60,9 +69,9 @@
     }
 }
 
-/// Waits until the listener and all client connections are closed
+/// Waits until the listeners and all connections are closed
 async fn wait_until_ended(gateway: &Gateway, limit: Instant) {
-    let has_ended = || gateway.stop.has_closed_listener() && gateway.open_connections.get() == 0;
+    let has_ended = || gateway.stop.has_closed_listeners() && gateway.open_connections.get() == 0;
     while !has_ended() && Instant::now() < limit {
         sleep(POLL_INTERVAL).await;
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -87,11 +87,7 @@
         Ok(response) => response,
         Err((refusal, mut record)) => {
             record.finish(refusal.answer.name(), refusal.reason);
-            let mut response = gateway_answer(gateway, Some(&id), &refusal);
-            if refusal.reason == UNKNOWN_CUSTOMER {
-                response.extensions_mut().insert(DeclinedRelay);
-            }
-            response
+            gateway_answer(gateway, Some(&id), &refusal)
         }
     };
     if has_unread_body {
@@ -144,7 +140,12 @@
         }
         _ => None,
     };
-    answer.response(id, retry_after).map(|()| AnswerBody::whole(Bytes::new()))
+    let mut response = answer.response(id, retry_after).map(|()| AnswerBody::whole(Bytes::new()));
+    let is_stopping = refusal.reason == STOPPING && answer == GatewayAnswer::NotRun;
+    if refusal.reason == UNKNOWN_CUSTOMER || is_stopping {
+        response.extensions_mut().insert(DeclinedRelay);
+    }
+    response
 }
 
 fn with_connection_close(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
@@ -267,6 +268,7 @@
         hedge: RefCell::default(),
         failed_connects: 0,
         unanswered_sends: 0,
+        crosses_cut: false,
         request: ClientRequest { parts, body, id: head.id, caller: source.caller(), share },
     })
 }
@@ -347,11 +349,7 @@
             Ok(answer)
                 if answer.status.is_server_error() && call.route.retry_rule.allows_second_run() =>
             {
-                gateway.metrics.sent(&call.pool, "server_error");
-                call.end_run();
-                gateway.record_result(endpoint, SendResult::Failed);
-                call.history.record_send(RunStatus::MayHaveRun);
-                call.excluded.push(endpoint.id.clone());
+                call.record_error_answer(gateway, endpoint);
                 failed = Some(answer);
             }
             Ok(answer) => {
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -23,7 +23,7 @@
 use decide::serving::send_history::{FinalStep, SendHistory};
 use decide::serving::stream_origins::{SoftwareVersion, StreamOrigin};
 use http::Response;
-use platform_adapter::answer::{GatewayAnswer, client_headers, promises_not_run};
+use platform_adapter::answer::{GatewayAnswer, client_headers, is_signed, promises_not_run};
 use platform_adapter::head::{EngineStage, SendParameters};
 use smol_str::SmolStr;
 use std::cell::RefCell;
@@ -90,6 +90,8 @@
     pub failed_connects: u32,
     /// Counted sends without any answer
     pub unanswered_sends: u32,
+    /// Whether the next send goes over a link that is known to be cut
+    pub crosses_cut: bool,
     /// Whether another instance relays it, so that this one must not
     pub is_relayed: bool,
     /// Whether the other instances have declined to take it over after it had been sent
@@ -220,9 +222,11 @@
 
     /// Converts an endpoint's complete answer into the response to the client
     ///
-    /// An answer that promises that the request has not run doesn't stand if an earlier send may have run it.
+    /// An answer that promises that the request has not run doesn't stand if an earlier send may have run it, or if
+    /// an endpoint has signed it: endpoints mark what they have not run.
     pub fn relay_whole(&self, answer: WholeAnswer) -> Response<AnswerBody> {
-        if self.history.may_have_run && promises_not_run(answer.status) {
+        let may_have_run = self.history.may_have_run || is_signed(&answer.headers);
+        if may_have_run && promises_not_run(answer.status) {
             log::info!("event=promise_withheld id={} status={}", self.request.id, answer.status);
             let failed = GatewayAnswer::Failed.response(Some(&self.request.id), None);
             return failed.map(|()| AnswerBody::whole(Bytes::new()));
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -68,7 +68,8 @@
     stage: Cell<StopStage>,
     has_changed: Notify,
     times: Cell<Option<StopTimes>>,
-    has_closed_listener: Cell<bool>,
+    /// Number of listeners that are open
+    open_listeners: Cell<usize>,
 }
 
 impl StopState {
@@ -88,14 +89,19 @@
         }
     }
 
-    /// Records that the listener for clients is closed
+    /// Records a listener that the end of listening closes
+    pub fn record_listener(&self) {
+        self.open_listeners.set(self.open_listeners.get() + 1);
+    }
+
+    /// Records that a listener is closed
     pub fn record_closed_listener(&self) {
-        self.has_closed_listener.set(true);
+        self.open_listeners.set(self.open_listeners.get() - 1);
     }
 
-    /// Whether the listener for clients is closed
-    pub fn has_closed_listener(&self) -> bool {
-        self.has_closed_listener.get()
+    /// Whether all listeners are closed
+    pub fn has_closed_listeners(&self) -> bool {
+        self.open_listeners.get() == 0
     }
 
     /// Whether a request can be expected to end before the process does
