--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -40,6 +40,7 @@
 mod relayed_streams;
 mod retry_limits;
 mod scaling;
+mod silent_endpoints;
 mod slow_readers;
 mod soak;
 mod software_versions;
--- /dev/null
+++ b/crates/gateway/tests/gateway/silent_endpoints.rs
@@ -0,0 +1,129 @@
+//! Silent endpoints: a request leaves one only for another that takes it, and within the limits of retries.
+
+use crate::client::RawClient;
+use crate::deployment::{Deployment, config, get_path};
+use crate::endpoint::{Arrival, FakeEndpoint, Step, answer};
+use googletest::prelude::*;
+use indexmap::{IndexMap, IndexSet};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use testcases::cases;
+use tokio::time::sleep;
+
+cases! { async
+    // Guards against requests that leave a silent endpoint although the limits allow no more retries, and fail.
+    requests_wait_for_silent_endpoints_once_the_retries_are_used_up => all_silent(check_served),
+    // Guards against a request that goes from one silent endpoint to the next, beyond its route's attempts.
+    requests_to_silent_endpoints_keep_to_their_attempts => all_silent(check_attempts),
+    // Guards against repeated sends that no limit counts, since no endpoint has answered the earlier ones.
+    repeated_sends_to_silent_endpoints_are_within_the_limits => all_silent(check_retries),
+    // Guards against a request that leaves a silent endpoint for one to which nothing is sent, and fails.
+    request_waits_while_the_only_other_endpoint_is_down => beside_one_that_is_down(),
+}
+
+const ENDPOINTS: usize = 6;
+const REQUESTS: usize = 200;
+const DEADLINE_MS: u64 = 4000;
+/// Attempts of the route, see `config`
+const MAX_ATTEMPTS: usize = 2;
+/// `budget_ratio` and `retry_slack` of the instance's settings
+const RETRY_RATIO: f64 = 0.2;
+const RETRY_SLACK: f64 = 54.0;
+/// Requests that may exceed their attempts by the users' rule
+const MAX_EXCEEDING: usize = 3;
+
+fn lookup(path: &str, id: &str) -> String {
+    let request = get_path("lookups", path, id);
+    request.replace("X-Deadline-Ms: 1500", &format!("X-Deadline-Ms: {DEADLINE_MS}"))
+}
+
+async fn start(endpoints: &[FakeEndpoint], objective_ms: u64) -> Deployment {
+    let deployment = Deployment::start(&endpoints.iter().collect::<Vec<_>>()).await;
+    let mut config = config(2, DEADLINE_MS);
+    config["routes"][0]["target_latency_ms"] = objective_ms.into();
+    deployment.store.put("keyed.op", "config", config.to_string().as_bytes());
+    deployment.instance.wait_line("event=config_applied version=2 ").await;
+    deployment
+}
+
+/// What the clients and the endpoints have seen
+struct SilenceResult {
+    statuses: IndexMap<u16, usize>,
+    /// Endpoints at which each request has arrived, one entry an arrival
+    arrivals: IndexMap<String, Vec<usize>>,
+}
+
+/// All endpoints are silent for 1.3 s, which is longer than a request waits at one of them
+async fn all_silent(check: fn(&SilenceResult) -> Result<()>) -> Result<()> {
+    let silent_until = Arc::new(Mutex::new(Instant::now()));
+    let mut endpoints = Vec::new();
+    for number in 0..ENDPOINTS {
+        let until = silent_until.clone();
+        let script = move |it: &Arrival| {
+            let pause = until.lock().expect("no panic").saturating_duration_since(Instant::now());
+            vec![Step::Pause(pause), Step::Write(answer(it, "200 OK", "right"))]
+        };
+        endpoints.push(FakeEndpoint::start(&format!("service-{number}"), script).await);
+    }
+    let deployment = start(&endpoints, 100).await;
+    let (from, until) = (Instant::now(), Instant::now() + Duration::from_millis(1300));
+    *silent_until.lock().expect("no panic") = until;
+    endpoints.iter().for_each(|it| it.silence_pages(from, until));
+    let mut clients = Vec::new();
+    for number in 0..REQUESTS {
+        let mut client = RawClient::connect(deployment.instance.clients).await;
+        client.write(lookup("x", &format!("id-{number}"))).await;
+        clients.push(client);
+    }
+    let mut statuses = IndexMap::new();
+    for client in &mut clients {
+        *statuses.entry(client.read().await.status).or_default() += 1;
+    }
+    let mut arrivals = IndexMap::<String, Vec<usize>>::new();
+    for (index, endpoint) in endpoints.iter().enumerate() {
+        for arrival in endpoint.arrivals() {
+            let id = arrival.header("x-request-id").unwrap_or_default().to_owned();
+            arrivals.entry(id).or_default().push(index);
+        }
+    }
+    check(&SilenceResult { statuses, arrivals })
+}
+
+fn check_served(result: &SilenceResult) -> Result<()> {
+    verify_that!(result.statuses, eq(&IndexMap::from([(200, REQUESTS)])))
+}
+
+fn check_attempts(result: &SilenceResult) -> Result<()> {
+    let engines = |it: &Vec<usize>| it.iter().collect::<IndexSet<_>>().len();
+    let exceeding = result.arrivals.values().filter(|it| engines(it) > MAX_ATTEMPTS).count();
+    verify_that!(exceeding, le(MAX_EXCEEDING))
+}
+
+fn check_retries(result: &SilenceResult) -> Result<()> {
+    let repeated = result.arrivals.values().map(|it| it.len() - 1).sum::<usize>();
+    verify_that!(repeated as f64, le(RETRY_RATIO * REQUESTS as f64 + RETRY_SLACK))
+}
+
+/// One endpoint is listed and refuses connections; the other one answers after 2 s, and at once before
+async fn beside_one_that_is_down() -> Result<()> {
+    let script = |it: &Arrival| {
+        let is_slow = it.line.contains("/slow");
+        let pause = Duration::from_millis(if is_slow { 2000 } else { 0 });
+        vec![Step::Pause(pause), Step::Write(answer(it, "200 OK", "right"))]
+    };
+    let mut endpoints = Vec::new();
+    for id in ["service-1", "service-2"] {
+        endpoints.push(FakeEndpoint::start(id, script).await);
+    }
+    let deployment = start(&endpoints, 400).await;
+    endpoints[1].end(Duration::from_secs(60));
+    for number in 0..8 {
+        let got = deployment.call(lookup("x", &format!("first-{number}"))).await;
+        verify_that!(got.status, eq(200))?;
+    }
+    sleep(Duration::from_millis(200)).await;
+    let mut client = RawClient::connect(deployment.instance.clients).await;
+    client.write(lookup("slow", "id-1")).await;
+    let got = client.read().await;
+    verify_that!((got.status, got.is_whole), eq((200, true)))
+}
