Test a silence of the only endpoint beside a stop: one test that fails

Callers of an instance that takes itself for cut got 502, and begun streams were cut, 1.1 s after they were sent and 0.9 s before their endpoint went on. The request left its endpoint for the other instance, which declined since it was stopping; then the endpoint counted as tried, and there was no other.

--- a/crates/gateway/tests/gateway/config_changes.rs
+++ b/crates/gateway/tests/gateway/config_changes.rs
@@ -24,7 +24,9 @@
     requests_to_a_fleet_outlast_the_silence_of_all_endpoints => fleet_waiting(3),
     requests_to_one_instance_of_a_fleet_outlast_the_silence_of_all_endpoints => fleet_waiting(1),
     // Guards against the same while the only other instance declines what it should take over, since it stops.
-    requests_outlast_a_silence_while_the_other_instance_stops => silence_beside_a_stop(),
+    requests_outlast_a_silence_while_the_other_instance_stops => silence_beside_a_stop(3),
+    // Guards against the same with an endpoint that has no other beside it, and isn't tried again.
+    requests_outlast_a_silence_of_the_only_endpoint_while_the_other_instance_stops => silence_beside_a_stop(1),
     // Guard against a request of the version before that a change of its route or pool ends.
     requests_outlast_the_removal_of_their_routes => waiting(1200, ALL, remove_routes),
     requests_outlast_a_move_to_another_pool => waiting(1200, ALL, move_routes),
@@ -355,9 +357,10 @@
     check_answers(&fleet.instances, &fleet.endpoints, sent).await
 }
 
-async fn silence_beside_a_stop() -> Result<()> {
-    let services = (0..3).map(|it| format!("service-{it}"));
-    let engines = (0..3).map(|it| format!("engine-{it}"));
+/// Each pool has this number of endpoints
+async fn silence_beside_a_stop(endpoints: usize) -> Result<()> {
+    let services = (0..endpoints).map(|it| format!("service-{it}"));
+    let engines = (0..endpoints).map(|it| format!("engine-{it}"));
     let fleet = EndingFleet::start(services.chain(engines), script, 2).await;
     let config = config(2, 4000).to_string();
     fleet.store.put("keyed.op", "config", config.as_bytes());
