--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -42,6 +42,7 @@
 mod relayed_streams;
 mod retry_limits;
 mod scaling;
+mod silent_endpoints;
 mod slow_readers;
 mod soak;
 mod software_versions;
