Remember break-offs of an instance that takes itself for cut

What callers saw: a prompt part that ended nearly all engines of a small fleet was tried again and again.

Cause: an instance whose three checked endpoints all refuse connections takes its own link for cut while another instance says that it reaches endpoints. Class: an observer that takes the silence of all for its own fault.

Change: a request that broke off is remembered like one whose end was not seen, and becomes a strike once the list, or a refused connection, shows that the endpoint has ended. One that lives takes it back.

Measured: crashing_part_that_ends_all_engines_is_refused needs no load.

--- a/crates/decide/src/serving/silence.rs
+++ b/crates/decide/src/serving/silence.rs
@@ -2,7 +2,8 @@
 //!
 //! An endpoint that crashes with its machine closes no connection, so a request that runs
 //! there times out, as it does at one that is only slow. A request that its client abandons
-//! has no connection any more, though the endpoint may still crash on it. The list tells: an
+//! has no connection any more, though the endpoint may still crash on it. A connection that
+//! breaks off while no endpoint answers may be a fault of the link. The list tells: an
 //! endpoint that has ended without draining leaves it, or comes back as a new incarnation.
 
 use super::endpoint_list::IncarnationStart;
@@ -28,6 +29,8 @@
     TimedOut,
     /// The client left
     Abandoned,
+    /// The connection broke off while this instance seemed to be cut from all endpoints
+    Cut,
 }
 
 /// Request whose end at an incarnation of an endpoint was not seen
--- a/crates/gateway/src/endpoint_link.rs
+++ b/crates/gateway/src/endpoint_link.rs
@@ -3,10 +3,12 @@
 //! An instance that is cut from all endpoints sees each of them fail, as if all had ended.
 //! What it says of them would make sound endpoints unreliable for all instances, and sound
 //! requests suspected of crashing them. Evidence against an endpoint is therefore held back until another one has
-//! answered, and dropped if the link turns out to be cut while others reach the endpoints.
+//! answered, and doubted if the link turns out to be cut while others reach the endpoints.
+//! A few checked endpoints may also have ended, so that a request which broke off is
+//! remembered until the list or its endpoint tells, see `decide::serving::silence`.
 
 use crate::connections::{ConnectionReuse, ExchangeError};
-use crate::link_evidence::{EvidenceKind, SILENCE_LIMIT};
+use crate::link_evidence::{EvidenceKind, HeldEvidence, SILENCE_LIMIT};
 use crate::state::Gateway;
 use bytes::Bytes;
 use decide::serving::endpoint_list::ListedEndpoint;
@@ -46,16 +48,31 @@
         endpoint: &ListedEndpoint,
         kind: EvidenceKind,
         evidence: impl FnOnce(&Gateway) + 'static,
+    ) {
+        self.hold_doubtful(endpoint, kind, evidence, |_| {});
+    }
+
+    /// Records that an endpoint failed, and applies `evidence` once the link is known to be sound, or `doubt` if it
+    /// is cut while others reach the endpoints
+    pub fn hold_doubtful(
+        &self,
+        endpoint: &ListedEndpoint,
+        kind: EvidenceKind,
+        evidence: impl FnOnce(&Gateway) + 'static,
+        doubt: impl FnOnce(&Gateway) + 'static,
     ) {
         let link = &self.link;
         if link.is_cut() {
             // While no other instance reaches the endpoints either, they may have ended.
-            if !self.has_relays() {
-                evidence(self);
+            if self.has_relays() {
+                doubt(self)
+            } else {
+                evidence(self)
             }
             return;
         }
-        link.held.borrow_mut().push((kind, Box::new(evidence)));
+        let (apply, doubt) = (Box::new(evidence), Box::new(doubt));
+        link.held.borrow_mut().push(HeldEvidence { kind, apply, doubt });
         link.has_held.notify_one();
         self.record_link_failure(endpoint);
     }
@@ -80,10 +97,10 @@
     fn release_evidence(&self, is_released: impl Fn(EvidenceKind) -> bool) {
         let held = self.link.held.take();
         let (released, kept): (Vec<_>, Vec<_>) =
-            held.into_iter().partition(|(kind, _)| is_released(*kind));
+            held.into_iter().partition(|it| is_released(it.kind));
         self.link.held.borrow_mut().extend(kept);
-        for (_, evidence) in released {
-            evidence(self);
+        for evidence in released {
+            (evidence.apply)(self);
         }
     }
 
@@ -176,7 +193,9 @@
             log::warn!("event=endpoints_cut results={results:?} relays={has_relays}");
             gateway.metrics.endpoints_cut.set(1);
             if has_relays {
-                link.held.take();
+                for evidence in link.held.take() {
+                    (evidence.doubt)(&gateway);
+                }
             }
         }
         gateway.release_evidence(|_| true);
--- a/crates/gateway/src/link_evidence.rs
+++ b/crates/gateway/src/link_evidence.rs
@@ -18,14 +18,23 @@
     Broken,
 }
 
-/// What is applied to the state of the instance once the link is known to be sound
-type Evidence<State> = Box<dyn FnOnce(&State)>;
+/// Change of the state of the instance
+type StateChange<State> = Box<dyn FnOnce(&State)>;
+
+/// Evidence against an endpoint that is held back
+pub struct HeldEvidence<State> {
+    pub kind: EvidenceKind,
+    /// Applied once the link is known to be sound
+    pub apply: StateChange<State>,
+    /// Applied instead if the link turns out to be cut
+    pub doubt: StateChange<State>,
+}
 
 /// Link of this instance to the endpoints
 pub struct EndpointLink<State> {
     pub monitor: RefCell<LinkMonitor>,
     /// Evidence against endpoints that is held back
-    pub held: RefCell<Vec<(EvidenceKind, Evidence<State>)>>,
+    pub held: RefCell<Vec<HeldEvidence<State>>>,
     /// Notified when evidence is held
     pub has_held: Notify,
     /// Notified when a check is due
--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -73,7 +73,19 @@
                 }
             };
             match listed {
-                Some(listed) => gateway.hold_evidence(&listed, EvidenceKind::Broken, strike),
+                Some(listed) => {
+                    let broken_off = self.silent_requests(
+                        endpoint,
+                        started_at_ms,
+                        unanswered,
+                        SilenceCause::Cut,
+                    );
+                    let doubt = |gateway: &Gateway| {
+                        let mut silent = gateway.silent_requests.borrow_mut();
+                        broken_off.into_iter().for_each(|it| silent.push(it));
+                    };
+                    gateway.hold_doubtful(&listed, EvidenceKind::Broken, strike, doubt);
+                }
                 None => strike(gateway),
             }
         } else if error.is_timeout() {
@@ -109,21 +121,32 @@
         parts: Vec<PartKey>,
         cause: SilenceCause,
     ) {
-        let mut parts = parts;
-        for fingerprint in self.fingerprints().into_iter().flatten() {
-            let is_common = self.gateway.is_common(fingerprint, !self.request.body.is_empty());
-            self.gateway.silent_requests.borrow_mut().push(SilentRequest {
-                cause,
-                fingerprint,
-                parts: std::mem::take(&mut parts),
-                is_common,
-                endpoint: endpoint.clone(),
-                started_at_ms,
-                at: std::time::Instant::now(),
-            });
+        for silent in self.silent_requests(endpoint, started_at_ms, parts, cause) {
+            self.gateway.silent_requests.borrow_mut().push(silent);
         }
     }
 
+    /// The request, by each of its fingerprints, with an end at an endpoint that was not seen
+    fn silent_requests(
+        &self,
+        endpoint: &EndpointId,
+        started_at_ms: IncarnationStart,
+        mut parts: Vec<PartKey>,
+        cause: SilenceCause,
+    ) -> Vec<SilentRequest> {
+        let has_body = !self.request.body.is_empty();
+        let silent = |fingerprint| SilentRequest {
+            cause,
+            fingerprint,
+            parts: std::mem::take(&mut parts),
+            is_common: self.gateway.is_common(fingerprint, has_body),
+            endpoint: endpoint.clone(),
+            started_at_ms,
+            at: std::time::Instant::now(),
+        };
+        self.fingerprints().into_iter().flatten().map(silent).collect()
+    }
+
     /// Records that the request completed without a crash
     pub fn record_completion(&self, gateway: &Gateway) {
         for fingerprint in self.fingerprints().into_iter().flatten() {
--- a/crates/gateway/tests/gateway/crashing_parts.rs
+++ b/crates/gateway/tests/gateway/crashing_parts.rs
@@ -28,6 +28,8 @@
     crashing_part_that_had_been_sound_is_refused => played(PartTest { sound_before: true, ..PartTest::default() }),
     // Guards against a test of a part that ends several engines, since its requests are sent on before the crash counts.
     test_of_a_crashing_part_ends_one_engine => tested(),
+    // Guards against crashes that are forgotten, since an instance that reaches no endpoint takes itself for cut.
+    crashing_part_that_ends_all_engines_is_refused => all_end_again(),
     // Guards against sound parts that are refused for long, since all engines ended at once under them.
     sound_parts_are_served_after_all_engines_have_ended => all_ended(),
     // Facts reach the others through leaders.
@@ -196,6 +198,25 @@
     verify_that!(fleet.ends().len() - before, eq(1))
 }
 
+/// Engines that a crashing request and its retry end, and how often these come back for one.
+const FEW_ENGINES: usize = 2;
+const ROUNDS: usize = 6;
+
+async fn all_end_again() -> Result<()> {
+    let PartTest { route, crashing, own_tokens, .. } = PartTest::default();
+    let ids = (0..FEW_ENGINES).map(|it| format!("engine-{it}"));
+    let fleet = EndingFleet::start(ids, script, 2).await;
+    let address = fleet.instances[0].clients;
+    for round in 0..ROUNDS {
+        let request = generation_with(route, &format!("c-{round}"), &crashing(0), own_tokens);
+        call(address, request).await;
+        sleep(DOWN_TIME + CONTACT_TIME).await;
+    }
+    let ends = fleet.ends();
+    verify_that!(ends.len(), ge(CRASHES))?;
+    verify_that!(fleet.late_arrivals(ends[CRASHES - 1], is_crashing), eq(0))
+}
+
 /// Interval of a load that keeps every engine reading prompts.
 const HEAVY_INTERVAL: Duration = Duration::from_millis(5);
 
