Keep the port of a test endpoint while it is down

An endpoint of the test panicked with "Address already in use" when it came back, and so was listed but gone for the rest of the test.

Cause: the endpoint closes its listener while it is down, so that a connection of another test may take the port as its own.

Change: a socket that is bound but doesn't listen keeps the port meanwhile, and listens when the endpoint comes back. No bound of a test changes.

--- a/crates/gateway/tests/gateway/endpoint.rs
+++ b/crates/gateway/tests/gateway/endpoint.rs
@@ -10,10 +10,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
 /// Step of a script
 #[derive(Debug, Clone)]
 pub enum Step {
@@ -149,10 +152,14 @@
                 }
                 _ = incarnation.changed() => {
                     drop(listener);
+                    // A bound socket refuses connections, and keeps the port from those of others.
+                    let socket = TcpSocket::new_v4().expect("a socket");
+                    socket.set_reuseaddr(true).expect("an option");
+                    socket.bind(address).expect("its own address");
                     let is_up = |it: &Incarnation| it.is_up;
                     let _ = incarnation.wait_for(is_up).await;
                     incarnation.mark_unchanged();
-                    listener = TcpListener::bind(address).await.expect("its own address");
+                    listener = socket.listen(BACKLOG).expect("its own address");
                 }
             }
         }
