Give up a holder of the duties that is not heard of

What callers saw: after one announcement with a token that the store has never granted, such as the largest one, no holder is believed any more, not even the instance itself: counts of usage go nowhere.

Cause: of the announced holders, the one with the highest token counted for good.

Change: holders announce themselves twice a second, and the own term is noted at each renewal. After five seconds without a word of a holder, one with a lower token is believed.

--- a/crates/gateway/src/duties/mod.rs
+++ b/crates/gateway/src/duties/mod.rs
@@ -33,6 +33,10 @@
 /// Longest delay of the release by calls under the lease; longer than their timeout.
 const MAX_RELEASE_DELAY: Duration = Duration::from_millis(1100);
 
+/// Time without a word of a holder after which one with a lower token is believed; holders announce themselves twice a
+/// second. A token that the store has never granted would hold for good otherwise.
+const HOLDER_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Instance that fulfils the duties
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -42,6 +46,12 @@
     pub fence: Fence,
 }
 
+/// Holder as this instance has heard of it
+struct KnownHolder {
+    holder: DutyHolder,
+    heard_at: Instant,
+}
+
 /// Error of a write under the lease
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(displaydoc::Display)]
@@ -82,7 +92,7 @@
 #[derive(Default)]
 pub struct DutyState {
     fence: watch::Sender<Option<Fence>>,
-    holder: RefCell<Option<DutyHolder>>,
+    holder: RefCell<Option<KnownHolder>>,
     own: InstanceId,
     metrics: DutyMetrics,
     /// Newest values of the topic, as it was read and written
@@ -152,7 +162,7 @@
 
     /// Holder with the highest token that this instance has heard of
     pub fn holder(&self) -> Option<DutyHolder> {
-        self.holder.borrow().clone()
+        self.holder.borrow().as_ref().map(|it| it.holder.clone())
     }
 
     /// Newest value that a holder has recorded under a key; known to the holder and to candidates
@@ -210,20 +220,27 @@
         self.calls.get() > 0 && stopped_at.is_some_and(|it| it.elapsed() < MAX_RELEASE_DELAY)
     }
 
-    /// Records a holder that another instance has announced; `true` if its token is the highest so far
-    pub fn record_holder(&self, announced: &DutyHolder) -> bool {
-        let mut holder = self.holder.borrow_mut();
-        let highest = holder.as_ref().map(|it| it.fence);
-        if highest < Some(announced.fence) {
-            log::info!(
-                "event=duty_holder instance={} fence={}",
-                announced.instance,
-                announced.fence
-            );
-            self.metrics.fence.set(i64::try_from(announced.fence).unwrap_or(i64::MAX));
-            *holder = Some(announced.clone());
+    /// Records a holder that another instance has announced; `true` unless one with a higher token is in office
+    pub fn record_holder(&self, announced: &DutyHolder, now: Instant) -> bool {
+        let mut known = self.holder.borrow_mut();
+        if let Some(known) = known.as_mut() {
+            let is_current = now.saturating_duration_since(known.heard_at) < HOLDER_TIMEOUT;
+            if announced.fence < known.holder.fence && is_current {
+                return false;
+            }
+            known.heard_at = now;
+            if announced.fence == known.holder.fence {
+                return true;
+            }
         }
-        highest <= Some(announced.fence)
+        log::info!("event=duty_holder instance={} fence={}", announced.instance, announced.fence);
+        self.metrics.fence.set(i64::try_from(announced.fence).unwrap_or(i64::MAX));
+        *known = Some(KnownHolder { holder: announced.clone(), heard_at: now });
+        true
+    }
+
+    fn record_own(&self, fence: Fence) {
+        self.record_holder(&DutyHolder { instance: self.own.clone(), fence }, Instant::now());
     }
 
     /// Applies a change to the lease, and logs and counts what it means for the own term
@@ -238,11 +255,12 @@
             LeaseChange::Taken(fence) => {
                 log::info!("event=duty_taken fence={fence}");
                 self.metrics.changed("taken".to_owned());
-                self.record_holder(&DutyHolder { instance: self.own.clone(), fence });
+                self.record_own(fence);
             }
             LeaseChange::Renewed(fence) => {
                 log::debug!("event=duty_renewed fence={fence}");
                 self.metrics.changed("renewed".to_owned());
+                self.record_own(fence);
             }
             LeaseChange::Lost(fence, reason) => {
                 log::warn!("event=duty_lost fence={fence} reason={reason}");
--- a/crates/gateway/src/duty_task/mod.rs
+++ b/crates/gateway/src/duty_task/mod.rs
@@ -177,7 +177,7 @@
         let holder = self.with_lease(|it| it.holder().map(|(id, fence)| (id.clone(), fence)));
         if let Some((instance, fence)) = holder.flatten() {
             let holder = DutyHolder { instance, fence };
-            self.gateway.duties.record_holder(&holder);
+            self.gateway.duties.record_holder(&holder, Instant::now());
         }
     }
 
--- a/crates/gateway/src/peers/duty_updates.rs
+++ b/crates/gateway/src/peers/duty_updates.rs
@@ -51,7 +51,7 @@
     let now = Instant::now();
     match message {
         DutyMessage::Announcement { holder, is_forwarded } => {
-            if gateway.duties.record_holder(&holder) {
+            if gateway.duties.record_holder(&holder, now) {
                 gateway.duties.candidacy.record_holder(holder.fence, now);
                 if !is_forwarded {
                     forward(exchange, holder, now).await;
