Test whole datagrams on the duties with extreme values

Datagrams of these kinds carry a checksum, so the damaged ones of the test before never reached their readers. All combinations of 6 tokens, the one in force among them, and 5 numbers for windows, counts, clocks and orders: the holder goes on, without an error in its code. odd_duty_records prints the log if a request fails, not only if a report is late: snapshot_of_a_far_source once got a 503 and could not be traced.

Not bounded: the number of instances and the era of the store that a message states.

--- a/crates/gateway/tests/gateway/extreme_values.rs
+++ b/crates/gateway/tests/gateway/extreme_values.rs
@@ -1,13 +1,19 @@
 //! Values and messages that no sound sender writes: the instance goes on serving.
 
-use crate::deployment::{Deployment, config, endpoint, get};
+use crate::control::FakeControl;
+use crate::deployment::{Deployment, config, endpoint, get, list};
 use crate::endpoint::{Step, answer, not_run, with_header};
+use crate::process::{Instance, InstanceSize};
+use crate::store::FakeStore;
 use catalogue::id::EndpointId;
 use decide::serving::crash_table::{BrokenEndpoint, CrashFact, EndpointStatus};
 use decide::serving::health::HealthUpdate;
 use decide::serving::leader::PeerInstance;
 use decide::serving::load::{EndpointWork, WorkCount};
 use decide::serving::rate_limit::LimitReport;
+use decide::serving::usage_report::{UsageAck, UsageReport};
+use gateway::duties::DutyHolder;
+use gateway::duty_messages::DutyMessage;
 use gateway::messages::{
     FactRepair, MessageBody, PeerMessage, ServingUpdate, WorkScope, work_body,
 };
@@ -32,6 +38,8 @@
     largest_values_of_a_configuration => configuration(),
     // Guards against a datagram that ends the task that receives them, and with it the process.
     damaged_datagrams => datagrams(),
+    // Guards against the same by a whole datagram on the duties, with tokens, windows and counts of any size.
+    extreme_datagrams_on_duties => duty_datagrams(),
 }
 
 /// Largest integer in the messages' encoding
@@ -133,6 +141,63 @@
     goes_on(&deployment).await
 }
 
+async fn duty_datagrams() -> Result<()> {
+    let service =
+        endpoint("service-1", |it| vec![Step::Write(answer(it, "200 OK", "right"))]).await;
+    let (store, control) = (FakeStore::start().await, FakeControl::start(true).await);
+    store.put("keyed.op", "config", config(1, 2000).to_string().as_bytes());
+    list(&store, &service, "ready", None);
+    let size =
+        InstanceSize { control: Some(control.address), window_s: 1, ..InstanceSize::default() };
+    let instance = Instance::launch_sized(store.address, "instance-1", size);
+    instance.wait_line("event=duty_taken").await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await?;
+    let lines = instance.lines();
+    let token = lines.iter().find_map(|it| it.split_once("event=duty_taken fence="));
+    let token = token.or_fail()?.1.trim().parse().or_fail()?;
+    let numbers = [0, 1, 1 << 62, u64::MAX - 1, u64::MAX];
+    for fence in numbers.into_iter().chain([token]) {
+        for number in numbers {
+            for message in duty_messages(fence, number) {
+                let bytes = message.encode().expect("encodes");
+                socket.send_to(&bytes, instance.peers()).await?;
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+    goes_on(&Deployment { store, instance }).await
+}
+
+fn duty_messages(fence: u64, number: u64) -> [DutyMessage; 4] {
+    let holder = DutyHolder { instance: "instance-9".into(), fence };
+    let report = UsageReport {
+        fence,
+        instance: "instance-9".into(),
+        source: number,
+        sequence: u32::MAX,
+        first: number,
+        now: number,
+        open: number,
+        unfixed: number,
+        is_last: true,
+        clock: number,
+        counts: vec![(number, vec![("a".into(), u32::MAX)])],
+    };
+    let ack = UsageAck {
+        fence,
+        source: number,
+        sequence: u32::MAX,
+        unfixed: number,
+        clock: Some(number),
+    };
+    [
+        DutyMessage::Announcement { holder, is_forwarded: false },
+        DutyMessage::HandOver { fence, order: u8::MAX },
+        DutyMessage::Usage(report),
+        DutyMessage::UsageAck(ack),
+    ]
+}
+
 /// Messages of each kind, and bytes that are none
 fn sound_messages() -> Result<Vec<Vec<u8>>> {
     let id = || EndpointId::from("service-1");
--- a/crates/gateway/tests/gateway/odd_duty_records.rs
+++ b/crates/gateway/tests/gateway/odd_duty_records.rs
@@ -117,13 +117,13 @@
         let request =
             get("lookups", "id").replacen("\r\nHost:", "\r\nX-Credential: key-a\r\nHost:", 1);
         let got = call(deployment.instance.clients, request).await;
-        verify_that!(got.status, eq(200))?;
+        let lines = || format!("{:#?}", deployment.instance.lines());
+        verify_that!(got.status, eq(200)).with_failure_message(lines)?;
         let calls = control.calls().split_off(before);
         let bodies = calls.iter().filter(|it| it.path == "/usage").map(|it| is_reported(&it.body));
         if bodies.collect::<Result<Vec<_>>>()?.contains(&true) {
             return Ok(());
         }
-        let lines = || format!("{:#?}", deployment.instance.lines());
         verify_that!(Instant::now(), lt(until)).with_failure_message(lines)?;
         sleep(Duration::from_millis(100)).await;
     }
