Let begun streams wait for engines that can't state their incarnation

A resumable stream that had begun was cut 0.2 s after its instance gave up waiting for its engine, long before its deadline, if all endpoints were silent and the endpoint list was out of date, as while the store is silent too. Each engine was asked for its incarnation, did not answer within 0.1 s, and was excluded for good; then none was left.

While all endpoints are silent, an engine that doesn't answer this question is no longer excluded, and is asked again until the stream's deadline. Streams that have not begun are refused as before. The line event=incarnation_checked says check=Silent, Unlisted or Listed.

--- a/crates/gateway/src/generation/plan.rs
+++ b/crates/gateway/src/generation/plan.rs
@@ -1,6 +1,7 @@
 //! Plans the engines that a generation goes through.
 
 use super::NO_ENDPOINT;
+use crate::incarnation_check::IncarnationCheck;
 use crate::serving_call::ServingCall;
 use crate::state::{Gateway, WorkGuard};
 use catalogue::id::EndpointId;
@@ -109,12 +110,19 @@
     let reader = path.prefill.as_ref().map(|it| &it.engine);
     call.is_version_known = true;
     for engine in reader.into_iter().chain([&path.generate.engine]) {
-        if gateway.is_listed_incarnation(engine).await {
+        let check = gateway.check_incarnation(engine).await;
+        if check == IncarnationCheck::Listed {
             continue;
         }
         call.is_version_known = false;
         if call.origin.is_some() {
-            call.excluded.push(engine.id.clone());
+            // A stream that has begun waits for engines that are only silent, as all endpoints are.
+            let is_awaited = check == IncarnationCheck::Silent
+                && gateway.link.is_cut()
+                && call.history.may_have_run;
+            if !is_awaited {
+                call.excluded.push(engine.id.clone());
+            }
             return false;
         }
     }
--- a/crates/gateway/src/incarnation_check.rs
+++ b/crates/gateway/src/incarnation_check.rs
@@ -24,6 +24,16 @@
 /// be in force.
 const MAX_LIST_AGE_FRACTION: f64 = 0.5;
 
+/// Result of a check of an engine's incarnation
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum IncarnationCheck {
+    Listed,
+    /// It states another one, or none
+    Unlisted,
+    /// It has not answered in time
+    Silent,
+}
+
 impl Gateway {
     /// Whether the endpoint list is recent enough to show all incarnations
     pub fn is_list_current(&self) -> bool {
@@ -36,24 +46,28 @@
         self.endpoints_known_at.get().map(|it| boot_time().saturating_sub(it))
     }
 
-    /// Whether an engine is the listed incarnation; asks it if the list may be out of date
-    pub async fn is_listed_incarnation(&self, engine: &ListedEndpoint) -> bool {
+    /// Checks whether an engine is the listed incarnation; asks it if the list may be out of date
+    pub async fn check_incarnation(&self, engine: &ListedEndpoint) -> IncarnationCheck {
         if self.is_list_current() || self.checked_incarnations.is_checked(engine, boot_time()) {
-            return true;
+            return IncarnationCheck::Listed;
         }
         let asked_at = boot_time();
         let stated = timeout(REPORT_TIMEOUT, self.ask_incarnation(engine)).await;
-        let is_listed = stated == Ok(Some(engine.started_at_ms));
+        let check = match stated {
+            Ok(Some(start)) if start == engine.started_at_ms => IncarnationCheck::Listed,
+            Ok(_) => IncarnationCheck::Unlisted,
+            Err(_) => IncarnationCheck::Silent,
+        };
         log::info!(
-            "event=incarnation_checked endpoint={} listed={} stated={stated:?} is_listed={is_listed} took_ms={}",
+            "event=incarnation_checked endpoint={} listed={} stated={stated:?} check={check:?} took_ms={}",
             engine.id,
             engine.started_at_ms,
             (boot_time() - asked_at).as_millis(),
         );
-        if is_listed {
+        if check == IncarnationCheck::Listed {
             self.checked_incarnations.record(engine, asked_at);
         }
-        is_listed
+        check
     }
 
     /// Start of the incarnation that an engine states; `None` if it doesn't answer or states none
--- a/crates/gateway/tests/gateway/config_changes.rs
+++ b/crates/gateway/tests/gateway/config_changes.rs
@@ -7,7 +7,7 @@
 use crate::ending_fleet::EndingFleet;
 use crate::endpoint::{Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, stream_head};
 use crate::process::Instance;
-use crate::store::FakeStore;
+use crate::store::{FakeStore, StoreMode};
 use googletest::prelude::*;
 use serde_json::Value;
 use std::time::{Duration, Instant};
@@ -25,6 +25,8 @@
     requests_to_one_instance_of_a_fleet_outlast_the_silence_of_all_endpoints => fleet_waiting(1),
     // Guards against the same while the only other instance declines what it should take over, since it stops.
     requests_outlast_a_silence_while_the_other_instance_stops => silence_beside_a_stop(),
+    // Guards against a begun stream that ends since no engine can state its incarnation while all are silent.
+    begun_streams_outlast_a_silence_of_the_store_and_all_endpoints => silence_with_the_store(),
     // Guard against a request of the version before that a change of its route or pool ends.
     requests_outlast_the_removal_of_their_routes => waiting(1200, ALL, remove_routes),
     requests_outlast_a_move_to_another_pool => waiting(1200, ALL, move_routes),
@@ -358,14 +360,7 @@
 }
 
 async fn silence_beside_a_stop() -> Result<()> {
-    let services = (0..3).map(|it| format!("service-{it}"));
-    let engines = (0..3).map(|it| format!("engine-{it}"));
-    let fleet = EndingFleet::start(services.chain(engines), script, 2).await;
-    let config = config(2, 4000).to_string();
-    fleet.store.put("keyed.op", "config", config.as_bytes());
-    for instance in &fleet.instances {
-        instance.wait_line("event=config_applied version=2 ").await;
-    }
+    let fleet = fleet_of_two().await;
     let instance = &fleet.instances[0];
     let mut sent = send_begun(instance).await;
     let start = Instant::now();
@@ -378,6 +373,38 @@
     check_answers(&fleet.instances, &fleet.endpoints, sent).await
 }
 
+/// The same with streams that have begun, while the store is silent too
+async fn silence_with_the_store() -> Result<()> {
+    let fleet = fleet_of_two().await;
+    let instance = &fleet.instances[0];
+    fleet.store.set_mode(StoreMode::Unresponsive);
+    // The endpoint list is out of date when the streams are to go on, but not when they begin.
+    sleep(Duration::from_millis(500)).await;
+    let sent = send_begun(instance).await;
+    let start = Instant::now();
+    fleet.cuts.cut(instance.process(), CutMode::Hang);
+    // Requests that wait for an endpoint show that all are silent.
+    let _others = send_all(instance).await;
+    fleet.instances[1].terminate();
+    instance.wait_line("event=endpoints_cut ").await;
+    sleep(Duration::from_millis(2500).saturating_sub(start.elapsed())).await;
+    fleet.cuts.heal_all();
+    fleet.store.set_mode(StoreMode::Normal);
+    check_answers(&fleet.instances, &fleet.endpoints, sent).await
+}
+
+async fn fleet_of_two() -> EndingFleet {
+    let services = (0..3).map(|it| format!("service-{it}"));
+    let engines = (0..3).map(|it| format!("engine-{it}"));
+    let fleet = EndingFleet::start(services.chain(engines), script, 2).await;
+    let config = config(2, 4000).to_string();
+    fleet.store.put("keyed.op", "config", config.as_bytes());
+    for instance in &fleet.instances {
+        instance.wait_line("event=config_applied version=2 ").await;
+    }
+    fleet
+}
+
 /// Reloads come every 20 ms while requests wait, and first of all a stop if `is_stopping`
 async fn reloads(is_stopping: bool) -> Result<()> {
     let silent = SilentDeployment::start(ALL).await;
