Let the soak of planned stops meet faulty endpoints and odd entries

Endpoints write a refusal twice, break streams off, and fail some streams that go on there with an error, another answer or none; odd entries come and go among those of endpoints and instances. A request that an endpoint declined doesn't count as run, and a stream that an endpoint broke off isn't lost; the other checks are unchanged.

--- a/crates/gateway/tests/gateway/stop_soak.rs
+++ b/crates/gateway/tests/gateway/stop_soak.rs
@@ -2,9 +2,10 @@
 //!
 //! A seed determines the signals and their times: SIGTERM to one, two or all instances, also again and in quick
 //! series, SIGHUP to running and stopping ones, either right after a start. Instances are restarted as the platform does,
-//! and killed `grace_s` after SIGTERM. Endpoints fall silent for about a second. Clients choose instances through a
-//! model of the platform's load balancer, and write bodies in parts. Instances of odd seeds have duties. The checks are
-//! the users' rules on planned stops.
+//! and killed `grace_s` after SIGTERM. Endpoints fall silent for about a second, write refusals twice, break streams off
+//! and fail some that go on there. Odd entries are written among those of endpoints and instances. Clients choose
+//! instances through a model of the platform's load balancer, and write bodies in parts. Instances of odd seeds have
+//! duties. The checks are the users' rules on planned stops.
 //!
 //! Whether a process has read a whole request can't be seen on a socket. A connection that ends by FIN more than
 //! `loss_slack_ms` after the last byte was sent proves it: the system answers unread bytes with a reset. After a reset, the
@@ -20,6 +21,7 @@
 mod endpoints;
 mod exchange;
 mod machines;
+mod odd_entries;
 
 use crate::control::FakeControl;
 use crate::deployment::config;
@@ -171,6 +173,7 @@
     tokio::join!(
         stop_instances(&run, until, SmallRng::seed_from_u64(seed + 2)),
         change_config(&run, until, SmallRng::seed_from_u64(seed + 3)),
+        odd_entries::write_entries(&run.store, until, SmallRng::seed_from_u64(seed + 4)),
     );
     let idle = recover(&run).await;
     run.is_over.set(true);
--- a/crates/gateway/tests/gateway/stop_soak/checks.rs
+++ b/crates/gateway/tests/gateway/stop_soak/checks.rs
@@ -111,8 +111,11 @@
                 && seen.sent_at <= stopped_at + OUTLASTING_SENT_TIME
         })
     };
+    let breaks_off =
+        |(index, arrival): &(usize, Arrival)| run.endpoints[*index].breaks_off(arrival);
     if !arrivals.is_empty() {
-        let is_allowed = arrivals.last().is_some_and(may_outlast);
+        let is_allowed =
+            arrivals.last().is_some_and(may_outlast) || arrivals.iter().any(breaks_off);
         return (!is_allowed).then(|| "rule=lost kind=passed_on".to_owned());
     }
     let was_read = seen.ending == Ending::Closed
@@ -126,15 +129,20 @@
     log.iter().any(|it| is_answered(&it)).then(|| "rule=lost kind=answer_lost".to_owned())
 }
 
+/// Number of times that a request has run
+fn run_count(arrivals: &[(usize, Arrival)]) -> usize {
+    arrivals.iter().filter(|it| !it.1.was_declined).count()
+}
+
 fn refused(record: &RequestRecord, arrivals: &[(usize, Arrival)]) -> Option<String> {
     let answer = &record.seen.answer;
-    let has_run = record.request.is_once_only() && !arrivals.is_empty();
+    let has_run = record.request.is_once_only() && run_count(arrivals) > 0;
     (has_run && PROMISES.contains(&answer.status)).then(|| "rule=refused".to_owned())
 }
 
 fn twice(record: &RequestRecord, arrivals: &[(usize, Arrival)]) -> Option<String> {
-    let is_twice = record.request.is_once_only() && arrivals.len() > 1;
-    is_twice.then(|| format!("rule=twice runs={}", arrivals.len()))
+    let runs = run_count(arrivals);
+    (record.request.is_once_only() && runs > 1).then(|| format!("rule=twice runs={runs}"))
 }
 
 fn unasked(record: &RequestRecord, arrivals: &[(usize, Arrival)]) -> Option<String> {
--- a/crates/gateway/tests/gateway/stop_soak/endpoints.rs
+++ b/crates/gateway/tests/gateway/stop_soak/endpoints.rs
@@ -1,8 +1,11 @@
 //! Endpoints whose work and silences are drawn from a seed.
 
-use crate::endpoint::{Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, stream_head};
+use crate::endpoint::{
+    Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, not_run, stream_head,
+};
 use crate::store::FakeStore;
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use serde_json::json;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -20,6 +23,26 @@
 const EVENTS: std::ops::RangeInclusive<usize> = 3..=8;
 const LONG_STREAM_EVENTS: std::ops::RangeInclusive<usize> = 20..=60;
 
+/// Numbers of requests of which one is refused, and of streams of which one breaks off or fails.
+const REFUSED_OF: usize = 40;
+const BROKEN_OF: usize = 20;
+/// Time after a refusal at which its copy follows.
+const COPY_PAUSE: Duration = Duration::from_millis(2);
+const REFUSAL: &str = "503 Service Unavailable";
+
+/// What an endpoint does instead of a whole answer
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EndpointFault {
+    /// Refuses the request, and writes the refusal once more
+    CopiedRefusal,
+    /// Ends the connection of a stream after this number of events
+    BrokenStream(usize),
+    /// Answers a stream that goes on here with an error, with another answer, or not at all
+    FailedStream,
+    OtherAnswer,
+    NoAnswer,
+}
+
 /// When an endpoint does nothing
 #[derive(Debug, Clone, Default)]
 pub struct Silences(Vec<(Instant, Instant)>);
@@ -49,6 +72,12 @@
         let times = times(arrival, &self.silences);
         times.last().copied().unwrap_or(arrival.at)
     }
+
+    /// Whether the endpoint ends the connection before the end of its answer
+    pub fn breaks_off(&self, arrival: &Arrival) -> bool {
+        let fault = fault(arrival, &self.endpoint.id);
+        matches!(fault, Some(EndpointFault::BrokenStream(_) | EndpointFault::NoAnswer))
+    }
 }
 
 /// Starts the endpoints of all pools, which fall silent for about a second in the time from now on, and lists them
@@ -76,7 +105,8 @@
         let silences = Arc::new(silences);
         let own = silences.clone();
         let id = format!("{pool}-{index}");
-        let endpoint = FakeEndpoint::start(&id, move |it| steps(it, &own)).await;
+        let name = id.clone();
+        let endpoint = FakeEndpoint::start(&id, move |it| steps(it, &name, &own)).await;
         for (from, to) in &silences.0 {
             endpoint.silence_pages(*from, *to);
         }
@@ -138,7 +168,52 @@
     times
 }
 
-fn steps(arrival: &Arrival, silences: &Silences) -> Vec<Step> {
+fn fault(arrival: &Arrival, endpoint: &str) -> Option<EndpointFault> {
+    let id = arrival.header("x-request-id").unwrap_or_default();
+    let mut rng = generator(&format!("{id} {endpoint}"), "fault");
+    if rng.random_range(0..REFUSED_OF) == 0 {
+        return Some(EndpointFault::CopiedRefusal);
+    }
+    // Only streams break off.
+    arrival.header("x-token-count")?;
+    if last_event(arrival) > 0 {
+        return [
+            None,
+            Some(EndpointFault::FailedStream),
+            Some(EndpointFault::OtherAnswer),
+            Some(EndpointFault::NoAnswer),
+        ]
+        .choose(&mut rng)
+        .copied()
+        .flatten();
+    }
+    let is_broken = rng.random_range(0..BROKEN_OF) == 0;
+    is_broken.then(|| EndpointFault::BrokenStream(rng.random_range(1..*EVENTS.start())))
+}
+
+fn steps(arrival: &Arrival, endpoint: &str, silences: &Silences) -> Vec<Step> {
+    match fault(arrival, endpoint) {
+        None => whole_answer(arrival, silences),
+        Some(EndpointFault::CopiedRefusal) => {
+            let refusal = not_run(arrival, REFUSAL);
+            vec![Step::Write(refusal.clone()), Step::Pause(COPY_PAUSE), Step::Write(refusal)]
+        }
+        Some(EndpointFault::BrokenStream(events)) => {
+            let mut steps = whole_answer(arrival, silences);
+            // A pause and a write for each event, and the head.
+            steps.truncate(events * 2 + 1);
+            steps.push(Step::Reset);
+            steps
+        }
+        Some(EndpointFault::FailedStream) => {
+            vec![Step::Write(answer(arrival, "500 Internal Server Error", "failed"))]
+        }
+        Some(EndpointFault::OtherAnswer) => vec![Step::Write(answer(arrival, "200 OK", "other"))],
+        Some(EndpointFault::NoAnswer) => vec![Step::Close],
+    }
+}
+
+fn whole_answer(arrival: &Arrival, silences: &Silences) -> Vec<Step> {
     let id = arrival.header("x-request-id").unwrap_or_default();
     let times = times(arrival, silences);
     let starts = [arrival.at].into_iter().chain(times.iter().copied());
