Try a silent endpoint once more when no other instance takes a request over

Callers of an instance that takes itself for cut got 502, and begun streams were cut, 0.9 s before the only endpoint of their pool went on, while the other instance was stopping. Cause: the request was given up at its endpoint for the other instance. After that one had declined, the endpoint counted as tried, so that none was left. Change: endpoints that were given up in silence may be tried once more after the others have declined.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -267,6 +267,7 @@
         hedge: RefCell::default(),
         failed_connects: 0,
         unanswered_sends: 0,
+        silent: Vec::new(),
         request: ClientRequest { parts, body, id: head.id, caller: source.caller(), share },
     })
 }
@@ -285,7 +286,7 @@
                 reason = NOT_RELAYED;
                 if call.history.may_have_run {
                     // The others reach no endpoint either, so one that is only silent may answer.
-                    call.has_declined_relay = true;
+                    call.record_declined_relay();
                     continue;
                 }
                 break;
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -61,7 +61,7 @@
                 None if call.history.sends > sends => continue,
                 // The others reach no endpoint either, so one that is only silent may answer.
                 None if call.history.may_have_run => {
-                    call.has_declined_relay = true;
+                    call.record_declined_relay();
                     continue;
                 }
                 None => {
--- a/crates/gateway/src/generation/relay_events.rs
+++ b/crates/gateway/src/generation/relay_events.rs
@@ -74,8 +74,11 @@
                     let is_relayed = stream.relay.is_some();
                     drop(stream);
                     call.end_run();
-                    if let Some(engine) = call.excluded.last().filter(|_| !is_relayed) {
-                        call.record_crash_evidence(&gateway, engine, Vec::new(), &error);
+                    if let Some(engine) = call.excluded.last().filter(|_| !is_relayed).cloned() {
+                        call.record_crash_evidence(&gateway, &engine, Vec::new(), &error);
+                        if error.is_timeout() {
+                            call.silent.push(engine);
+                        }
                     }
                     match resume(&gateway, &mut call, &error, position, &kind).await {
                         Some((resumed, next)) => {
--- a/crates/gateway/src/generation/resume.rs
+++ b/crates/gateway/src/generation/resume.rs
@@ -52,11 +52,11 @@
                 None if call.history.sends > sends => continue,
                 // The others can't run it either, so an endpoint that is only silent may answer.
                 None => {
-                    call.has_declined_relay = true;
+                    call.record_declined_relay();
                     continue;
                 }
                 Some((_, Started::Failed(answer))) if promises_not_run(answer.status) => {
-                    call.has_declined_relay = true;
+                    call.record_declined_relay();
                     continue;
                 }
                 Some((_, Started::Failed(_))) => return None,
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -90,6 +90,8 @@
     pub failed_connects: u32,
     /// Counted sends without any answer
     pub unanswered_sends: u32,
+    /// Endpoints that were given up since they were silent
+    pub silent: Vec<EndpointId>,
     /// Whether another instance relays it, so that this one must not
     pub is_relayed: bool,
     /// Whether the other instances have declined to take it over after it had been sent
--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -195,6 +195,9 @@
             (SendError::Prefill(_), _) if self.progress == PromptProgress::Lost => {}
             _ => {
                 self.history.record_send(status);
+                if matches!(error, SendError::TimedOut) {
+                    self.silent.push(endpoint.clone());
+                }
                 self.unanswered_sends += u32::from(error.is_unanswered());
             }
         }
--- a/crates/gateway/src/serving_call/limits.rs
+++ b/crates/gateway/src/serving_call/limits.rs
@@ -53,6 +53,13 @@
         self.may_send(gateway).then_some(way)
     }
 
+    /// Records that no other instance takes it over; endpoints that were given up for that may be tried once more
+    pub fn record_declined_relay(&mut self) {
+        self.has_declined_relay = true;
+        let silent = std::mem::take(&mut self.silent);
+        self.excluded.retain(|it| !silent.contains(it));
+    }
+
     /// Starts a send; `false` if it is a retry and the retry limits allow none
     pub fn try_start_send(&mut self, gateway: &Gateway) -> bool {
         self.sent_at = Instant::now();
