Count sends to silent endpoints that no other instance takes over

Callers' requests that may be repeated went from one silent endpoint to the next, beyond the attempts of their route and the retry limits. Cause: an instance that takes itself for cut took sends without an answer from the count, also with no other instance to relay through, when the endpoints are only silent and have the requests. Change: timeouts are taken from the count only for a relay. A request leaves a silent endpoint for another one only with a retry that the limits allow, which it takes at that moment; otherwise it waits on.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -24,7 +24,7 @@
 use platform_adapter::answer::GatewayAnswer;
 use platform_adapter::head::decode_head;
 use smol_str::SmolStr;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -268,6 +268,8 @@
         failed_connects: 0,
         unanswered_sends: 0,
         silent: Vec::new(),
+        silent_sends: 0,
+        holds_retry: Cell::default(),
         request: ClientRequest { parts, body, id: head.id, caller: source.caller(), share },
     })
 }
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -26,7 +26,7 @@
 use platform_adapter::answer::{GatewayAnswer, client_headers, promises_not_run};
 use platform_adapter::head::{EngineStage, SendParameters};
 use smol_str::SmolStr;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -88,10 +88,14 @@
     pub gateway: Rc<Gateway>,
     /// Connection attempts that failed before anything was sent
     pub failed_connects: u32,
-    /// Counted sends without any answer
+    /// Counted sends whose connection broke off without any answer
     pub unanswered_sends: u32,
     /// Endpoints that were given up since they were silent
     pub silent: Vec<EndpointId>,
+    /// Counted sends to these
+    pub silent_sends: u32,
+    /// Whether its next send is a retry that the limits have allowed
+    pub holds_retry: Cell<bool>,
     /// Whether another instance relays it, so that this one must not
     pub is_relayed: bool,
     /// Whether the other instances have declined to take it over after it had been sent
--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -197,8 +197,10 @@
                 self.history.record_send(status);
                 if matches!(error, SendError::TimedOut) {
                     self.silent.push(endpoint.clone());
+                    self.silent_sends += 1;
+                } else {
+                    self.unanswered_sends += u32::from(error.is_unanswered());
                 }
-                self.unanswered_sends += u32::from(error.is_unanswered());
             }
         }
     }
--- a/crates/gateway/src/serving_call/limits.rs
+++ b/crates/gateway/src/serving_call/limits.rs
@@ -50,6 +50,10 @@
                 return None;
             }
         }
+        // Nor do silent ones that another instance may reach.
+        if way == SendWay::Relay {
+            self.history.sends -= std::mem::take(&mut self.silent_sends);
+        }
         self.may_send(gateway).then_some(way)
     }
 
@@ -63,7 +67,18 @@
     /// Starts a send; `false` if it is a retry and the retry limits allow none
     pub fn try_start_send(&mut self, gateway: &Gateway) -> bool {
         self.sent_at = Instant::now();
-        self.history.sends == 0 || gateway.try_take_retry(&self.pool, self.sent_at.into_std())
+        self.history.sends == 0
+            || self.holds_retry.take()
+            || gateway.try_take_retry(&self.pool, self.sent_at.into_std())
+    }
+
+    /// Takes the retry that the next send will be; `false` if the limits allow none
+    fn try_hold_retry(&self, gateway: &Gateway) -> bool {
+        let now = std::time::Instant::now();
+        let holds_retry = self.holds_retry.get()
+            || (gateway.has_retry(&self.pool, now) && gateway.try_take_retry(&self.pool, now));
+        self.holds_retry.set(holds_retry);
+        holds_retry
     }
 
     /// Time until which to wait for an endpoint's answer: the request's deadline, or sooner if the
@@ -116,10 +131,12 @@
         }
     }
 
-    /// Waits until a time, and on until another endpoint than the silent one accepts the request or its deadline passes
+    /// Waits until a time, and on until the retry limits allow a retry and another endpoint than the silent one accepts
+    /// the request, or its deadline passes
     pub async fn retry_due(&self, gateway: &Gateway, silent: &ListedEndpoint, retry_at: Instant) {
         sleep_until(retry_at).await;
-        while Instant::now() < self.deadline && !gateway.has_alternative(self, silent) {
+        let may_retry = || gateway.has_alternative(self, silent) && self.try_hold_retry(gateway);
+        while Instant::now() < self.deadline && !may_retry() {
             sleep_until(self.deadline.min(Instant::now() + RETRY_CHECK_INTERVAL)).await;
         }
     }
