--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -231,7 +231,13 @@
             (SendError::Prefill(_), _) if self.progress == PromptProgress::Lost => {}
             _ => {
                 self.history.record_send(status);
-                self.unanswered_sends += u32::from(error.is_unanswered() && !self.crosses_cut);
+                let is_counted = !self.crosses_cut;
+                if matches!(error, SendError::TimedOut) {
+                    self.silent.push(endpoint.clone());
+                    self.silent_sends += u32::from(is_counted);
+                } else {
+                    self.unanswered_sends += u32::from(error.is_unanswered() && is_counted);
+                }
             }
         }
     }
