--- a/crates/gateway/tests/gateway/software_versions.rs
+++ b/crates/gateway/tests/gateway/software_versions.rs
@@ -22,7 +22,9 @@
     stream_is_not_taken_up_by_instances_that_know_nothing => taken_up(Beside::AllNew),
     stream_is_taken_up_at_the_only_version_without_the_store => only_version(),
     // Guards against a stream that goes on at the version that the list shows of an engine that has come back with another.
-    stream_is_not_resumed_at_an_engine_that_came_back => came_back(),
+    stream_is_not_resumed_at_an_engine_that_came_back => came_back(RESUMED_STREAMS, &["root"]),
+    // Guards against the same at engines whose end no request has shown, while the list still has others that ended.
+    stream_is_not_resumed_at_an_engine_whose_end_was_missed => came_back(1, &[]),
     // Guards against the same while the store is away and nothing shows that engines have ended, and against streams that
     // are given up there although their engines are the listed ones.
     stream_is_resumed_at_listed_incarnations_without_the_store => came_back_unseen(),
@@ -263,8 +265,9 @@
     verify_that!(got.status, eq(503))
 }
 
-/// An engine ends and comes back under its id with another version, while the list is out of date
-async fn came_back() -> Result<()> {
+/// Engines end and come back under their ids with another version, while the list is out of date; a number of
+/// streams begins meanwhile. Prompts share these parts; those that share none are spread over the engines.
+async fn came_back(streams_while_down: usize, shared: &[&str]) -> Result<()> {
     let script = |it: &Arrival| {
         let mut steps = events(it, Step::Pause(Duration::from_millis(30)));
         if it.header("last-event-id").is_none() {
@@ -272,6 +275,10 @@
         }
         steps
     };
+    let prompt = |id: &str| match shared {
+        [] => generation_with("resumed", id, &[id], 100),
+        _ => generation_with("resumed", id, shared, 100),
+    };
     let fleet = VersionFleet::start(script, 1).await;
     // Shows that it is the engines that have ended, and not the link to them.
     let service = FakeEndpoint::start("service-1", |it| {
@@ -283,9 +290,9 @@
     let down = Duration::from_secs(1);
     fleet.engines.iter().for_each(|it| it.end(down));
     let instance = &fleet.instances[0];
-    for number in 0..RESUMED_STREAMS {
+    for number in 0..streams_while_down {
         let id = format!("down-{number}");
-        call(instance.clients, generation_with("resumed", &id, &["root"], 100)).await;
+        call(instance.clients, prompt(&id)).await;
         call(instance.clients, crate::deployment::post("entries", &id, &id)).await;
         sleep(Duration::from_millis(40)).await;
     }
@@ -293,7 +300,7 @@
     let before = fleet.engines.iter().flat_map(FakeEndpoint::arrivals).count();
     for number in 0..RESUMED_STREAMS {
         let id = format!("id-{number}");
-        call(instance.clients, generation_with("resumed", &id, &["root"], 100)).await;
+        call(instance.clients, prompt(&id)).await;
         sleep(Duration::from_millis(40)).await;
     }
     let arrivals = fleet.engines.iter().flat_map(FakeEndpoint::arrivals).collect::<Vec<_>>();
