--- a/crates/gateway/src/incarnation_check.rs
+++ b/crates/gateway/src/incarnation_check.rs
@@ -1,15 +1,14 @@
 //! Checks that engines are the listed incarnations while the endpoint list may be out of date.
 //!
 //! An engine may come back under its id with another version of its software. While this
-//! instance doesn't learn of changes of the list, or the list still shows an engine that has
-//! ended, a stream may begin or go on only at an engine that has stated the listed start of
-//! its incarnation. A stream that has begun at any other engine is not resumed.
+//! instance doesn't learn of changes of the list, a stream may begin or go on only at an engine
+//! that has stated the listed start of its incarnation. A stream that has begun at any other
+//! engine is not resumed.
 
 use crate::boot_clock::boot_time;
 use crate::connections::ConnectionReuse;
 use crate::state::Gateway;
 use bytes::Bytes;
-use catalogue::id::PoolName;
 use decide::serving::endpoint_list::{IncarnationStart, ListedEndpoint};
 use http::Request;
 use http_body_util::{BodyExt, Full, Limited};
@@ -37,19 +36,9 @@
         self.endpoints_known_at.get().map(|it| boot_time().saturating_sub(it))
     }
 
-    /// Whether the list still shows an engine of a pool that has ended; it may lag behind others too
-    fn lists_ended_engine(&self, pool: &PoolName) -> bool {
-        let list = self.endpoints.borrow();
-        self.ended_incarnations.borrow().iter().any(|(id, started_at_ms)| {
-            let listed = list.get(id).filter(|it| it.pool == *pool);
-            listed.is_some_and(|it| it.started_at_ms == *started_at_ms)
-        })
-    }
-
     /// Whether an engine is the listed incarnation; asks it if the list may be out of date
     pub async fn is_listed_incarnation(&self, engine: &ListedEndpoint) -> bool {
-        let is_current = self.is_list_current() && !self.lists_ended_engine(&engine.pool);
-        if is_current || self.checked_incarnations.is_checked(engine, boot_time()) {
+        if self.is_list_current() || self.checked_incarnations.is_checked(engine, boot_time()) {
             return true;
         }
         let asked_at = boot_time();
