Show what instances that are gone cost the others

After twelve instances were killed or replaced, a request that crashes the endpoints that run it crashed 12 of 12 endpoints where 3 are allowed, in each of the three ways of the test. The entries of killed and of stopped instances stay in the list, and a suspended instance whose entry was removed meanwhile isn't listed 3 s after it goes on.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -26,6 +26,7 @@
 mod fleet_control;
 mod flood;
 mod generations;
+mod gone_instances;
 mod hedges;
 mod large_config;
 mod late_answers;
