Remove instances that are gone from the list and the table

Callers saw a request that crashes the endpoints that run it crash three of each instance, once a dozen instances were replaced or lost. The entries of instances that are gone stayed in the list for good. They counted for the full mesh, so that each instance sent its messages only to the leader of its zone, and leaders that didn't answer were tried again after 5 s, before the turn of a living one came.

A stopping instance removes its entry. The leader of a zone removes those of instances that have not answered for 30 s, on condition that the topic hasn't changed since it was read. Absent instances don't count for the full mesh, lead nobody until they are heard from, and get no messages, but are asked each second. A living one lists itself again when it reads the list, or at once if it hears others after 5 s without any. The number by which limits are shared falls only after 4 minutes. The format of messages and entries is unchanged: the question is one for a stream's origin, which older builds answer.

--- a/crates/decide/src/serving/load.rs
+++ b/crates/decide/src/serving/load.rs
@@ -4,6 +4,7 @@
 //! either from each of them or as a sum from the leader of its zone. The latest message of
 //! a sender counts until no message has arrived from it for `PEER_TIMEOUT`.
 
+use super::held_count::HeldCount;
 use super::leader::MAX_FULL_MESH_INSTANCES;
 use super::rate_limit::{FleetDemand, OwnDemand};
 use catalogue::id::{EndpointId, InstanceId};
@@ -58,8 +59,10 @@
     peers: IndexMap<InstanceId, PeerLoad>,
     /// Sum over all other instances, as the leader of the zone reported it
     others: Option<PeerLoad>,
-    max_instances: usize,
+    instances: HeldCount,
     has_list: bool,
+    /// Number of instances by the own list
+    own_listed: Option<usize>,
 }
 
 impl FleetLoad {
@@ -128,7 +131,7 @@
             .others
             .take()
             .filter(|it| now.saturating_duration_since(it.received_at) < LEADER_TIMEOUT);
-        self.max_instances = self.max_instances.max(self.instance_count());
+        self.instances.raise(self.instance_count());
     }
 
     /// Replaces the work of all other instances with the sum that the leader reported
@@ -166,9 +169,25 @@
         self.has_list.then(|| self.max_instances())
     }
 
-    /// Records the number of listed instances, this one included
-    pub fn record_listed(&mut self, instances: usize) {
-        self.max_instances = self.max_instances.max(instances);
+    /// Whether this instance has read the list
+    pub fn is_list_read(&self) -> bool {
+        self.own_listed.is_some()
+    }
+
+    /// Number of instances that is reported to others, this one included; `None` until it is known
+    pub fn reported_instances(&self) -> Option<usize> {
+        self.own_listed.or_else(|| self.listed_instances())
+    }
+
+    /// Records the number of instances that this one knows after it has read the list, itself included
+    pub fn record_listed(&mut self, instances: usize, now: Instant) {
+        self.own_listed = Some(instances);
+        self.record_reported(instances, now);
+    }
+
+    /// Records the number of instances that another one has reported
+    pub fn record_reported(&mut self, instances: usize, now: Instant) {
+        self.instances.record(instances, now);
         self.has_list = true;
     }
 
@@ -185,9 +204,9 @@
         self.peers.len() + 1
     }
 
-    /// Largest number of instances ever known; an isolated instance must not count the others as gone
+    /// Largest number of instances known lately; an isolated instance must not count the others as gone
     pub fn max_instances(&self) -> usize {
-        self.max_instances.max(1)
+        self.instances.get().max(1)
     }
 
     /// Work of this instance
--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -6,6 +6,7 @@
 pub mod cache;
 pub mod config_age;
 pub mod connection_reuse;
+pub mod contact;
 pub mod crash_parts;
 pub mod crash_table;
 pub mod customer_share;
@@ -21,6 +22,7 @@
 pub mod fleet_spread;
 pub mod health;
 pub mod hedge;
+pub mod held_count;
 pub mod leader;
 pub mod link;
 pub mod load;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -135,7 +135,7 @@
             _ = reload.recv() => log::info!("event=reload outcome=unchanged"),
         }
     }
-    stop::drain(&gateway).await;
+    tokio::join!(stop::drain(&gateway), peers::unlist(&gateway));
     Ok(())
 }
 
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -238,6 +238,13 @@
     },
 }
 
+impl MessageBody {
+    /// Whether it is a question for the origin of a stream, or the answer to one
+    pub fn is_origin(&self) -> bool {
+        matches!(self, MessageBody::OriginQuery { .. } | MessageBody::OriginAnswer { .. })
+    }
+}
+
 /// Message between instances
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/gateway/src/peers/duty_updates.rs
+++ b/crates/gateway/src/peers/duty_updates.rs
@@ -74,19 +74,19 @@
     let own_leader = exchange.zone_leader(now).map(|it| it.1);
     let mut recipients = {
         let table = exchange.table.borrow();
-        if table.is_full_mesh() {
-            table.iter().map(|it| it.1.address).collect::<Vec<_>>()
+        if table.is_full_mesh(now) {
+            table.present(now).map(|it| it.1.address).collect::<Vec<_>>()
         } else {
             let zones = table.zones().into_iter();
             let zones = zones.filter(|it| *it != exchange.gateway.settings.zone);
             zones.filter_map(|it| table.leader(&it, None, now).map(|it| it.1.address)).collect()
         }
     };
-    let is_full_mesh = exchange.table.borrow().is_full_mesh();
+    let is_full_mesh = exchange.table.borrow().is_full_mesh(now);
     if !is_full_mesh {
         match own_leader {
             Some(address) => recipients.push(address),
-            None => recipients.extend(zone_addresses(exchange)),
+            None => recipients.extend(zone_addresses(exchange, now)),
         }
     }
     let message = DutyMessage::Announcement { holder, is_forwarded: is_full_mesh };
@@ -95,12 +95,12 @@
 
 /// Forwards an announcement to the own zone, if this instance leads it
 async fn forward(exchange: &PeerExchange, holder: DutyHolder, now: Instant) {
-    let is_full_mesh = exchange.table.borrow().is_full_mesh();
+    let is_full_mesh = exchange.table.borrow().is_full_mesh(now);
     if is_full_mesh || exchange.zone_leader(now).is_some() {
         return;
     }
     let message = DutyMessage::Announcement { holder, is_forwarded: true };
-    send_all(exchange, &message, zone_addresses(exchange)).await;
+    send_all(exchange, &message, zone_addresses(exchange, now)).await;
 }
 
 /// Asks the instances of the highest ranks to follow the lease
@@ -108,7 +108,8 @@
     let Some(fence) = exchange.gateway.duties.holder().map(|it| it.fence) else { return };
     let successors = {
         let table = exchange.table.borrow();
-        table.ranked().iter().take(MAX_SUCCESSORS).map(|it| it.1.address).collect::<Vec<_>>()
+        let ranked = table.ranked(Instant::now());
+        ranked.iter().take(MAX_SUCCESSORS).map(|it| it.1.address).collect::<Vec<_>>()
     };
     log::info!("event=duty_handover fence={fence} asked={}", successors.len());
     for _ in 0..REQUEST_REPEATS {
@@ -118,10 +119,10 @@
     }
 }
 
-fn zone_addresses(exchange: &PeerExchange) -> Vec<SocketAddr> {
+fn zone_addresses(exchange: &PeerExchange, now: Instant) -> Vec<SocketAddr> {
     let zone = &exchange.gateway.settings.zone;
     let table = exchange.table.borrow();
-    table.iter().filter(|it| it.1.zone == *zone).map(|it| it.1.address).collect()
+    table.present(now).filter(|it| it.1.zone == *zone).map(|it| it.1.address).collect()
 }
 
 async fn send_all(exchange: &PeerExchange, message: &DutyMessage, recipients: Vec<SocketAddr>) {
--- a/crates/gateway/src/peers/listing.rs
+++ b/crates/gateway/src/peers/listing.rs
@@ -1,14 +1,21 @@
 //! Lists instances and their addresses in the platform's store.
+//!
+//! An instance removes its entry at a planned stop. Otherwise the leader of its zone removes it after a
+//! time without an answer. One that was removed though it lives lists itself again: when it next reads the list, or
+//! at once if it had heard from nobody.
 
-use super::SharedTable;
+use super::{SharedTable, presence};
 use crate::state::Gateway;
+use crate::stop::StopStage;
+use decide::serving::endpoint_list::ListOffset;
 use decide::serving::leader::PeerInstance;
 use decide::serving::store_era::EraChange;
+use indexmap::IndexMap;
 use platform_adapter::store::{INSTANCE_TOPIC, KeyedRecord};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
 
 /// Interval between reads of the instance list. Instances that come later become known by their messages
 /// to those that need them: all of a full mesh, otherwise the leader of their zone.
@@ -19,7 +26,7 @@
 /// Pause after appending the own entry, before the list is read, and after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
-/// Keeps this instance listed and reads the addresses of the others
+/// Keeps this instance listed, reads the addresses of the others, and removes the entries of those that are gone
 pub async fn keep_listed(gateway: Rc<Gateway>, table: SharedTable) {
     let settings = &gateway.settings;
     let own = PeerInstance {
@@ -33,18 +40,25 @@
         append_entry(&gateway, &entry).await;
         sleep(START_PAUSE).await;
     }
-    loop {
+    while !gateway.stop.has_reached(StopStage::Unready) {
         eras.mark_unchanged();
         let reply = gateway.store.newest(INSTANCE_TOPIC).await;
         let is_outdated = gateway.observe_era(reply.era) == EraChange::Outdated;
         match reply.result {
             Ok(batch) if !is_outdated => {
                 if apply_entries(&gateway, &table, &own, &batch.records) {
-                    // A store that came back from a copy may have lost the entry.
-                    let _ = timeout(LIST_INTERVAL, eras.changed()).await;
+                    remove_gone(&gateway, batch.end).await;
+                    tokio::select! {
+                        () = sleep(LIST_INTERVAL) => {}
+                        // A store that came back from a copy may have lost the entry.
+                        _ = eras.changed() => {}
+                        () = gateway.list_read_due.notified() => {}
+                    }
                     continue;
                 }
-                append_entry(&gateway, &entry).await;
+                if !gateway.stop.has_reached(StopStage::Unready) {
+                    append_entry(&gateway, &entry).await;
+                }
             }
             Ok(_) => log::debug!("event=instances_unread error=outdated"),
             Err(error) => log::debug!("event=instances_unread error={error}"),
@@ -53,6 +67,36 @@
     }
 }
 
+/// Removes the own entry at the start of a planned stop, so that the exit isn't delayed; if that fails, the
+/// others remove it
+pub async fn unlist(gateway: &Gateway) {
+    gateway.stop.reached(StopStage::Unready).await;
+    let reply = gateway.store.remove(INSTANCE_TOPIC, &gateway.settings.instance).await;
+    match reply.result {
+        Ok(()) => log::info!("event=unlisted instance={}", gateway.settings.instance),
+        Err(error) => log::warn!("event=not_unlisted error={error}"),
+    }
+}
+
+/// Removes the entries of instances that are gone, unless the list has changed since it was read up to `end`
+async fn remove_gone(gateway: &Gateway, end: ListOffset) {
+    let gone = presence::gone(gateway, Instant::now());
+    if gone.is_empty() {
+        return;
+    }
+    let reply = gateway.store.remove_at(INSTANCE_TOPIC, end, gone.iter().cloned()).await;
+    gateway.observe_era(reply.era);
+    match reply.result {
+        Ok(()) => {
+            for instance in gone {
+                log::info!("event=unlisted instance={instance}");
+                gateway.instances.borrow_mut().record_unlisted(&instance);
+            }
+        }
+        Err(error) => log::info!("event=not_unlisted error={error}"),
+    }
+}
+
 /// Appends the own entry; if that fails, the next read of the list shows it
 async fn append_entry(gateway: &Gateway, entry: &str) {
     let instance = &gateway.settings.instance;
@@ -64,25 +108,23 @@
     }
 }
 
-/// Adds the listed instances to the table; `true` if the own entry is listed as it should be
+/// Replaces the list in the table; `true` if the own entry is listed as it should be
 fn apply_entries(
     gateway: &Gateway,
     table: &SharedTable,
     own: &PeerInstance,
     records: &[KeyedRecord],
 ) -> bool {
-    let mut is_listed = false;
-    for record in records {
-        let Some(instance) = record.value.as_deref().and_then(parse_entry) else {
-            continue;
-        };
-        if record.key == gateway.settings.instance {
-            is_listed = instance == *own;
-        } else {
-            table.borrow_mut().insert(record.key.clone(), instance);
-        }
-    }
-    gateway.load.borrow_mut().record_listed(table.borrow().len() + 1);
+    let entries = records.iter().filter_map(|it| {
+        let instance = it.value.as_deref().and_then(parse_entry)?;
+        Some((it.key.clone(), instance))
+    });
+    let mut listed = entries.collect::<IndexMap<_, _>>();
+    let is_listed = listed.swap_remove(&gateway.settings.instance).as_ref() == Some(own);
+    let now = Instant::now();
+    let mut table = table.borrow_mut();
+    table.apply_list(listed, now);
+    gateway.load.borrow_mut().record_listed(table.len() + 1, now);
     is_listed
 }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,6 +1,7 @@
 //! Messages between instances: work in flight and updates of the store.
 //!
-//! Instances list their addresses in the platform's store. Messages are datagrams, since
+//! Instances list their addresses in the platform's store, and ask each other whether they still answer.
+//! Messages are datagrams, since
 //! only the newest matters and the next one replaces a lost one. Few instances form a
 //! full mesh and send their work directly to each other. With many, each sends it to the
 //! leader of its zone, which replies with the work of all others. The overall leader of a
@@ -14,10 +15,11 @@
 mod listing;
 mod origin_queries;
 mod port;
+mod presence;
 pub mod repair;
 mod store_updates;
 
-pub use listing::{format_entry, parse_entry};
+pub use listing::{format_entry, parse_entry, unlist};
 
 use crate::background::BackgroundTasks;
 use crate::boot_clock::boot_time;
@@ -101,6 +103,7 @@
     tasks.spawn(receive(exchange.clone()));
     tasks.spawn(store_updates::send_updates(exchange.clone()));
     tasks.spawn(origin_queries::send_queries(exchange.clone()));
+    tasks.spawn(presence::ask_silent(exchange.clone()));
     if exchange.gateway.settings.duties.is_some() {
         tasks.spawn(duty_updates::send_duties(exchange.clone()));
         let reader = exchange.clone();
@@ -156,22 +159,29 @@
         let digest = message.digest;
         self.gateway.record_reported_link(&instance, message.reaches_endpoints);
         if message.instances > 0 {
-            self.gateway.load.borrow_mut().record_listed(message.instances as usize);
+            self.gateway.load.borrow_mut().record_reported(message.instances as usize, now);
         }
         let is_full_mesh = {
             let mut table = self.table.borrow_mut();
             if table.insert(instance.clone(), message.sender(address)) {
                 log::info!("event=peer_found instance={instance} address={address}");
             }
-            table.record_received(&instance);
-            table.is_full_mesh()
+            if table.record_received(&instance, now) {
+                // The others may have removed the entry of an instance that was cut off or suspended.
+                self.gateway.list_read_due.notify_one();
+            }
+            table.is_full_mesh(now)
         };
+        // In a larger group the next message may not come before the repair would be due.
+        let is_repaired = is_full_mesh || !message.body.is_origin();
         self.handle_body(message, address, is_full_mesh, now);
         let digests = DigestPair { own: self.gateway.fact_digest(), other: digest };
         if digests.is_same() {
             self.gateway.has_joined.set(true);
         }
-        self.repairs.borrow_mut().observe(&instance, address, digests, now);
+        if is_repaired {
+            self.repairs.borrow_mut().observe(&instance, address, digests, now);
+        }
     }
 
     fn handle_body(
@@ -229,7 +239,7 @@
             zone: settings.zone.clone(),
             power: settings.power,
         };
-        let instances = self.gateway.load.borrow().listed_instances();
+        let instances = self.gateway.load.borrow().reported_instances();
         let digest = self.gateway.fact_digest();
         let instance = settings.instance.clone();
         let reaches = !self.gateway.link.is_cut();
@@ -250,7 +260,8 @@
     async fn send_to_all(&self, work: &EndpointWork, update: ServingUpdate, now: Instant) {
         let peers = {
             let mut table = self.table.borrow_mut();
-            let peers = table.iter().map(|(id, it)| (id.clone(), it.address)).collect::<Vec<_>>();
+            let peers = table.present(now).map(|(id, it)| (id.clone(), it.address));
+            let peers = peers.collect::<Vec<_>>();
             for (id, _) in &peers {
                 table.record_sent(id, now);
             }
@@ -283,7 +294,7 @@
     fn reads_for_others(&self, now: Instant) -> bool {
         let settings = &self.gateway.settings;
         let table = self.table.borrow();
-        if table.is_full_mesh() {
+        if table.is_full_mesh(now) {
             table.overall_leader((&settings.instance, settings.power), now).is_none()
         } else {
             table.leader(&settings.zone, Some((&settings.instance, settings.power)), now).is_none()
@@ -330,7 +341,7 @@
     let mut last_sent = EndpointWork::new();
     let mut last_sent_at = Instant::now();
     loop {
-        let is_full_mesh = exchange.table.borrow().is_full_mesh();
+        let is_full_mesh = exchange.table.borrow().is_full_mesh(Instant::now());
         sleep(if is_full_mesh { MESSAGE_INTERVAL } else { LEADER_MESSAGE_INTERVAL }).await;
         let now = Instant::now();
         exchange.send_repairs(now).await;
--- a/crates/gateway/src/peers/origin_queries.rs
+++ b/crates/gateway/src/peers/origin_queries.rs
@@ -8,6 +8,7 @@
 use rand::seq::IteratorRandom;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 
 /// Sends questions for the life of the process
 pub async fn send_queries(exchange: Rc<PeerExchange>) {
@@ -16,7 +17,7 @@
         for (stream, pool) in exchange.gateway.origin_queries.take_unsent() {
             let addresses = {
                 let table = exchange.table.borrow();
-                let instances = table.iter().map(|(_, it)| it.address);
+                let instances = table.present(Instant::now()).map(|(_, it)| it.address);
                 instances.choose_multiple(&mut rand::rng(), ASKED_INSTANCES)
             };
             for address in addresses {
--- a/crates/gateway/src/peers/store_updates.rs
+++ b/crates/gateway/src/peers/store_updates.rs
@@ -41,7 +41,7 @@
             continue;
         };
         let endpoints = endpoints.unwrap_or(EndpointUpdate { from: to, to, records: Vec::new() });
-        let recipients = recipients(&exchange);
+        let recipients = recipients(&exchange, now);
         // Another instance may have brought a newer one since the read.
         let read_config = read_config.and_then(|it| it.value_in_force(config_version));
         let config = read_config.and_then(|it| message_config(&gateway, config_version, it));
@@ -153,9 +153,10 @@
     })
 }
 
-fn recipients(exchange: &PeerExchange) -> Vec<SocketAddr> {
+fn recipients(exchange: &PeerExchange, now: Instant) -> Vec<SocketAddr> {
     let zone = &exchange.gateway.settings.zone;
     let table = exchange.table.borrow();
-    let is_recipient = |it: &PeerInstance| table.is_full_mesh() || it.zone == *zone;
-    table.iter().filter(|it| is_recipient(it.1)).map(|it| it.1.address).collect()
+    let is_full_mesh = table.is_full_mesh(now);
+    let is_recipient = |it: &PeerInstance| is_full_mesh || it.zone == *zone;
+    table.present(now).filter(|it| is_recipient(it.1)).map(|it| it.1.address).collect()
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -147,10 +147,11 @@
     fn relays(&self) -> Vec<(InstanceId, PeerInstance)> {
         let table = self.instances.borrow();
         let links = self.reported_links.borrow();
-        let is_full_mesh = table.is_full_mesh();
+        let now = Instant::now();
+        let is_full_mesh = table.is_full_mesh(now);
         let is_recent = |it: &&ReportedLink| it.at.elapsed() < MAX_MESSAGE_AGE;
         let mut relays = table
-            .iter()
+            .present(now)
             .filter_map(|(id, instance)| {
                 let link = links.get(id).filter(is_recent);
                 // Only the leader of the zone is heard in a larger group.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -159,6 +159,8 @@
     pub scaling: ScalingState,
     /// Other instances
     pub instances: Rc<RefCell<InstanceTable>>,
+    /// Notified when the list of instances is to be read at once
+    pub list_read_due: Notify,
     /// What other instances say of their links
     pub reported_links: RefCell<IndexMap<InstanceId, ReportedLink>>,
     /// Memory held for slow clients and endpoints
@@ -227,6 +229,7 @@
             link: EndpointLink::default(),
             scaling: ScalingState::default(),
             instances: Rc::default(),
+            list_read_due: Notify::new(),
             reported_links: RefCell::default(),
             metrics,
             stop: StopState::default(),
