Count at most twelve present instances for the full mesh

Each received message asks whether the instances form a full mesh, which counted all that are present; the first twelve decide.

--- a/crates/decide/src/serving/leader.rs
+++ b/crates/decide/src/serving/leader.rs
@@ -133,7 +133,8 @@
 
     /// Whether the instances that aren't absent form a full mesh
     pub fn is_full_mesh(&self, now: Instant) -> bool {
-        self.present(now).count() < MAX_FULL_MESH_INSTANCES
+        let counted = self.present(now).take(MAX_FULL_MESH_INSTANCES);
+        counted.count() < MAX_FULL_MESH_INSTANCES
     }
 
     /// Records a message sent to an instance, which must answer
