--- a/crates/gateway/tests/gateway/gone_instances.rs
+++ b/crates/gateway/tests/gateway/gone_instances.rs
@@ -20,6 +20,8 @@
     killed_instance_is_removed_by_others => removed(),
     // Guards against a living instance that is missing from the list.
     frozen_instance_that_was_removed_lists_itself => relisted(),
+    // Guards against instances that the others gave up for good, though they were only suspended.
+    suspended_instances_that_others_have_removed_come_back => come_back(),
 }
 
 const INSTANCE_TOPIC: &str = "keyed.persimmonlift-instances";
@@ -174,3 +176,22 @@
     instances[1].signal("CONT");
     fleet.wait_listed(1, true, CONTACT_TIME).await
 }
+
+async fn come_back() -> Result<()> {
+    let fleet = GoneFleet::start().await;
+    let instances = fleet.launch(0..INSTANCES, true).await;
+    sleep(CONTACT_TIME).await;
+    for instance in &instances[..2] {
+        instance.signal("STOP");
+    }
+    for number in 0..2 {
+        fleet.wait_listed(number, false, REMOVAL_TIME).await?;
+    }
+    for instance in &instances[..2] {
+        instance.signal("CONT");
+    }
+    for number in 0..2 {
+        fleet.wait_listed(number, true, CONTACT_TIME).await?;
+    }
+    fleet.verify_refused(&instances).await
+}
