--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -152,7 +152,7 @@
             _ = reload.recv() => log::info!("event=reload outcome=unchanged"),
         }
     }
-    drain::drain(gateway).await;
+    tokio::join!(drain::drain(gateway), peers::unlist(gateway));
     Ok(())
 }
 
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -27,6 +27,7 @@
 mod fleet_control;
 mod flood;
 mod generations;
+mod gone_instances;
 mod hedges;
 mod large_config;
 mod late_answers;
