--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -24,7 +24,7 @@
 use platform_adapter::answer::GatewayAnswer;
 use platform_adapter::head::decode_head;
 use smol_str::SmolStr;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -269,6 +269,10 @@
         failed_connects: 0,
         unanswered_sends: 0,
         crosses_cut: false,
+        silent: Vec::new(),
+        silent_sends: 0,
+        relayed_silent_sends: 0,
+        holds_retry: Cell::default(),
         request: ClientRequest { parts, body, id: head.id, caller: source.caller(), share },
     })
 }
@@ -287,7 +291,7 @@
                 reason = NOT_RELAYED;
                 if call.history.may_have_run {
                     // The others reach no endpoint either, so one that is only silent may answer.
-                    call.has_declined_relay = true;
+                    call.record_declined_relay();
                     continue;
                 }
                 break;
