--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,14 +1,14 @@
 //! Messages between instances: work in flight and updates of the store.
 //!
-//! Instances list their addresses in the platform's store, and ask each other whether they still answer.
-//! Messages are datagrams, since
-//! only the newest matters and the next one replaces a lost one. Few instances form a
-//! full mesh and send their work directly to each other. With many, each sends it to the
-//! leader of its zone, which replies with the work of all others. The overall leader of a
-//! full mesh, or the leader of each zone, also sends what it reads from the store, so that
-//! the others needn't read it. What one has learned of crashing requests and leaving
-//! endpoints is sent once and repaired where digests differ. A configuration that is too large for a datagram is
-//! transferred over TCP to those that ask for it.
+//! Instances list their addresses in the platform's store, and ask each other whether they
+//! still answer. Messages are datagrams, since only the newest matters and the next one
+//! replaces a lost one. Few instances form a full mesh and send their work directly to each
+//! other. With many, each sends it to the leader of its zone, which replies with the work of
+//! all others. The overall leader of a full mesh, or the leader of each zone, also sends what
+//! it reads from the store, so that the others needn't read it. What one has learned of
+//! crashing requests and leaving endpoints is sent once and repaired where digests differ. A
+//! configuration that is too large for a datagram is transferred over TCP to those that ask
+//! for it.
 
 pub mod config_transfer;
 mod duty_updates;
