--- a/crates/standins/tests/matrix/platform.rs
+++ b/crates/standins/tests/matrix/platform.rs
@@ -4,7 +4,7 @@
 use super::ProtocolTable;
 
 /// Faults on the users' platform, one per row.
-const PLATFORM_FAULTS: [&str; 27] = [
+const PLATFORM_FAULTS: [&str; 31] = [
     "store comes back from a copy",
     "store away",
     "instance starts",
@@ -32,6 +32,10 @@
     "requests come until a stopping instance exits",
     "endpoint is silent over a whole stop",
     "body is still arriving",
+    "client reads slowly at the exit",
+    "background task ends",
+    "only endpoint of a pool is silent",
+    "instances are gone for good",
 ];
 
 /// Serving on the users' platform.
@@ -291,5 +295,33 @@
             Reason("bodies of generations are read in the same way"),
             Reason("instances send whole bodies"),
         ],
+        &[
+            Test(&["gateway::stop::large_answer_to_a_slow_client_outlasts_the_process"]),
+            Test(&["gateway::stop::cut_stream_is_named_in_the_log"]),
+            Test(&["gateway::early_refusals::declined_relay_reaches_its_sender_over_the_exit"]),
+        ],
+        &[
+            Test(&["gateway::failed_task::requests_are_answered_after_the_end_of_a_task"]),
+            Reason("the same final answers"),
+            Reason("relayed requests get the same final answer"),
+        ],
+        &[
+            Test(&[
+                "gateway::config_changes::requests_outlast_a_silence_of_the_only_endpoint_while_the_other_instance_stops",
+            ]),
+            Test(&[
+                "gateway::config_changes::begun_streams_outlast_a_silence_of_the_store_and_all_endpoints",
+            ]),
+            Test(&[
+                "gateway::silent_endpoints::requests_to_silent_endpoints_keep_to_their_attempts",
+            ]),
+        ],
+        &[
+            Reason("requests need no other instance"),
+            Reason("streams need no other instance"),
+            Test(&[
+                "gateway::gone_instances::crashing_request_is_refused_after_most_instances_are_killed",
+            ]),
+        ],
     ],
 };
