--- a/crates/decide/src/serving/contact.rs
+++ b/crates/decide/src/serving/contact.rs
@@ -3,7 +3,7 @@
 //! Only an instance that was sent something and is not heard from since counts as
 //! unanswering. For a short time it is merely not chosen as a leader. After that it
 //! gets no messages any more but is still asked, since one that was cut off or suspended
-//! can't be told from a dead one.
+//! can't be distinguished from one that has ended.
 
 use std::time::{Duration, Instant};
 
@@ -77,9 +77,9 @@
         self.heard_at.is_some_and(|it| now.saturating_duration_since(it) <= ABSENCE_TIME)
     }
 
-    /// Whether it must be asked now; `is_zone_in_doubt` if another instance of its zone has just stopped answering
-    pub fn is_ask_due(&self, is_zone_in_doubt: bool, now: Instant) -> bool {
-        let is_waited_for = self.unanswered.is_some() || is_zone_in_doubt;
+    /// Whether it must be asked now; `is_zone_silent` if another instance of its zone has just stopped answering
+    pub fn is_ask_due(&self, is_zone_silent: bool, now: Instant) -> bool {
+        let is_waited_for = self.unanswered.is_some() || is_zone_silent;
         is_waited_for
             && self.last_at().is_none_or(|it| now.saturating_duration_since(it) >= ASK_INTERVAL)
     }
--- a/crates/decide/src/serving/leader.rs
+++ b/crates/decide/src/serving/leader.rs
@@ -158,9 +158,10 @@
     pub fn take_asked(&mut self, now: Instant) -> Vec<SocketAddr> {
         let has_stopped = |it: &InstanceContact| !it.is_answering(now) && !it.is_absent(now);
         let stopped = self.instances.values().filter(|it| has_stopped(&it.contact));
-        let doubted = stopped.map(|it| it.instance.zone.clone()).collect::<IndexSet<_>>();
-        let is_due =
-            |it: &KnownInstance| it.contact.is_ask_due(doubted.contains(&it.instance.zone), now);
+        let silent_zones = stopped.map(|it| it.instance.zone.clone()).collect::<IndexSet<_>>();
+        let is_due = |it: &KnownInstance| {
+            it.contact.is_ask_due(silent_zones.contains(&it.instance.zone), now)
+        };
         let due = self.instances.iter().filter(|it| is_due(it.1));
         let mut due = due
             .map(|(id, it)| (it.contact.last_at(), rank(id, it.instance.power), id.clone()))
--- a/crates/gateway/src/endpoint_link.rs
+++ b/crates/gateway/src/endpoint_link.rs
@@ -2,10 +2,11 @@
 //!
 //! An instance that is cut from all endpoints sees each of them fail, as if all had ended.
 //! What it says of them would make sound endpoints unreliable for all instances, and sound
-//! requests suspected of crashing them. Evidence against an endpoint is therefore held back until another one has
-//! answered, and doubted if the link turns out to be cut while others reach the endpoints.
-//! A few checked endpoints may also have ended, so that a request which broke off is
-//! remembered until the list or its endpoint tells, see `decide::serving::silence`.
+//! requests suspected of crashing them. Evidence against an endpoint is therefore held back
+//! until another one has answered, and dropped if the link turns out to be cut while others
+//! reach the endpoints. A few checked endpoints may also have ended, so that a request which
+//! broke off is then remembered until the list or its endpoint shows that, see
+//! `decide::serving::silence`.
 
 use crate::connections::{ConnectionReuse, ExchangeError};
 use crate::link_evidence::{EvidenceKind, HeldEvidence, SILENCE_LIMIT};
@@ -32,6 +33,7 @@
 pub const MAX_HOLD_TIME: Duration = HOLD_TIME.saturating_add(CHECK_TIMEOUT);
 /// Pause between two checks while the link is cut.
 const CHECK_PAUSE: Duration = Duration::from_millis(250);
+
 impl Gateway {
     /// Records an answer of an endpoint, which shows that the link isn't cut
     pub fn record_link_answer(&self, is_new_connection: bool) {
@@ -49,30 +51,30 @@
         kind: EvidenceKind,
         evidence: impl FnOnce(&Gateway) + 'static,
     ) {
-        self.hold_doubtful(endpoint, kind, evidence, |_| {});
+        self.hold_evidence_or(endpoint, kind, evidence, |_| {});
     }
 
-    /// Records that an endpoint failed, and applies `evidence` once the link is known to be sound, or `doubt` if it
+    /// Records that an endpoint failed, and applies `evidence` once the link is known to be sound, or `if_cut` if it
     /// is cut while others reach the endpoints
-    pub fn hold_doubtful(
+    pub fn hold_evidence_or(
         &self,
         endpoint: &ListedEndpoint,
         kind: EvidenceKind,
         evidence: impl FnOnce(&Gateway) + 'static,
-        doubt: impl FnOnce(&Gateway) + 'static,
+        if_cut: impl FnOnce(&Gateway) + 'static,
     ) {
         let link = &self.link;
         if link.is_cut() {
             // While no other instance reaches the endpoints either, they may have ended.
             if self.has_relays() {
-                doubt(self)
+                if_cut(self)
             } else {
                 evidence(self)
             }
             return;
         }
-        let (apply, doubt) = (Box::new(evidence), Box::new(doubt));
-        link.held.borrow_mut().push(HeldEvidence { kind, apply, doubt });
+        let (apply, if_cut) = (Box::new(evidence), Box::new(if_cut));
+        link.held.borrow_mut().push(HeldEvidence { kind, apply, if_cut });
         link.has_held.notify_one();
         self.record_link_failure(endpoint);
     }
@@ -194,7 +196,7 @@
             gateway.metrics.endpoints_cut.set(1);
             if has_relays {
                 for evidence in link.held.take() {
-                    (evidence.doubt)(&gateway);
+                    (evidence.if_cut)(&gateway);
                 }
             }
         }
--- a/crates/gateway/src/link_evidence.rs
+++ b/crates/gateway/src/link_evidence.rs
@@ -27,7 +27,7 @@
     /// Applied once the link is known to be sound
     pub apply: StateChange<State>,
     /// Applied instead if the link turns out to be cut
-    pub doubt: StateChange<State>,
+    pub if_cut: StateChange<State>,
 }
 
 /// Link of this instance to the endpoints
--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -81,11 +81,11 @@
                         unanswered,
                         SilenceCause::Cut,
                     );
-                    let doubt = |gateway: &Gateway| {
+                    let if_cut = |gateway: &Gateway| {
                         let mut silent = gateway.silent_requests.borrow_mut();
                         broken_off.into_iter().for_each(|it| silent.push(it));
                     };
-                    gateway.hold_doubtful(&listed, EvidenceKind::Broken, strike, doubt);
+                    gateway.hold_evidence_or(&listed, EvidenceKind::Broken, strike, if_cut);
                 }
                 None => strike(gateway),
             }
