Tell other instances that a stopping one takes no requests over

What callers saw: around a planned stop, streams of another instance were cut, and repeatable requests were sent twice, when all endpoints were silent for more than a second. Cause: an instance gives up a silent endpoint if another one says that it reaches endpoints. A stopping instance, without requests of its own, says so until it exits, and declines what it is sent. A starting one does the same. Change: messages say whether their sender takes requests over, in a byte after the rest that earlier builds ignore; without it, it does. Whether others reach the endpoints still decides about evidence against these, so that a stopping instance doesn't make the crash of an endpoint likelier.

--- a/crates/gateway/src/endpoint_link.rs
+++ b/crates/gateway/src/endpoint_link.rs
@@ -66,7 +66,7 @@
         let link = &self.link;
         if link.is_cut() {
             // While no other instance reaches the endpoints either, they may have ended.
-            if self.has_relays() {
+            if self.others_reach_endpoints() {
                 if_cut(self)
             } else {
                 evidence(self)
@@ -191,10 +191,11 @@
         let results = gateway.check_link().await;
         let state = link.monitor.borrow_mut().decide(&results, Instant::now());
         if state == LinkState::Cut {
+            let others_reach = gateway.others_reach_endpoints();
             let has_relays = gateway.has_relays();
             log::warn!("event=endpoints_cut results={results:?} relays={has_relays}");
             gateway.metrics.endpoints_cut.set(1);
-            if has_relays {
+            if others_reach {
                 for evidence in link.held.take() {
                     (evidence.if_cut)(&gateway);
                 }
--- a/crates/gateway/src/link_evidence.rs
+++ b/crates/gateway/src/link_evidence.rs
@@ -1,5 +1,6 @@
 //! State of the link to the endpoints, with the evidence against endpoints that is held back.
 
+use crate::messages::PeerMessage;
 use decide::serving::link::{LinkMonitor, LinkState};
 use std::cell::RefCell;
 use std::time::{Duration, Instant};
@@ -97,5 +98,20 @@
 #[derive(Debug, Clone, Copy)]
 pub struct ReportedLink {
     pub reaches_endpoints: bool,
+    /// Whether it takes over requests, which a starting or stopping instance declines
+    pub takes_requests: bool,
     pub at: Instant,
 }
+
+impl ReportedLink {
+    /// What the sender of a message that has just arrived says
+    pub fn of(message: &PeerMessage) -> ReportedLink {
+        let PeerMessage { reaches_endpoints, takes_requests, .. } = *message;
+        ReportedLink { reaches_endpoints, takes_requests, at: Instant::now() }
+    }
+
+    /// Link of an instance that has not taken a request over
+    pub fn declined() -> ReportedLink {
+        ReportedLink { reaches_endpoints: false, takes_requests: false, at: Instant::now() }
+    }
+}
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -263,6 +263,15 @@
     /// Whether the sender reaches the endpoints
     pub reaches_endpoints: bool,
     pub body: MessageBody,
+    /// Whether the sender takes over requests of instances that reach no endpoint. Encoded after the rest, where
+    /// builds that don't know it ignore it.
+    #[serde(skip, default = "default_takes_requests")]
+    pub takes_requests: bool,
+}
+
+/// What a message of a build means that doesn't say whether it takes requests over
+fn default_takes_requests() -> bool {
+    true
 }
 
 impl PeerMessage {
@@ -278,7 +287,17 @@
         let (zone, power) = (sender.zone.clone(), sender.power);
         let instances = instances.and_then(|it| u32::try_from(it).ok()).unwrap_or(0);
         let version = MESSAGE_VERSION;
-        PeerMessage { version, instance, zone, power, instances, digest, reaches_endpoints, body }
+        PeerMessage {
+            version,
+            instance,
+            zone,
+            power,
+            instances,
+            digest,
+            reaches_endpoints,
+            body,
+            takes_requests: default_takes_requests(),
+        }
     }
 
     /// Encodes the message
@@ -286,14 +305,19 @@
     /// # Errors
     /// The encoder's error.
     pub fn encode(&self) -> Result<Vec<u8>, bincode::error::EncodeError> {
-        bincode::serde::encode_to_vec(self, bincode::config::standard())
+        let mut bytes = bincode::serde::encode_to_vec(self, bincode::config::standard())?;
+        bytes.push(u8::from(self.takes_requests));
+        Ok(bytes)
     }
 
     /// Decodes a message; `None` if it is malformed or of another version
     pub fn decode(bytes: &[u8]) -> Option<PeerMessage> {
         let config = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
-        let (message, _): (PeerMessage, _) =
+        let (mut message, length): (PeerMessage, _) =
             bincode::serde::decode_from_slice(bytes, config).ok()?;
+        if let Some(takes_requests) = bytes.get(length) {
+            message.takes_requests = *takes_requests != 0;
+        }
         Some(message).filter(|it| it.version == MESSAGE_VERSION)
     }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -26,6 +26,7 @@
 use crate::duty_messages::DUTY_BYTE;
 use crate::duty_task::hold_lease;
 use crate::error::GatewayError;
+use crate::link_evidence::ReportedLink;
 use crate::listen;
 use crate::messages::{
     MAX_MESSAGE_BYTES, MessageBody, PeerMessage, ServingUpdate, WorkScope, received_work, work_body,
@@ -158,7 +159,7 @@
         let now = Instant::now();
         let instance = message.instance.clone();
         let digest = message.digest;
-        self.gateway.record_reported_link(&instance, message.reaches_endpoints);
+        self.gateway.record_reported_link(&instance, ReportedLink::of(&message));
         if message.instances > 0 {
             self.gateway.load.borrow_mut().record_reported(message.instances as usize, now);
         }
@@ -244,7 +245,8 @@
         let digest = self.gateway.fact_digest();
         let instance = settings.instance.clone();
         let reaches = !self.gateway.link.is_cut();
-        let message = PeerMessage::new(instance, &sender, instances, digest, reaches, body);
+        let mut message = PeerMessage::new(instance, &sender, instances, digest, reaches, body);
+        message.takes_requests = self.gateway.takes_requests();
         let bytes = match message.encode() {
             Ok(bytes) => bytes,
             Err(error) => {
@@ -341,6 +343,7 @@
     let gateway = exchange.gateway.clone();
     let mut last_sent = EndpointWork::new();
     let mut last_sent_at = Instant::now();
+    let mut last_takes = false;
     loop {
         let is_full_mesh = exchange.table.borrow().is_full_mesh(Instant::now());
         sleep(if is_full_mesh { MESSAGE_INTERVAL } else { LEADER_MESSAGE_INTERVAL }).await;
@@ -354,7 +357,9 @@
             true => EndpointWork::new(),
             false => gateway.load.borrow().own().clone(),
         };
+        let takes = gateway.takes_requests();
         let is_due = work != last_sent
+            || takes != last_takes
             || now.saturating_duration_since(last_sent_at) >= IDLE_MESSAGE_INTERVAL;
         if exchange.table.borrow().is_empty() {
             if is_due {
@@ -377,6 +382,7 @@
             let instances = gateway.load.borrow().max_instances();
             gateway.metrics.instances.set(i64::try_from(instances).unwrap_or(i64::MAX));
             last_sent = work;
+            last_takes = takes;
             last_sent_at = now;
         }
     }
--- a/crates/gateway/src/peers/port.rs
+++ b/crates/gateway/src/peers/port.rs
@@ -8,7 +8,6 @@
 use crate::ready::page;
 use crate::relay::{DeclinedRelay, mark, take_source};
 use crate::state::{Gateway, RequestGuard};
-use crate::stop::StopStage;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -99,8 +98,7 @@
         return config_transfer::answer(gateway);
     };
     let is_known = gateway.instances.borrow().iter().any(|it| it.1.address.ip() == sender);
-    let is_stopping = gateway.stop.has_reached(StopStage::Unready);
-    let is_able = gateway.is_ready() && !is_stopping && !gateway.link.is_cut();
+    let is_able = gateway.takes_requests() && !gateway.link.is_cut();
     if !is_known || !is_able {
         log::info!("event=relay_declined sender={sender} known={is_known}");
         gateway.metrics.relayed("in", "declined");
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,6 +11,7 @@
 use crate::link_evidence::ReportedLink;
 use crate::serving_call::ServingCall;
 use crate::state::{Gateway, WorkGuard};
+use crate::stop::StopStage;
 use bytes::Bytes;
 use catalogue::id::{CustomerName, InstanceId};
 use decide::serving::endpoint_list::ListedEndpoint;
@@ -143,8 +144,26 @@
         !self.relays().is_empty()
     }
 
-    /// Instances that may reach the endpoints, those first that say so
+    /// Whether other instances may reach the endpoints, also those that take no requests over
+    pub fn others_reach_endpoints(&self) -> bool {
+        !self.instances_with(|it| it.reaches_endpoints).is_empty()
+    }
+
+    /// Whether this instance takes over requests of instances that reach no endpoint
+    pub fn takes_requests(&self) -> bool {
+        self.is_ready() && !self.stop.has_reached(StopStage::Unready)
+    }
+
+    /// Instances that may serve requests of this one, those first that say so
     fn relays(&self) -> Vec<(InstanceId, PeerInstance)> {
+        self.instances_with(|it| it.reaches_endpoints && it.takes_requests)
+    }
+
+    /// Instances whose reported link fits, then those of a larger group that are not heard
+    fn instances_with(
+        &self,
+        fits: impl Fn(&ReportedLink) -> bool,
+    ) -> Vec<(InstanceId, PeerInstance)> {
         let table = self.instances.borrow();
         let links = self.reported_links.borrow();
         let now = Instant::now();
@@ -156,7 +175,7 @@
                 let link = links.get(id).filter(is_recent);
                 // Only the leader of the zone is heard in a larger group.
                 let rank = match link {
-                    Some(link) if link.reaches_endpoints => 0,
+                    Some(link) if fits(link) => 0,
                     None if !is_full_mesh => 1,
                     _ => return None,
                 };
@@ -171,8 +190,7 @@
     }
 
     /// Records what another instance says of its link
-    pub fn record_reported_link(&self, instance: &InstanceId, reaches_endpoints: bool) {
-        let link = ReportedLink { reaches_endpoints, at: Instant::now() };
+    pub fn record_reported_link(&self, instance: &InstanceId, link: ReportedLink) {
         self.reported_links.borrow_mut().insert(instance.clone(), link);
     }
 }
@@ -198,7 +216,9 @@
         gateway.metrics.relayed("out", outcome);
         match result {
             RelayTry::Answered(answer) => return Some((instance, *answer)),
-            RelayTry::NotRun(_) => gateway.record_reported_link(&instance, false),
+            RelayTry::NotRun(_) => {
+                gateway.record_reported_link(&instance, ReportedLink::declined());
+            }
             RelayTry::MayHaveRun(_) => {
                 // An instance answers for a stream only once it has begun.
                 if !call.route.is_stream {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -49,6 +49,7 @@
 mod software_versions;
 mod stop;
 mod stop_soak;
+mod stopping_relays;
 mod store;
 mod stray_refusals;
 mod streams;
--- /dev/null
+++ b/crates/gateway/tests/gateway/stopping_relays.rs
@@ -0,0 +1,135 @@
+//! Requests at silent endpoints, beside another instance that is stopping and takes no requests over.
+
+use crate::client::{RawAnswer, RawClient};
+use crate::deployment::{config, generation_with, get_path, list, stage_of};
+use crate::endpoint::{Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, stream_head};
+use crate::process::Instance;
+use crate::store::FakeStore;
+use googletest::prelude::*;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use testcases::cases;
+use tokio::time::sleep;
+
+cases! { async
+    // Guards against a stream that leaves its silent engine for an instance that is stopping and declines it.
+    stream_waits_for_its_engine_beside_a_stopping_instance => begun_stream(),
+    // Guards against a request that is sent twice since it left its silent endpoint for such an instance.
+    requests_wait_for_their_endpoint_beside_a_stopping_instance => lookups(),
+}
+
+/// Time in which two instances that have just started know each other
+const JOIN_TIME: Duration = Duration::from_millis(2500);
+/// Time in which an instance knows that the other one is stopping
+const NOTICE_TIME: Duration = Duration::from_millis(200);
+/// Longer than an instance waits for a silent endpoint if another one takes the request over, and shorter than an
+/// instance without connections takes to stop
+const SILENCE: Duration = Duration::from_millis(1700);
+/// Requests by which an instance notices the silence
+const LOOKUPS: usize = 6;
+const DEADLINE: &str = "X-Deadline-Ms: 6000";
+
+/// Two instances, of which the second one is stopping, before endpoints that fall silent at once
+struct SilentFleet {
+    endpoints: Vec<FakeEndpoint>,
+    instances: [Instance; 2],
+    silent_until: Arc<Mutex<Instant>>,
+}
+
+impl SilentFleet {
+    async fn start() -> SilentFleet {
+        let store = FakeStore::start().await;
+        store.put("keyed.op", "config", config(1, 6000).to_string().as_bytes());
+        let silent_until = Arc::new(Mutex::new(Instant::now()));
+        let mut endpoints = Vec::new();
+        for id in ["service-1", "service-2", "engine-1", "engine-2"] {
+            let until = silent_until.clone();
+            let script = move |it: &Arrival| {
+                let until = *until.lock().expect("no panic");
+                steps(it, until.saturating_duration_since(Instant::now()))
+            };
+            let endpoint = FakeEndpoint::start(id, script).await;
+            list(&store, &endpoint, "ready", stage_of(&endpoint));
+            endpoints.push(endpoint);
+        }
+        let instances = ["instance-1", "instance-2"];
+        let instances = instances.map(|it| Instance::launch(store.address, it));
+        for instance in &instances {
+            instance.wait_ready().await;
+        }
+        sleep(JOIN_TIME).await;
+        SilentFleet { endpoints, instances, silent_until }
+    }
+
+    /// Stops the second instance, and then silences all endpoints
+    async fn silence(&self) {
+        self.instances[1].terminate();
+        self.instances[1].wait_line("event=stop ").await;
+        sleep(NOTICE_TIME).await;
+        let from = Instant::now();
+        *self.silent_until.lock().expect("no panic") = from + SILENCE;
+        self.endpoints.iter().for_each(|it| it.silence_pages(from, from + SILENCE));
+    }
+
+    async fn send(&self, request: String) -> RawClient {
+        let mut client = RawClient::connect(self.instances[0].clients).await;
+        client.write(request.replace("X-Deadline-Ms: 1500", DEADLINE)).await;
+        client
+    }
+
+    async fn send_lookups(&self) -> Vec<RawAnswer> {
+        let mut clients = Vec::new();
+        for number in 0..LOOKUPS {
+            let path = format!("x{number}");
+            clients.push(self.send(get_path("lookups", &path, &format!("id-{number}"))).await);
+        }
+        let mut answers = Vec::new();
+        for client in &mut clients {
+            answers.push(client.read().await);
+        }
+        answers
+    }
+
+    fn arrivals_of(&self, id: &str) -> usize {
+        let arrivals = self.endpoints.iter().flat_map(FakeEndpoint::arrivals);
+        arrivals.filter(|it| it.header("x-request-id") == Some(id)).count()
+    }
+}
+
+/// Answers after the silence; a stream has two events before it, and goes on at no other engine
+fn steps(arrival: &Arrival, silence: Duration) -> Vec<Step> {
+    if arrival.header("x-token-count").is_none() {
+        return vec![Step::Pause(silence), Step::Write(answer(arrival, "200 OK", "right"))];
+    }
+    if arrival.header("last-event-id").is_some() {
+        return vec![Step::Write(answer(arrival, "500 Internal Server Error", "failed"))];
+    }
+    let begun = format!("{}{}", event(1), event(2));
+    let rest = [chunk(&event(3)), STREAM_END.to_vec()].concat();
+    vec![
+        Step::Write([stream_head(arrival), chunk(&begun)].concat()),
+        Step::Pause(NOTICE_TIME + SILENCE),
+        Step::Write(rest),
+    ]
+}
+
+async fn begun_stream() -> Result<()> {
+    let fleet = SilentFleet::start().await;
+    let mut client = fleet.send(generation_with("resumed", "id-stream", &[], 100)).await;
+    fleet.silence().await;
+    fleet.send_lookups().await;
+    let got = client.read().await;
+    let events = (1..=3).map(event).collect::<String>();
+    verify_that!((got.status, got.is_whole, &got.body), eq((200, true, &events)))?;
+    verify_that!(fleet.arrivals_of("id-stream"), eq(1))
+}
+
+async fn lookups() -> Result<()> {
+    let fleet = SilentFleet::start().await;
+    fleet.silence().await;
+    let answers = fleet.send_lookups().await;
+    let served = answers.iter().filter(|it| it.status == 200 && it.is_whole).count();
+    verify_that!(served, eq(LOOKUPS))?;
+    let declined = fleet.instances[0].lines().into_iter().filter(|it| it.contains("=relayed"));
+    verify_that!(declined.collect::<Vec<_>>(), is_empty())
+}
--- a/crates/gateway/tests/messages.rs
+++ b/crates/gateway/tests/messages.rs
@@ -139,6 +139,9 @@
 }
 
 cases! {
+    // Guards against instances of two builds that don't hear each other, or take a silence on relays for a refusal.
+    message_of_a_build_without_the_last_field_is_read => check_earlier_build(),
+    message_says_whether_requests_are_taken_over => check_takes_requests(),
     // Guards against keys of an earlier configuration that are sent since the one in force has none.
     configuration_that_is_not_in_force_is_not_sent => check_stored_config(),
     begun_streams_take_few_bytes => check_stream_bytes(),
@@ -167,3 +170,27 @@
     println!("{bytes:.1} bytes a stream");
     verify_that!(bytes, le(10.0))
 }
+
+fn work_message() -> PeerMessage {
+    let address = "10.1.0.35:7660".parse().expect("an address");
+    let sender = PeerInstance { address, zone: "zone-a".into(), power: 250 };
+    let body = work_body(WorkScope::Own, &EndpointWork::new(), ServingUpdate::default());
+    PeerMessage::new("front-1".into(), &sender, Some(3), 7, true, body)
+}
+
+fn check_earlier_build() -> Result<()> {
+    let message = work_message();
+    let bytes = message.encode().expect("encodes");
+    verify_that!(PeerMessage::decode(&bytes[..bytes.len() - 1]), some(eq(&message)))?;
+    verify_that!(message.takes_requests, eq(true))
+}
+
+fn check_takes_requests() -> Result<()> {
+    for takes_requests in [false, true] {
+        let mut message = work_message();
+        message.takes_requests = takes_requests;
+        let bytes = message.encode().expect("encodes");
+        verify_that!(PeerMessage::decode(&bytes), some(eq(&message)))?;
+    }
+    Ok(())
+}
