Refuse a switch of protocols that nobody has asked for

What callers saw: an endpoint that answers 101 had its head passed on, to a client that waits for an answer after it. Cause: the HTTP library takes 101 for the answer; its body is empty, so it was framed as whole. Change: an exchange that ends with an interim status has failed; the request may have run. Result: cut_answers, ten tests, plays some 24,000 answers that break off at each byte of the head and body, in eight framings, by close, reset, half-close and silence: plain, streams, prompts read apart, relayed and hedged. switch_of_protocols_is_no_answer fails on the code before (101 where 502 is required); the nine others passed before as well.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -169,13 +169,16 @@
         on_informational(&mut request, move |_| counted.record());
         let answered = self.sender.try_send_request(request);
         tokio::select! {
-            answer = answered => answer.map_err(|mut error| {
-                match (error.take_message(), is_reused) {
+            answer = answered => match answer {
+                // The HTTP library takes 101 for the answer, after which no HTTP follows.
+                Ok(answer) if answer.status().is_informational() => Err(ExchangeError::InterimOnly),
+                Ok(answer) => Ok(answer),
+                Err(mut error) => Err(match (error.take_message(), is_reused) {
                     (Some(_), _) => ExchangeError::Unsent,
                     (None, true) => ExchangeError::Stale(error.into_error()),
                     (None, false) => ExchangeError::Broken(error.into_error()),
-                }
-            }),
+                }),
+            },
             () = interim.exceeded.notified() => Err(ExchangeError::InterimOnly),
         }
     }
--- a/crates/gateway/tests/gateway/endpoint.rs
+++ b/crates/gateway/tests/gateway/endpoint.rs
@@ -32,6 +32,8 @@
     Close,
     /// Closes the connection with a TCP reset
     Reset,
+    /// Closes its side of the connection, and reads on
+    HalfClose,
     /// Stops responding
     Hang,
     /// Ends the endpoint: closes its listener and all of its connections. It comes back at the same address as a
@@ -362,6 +364,11 @@
                 false
             }
             Step::Pause(pause) => !self.abandoned_within(socket, pause, index).await,
+            Step::HalfClose => {
+                let _ = socket.shutdown().await;
+                self.abandoned_within(socket, Duration::from_secs(60), index).await;
+                false
+            }
             Step::Hang => {
                 self.abandoned_within(socket, Duration::from_secs(60), index).await;
                 false
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod customer_shares;
 mod customers;
 mod cut;
+mod cut_answers;
 mod cut_instances;
 mod deployment;
 mod drain;
--- a/crates/gateway/tests/gateway/relayed_answers.rs
+++ b/crates/gateway/tests/gateway/relayed_answers.rs
@@ -25,7 +25,7 @@
 const REQUESTS: usize = 8;
 
 /// Tells an instance that another one at the socket's address reaches the endpoints
-async fn announce(socket: UdpSocket, to: SocketAddr) {
+pub async fn announce(socket: UdpSocket, to: SocketAddr) {
     let address = socket.local_addr().expect("an address");
     let sender = PeerInstance { address, zone: "zone-a".into(), power: 250 };
     let body = MessageBody::Work(WorkScope::Own, Vec::new(), ServingUpdate::default());
