Test late requests of a lone stop

Cause: no test counted 502 and 504 of requests that come late in a planned stop, nor streams, kept connections and relays together.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -32,6 +32,7 @@
 mod hedges;
 mod large_config;
 mod late_answers;
+mod late_requests;
 mod malformed;
 mod notices;
 mod odd_duty_records;
