Give final answers at the end of the server's drain

What callers saw: calls that were in flight at drain_bound_ms, or at a second signal, ended without an answer; nobody knew whether they had run. Cause: the server closed its connections at the end of the drain, whatever was in flight. The exit code stays 1.

--- a/crates/persimmonlift/src/callers.rs
+++ b/crates/persimmonlift/src/callers.rs
@@ -8,6 +8,7 @@
 use crate::refusal::{CallerRefusal, RefusalCause};
 use crate::services::call_service;
 use crate::status::CallPermits;
+use crate::stop::SendMark;
 use catalogue::EntryKind;
 use catalogue::id::{EntryName, RequestId};
 use http::header::{CONNECTION, HeaderValue};
@@ -33,7 +34,12 @@
     let id: RequestId = uuid::Uuid::now_v7().simple().to_smolstr();
     let is_http1 = request.version() < Version::HTTP_2;
     let method = request.method().clone();
-    let outcome = dispatch(&context, request, id.clone()).await;
+    let sent = SendMark::default();
+    let outcome = tokio::select! {
+        biased;
+        outcome = dispatch(&context, request, id.clone(), &sent) => outcome,
+        () = context.status.final_answers.begun() => Err(sent.final_refusal()),
+    };
     let mut response = outcome.unwrap_or_else(|refusal| {
         log_refusal(&context, &id, &method, &refusal);
         refusal_answer(&refusal)
@@ -64,6 +70,7 @@
     context: &Arc<InstanceContext>,
     request: Request<Incoming>,
     id: RequestId,
+    sent: &SendMark,
 ) -> Result<AnswerResponse, CallerRefusal> {
     let path = request.uri().path();
     match path {
@@ -82,9 +89,11 @@
     let permits = admit(context)?;
     context.metrics.count("requests");
     match call {
-        CallKind::Completion(form) => complete(context.clone(), form, request, id, permits).await,
+        CallKind::Completion(form) => {
+            complete(context.clone(), form, request, id, permits, sent).await
+        }
         CallKind::Service(entry) => {
-            let answer = call_service(context, entry, request, id).await;
+            let answer = call_service(context, entry, request, id, sent).await;
             drop(permits);
             answer
         }
--- a/crates/persimmonlift/src/completions.rs
+++ b/crates/persimmonlift/src/completions.rs
@@ -10,6 +10,7 @@
 use crate::refusal::{CallerRefusal, FieldProblem, RanState, RefusalCause};
 use crate::sse::stream_answer;
 use crate::status::CallPermits;
+use crate::stop::SendMark;
 use crate::usage::CompletionUsage;
 use catalogue::EntryKind;
 use catalogue::id::{RequestId, TokenCount};
@@ -33,6 +34,7 @@
     request: Request<Incoming>,
     id: RequestId,
     permits: CallPermits,
+    sent: &SendMark,
 ) -> Result<AnswerResponse, CallerRefusal> {
     let arrived = Instant::now();
     let key = caller_key(request.headers())?;
@@ -42,7 +44,7 @@
     let entry = find_entry(&context.catalogue.view(), &key, &call.model)?;
     let is_streamed = call.stream;
     let job = generation_job(call, &entry, id, arrived)?;
-    let answer = begin(context, job).await?;
+    let answer = begin(context, job, sent).await?;
     if is_streamed {
         return Ok(stream_answer(form, answer, permits));
     }
@@ -52,6 +54,7 @@
 async fn begin(
     context: Arc<InstanceContext>,
     job: GenerationJob,
+    sent: &SendMark,
 ) -> Result<AnswerStream, CallerRefusal> {
     let entry = job.entry.clone();
     let pool = context.registry.pool(&entry.pool).ok_or_else(no_endpoint)?;
@@ -66,6 +69,7 @@
         service_time: admission.service_time(job.prompt_tokens, job.max_tokens),
     };
     let admission = admission.admit(arriving).await?;
+    sent.record_send();
     AnswerStream::begin(context, pool, job, GenerationPermits { meter, admission }).await
 }
 
--- a/crates/persimmonlift/src/generation.rs
+++ b/crates/persimmonlift/src/generation.rs
@@ -113,6 +113,10 @@
         &self.job
     }
 
+    pub fn context(&self) -> &Arc<InstanceContext> {
+        &self.context
+    }
+
     /// Number of tokens generated so far
     pub fn tokens(&self) -> TokenCount {
         self.next_token
--- a/crates/persimmonlift/src/instance.rs
+++ b/crates/persimmonlift/src/instance.rs
@@ -16,6 +16,7 @@
 use crate::settings::{InstanceSecrets, InstanceSettings};
 use crate::status::ServingStatus;
 use crate::status_reports::StatusReports;
+use crate::stop::FINAL_ANSWER_TIME;
 use crate::suspects::SuspectRegister;
 use catalogue::id::InstanceId;
 use coordination::catalogue::CatalogueHandle;
@@ -33,6 +34,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
@@ -70,7 +72,7 @@
 /// Result of a drain
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DrainReport {
-    /// Requests still in flight at the end of the drain bound
+    /// Requests still in flight at the end of the drain bound, which got a final answer
     pub cut: u32,
     /// Duration of the drain
     pub took: Duration,
@@ -167,6 +169,15 @@
         runtime.spawn(async move { inner.drain().await }).await.unwrap_or(fallback)
     }
 
+    /// Gives final answers to all requests at once; returns how many there were
+    pub async fn end_requests(&self) -> u32 {
+        let status = &self.inner.context.status;
+        let cut = status.in_flight();
+        status.final_answers.begin();
+        tokio::time::sleep(FINAL_ANSWER_TIME).await;
+        cut
+    }
+
     /// Stops abruptly, as a crash would
     pub fn kill(self) {
         drop(self);
@@ -193,11 +204,21 @@
         let bound = timeouts.drain_bound();
         let mut servers = self.servers.lock().await;
         let drained_by = Instant::now() + bound;
-        servers.caller.drain(bound).await;
-        while context.status.in_flight() > 0 && Instant::now() < drained_by {
-            tokio::time::sleep(DRAIN_POLL).await;
+        let mut cut = 0;
+        {
+            let mut ended = pin!(async {
+                servers.caller.drain(bound).await;
+                while context.status.in_flight() > 0 && Instant::now() < drained_by {
+                    tokio::time::sleep(DRAIN_POLL).await;
+                }
+            });
+            let answer_time = bound.saturating_sub(FINAL_ANSWER_TIME);
+            if tokio::time::timeout(answer_time, &mut ended).await.is_err() {
+                cut = context.status.in_flight();
+                context.status.final_answers.begin();
+                ended.await;
+            }
         }
-        let cut = context.status.in_flight();
         context.planner.release().await;
         servers.admin.abort();
         servers.peer.abort();
--- a/crates/persimmonlift/src/lib.rs
+++ b/crates/persimmonlift/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod stall;
 pub mod status;
 pub mod status_reports;
+pub mod stop;
 pub mod suspects;
 pub mod usage;
 
--- a/crates/persimmonlift/src/main.rs
+++ b/crates/persimmonlift/src/main.rs
@@ -1,9 +1,10 @@
 //! Entry instance: reads its settings and serves until it receives a signal.
 
 use persimmonlift::SettingFault;
-use persimmonlift::instance::{InstanceHandle, ServingInstance, StartError};
+use persimmonlift::instance::{ServingInstance, StartError};
 use persimmonlift::settings::{InstanceSecrets, InstanceSettings};
 use std::path::{Path, PathBuf};
+use std::pin::pin;
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -112,17 +113,17 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    tokio::select! {
-        report = instance.drain() => {
-            Ok(if report.cut == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    let mut drained = pin!(instance.drain());
+    loop {
+        tokio::select! {
+            report = &mut drained => {
+                return Ok(if report.cut == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE });
+            }
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
         }
-        _ = terminate.recv() => Ok(stop_now(&instance)),
-        _ = interrupt.recv() => Ok(stop_now(&instance)),
     }
-}
-
-fn stop_now(instance: &InstanceHandle) -> ExitCode {
-    let cut = instance.context().status.in_flight();
+    let cut = instance.end_requests().await;
     log::warn!("event=stopped_early cut={cut}");
-    ExitCode::FAILURE
+    Ok(ExitCode::FAILURE)
 }
--- a/crates/persimmonlift/src/once_calls.rs
+++ b/crates/persimmonlift/src/once_calls.rs
@@ -8,6 +8,7 @@
 use crate::context::InstanceContext;
 use crate::refusal::{CallerRefusal, FieldProblem, RanState, RefusalCause};
 use crate::service_call::{ServiceCall, no_endpoint};
+use crate::stop::SendMark;
 use catalogue::id::IdempotencyKey;
 use coordination::once::{
     ClaimDecision, ClaimPermit, ExecutionState, OnceError, OnceOutcome, OnceRequest, parse_key,
@@ -37,11 +38,14 @@
 pub async fn call_once(
     context: &Arc<InstanceContext>,
     call: ServiceCall,
+    sent: &SendMark,
 ) -> Result<AnswerResponse, CallerRefusal> {
     let header = call.request.headers.get(KEY_HEADER);
     let text = header.map(|it| it.to_str().unwrap_or_default());
     let key = parse_key(text).map_err(once_refusal)?;
     let in_flight = context.status.count_in_flight();
+    // From here on it runs without the caller.
+    sent.record_send();
     let context = context.clone();
     let running = tokio::spawn(async move {
         let answer = claim_and_run(&context, call, key).await;
--- a/crates/persimmonlift/src/refusal.rs
+++ b/crates/persimmonlift/src/refusal.rs
@@ -79,6 +79,8 @@
     Isolated,
     /// instance is stopping
     Draining,
+    /// instance stopped before the answer was complete
+    Stopped,
     /// endpoints crashed while running this request
     CrashesEndpoints,
     /// deadline has passed
@@ -209,7 +211,7 @@
                 StatusCode::UNPROCESSABLE_ENTITY
             }
             RefusalCause::OnceInProgress | RefusalCause::OnceResolved(_) => StatusCode::CONFLICT,
-            RefusalCause::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+            RefusalCause::DeadlinePassed | RefusalCause::Stopped => StatusCode::GATEWAY_TIMEOUT,
             RefusalCause::EndpointsFailed
             | RefusalCause::ServiceFailed
             | RefusalCause::OnceUnknown => StatusCode::BAD_GATEWAY,
@@ -263,6 +265,7 @@
             RefusalCause::Starting => "starting",
             RefusalCause::Isolated => "isolated",
             RefusalCause::Draining => "draining",
+            RefusalCause::Stopped => "stopped",
             RefusalCause::CrashesEndpoints => "crashes_endpoints",
             RefusalCause::DeadlinePassed => "deadline_passed",
             RefusalCause::EndpointsFailed => "endpoints_failed",
--- a/crates/persimmonlift/src/services.rs
+++ b/crates/persimmonlift/src/services.rs
@@ -12,6 +12,7 @@
 use crate::service_call::{
     MAX_ATTEMPTS, RETRY_AFTER, ServiceCall, ServicePermits, UNFORWARDED_HEADERS, no_endpoint,
 };
+use crate::stop::SendMark;
 use catalogue::EndpointKind;
 use catalogue::id::{EntryName, RequestId};
 use decide::retry::backoff;
@@ -32,12 +33,13 @@
     entry: EntryName,
     request: Request<Incoming>,
     id: RequestId,
+    sent: &SendMark,
 ) -> Result<AnswerResponse, CallerRefusal> {
     let call = prepare(context, entry, request, id).await?;
     if call.entry.idempotent {
-        return call_idempotent(context, call).await;
+        return call_idempotent(context, call, sent).await;
     }
-    call_once(context, call).await
+    call_once(context, call, sent).await
 }
 
 async fn prepare(
@@ -92,6 +94,7 @@
 async fn call_idempotent(
     context: &InstanceContext,
     call: ServiceCall,
+    sent: &SendMark,
 ) -> Result<AnswerResponse, CallerRefusal> {
     call.pool.earn_retry();
     let mut excluded = call.pool.excluded_for(&call.entry);
@@ -101,6 +104,7 @@
             break;
         };
         let time = call.attempt_time(attempt)?;
+        sent.record_send();
         let error = match context.services.call(address, call.request.clone(), time).await {
             Ok(answer) => return Ok(call.respond(context, answer)),
             Err(error) => error,
--- a/crates/persimmonlift/src/sse.rs
+++ b/crates/persimmonlift/src/sse.rs
@@ -8,7 +8,7 @@
 
 use crate::generation::AnswerStream;
 use crate::prompt::CompletionForm;
-use crate::refusal::{CallerRefusal, RanState};
+use crate::refusal::{CallerRefusal, RanState, RefusalCause};
 use crate::status::CallPermits;
 use crate::usage::CompletionUsage;
 use bytes::{BufMut, Bytes, BytesMut};
@@ -67,7 +67,15 @@
         }
         let mut events = BytesMut::new();
         self.texts.clear();
-        if let Err(refusal) = self.answer.next_texts(&mut self.texts).await {
+        let context = self.answer.context().clone();
+        let read = tokio::select! {
+            biased;
+            read = self.answer.next_texts(&mut self.texts) => read,
+            () = context.status.final_answers.begun() => {
+                Err(CallerRefusal::unknown(RefusalCause::Stopped))
+            }
+        };
+        if let Err(refusal) = read {
             self.is_done = true;
             self.push_error(&mut events, &refusal);
             return Some(events.freeze());
--- a/crates/persimmonlift/src/status.rs
+++ b/crates/persimmonlift/src/status.rs
@@ -1,5 +1,6 @@
 //! Serving status of an instance: started, draining, isolated, requests in flight.
 
+use crate::stop::FinalAnswers;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -12,6 +13,8 @@
     in_flight: Arc<AtomicU32>,
     contact: Mutex<Instant>,
     isolation: Duration,
+    /// Answers to requests that are left at the end of a drain
+    pub final_answers: FinalAnswers,
 }
 
 /// Counts a request as in flight until dropped
@@ -35,6 +38,7 @@
             in_flight: Arc::default(),
             contact: Mutex::new(Instant::now()),
             isolation,
+            final_answers: FinalAnswers::default(),
         }
     }
 
