Go on with the server's drain at another SIGTERM

What callers saw: a second SIGTERM, as of a stop in series, ended all calls of a draining server at once. Cause: a second signal of either kind was taken for an operator who doesn't want to wait. Change: only SIGINT ends a drain early; another SIGTERM is logged. Result: binary::series_of_sigterms_cuts_no_stream fails on the code before and passes now.

--- a/crates/persimmonlift/src/main.rs
+++ b/crates/persimmonlift/src/main.rs
@@ -119,11 +119,13 @@
             report = &mut drained => {
                 return Ok(if report.cut == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE });
             }
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
+            // Whoever stops services in series may send it more than once.
+            _ = terminate.recv() => log::info!("event=signal_ignored signal=TERM reason=draining"),
+            _ = interrupt.recv() => {
+                let cut = instance.end_requests().await;
+                log::warn!("event=stopped_early cut={cut}");
+                return Ok(ExitCode::FAILURE);
+            }
         }
     }
-    let cut = instance.end_requests().await;
-    log::warn!("event=stopped_early cut={cut}");
-    Ok(ExitCode::FAILURE)
 }
--- a/crates/persimmonlift/tests/binary.rs
+++ b/crates/persimmonlift/tests/binary.rs
@@ -16,6 +16,8 @@
 use tokio::io::{AsyncBufReadExt, BufReader};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_persimmonlift");
+/// Pause after each further signal of a series
+const SIGNAL_PAUSE: Duration = Duration::from_millis(100);
 const VALID_SETTINGS: &str = r#"
 [instance]
 id = "entry-1"
@@ -130,13 +132,13 @@
     verify_that!(String::from_utf8(output_text).or_fail()?, contains_substring(expected))
 }
 
-/// After SIGTERM, a real process completes all streams and exits with 0.
-async fn check_sigterm() -> Result<()> {
+/// After SIGTERM, also a series of them, a real process completes all streams and exits with 0.
+async fn check_sigterm(signals: usize) -> Result<()> {
     let deployment = Deployment::start(1).await?;
     for engine in deployment.fleet.engines.values() {
         engine.set_speed(0.5);
     }
-    let folder = TestFolder::new("sigterm")?;
+    let folder = TestFolder::new(&format!("sigterm-{signals}"))?;
     let (mut process, caller) = start_process(&folder, &deployment).await?;
     let client = deployment.client.clone();
     await_ready(&client, caller).await?;
@@ -148,6 +150,10 @@
     tokio::time::sleep(Duration::from_millis(150)).await;
     signal(&process)?;
     await_status(&client, caller, 503).await?;
+    for _ in 1..signals {
+        signal(&process)?;
+        tokio::time::sleep(SIGNAL_PAUSE).await;
+    }
     while let Some(call) = calls.join_next().await {
         call.or_fail()??;
     }
@@ -243,5 +249,7 @@
 }
 
 cases! { async
-    sigterm_cuts_no_stream => check_sigterm(),
+    sigterm_cuts_no_stream => check_sigterm(1),
+    // Guards against a process that ends at once when it gets another SIGTERM.
+    series_of_sigterms_cuts_no_stream => check_sigterm(3),
 }
