Refuse streams that may outlast the final answers

What callers saw: a stream that came 5.75 to 6 s after SIGTERM, with a deadline between the final answers and the exit, could be taken and answered 504 sooner than at its deadline. Cause: its deadline was compared with the exit, not with the final answers 0.25 s before. Change: it is refused as not run, like plain requests; another instance can serve it whole. Result: drain::stream_that_may_outlast_the_final_answers_is_refused fails on the code before (504) and passes now.

--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -110,7 +110,7 @@
     pub fn may_serve(&self, deadline: Instant, objective: Duration, is_stream: bool) -> bool {
         let Some(times) = self.times.get() else { return true };
         if is_stream {
-            return !self.has_reached(StopStage::ClosingIdle) || deadline <= times.exit;
+            return !self.has_reached(StopStage::ClosingIdle) || deadline <= times.answer;
         }
         deadline.min(Instant::now() + objective.mul_f64(ANSWER_OBJECTIVES)) <= times.answer
     }
--- a/crates/gateway/tests/gateway/drain.rs
+++ b/crates/gateway/tests/gateway/drain.rs
@@ -1,7 +1,7 @@
 //! Shutdown by SIGTERM: running requests complete, new ones are served, and the process exits in time.
 
 use crate::client::RawClient;
-use crate::deployment::{Deployment, endpoint, generation, get};
+use crate::deployment::{Deployment, config, endpoint, generation, get, post};
 use crate::endpoint::{STREAM_END, Step, answer, chunk, event, stream_head};
 use googletest::prelude::*;
 use std::time::{Duration, Instant};
@@ -20,6 +20,8 @@
     connection_that_was_opened_right_before_the_close_is_served => just_opened(),
     // Guards against a stream that is taken late in the drain and cut at its end.
     stream_that_may_outlast_the_drain_is_refused => late_stream(),
+    // Guards against a stream that is taken and answered 504 at the end of the drain, sooner than at its deadline.
+    stream_that_may_outlast_the_final_answers_is_refused => silent_stream(),
 }
 
 /// Time from SIGTERM until idle connections are closed
@@ -210,3 +212,25 @@
     }
     Ok(())
 }
+
+/// An entry that gets no answer keeps the instance busy; a stream whose deadline is between the final answers, 7.25 s after
+/// SIGTERM, and the exit comes beside it
+async fn silent_stream() -> Result<()> {
+    const TIMEOUT_MS: u64 = 20_000;
+    let service = endpoint("service-1", |_| vec![Step::Hang]).await;
+    let engine = endpoint("engine-1", |_| vec![Step::Hang]).await;
+    let deployment = Deployment::start(&[&service, &engine]).await;
+    let config = config(2, TIMEOUT_MS).to_string();
+    deployment.store.put("keyed.op", "config", config.as_bytes());
+    deployment.instance.wait_line("event=config_applied version=2").await;
+    let mut kept = RawClient::connect(deployment.instance.clients).await;
+    let deadline = format!("X-Deadline-Ms: {TIMEOUT_MS}");
+    kept.write(post("entries", "id-kept", "once").replace("X-Deadline-Ms: 1500", &deadline)).await;
+    let start = Instant::now();
+    deployment.instance.terminate();
+    tokio::time::sleep(Duration::from_millis(5900).saturating_sub(start.elapsed())).await;
+    let late = deployment.call(generation("streams", "late")).await;
+    verify_that!(late.status, eq(503))?;
+    verify_that!(engine.arrivals().len(), eq(0))?;
+    verify_that!(kept.read().await.status, eq(504))
+}
