Test final answers of an instance that gets a quarter of a core

Cause: no test left hundreds of requests to the end of a stop, or slowed the process meanwhile. Change: 300 once-only requests wait at silent endpoints over the stop of a process that is suspended for three quarters of each tenth of a second.

--- a/crates/gateway/tests/gateway/stop.rs
+++ b/crates/gateway/tests/gateway/stop.rs
@@ -32,6 +32,8 @@
     cut_stream_is_named_in_the_log => cut_stream(),
     // Guards against a process that runs again only after all times of its stop and exits without a final answer.
     suspended_instance_answers_before_it_exits => suspended(),
+    // Guards against final answers that take an instance longer than it has, which gets a quarter of a core.
+    slowed_instance_answers_hundreds_of_requests_at_the_end => slowed(),
     // Guards against final answers that come too soon.
     late_answer_is_delivered => arrived_answer(Duration::ZERO),
     // Guards against an answer that has arrived, and is replaced by a failure since the final answers begin.
@@ -282,6 +284,47 @@
     verify_that!(deployment.instance.wait_exit().await, some(eq(0)))
 }
 
+/// The process runs for a quarter of each tenth of a second, from before its stop until its exit
+async fn slowed() -> Result<()> {
+    const SLOWED_CLIENTS: usize = 300;
+    const PERIOD: Duration = Duration::from_millis(100);
+    let mut services = Vec::new();
+    for number in 0..5 {
+        services.push(endpoint(&format!("service-{number}"), |_| vec![Step::Hang]).await);
+    }
+    let mut deployment = Deployment::start(&services.iter().collect::<Vec<_>>()).await;
+    let config = config(2, LONG_TIMEOUT_MS).to_string();
+    deployment.store.put("keyed.op", "config", config.as_bytes());
+    deployment.instance.wait_line("event=config_applied version=2").await;
+    let instance = deployment.instance.clients;
+    let clients = (0..SLOWED_CLIENTS).map(|number| {
+        tokio::spawn(async move {
+            let id = format!("id-{number}");
+            send_entry(instance, &id, LONG_TIMEOUT_MS, Duration::from_millis(3)).await
+        })
+    });
+    let clients = clients.collect::<Vec<_>>();
+    let arrivals = || services.iter().map(|it| it.arrivals().len()).sum::<usize>();
+    while arrivals() < SLOWED_CLIENTS {
+        sleep(PERIOD).await;
+    }
+    let stopped_at = Instant::now();
+    deployment.instance.terminate();
+    while deployment.instance.exit_status().is_none() {
+        deployment.instance.pause(PERIOD * 3 / 4);
+        sleep(PERIOD).await;
+    }
+    verify_that!(stopped_at.elapsed(), lt(GRACE_TIME))?;
+    let mut statuses = Vec::new();
+    for client in clients {
+        statuses.push(match client.await? {
+            Outcome::Answered(answer) => answer.status,
+            Outcome::Broken => 0,
+        });
+    }
+    verify_that!(statuses, each(eq(&504)))
+}
+
 /// The endpoint answers 7.1 s after SIGTERM; the process may be suspended from before that until after the begin of the
 /// final answers
 async fn arrived_answer(suspension: Duration) -> Result<()> {
