Try a silent endpoint once more if the others refuse the request

What callers saw: 502 for a repeatable request whose silent endpoint would have answered; it had left that one for an endpoint that is listed and refuses connections. Cause: an endpoint that was given up stayed excluded, though no other one could take the request. Change: once no endpoint is left, those that were given up since they were silent may get the request once more, within the attempts of its route and the limits on retries. The other tests of silent endpoints, hedges, plain requests and retry limits pass (41).

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -320,7 +320,8 @@
             pick_paced(endpoints, &load, zone, &call.excluded, draw, penalty)
         };
         let Some(endpoint) = picked else {
-            if call.wait_for_pause(gateway).await {
+            // A silent endpoint may still answer, if the others have refused the request.
+            if call.wait_for_pause(gateway).await || call.readmit_silent() {
                 continue;
             }
             break;
--- a/crates/gateway/src/serving_call/limits.rs
+++ b/crates/gateway/src/serving_call/limits.rs
@@ -65,8 +65,14 @@
     pub fn record_declined_relay(&mut self) {
         self.has_declined_relay = true;
         self.history.sends += std::mem::take(&mut self.relayed_silent_sends);
+        self.readmit_silent();
+    }
+
+    /// Allows one more send to the endpoints that were given up since they were silent; `false` if there are none
+    pub fn readmit_silent(&mut self) -> bool {
         let silent = std::mem::take(&mut self.silent);
         self.excluded.retain(|it| !silent.contains(it));
+        !silent.is_empty()
     }
 
     /// Starts a send; `false` if it is a retry and the retry limits allow none
