Test late requests that a stopping instance relays

Cause: no test stopped the instance that relays and one through which it does together. Change: one more case of late_requests.

--- a/crates/gateway/tests/gateway/late_requests.rs
+++ b/crates/gateway/tests/gateway/late_requests.rs
@@ -27,7 +27,9 @@
     // Guards against streams that are begun late in the stop and cut at its end.
     late_streams_are_whole_or_refused => late(&[Habit::Streams]),
     // Guards against the same at an instance that relays requests of another one.
-    late_relayed_entries_have_a_known_outcome => relayed(),
+    late_relayed_entries_have_a_known_outcome => relayed(false),
+    // Guards against the same if the instance that relays them stops as well.
+    late_entries_that_a_stopping_instance_relays_have_a_known_outcome => relayed(true),
 }
 
 /// Time from SIGTERM until SIGKILL: `grace_s` of the settings
@@ -205,14 +207,17 @@
     check(&outcomes, &endpoints)
 }
 
-/// The instance that gets the requests is cut from the endpoints, and one of two through which it relays them stops
-async fn relayed() -> Result<()> {
+/// The instance that gets the requests is cut from the endpoints, and one of two through which it relays them stops, or
+/// both of them do
+async fn relayed(both_stop: bool) -> Result<()> {
     let ids = ["service-1", "service-2", "engine-1"].map(str::to_owned);
     let mut fleet = EndingFleet::start(ids, steps, 3).await;
     let instance = fleet.instances[0].clients;
     fleet.cuts.cut(fleet.instances[0].process(), CutMode::Reset);
-    let before = send_until_relayed(instance).await;
-    verify_that!(before, eq(true))?;
+    verify_that!(send_until_relayed(instance).await, eq(true))?;
+    if both_stop {
+        fleet.instances[0].terminate();
+    }
     let stopping = &mut fleet.instances[1];
     let outcomes = send_through(instance, &[Habit::NewConnections], stopping).await?;
     check(&outcomes, &fleet.endpoints)
