Keep a stream's silent engine until another instance has taken it over

What callers saw: streams were cut while all endpoints were silent for a second; their engine would have gone on 0.1 s later. Cause: an instance that reaches no endpoint left the silent engine of a begun stream before it knew whether another instance would serve it. If the engine there failed it, nothing was left. Change: the other instance is tried while the engine is waited for, and the stream goes on at whichever answers first. If the other one fails it, the engine is waited for as before the attempt.

--- a/crates/gateway/src/generation/engine_stream.rs
+++ b/crates/gateway/src/generation/engine_stream.rs
@@ -84,18 +84,21 @@
             && !headers.contains_key(TRANSFER_ENCODING)
     }
 
+    /// Time until which to wait for its next event
+    pub(super) fn event_due(&self, deadline: Instant) -> Instant {
+        let due = self.event_limit.and_then(|it| Instant::now().checked_add(it));
+        due.map_or(deadline, |it| it.min(deadline))
+    }
+
     /// Reads the next complete events, or the end
     ///
-    /// Bytes that complete no event don't extend the wait: an engine that sends one now and then has stalled.
+    /// Bytes that complete no event don't extend the wait `until` the event is due: an engine that sends one now
+    /// and then has stalled.
     pub(super) async fn next(
         &mut self,
-        gateway: &Gateway,
-        call: &ServingCall,
         deadline: Instant,
+        until: Instant,
     ) -> Result<StreamItem, SendError> {
-        let once = call.route.retry_rule == RetryRule::Once;
-        let event_due = self.event_limit.and_then(|it| Instant::now().checked_add(it));
-        let until = event_due.map_or(deadline, |it| it.min(deadline));
         if let Some(fault) = self.splitter.fault() {
             return Err(SendError::BadEvents(fault));
         }
@@ -104,15 +107,8 @@
             if Instant::now() >= deadline {
                 return Err(SendError::TimedOut);
             }
-            let frame = tokio::select! {
-                frame = timeout_at(until, self.answer.body.frame()) => {
-                    frame.map_err(|_| SendError::TimedOut)?
-                }
-                () = call.relay_due(gateway, once), if self.relay.is_none() => {
-                    return Err(SendError::TimedOut);
-                }
-            };
-            match frame {
+            let frame = timeout_at(until, self.answer.body.frame()).await;
+            match frame.map_err(|_| SendError::TimedOut)? {
                 None if self.splitter.is_inside_event() => return Err(SendError::Truncated),
                 None if self.is_unframed() && !self.splitter.has_events() => {
                     return Err(SendError::Truncated);
--- a/crates/gateway/src/generation/generate.rs
+++ b/crates/gateway/src/generation/generate.rs
@@ -76,7 +76,8 @@
     let mut stream = EngineStream::new(answer, call, resume_after, milliseconds(step.pick.own_ms));
     let first = tokio::select! {
         biased;
-        first = stream.next(gateway, call, call.deadline) => first?,
+        first = stream.next(call.deadline, call.deadline) => first?,
+        () = call.relay_due(gateway, once) => return Err(SendError::TimedOut),
         () = call.retry_due(gateway, &step.engine, retry_at) => return Err(SendError::TimedOut),
     };
     stream.first_event_at = Instant::now();
--- a/crates/gateway/src/generation/relay_events.rs
+++ b/crates/gateway/src/generation/relay_events.rs
@@ -1,7 +1,7 @@
 //! Relays the events of a stream to the client.
 
 use super::engine_stream::{EngineStream, StreamItem};
-use super::resume::resume;
+use super::resume::{next_item, record_lost_engine, resume};
 use crate::attempt::SendError;
 use crate::body::AnswerBody;
 use crate::error::RelayError;
@@ -61,8 +61,11 @@
                 }
             }
             let paused_at = Instant::now();
-            item = match stream.next(&gateway, &call, call.deadline).await {
+            item = match next_item(&gateway, &mut call, &mut stream, &kind).await {
                 Ok(next) => {
+                    if let Some(instance) = &stream.relay {
+                        record.relayed_to = instance.clone();
+                    }
                     if matches!(next, StreamItem::Events(_)) {
                         gateway.record_pause(&call.pool, paused_at.elapsed());
                     }
@@ -74,11 +77,8 @@
                     let is_relayed = stream.relay.is_some();
                     drop(stream);
                     call.end_run();
-                    if let Some(engine) = call.excluded.last().filter(|_| !is_relayed).cloned() {
-                        call.record_crash_evidence(&gateway, &engine, Vec::new(), &error);
-                        if error.is_timeout() {
-                            call.silent.push(engine);
-                        }
+                    if !is_relayed {
+                        record_lost_engine(&gateway, &mut call, &error);
                     }
                     match resume(&gateway, &mut call, &error, position, &kind).await {
                         Some((resumed, next)) => {
--- a/crates/gateway/src/generation/resume.rs
+++ b/crates/gateway/src/generation/resume.rs
@@ -8,11 +8,82 @@
 use crate::events::StreamPosition;
 use crate::serving_call::{SendWay, ServingCall};
 use crate::state::Gateway;
+use decide::serving::route::RetryRule;
 use decide::serving::send_history::RunStatus;
 use decide::serving::stream_origins::stream_key;
 use platform_adapter::answer::promises_not_run;
 use std::rc::Rc;
 
+/// Reads the next item of a stream; while its engine is silent and this instance reaches no endpoint, another instance
+/// is tried, and the stream goes on at whichever answers first
+///
+/// # Errors
+/// Those of the stream. An engine that no other instance replaces is waited for.
+pub(super) async fn next_item(
+    gateway: &Rc<Gateway>,
+    call: &mut ServingCall,
+    stream: &mut EngineStream,
+    kind: &BodyKind,
+) -> Result<StreamItem, SendError> {
+    let once = call.route.retry_rule == RetryRule::Once;
+    let (deadline, until) = (call.deadline, stream.event_due(call.deadline));
+    tokio::select! {
+        biased;
+        item = stream.next(deadline, until) => return item,
+        () = call.relay_due(gateway, once), if stream.relay.is_none() => {}
+    }
+    let position = stream.splitter.position().clone();
+    let taken_over = tokio::select! {
+        biased;
+        item = stream.next(deadline, until) => return item,
+        taken_over = take_over(gateway, call, &position, kind) => taken_over,
+    };
+    match taken_over {
+        Some((other, item)) => {
+            // Closes the connection to the engine.
+            *stream = other;
+            call.end_run();
+            record_lost_engine(gateway, call, &SendError::TimedOut);
+            Ok(item)
+        }
+        None => {
+            call.record_declined_relay();
+            stream.next(deadline, until).await
+        }
+    }
+}
+
+/// Resumes a begun stream through another instance; `None` if that is not possible
+async fn take_over(
+    gateway: &Rc<Gateway>,
+    call: &mut ServingCall,
+    position: &StreamPosition,
+    kind: &BodyKind,
+) -> Option<(EngineStream, StreamItem)> {
+    let last = match position {
+        StreamPosition::Start => None,
+        StreamPosition::After(id) => Some(id.clone()),
+        StreamPosition::Unknown => return None,
+    };
+    let (_, started) = relay_stream(gateway, call, last).await?;
+    if !matches!(&started, Started::Failed(answer) if promises_not_run(answer.status)) {
+        call.history.record_send(RunStatus::MayHaveRun);
+    }
+    match started {
+        Started::Streaming(stream, item) if stream.body_kind() == *kind => Some((*stream, item)),
+        Started::Streaming(..) | Started::Failed(_) => None,
+    }
+}
+
+/// Records that the engine of a begun stream was given up
+pub(super) fn record_lost_engine(gateway: &Gateway, call: &mut ServingCall, error: &SendError) {
+    let Some(engine) = call.excluded.last().cloned() else { return };
+    call.record_crash_evidence(gateway, &engine, Vec::new(), error);
+    if error.is_timeout() {
+        call.silent.push(engine);
+    }
+}
+
 /// Resumes a failed stream on another engine, with a body of the same kind; `None` if that is not possible
 pub(super) async fn resume(
     gateway: &Rc<Gateway>,
--- a/crates/gateway/src/generation/send.rs
+++ b/crates/gateway/src/generation/send.rs
@@ -38,7 +38,7 @@
         true => {
             let mut stream = EngineStream::new(answer, call, after, Duration::ZERO);
             stream.relay = Some(instance.clone());
-            let first = stream.next(gateway, call, call.deadline).await;
+            let first = stream.next(call.deadline, call.deadline).await;
             // That instance gives up its engine after the same time, and resumes the stream itself.
             stream.event_limit = call.route.event_limit().map(|it| it.saturating_mul(2));
             first.map(|first| Started::Streaming(Box::new(stream), first))
--- a/crates/gateway/tests/gateway/stopping_relays.rs
+++ b/crates/gateway/tests/gateway/stopping_relays.rs
@@ -1,4 +1,4 @@
-//! Requests at silent endpoints, beside another instance that is stopping and takes no requests over.
+//! Requests at silent endpoints, beside another instance that is stopping, or whose endpoints fail what it takes over.
 
 use crate::client::{RawAnswer, RawClient};
 use crate::deployment::{config, generation_with, get_path, list, stage_of};
@@ -13,7 +13,9 @@
 
 cases! { async
     // Guards against a stream that leaves its silent engine for an instance that is stopping and declines it.
-    stream_waits_for_its_engine_beside_a_stopping_instance => begun_stream(),
+    stream_waits_for_its_engine_beside_a_stopping_instance => begun_stream(true),
+    // Guards against a stream that leaves its silent engine for another instance, where the next engine fails it.
+    stream_waits_for_its_engine_if_another_instance_fails_it => begun_stream(false),
     // Guards against a request that is sent twice since it left its silent endpoint for such an instance.
     requests_wait_for_their_endpoint_beside_a_stopping_instance => lookups(),
 }
@@ -29,7 +31,7 @@
 const LOOKUPS: usize = 6;
 const DEADLINE: &str = "X-Deadline-Ms: 6000";
 
-/// Two instances, of which the second one is stopping, before endpoints that fall silent at once
+/// Two instances, of which the second one gets no requests, before endpoints that fall silent at once
 struct SilentFleet {
     endpoints: Vec<FakeEndpoint>,
     instances: [Instance; 2],
@@ -61,10 +63,14 @@
         SilentFleet { endpoints, instances, silent_until }
     }
 
-    /// Stops the second instance, and then silences all endpoints
-    async fn silence(&self) {
+    /// Stops the second instance
+    async fn stop_other(&self) {
         self.instances[1].terminate();
         self.instances[1].wait_line("event=stop ").await;
+    }
+
+    /// Silences all endpoints
+    async fn silence(&self) {
         sleep(NOTICE_TIME).await;
         let from = Instant::now();
         *self.silent_until.lock().expect("no panic") = from + SILENCE;
@@ -113,19 +119,24 @@
     ]
 }
 
-async fn begun_stream() -> Result<()> {
+async fn begun_stream(other_stops: bool) -> Result<()> {
     let fleet = SilentFleet::start().await;
     let mut client = fleet.send(generation_with("resumed", "id-stream", &[], 100)).await;
+    if other_stops {
+        fleet.stop_other().await;
+    }
     fleet.silence().await;
     fleet.send_lookups().await;
     let got = client.read().await;
     let events = (1..=3).map(event).collect::<String>();
     verify_that!((got.status, got.is_whole, &got.body), eq((200, true, &events)))?;
-    verify_that!(fleet.arrivals_of("id-stream"), eq(1))
+    // The other instance sends it to an engine that isn't silent to it.
+    verify_that!(fleet.arrivals_of("id-stream"), eq(if other_stops { 1 } else { 2 }))
 }
 
 async fn lookups() -> Result<()> {
     let fleet = SilentFleet::start().await;
+    fleet.stop_other().await;
     fleet.silence().await;
     let answers = fleet.send_lookups().await;
     let served = answers.iter().filter(|it| it.status == 200 && it.is_whole).count();
