--- a/crates/gateway/tests/gateway/cut_answers/cuts.rs
+++ b/crates/gateway/tests/gateway/cut_answers/cuts.rs
@@ -2,7 +2,7 @@
 
 use crate::endpoint::Step;
 
-/// How the length of a body is told
+/// How the length of a body is stated
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
     Length,
