--- a/crates/standins/tests/matrix/platform.rs
+++ b/crates/standins/tests/matrix/platform.rs
@@ -4,7 +4,7 @@
 use super::ProtocolTable;
 
 /// Faults on the users' platform, one per row.
-const PLATFORM_FAULTS: [&str; 31] = [
+const PLATFORM_FAULTS: [&str; 36] = [
     "store comes back from a copy",
     "store away",
     "instance starts",
@@ -22,6 +22,8 @@
     "orders for engines are declined or unanswered",
     "client reads slowly or nothing",
     "endpoint sends bytes that complete no event",
+    "answer breaks off at any byte, in any framing",
+    "endpoint answers 101",
     "answer breaks off halfway",
     "late second copy of an answer",
     "answer is lost, then another endpoint refuses",
@@ -30,6 +32,9 @@
     "request arrives as a stopping instance closes",
     "all endpoints are silent for a second",
     "requests come until a stopping instance exits",
+    "requests come late in the stop of a single instance",
+    "all endpoints are silent beside a stopping instance",
+    "instance gets a quarter of a core over its stop",
     "endpoint is silent over a whole stop",
     "body is still arriving",
     "client reads slowly at the exit",
@@ -222,6 +227,25 @@
             ]),
             Reason("given up there after the same time, here after twice that"),
         ],
+        &[
+            Test(&[
+                "gateway::cut_answers::cut_answers_to_once_only_requests_are_not_framed_as_whole",
+                "gateway::cut_answers::cut_answers_to_hedged_requests_are_not_framed_as_whole",
+            ]),
+            Test(&[
+                "gateway::cut_answers::cut_streams_that_may_be_resumed_are_not_framed_as_whole",
+                "gateway::cut_answers::cut_answers_of_engines_that_only_read_the_prompt_are_not_used",
+            ]),
+            Test(&[
+                "gateway::cut_answers::cut_answers_to_relayed_once_only_requests_are_not_framed_as_whole",
+                "gateway::cut_answers::cut_streams_of_another_instance_are_not_framed_as_whole",
+            ]),
+        ],
+        &[
+            Test(&["gateway::cut_answers::switch_of_protocols_is_no_answer"]),
+            Reason("the same exchange"),
+            Reason("the same exchange"),
+        ],
         &[
             Test(&["gateway::plain::lookup_is_retried_after_a_truncated_answer"]),
             Test(&[
@@ -282,6 +306,34 @@
             Test(&["gateway::drain::stream_that_may_outlast_the_drain_is_refused"]),
             Reason("a stopping instance declines relayed requests"),
         ],
+        &[
+            Test(&[
+                "gateway::late_requests::late_entries_have_a_known_outcome",
+                "gateway::late_requests::late_entries_on_open_connections_have_a_known_outcome",
+            ]),
+            Test(&[
+                "gateway::late_requests::late_streams_are_whole_or_refused",
+                "gateway::drain::stream_that_may_outlast_the_final_answers_is_refused",
+            ]),
+            Test(&[
+                "gateway::late_requests::late_relayed_entries_have_a_known_outcome",
+                "gateway::late_requests::late_entries_that_a_stopping_instance_relays_have_a_known_outcome",
+            ]),
+        ],
+        &[
+            Test(&[
+                "gateway::stopping_relays::requests_wait_for_their_endpoint_beside_a_stopping_instance",
+            ]),
+            Test(&[
+                "gateway::stopping_relays::stream_waits_for_its_engine_beside_a_stopping_instance",
+            ]),
+            Reason("a stopping instance says that it takes nothing over"),
+        ],
+        &[
+            Test(&["gateway::stop::slowed_instance_answers_hundreds_of_requests_at_the_end"]),
+            Reason("the same final answers"),
+            Reason("the same final answers"),
+        ],
         &[
             Test(&["gateway::stop::silent_endpoint_is_answered_for_at_the_end"]),
             Test(&["gateway::stop::cut_stream_is_named_in_the_log"]),
