Bound the bytes of a message beside its content

Callers of a sound service waited, got 504 or could not connect while an endpoint beside it wrote a chunk's size without end: zeros, or a size and spaces. No limit counted these bytes, and the answer was read byte by byte until the request's deadline.

Cause: the HTTP library bounds heads, chunk extensions and trailers, and we bound bodies, but nothing bounds the size lines of chunks.

Change: the socket counts what it receives since the latest message began, and the body its content. Such an answer is malformed: the endpoint counts as broken, the request is sent elsewhere, and it is no evidence of a crash.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,7 +11,7 @@
 use http::request::Parts;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use platform::framing::{MeteredBody, is_excessive};
 use platform_adapter::answer::{AnswerHead, decode_answer, promises_not_run};
 use platform_adapter::head::{SendParameters, endpoint_headers};
 use smol_str::SmolStr;
@@ -58,6 +58,8 @@
     Joined,
     /// endpoint closed the connection before the end of the answer
     Truncated,
+    /// answer has too many bytes beside its content
+    Malformed,
     /// endpoint sent more than an answer may have
     Oversized,
     /// {0}
@@ -79,6 +81,11 @@
 impl std::error::Error for SendError {}
 
 impl SendError {
+    /// Error of an answer whose body can't be read on
+    pub fn of_body(error: &hyper::Error) -> SendError {
+        if is_excessive(error) { SendError::Malformed } else { SendError::Truncated }
+    }
+
     /// Result to record for the endpoint's health; `None` if the error says nothing about it
     pub fn result(&self) -> Option<SendResult> {
         match self {
@@ -95,6 +102,7 @@
             }
             SendError::Exchange(ExchangeError::Broken(_) | ExchangeError::InterimOnly)
             | SendError::Truncated
+            | SendError::Malformed
             | SendError::Oversized
             | SendError::BadEvents(_)
             | SendError::TimedOut => Some(SendResult::Broken),
@@ -178,6 +186,7 @@
             | SendError::Unnamed
             | SendError::Joined
             | SendError::Truncated
+            | SendError::Malformed
             | SendError::Oversized
             | SendError::BadEvents(_)
             | SendError::NoRoom
@@ -193,7 +202,7 @@
     /// Headers as received
     pub headers: HeaderMap,
     /// Unread body
-    pub body: Incoming,
+    pub body: MeteredBody,
     /// Connection that the body is read from
     pub connection: EndpointConnection,
     /// Counts the request in the endpoint's load
@@ -314,7 +323,7 @@
 /// Reads the rest of an answer and returns its connection to the idle ones
 ///
 /// # Errors
-/// `Truncated`, `Oversized`, `TimedOut` or `NoRoom`.
+/// `Truncated`, `Malformed`, `Oversized`, `TimedOut` or `NoRoom`.
 pub async fn read_whole(
     gateway: &Gateway,
     answer: OpenAnswer,
@@ -332,7 +341,7 @@
 /// Reads a body; one that is larger than usual waits while the buffers of all answers are full
 async fn read_buffered(
     gateway: &Gateway,
-    mut body: Incoming,
+    mut body: MeteredBody,
     deadline: Instant,
 ) -> Result<(Bytes, MemoryShare), SendError> {
     let mut received = BytesMut::new();
@@ -349,7 +358,7 @@
         let frame = timeout_at(deadline, body.frame());
         let frame = frame.await.map_err(|_| failure(SendError::TimedOut, has_waited))?;
         let Some(frame) = frame else { return Ok((received.freeze(), share)) };
-        let frame = frame.map_err(|_| failure(SendError::Truncated, has_waited))?;
+        let frame = frame.map_err(|error| failure(SendError::of_body(&error), has_waited))?;
         let Ok(data) = frame.into_data() else { continue };
         share.grow(data.len());
         if share.bytes() > MAX_BUFFERED_BYTES {
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -12,11 +12,11 @@
 use decide::serving::endpoint_list::ListedEndpoint;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
+use platform::framing::{FramingMeter, FramingRatio, MeteredBody, MeteredSocket};
 use smol_str::SmolStr;
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, SocketAddr};
@@ -144,6 +144,7 @@
     _open: OpenGuard,
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    meter: FramingMeter,
     idle_since: Instant,
     idle_timeout: Duration,
     /// Whether it has carried an earlier request
@@ -162,17 +163,21 @@
     pub async fn exchange(
         &mut self,
         mut request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, ExchangeError> {
+    ) -> Result<Response<MeteredBody>, ExchangeError> {
         let is_reused = self.is_reused;
         let interim = Arc::new(InterimAnswers::default());
         let counted = interim.clone();
         on_informational(&mut request, move |_| counted.record());
+        self.meter.reset();
         let answered = self.sender.try_send_request(request);
         tokio::select! {
             answer = answered => match answer {
                 // The HTTP library takes 101 for the answer, after which no HTTP follows.
                 Ok(answer) if answer.status().is_informational() => Err(ExchangeError::InterimOnly),
-                Ok(answer) => Ok(answer),
+                Ok(answer) => {
+                    self.meter.reset();
+                    Ok(answer.map(|it| MeteredBody::new(it, self.meter.clone())))
+                }
                 Err(mut error) => Err(match (error.take_message(), is_reused) {
                     (Some(_), _) => ExchangeError::Unsent,
                     (None, true) => ExchangeError::Stale(error.into_error()),
@@ -347,6 +352,8 @@
         .map_err(|_| ExchangeError::ConnectTimedOut)?
         .map_err(ExchangeError::Connect)?;
     socket.set_nodelay(true).map_err(ExchangeError::Connect)?;
+    let socket = MeteredSocket::new(socket, FramingRatio::Answers);
+    let meter = socket.meter();
     let (sender, connection) = Builder::new()
         .max_buf_size(MAX_READ_BUFFER_BYTES)
         .handshake(TokioIo::new(socket))
@@ -362,6 +369,7 @@
         _open: open,
         sender,
         task: task.abort_handle(),
+        meter,
         idle_since: Instant::now(),
         idle_timeout: DEFAULT_IDLE_TIMEOUT,
         is_reused: false,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -20,7 +20,7 @@
 use http::header::{CONNECTION, EXPECT, HeaderValue};
 use http::{Request, Response};
 use http_body::Body;
-use hyper::body::Incoming;
+use platform::framing::MeteredBody;
 use platform_adapter::answer::GatewayAnswer;
 use platform_adapter::head::decode_head;
 use smol_str::SmolStr;
@@ -43,7 +43,7 @@
 /// Serves a request and always returns a response
 pub async fn serve(
     gateway: &Rc<Gateway>,
-    request: Request<Incoming>,
+    request: Request<MeteredBody>,
     source: RequestSource,
 ) -> Response<AnswerBody> {
     let arrived_at = Instant::now();
@@ -158,7 +158,7 @@
 pub struct UnreadBody;
 
 /// Marks an answer to a request whose body has not been read, unless it has none
-pub fn with_body_state(response: Response<AnswerBody>, body: &Incoming) -> Response<AnswerBody> {
+pub fn with_body_state(response: Response<AnswerBody>, body: &MeteredBody) -> Response<AnswerBody> {
     if body.is_end_stream() { response } else { with_unread_body(response) }
 }
 
@@ -176,7 +176,7 @@
 
 impl RefusedCall {
     /// Refusal whose request's body has not been read
-    fn before_body(answer: GatewayAnswer, reason: &'static str, body: &Incoming) -> RefusedCall {
+    fn before_body(answer: GatewayAnswer, reason: &'static str, body: &MeteredBody) -> RefusedCall {
         let has_unread_body = !body.is_end_stream();
         RefusedCall { refusal: Refusal::new(answer, reason), has_unread_body }
     }
@@ -193,7 +193,7 @@
     gateway: &Rc<Gateway>,
     record: &mut RequestRecord,
     mut parts: http::request::Parts,
-    body: Incoming,
+    body: MeteredBody,
     head: platform_adapter::head::RequestHead,
     source: RequestSource,
 ) -> Result<ServingCall, RefusedCall> {
--- a/crates/gateway/src/generation/engine_stream.rs
+++ b/crates/gateway/src/generation/engine_stream.rs
@@ -114,7 +114,7 @@
                     return Err(SendError::Truncated);
                 }
                 None => return Ok(StreamItem::End),
-                Some(Err(_)) => return Err(SendError::Truncated),
+                Some(Err(error)) => return Err(SendError::of_body(&error)),
                 Some(Ok(frame)) => {
                     let Some(data) = frame.data_ref() else { continue };
                     let events = self.splitter.push(data).map_err(SendError::BadEvents)?;
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -12,6 +12,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use platform::framing::{FramingRatio, MeteredBody, MeteredSocket};
 use std::convert::Infallible;
 use std::io;
 use std::net::IpAddr;
@@ -122,6 +123,8 @@
         }
     };
     let handle = socket.handle();
+    let socket = MeteredSocket::new(socket, FramingRatio::Requests);
+    let meter = socket.meter();
     let service = {
         let gateway = gateway.clone();
         let activity = activity.clone();
@@ -133,6 +136,8 @@
             let handle = handle.clone();
             let is_unframed = request.version() == Version::HTTP_10;
             let open = RequestGuard::new(gateway.clone());
+            meter.reset();
+            let request = request.map(|it| MeteredBody::new(it, meter.clone()));
             async move {
                 let mut response =
                     forward::serve(&gateway, request, RequestSource::Client(caller)).await;
--- a/crates/gateway/src/peers/port.rs
+++ b/crates/gateway/src/peers/port.rs
@@ -14,6 +14,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use platform::framing::{FramingRatio, MeteredBody, MeteredSocket};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::IpAddr;
@@ -48,10 +49,14 @@
         }
     };
     let handle = socket.handle();
+    let socket = MeteredSocket::new(socket, FramingRatio::Requests);
+    let meter = socket.meter();
     let watched = activity.clone();
     // Between requests the connection doesn't count as open.
     let waiting = Rc::new(Cell::new(Some(open)));
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
+        meter.reset();
+        let request = request.map(|it| MeteredBody::new(it, meter.clone()));
         let gateway = gateway.clone();
         let activity = watched.clone();
         let waiting = waiting.clone();
@@ -91,7 +96,7 @@
 
 async fn serve_request(
     gateway: &Rc<Gateway>,
-    mut request: Request<Incoming>,
+    mut request: Request<MeteredBody>,
     sender: IpAddr,
 ) -> Response<AnswerBody> {
     let Some(source) = take_source(request.headers_mut()) else {
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -8,6 +8,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use platform::framing::{FramingRatio, MeteredSocket};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -77,7 +78,10 @@
         };
         let answer = answer.clone();
         tokio::task::spawn_local(async move {
+            let socket = MeteredSocket::new(socket, FramingRatio::Requests);
+            let meter = socket.meter();
             let service = service_fn(move |_| {
+                meter.reset();
                 let response = answer();
                 async move { Ok::<_, Infallible>(response) }
             });
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -20,7 +20,7 @@
 use http::header::{HeaderName, HeaderValue};
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use platform::framing::MeteredBody;
 use platform_adapter::answer::decode_answer;
 use platform_adapter::head::{TakenUp, relayed_headers};
 use rand::seq::SliceRandom;
@@ -274,7 +274,7 @@
     gateway: &Rc<Gateway>,
     call: &ServingCall,
     connection: EndpointConnection,
-    response: Response<Incoming>,
+    response: Response<MeteredBody>,
 ) -> RelayTry {
     let (mut parts, body) = response.into_parts();
     let head = decode_answer(&parts);
--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -5,7 +5,7 @@
 use crate::state::Gateway;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use platform::framing::MeteredBody;
 use platform_adapter::answer::GatewayAnswer;
 use tokio::time::{Instant, timeout_at};
 
@@ -13,7 +13,7 @@
 const USUAL_BODY_BYTES: usize = 16 * 1024;
 
 /// Reads and drops a body, so that the connection can be used again; `false` if that takes too long
-pub async fn discard_body(mut body: Incoming, limit: usize, deadline: Instant) -> bool {
+pub async fn discard_body(mut body: MeteredBody, limit: usize, deadline: Instant) -> bool {
     let read = async {
         let mut bytes = 0;
         while let Some(frame) = body.frame().await {
@@ -34,7 +34,7 @@
 /// The refusal, if the body is too large, broken, or not complete at the deadline.
 pub async fn read_body(
     gateway: &Gateway,
-    body: Incoming,
+    body: MeteredBody,
     limit: usize,
     deadline: Instant,
 ) -> Result<(Bytes, MemoryShare), Refusal> {
--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -267,6 +267,7 @@
         SendError::Unnamed => "unnamed",
         SendError::Joined => "joined",
         SendError::Truncated => "broken_off",
+        SendError::Malformed => "malformed",
         SendError::Oversized => "oversized",
         SendError::BadEvents(_) => "bad_events",
         SendError::TimedOut => "timed_out",
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,15 +1,19 @@
 //! HTTP client for calls with JSON bodies and timeouts.
 
+use crate::framing::{FramingMeter, FramingRatio, MeteredBody, MeteredSocket};
 use bytes::Bytes;
 use catalogue::id::RequestId;
+use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use std::net::SocketAddr;
+use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::net::TcpStream;
+use tower_service::Service;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -52,10 +56,32 @@
     }
 }
 
+/// Opens connections whose framing is bounded
+#[derive(Debug, Clone)]
+struct MeteredConnector(HttpConnector);
+
+impl Service<Uri> for MeteredConnector {
+    type Response = TokioIo<MeteredSocket<TcpStream>>;
+    type Error = <HttpConnector as Service<Uri>>::Error;
+    type Future = BoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.0.poll_ready(context)
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        let connecting = self.0.call(uri);
+        Box::pin(async move {
+            let socket = connecting.await?.into_inner();
+            Ok(TokioIo::new(MeteredSocket::new(socket, FramingRatio::Answers)))
+        })
+    }
+}
+
 /// HTTP client with a connection pool
 #[derive(Debug, Clone)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<MeteredConnector, Full<Bytes>>,
 }
 
 impl Default for HttpClient {
@@ -87,7 +113,7 @@
             .pool_max_idle_per_host(count)
             // Retries only requests of which no byte was written.
             .retry_canceled_requests(true)
-            .build(connector);
+            .build(MeteredConnector(connector));
         HttpClient { client }
     }
 
@@ -98,14 +124,17 @@
     pub async fn send(
         &self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, HttpError> {
-        self.client.request(request).await.map_err(|error| {
+    ) -> Result<Response<MeteredBody>, HttpError> {
+        let answer = self.client.request(request).await.map_err(|error| {
             if error.is_connect() {
                 HttpError::Connect(error)
             } else {
                 HttpError::ConnectionLost(error)
             }
-        })
+        })?;
+        let meter = answer.extensions().get::<FramingMeter>().cloned().unwrap_or_default();
+        meter.reset();
+        Ok(answer.map(|it| MeteredBody::new(it, meter)))
     }
 
     /// Sends a call with an optional JSON body and decodes the JSON answer
@@ -167,7 +196,7 @@
 ///
 /// # Errors
 /// `HttpError::Body` if the connection fails or the body is larger.
-pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, HttpError> {
+pub async fn read_body(body: MeteredBody, limit: usize) -> Result<Bytes, HttpError> {
     let collected = Limited::new(body, limit).collect().await.map_err(HttpError::Body)?;
     Ok(collected.to_bytes())
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod engine;
 pub mod engine_answer;
+pub mod framing;
 pub mod http;
 pub mod instances;
 pub mod log;
--- a/crates/platform/src/token_stream.rs
+++ b/crates/platform/src/token_stream.rs
@@ -1,10 +1,10 @@
 //! Token stream of an engine, parsed line by line.
 
 use crate::engine_answer::{EngineError, StreamLine};
+use crate::framing::MeteredBody;
 use bytes::BytesMut;
 use catalogue::id::TokenCount;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use std::future::{Future, poll_fn};
 use std::pin::{Pin, pin};
 use std::task::Poll;
@@ -20,7 +20,7 @@
 /// connection.
 #[derive(Debug)]
 pub struct TokenStream {
-    body: Incoming,
+    body: MeteredBody,
     buffer: BytesMut,
     next: TokenCount,
     ended: bool,
@@ -33,7 +33,7 @@
 
 impl TokenStream {
     /// Stream whose first token has the number `next`
-    pub(crate) fn new(body: Incoming, next: TokenCount) -> TokenStream {
+    pub(crate) fn new(body: MeteredBody, next: TokenCount) -> TokenStream {
         TokenStream {
             body,
             buffer: BytesMut::new(),
--- a/crates/standins/examples/shift/caller.rs
+++ b/crates/standins/examples/shift/caller.rs
@@ -5,8 +5,8 @@
 use catalogue::id::{EntryName, ModelName};
 use catalogue::prefix::BYTES_PER_TOKEN;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
+use platform::framing::MeteredBody;
 use platform::http::{HttpClient, HttpError, MAX_ANSWER_BYTES, read_body};
 use smol_str::{SmolStr, format_smolstr};
 use standins::answer::{expected_text, service_text};
@@ -182,7 +182,7 @@
     }
 }
 
-fn refusal(response: &Response<Incoming>, trace: &mut CallTrace) -> CallEnd {
+fn refusal(response: &Response<MeteredBody>, trace: &mut CallTrace) -> CallEnd {
     trace.status = Some(response.status().as_u16());
     let ran = response.headers().get(RAN_HEADER).and_then(|it| it.to_str().ok());
     match ran {
@@ -204,7 +204,7 @@
 
 /// Reads the text of a stream; `None` if it ends before its end mark
 async fn read_stream(
-    mut body: Incoming,
+    mut body: MeteredBody,
     started: Instant,
     trace: &mut CallTrace,
 ) -> Result<Option<String>, HttpError> {
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -4,8 +4,8 @@
 use bytes::{Bytes, BytesMut};
 use catalogue::id::{EntryName, ModelName, TokenCount};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
+use platform::framing::MeteredBody;
 use platform::http::{HttpClient, HttpError, MAX_ANSWER_BYTES, read_body};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
@@ -216,7 +216,7 @@
     }
 }
 
-async fn read_refusal(response: Response<Incoming>) -> Result<CallOutcome, HttpError> {
+async fn read_refusal(response: Response<MeteredBody>) -> Result<CallOutcome, HttpError> {
     let status = response.status();
     let ran = match response.headers().get(RAN_HEADER).and_then(|it| it.to_str().ok()) {
         Some("no") => RanStatus::No,
@@ -230,7 +230,7 @@
 
 /// Reader of a completion's text, streamed or not
 struct TextReader {
-    body: Incoming,
+    body: MeteredBody,
     is_stream: bool,
     buffer: BytesMut,
     text: String,
@@ -240,7 +240,7 @@
 }
 
 impl TextReader {
-    fn new(body: Incoming, is_stream: bool) -> TextReader {
+    fn new(body: MeteredBody, is_stream: bool) -> TextReader {
         TextReader {
             body,
             is_stream,
