Keep a silent endpoint until another instance has served its request

Another instance had refused the request, since its retries were used up, and the refusal was withheld as the silent endpoint might have run the request.

Class: a request gives up what it has for something that may decline it.

Change: the request is relayed beside the send, whichever serves it first counts, and a refusal or failure elsewhere leaves the send alone. Where nothing is kept, a refusal by another instance allows one more send to the silent endpoint, as it does for streams that resume. The usage of a plain request is counted before it is relayed, as it was.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -11,8 +11,10 @@
 use crate::serving_call::{NOT_RELAYED, Refusal, SendWay, ServingCall, failure_name};
 use crate::state::Gateway;
 use crate::stop::{SendMark, StopStage};
+use crate::take_over::{SendOutcome, is_served, send_or_relay};
 use crate::usage::mark::UsageMark;
 use bytes::Bytes;
+use catalogue::id::InstanceId;
 use decide::serving::crash_table::REFUSAL_TIME;
 use decide::serving::health::SendResult;
 use decide::serving::pick::{PromptProgress, pick_paced};
@@ -21,7 +23,7 @@
 use http::{Request, Response};
 use http_body::Body;
 use platform::framing::MeteredBody;
-use platform_adapter::answer::GatewayAnswer;
+use platform_adapter::answer::{GatewayAnswer, promises_not_run};
 use platform_adapter::head::decode_head;
 use smol_str::SmolStr;
 use std::cell::{Cell, RefCell};
@@ -277,6 +279,31 @@
     })
 }
 
+/// Sends a plain request through another instance while its endpoint is silent; `None` if that doesn't serve it
+async fn serve_elsewhere(
+    gateway: &Rc<Gateway>,
+    call: &ServingCall,
+    history: &mut SendHistory,
+    failed: &mut Option<WholeAnswer>,
+) -> Option<(InstanceId, WholeAnswer)> {
+    let (instance, answer) = relay::send(gateway, call, history, None).await?;
+    let answer = match read_whole(gateway, answer, call.answer_deadline(gateway)).await {
+        Ok(answer) if is_served(&answer) => return Some((instance, answer)),
+        answer => answer,
+    };
+    let outcome = match &answer {
+        Ok(answer) => SmolStr::new(answer.status.as_str()),
+        Err(error) => SmolStr::new_static(failure_name(error)),
+    };
+    log::info!("event=not_taken_over id={} by={instance} outcome={outcome}", call.request.id);
+    if !answer.as_ref().is_ok_and(|it| promises_not_run(it.status)) {
+        call.usage.record_counted();
+        history.record_send(RunStatus::MayHaveRun);
+        *failed = answer.ok();
+    }
+    None
+}
+
 /// Serves a request to a plain service, with retries
 async fn serve_plain(
     gateway: &Rc<Gateway>,
@@ -287,7 +314,10 @@
     let mut reason = "no_endpoint";
     while let Some(way) = call.next_way(gateway).await {
         if way == SendWay::Relay {
-            let Some((instance, answer)) = relay::send(gateway, &mut call, None).await else {
+            let mut history = call.history;
+            let relayed = relay::send(gateway, &call, &mut history, None).await;
+            call.history = history;
+            let Some((instance, answer)) = relayed else {
                 reason = NOT_RELAYED;
                 if call.history.may_have_run {
                     // The others reach no endpoint either, so one that is only silent may answer.
@@ -298,6 +328,10 @@
             };
             let deadline = call.answer_deadline(gateway);
             match read_whole(gateway, answer, deadline).await {
+                // The request may still be answered by an endpoint that was only silent.
+                Ok(answer) if call.history.may_have_run && promises_not_run(answer.status) => {
+                    call.record_declined_relay();
+                }
                 Ok(answer) => {
                     record.relayed_to = instance;
                     record.finish("relayed", answer.status.as_str());
@@ -337,8 +371,25 @@
             gateway.load.borrow().total_at(&endpoint.id).requests,
             gateway.choice_inputs(),
         );
-        let PlainSend { endpoint, answer, failed: lost, abandoned } =
-            send_plain(gateway, &call, endpoint, &endpoints).await;
+        let mut history = call.history;
+        let outcome = {
+            let sending = send_plain(gateway, &call, endpoint, &endpoints);
+            let relaying = serve_elsewhere(gateway, &call, &mut history, &mut failed);
+            send_or_relay(gateway, &call, sending, relaying).await
+        };
+        call.history = history;
+        let PlainSend { endpoint, answer, failed: lost, abandoned } = match outcome {
+            SendOutcome::TakenOver((instance, answer)) => {
+                call.record_taken_over(gateway, endpoint);
+                record.relayed_to = instance;
+                record.finish("relayed", answer.status.as_str());
+                return Ok(call.relay_whole(answer));
+            }
+            SendOutcome::Direct { result, relay } => {
+                call.record_relay_end(relay);
+                result
+            }
+        };
         // Before the lost copy's failure, which would use up the mark of the send.
         if answer.is_ok() {
             call.count_answer();
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -24,8 +24,9 @@
 use generate::Started;
 use http::Response;
 use plan::{check_versions, plan_path};
+use platform_adapter::answer::promises_not_run;
 use relay_events::stream_response;
-use send::{relay_stream, start_stream};
+use send::{StartedAt, relay_stream, start_stream};
 use std::rc::Rc;
 
 /// Reason of a refusal while no endpoint accepts the request
@@ -45,7 +46,17 @@
     while let Some(way) = call.next_way(gateway).await {
         if way == SendWay::Relay {
             let sends = call.history.sends;
-            match relay_stream(gateway, &mut call, None).await {
+            let mut history = call.history;
+            let relayed = relay_stream(gateway, &call, &mut history, None).await;
+            call.history = history;
+            match relayed {
+                // The request may still be answered by an endpoint that was only silent.
+                Some((_, Started::Failed(answer)))
+                    if call.history.may_have_run && promises_not_run(answer.status) =>
+                {
+                    call.record_declined_relay();
+                    continue;
+                }
                 Some((instance, Started::Failed(answer))) => {
                     record.relayed_to = instance;
                     let response = call.relay_whole(answer);
@@ -92,7 +103,22 @@
             break;
         }
         match start_stream(gateway, &mut call, &mut cache, path, None).await {
-            Ok((engine, Started::Failed(answer))) => {
+            Ok((StartedAt::Instance(instance), started)) => {
+                record.relayed_to = instance;
+                return Ok(match started {
+                    Started::Failed(answer) => {
+                        let response = call.relay_whole(answer);
+                        record.finish("relayed", response.status().as_str());
+                        response
+                    }
+                    Started::Streaming(stream, first) => {
+                        record.first_byte();
+                        call.history.record_send(RunStatus::MayHaveRun);
+                        stream_response(gateway.clone(), call, record, *stream, first)
+                    }
+                });
+            }
+            Ok((StartedAt::Engine(engine), Started::Failed(answer))) => {
                 call.end_run();
                 gateway.metrics.sent(&call.pool, "server_error");
                 gateway.record_result(&engine, SendResult::Failed);
@@ -101,7 +127,7 @@
                 record.finish("answered", response.status().as_str());
                 return Ok(response);
             }
-            Ok((engine, Started::Streaming(stream, first))) => {
+            Ok((StartedAt::Engine(engine), Started::Streaming(stream, first))) => {
                 gateway.metrics.sent(&call.pool, "answered");
                 gateway.record_result(&engine, SendResult::Answered);
                 record.endpoint = engine.id.clone();
--- a/crates/gateway/src/generation/generate.rs
+++ b/crates/gateway/src/generation/generate.rs
@@ -67,7 +67,7 @@
         deadline: call.deadline,
     };
     let sent_at = Instant::now();
-    let given_up = call.given_up(gateway, &step.engine, retry_at, once);
+    let given_up = call.retry_due(gateway, &step.engine, retry_at);
     let answer = send(gateway, target, &call.request, &parameters, given_up).await?;
     if !answer.head.status.is_success() {
         let answer = read_whole(gateway, answer, call.deadline).await?;
@@ -77,7 +77,6 @@
     let first = tokio::select! {
         biased;
         first = stream.next(call.deadline, call.deadline) => first?,
-        () = call.relay_due(gateway, once) => return Err(SendError::TimedOut),
         () = call.retry_due(gateway, &step.engine, retry_at) => return Err(SendError::TimedOut),
     };
     stream.first_event_at = Instant::now();
--- a/crates/gateway/src/generation/resume.rs
+++ b/crates/gateway/src/generation/resume.rs
@@ -3,7 +3,7 @@
 use super::engine_stream::{BodyKind, EngineStream, StreamItem};
 use super::generate::Started;
 use super::plan::{check_versions, plan_path};
-use super::send::{relay_stream, start_stream};
+use super::send::{StartedAt, relay_stream, start_stream};
 use crate::attempt::SendError;
 use crate::events::StreamPosition;
 use crate::serving_call::{SendWay, ServingCall};
@@ -65,7 +65,10 @@
         StreamPosition::After(id) => Some(id.clone()),
         StreamPosition::Unknown => return None,
     };
-    let (_, started) = relay_stream(gateway, call, last).await?;
+    let mut history = call.history;
+    let started = relay_stream(gateway, call, &mut history, last).await;
+    call.history = history;
+    let (_, started) = started?;
     if !matches!(&started, Started::Failed(answer) if promises_not_run(answer.status)) {
         call.history.record_send(RunStatus::MayHaveRun);
     }
@@ -112,7 +115,10 @@
     while let Some(way) = call.next_way(gateway).await {
         if way == SendWay::Relay {
             let sends = call.history.sends;
-            match relay_stream(gateway, call, last.clone()).await {
+            let mut history = call.history;
+            let relayed = relay_stream(gateway, call, &mut history, last.clone()).await;
+            call.history = history;
+            match relayed {
                 Some((_, Started::Streaming(stream, item))) => {
                     call.history.record_send(RunStatus::MayHaveRun);
                     if stream.body_kind() == *kind {
@@ -151,16 +157,25 @@
             return None;
         }
         match start_stream(gateway, call, &mut cache, path, last.clone()).await {
-            Ok((engine, Started::Streaming(stream, _))) if stream.body_kind() != *kind => {
+            Ok((StartedAt::Engine(engine), Started::Streaming(stream, _)))
+                if stream.body_kind() != *kind =>
+            {
                 drop(stream);
                 call.record_failure(gateway, &engine, &SendError::Mismatched);
             }
-            Ok((engine, Started::Streaming(stream, item))) => {
+            Ok((started_at, Started::Streaming(stream, item))) => {
                 call.history.record_send(RunStatus::MayHaveRun);
-                call.excluded.push(engine.id);
+                if let StartedAt::Engine(engine) = started_at {
+                    call.excluded.push(engine.id);
+                } else if stream.body_kind() != *kind {
+                    continue;
+                }
                 return Some((*stream, item));
             }
-            Ok((engine, Started::Failed(_))) => call.record_error_answer(gateway, &engine),
+            Ok((StartedAt::Engine(engine), Started::Failed(_))) => {
+                call.record_error_answer(gateway, &engine);
+            }
+            Ok((StartedAt::Instance(_), Started::Failed(_))) => return None,
             Err((engine, error)) => call.record_failure(gateway, &engine, &error),
         }
     }
--- a/crates/gateway/src/generation/send.rs
+++ b/crates/gateway/src/generation/send.rs
@@ -10,12 +10,14 @@
 use crate::relay;
 use crate::serving_call::ServingCall;
 use crate::state::Gateway;
+use crate::take_over::{SendOutcome, is_served, send_or_relay};
 use catalogue::id::InstanceId;
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::health::SendResult;
 use decide::serving::pick::PromptProgress;
-use decide::serving::send_history::RunStatus;
+use decide::serving::send_history::{RunStatus, SendHistory};
 use http::StatusCode;
+use platform_adapter::answer::promises_not_run;
 use platform_adapter::engine::decode_cache_source;
 use platform_adapter::head::{EngineStage, TakenUp};
 use smol_str::SmolStr;
@@ -26,14 +28,15 @@
 /// Sends a generation through another instance and waits for its first event; `None` if none has answered
 pub(super) async fn relay_stream(
     gateway: &Rc<Gateway>,
-    call: &mut ServingCall,
+    call: &ServingCall,
+    history: &mut SendHistory,
     after: Option<SmolStr>,
 ) -> Option<(InstanceId, Started)> {
     let taken_up = after.clone().map(|after| {
         let begun_by = call.begun_by.as_ref().unwrap_or(&call.request.id).clone();
         TakenUp { begun_by, after }
     });
-    let (instance, answer) = relay::send(gateway, call, taken_up).await?;
+    let (instance, answer) = relay::send(gateway, call, history, taken_up).await?;
     let started = match answer.head.status.is_success() {
         true => {
             let mut stream = EngineStream::new(answer, call, after, Duration::ZERO);
@@ -53,20 +56,50 @@
         Err(_) => {
             // The other instance has answered, which it does after the first event.
             call.usage.record_counted();
-            call.history.record_send(RunStatus::MayHaveRun);
+            history.record_send(RunStatus::MayHaveRun);
             None
         }
     }
 }
 
-/// Sends along a path and waits for the first event; also returns the engine that answered or failed
+/// Begins a generation through another instance while its engine is silent; `None` if that is not possible
+async fn begin_elsewhere(
+    gateway: &Rc<Gateway>,
+    call: &ServingCall,
+    history: &mut SendHistory,
+    after: Option<SmolStr>,
+) -> Option<(InstanceId, Started)> {
+    match relay_stream(gateway, call, history, after).await? {
+        (instance, Started::Failed(answer)) if !is_served(&answer) => {
+            log::info!(
+                "event=not_taken_over id={} by={instance} status={}",
+                call.request.id,
+                answer.status
+            );
+            if !promises_not_run(answer.status) {
+                history.record_send(RunStatus::MayHaveRun);
+            }
+            None
+        }
+        taken_over => Some(taken_over),
+    }
+}
+
+/// Where a generation has begun
+pub(super) enum StartedAt {
+    Engine(ListedEndpoint),
+    /// Another instance, which has taken it over from a silent engine
+    Instance(InstanceId),
+}
+
+/// Sends along a path and waits for the first event; also returns who has answered, or the engine that failed
 pub(super) async fn start_stream(
     gateway: &Rc<Gateway>,
     call: &mut ServingCall,
     cache: &mut Option<HeldCache>,
     path: EnginePath,
     resume_after: Option<SmolStr>,
-) -> Result<(ListedEndpoint, Started), (ListedEndpoint, SendError)> {
+) -> Result<(StartedAt, Started), (ListedEndpoint, SendError)> {
     if let Some(step) = path.prefill {
         let engine = step.engine.clone();
         match prefill(gateway, call, step).await {
@@ -98,8 +131,26 @@
         Some(held) => EngineStage::Decode { source: held.source.clone() },
         None => EngineStage::Whole,
     };
-    let FirstEvent { engine, started, failed, abandoned } =
-        send_first(gateway, call, generate, stage, resume_after).await;
+    let silent = generate.engine.clone();
+    let mut history = call.history;
+    let outcome = {
+        let call = &*call;
+        let sending = send_first(gateway, call, generate, stage, resume_after.clone());
+        let relaying = begin_elsewhere(gateway, call, &mut history, resume_after);
+        send_or_relay(gateway, call, sending, relaying).await
+    };
+    call.history = history;
+    let FirstEvent { engine, started, failed, abandoned } = match outcome {
+        SendOutcome::TakenOver((instance, started)) => {
+            call.record_taken_over(gateway, &silent);
+            give_up_cache(call, cache);
+            return Ok((StartedAt::Instance(instance), started));
+        }
+        SendOutcome::Direct { result, relay } => {
+            call.record_relay_end(relay);
+            result
+        }
+    };
     if let Some((engine, error)) = failed {
         // What is recorded of the other copy, which goes on, stays.
         let running = call.running.take();
@@ -116,17 +167,24 @@
         it.run_status() == RunStatus::NotRun
             && !matches!(it, SendError::Declined(StatusCode::SERVICE_UNAVAILABLE))
     });
-    if !is_cache_unused && let Some(held) = cache.take() {
-        call.progress = PromptProgress::Lost;
-        call.held_version = None;
-        held.mark_taken();
+    if !is_cache_unused {
+        give_up_cache(call, cache);
     }
     match started {
-        Ok(started) => Ok((engine, started)),
+        Ok(started) => Ok((StartedAt::Engine(engine), started)),
         Err(error) => Err((engine, error)),
     }
 }
 
+/// Records that the cache of a prompt, if there is one, is no longer held for the request
+fn give_up_cache(call: &mut ServingCall, cache: &mut Option<HeldCache>) {
+    if let Some(held) = cache.take() {
+        call.progress = PromptProgress::Lost;
+        call.held_version = None;
+        held.mark_taken();
+    }
+}
+
 /// Cache of a prompt at the engine that read it; freed on drop unless it was taken
 pub(super) struct HeldCache {
     gateway: Rc<Gateway>,
@@ -181,7 +239,12 @@
         deadline: call.deadline,
     };
     // Reading a prompt has no effect, so that it may be done again for any request.
-    let given_up = call.given_up(gateway, &engine, deadline, false);
+    let given_up = async {
+        tokio::select! {
+            () = call.retry_due(gateway, &engine, deadline) => {}
+            () = call.relay_due(gateway, false) => {}
+        }
+    };
     let answer = send(gateway, target, &call.request, &parameters, given_up).await?;
     let answer = read_whole(gateway, answer, deadline).await?;
     let took = sent_at.elapsed();
--- a/crates/gateway/src/hedged_send.rs
+++ b/crates/gateway/src/hedged_send.rs
@@ -88,7 +88,7 @@
         connect_by: deadline,
         deadline: call.deadline,
     };
-    let given_up = call.given_up(gateway, endpoint, deadline, once);
+    let given_up = call.retry_due(gateway, endpoint, deadline);
     send(gateway, target, &call.request, &parameters, given_up).await
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,7 +16,7 @@
 use catalogue::id::{CustomerName, InstanceId};
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::leader::PeerInstance;
-use decide::serving::send_history::RunStatus;
+use decide::serving::send_history::{RunStatus, SendHistory};
 use http::header::{HeaderName, HeaderValue};
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
@@ -195,18 +195,22 @@
     }
 }
 
-/// Sends a request through another instance; `None` if none has answered, after which the call's history tells
-/// whether it may have run
+/// Sends a request through another instance; `None` if none has answered, after which the history tells whether
+/// it may have run
 pub async fn send(
     gateway: &Rc<Gateway>,
-    call: &mut ServingCall,
+    call: &ServingCall,
+    history: &mut SendHistory,
     taken_up: Option<TakenUp>,
 ) -> Option<(InstanceId, OpenAnswer)> {
     for (instance, peer) in gateway.relays().into_iter().take(MAX_TRIED_INSTANCES) {
-        if !call.may_send(gateway) {
+        if !call.may_send_after(gateway, history) {
             return None;
         }
-        let result = send_through(gateway, call, &peer, &instance, taken_up.as_ref()).await;
+        let Some(request) = relay_request(gateway, call, history.sends, taken_up.as_ref()) else {
+            return None;
+        };
+        let result = send_through(gateway, call, &peer, &instance, request).await;
         let outcome = match &result {
             RelayTry::Answered(_) => "answered",
             RelayTry::NotRun(outcome) | RelayTry::MayHaveRun(outcome) => *outcome,
@@ -224,10 +228,10 @@
                 if !call.route.is_stream {
                     call.usage.record_counted();
                 }
-                call.history.record_send(RunStatus::MayHaveRun);
+                history.record_send(RunStatus::MayHaveRun);
             }
             // It has probably not been counted there.
-            RelayTry::Stale => call.history.record_send(RunStatus::MayHaveRun),
+            RelayTry::Stale => history.record_send(RunStatus::MayHaveRun),
         }
     }
     None
@@ -238,11 +242,8 @@
     call: &ServingCall,
     peer: &PeerInstance,
     instance: &InstanceId,
-    taken_up: Option<&TakenUp>,
+    request: Request<Full<Bytes>>,
 ) -> RelayTry {
-    let Some(request) = relay_request(gateway, call, taken_up) else {
-        return RelayTry::NotRun("unusable");
-    };
     let reuse = match call.route.retry_rule.allows_second_run() {
         true => ConnectionReuse::Any,
         false => ConnectionReuse::Never,
@@ -296,6 +297,7 @@
 fn relay_request(
     gateway: &Gateway,
     call: &ServingCall,
+    sends: u32,
     taken_up: Option<&TakenUp>,
 ) -> Option<Request<Full<Bytes>>> {
     let client = &call.request;
@@ -311,7 +313,7 @@
     for (name, value) in [
         (RELAYED_BY, gateway.settings.instance.to_string()),
         relayed_for,
-        (RELAYED_SENDS, call.history.sends.to_string()),
+        (RELAYED_SENDS, sends.to_string()),
     ] {
         headers.insert(name, HeaderValue::from_bytes(value.as_bytes()).ok()?);
     }
--- a/crates/gateway/src/serving_call/limits.rs
+++ b/crates/gateway/src/serving_call/limits.rs
@@ -1,11 +1,13 @@
 //! Whether, how and until when a request may be sent.
 
 use super::{SendWay, ServingCall};
+use crate::attempt::SendError;
 use crate::state::Gateway;
+use crate::take_over::RelayEnd;
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::notice::PauseStep;
 use decide::serving::route::RetryRule;
-use decide::serving::send_history::RunStatus;
+use decide::serving::send_history::{RunStatus, SendHistory};
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
@@ -25,8 +27,13 @@
 impl ServingCall {
     /// Whether another send is allowed and the deadline has not passed
     pub fn may_send(&self, gateway: &Gateway) -> bool {
+        self.may_send_after(gateway, &self.history)
+    }
+
+    /// The same after other sends than those that are recorded
+    pub fn may_send_after(&self, gateway: &Gateway, history: &SendHistory) -> bool {
         !self.is_suspected(gateway)
-            && self.history.may_send(self.route.retry_rule, self.route.max_attempts)
+            && history.may_send(self.route.retry_rule, self.route.max_attempts)
             && self.failed_connects < MAX_FAILED_CONNECTS
             && Instant::now() < self.deadline
     }
@@ -54,13 +61,27 @@
         }
         // Nor do silent ones that another instance may reach.
         if way == SendWay::Relay {
-            let sends = std::mem::take(&mut self.silent_sends);
-            self.history.sends -= sends;
-            self.relayed_silent_sends += sends;
+            self.uncount_silent_sends();
         }
         self.may_send(gateway).then_some(way)
     }
 
+    /// Counts the sends to silent endpoints no more, since another instance may take the request over
+    fn uncount_silent_sends(&mut self) {
+        let sends = std::mem::take(&mut self.silent_sends);
+        self.history.sends -= sends;
+        self.relayed_silent_sends += sends;
+    }
+
+    /// Records that another instance has taken the request over from the endpoints that were silent
+    pub fn record_taken_over(&mut self, gateway: &Gateway, silent: &ListedEndpoint) {
+        let hedge = self.hedge.take();
+        for endpoint in [Some(silent), hedge.as_ref()].into_iter().flatten() {
+            self.record_failure(gateway, endpoint, &SendError::TimedOut);
+        }
+        self.uncount_silent_sends();
+    }
+
     /// Records that no other instance takes it over; endpoints that were given up for that may be tried once more
     pub fn record_declined_relay(&mut self) {
         self.has_declined_relay = true;
@@ -68,6 +89,15 @@
         self.readmit_silent();
     }
 
+    /// Records how the relay beside a send to a silent endpoint has ended
+    pub fn record_relay_end(&mut self, end: RelayEnd) {
+        match end {
+            RelayEnd::NotTried => {}
+            RelayEnd::Cancelled => self.history.may_have_run = true,
+            RelayEnd::Declined => self.record_declined_relay(),
+        }
+    }
+
     /// Allows one more send to the endpoints that were given up since they were silent; `false` if there are none
     pub fn readmit_silent(&mut self) -> bool {
         let silent = std::mem::take(&mut self.silent);
@@ -110,20 +140,6 @@
         self.deadline.min(Instant::now() + limit.max(expected.mul_f64(PREFILL_TIMEOUT_FACTOR)))
     }
 
-    /// Waits until an endpoint's answer is no longer waited for, since the request can go on elsewhere
-    pub async fn given_up(
-        &self,
-        gateway: &Gateway,
-        endpoint: &ListedEndpoint,
-        retry_at: Instant,
-        once: bool,
-    ) {
-        tokio::select! {
-            () = self.retry_due(gateway, endpoint, retry_at) => {}
-            () = self.relay_due(gateway, once) => {}
-        }
-    }
-
     /// Waits until the link has been cut for a while and the request can go on through another instance; never, if
     /// what was sent may run only `once`
     ///
--- a/crates/gateway/src/usage/begun.rs
+++ b/crates/gateway/src/usage/begun.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Counts a request before it is relayed though a silent service may work on it
+    pub fn count_silent_send(&self) {
+        self.count_send(self.usage.send.take());
+    }
+
     /// Counts a request whose client has left while a service worked on it
     pub fn count_abandoned(&self) {
         self.count_send(self.usage.send.take());
--- a/crates/gateway/tests/gateway/stopping_relays.rs
+++ b/crates/gateway/tests/gateway/stopping_relays.rs
@@ -1,11 +1,15 @@
-//! Requests at silent endpoints, beside another instance that is stopping, or whose endpoints fail what it takes over.
+//! Requests at silent endpoints, beside another instance that is stopping, or whose endpoints refuse or fail what it
+//! takes over.
 
 use crate::client::{RawAnswer, RawClient};
 use crate::deployment::{config, generation_with, get_path, list, stage_of};
-use crate::endpoint::{Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, stream_head};
+use crate::endpoint::{
+    Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, not_run, stream_head,
+};
 use crate::process::Instance;
 use crate::store::FakeStore;
 use googletest::prelude::*;
+use indexmap::IndexSet;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use testcases::cases;
@@ -18,6 +22,25 @@
     stream_waits_for_its_engine_if_another_instance_fails_it => begun_stream(false),
     // Guards against a request that is sent twice since it left its silent endpoint for such an instance.
     requests_wait_for_their_endpoint_beside_a_stopping_instance => lookups(),
+    // Guard against a request that ends with 502 since another instance refuses or fails it, though its own endpoint
+    // is only silent.
+    requests_wait_for_their_endpoint_if_another_instance_refuses_them => not_taken_over("lookups", Elsewhere::Refused),
+    requests_wait_for_their_endpoint_if_another_instance_fails_them => not_taken_over("lookups", Elsewhere::Failed),
+    streams_wait_for_their_engine_if_another_instance_refuses_them => not_taken_over("resumed", Elsewhere::Refused),
+    streams_wait_for_their_engine_if_another_instance_fails_them => not_taken_over("resumed", Elsewhere::Failed),
+    // Guards against a request that waits for its silent endpoint though another instance serves it.
+    requests_are_served_by_another_instance_meanwhile => taken_over("lookups"),
+    streams_are_served_by_another_instance_meanwhile => taken_over("resumed"),
+}
+
+/// What endpoints do with a request that another instance sends again
+#[derive(Debug, Clone, Copy)]
+enum Elsewhere {
+    /// As with the first one
+    Same,
+    Refused,
+    Failed,
+    Served,
 }
 
 /// Time in which two instances that have just started know each other
@@ -30,6 +53,8 @@
 /// Requests by which an instance notices the silence
 const LOOKUPS: usize = 6;
 const DEADLINE: &str = "X-Deadline-Ms: 6000";
+/// Objective of which an instance waits three times for an endpoint that it can replace
+const LONG_OBJECTIVE_MS: u64 = 700;
 
 /// Two instances, of which the second one gets no requests, before endpoints that fall silent at once
 struct SilentFleet {
@@ -40,15 +65,41 @@
 
 impl SilentFleet {
     async fn start() -> SilentFleet {
+        SilentFleet::start_with(Elsewhere::Same).await
+    }
+
+    async fn start_with(elsewhere: Elsewhere) -> SilentFleet {
         let store = FakeStore::start().await;
-        store.put("keyed.op", "config", config(1, 6000).to_string().as_bytes());
+        let mut config = config(1, 6000);
+        if !matches!(elsewhere, Elsewhere::Same) {
+            // Without a retry at the other endpoint before the end of the silence.
+            for route in config["routes"].as_array_mut().expect("routes") {
+                route["target_latency_ms"] = LONG_OBJECTIVE_MS.into();
+            }
+        }
+        store.put("keyed.op", "config", config.to_string().as_bytes());
         let silent_until = Arc::new(Mutex::new(Instant::now()));
         let mut endpoints = Vec::new();
+        let known_ids = Arc::new(Mutex::new(IndexSet::new()));
         for id in ["service-1", "service-2", "engine-1", "engine-2"] {
             let until = silent_until.clone();
+            let known_ids = known_ids.clone();
             let script = move |it: &Arrival| {
                 let until = *until.lock().expect("no panic");
-                steps(it, until.saturating_duration_since(Instant::now()))
+                let silence = until.saturating_duration_since(Instant::now());
+                let id = it.header("x-request-id").unwrap_or_default().to_owned();
+                let is_first = known_ids.lock().expect("no panic").insert(id);
+                match elsewhere {
+                    Elsewhere::Refused if !is_first => {
+                        vec![Step::Write(not_run(it, "503 Service Unavailable"))]
+                    }
+                    Elsewhere::Failed if !is_first => {
+                        vec![Step::Write(answer(it, "500 Internal Server Error", "failed"))]
+                    }
+                    Elsewhere::Served if !is_first => answer_after(it, Duration::ZERO),
+                    Elsewhere::Same => steps(it, silence),
+                    _ => answer_after(it, silence),
+                }
             };
             let endpoint = FakeEndpoint::start(id, script).await;
             list(&store, &endpoint, "ready", stage_of(&endpoint));
@@ -119,6 +170,45 @@
     ]
 }
 
+/// Whole answer after a silence
+fn answer_after(arrival: &Arrival, silence: Duration) -> Vec<Step> {
+    if arrival.header("x-token-count").is_none() {
+        return vec![Step::Pause(silence), Step::Write(answer(arrival, "200 OK", "right"))];
+    }
+    let events = [stream_head(arrival), chunk(&event(1)), STREAM_END.to_vec()].concat();
+    vec![Step::Pause(silence), Step::Write(events)]
+}
+
+/// Sends a request during the silence, with others by which it is noticed; also returns how long it took
+async fn send_while_silent(fleet: &SilentFleet, route: &str) -> (RawAnswer, Duration) {
+    fleet.silence().await;
+    let request = match route {
+        "lookups" => get_path(route, "own", "id-own"),
+        _ => generation_with(route, "id-own", &[], 100),
+    };
+    let start = Instant::now();
+    let mut client = fleet.send(request).await;
+    let (got, _) = tokio::join!(client.read(), fleet.send_lookups());
+    (got, start.elapsed())
+}
+
+async fn not_taken_over(route: &str, elsewhere: Elsewhere) -> Result<()> {
+    let fleet = SilentFleet::start_with(elsewhere).await;
+    let (got, _) = send_while_silent(&fleet, route).await;
+    let body = if route == "lookups" { "right".to_owned() } else { event(1) };
+    verify_that!((got.status, got.is_whole, &got.body), eq((200, true, &body)))?;
+    fleet.instances[0].wait_line("event=not_taken_over").await;
+    Ok(())
+}
+
+async fn taken_over(route: &str) -> Result<()> {
+    let fleet = SilentFleet::start_with(Elsewhere::Served).await;
+    let (got, took) = send_while_silent(&fleet, route).await;
+    let body = if route == "lookups" { "right".to_owned() } else { event(1) };
+    verify_that!((got.status, got.is_whole, &got.body), eq((200, true, &body)))?;
+    verify_that!(took, lt(SILENCE))
+}
+
 async fn begun_stream(other_stops: bool) -> Result<()> {
     let fleet = SilentFleet::start().await;
     let mut client = fleet.send(generation_with("resumed", "id-stream", &[], 100)).await;
