Log why a stream was cut, and how long a failed send had left

Cause: streams that were given up while all endpoints were silent, that had reached their deadline, and that had sent no event for as long as the route allows were all logged as timed_out.

Change: the detail of a cut is deadline, silent or the name of the error. stream_broken names the silence, the time left and whether the instance takes itself for cut from all endpoints, and send_failed the wait, the time left and the same.

--- a/crates/gateway/src/generation/relay_events.rs
+++ b/crates/gateway/src/generation/relay_events.rs
@@ -2,11 +2,11 @@
 
 use super::engine_stream::{EngineStream, StreamItem};
 use super::resume::{next_item, record_lost_engine, resume};
-use crate::attempt::SendError;
+use crate::attempt::{SendError, time_left};
 use crate::body::AnswerBody;
 use crate::error::RelayError;
 use crate::request_record::RequestRecord;
-use crate::serving_call::ServingCall;
+use crate::serving_call::{ServingCall, failure_name};
 use crate::state::Gateway;
 use crate::stream_buffer::StreamBuffer;
 use async_stream::try_stream;
@@ -14,6 +14,7 @@
 use http::Response;
 use platform_adapter::answer::client_headers;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 pub(super) fn stream_response(
@@ -72,6 +73,7 @@
                     next
                 }
                 Err(error) => {
+                    log_break(&gateway, &call, &stream, &error, paused_at.elapsed());
                     let position = stream.splitter.position().clone();
                     // Closes the connection, so that this engine stops before another one resumes.
                     let is_relayed = stream.relay.is_some();
@@ -80,7 +82,7 @@
                     if !is_relayed {
                         record_lost_engine(&gateway, &mut call, &error);
                     }
-                    match resume(&gateway, &mut call, &error, position, &kind).await {
+                    match resume(&gateway, &mut call, position, &kind).await {
                         Some((resumed, next)) => {
                             if let Some(instance) = &resumed.relay {
                                 record.relayed_to = instance.clone();
@@ -89,7 +91,7 @@
                             next
                         }
                         None => {
-                            record.finish("cut", error_name(&error));
+                            record.finish("cut", cut_detail(&error, call.deadline));
                             Err(relay_error(&error))?;
                             break;
                         }
@@ -100,10 +102,32 @@
     }
 }
 
-fn error_name(error: &SendError) -> &'static str {
+/// Logs why a stream has failed, and whether its engine alone was silent for that long
+fn log_break(
+    gateway: &Gateway,
+    call: &ServingCall,
+    stream: &EngineStream,
+    error: &SendError,
+    silence: Duration,
+) {
+    log::info!(
+        "event=stream_broken id={} after={} version={} sends={} parts={} silent_ms={} left_ms={} endpoints_cut={} error=\"{error}\"",
+        call.request.id,
+        stream.splitter.position().name(),
+        call.origin.as_ref().map_or("none", |it| it.version.as_str()),
+        call.history.sends,
+        call.describe_parts(),
+        silence.as_millis(),
+        time_left(call.deadline).as_millis(),
+        gateway.link.is_cut(),
+    );
+}
+
+fn cut_detail(error: &SendError, deadline: Instant) -> &'static str {
     match error {
-        SendError::TimedOut => "timed_out",
-        _ => "broken_off",
+        SendError::TimedOut if Instant::now() >= deadline => "deadline",
+        SendError::TimedOut => "silent",
+        other => failure_name(other),
     }
 }
 
--- a/crates/gateway/src/generation/resume.rs
+++ b/crates/gateway/src/generation/resume.rs
@@ -91,19 +91,10 @@
 pub(super) async fn resume(
     gateway: &Rc<Gateway>,
     call: &mut ServingCall,
-    error: &SendError,
     position: StreamPosition,
     kind: &BodyKind,
 ) -> Option<(EngineStream, StreamItem)> {
     let mut cache = None;
-    log::info!(
-        "event=stream_broken id={} after={} version={} sends={} parts={} error=\"{error}\"",
-        call.request.id,
-        position.name(),
-        call.origin.as_ref().map_or("none", |it| it.version.as_str()),
-        call.history.sends,
-        call.describe_parts(),
-    );
     if !call.may_resume {
         return None;
     }
--- a/crates/gateway/src/generation/send.rs
+++ b/crates/gateway/src/generation/send.rs
@@ -72,9 +72,9 @@
     match relay_stream(gateway, call, history, after).await? {
         (instance, Started::Failed(answer)) if !is_served(&answer) => {
             log::info!(
-                "event=not_taken_over id={} by={instance} status={}",
+                "event=not_taken_over id={} by={instance} outcome={}",
                 call.request.id,
-                answer.status
+                answer.status.as_str()
             );
             if !promises_not_run(answer.status) {
                 history.record_send(RunStatus::MayHaveRun);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -207,9 +207,7 @@
         if !call.may_send_after(gateway, history) {
             return None;
         }
-        let Some(request) = relay_request(gateway, call, history.sends, taken_up.as_ref()) else {
-            return None;
-        };
+        let request = relay_request(gateway, call, history.sends, taken_up.as_ref())?;
         let result = send_through(gateway, call, &peer, &instance, request).await;
         let outcome = match &result {
             RelayTry::Answered(_) => "answered",
--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -1,7 +1,7 @@
 //! Records what the sends of a request tell about endpoints, and recognizes requests that crash them.
 
 use super::{MIN_SUSPECT_RETRY_AFTER, RunningSend, ServingCall};
-use crate::attempt::{ClientRequest, SendError};
+use crate::attempt::{ClientRequest, SendError, time_left};
 use crate::link_evidence::EvidenceKind;
 use crate::state::Gateway;
 use catalogue::id::EndpointId;
@@ -217,10 +217,13 @@
         let endpoint = &endpoint.id;
         self.record_crash_evidence(gateway, endpoint, unanswered, error);
         log::info!(
-            "event=send_failed id={} endpoint={endpoint} knowledge={status:?} sends={} parts={} error=\"{error}\"",
+            "event=send_failed id={} endpoint={endpoint} knowledge={status:?} sends={} parts={} waited_ms={} left_ms={} endpoints_cut={} error=\"{error}\"",
             self.request.id,
             self.history.sends + 1,
             self.describe_parts(),
+            self.sent_at.elapsed().as_millis(),
+            time_left(self.deadline).as_millis(),
+            gateway.link.is_cut(),
         );
         gateway.metrics.sent(&self.pool, failure_name(error));
         self.excluded.push(endpoint.clone());
