Let a request go back to a silent endpoint if the other one refuses it

Cause: the refusal used up the route's attempts, so that the silent endpoint was not asked again; and where it could be, its own timeouts had paused it.

Change: a refused send has not run, so it counts no more once a silent endpoint may be asked again. The endpoint that a request goes back to is offered although it is paused, if nothing else is left.

--- a/crates/decide/src/serving/health.rs
+++ b/crates/decide/src/serving/health.rs
@@ -167,6 +167,11 @@
         exclude(present, |it| self.is_paused(it, now))
     }
 
+    /// Whether the endpoint's incarnation may be there, paused or not
+    pub fn is_present(&self, endpoint: &ListedEndpoint) -> bool {
+        !self.is_gone(endpoint)
+    }
+
     /// Whether nothing speaks against the endpoint: it is neither gone, paused nor unreliable
     pub fn is_sound(&self, endpoint: &ListedEndpoint, now: Instant) -> bool {
         let is_failing = self.is_paused(endpoint, now) || self.is_unreliable(endpoint, now);
--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -92,9 +92,13 @@
     pub unanswered_sends: u32,
     /// Whether the next send goes over a link that is known to be cut
     pub crosses_cut: bool,
+    /// Counted sends that endpoints have declined
+    pub declined_sends: u32,
     /// Endpoints that were given up since they were silent
     pub silent: Vec<EndpointId>,
-    /// Counted sends to these
+    /// Endpoints of these that may be tried once more
+    pub readmitted: Vec<EndpointId>,
+    /// Counted sends to silent endpoints
     pub silent_sends: u32,
     /// Sends to these that don't count while another instance may take the request over
     pub relayed_silent_sends: u32,
--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -235,6 +235,7 @@
             _ => {
                 self.history.record_send(status);
                 let is_counted = !self.crosses_cut;
+                self.declined_sends += u32::from(matches!(error, SendError::Declined(_)));
                 if matches!(error, SendError::TimedOut) {
                     self.silent.push(endpoint.clone());
                     self.silent_sends += u32::from(is_counted);
--- a/crates/gateway/src/serving_call/limits.rs
+++ b/crates/gateway/src/serving_call/limits.rs
@@ -63,6 +63,10 @@
         if way == SendWay::Relay {
             self.uncount_silent_sends();
         }
+        if !self.may_send(gateway) && self.declined_sends > 0 && self.readmit_silent() {
+            // Endpoints that have declined have not run it, so that a silent one may be asked again.
+            self.history.sends -= std::mem::take(&mut self.declined_sends);
+        }
         self.may_send(gateway).then_some(way)
     }
 
@@ -102,7 +106,9 @@
     pub fn readmit_silent(&mut self) -> bool {
         let silent = std::mem::take(&mut self.silent);
         self.excluded.retain(|it| !silent.contains(it));
-        !silent.is_empty()
+        let is_any = !silent.is_empty();
+        self.readmitted.extend(silent);
+        is_any
     }
 
     /// Starts a send; `false` if it is a retry and the retry limits allow none
@@ -204,7 +210,14 @@
         let endpoints = list.ready(now).filter(may_run).cloned().collect();
         let endpoints = self.notices.borrow().accepting(endpoints, now);
         let health = self.health.borrow();
+        let is_readmitted =
+            |it: &&ListedEndpoint| call.readmitted.contains(&it.id) && health.is_present(it);
+        let readmitted = endpoints.iter().filter(is_readmitted).cloned().collect::<Vec<_>>();
         let mut usable = health.usable(endpoints, now);
+        // The timeouts of this and other requests may have paused the endpoint that it goes back to.
+        if usable.iter().all(|it| call.excluded.contains(&it.id)) {
+            usable.extend(readmitted.into_iter().filter(|it| !call.excluded.contains(&it.id)));
+        }
         if rule == RetryRule::Once {
             usable = health.reliable(usable, now);
         }
--- a/crates/gateway/tests/gateway/silent_endpoints.rs
+++ b/crates/gateway/tests/gateway/silent_endpoints.rs
@@ -2,7 +2,7 @@
 
 use crate::client::RawClient;
 use crate::deployment::{Deployment, config, get_path};
-use crate::endpoint::{Arrival, FakeEndpoint, Step, answer};
+use crate::endpoint::{Arrival, FakeEndpoint, Step, answer, not_run};
 use googletest::prelude::*;
 use indexmap::{IndexMap, IndexSet};
 use std::sync::{Arc, Mutex};
@@ -19,6 +19,8 @@
     repeated_sends_to_silent_endpoints_are_within_the_limits => all_silent(check_retries),
     // Guards against a request that leaves a silent endpoint for one to which nothing is sent, and fails.
     request_waits_while_the_only_other_endpoint_is_down => beside_one_that_is_down(),
+    // Guards against a request that leaves a silent endpoint for one that refuses it, and fails with its attempts used up.
+    requests_go_back_to_a_silent_endpoint_if_the_other_one_refuses_them => beside_one_that_refuses(),
 }
 
 const ENDPOINTS: usize = 6;
@@ -127,3 +129,28 @@
     let got = client.read().await;
     verify_that!((got.status, got.is_whole), eq((200, true)))
 }
+
+/// One endpoint refuses all requests; the other one answers them after 2 s
+async fn beside_one_that_refuses() -> Result<()> {
+    const SLOW_REQUESTS: usize = 8;
+    let refuse = |it: &Arrival| vec![Step::Write(not_run(it, "503 Service Unavailable"))];
+    let slow = |it: &Arrival| {
+        vec![Step::Pause(Duration::from_secs(2)), Step::Write(answer(it, "200 OK", "right"))]
+    };
+    let endpoints = [
+        FakeEndpoint::start("service-1", refuse).await,
+        FakeEndpoint::start("service-2", slow).await,
+    ];
+    let deployment = start(&endpoints, 400).await;
+    let mut clients = Vec::new();
+    for number in 0..SLOW_REQUESTS {
+        let mut client = RawClient::connect(deployment.instance.clients).await;
+        client.write(lookup("x", &format!("id-{number}"))).await;
+        clients.push(client);
+    }
+    let mut statuses = Vec::new();
+    for client in &mut clients {
+        statuses.push(client.read().await.status);
+    }
+    verify_that!(statuses, each(eq(&200)))
+}
