--- a/crates/gateway/tests/gateway/relayed_answers.rs
+++ b/crates/gateway/tests/gateway/relayed_answers.rs
@@ -1,15 +1,15 @@
-//! Answers of another instance that belong to an earlier request on the connection.
+//! Answers of another instance that belong to an earlier request on the connection, or don't end.
 
 use crate::cut::{CutMode, CutSwitch};
 use crate::deployment::{Deployment, endpoint, get_path, list, post};
-use crate::endpoint::{Arrival, FakeEndpoint, Step, answer, with_header};
+use crate::endpoint::{Arrival, FakeEndpoint, Step, answer, stream_head, with_header};
 use decide::serving::leader::PeerInstance;
 use gateway::messages::{MessageBody, PeerMessage, ServingUpdate, WorkScope};
 use googletest::prelude::*;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use testcases::cases;
 use tokio::net::UdpSocket;
 use tokio::time::{interval, sleep};
@@ -18,11 +18,15 @@
     // Guard against another request's answer, and against "not run" for a request that the instance runs.
     late_copy_of_a_relayed_answer_reaches_no_other_caller => late_copy(answered),
     late_copy_of_a_relayed_refusal_is_no_promise => late_copy(refused),
+    // Guards against a relayed answer that is read byte by byte until the deadline.
+    relayed_answer_with_a_chunk_size_without_end_is_given_up => endless_answer(),
 }
 
 /// Time in which the instance knows the other one, and then that it is cut.
 const NOTICE_TIME: Duration = Duration::from_millis(1500);
 const REQUESTS: usize = 8;
+/// Time in which a request is given up whose answers don't end, well before its deadline
+const GIVE_UP_TIME: Duration = Duration::from_millis(1000);
 
 /// Tells an instance that another one at the socket's address reaches the endpoints
 pub async fn announce(socket: UdpSocket, to: SocketAddr) {
@@ -97,3 +101,29 @@
     }
     verify_that!(relayed, ge(REQUESTS))
 }
+
+async fn endless_answer() -> Result<()> {
+    let cuts = CutSwitch::default();
+    let script = |it: &Arrival| vec![Step::Write(answer(it, "200 OK", "direct"))];
+    let service = FakeEndpoint::start_behind("service-1", cuts.clone(), script).await;
+    let deployment = Deployment::start(&[&service]).await;
+    let peer = endpoint("instance-9", |it| {
+        let head = with_header(&stream_head(it), "X-Relay-Result: served");
+        vec![Step::Write(head), Step::Flood(vec![b'0'; 4096])]
+    })
+    .await;
+    let socket = UdpSocket::bind(peer.address).await?;
+    tokio::spawn(announce(socket, deployment.instance.peers()));
+    sleep(NOTICE_TIME).await;
+    cuts.cut(deployment.instance.process(), CutMode::Reset);
+    // The first requests may be sent before the instance knows that it is cut.
+    let mut number = 0;
+    while peer.arrivals().is_empty() {
+        number += 1;
+        let start = Instant::now();
+        let got = deployment.call(get_path("lookups", "x", &format!("id-{number}"))).await;
+        verify_that!(start.elapsed(), lt(GIVE_UP_TIME))?;
+        verify_that!(got.status, not(eq(200)))?;
+    }
+    Ok(())
+}
