Soak: take the engine that ran a request last, not the last one by its index

Cause: the check of a stream that may outlast a stop looked at the last engine in the order of the endpoints, which may be one that has declined the request before.

Change: arrivals are in the order of their times, and declined ones don't count as the last. Cases in which the engine that runs the stream isn't at work so late are as strict as before; those in which another engine by index was are stricter.

--- a/crates/gateway/tests/gateway/stop_soak/checks.rs
+++ b/crates/gateway/tests/gateway/stop_soak/checks.rs
@@ -26,7 +26,7 @@
 /// Statuses of the gateway that promise nothing; allowed here, and printed.
 const FAILURES: [u16; 2] = [502, 504];
 
-/// Arrivals of each request, with the index of the endpoint
+/// Arrivals of each request in the order of their times, with the index of the endpoint
 type Arrivals = IndexMap<String, Vec<(usize, Arrival)>>;
 
 /// Checks a whole run; prints each failure
@@ -81,6 +81,7 @@
             arrivals.entry(id).or_default().push((index, arrival));
         }
     }
+    arrivals.values_mut().for_each(|it| it.sort_by_key(|it| it.1.at));
     arrivals
 }
 
@@ -120,8 +121,8 @@
     let breaks_off =
         |(index, arrival): &(usize, Arrival)| run.endpoints[*index].breaks_off(arrival);
     if !arrivals.is_empty() {
-        let is_allowed =
-            arrivals.last().is_some_and(may_outlast) || arrivals.iter().any(breaks_off);
+        let last_run = arrivals.iter().rfind(|it| !it.1.was_declined);
+        let is_allowed = last_run.is_some_and(may_outlast) || arrivals.iter().any(breaks_off);
         return (!is_allowed).then(|| "rule=lost kind=passed_on".to_owned());
     }
     let was_read = seen.ending == Ending::Closed
