Allow for content that arrives with HTTP/2 before it is read

Cause: with HTTP/2 up to a window of content, 1 MiB by the library's default, may arrive before a handler reads any of it. The bound on framing counts content when it is read, so that large uploads to the product's own server were cut off.

Change: the windows of the server are stated, and its bound allows for one. The limits are a plain struct in place of an enum.

Measured: bad_input::large_bodies_with_http2, four uploads of 3 MiB by a client on a thread of its own, failed with a broken connection before; now all 33 tests of bad input pass, chunk_size_without_end with 1.6 MB among them.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -16,7 +16,7 @@
 use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
-use platform::framing::{FramingMeter, FramingRatio, MeteredBody, MeteredSocket};
+use platform::framing::{FramingLimits, FramingMeter, MeteredBody, MeteredSocket};
 use smol_str::SmolStr;
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, SocketAddr};
@@ -352,7 +352,7 @@
         .map_err(|_| ExchangeError::ConnectTimedOut)?
         .map_err(ExchangeError::Connect)?;
     socket.set_nodelay(true).map_err(ExchangeError::Connect)?;
-    let socket = MeteredSocket::new(socket, FramingRatio::Answers);
+    let socket = MeteredSocket::new(socket, FramingLimits::ANSWERS);
     let meter = socket.meter();
     let (sender, connection) = Builder::new()
         .max_buf_size(MAX_READ_BUFFER_BYTES)
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -12,7 +12,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use platform::framing::{FramingRatio, MeteredBody, MeteredSocket};
+use platform::framing::{FramingLimits, MeteredBody, MeteredSocket};
 use std::convert::Infallible;
 use std::io;
 use std::net::IpAddr;
@@ -123,7 +123,7 @@
         }
     };
     let handle = socket.handle();
-    let socket = MeteredSocket::new(socket, FramingRatio::Requests);
+    let socket = MeteredSocket::new(socket, FramingLimits::REQUESTS);
     let meter = socket.meter();
     let service = {
         let gateway = gateway.clone();
--- a/crates/gateway/src/peers/port.rs
+++ b/crates/gateway/src/peers/port.rs
@@ -14,7 +14,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use platform::framing::{FramingRatio, MeteredBody, MeteredSocket};
+use platform::framing::{FramingLimits, MeteredBody, MeteredSocket};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::IpAddr;
@@ -49,7 +49,7 @@
         }
     };
     let handle = socket.handle();
-    let socket = MeteredSocket::new(socket, FramingRatio::Requests);
+    let socket = MeteredSocket::new(socket, FramingLimits::REQUESTS);
     let meter = socket.meter();
     let watched = activity.clone();
     // Between requests the connection doesn't count as open.
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -8,7 +8,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use platform::framing::{FramingRatio, MeteredSocket};
+use platform::framing::{FramingLimits, MeteredSocket};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -78,7 +78,7 @@
         };
         let answer = answer.clone();
         tokio::task::spawn_local(async move {
-            let socket = MeteredSocket::new(socket, FramingRatio::Requests);
+            let socket = MeteredSocket::new(socket, FramingLimits::REQUESTS);
             let meter = socket.meter();
             let service = service_fn(move |_| {
                 meter.reset();
--- a/crates/persimmonlift/src/server.rs
+++ b/crates/persimmonlift/src/server.rs
@@ -9,7 +9,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
-use platform::framing::{FramingRatio, MeteredBody, MeteredSocket};
+use platform::framing::{FramingLimits, MeteredBody, MeteredSocket};
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -29,11 +29,16 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time to read the first request of the last accepted connections.
 const FIRST_READ_WAIT: Duration = Duration::from_millis(200);
+/// HTTP/2 window of a connection and of each stream: content that may arrive before it is read.
+const WINDOW_BYTES: u32 = 1024 * 1024;
 /// Interval of HTTP/2 pings.
 const PING_INTERVAL: Duration = Duration::from_secs(20);
 /// Timeout of the answer to an HTTP/2 ping.
 const PING_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Limits of what a connection brings beside the content of its requests
+const FRAMING_LIMITS: FramingLimits = FramingLimits::REQUESTS.with_window(WINDOW_BYTES as usize);
+
 /// Function that answers requests
 pub type AnswerFn = dyn Fn(Request<MeteredBody>) -> BoxFuture<'static, Result<AnswerResponse, Infallible>>
     + Send
@@ -141,7 +146,7 @@
             log::debug!("event=nodelay_failed reason=\"{error}\"");
         }
         let socket = StallGuard::new(stream, self.limits.write_stall);
-        let socket = MeteredSocket::new(socket, FramingRatio::Requests);
+        let socket = MeteredSocket::new(socket, FRAMING_LIMITS);
         let meter = socket.meter();
         let io = TokioIo::new(socket);
         let answer = self.answer.clone();
@@ -188,6 +193,8 @@
         .http2()
         .timer(TokioTimer::new())
         .max_concurrent_streams(MAX_STREAMS)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .initial_stream_window_size(WINDOW_BYTES)
         .max_header_list_size(MAX_HEAD_BYTES as u32)
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT);
--- a/crates/platform/src/framing.rs
+++ b/crates/platform/src/framing.rs
@@ -20,24 +20,31 @@
 /// Bytes that a message may have beside its content, with its head and what has been read ahead.
 pub const MAX_FRAMING_BYTES: usize = 96 * 1024;
 /// Most bytes that one read takes. Content counts only once it has left the library's buffer, which this keeps
-/// far below `MAX_FRAMING_BYTES`.
+/// far below `MAX_FRAMING_BYTES` with HTTP/1.
 const MAX_READ_BYTES: usize = 16 * 1024;
 
-/// Bytes received for each byte of content, beside `MAX_FRAMING_BYTES`
+/// What a connection may bring for the content of a message
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FramingRatio {
-    /// Allows chunks of two bytes
-    Answers,
-    /// Allows chunks of one byte: the limit on a request's body bounds their number
-    Requests,
+pub struct FramingLimits {
+    /// Bytes beside the content
+    spare: usize,
+    /// Bytes for each byte of content
+    factor: usize,
 }
 
-impl FramingRatio {
-    fn factor(self) -> usize {
-        match self {
-            FramingRatio::Answers => 4,
-            FramingRatio::Requests => 8,
-        }
+impl FramingLimits {
+    /// Limits of answers, which allow chunks of two bytes
+    pub const ANSWERS: FramingLimits = FramingLimits { spare: MAX_FRAMING_BYTES, factor: 4 };
+    /// Limits of requests, which allow chunks of one byte: the limit on the body bounds their number
+    pub const REQUESTS: FramingLimits = FramingLimits { spare: MAX_FRAMING_BYTES, factor: 8 };
+
+    /// The same on connections that may hold this many bytes of content before it is read
+    pub const fn with_window(self, bytes: usize) -> FramingLimits {
+        FramingLimits { spare: self.spare + bytes, factor: self.factor }
+    }
+
+    fn max_received(&self, content: usize) -> usize {
+        self.spare.saturating_add(content.saturating_mul(self.factor))
     }
 }
 
@@ -67,20 +74,20 @@
 /// Counts the bytes of a connection since its latest message began
 #[derive(Debug, Clone)]
 pub struct FramingMeter {
-    ratio: FramingRatio,
+    limits: FramingLimits,
     received: Arc<AtomicUsize>,
     content: Arc<AtomicUsize>,
 }
 
 impl Default for FramingMeter {
     fn default() -> FramingMeter {
-        FramingMeter::new(FramingRatio::Answers)
+        FramingMeter::new(FramingLimits::ANSWERS)
     }
 }
 
 impl FramingMeter {
-    fn new(ratio: FramingRatio) -> FramingMeter {
-        FramingMeter { ratio, received: Arc::default(), content: Arc::default() }
+    fn new(limits: FramingLimits) -> FramingMeter {
+        FramingMeter { limits, received: Arc::default(), content: Arc::default() }
     }
 
     /// Forgets what was counted, since another message begins or its head is complete
@@ -96,8 +103,7 @@
     fn record_received(&self, bytes: usize) -> io::Result<()> {
         let received = self.received.fetch_add(bytes, Ordering::Relaxed) + bytes;
         let content = self.content.load(Ordering::Relaxed);
-        let limit = MAX_FRAMING_BYTES.saturating_add(content.saturating_mul(self.ratio.factor()));
-        match received > limit {
+        match received > self.limits.max_received(content) {
             true => Err(io::Error::new(io::ErrorKind::InvalidData, FramingError::Excessive)),
             false => Ok(()),
         }
@@ -112,9 +118,9 @@
 }
 
 impl<S> MeteredSocket<S> {
-    /// Meters a socket on which messages of this kind arrive
-    pub fn new(socket: S, ratio: FramingRatio) -> MeteredSocket<S> {
-        MeteredSocket { socket, meter: FramingMeter::new(ratio) }
+    /// Meters a socket
+    pub fn new(socket: S, limits: FramingLimits) -> MeteredSocket<S> {
+        MeteredSocket { socket, meter: FramingMeter::new(limits) }
     }
 
     /// Meter of the connection
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,6 +1,6 @@
 //! HTTP client for calls with JSON bodies and timeouts.
 
-use crate::framing::{FramingMeter, FramingRatio, MeteredBody, MeteredSocket};
+use crate::framing::{FramingLimits, FramingMeter, MeteredBody, MeteredSocket};
 use bytes::Bytes;
 use catalogue::id::RequestId;
 use futures_util::future::BoxFuture;
@@ -73,7 +73,7 @@
         let connecting = self.0.call(uri);
         Box::pin(async move {
             let socket = connecting.await?.into_inner();
-            Ok(TokioIo::new(MeteredSocket::new(socket, FramingRatio::Answers)))
+            Ok(TokioIo::new(MeteredSocket::new(socket, FramingLimits::ANSWERS)))
         })
     }
 }
