Read into the library's buffer without initializing it first

Cause: the metered socket zeroed up to 16 KiB of the buffer before each read, to bound it.

Change: a buffer of up to 16 KiB, which is the usual size, is read into as it is; only larger ones are bounded.

--- a/crates/platform/src/framing.rs
+++ b/crates/platform/src/framing.rs
@@ -143,8 +143,13 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let size = buffer.remaining().min(MAX_READ_BYTES);
-        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(size));
+        // Usual buffers are small, and need not be initialized.
+        if buffer.remaining() <= MAX_READ_BYTES {
+            let before = buffer.filled().len();
+            ready!(Pin::new(&mut self.socket).poll_read(context, buffer))?;
+            return Poll::Ready(self.meter.record_received(buffer.filled().len() - before));
+        }
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(MAX_READ_BYTES));
         ready!(Pin::new(&mut self.socket).poll_read(context, &mut part))?;
         let bytes = part.filled().len();
         buffer.advance(bytes);
