Leave a silent engine only for one that the plan accepts

Callers saw 502 after three objectives, with most of their time left: a stream that waits for its first event left its silent engine.

Cause: a request gives up what it has for something that may decline it. Any other listed endpoint with a free connection counted as an alternative, though the plan, by learned times and work in flight, then refused the stream as full, and though the choice leaves out paused ones. Change: what counts as an alternative is what the next choice would get: usable endpoints, and for a generation a plan that is accepted. Should the plan refuse the stream after all, its silent engine is tried once more, before its first event and after it. Measured: the new case of silent_endpoints failed before (502 after 1.2 s) and passes. That paused endpoints are left out has no test of its own.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -88,8 +88,8 @@
         let path = match plan_path(gateway, &call, None) {
             Ok(path) => path,
             Err(NO_ENDPOINT) if call.wait_for_pause(gateway).await => continue,
-            // A silent engine may still answer, if the others have refused the request.
-            Err(NO_ENDPOINT) if call.readmit_silent() => continue,
+            // A silent engine may still answer, if the others refuse the request.
+            Err(_) if call.readmit_silent() => continue,
             Err(failure) => {
                 reason = failure;
                 break;
--- a/crates/gateway/src/generation/generate.rs
+++ b/crates/gateway/src/generation/generate.rs
@@ -1,7 +1,7 @@
 //! Sends a generation to the engine that generates, and waits for its first event.
 
 use super::engine_stream::{EngineStream, StreamItem};
-use super::plan::EngineStep;
+use super::plan::{EngineStep, has_path};
 use crate::attempt::{SendError, SendTarget, WholeAnswer, read_whole, send};
 use crate::connections::ConnectionReuse;
 use crate::serving_call::ServingCall;
@@ -67,7 +67,8 @@
         deadline: call.deadline,
     };
     let sent_at = Instant::now();
-    let given_up = call.retry_due(gateway, &step.engine, retry_at);
+    let has_path = || has_path(gateway, call, &step.engine.id);
+    let given_up = call.retry_due(gateway, retry_at, has_path);
     let answer = send(gateway, target, &call.request, &parameters, given_up).await?;
     if !answer.head.status.is_success() {
         let answer = read_whole(gateway, answer, call.deadline).await?;
@@ -77,7 +78,7 @@
     let first = tokio::select! {
         biased;
         first = stream.next(call.deadline, call.deadline) => first?,
-        () = call.retry_due(gateway, &step.engine, retry_at) => return Err(SendError::TimedOut),
+        () = call.retry_due(gateway, retry_at, has_path) => return Err(SendError::TimedOut),
     };
     stream.first_event_at = Instant::now();
     stream.event_limit = call.route.event_limit();
--- a/crates/gateway/src/generation/plan.rs
+++ b/crates/gateway/src/generation/plan.rs
@@ -9,6 +9,7 @@
 use decide::serving::pick::{
     EnginePick, EngineView, GenerationPlan, GenerationRequest, PlanOutcome, plan_generation,
 };
+use decide::serving::prompt::PromptShape;
 use decide::serving::route::RetryRule;
 use smol_str::{SmolStr, format_smolstr};
 use std::rc::Rc;
@@ -37,28 +38,7 @@
     let endpoints = gateway.ready_endpoints(call);
     let prompt = call.prompt.clone().unwrap_or_default();
     let excluded = call.excluded.iter().chain(waits_at).cloned().collect::<Vec<_>>();
-    let request = GenerationRequest {
-        prompt: &prompt,
-        zone: &gateway.settings.zone,
-        excluded: &excluded,
-        objective: call.route.objective,
-        pause_limit: call.route.pause_limit,
-        time_left: call.deadline.saturating_duration_since(Instant::now()),
-        progress: call.progress,
-        has_waited: call.has_waited,
-        draw: rand::random(),
-    };
-    let outcome = {
-        let mut timings = gateway.timings.borrow_mut();
-        let view = EngineView {
-            endpoints: &endpoints,
-            load: &gateway.load.borrow(),
-            caches: &gateway.caches.borrow(),
-            timing: timings.entry(call.pool.clone()).or_default(),
-            now: Instant::now().into_std(),
-        };
-        plan_generation(&request, &view)
-    };
+    let outcome = plan_among(gateway, call, &prompt, &endpoints, &excluded);
     let plan = match outcome {
         PlanOutcome::Plan(plan) => plan,
         PlanOutcome::Full(expected_ms) => {
@@ -97,6 +77,43 @@
     generate.map(|generate| EnginePath { prefill, generate }).ok_or(NO_ENDPOINT)
 }
 
+/// Chooses among some engines
+fn plan_among(
+    gateway: &Gateway,
+    call: &ServingCall,
+    prompt: &PromptShape,
+    endpoints: &[ListedEndpoint],
+    excluded: &[EndpointId],
+) -> PlanOutcome {
+    let request = GenerationRequest {
+        prompt,
+        zone: &gateway.settings.zone,
+        excluded,
+        objective: call.route.objective,
+        pause_limit: call.route.pause_limit,
+        time_left: call.deadline.saturating_duration_since(Instant::now()),
+        progress: call.progress,
+        has_waited: call.has_waited,
+        draw: rand::random(),
+    };
+    let mut timings = gateway.timings.borrow_mut();
+    let view = EngineView {
+        endpoints,
+        load: &gateway.load.borrow(),
+        caches: &gateway.caches.borrow(),
+        timing: timings.entry(call.pool.clone()).or_default(),
+        now: Instant::now().into_std(),
+    };
+    plan_generation(&request, &view)
+}
+
+/// Whether a generation would go to other engines than a silent one now
+pub(super) fn has_path(gateway: &Gateway, call: &ServingCall, silent: &EndpointId) -> bool {
+    let prompt = call.prompt.clone().unwrap_or_default();
+    let engines = gateway.alternatives(call, silent);
+    matches!(plan_among(gateway, call, &prompt, &engines, &[]), PlanOutcome::Plan(_))
+}
+
 /// Checks that the engines of a path are the listed incarnations if the stream may be resumed; `false` if another path is
 /// needed, since the stream must not go on at these
 pub(super) async fn check_versions(
--- a/crates/gateway/src/generation/resume.rs
+++ b/crates/gateway/src/generation/resume.rs
@@ -140,7 +140,12 @@
         if !call.admit_parts(gateway).await {
             return None;
         }
-        let path = plan_path(gateway, call, None).ok()?;
+        let path = match plan_path(gateway, call, None) {
+            Ok(path) => path,
+            // A silent engine may still go on, if the others refuse the stream.
+            Err(_) if call.readmit_silent() => continue,
+            Err(_) => return None,
+        };
         if !check_versions(gateway, call, &path).await {
             continue;
         }
--- a/crates/gateway/src/generation/send.rs
+++ b/crates/gateway/src/generation/send.rs
@@ -4,7 +4,7 @@
 use super::free_cache::free_cache;
 use super::generate::{Started, milliseconds, record_prompt_read};
 use super::hedge::{FirstEvent, send_first};
-use super::plan::{EnginePath, EngineStep, plan_path};
+use super::plan::{EnginePath, EngineStep, has_path, plan_path};
 use crate::attempt::{SendError, SendTarget, read_whole, send};
 use crate::connections::ConnectionReuse;
 use crate::relay;
@@ -239,9 +239,10 @@
         deadline: call.deadline,
     };
     // Reading a prompt has no effect, so that it may be done again for any request.
+    let has_path = || has_path(gateway, call, &engine.id);
     let given_up = async {
         tokio::select! {
-            () = call.retry_due(gateway, &engine, deadline) => {}
+            () = call.retry_due(gateway, deadline, has_path) => {}
             () = call.relay_due(gateway, false) => {}
         }
     };
--- a/crates/gateway/src/hedged_send.rs
+++ b/crates/gateway/src/hedged_send.rs
@@ -88,7 +88,8 @@
         connect_by: deadline,
         deadline: call.deadline,
     };
-    let given_up = call.retry_due(gateway, endpoint, deadline);
+    let has_alternative = || gateway.has_alternative(call, &endpoint.id);
+    let given_up = call.retry_due(gateway, deadline, has_alternative);
     send(gateway, target, &call.request, &parameters, given_up).await
 }
 
--- a/crates/gateway/src/serving_call/limits.rs
+++ b/crates/gateway/src/serving_call/limits.rs
@@ -4,6 +4,7 @@
 use crate::attempt::SendError;
 use crate::state::Gateway;
 use crate::take_over::RelayEnd;
+use catalogue::id::EndpointId;
 use decide::serving::endpoint_list::ListedEndpoint;
 use decide::serving::notice::PauseStep;
 use decide::serving::route::RetryRule;
@@ -164,11 +165,16 @@
         }
     }
 
-    /// Waits until a time, and on until the retry limits allow a retry and another endpoint than the silent one accepts
+    /// Waits until a time, and on until the retry limits allow a retry and something else than the silent endpoint accepts
     /// the request, or its deadline passes
-    pub async fn retry_due(&self, gateway: &Gateway, silent: &ListedEndpoint, retry_at: Instant) {
+    pub async fn retry_due(
+        &self,
+        gateway: &Gateway,
+        retry_at: Instant,
+        has_alternative: impl Fn() -> bool,
+    ) {
         sleep_until(retry_at).await;
-        let may_retry = || gateway.has_alternative(self, silent) && self.try_hold_retry(gateway);
+        let may_retry = || has_alternative() && self.try_hold_retry(gateway);
         while Instant::now() < self.deadline && !may_retry() {
             sleep_until(self.deadline.min(Instant::now() + RETRY_CHECK_INTERVAL)).await;
         }
@@ -184,23 +190,38 @@
 }
 
 impl Gateway {
-    /// Whether an endpoint that the request hasn't been sent to accepts it now
-    fn has_alternative(&self, call: &ServingCall, endpoint: &ListedEndpoint) -> bool {
-        let now = std::time::Instant::now();
-        let share = self.connection_share(&call.pool);
+    /// Endpoints that accept a request now and that it hasn't been sent to, this silent one among them
+    pub fn alternatives(&self, call: &ServingCall, silent: &EndpointId) -> Vec<ListedEndpoint> {
         let (running, hedge) = (call.running.borrow(), call.hedge.borrow());
-        let current = [Some(endpoint), running.as_ref().map(|it| &it.endpoint), hedge.as_ref()];
-        let is_alternative = |it: &ListedEndpoint| {
-            let is_current = current.iter().flatten().any(|current| current.id == it.id);
-            let is_tried = is_current || call.excluded.contains(&it.id);
-            !is_tried && call.fits(it) && self.connections.has_capacity(it, share)
+        let current = [running.as_ref().map(|it| &it.endpoint), hedge.as_ref()];
+        let is_current = |id: &EndpointId| {
+            id == silent || current.iter().flatten().any(|current| current.id == *id)
         };
-        let list = self.endpoints.borrow();
-        list.ready(now).any(|it| is_alternative(it) && self.accepts(it))
+        let mut endpoints = self.usable_endpoints(call);
+        endpoints.retain(|it| {
+            !is_current(&it.id) && !call.excluded.contains(&it.id) && self.accepts(it)
+        });
+        endpoints
+    }
+
+    /// Whether another endpoint of a plain service than a silent one accepts a request now
+    pub fn has_alternative(&self, call: &ServingCall, silent: &EndpointId) -> bool {
+        !self.alternatives(call, silent).is_empty()
     }
 
     /// Endpoints that accept a request now
     pub fn ready_endpoints(&self, call: &ServingCall) -> Vec<ListedEndpoint> {
+        let mut usable = self.usable_endpoints(call);
+        let mut limits = self.limits.borrow_mut();
+        if !limits.is_empty() {
+            let now = std::time::Instant::now();
+            usable.retain(|it| limits.admits(it, rand::random(), now));
+        }
+        usable
+    }
+
+    /// The same whatever their limits
+    fn usable_endpoints(&self, call: &ServingCall) -> Vec<ListedEndpoint> {
         let (pool, rule) = (&call.pool, call.route.retry_rule);
         let now = std::time::Instant::now();
         let list = self.endpoints.borrow();
@@ -223,10 +244,6 @@
         }
         let share = self.connection_share(pool);
         usable.retain(|it| self.connections.has_capacity(it, share));
-        let mut limits = self.limits.borrow_mut();
-        if !limits.is_empty() {
-            usable.retain(|it| limits.admits(it, rand::random(), now));
-        }
         usable
     }
 }
--- a/crates/gateway/tests/gateway/silent_endpoints.rs
+++ b/crates/gateway/tests/gateway/silent_endpoints.rs
@@ -1,8 +1,10 @@
 //! Silent endpoints: a request leaves one only for another that takes it, and within the limits of retries.
 
 use crate::client::RawClient;
-use crate::deployment::{Deployment, config, get_path};
-use crate::endpoint::{Arrival, FakeEndpoint, Step, answer, not_run};
+use crate::deployment::{Deployment, config, generation_with, get_path, list, stage_of};
+use crate::endpoint::{
+    Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, not_run, stream_head,
+};
 use googletest::prelude::*;
 use indexmap::{IndexMap, IndexSet};
 use std::sync::{Arc, Mutex};
@@ -21,6 +23,8 @@
     request_waits_while_the_only_other_endpoint_is_down => beside_one_that_is_down(),
     // Guards against a request that leaves a silent endpoint for one that refuses it, and fails with its attempts used up.
     requests_go_back_to_a_silent_endpoint_if_the_other_one_refuses_them => beside_one_that_refuses(),
+    // Guards against a stream that leaves its silent engine for one that the plan then refuses, and fails.
+    stream_waits_for_its_silent_engine_while_the_other_one_is_full => beside_one_that_is_full(),
 }
 
 const ENDPOINTS: usize = 6;
@@ -31,6 +35,8 @@
 /// `budget_ratio` and `retry_slack` of the instance's settings
 const RETRY_RATIO: f64 = 0.2;
 const RETRY_SLACK: f64 = 54.0;
+/// Events of a whole stream
+const EVENTS: usize = 3;
 /// Requests that may exceed their attempts by the users' rule
 const MAX_EXCEEDING: usize = 3;
 
@@ -154,3 +160,68 @@
     }
     verify_that!(statuses, each(eq(&200)))
 }
+
+/// Generation that its client waits for
+fn patient_generation(route: &str, id: &str, tokens: usize) -> String {
+    let request = generation_with(route, id, &[], tokens);
+    request.replace("X-Deadline-Ms: 1500", "X-Deadline-Ms: 9000")
+}
+
+/// Events of a stream from a number on, and its end
+fn rest_of_stream(from: usize) -> Vec<u8> {
+    let events = (from..=EVENTS).map(|it| chunk(&event(it))).collect::<Vec<_>>().concat();
+    [events, STREAM_END.to_vec()].concat()
+}
+
+/// Puts a configuration whose streams may last and pause as those of the users
+async fn configure_streams(deployment: &Deployment) {
+    let mut config = config(2, 9000);
+    for route in config["routes"].as_array_mut().expect("routes") {
+        route["gap_target_ms"] = 120.into();
+    }
+    deployment.store.put("keyed.op", "config", config.to_string().as_bytes());
+    deployment.instance.wait_line("event=config_applied version=2 ").await;
+}
+
+/// One engine has long prompts before it; the other one answers after 3 s
+async fn beside_one_that_is_full() -> Result<()> {
+    const QUEUED: usize = 8;
+    let full = FakeEndpoint::start("engine-1", |it| {
+        let mut steps = vec![Step::Write(stream_head(it))];
+        if !it.line.contains("/beat") {
+            return vec![Step::Hang];
+        }
+        for number in 1..80 {
+            steps.extend([
+                Step::Write(chunk(&event(number))),
+                Step::Pause(Duration::from_millis(100)),
+            ]);
+        }
+        steps
+    })
+    .await;
+    let silent = FakeEndpoint::start("engine-2", |it| {
+        let whole = [stream_head(it), rest_of_stream(1)].concat();
+        vec![Step::Pause(Duration::from_secs(3)), Step::Write(whole)]
+    })
+    .await;
+    let deployment = Deployment::start(&[&full]).await;
+    configure_streams(&deployment).await;
+    let mut clients = Vec::new();
+    // Its events show that the instance isn't cut from all engines.
+    let beat = patient_generation("single-streams", "beat", 10).replace("/x ", "/beat ");
+    let queued = (0..QUEUED).map(|it| patient_generation("streams", &format!("q-{it}"), 90_000));
+    for request in std::iter::once(beat).chain(queued) {
+        let mut client = RawClient::connect(deployment.instance.clients).await;
+        client.write(request).await;
+        clients.push(client);
+        sleep(Duration::from_millis(20)).await;
+    }
+    list(&deployment.store, &silent, "ready", stage_of(&silent));
+    deployment.instance.wait_line("engine-2").await;
+    let mut client = RawClient::connect(deployment.instance.clients).await;
+    client.write(patient_generation("resumed", "id-1", 100)).await;
+    let got = client.read().await;
+    verify_that!((got.status, got.is_whole), eq((200, true)))?;
+    verify_that!(silent.arrivals().len(), eq(1))
+}
