Keep a begun stream's silent engine until another one can resume it

Callers of streams saw their answer cut after 5 s of silence, with time left, although nothing could take the stream over.

A stream without an event for 20 pauses of its route was given up whatever came next: also if it may run once only, has used up its attempts, or no engine would take it. Change: an engine that has sent nothing is waited for until the plan accepts another one and the retry limits allow a retry, to the deadline if the stream can't be resumed. Bytes that complete no event still end it. Measured: three of four new cases of silent_endpoints failed before (cut after 5 s) and pass; the fourth, a sound engine that takes the stream up, passed before and does. The 98 cases of silent_endpoints, broken_streams, relayed_streams, stopping_relays, streams and the related ones of slow_readers pass.

--- a/crates/gateway/src/generation/engine_stream.rs
+++ b/crates/gateway/src/generation/engine_stream.rs
@@ -25,6 +25,8 @@
     pub(super) splitter: EventSplitter,
     /// Wait for an event after which the stream is given up; `None` if only the deadline ends it
     pub(super) event_limit: Option<Duration>,
+    /// Whether bytes have come since its last event
+    has_partial: bool,
     /// Instance that relays it; `None` if it comes from the engine
     pub(super) relay: Option<InstanceId>,
 }
@@ -61,7 +63,15 @@
             // What the engine sends is the answer, in whatever order.
             RetryRule::Once | RetryRule::Retryable => EventSplitter::default(),
         };
-        EngineStream { answer, own_time, first_event_at, splitter, event_limit: None, relay: None }
+        EngineStream {
+            answer,
+            own_time,
+            first_event_at,
+            splitter,
+            event_limit: None,
+            has_partial: false,
+            relay: None,
+        }
     }
 
     /// Kind of its body, in which the streams of one answer agree
@@ -90,6 +100,11 @@
         due.map_or(deadline, |it| it.min(deadline))
     }
 
+    /// Whether nothing has come since its last event
+    pub(super) fn is_silent(&self) -> bool {
+        !self.has_partial
+    }
+
     /// Reads the next complete events, or the end
     ///
     /// Bytes that complete no event don't extend the wait `until` the event is due: an engine that sends one now
@@ -118,6 +133,7 @@
                 Some(Ok(frame)) => {
                     let Some(data) = frame.data_ref() else { continue };
                     let events = self.splitter.push(data).map_err(SendError::BadEvents)?;
+                    self.has_partial = events.is_none();
                     if let Some(events) = events {
                         self.answer.work_guard.record_prompt_read();
                         return Ok(StreamItem::Events(events));
--- a/crates/gateway/src/generation/resume.rs
+++ b/crates/gateway/src/generation/resume.rs
@@ -2,7 +2,7 @@
 
 use super::engine_stream::{BodyKind, EngineStream, StreamItem};
 use super::generate::Started;
-use super::plan::{check_versions, plan_path};
+use super::plan::{check_versions, has_path, plan_path};
 use super::send::{StartedAt, relay_stream, start_stream};
 use crate::attempt::SendError;
 use crate::events::StreamPosition;
@@ -12,18 +12,71 @@
 use decide::serving::send_history::RunStatus;
 use decide::serving::stream_origins::stream_key;
 use platform_adapter::answer::promises_not_run;
+use std::pin::pin;
 use std::rc::Rc;
+use tokio::time::Instant;
 
-/// Reads the next item of a stream; while its engine is silent and this instance reaches no endpoint, another instance
-/// is tried, and the stream goes on at whichever answers first
+/// Reads the next item of a stream
 ///
 /// # Errors
-/// Those of the stream. An engine that no other instance replaces is waited for.
+/// Those of the stream. A silent engine is waited for unless another one can resume the stream.
 pub(super) async fn next_item(
     gateway: &Rc<Gateway>,
     call: &mut ServingCall,
     stream: &mut EngineStream,
     kind: &BodyKind,
+) -> Result<StreamItem, SendError> {
+    let item = next_in_time(gateway, call, stream, kind).await;
+    if !is_overdue(call, stream, &item) {
+        return item;
+    }
+    let call = &*call;
+    let mut resume_due = pin!(resume_due(gateway, call, stream.splitter.position().clone()));
+    loop {
+        let until = stream.event_due(call.deadline);
+        let item = tokio::select! {
+            biased;
+            item = stream.next(call.deadline, until) => item,
+            () = resume_due.as_mut() => return Err(SendError::TimedOut),
+        };
+        if !is_overdue(call, stream, &item) {
+            return item;
+        }
+    }
+}
+
+/// Whether a stream is late only since its engine is silent
+fn is_overdue(
+    call: &ServingCall,
+    stream: &EngineStream,
+    item: &Result<StreamItem, SendError>,
+) -> bool {
+    let is_late = matches!(item, Err(SendError::TimedOut)) && Instant::now() < call.deadline;
+    is_late && stream.is_silent()
+}
+
+/// Waits until another engine can resume a begun stream; never ends if none may
+async fn resume_due(gateway: &Gateway, call: &ServingCall, position: StreamPosition) {
+    let may_resume = call.may_resume
+        && call.route.retry_rule == RetryRule::Resumable
+        && position != StreamPosition::Unknown
+        && call.may_send(gateway);
+    match call.excluded.last().filter(|_| may_resume) {
+        Some(engine) => {
+            let has_path = || has_path(gateway, call, engine);
+            call.retry_due(gateway, Instant::now(), has_path).await;
+        }
+        None => std::future::pending().await,
+    }
+}
+
+/// Reads the next item of a stream until it is due; while its engine is silent and this instance reaches no endpoint,
+/// another instance is tried, and the stream goes on at whichever answers first
+async fn next_in_time(
+    gateway: &Rc<Gateway>,
+    call: &mut ServingCall,
+    stream: &mut EngineStream,
+    kind: &BodyKind,
 ) -> Result<StreamItem, SendError> {
     let once = call.route.retry_rule == RetryRule::Once;
     let (deadline, until) = (call.deadline, stream.event_due(call.deadline));
--- a/crates/gateway/tests/gateway/silent_endpoints.rs
+++ b/crates/gateway/tests/gateway/silent_endpoints.rs
@@ -25,6 +25,12 @@
     requests_go_back_to_a_silent_endpoint_if_the_other_one_refuses_them => beside_one_that_refuses(),
     // Guards against a stream that leaves its silent engine for one that the plan then refuses, and fails.
     stream_waits_for_its_silent_engine_while_the_other_one_is_full => beside_one_that_is_full(),
+    // Guard against a begun stream that is cut since its engine is silent, though nothing can resume it.
+    begun_stream_that_may_run_once_waits_for_its_silent_engine => begun_stream("streams", Beside::Nothing),
+    begun_stream_without_attempts_waits_for_its_silent_engine => begun_stream("single-streams", Beside::SoundEngine),
+    begun_stream_waits_for_the_only_engine => begun_stream("resumed", Beside::Nothing),
+    // Guards against a stream that waits for its silent engine though another one can resume it.
+    begun_stream_leaves_its_silent_engine_for_a_sound_one => begun_stream("resumed", Beside::SoundEngine),
 }
 
 const ENDPOINTS: usize = 6;
@@ -225,3 +231,40 @@
     verify_that!((got.status, got.is_whole), eq((200, true)))?;
     verify_that!(silent.arrivals().len(), eq(1))
 }
+
+/// What there is beside the silent engine of a begun stream
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Beside {
+    Nothing,
+    SoundEngine,
+}
+
+/// The engine of a begun stream is silent for longer than a stream that another engine can resume waits
+async fn begun_stream(route: &'static str, beside: Beside) -> Result<()> {
+    const SILENCE: Duration = Duration::from_millis(6500);
+    let silent = FakeEndpoint::start("engine-1", |it| {
+        let begun = [stream_head(it), chunk(&event(1))].concat();
+        vec![Step::Write(begun), Step::Pause(SILENCE), Step::Write(rest_of_stream(2))]
+    })
+    .await;
+    let sound = FakeEndpoint::start("engine-2", |it| {
+        let from = it.header("last-event-id").map_or(0, |it| it.parse().expect("a number"));
+        vec![Step::Write([stream_head(it), rest_of_stream(from + 1)].concat())]
+    })
+    .await;
+    let deployment = Deployment::start(&[&silent]).await;
+    configure_streams(&deployment).await;
+    let mut client = RawClient::connect(deployment.instance.clients).await;
+    let started_at = Instant::now();
+    client.write(patient_generation(route, "id-1", 100)).await;
+    if beside == Beside::SoundEngine {
+        sleep(Duration::from_millis(500)).await;
+        list(&deployment.store, &sound, "ready", stage_of(&sound));
+    }
+    let got = client.read().await;
+    let events = (1..=EVENTS).map(event).collect::<String>();
+    verify_that!((got.status, got.is_whole, &got.body), eq((200, true, &events)))?;
+    let is_resumed = route == "resumed" && beside == Beside::SoundEngine;
+    verify_that!(sound.arrivals().len(), eq(usize::from(is_resumed)))?;
+    verify_that!(started_at.elapsed() < SILENCE, eq(is_resumed))
+}
