Test HTTP/2 frames without content and without end

Cause: the report of bytes without end had no test for empty DATA frames to the product's own server. Change: a test that sends them until the connection ends.

--- a/crates/persimmonlift/tests/bad_input.rs
+++ b/crates/persimmonlift/tests/bad_input.rs
@@ -178,6 +178,45 @@
     Ok(())
 }
 
+/// Sends a request's head with HTTP/2 and then frames of its body that have no content, until the connection ends
+async fn check_endless_empty_frames() -> Result<()> {
+    const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+    const HEADERS: u8 = 1;
+    const SETTINGS: u8 = 4;
+    const END_OF_HEADERS: u8 = 4;
+    const EMPTY_DATA: [u8; 9] = [0, 0, 0, 0, 0, 0, 0, 0, 1];
+    const FRAMES: usize = 4096;
+    const PARTS: usize = 120;
+    let fleet = FleetSettings::of(DeploymentKind::Trust);
+    let deployment = Deployment::start_with(1, fleet, |it| it.timeouts.body_ms = 20_000).await?;
+    let mut stream =
+        TcpStream::connect(deployment.instances[0].caller_address()).await.or_fail()?;
+    // POST and http of the static table, then literal values of its names path, authority and authorization.
+    let mut fields = vec![0x83, 0x86];
+    let key = format!("Bearer {KEY}");
+    for (name, value) in [(&[0x04][..], COMPLETIONS), (&[0x01], "x"), (&[0x0f, 0x08], &key)] {
+        fields.extend_from_slice(name);
+        fields.push(value.len() as u8);
+        fields.extend_from_slice(value.as_bytes());
+    }
+    let settings = [0, 0, 0, SETTINGS, 0, 0, 0, 0, 0];
+    let headers = [0, 0, fields.len() as u8, HEADERS, END_OF_HEADERS, 0, 0, 0, 1];
+    let head = [PREFACE, &settings, &headers, &fields].concat();
+    stream.write_all(&head).await.or_fail()?;
+    let part = EMPTY_DATA.repeat(FRAMES);
+    let mut answer = Vec::new();
+    let sending = async {
+        for _ in 0..PARTS {
+            if stream.write_all(&part).await.is_err() {
+                break;
+            }
+        }
+        let _ = stream.read_to_end(&mut answer).await;
+    };
+    tokio::time::timeout(Duration::from_secs(5), sending).await.or_fail()?;
+    check_nothing_ran(&deployment)
+}
+
 async fn check_slow_body() -> Result<()> {
     let head = raw_head("content-length: 100\r\n");
     check_raw(&[head.as_bytes(), b"{\"model\""], "HTTP/1.1 408", "body_too_slow").await
@@ -275,6 +314,8 @@
     chunk_size_without_end => check_endless_chunk_size(),
     // Guards against a bound on framing that large bodies with HTTP/2 exceed before they are read.
     large_bodies_with_http2 => check_large_http2_bodies(),
+    // Guards against frames of HTTP/2 without content and without end, which no limit on bodies counts.
+    empty_http2_frames_without_end => check_endless_empty_frames(),
     body_too_slow => check_slow_body(),
     head_too_slow => check_slow_head(),
     head_malformed => check_bad_head(),
