Tests: give each instance of a run an address and settings of its own

Cause: the number of an instance's address had 8 bits. A whole run starts more instances than that, so an instance could get the address of one that still ran, and not listen; and an instance that ended removed the settings of another one. Two listed tests of rate_limits failed once with a port in use on their own address; another run was taken for the cause, but the addresses of two runs differ by the process id. Change: 4,096 addresses for each test binary, and a test that they differ. It was not run on the code before, where 2,000 instances share 256 addresses by construction. That the two listed failures were of this kind is likely and not shown, since their run is gone: they stay listed.

--- a/crates/gateway/tests/gateway/process.rs
+++ b/crates/gateway/tests/gateway/process.rs
@@ -1,5 +1,7 @@
 //! Runs an instance as a process.
 
+use googletest::prelude::*;
+use std::collections::HashSet;
 use std::ffi::{OsStr, OsString};
 use std::fs::OpenOptions;
 use std::io::{BufRead, BufReader, Write};
@@ -7,9 +9,10 @@
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use testcases::cases;
 
 /// Timeout for the start of an instance and other events.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
@@ -23,7 +26,9 @@
 /// Environment variable with the path of an earlier build, for runs by hand.
 const EARLIER_BUILD_VARIABLE: &str = "SOAK_EARLIER_BUILD";
 
-static NEXT_ADDRESS: AtomicU8 = AtomicU8::new(1);
+/// Addresses of a test binary; a whole run starts some hundreds of instances.
+const ADDRESSES: u32 = 4096;
+static NEXT_ADDRESS: AtomicU32 = AtomicU32::new(1);
 
 /// Id of a process.
 pub type ProcessId = u32;
@@ -94,25 +99,25 @@
 
     /// Starts an instance of this size without waiting
     pub fn launch_sized(store: SocketAddr, name: &str, size: InstanceSize) -> Instance {
-        let (last, settings) = next_settings();
-        std::fs::write(&settings, settings_text(&own_address(last), store, name, size))
+        let (number, settings) = next_settings();
+        std::fs::write(&settings, settings_text(&own_address(number), store, name, size))
             .expect("temporary directory");
-        Instance::spawn(last, settings)
+        Instance::spawn(number, settings)
     }
 
     /// Starts an instance that waits for its settings until they are written
     pub fn launch_reading(store: SocketAddr, name: &str) -> (Instance, PendingSettings) {
-        let (last, path) = next_settings();
+        let (number, path) = next_settings();
         let status = Command::new("mkfifo").arg(&path).status().expect("mkfifo runs");
         assert!(status.success(), "no pipe at {path:?}");
-        let text = settings_text(&own_address(last), store, name, InstanceSize::default());
-        (Instance::spawn(last, path.clone()), PendingSettings { path, text })
+        let text = settings_text(&own_address(number), store, name, InstanceSize::default());
+        (Instance::spawn(number, path.clone()), PendingSettings { path, text })
     }
 
-    fn spawn(last: u8, settings: PathBuf) -> Instance {
-        let ip = own_address(last);
+    fn spawn(number: u32, settings: PathBuf) -> Instance {
+        let ip = own_address(number);
         // Every other instance may run an earlier build.
-        let earlier = std::env::var_os(EARLIER_BUILD_VARIABLE).filter(|_| last.is_multiple_of(2));
+        let earlier = std::env::var_os(EARLIER_BUILD_VARIABLE).filter(|_| number.is_multiple_of(2));
         let build = earlier.unwrap_or_else(|| env!("CARGO_BIN_EXE_persimmonlift-gateway").into());
         let (child, lines) = spawn(&build, &settings);
         let address = |port| SocketAddr::new(ip.parse().expect("an address"), port);
@@ -257,23 +262,26 @@
 
 /// Settings of an instance that runs in the process of the tests
 pub fn local_settings(store: SocketAddr) -> String {
-    let last = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
-    settings_text(&own_address(last), store, "instance-1", InstanceSize::default())
+    let number = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
+    settings_text(&own_address(number), store, "instance-1", InstanceSize::default())
 }
 
 /// Number of the next instance's address, and the path of its settings
-fn next_settings() -> (u8, PathBuf) {
-    let last = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
+fn next_settings() -> (u32, PathBuf) {
+    let number = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
     let pid = std::process::id();
-    (last, std::env::temp_dir().join(format!("persimmonlift-{pid}-{last}.toml")))
+    (number, std::env::temp_dir().join(format!("persimmonlift-{pid}-{number}.toml")))
 }
 
 /// Address of an instance
 ///
-/// Each instance needs its own, since the metrics port is fixed. The process id keeps parallel test binaries apart.
-fn own_address(last: u8) -> String {
-    let pid = std::process::id();
-    format!("127.{}.{}.{last}", 1 + (pid >> 8) % 254, pid % 256)
+/// Each instance needs its own, since the metrics port is fixed. The process id keeps parallel test binaries apart;
+/// 127.0.0.0/16 is left to clients.
+fn own_address(number: u32) -> String {
+    let block = 16 + std::process::id() % 4080;
+    let host = block * ADDRESSES + number % ADDRESSES;
+    let [_, second, third, last] = host.to_be_bytes();
+    format!("127.{second}.{third}.{last}")
 }
 
 impl Drop for Instance {
@@ -353,3 +361,16 @@
 "#
     )
 }
+
+cases! {
+    // Guards against an instance that can't listen, or loses its settings, since an earlier one of the run has the same address.
+    instances_of_a_run_have_addresses_of_their_own => distinct_addresses(),
+}
+
+fn distinct_addresses() -> Result<()> {
+    const INSTANCES: usize = 2000;
+    let settings = (0..INSTANCES).map(|_| next_settings()).collect::<Vec<_>>();
+    let addresses = settings.iter().map(|it| own_address(it.0)).collect::<HashSet<_>>();
+    let paths = settings.iter().map(|it| &it.1).collect::<HashSet<_>>();
+    verify_that!((addresses.len(), paths.len()), eq((INSTANCES, INSTANCES)))
+}
