Tests: say which requests beside a flood weren't served, and why

Change: each request that isn't served is shown with its status, its time, when the service got it, and its log lines.

--- a/crates/gateway/tests/gateway/flood.rs
+++ b/crates/gateway/tests/gateway/flood.rs
@@ -158,13 +158,17 @@
     let flooded = flooded.collect::<Vec<_>>();
     let sound = (0..SOUND_CLIENTS).map(|client| {
         tokio::spawn(async move {
-            let mut served = 0;
+            let mut unserved = Vec::new();
             for number in 0..LOOKUPS_OF_EACH {
-                let got = call(clients, get("lookups", &format!("sound-{client}-{number}"))).await;
-                served += usize::from(got.status == 200 && got.is_whole);
+                let id = format!("sound-{client}-{number}");
+                let started_at = Instant::now();
+                let got = call(clients, get("lookups", &id)).await;
+                if (got.status, got.is_whole) != (200, true) {
+                    unserved.push((id, got.status, started_at, started_at.elapsed()));
+                }
                 sleep(LOOKUP_PAUSE).await;
             }
-            served
+            unserved
         })
     });
     let sound = sound.collect::<Vec<_>>();
@@ -175,11 +179,20 @@
         sleep(QUOTA_PERIOD).await;
     }
     flooded.iter().for_each(tokio::task::JoinHandle::abort);
-    let mut served = 0;
+    let mut unserved = Vec::new();
     for client in sound {
-        served += client.await?;
+        unserved.extend(client.await?);
     }
-    verify_that!(served, eq(SOUND_CLIENTS * LOOKUPS_OF_EACH))
+    let arrivals = service.arrivals();
+    let lines = deployment.instance.lines();
+    let described = unserved.iter().map(|(id, status, started_at, took)| {
+        let arrival = arrivals.iter().find(|it| it.header("x-request-id") == Some(id));
+        let arrived_after = arrival.map(|it| it.at.saturating_duration_since(*started_at));
+        let name = format!("id={id} ");
+        let lines = lines.iter().filter(|it| it.contains(&name)).collect::<Vec<_>>();
+        format!("{name}status={status} took={took:?} arrived_after={arrived_after:?} {lines:#?}")
+    });
+    verify_that!(described.collect::<Vec<_>>(), is_empty())
 }
 
 /// Head of an entry in chunks
