--- a/crates/gateway/src/generation/resume.rs
+++ b/crates/gateway/src/generation/resume.rs
@@ -45,7 +45,7 @@
     }
 }
 
-/// Whether a stream is late only since its engine is silent
+/// Whether a stream's next item is late, before the deadline, since its engine is silent
 fn is_overdue(
     call: &ServingCall,
     stream: &EngineStream,
--- a/crates/gateway/src/serving_call/limits.rs
+++ b/crates/gateway/src/serving_call/limits.rs
@@ -190,7 +190,7 @@
 }
 
 impl Gateway {
-    /// Endpoints that accept a request now and that it hasn't been sent to, this silent one among them
+    /// Endpoints that accept a request now, without those that it was sent to and the silent one that it waits at
     pub fn alternatives(&self, call: &ServingCall, silent: &EndpointId) -> Vec<ListedEndpoint> {
         let (running, hedge) = (call.running.borrow(), call.hedge.borrow());
         let current = [running.as_ref().map(|it| &it.endpoint), hedge.as_ref()];
@@ -220,7 +220,7 @@
         usable
     }
 
-    /// The same whatever their limits
+    /// Endpoints that accept a request now, whatever their limits
     fn usable_endpoints(&self, call: &ServingCall) -> Vec<ListedEndpoint> {
         let (pool, rule) = (&call.pool, call.route.retry_rule);
         let now = std::time::Instant::now();
