Tests: send signals without a process of their own

Cause: each signal of a test started kill and waited for it in the thread that also runs the test's endpoints and clients. The test of floods at a quarter of a core does that twenty times a second; beside load its service saw requests 1.45 s late (listed). Change: the signal is sent by the system call. Measured: not yet whether the listed test still fails beside load; its entry stays.

--- a/crates/gateway/tests/gateway/process.rs
+++ b/crates/gateway/tests/gateway/process.rs
@@ -1,6 +1,7 @@
 //! Runs an instance as a process.
 
 use googletest::prelude::*;
+use rustix::process::{Pid, Signal, kill_process};
 use std::collections::HashSet;
 use std::ffi::{OsStr, OsString};
 use std::fs::OpenOptions;
@@ -205,19 +206,17 @@
 
     /// Sends a signal by its name
     pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let signal = format!("-{name}");
-        let status = Command::new("kill").args([&signal, &id]).status().expect("kill runs");
-        assert!(status.success(), "process {id} is gone");
+        let sent = kill_process(Pid::from_child(&self.child), signal_of(name));
+        assert!(sent.is_ok(), "process {} is gone", self.child.id());
     }
 
     /// Pauses the process for some time without waiting; it may have ended by then
     pub fn pause(&self, time: Duration) {
         self.signal("STOP");
-        let id = self.child.id().to_string();
+        let id = Pid::from_child(&self.child);
         tokio::spawn(async move {
             tokio::time::sleep(time).await;
-            let _ = Command::new("kill").args(["-CONT", &id]).stderr(Stdio::null()).status();
+            let _ = kill_process(id, Signal::CONT);
         });
     }
 
@@ -266,6 +265,18 @@
     settings_text(&own_address(number), store, "instance-1", InstanceSize::default())
 }
 
+fn signal_of(name: &str) -> Signal {
+    match name {
+        "TERM" => Signal::TERM,
+        "INT" => Signal::INT,
+        "HUP" => Signal::HUP,
+        "KILL" => Signal::KILL,
+        "STOP" => Signal::STOP,
+        "CONT" => Signal::CONT,
+        other => panic!("no signal {other}"),
+    }
+}
+
 /// Number of the next instance's address, and the path of its settings
 fn next_settings() -> (u32, PathBuf) {
     let number = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
