Add review case 7: engines that leave get requests after a hand-over of the reads

Cause: an instance that failed to read the store in an outage, and is told of changes by another one since, begins the grace of that outage only when it takes over the reads. Each gateway of the scripts has an address of its own at the store. No code of the project is changed.

--- a/review/7/run.py
+++ b/review/7/run.py
@@ -1,4 +1,4 @@
-"""An engine drains while prompts are read elsewhere; the gateways still send the generations to it."""
+"""The store is away for some seconds; later the gateway that reads it is cut from it as an engine leaves."""
 
 import asyncio
 import itertools
@@ -14,96 +14,100 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 DRAIN_S = 2.0  # bounds.drain_ms
-READ_S = 0.4  # time of a prefill engine for one prompt; it reads one after the other
-EXIT_S = 1.0  # how much longer than drain_ms the leaving engine serves
-REQUESTS = 32
-PIECES, PAUSE_S = 40, 0.03
+AWAY_S = (4.5, 4.3, 4.1, 3.9)  # platform_down
+CALM_S = 6.0  # from the end of the outage to the cut; contact_ms is 3,000
+CUT_S = 5.5  # core_cut
+SERVED_S = 3.0  # how long the leaving engine still serves: drain_ms and a little longer
 
 
 async def main():
-    lab = Lab(FOLDER, gateways=2)
-    handles = itertools.count(1)
-    late, broken_off = [], []
+    lab = Lab(FOLDER, gateways=7)
+    late, gone = [], {}
 
-    async def prefill(request):
-        async with busy[request.engine.id]:
-            if request.is_left():
-                return
-            await asyncio.sleep(READ_S)
-        body = b'{"kv_handle":"%012x","tokens":9190,"version":1}' % next(handles)
-        request.note("prompt is read")
-        await request.answer(200, body, {"Content-Type": "application/json"}, signed=False)
-
-    async def decode(request):
+    async def serve(request):
         engine = request.engine
-        after = "" if engine.acked_at is None else f", {request.at - engine.acked_at:.3f} s after the acknowledgement"
-        request.note(f"runs it{after}")
-        if engine.acked_at is not None and request.at - engine.acked_at > DRAIN_S:
-            late.append(request.id)
-        await request.start_stream()
-        for number in range(1, PIECES + 1):
-            await asyncio.sleep(PAUSE_S)
-            await request.event(number)
-        await request.end_stream()
-        request.note("its stream is whole")
+        if engine.id in gone:
+            after = request.at - gone[engine.id]
+            if after > DRAIN_S:
+                late.append((round(after, 3), request.id))
+                request.note(f"arrives {after:.3f} s after the store has acknowledged the end of its entry")
+        await asyncio.sleep(0.05)
+        await request.answer(200, b"x" * 800)
 
-    lab.service("llm", engine={"slots": 16, "kv_tokens": 2000000, "kv_token_bytes": 18432,
-                               "bandwidth_mbps": 960000.0, "handle_ttl_s": 5.0, "models": [{"name": "m"}]})
-    lab.route("draft", "stream", "llm", 15000, 1500, attempts=1, sticky=True, resumable=False, gap_target_ms=200)
-    readers = [Engine(lab, "llm", prefill, stage="prefill", slots=16) for _ in range(2)]
-    busy = {engine.id: asyncio.Lock() for engine in readers}
-    engines = [Engine(lab, "llm", decode, stage="decode", slots=16) for _ in range(2)]
-    lab.engines = [*readers, *engines]
+    lab.service("register", max_conns=200)
+    lab.route("entry", "non_idempotent", "register", 4000, 300)
+    lab.engines = [Engine(lab, "register", serve, slots=16) for _ in range(4)]
     await lab.start()
-    # The machines are in touch once they have run for contact_ms.
-    await asyncio.sleep(3.5)
-    try:
-        async def ask(index):
-            headers = {"X-Model": "m", "X-Token-Count": "9190,80", "X-Prompt-Prefix": f"5c1e07a2:6300,{0x1000 + index:x}:2890"}
-            return await lab.request(lab.gateways[index % 2], "/draft/a", body=b"p" * 220, headers=headers,
-                                     deadline_ms=15000)
+    stopped, answers = asyncio.Event(), []
 
-        async def replace(engine):
-            # As in a release: the new engine starts first, the old one drains, serves for drain_ms and a little longer.
-            newer = Engine(lab, "llm", decode, stage="decode", slots=16)
+    async def client(number):
+        for index in itertools.count():
+            if stopped.is_set():
+                return
+            gateway = lab.gateways[(number + index) % len(lab.gateways)]
+            answer = await lab.request(gateway, "/entry/a", body=b"%d-%d" % (number, index), note=False)
+            answers.append(answer.status)
+            await asyncio.sleep(0.05)
+
+    clients = [asyncio.create_task(client(number)) for number in range(21)]
+    reader = lab.gateways[0]  # the first by processor power and name
+    rounds = 0
+    try:
+        await asyncio.sleep(4)
+        for away in AWAY_S:
+            rounds += 1
+            if TROUBLE:
+                lab.record.write("the store is away: it refuses all calls")
+                lab.store.refuses = lambda gateway: True
+                await asyncio.sleep(away)
+                lab.store.refuses = lambda gateway: False
+                lab.record.write("the store is back")
+            await asyncio.sleep(CALM_S)
+            if TROUBLE:
+                lab.record.write(f"{reader.name} is cut from the store")
+                lab.store.is_away = lambda gateway: gateway == reader.name
+            await asyncio.sleep(0.6)
+            # An engine that never reports `draining`: its entry is removed, and it serves on for the same time.
+            old = lab.engines[rounds - 1]
+            newer = Engine(lab, "register", serve, slots=16)
             lab.engines.append(newer)
             await newer.start()
-            await engine.drain()
-            await asyncio.sleep(DRAIN_S + EXIT_S)
-            await engine.unlist()
-            await engine.end()
-            lab.record.write(f"{engine.id} has ended")
-
-        asked = [asyncio.create_task(ask(index)) for index in range(REQUESTS)]
-        leaving = None
-        if TROUBLE:
-            await asyncio.sleep(0.1)
-            leaving = asyncio.create_task(replace(engines[0]))
-        answers = await asyncio.gather(*asked)
-        if leaving is not None:
-            await leaving
-        broken_off = [it for it in answers if it.status == 200 and not it.is_whole]
-        whole = sum(1 for it in answers if it.status == 200 and it.is_whole)
-        lab.record.write(f"{REQUESTS} requests: {whole} whole streams, {len(broken_off)} broken off midway, "
-                         f"{len(late)} sent to the leaving engine later than drain_ms after the acknowledgement")
+            await old.unlist()
+            gone[old.id] = time.monotonic()
+            lab.record.write(f"store acknowledges that the entry of {old.id} is removed")
+            await asyncio.sleep(SERVED_S)
+            await old.end()
+            lab.record.write(f"{old.id} has ended")
+            await asyncio.sleep(CUT_S - 0.6 - SERVED_S)
+            lab.store.is_away = lambda gateway: False
+            if late:
+                break
+            await asyncio.sleep(2)
+        stopped.set()
+        await asyncio.wait(clients, timeout=6)
     finally:
+        for task in clients:
+            task.cancel()
         if os.environ.get("KEEP_LOGS"):
             lab.keep_logs(os.environ["KEEP_LOGS"])
         await lab.stop()
+    latest = max(late, default=(0,))[0]
+    summary = (f"{len(answers)} requests, {answers.count(200)} served, in {rounds} rounds; {len(late)} reached an engine "
+               f"later than {DRAIN_S} s after the acknowledgement that it is gone, the last one after {latest} s")
+    lab.record.write(summary)
     if late:
-        print(f"DRAIN: {len(late)} requests reached an engine later than {DRAIN_S} s after the acknowledgement that it is "
-              f"draining; {len(broken_off)} streams broke off with it")
+        print(f"DRAIN: {summary}")
         return 1
-    if not TROUBLE and whole < REQUESTS:
-        print(f"couldn't run: only {whole} of {REQUESTS} streams are whole without any trouble")
+    if not TROUBLE and answers.count(200) < len(answers) * 0.99:
+        print(f"couldn't run: {summary}")
         return 2
-    print("held")
+    print(f"held: {summary}")
     return 0
 
 
 if __name__ == "__main__":
     try:
-        CODE = asyncio.run(asyncio.wait_for(main(), 110))
+        CODE = asyncio.run(asyncio.wait_for(main(), 112))
     except Exception:  # the case could not run
         traceback.print_exc()
         CODE = 2
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: no engine leaves.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: the store is never away, and no gateway is cut from it.
 cd "$(dirname "$0")" || exit 2
 exec python3 run.py
--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -128,15 +128,26 @@
             writer.transport.abort()
 
 
-class Store(Server):
-    """The platform's store: keyed topics with long polling"""
+class StoreFront(Server):
+    """Address at which one gateway reaches the store"""
 
-    def __init__(self, ip):
+    def __init__(self, store, gateway, ip):
         super().__init__(ip)
+        self.store, self.gateway = store, gateway
+
+    async def serve(self, reader, writer):
+        await self.store.serve_caller(reader, writer, self.gateway.name)
+
+
+class Store:
+    """The platform's store: keyed topics with long polling"""
+
+    def __init__(self):
         self.topics, self.changed = {}, asyncio.Condition()
-        # Seconds that reads of a topic from a caller are held back: function of (caller ip, topic), or None.
-        self.is_away = lambda caller, topic: False
-        self.acked = {}
+        # Whether a gateway's calls get no answer: it is cut from the store.
+        self.is_away = lambda gateway: False
+        # Whether a gateway's calls are answered 503: the store is down, and nothing is done.
+        self.refuses = lambda gateway: False
 
     def records(self, topic):
         return self.topics.setdefault(topic, [])
@@ -149,20 +160,24 @@
             self.changed.notify_all()
         return time.monotonic()
 
-    async def serve(self, reader, writer):
-        caller = writer.get_extra_info("peername")[0]
+    async def serve_caller(self, reader, writer, caller):
         while (message := await read_message(reader)) is not None:
             line, headers = message
             body = await read_body(reader, headers)
-            method, target, _ = line.split(" ")
+            _, target, _ = line.split(" ")
             path, _, query = target.partition("?")
             query = dict(part.split("=", 1) for part in query.split("&") if "=" in part)
             topic = query.get("topic", "")
-            while self.is_away(caller, topic):
-                await asyncio.sleep(0.05)
-            status, kind, answer = await self.call(path, query, topic, body)
-            if self.is_away(caller, topic):
-                await asyncio.sleep(30)
+            if self.refuses(caller):
+                status, kind, answer = 503, "application/json", b"{}"
+            elif self.is_away(caller):
+                return await asyncio.sleep(30)
+            else:
+                status, kind, answer = await self.call(path, query, topic, body)
+            if self.is_away(caller):
+                return await asyncio.sleep(30)
+            if self.refuses(caller):
+                status, kind, answer = 503, "application/json", b"{}"
             writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: {kind}\r\nContent-Length: {len(answer)}\r\n\r\n"
                          .encode() + answer)
             await writer.drain()
@@ -330,6 +345,7 @@
         self.lab, self.index, self.zone = lab, index, zone
         self.name, self.ip, self.memory_mb = f"front-{zone}-{index}", f"{lab.network}.10.{index}", memory_mb
         self.front_port, self.ready_port, self.control_port = (free_port(self.ip) for _ in range(3))
+        self.store_front = StoreFront(lab.store, self, f"{lab.network}.30.{index}")
         self.process, self.starts = None, 0
 
     def settings(self, bootstrap):
@@ -373,7 +389,7 @@
 [bounds]
 {bounds}
 [provider]
-address = "{lab.store.address}"
+address = "{self.store_front.address}"
 form = "log"
 writes_per_s = 400
 reads_per_s = 2000
@@ -441,7 +457,7 @@
         self.bounds, self.zones, self.count = BOUNDS | (bounds or {}), zones, gateways
         self.network = free_network(gateways)
         self.peer_port = 20000 + os.getpid() % 10000
-        self.store = Store(f"{self.network}.30.1")
+        self.store = Store()
         self.gateways = [Gateway(self, index + 1, zones[index % len(zones)], memory_mb)
                          for index in range(gateways)]
         self.engines, self.version, self.request_ids = [], 0, itertools.count(1)
@@ -467,7 +483,8 @@
         self.config["services"].append(service)
 
     async def start(self):
-        await self.store.start()
+        for gateway in self.gateways:
+            await gateway.store_front.start()
         await self.put_config()
         for engine in self.engines:
             await engine.start()
@@ -536,7 +553,7 @@
                 gateway.process.send_signal(signal.SIGCONT)
                 gateway.process.kill()
                 gateway.process.wait()
-        for server in [self.store, *self.engines]:
+        for server in [*(it.store_front for it in self.gateways), *self.engines]:
             if server.server is not None:
                 server.crash()
 
