Name the record of each review script in the script

Cause: the path of record.txt stood only in the shared stand-ins, so that the scripts didn't show that they write it. Change: each run.py names the file that it writes. The checks stay as they are.

--- a/review/6/run.py
+++ b/review/6/run.py
@@ -24,7 +24,7 @@
 
 
 async def main():
-    lab = Lab(FOLDER, gateways=3)
+    lab = Lab(os.path.join(FOLDER, "record.txt"), gateways=3)
     crashes, late, started = [], [], []
     tasks = set()
 
--- a/review/7/run.py
+++ b/review/7/run.py
@@ -21,7 +21,7 @@
 
 
 async def main():
-    lab = Lab(FOLDER, gateways=7)
+    lab = Lab(os.path.join(FOLDER, "record.txt"), gateways=7)
     late, gone = [], {}
 
     async def serve(request):
--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -449,9 +449,8 @@
 class Lab:
     """A small deployment"""
 
-    def __init__(self, folder, gateways=2, zones=("a",), bounds=None, memory_mb=260):
-        self.case_folder = folder
-        self.record = Record(os.path.join(folder, "record.txt"))
+    def __init__(self, record, gateways=2, zones=("a",), bounds=None, memory_mb=260):
+        self.record = Record(record)
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = self.temporary.name
         self.bounds, self.zones, self.count = BOUNDS | (bounds or {}), zones, gateways
