Keep the stand-ins from printing tracebacks at the end of a run

Cause: Python 3.11 prints an error for each connection whose handler ends cancelled, so that scripts with exit code 1 looked as if they had crashed. Change: the handler of the stand-ins' connections ends without an error then.

--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -114,6 +114,8 @@
             await self.serve(reader, writer)
         except (ConnectionError, asyncio.IncompleteReadError, ValueError):
             pass
+        except asyncio.CancelledError:
+            pass  # the end of the run; Python 3.11 prints an error for a handler that ends cancelled
         finally:
             self.writers.discard(writer)
             writer.close()
