End an outage of the store with the first read after it, whoever reads

Cause: a removed entry stays in use for 1.7 s after the store's return, since it may only have expired meanwhile. Each instance began that time with its own first successful read after a failed one. An instance that failed in an outage and then was updated by the one that reads for it doesn't read itself: it kept the failure, and began the time when it took the reads over, long after the return. In the other direction, instances that were updated applied removals without that time, and refused endpoints whose entries had only expired.

Change: an update shows that the store is back, so it ends the outage of its receiver. It states what is left of the reader's grace period, and the receiver keeps removed endpoints for as long. Builds that don't know the field ignore it. store_regained names the reader.

--- a/crates/decide/src/serving/endpoint_list.rs
+++ b/crates/decide/src/serving/endpoint_list.rs
@@ -3,6 +3,7 @@
 //! Each entry carries the offset of its record, and an older record never replaces a
 //! newer one. An entry that disappears while the platform's list is unreachable may only
 //! have expired, so its endpoint stays in use for a grace period after the list recovers.
+//! The period runs from the recovery as the first instance sees it, and is the same for all.
 //!
 //! When the list comes back from a copy, offsets start again and the copy may show what
 //! was true before. Entries carried over from before are then compared by their content:
@@ -208,6 +209,18 @@
         self.grace_until = Some(now + EXPIRY_GRACE);
     }
 
+    /// Time left of the grace period
+    pub fn grace_left(&self, now: Instant) -> Duration {
+        self.grace_until.map_or(Duration::ZERO, |it| it.saturating_duration_since(now))
+    }
+
+    /// Extends the grace period to that of another instance, which has this time left
+    pub fn join_grace_period(&mut self, left: Duration, now: Instant) {
+        if !left.is_zero() {
+            self.grace_until = self.grace_until.max(Some(now + left.min(EXPIRY_GRACE)));
+        }
+    }
+
     /// Endpoint with this id, whether it is ready or not
     pub fn get(&self, id: &EndpointId) -> Option<&ListedEndpoint> {
         self.entries.get(id).and_then(|it| it.endpoint.as_ref())
--- a/crates/decide/tests/serving_state.rs
+++ b/crates/decide/tests/serving_state.rs
@@ -27,6 +27,8 @@
     unusable_record_removes_the_endpoint => unusable_record(),
     removed_endpoint_is_gone_at_once => removed(),
     expired_endpoint_has_a_grace_period => expired(),
+    expired_endpoint_has_the_grace_period_of_another_instance => expired_elsewhere(),
+    grace_period_of_another_instance_only_extends_the_own_one => joined(),
     expired_endpoint_that_is_listed_again_stays => expired_and_listed_again(),
     endpoint_missing_from_a_snapshot_is_removed => missing(),
     entry_newer_than_the_snapshot_stays => newer_than_snapshot(),
@@ -195,6 +197,30 @@
     verify_that!(ids(&list, now).len(), eq(0))
 }
 
+/// Another instance has seen the recovery half of the grace period ago
+fn expired_elsewhere() -> Result<()> {
+    let mut list = EndpointList::default();
+    let now = Instant::now();
+    list.apply("a".into(), listed("a"), 1, now);
+    list.join_grace_period(EXPIRY_GRACE / 2, now);
+    list.apply("a".into(), ListChange::Removed, 2, now);
+    verify_that!(ids(&list, now), eq(&vec!["a"]))?;
+    verify_that!(ids(&list, now + EXPIRY_GRACE / 2).len(), eq(0))
+}
+
+/// The grace period of another instance neither shortens the own one nor exceeds its length
+fn joined() -> Result<()> {
+    let mut list = EndpointList::default();
+    let now = Instant::now();
+    list.join_grace_period(Duration::ZERO, now);
+    verify_that!(list.grace_left(now), eq(Duration::ZERO))?;
+    list.start_grace_period(now);
+    list.join_grace_period(EXPIRY_GRACE / 2, now);
+    verify_that!(list.grace_left(now), eq(EXPIRY_GRACE))?;
+    list.join_grace_period(Duration::from_secs(60), now);
+    verify_that!(list.grace_left(now), eq(EXPIRY_GRACE))
+}
+
 fn expired_and_listed_again() -> Result<()> {
     let mut list = EndpointList::default();
     let now = Instant::now();
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,7 +4,8 @@
 //! short enough to detect an unresponsive connection in time. An instance that
 //! receives updates from another instance doesn't read the store itself, and after a full
 //! read it waits for such updates first. While the store is unavailable, both tasks keep
-//! the last known state.
+//! the last known state. An outage ends with the first read after it, by this instance or by
+//! the one that reads for it: what starts with its end doesn't wait for the next own read.
 
 use crate::boot_clock::boot_time;
 use crate::coverage::{LEADER_WAIT_FRACTION, START_FRACTION};
@@ -57,12 +58,21 @@
 
     /// Records a successful call; `true` if calls had failed before
     pub fn succeeded(&mut self) -> bool {
-        let was_unavailable = self.failures > 0;
-        if was_unavailable {
-            log::info!("event=store_regained topic={} failures={}", self.topic, self.failures);
-            self.failures = 0;
+        self.end_outage("own")
+    }
+
+    /// Records that the instance that reads for this one has succeeded; `true` if own calls had failed before
+    pub fn peer_succeeded(&mut self) -> bool {
+        self.end_outage("peer")
+    }
+
+    fn end_outage(&mut self, reader: &str) -> bool {
+        let failures = std::mem::take(&mut self.failures);
+        if failures > 0 {
+            let topic = self.topic;
+            log::info!("event=store_regained topic={topic} failures={failures} reader={reader}");
         }
-        was_unavailable
+        failures > 0
     }
 
     /// Records a failed call; returns the pause before the next one
@@ -86,7 +96,6 @@
 /// Follows the configuration for the life of the process
 pub async fn follow_config(gateway: Rc<Gateway>) {
     let bound = gateway.settings.config_bound;
-    let mut backoff = StoreBackoff::new(OPERATOR_TOPIC);
     let mut is_started = false;
     // Until a readable one follows, reads without a change don't make the one in force current either.
     let mut is_unreadable = false;
@@ -103,7 +112,7 @@
         let asked_at = boot_time();
         match read_from(&gateway, OPERATOR_TOPIC, position, wait).await {
             Ok((batch, to)) => {
-                backoff.succeeded();
+                gateway.config_backoff.borrow_mut().succeeded();
                 gateway.config_read_at.set(Some(Instant::now()));
                 gateway.record_config_read(to);
                 for record in batch.records.iter().filter(|it| it.key == CONFIG_KEY) {
@@ -132,7 +141,10 @@
                 sleep(FIRST_RETRY_PAUSE).await;
             }
             Err(ReadFailure { error: StoreError::OtherEra, .. }) => sleep(FIRST_RETRY_PAUSE).await,
-            Err(failure) => sleep(backoff.failed(&failure)).await,
+            Err(failure) => {
+                let pause = gateway.config_backoff.borrow_mut().failed(&failure);
+                sleep(pause).await;
+            }
         }
     }
 }
@@ -140,7 +152,6 @@
 /// Follows the endpoint list for the life of the process
 pub async fn follow_endpoints(gateway: Rc<Gateway>) {
     let bound = gateway.settings.drain_bound;
-    let mut backoff = StoreBackoff::new(ENDPOINT_TOPIC);
     let mut is_started = false;
     loop {
         let has_missed = gateway.endpoints_coverage.wait_until_due().await;
@@ -149,7 +160,7 @@
         let position = gateway.endpoints_position();
         match read_from(&gateway, ENDPOINT_TOPIC, position, wait).await {
             Ok((batch, to)) => {
-                let was_unavailable = backoff.succeeded();
+                let was_unavailable = gateway.endpoints_backoff.borrow_mut().succeeded();
                 gateway.endpoints_read_at.set(Some(Instant::now()));
                 gateway.endpoints_known_at.set(Some(boot_time()));
                 apply_endpoints(&gateway, &batch, position.is_none(), was_unavailable);
@@ -168,11 +179,27 @@
                 sleep(FIRST_RETRY_PAUSE).await;
             }
             Err(ReadFailure { error: StoreError::OtherEra, .. }) => sleep(FIRST_RETRY_PAUSE).await,
-            Err(failure) => sleep(backoff.failed(&failure)).await,
+            Err(failure) => {
+                let pause = gateway.endpoints_backoff.borrow_mut().failed(&failure);
+                sleep(pause).await;
+            }
         }
     }
 }
 
+/// Records that the instance that reads for this one has read the store lately
+///
+/// An outage that this one has met ends now, and the grace period of the reader's list is its own as well.
+pub fn record_peer_read(gateway: &Gateway, grace_left: Duration, now: Instant) {
+    gateway.config_backoff.borrow_mut().peer_succeeded();
+    let was_unavailable = gateway.endpoints_backoff.borrow_mut().peer_succeeded();
+    let mut list = gateway.endpoints.borrow_mut();
+    if was_unavailable {
+        list.start_grace_period(now);
+    }
+    list.join_grace_period(grace_left, now);
+}
+
 /// Applies endpoint records that another instance has read
 pub fn apply_endpoint_update(gateway: &Gateway, update: EndpointUpdate) {
     let records = update.records.into_iter().map(|(key, value, offset)| {
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -212,6 +212,10 @@
     pub offers_config: bool,
     /// Endpoint records, possibly none
     pub endpoints: EndpointUpdate,
+    /// Time left in which removed endpoints stay in use, since the store has just become readable again, in
+    /// milliseconds. Encoded after the rest of the message, where builds that don't know it ignore it.
+    #[serde(skip)]
+    pub grace_left_ms: u16,
 }
 
 /// Requests, unread prompt tokens, demand and recent sends at an endpoint.
@@ -307,6 +311,9 @@
     pub fn encode(&self) -> Result<Vec<u8>, bincode::error::EncodeError> {
         let mut bytes = bincode::serde::encode_to_vec(self, bincode::config::standard())?;
         bytes.push(u8::from(self.takes_requests));
+        if let MessageBody::Store(update) = &self.body {
+            bytes.extend(update.grace_left_ms.to_be_bytes());
+        }
         Ok(bytes)
     }
 
@@ -315,8 +322,13 @@
         let config = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
         let (mut message, length): (PeerMessage, _) =
             bincode::serde::decode_from_slice(bytes, config).ok()?;
-        if let Some(takes_requests) = bytes.get(length) {
+        let mut rest = bytes.get(length..).unwrap_or_default();
+        if let Some((takes_requests, after)) = rest.split_first() {
             message.takes_requests = *takes_requests != 0;
+            rest = after;
+        }
+        if let (MessageBody::Store(update), Some(left)) = (&mut message.body, rest.first_chunk()) {
+            update.grace_left_ms = u16::from_be_bytes(*left);
         }
         Some(message).filter(|it| it.version == MESSAGE_VERSION)
     }
--- a/crates/gateway/src/peers/store_updates.rs
+++ b/crates/gateway/src/peers/store_updates.rs
@@ -3,7 +3,7 @@
 use super::PeerExchange;
 use crate::boot_clock::boot_time;
 use crate::coverage::{COVERAGE_FRACTION, LEADER_READ_AGE_FRACTION};
-use crate::follow::{apply_config, apply_endpoint_update};
+use crate::follow::{apply_config, apply_endpoint_update, record_peer_read};
 use crate::messages::{EndpointUpdate, MessageBody, StoreUpdate};
 use crate::packed_config::{ConfigAnnouncement, PackedConfig};
 use crate::state::Gateway;
@@ -49,7 +49,15 @@
         let offers_config = packed.is_some_and(|it| {
             it.version == config_version && it.can_be_sent_to(recipients.len(), &gateway.settings)
         });
-        let update = StoreUpdate { config_version, config_end, config, offers_config, endpoints };
+        let grace_left = gateway.endpoints.borrow().grace_left(now);
+        let update = StoreUpdate {
+            config_version,
+            config_end,
+            config,
+            offers_config,
+            endpoints,
+            grace_left_ms: u16::try_from(grace_left.as_millis()).unwrap_or(u16::MAX),
+        };
         for address in recipients {
             exchange.send(MessageBody::Store(update.clone()), address).await;
         }
@@ -93,6 +101,7 @@
         log::debug!("event=update_outdated sender={sender} era={era}");
         return;
     }
+    record_peer_read(gateway, Duration::from_millis(update.grace_left_ms.into()), now);
     if let Some(config) = &update.config {
         apply_config(gateway, config, "peer");
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,6 +7,7 @@
 use crate::connections::{EndpointConnections, connection_share};
 use crate::coverage::TopicCoverage;
 use crate::duties::DutyState;
+use crate::follow::StoreBackoff;
 use crate::link_evidence::{EndpointLink, EvidenceKind, ReportedLink};
 use crate::memory::MemoryBudget;
 use crate::messages::{EndpointUpdate, FactRepair, PromptRead, ServingUpdate};
@@ -46,7 +47,7 @@
 use indexmap::IndexMap;
 use lru::LruCache;
 use platform_adapter::settings::InstanceSettings;
-use platform_adapter::store::StoreClient;
+use platform_adapter::store::{ENDPOINT_TOPIC, OPERATOR_TOPIC, StoreClient};
 use std::cell::{Cell, RefCell};
 use std::num::NonZeroUsize;
 use std::rc::Rc;
@@ -79,8 +80,12 @@
     pub config_confirmation: RefCell<ConfigConfirmation>,
     /// Whether this instance has to read the configuration itself
     pub config_coverage: TopicCoverage,
+    /// Failed reads of the configuration, until this instance or one that reads for it succeeds
+    pub config_backoff: RefCell<StoreBackoff>,
     /// Endpoints listed in the store
     pub endpoints: RefCell<EndpointList>,
+    /// Failed reads of the endpoints, until this instance or one that reads for it succeeds
+    pub endpoints_backoff: RefCell<StoreBackoff>,
     /// Time of the last successful read of the endpoints
     pub endpoints_read_at: Cell<Option<Instant>>,
     /// Time at which the endpoint list was known to be current, by a read or another instance's update, also counting
@@ -190,7 +195,9 @@
             customer_shares: RefCell::default(),
             previous_customers: RefCell::default(),
             config_confirmation: RefCell::default(),
+            config_backoff: StoreBackoff::new(OPERATOR_TOPIC).into(),
             endpoints: RefCell::default(),
+            endpoints_backoff: StoreBackoff::new(ENDPOINT_TOPIC).into(),
             endpoints_read_at: Cell::default(),
             endpoints_known_at: Cell::default(),
             config_coverage: TopicCoverage::default(),
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod duty_soak;
 mod duty_values;
 mod early_refusals;
+mod ended_outages;
 mod ending_fleet;
 mod endpoint;
 mod era;
--- a/crates/gateway/tests/messages.rs
+++ b/crates/gateway/tests/messages.rs
@@ -7,10 +7,11 @@
 use decide::serving::leader::PeerInstance;
 use decide::serving::load::{EndpointWork, WorkCount};
 use decide::serving::rate_limit::LimitReport;
+use decide::serving::store_era::TopicPosition;
 use decide::serving::stream_origins::StreamOrigin;
 use gateway::messages::{
-    BegunStreams, FactRepair, MAX_MESSAGE_BYTES, MessageBody, PeerMessage, PromptRead,
-    ServingUpdate, WorkScope, work_body,
+    BegunStreams, EndpointUpdate, FactRepair, MAX_MESSAGE_BYTES, MessageBody, PeerMessage,
+    PromptRead, ServingUpdate, StoreUpdate, WorkScope, work_body,
 };
 use gateway::packed_config::StoredConfig;
 use googletest::prelude::*;
@@ -138,10 +139,38 @@
     verify_that!(config.value_in_force(3), some(eq("with keys")))
 }
 
+fn store_message(grace_left_ms: u16) -> PeerMessage {
+    let update = StoreUpdate {
+        config_version: 3,
+        config_end: TopicPosition::default(),
+        config: None,
+        offers_config: false,
+        endpoints: EndpointUpdate::default(),
+        grace_left_ms,
+    };
+    let mut message = work_message();
+    message.body = MessageBody::Store(update);
+    message
+}
+
+/// An earlier build's message ends without the time
+fn check_grace_left() -> Result<()> {
+    let message = store_message(1700);
+    let bytes = message.encode().expect("encodes");
+    verify_that!(PeerMessage::decode(&bytes), some(eq(&message)))?;
+    for missing in 1..=3 {
+        let decoded = PeerMessage::decode(&bytes[..bytes.len() - missing]);
+        verify_that!(decoded, some(eq(&store_message(0))))?;
+    }
+    Ok(())
+}
+
 cases! {
     // Guards against instances of two builds that don't hear each other, or take a silence on relays for a refusal.
     message_of_a_build_without_the_last_field_is_read => check_earlier_build(),
     message_says_whether_requests_are_taken_over => check_takes_requests(),
+    // Guards against the same, and against a grace period that only the instance has that reads for the others.
+    update_states_the_time_left_of_the_grace_period => check_grace_left(),
     // Guards against keys of an earlier configuration that are sent since the one in force has none.
     configuration_that_is_not_in_force_is_not_sent => check_stored_config(),
     begun_streams_take_few_bytes => check_stream_bytes(),
