Keep suspected requests and prompt parts in the store

Cause: strikes are in the memory of the instances only. An instance that starts waits until its facts agree with another one's, which they do at once if all have just started and nobody knows any.

Evidence: after each kill, the strike lines begin again at strikes=1 with source=own, and none has source=repair; so the facts aren't repaired too late, but nowhere.

Change: the instance that reads the store for others keeps a record of each request or part with three strikes or more in a keyed topic, 64 of each at most, and removes it once it no longer holds. Each instance reads the records at its start and isn't ready before, for a second at most. A failed write is repeated; after a return of the store from a copy, the writer compares and writes what is missing. Paths and parts that may have been served before are tried again after 3 to 6 s, as by an instance that has served them. A start costs one more read: the test of the calls at a start counts 6 instead of 5 for each instance.

--- a/crates/decide/src/serving/crash_table.rs
+++ b/crates/decide/src/serving/crash_table.rs
@@ -16,6 +16,7 @@
 
 use super::endpoint_list::IncarnationStart;
 use super::endpoint_list::ListedEndpoint;
+use super::suspects::SuspectStrikes;
 use crate::fingerprint::Fingerprint;
 use catalogue::id::EndpointId;
 use indexmap::IndexMap;
@@ -431,6 +432,30 @@
         self.strikes(fingerprint, scope, now).map(|it| &it.endpoint.id)
     }
 
+    /// Requests or parts with `MAX_STRIKES` or more unexplained strikes in the scope that `scope` returns for each; at
+    /// most `limit`, those with the most strikes
+    pub fn suspects(
+        &self,
+        limit: usize,
+        scope: impl Fn(Fingerprint) -> StrikeScope,
+        now: Instant,
+    ) -> Vec<SuspectStrikes> {
+        let struck = self.entries.iter().filter(|it| it.1.strikes.len() >= MAX_STRIKES);
+        let mut struck = struck.collect::<Vec<_>>();
+        struck.sort_by_key(|(_, entry)| (Reverse(entry.strikes.len()), Reverse(entry.last_at())));
+        struck.truncate(limit);
+        let is_suspected = |fingerprint: Fingerprint| {
+            self.unexplained_strikes(fingerprint, scope(fingerprint), now) >= MAX_STRIKES
+        };
+        let suspected = struck.into_iter().filter(|it| is_suspected(*it.0));
+        let suspects = suspected.map(|(fingerprint, entry)| SuspectStrikes {
+            fingerprint: *fingerprint,
+            strikes: entry.strikes.iter().map(|it| (it.endpoint.clone(), it.at)).collect(),
+            digest: entry.digest(*fingerprint),
+        });
+        suspects.collect()
+    }
+
     /// Drops the entries that no longer count
     pub fn expire(&mut self, now: Instant) {
         self.entries.retain(|_, entry| {
--- a/crates/decide/src/serving/mod.rs
+++ b/crates/decide/src/serving/mod.rs
@@ -36,6 +36,7 @@
 pub mod silence;
 pub mod store_era;
 pub mod stream_origins;
+pub mod suspects;
 pub mod timing;
 pub mod true_time;
 pub mod usage;
--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -29,6 +29,7 @@
         self.send_crash_facts(changes);
         let part_crashes = self.part_suspects.table.borrow_mut().record_alive(endpoint, now);
         if !part_crashes.is_empty() {
+            self.suspects_changed.notify_one();
             let update = ServingUpdate { part_crashes, ..Default::default() };
             self.pending_update.borrow_mut().extend(update);
         }
@@ -66,6 +67,7 @@
 
     fn send_crash_facts(&self, crashes: Vec<CrashFact>) {
         if !crashes.is_empty() {
+            self.suspects_changed.notify_one();
             let update = ServingUpdate { crashes, ..Default::default() };
             self.pending_update.borrow_mut().extend(update);
         }
@@ -115,6 +117,7 @@
         let mut crashes = self.crashes.borrow_mut();
         let is_new = crashes.merge(fact, now);
         if is_new {
+            self.suspects_changed.notify_one();
             let fingerprint = fact.fingerprint;
             let count = |scope| crashes.strike_count(fingerprint, scope, now);
             log::info!(
@@ -138,9 +141,10 @@
     /// Time for which all requests without a body on a path are refused; `None` if they aren't
     ///
     /// A path that was served before is tried again soon: many endpoints that ran it may have ended at once for a
-    /// reason of their own.
+    /// reason of their own. So is one that may have been served, by instances that have all ended.
     pub fn path_refusal_left(&self, path: Fingerprint, now: Instant) -> Option<Duration> {
-        let was_served = self.completed.borrow().contains(&path);
+        let was_served = self.completed.borrow().contains(&path)
+            || self.restored_suspects.borrow().contains(&path);
         let first = if was_served { self.part_suspects.soon() } else { REFUSAL_TIME };
         self.crashes.borrow().refusal_left(path, MAX_STRIKES, first, StrikeScope::Ended, now)
     }
--- a/crates/gateway/src/crash_parts.rs
+++ b/crates/gateway/src/crash_parts.rs
@@ -154,6 +154,9 @@
     pub fn apply_part_fact(&self, fact: &CrashFact, source: &str, now: Instant) -> bool {
         let mut table = self.part_suspects.table.borrow_mut();
         let is_new = table.merge(fact, now);
+        if is_new {
+            self.suspects_changed.notify_one();
+        }
         let strikes = table.strike_count(fact.fingerprint, StrikeScope::Lost, now);
         // Each crash adds strikes to all parts that ran there; most are cleared at once.
         if is_new && strikes >= MAX_STRIKES {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod stop;
 pub mod stream_buffer;
 pub mod stream_origins;
+pub mod suspect_store;
 pub mod take_over;
 pub mod usage;
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -32,6 +32,7 @@
     MAX_MESSAGE_BYTES, MessageBody, PeerMessage, ServingUpdate, WorkScope, received_work, work_body,
 };
 use crate::state::Gateway;
+use crate::suspect_store::keep_suspects;
 use crate::usage::reporting::report_usage;
 use crate::usage::sending::send_counts;
 use catalogue::id::InstanceId;
@@ -106,15 +107,12 @@
     tasks.spawn(store_updates::send_updates(exchange.clone()));
     tasks.spawn(origin_queries::send_queries(exchange.clone()));
     tasks.spawn(presence::ask_silent(exchange.clone()));
+    let reader = exchange.clone();
+    tasks.spawn(keep_suspects(exchange.gateway.clone(), move |now| reader.is_reader(now)));
     if exchange.gateway.settings.duties.is_some() {
         tasks.spawn(duty_updates::send_duties(exchange.clone()));
         let reader = exchange.clone();
-        // Until the others are listed, each instance would take itself for the one that reads.
-        let reads_for_others = move |now| {
-            let is_listed = reader.gateway.load.borrow().listed_instances().is_some();
-            is_listed && reader.reads_for_others(now)
-        };
-        tasks.spawn(hold_lease(exchange.gateway.clone(), reads_for_others));
+        tasks.spawn(hold_lease(exchange.gateway.clone(), move |now| reader.is_reader(now)));
     }
     if exchange.gateway.usage.is_some() {
         let sender = exchange.clone();
@@ -304,6 +302,13 @@
         }
     }
 
+    /// Whether this instance is known to read the store for others; until the others are listed, each would take
+    /// itself for the one that reads
+    fn is_reader(&self, now: Instant) -> bool {
+        let is_listed = self.gateway.load.borrow().listed_instances().is_some();
+        is_listed && self.reads_for_others(now)
+    }
+
     /// Relays work and updates to the members of the zone and to the leaders of other zones
     async fn relay_as_leader(&self, own_update: ServingUpdate, now: Instant) {
         let mut zone_update = own_update;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -44,7 +44,7 @@
 use decide::serving::store_era::{EraTracker, StoreEra, TopicPosition};
 use decide::serving::stream_origins::{ListedVersions, StreamOrigins};
 use decide::serving::timing::{PoolTiming, StageSample};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use lru::LruCache;
 use platform_adapter::settings::InstanceSettings;
 use platform_adapter::store::{ENDPOINT_TOPIC, OPERATOR_TOPIC, StoreClient};
@@ -56,8 +56,8 @@
 
 /// Maximum number of completed requests to remember; about 20 s of the users' load.
 const MAX_COMPLETED_REQUESTS: NonZeroUsize = NonZeroUsize::new(4096).expect("not zero");
-/// Longest time after the start for which an instance that can't read the list of instances, or hears from none of
-/// them, isn't ready.
+/// Longest time after the start for which an instance that can't read the list of instances or the suspected requests,
+/// or hears from no other, isn't ready.
 const MAX_JOIN_WAIT: Duration = Duration::from_secs(1);
 
 /// Shared state of an instance
@@ -127,6 +127,12 @@
     pub crashes: RefCell<CrashTable>,
     /// Prompt parts of requests that ran at engines that crashed
     pub part_suspects: Rc<PartSuspects>,
+    /// Notified when what is known of crashing requests or parts has changed
+    pub suspects_changed: Notify,
+    /// Whether what the store holds of them has been read
+    pub has_read_suspects: Cell<bool>,
+    /// Suspected requests that it held; those that were sound before all instances ended are among them
+    pub restored_suspects: RefCell<IndexSet<Fingerprint>>,
     /// Software versions that streams began at
     pub stream_origins: RefCell<StreamOrigins>,
     /// Software versions that were listed
@@ -219,6 +225,9 @@
             timings: RefCell::default(),
             crashes: RefCell::default(),
             part_suspects: Rc::default(),
+            suspects_changed: Notify::new(),
+            has_read_suspects: Cell::default(),
+            restored_suspects: RefCell::default(),
             stream_origins: RefCell::default(),
             listed_versions: RefCell::default(),
             ended_incarnations: RefCell::default(),
@@ -245,8 +254,8 @@
         }
     }
 
-    /// Whether requests can be served: configuration and endpoints have been read, and the others' facts and number,
-    /// by which limits are shared, are known, unless that takes too long
+    /// Whether requests can be served: configuration and endpoints have been read, and the suspected requests, the
+    /// others' facts and their number, by which limits are shared, are known, unless that takes too long
     pub fn is_ready(&self) -> bool {
         let is_read = self.config.borrow().is_some() && self.endpoints_read_at.get().is_some();
         let has_joined = match self.load.borrow().listed_instances() {
@@ -254,7 +263,8 @@
             Some(1) => true,
             Some(_) => self.has_joined.get(),
         };
-        is_read && (has_joined || self.started_at.elapsed() > MAX_JOIN_WAIT)
+        let is_informed = has_joined && self.has_read_suspects.get();
+        is_read && (is_informed || self.started_at.elapsed() > MAX_JOIN_WAIT)
     }
 
     /// Maximum number of connections of this instance to one endpoint of a pool
--- a/crates/gateway/tests/gateway/crash_evidence.rs
+++ b/crates/gateway/tests/gateway/crash_evidence.rs
@@ -39,7 +39,7 @@
     request_that_living_endpoints_answer_too_late_is_served => silent(false),
 }
 
-const CRASHING: &str = "crashing";
+pub const CRASHING: &str = "crashing";
 const SERVICES: usize = 8;
 /// Time after which the reports of two crashes of one endpoint are of different crashes, with a margin.
 const APART: Duration = Duration::from_millis(2300);
@@ -51,14 +51,14 @@
 const LIST_TIME: Duration = Duration::from_millis(300);
 
 /// Store and services, of which only one is listed as ready at a time
-struct CrashTest {
-    store: FakeStore,
-    services: Vec<FakeEndpoint>,
+pub struct CrashTest {
+    pub store: FakeStore,
+    pub services: Vec<FakeEndpoint>,
     current: usize,
 }
 
 impl CrashTest {
-    async fn start(
+    pub async fn start(
         script: impl Fn(&Arrival) -> Vec<Step> + Copy + Send + Sync + 'static,
     ) -> CrashTest {
         let store = FakeStore::start().await;
@@ -72,20 +72,20 @@
     }
 
     /// Starts an instance that follows the list
-    async fn instance(&self, name: &str) -> Instance {
+    pub async fn instance(&self, name: &str) -> Instance {
         let instance = Instance::start(self.store.address, name).await;
         tokio::time::sleep(JOIN_TIME).await;
         instance
     }
 
     /// Replaces a service that is still there by the next one
-    async fn replace_service(&mut self) {
+    pub async fn replace_service(&mut self) {
         list(&self.store, &self.services[self.current], "draining", None);
         self.list_next().await;
     }
 
     /// Replaces a service that has ended by the next one
-    async fn replace_ended_service(&mut self) {
+    pub async fn replace_ended_service(&mut self) {
         self.store.put("keyed.servers", &self.services[self.current].id, b"");
         self.list_next().await;
     }
@@ -97,7 +97,7 @@
     }
 
     /// Number of requests with this id prefix that reached the services
-    fn arrivals(&self, prefix: &str) -> usize {
+    pub fn arrivals(&self, prefix: &str) -> usize {
         let arrivals = self.services.iter().flat_map(FakeEndpoint::arrivals);
         let has_prefix =
             |it: &Arrival| it.header("x-request-id").is_some_and(|it| it.starts_with(prefix));
@@ -106,7 +106,7 @@
 }
 
 /// Crashes on the crashing request; a request in flight meanwhile is broken off, others are served
-fn crashes(arrival: &Arrival) -> Vec<Step> {
+pub fn crashes(arrival: &Arrival) -> Vec<Step> {
     let id = arrival.header("x-request-id").unwrap_or_default();
     match id {
         _ if arrival.body == CRASHING.as_bytes() => {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -44,6 +44,7 @@
 mod rate_limits;
 mod relayed_answers;
 mod relayed_streams;
+mod restarted_fleet;
 mod retry_limits;
 mod scaling;
 mod silent_endpoints;
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -223,6 +223,11 @@
         self.state.lock().expect("no panic").declined_topics.push(topic.to_owned());
     }
 
+    /// Answers calls about a topic again
+    pub fn accept_topic(&self, topic: &str) {
+        self.state.lock().expect("no panic").declined_topics.retain(|it| it != topic);
+    }
+
     /// Number of calls so far
     pub fn calls(&self) -> usize {
         self.state.lock().expect("no panic").calls
--- a/crates/gateway/tests/gateway/zone.rs
+++ b/crates/gateway/tests/gateway/zone.rs
@@ -85,9 +85,9 @@
 async fn few_calls_at_start() -> Result<()> {
     const INSTANCES: usize = 14;
     let (store, _service, _instances) = zone_of(INSTANCES).await;
-    // Each reads the configuration and the endpoints, reads the list of instances, appends its entry
-    // and reads the list again. The leader also follows two topics.
-    const CALLS: usize = 5;
+    // Each reads the configuration, the endpoints and the suspected requests, reads the list of instances, appends its
+    // entry and reads the list again. The leader also follows two topics.
+    const CALLS: usize = 6;
     const LEADER_CALLS: usize = 12;
     verify_that!(store.calls(), le(INSTANCES * CALLS + LEADER_CALLS))
 }
