Take statuses outside 200 to 599 for failures

Here 600 to 999 reached clients as sent, status and body, on plain, streamed, relayed and hedged requests; an engine that had read a prompt with such an answer was asked for the cache; and the control API's were taken for a refusal of the report. 000 to 199 and malformed ones were failures already.

Cause: the HTTP library takes 101 and all statuses from 200 to 999 for final answers, and no caller checked.

Change: the two places through which all answers come, and the client of the control API, return a typed error. The request may have run: what may be repeated goes to another endpoint within its attempts, the rest gets 502.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -100,7 +100,11 @@
             SendError::Exchange(ExchangeError::Connect(_) | ExchangeError::ConnectTimedOut) => {
                 Some(SendResult::Unreachable)
             }
-            SendError::Exchange(ExchangeError::Broken(_) | ExchangeError::InterimOnly)
+            SendError::Exchange(
+                ExchangeError::Broken(_)
+                | ExchangeError::InterimOnly
+                | ExchangeError::UnknownStatus(_),
+            )
             | SendError::Truncated
             | SendError::Malformed
             | SendError::Oversized
@@ -180,7 +184,10 @@
             | SendError::Suspected
             | SendError::Prefill(_) => RunStatus::NotRun,
             SendError::Exchange(
-                ExchangeError::Broken(_) | ExchangeError::Stale(_) | ExchangeError::InterimOnly,
+                ExchangeError::Broken(_)
+                | ExchangeError::Stale(_)
+                | ExchangeError::InterimOnly
+                | ExchangeError::UnknownStatus(_),
             )
             | SendError::Mismatched
             | SendError::Unnamed
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -10,13 +10,14 @@
 
 use bytes::Bytes;
 use decide::serving::endpoint_list::ListedEndpoint;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use platform::framing::{FramingLimits, FramingMeter, MeteredBody, MeteredSocket};
+use platform::http::is_final_status;
 use smol_str::SmolStr;
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, SocketAddr};
@@ -71,6 +72,8 @@
     Broken(hyper::Error),
     /// endpoint sends interim answers only
     InterimOnly,
+    /// status {0} is that of no final answer
+    UnknownStatus(StatusCode),
     /// reused connection failed after the request was written, possibly closed by the endpoint before: {0}
     Stale(hyper::Error),
 }
@@ -159,7 +162,8 @@
     /// Sends a request and waits for the head of the answer
     ///
     /// # Errors
-    /// `Unsent` if no byte was written; otherwise `InterimOnly`, `Broken`, or `Stale` on a reused connection.
+    /// `Unsent` if no byte was written; otherwise `InterimOnly`, `UnknownStatus`, `Broken`, or `Stale` on a reused
+    /// connection.
     pub async fn exchange(
         &mut self,
         mut request: Request<Full<Bytes>>,
@@ -174,6 +178,9 @@
             answer = answered => match answer {
                 // The HTTP library takes 101 for the answer, after which no HTTP follows.
                 Ok(answer) if answer.status().is_informational() => Err(ExchangeError::InterimOnly),
+                Ok(answer) if !is_final_status(answer.status()) => {
+                    Err(ExchangeError::UnknownStatus(answer.status()))
+                }
                 Ok(answer) => {
                     self.meter.reset();
                     Ok(answer.map(|it| MeteredBody::new(it, self.meter.clone())))
--- a/crates/gateway/tests/gateway/control.rs
+++ b/crates/gateway/tests/gateway/control.rs
@@ -133,6 +133,11 @@
         Refusing(StatusCode::BAD_GATEWAY),
         ControlOutcome::Declined(StatusCode::BAD_GATEWAY),
     ),
+    // Guards against a status outside the protocol that is taken for a refusal, after which nothing is sent again.
+    unknown_status_is_no_answer => outcome(
+        ControlMode::Refusing(StatusCode::from_u16(600)?),
+        ControlOutcome::Unanswered,
+    ),
     lower_token_conflicts_where_tokens_are_checked => lower_token(true),
     lower_token_is_accepted_where_they_are_not => lower_token(false),
 }
--- a/crates/gateway/tests/gateway/cut_answers.rs
+++ b/crates/gateway/tests/gateway/cut_answers.rs
@@ -16,6 +16,7 @@
 use futures_util::{StreamExt, stream};
 use googletest::prelude::*;
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use testcases::cases;
@@ -296,14 +297,26 @@
     answer: fn(Framing, &str) -> Vec<u8>,
     whole: fn(&Arrival) -> Vec<Step>,
 ) -> Result<(Deployment, FakeEndpoint)> {
+    let seen = SeenIds::default();
+    start_relayed_by(move |it| cut_once(&seen, it, answer, whole)).await
+}
+
+/// The same with a stand-in that answers by a script
+pub async fn start_relayed_by(
+    script: impl Fn(&Arrival) -> Vec<Step> + Send + Sync + 'static,
+) -> Result<(Deployment, FakeEndpoint)> {
+    let peer = endpoint("instance-9", script).await;
+    Ok((start_relayed_to(peer.address).await?, peer))
+}
+
+/// The same with another instance at an address
+pub async fn start_relayed_to(peer: SocketAddr) -> Result<Deployment> {
     let switch = CutSwitch::default();
-    let script = |it: &Arrival| vec![Step::Write(crate::endpoint::answer(it, "200 OK", "direct"))];
-    let service = FakeEndpoint::start_behind("service-1", switch.clone(), script).await;
-    let engine = FakeEndpoint::start_behind("engine-1", switch.clone(), script).await;
+    let direct = |it: &Arrival| vec![Step::Write(crate::endpoint::answer(it, "200 OK", "direct"))];
+    let service = FakeEndpoint::start_behind("service-1", switch.clone(), direct).await;
+    let engine = FakeEndpoint::start_behind("engine-1", switch.clone(), direct).await;
     let deployment = Deployment::start(&[&service, &engine]).await;
-    let seen = SeenIds::default();
-    let peer = endpoint("instance-9", move |it| cut_once(&seen, it, answer, whole)).await;
-    let socket = UdpSocket::bind(peer.address).await?;
+    let socket = UdpSocket::bind(peer).await?;
     tokio::spawn(announce(socket, deployment.instance.peers()));
     sleep(NOTICE_TIME).await;
     switch.cut(deployment.instance.process(), CutMode::Reset);
@@ -311,7 +324,7 @@
         deployment.call(get_path("lookups", "x", &format!("first-{number}"))).await;
     }
     sleep(NOTICE_TIME).await;
-    Ok((deployment, peer))
+    Ok(deployment)
 }
 
 const RELAY_HEADER: &str = "X-Relay-Result: served\r\n";
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -58,5 +58,6 @@
 mod stray_refusals;
 mod streams;
 mod unframed;
+mod unknown_statuses;
 mod usage;
 mod zone;
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -74,6 +74,8 @@
     topic_calls: IndexMap<String, usize>,
     /// Topics whose calls get 503
     declined_topics: Vec<String>,
+    /// Status of all answers instead of their own
+    status: Option<u16>,
 }
 
 /// Content of the store at some time
@@ -124,6 +126,7 @@
             calls: 0,
             topic_calls: IndexMap::new(),
             declined_topics: Vec::new(),
+            status: None,
         };
         let store = FakeStore {
             address,
@@ -218,6 +221,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Gives all answers this status from now on; `None` for their own
+    pub fn set_status(&self, status: Option<u16>) {
+        self.state.lock().expect("no panic").status = status;
+    }
+
     /// Answers calls about a topic with 503 from now on
     pub fn decline_topic(&self, topic: &str) {
         self.state.lock().expect("no panic").declined_topics.push(topic.to_owned());
@@ -240,9 +248,13 @@
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let mut response = self.answer_in_mode(request).await;
-        if let Some(era) = &self.state.lock().expect("no panic").era {
+        let state = self.state.lock().expect("no panic");
+        if let Some(era) = &state.era {
             response.headers_mut().insert("Store-Era", era.parse().expect("a header value"));
         }
+        if let Some(status) = state.status {
+            *response.status_mut() = StatusCode::from_u16(status).expect("three digits");
+        }
         response
     }
 
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -41,6 +41,8 @@
         /// Body of the answer
         body: Bytes,
     },
+    /// status {0} is that of no final answer
+    UnknownStatus(StatusCode),
     /// malformed JSON: {0}
     MalformedJson(serde_json::Error),
     /// cannot build the request: {0}
@@ -120,7 +122,8 @@
     /// Sends a request and waits for the head of the answer
     ///
     /// # Errors
-    /// `Connect` if connecting failed, `ConnectionLost` if the connection failed later.
+    /// `Connect` if connecting failed, `ConnectionLost` if the connection failed later, `UnknownStatus` if the status
+    /// isn't that of a final answer.
     pub async fn send(
         &self,
         request: Request<Full<Bytes>>,
@@ -132,6 +135,9 @@
                 HttpError::ConnectionLost(error)
             }
         })?;
+        if !is_final_status(answer.status()) {
+            return Err(HttpError::UnknownStatus(answer.status()));
+        }
         let meter = answer.extensions().get::<FramingMeter>().cloned().unwrap_or_default();
         meter.reset();
         Ok(answer.map(|it| MeteredBody::new(it, meter)))
@@ -165,6 +171,12 @@
     }
 }
 
+/// Whether a status is that of a final answer (RFC 9110, section 15); the HTTP library also takes 101 and 600 to 999
+/// for one
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Parameters of a JSON call
 #[derive(Debug, Clone)]
 pub struct JsonCall<'a> {
--- a/crates/platform/tests/transfer.rs
+++ b/crates/platform/tests/transfer.rs
@@ -25,6 +25,8 @@
         &[(Duration::ZERO, HEAD), (SHORT_PAUSE, "0123456789"), (LONG_PAUSE, "0123456789")],
         10,
     ),
+    // Guards against an answer that a caller of a service or an engine gets, though its status is outside the protocol.
+    status_of_no_final_answer_is_an_error => unknown_statuses(),
 }
 
 /// Calls a server that writes each part after a pause
@@ -65,6 +67,19 @@
     verify_that!(progress.took, ge(2 * LIMIT))
 }
 
+async fn unknown_statuses() -> Result<()> {
+    for status in [101, 600, 601, 999] {
+        let head = format!("HTTP/1.1 {status} A\r\nContent-Length: 2\r\n\r\n{{}}");
+        let parts = Vec::leak(vec![(Duration::ZERO, &*String::leak(head))]);
+        let (answer, _) = call(parts).await;
+        verify_that!(
+            matches!(answer, Err(HttpError::UnknownStatus(it)) if it == status),
+            eq(true)
+        )?;
+    }
+    Ok(())
+}
+
 async fn silent(parts: &'static [(Duration, &'static str)], bytes: usize) -> Result<()> {
     let (answer, progress) = call(parts).await;
     verify_that!(matches!(answer, Err(HttpError::TimedOut(_))), eq(true))?;
