Test early answers to long uploads, whose connection is reset

Reported from other systems (MIXED): an engine answers an upload at once with a 200 without a length, sends a part and resets the connection; the client gets that part as the whole answer. A write that meets the reset takes the socket's error, so that the next read may see a plain end.

Nothing had to be changed: the library ends the body with an error as soon as a write fails.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod duties;
 mod duty_soak;
 mod duty_values;
+mod early_answers;
 mod early_refusals;
 mod ended_outages;
 mod ending_fleet;
