Check the endpoint list right before the bytes are written

Cause: the engine that answers is chosen before another one reads the prompt. After that only notices and limits were checked, not the list.

Evidence: the instances log endpoints_changed with the engine as gone before they send to it; the tests fail with a send to the engine that was listed as draining, or removed, while the prompt was read.

Change: the checks before a send ask the list as well. Where the engine has left, the request is planned anew with the cache of its prompt, and the send that was withheld doesn't count.

--- a/crates/decide/src/serving/endpoint_list.rs
+++ b/crates/decide/src/serving/endpoint_list.rs
@@ -233,6 +233,12 @@
         entries.filter_map(|it| it.endpoint.as_ref())
     }
 
+    /// Whether an endpoint accepts new requests
+    pub fn is_ready(&self, id: &EndpointId, now: Instant) -> bool {
+        let entry = self.entries.get(id).filter(|it| it.expires_at.is_none_or(|it| now < it));
+        entry.and_then(|it| it.endpoint.as_ref()).is_some_and(|it| it.is_ready)
+    }
+
     /// Endpoints that accept new requests
     pub fn ready(&self, now: Instant) -> impl Iterator<Item = &ListedEndpoint> {
         self.listed(now).filter(|it| it.is_ready)
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -267,7 +267,7 @@
     if !may_start() {
         return Err(SendError::Suspected);
     }
-    // A notice may have arrived in another answer since the endpoint was picked.
+    // The endpoint may have begun to leave since it was picked, or a notice have come in another answer.
     if !gateway.try_start_send(endpoint) {
         return Err(SendError::NotAccepted);
     }
--- a/crates/gateway/src/generation/send.rs
+++ b/crates/gateway/src/generation/send.rs
@@ -119,7 +119,7 @@
         }
     }
     let generate = match path.generate {
-        // Its notice may have arrived while the prompt was read.
+        // It may have begun to leave while the prompt was read.
         step if cache.is_some() && !gateway.accepts(&step.engine) => {
             let engine = step.engine;
             let replanned = plan_path(gateway, call, None);
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -11,17 +11,19 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 impl Gateway {
-    /// Whether an endpoint accepts a request now, by its notices and its limit
+    /// Whether an endpoint accepts a request now, by the list, its notices and its limit
     pub fn accepts(&self, endpoint: &ListedEndpoint) -> bool {
         let now = Instant::now();
-        self.notices.borrow().accepts(endpoint, now)
+        self.endpoints.borrow().is_ready(&endpoint.id, now)
+            && self.notices.borrow().accepts(endpoint, now)
             && self.limits.borrow().wait(endpoint, now).is_zero()
     }
 
     /// Whether a request may be sent now; it then counts towards the endpoint's limit
     pub fn try_start_send(&self, endpoint: &ListedEndpoint) -> bool {
         let now = Instant::now();
-        self.notices.borrow().accepts(endpoint, now)
+        self.endpoints.borrow().is_ready(&endpoint.id, now)
+            && self.notices.borrow().accepts(endpoint, now)
             && self.limits.borrow_mut().try_take(endpoint, rand::random(), now)
     }
 
--- a/crates/gateway/tests/gateway/generations.rs
+++ b/crates/gateway/tests/gateway/generations.rs
@@ -1,6 +1,6 @@
 //! Generations split between two engines: one runs prefill, another decode.
 
-use crate::deployment::{Deployment, endpoint, generation_of, list_far};
+use crate::deployment::{Deployment, endpoint, generation_of, list, list_far};
 use crate::endpoint::{Arrival, STREAM_END, Step, chunk, event, not_run, stream_head};
 use googletest::prelude::*;
 use std::time::Duration;
@@ -10,6 +10,9 @@
     long_prompt_is_prefilled_on_another_engine => split_prefill(),
     gateway_headers_are_not_accepted_from_clients => forged_headers(),
     cached_prompt_is_used_by_the_next_engine => reused_after_misdirection(),
+    // Guards against a generation that is sent to a leaving engine, chosen before another one read the prompt.
+    engine_that_drains_while_the_prompt_is_read_gets_nothing => left("draining"),
+    engine_that_is_removed_while_the_prompt_is_read_gets_nothing => left("gone"),
     unused_prompt_cache_is_freed => freed(),
     prompt_is_prefilled_only_once => single_prefill(),
     failed_prefill_does_not_count_as_a_run => failed_prefill("streams", vec![Step::Reset]),
@@ -80,6 +83,32 @@
     verify_that!(prefill.arrivals().len(), eq(6))
 }
 
+/// Time in which the prompt is read, and in which a change of the list is known
+const READ_TIME: Duration = Duration::from_millis(350);
+
+/// The engine in the own zone, which is picked first, leaves while the prompt is read
+async fn left(state: &str) -> Result<()> {
+    let script = |it: &Arrival| [vec![Step::Pause(READ_TIME)], prefill_script(it)].concat();
+    let prefill = endpoint("engine-p", script).await;
+    let (leaving, other) =
+        (endpoint("engine-1", decode_script).await, endpoint("engine-2", decode_script).await);
+    let deployment = Deployment::start(&[&prefill, &leaving, &other]).await;
+    list_far(&deployment.store, &other);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let leave = async {
+        tokio::time::sleep(READ_TIME / 2).await;
+        match state {
+            "gone" => deployment.store.put("keyed.servers", &leaving.id, b""),
+            _ => list(&deployment.store, &leaving, state, Some("decode")),
+        }
+    };
+    let (got, ()) = tokio::join!(deployment.call(generation("streams", "id-1")), leave);
+    verify_that!((got.status, got.is_whole), eq((200, true)))?;
+    verify_that!((leaving.arrivals().len(), other.arrivals().len()), eq((0, 1)))?;
+    let source = format!("{}/h1", prefill.address);
+    verify_that!(other.arrivals()[0].header("x-kv-source"), some(eq(source.as_str())))
+}
+
 async fn freed() -> Result<()> {
     let prefill = endpoint("engine-p", prefill_script).await;
     let gone =
