Count requests of which only the second copy is sent

What operators saw: a usage report lacks requests that a service answered. They ran as second copies whose first copy was still waiting for a connection.

Cause: only `start_run` recorded the send by which an answer is counted; `start_hedge` did not, and the first copy is cancelled unsent once the second one has won. A client that left in that state wasn't counted either, since `Drop` looked at the first copy alone.

Change: both copies record their send, right before the bytes are written. Of two that are under way, the first one sent counts, so the time of the begin is as before. Inert where the settings have no usage duty.

--- a/crates/gateway/src/serving_call.rs
+++ b/crates/gateway/src/serving_call.rs
@@ -185,6 +185,8 @@
     pub fn start_hedge(&self, gateway: &Gateway, endpoint: &ListedEndpoint) -> bool {
         let may_start = self.may_copy(gateway);
         if may_start {
+            // The first copy may wait for a connection until this one has won.
+            self.record_service_send(gateway, endpoint);
             self.sent.record_send();
             self.hedge.replace(Some(endpoint.clone()));
         }
--- a/crates/gateway/src/serving_call/evidence.rs
+++ b/crates/gateway/src/serving_call/evidence.rs
@@ -251,12 +251,15 @@
     fn drop(&mut self) {
         // The client has left. The endpoint may still crash on the request.
         let unanswered = self.unanswered_parts();
-        if let Some(RunningSend { endpoint, .. }) = self.running.take() {
+        let (running, hedge) = (self.running.take(), self.hedge.take());
+        if running.is_some() || hedge.is_some() {
             self.count_abandoned();
+        }
+        if let Some(RunningSend { endpoint, .. }) = running {
             let (id, started_at_ms) = (&endpoint.id, endpoint.started_at_ms);
             self.record_silence(id, started_at_ms, unanswered, SilenceCause::Abandoned);
         }
-        if let Some(ListedEndpoint { id, started_at_ms, .. }) = self.hedge.take() {
+        if let Some(ListedEndpoint { id, started_at_ms, .. }) = hedge {
             self.record_silence(&id, started_at_ms, Vec::new(), SilenceCause::Abandoned);
         }
     }
--- a/crates/gateway/src/usage/begun.rs
+++ b/crates/gateway/src/usage/begun.rs
@@ -35,8 +35,12 @@
         }
     }
 
-    /// Records the send of a request to a plain service
+    /// Records the send of a request to a plain service; of two copies at once, the first one that is sent
     pub fn record_service_send(&self, gateway: &Gateway, endpoint: &ListedEndpoint) {
+        let has_other_copy = self.running.borrow().is_some() || self.hedge.borrow().is_some();
+        if has_other_copy && self.usage.send.get().is_some() {
+            return;
+        }
         if !self.route.is_stream && self.may_count() {
             let requests = gateway.load.borrow().total_at(&endpoint.id).requests;
             let had_slot = endpoint.slots == 0 || requests <= endpoint.slots;
--- a/crates/gateway/tests/gateway/endpoint.rs
+++ b/crates/gateway/tests/gateway/endpoint.rs
@@ -4,6 +4,7 @@
 use crate::deployment::unix_ms;
 use crate::process::ProcessId;
 use indexmap::IndexMap;
+use std::io;
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -12,7 +13,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -500,3 +501,16 @@
 
 /// Last chunk of a stream
 pub const STREAM_END: &[u8] = b"0\r\n\r\n";
+
+/// Address at which connections are neither accepted nor refused, and what keeps it so
+pub async fn unresponsive_address() -> io::Result<(SocketAddr, TcpListener, Vec<TcpStream>)> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind("127.0.0.1:0".parse().expect("an address"))?;
+    let listener = socket.listen(1)?;
+    let address = listener.local_addr()?;
+    let mut queued = Vec::new();
+    while let Ok(stream) = timeout(Duration::from_millis(200), TcpStream::connect(address)).await {
+        queued.push(stream?);
+    }
+    Ok((address, listener, queued))
+}
--- a/crates/gateway/tests/gateway/hedges.rs
+++ b/crates/gateway/tests/gateway/hedges.rs
@@ -4,16 +4,15 @@
 use crate::deployment::{Deployment, config, endpoint, get_path, list_software, post};
 use crate::endpoint::{
     Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, not_run, stream_head,
+    unresponsive_address,
 };
 use googletest::prelude::*;
 use serde_json::json;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use testcases::cases;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 cases! { async
     // Guards against a copy that doesn't help, or whose loser works on.
@@ -213,19 +212,6 @@
     verify_that!(late.iter().filter(|it| it.was_abandoned).count(), eq(copies - 1))
 }
 
-/// Address at which connections are neither accepted nor refused, and what keeps it so
-async fn unresponsive_address() -> Result<(SocketAddr, TcpListener, Vec<TcpStream>)> {
-    let socket = TcpSocket::new_v4()?;
-    socket.bind("127.0.0.1:0".parse()?)?;
-    let listener = socket.listen(1)?;
-    let address = listener.local_addr()?;
-    let mut queued = Vec::new();
-    while let Ok(stream) = timeout(Duration::from_millis(200), TcpStream::connect(address)).await {
-        queued.push(stream?);
-    }
-    Ok((address, listener, queued))
-}
-
 async fn stopped_with_a_copy() -> Result<()> {
     let script = |it: &Arrival| match it.line.contains("/hang") {
         true => vec![Step::Hang],
--- a/crates/gateway/tests/gateway/usage.rs
+++ b/crates/gateway/tests/gateway/usage.rs
@@ -3,12 +3,14 @@
 use crate::client::{RawClient, call, call_from};
 use crate::control::{ControlMode, FakeControl};
 use crate::cut::{CutMode, CutSwitch};
-use crate::deployment::{config, generation, get, list, post, stage_of, unix_ms};
+use crate::deployment::{config, generation, get, list, list_as, post, stage_of, unix_ms};
 use crate::endpoint::{
     Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, not_run, stream_head,
+    unresponsive_address,
 };
 use crate::process::{Instance, InstanceSize};
 use crate::store::{FakeStore, StoreMode};
+use futures_util::future::join_all;
 use gateway::usage::records::decode_report;
 use googletest::prelude::*;
 use http::StatusCode;
@@ -17,9 +19,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 use testcases::cases;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 const TOPIC: &str = "keyed.persimmonlift-duties";
+/// Requests that teach the usual time to the first byte, and the budget of hedges and retries.
+const LEARNED_REQUESTS: usize = 120;
 const WINDOW_S: u32 = 2;
 const WINDOW_MS: u64 = 2000;
 /// Time around the edge of a window in which the load sends nothing, since messages take some milliseconds.
@@ -35,6 +39,8 @@
     requests_whose_answer_is_not_seen_are_counted_once => unanswered(),
     // Guards against a request that isn't counted since one of its two copies was declined.
     hedged_request_is_counted_though_a_copy_is_lost => lost_copy(),
+    // Guards against a request that isn't counted since only its second copy was sent.
+    request_whose_second_copy_alone_is_sent_is_counted => lone_copy(),
     // Guards against requests that two instances count, or none.
     relayed_requests_are_counted_once => relayed(),
     // Guards against a request that is taken for counted at an instance that it never reached.
@@ -176,6 +182,22 @@
         }
     }
 
+    /// Starts one instance that has learned when second copies are due
+    async fn start_hedging() -> Result<UsageFleet> {
+        let fleet = UsageFleet::start(1).await;
+        let mut config = usage_config(2);
+        config["services"][0]["hedge_ratio"] = 0.5.into();
+        fleet.store.put("keyed.op", "config", config.to_string().as_bytes());
+        fleet.instances[0].wait_line("event=config_applied version=2").await;
+        sleep(Duration::from_millis(300)).await;
+        for number in 0..LEARNED_REQUESTS {
+            UsageFleet::leave_edge().await;
+            let lookup = with_key(get("lookups", &format!("lookup-{number}")), "a");
+            verify_that!(call(fleet.instances[0].clients, lookup).await.status, eq(200))?;
+        }
+        Ok(fleet)
+    }
+
     /// Kills all instances, and starts new ones in their place after a change of the store
     async fn kill_and_restart(&mut self, change: impl FnOnce(&FakeStore)) {
         for instance in &self.instances {
@@ -393,18 +415,11 @@
 }
 
 async fn lost_copy() -> Result<()> {
-    let fleet = UsageFleet::start(1).await;
-    let mut config = usage_config(2);
-    config["services"][0]["hedge_ratio"] = 0.5.into();
-    fleet.store.put("keyed.op", "config", config.to_string().as_bytes());
-    fleet.instances[0].wait_line("event=config_applied version=2").await;
-    sleep(Duration::from_millis(300)).await;
-    let clients = fleet.instances[0].clients;
-    // The first ones teach the usual time to the first byte.
-    let learned = (0..120).map(|it| format!("lookup-{it}"));
-    for id in learned.chain((0..3).map(|it| format!("hedged-{it}"))) {
+    let fleet = UsageFleet::start_hedging().await?;
+    for number in 0..3 {
         UsageFleet::leave_edge().await;
-        verify_that!(call(clients, with_key(get("lookups", &id), "a")).await.status, eq(200))?;
+        let lookup = with_key(get("lookups", &format!("hedged-{number}")), "a");
+        verify_that!(call(fleet.instances[0].clients, lookup).await.status, eq(200))?;
     }
     let arrivals = fleet.endpoints.iter().flat_map(FakeEndpoint::arrivals);
     let is_copy = |it: &Arrival| it.header("x-request-id").is_some_and(|it| it.contains("hedged"));
@@ -413,6 +428,34 @@
     fleet.verify_reports(REPORT_BOUND).await
 }
 
+async fn lone_copy() -> Result<()> {
+    let fleet = UsageFleet::start_hedging().await?;
+    let (address, _listener, _queued) = unresponsive_address().await?;
+    let unresponsive = fleet.endpoints[0].clone().behind(address);
+    list_as(&fleet.store, &unresponsive, "ready", stage_of(&unresponsive), 2);
+    sleep(Duration::from_millis(300)).await;
+    let clients = fleet.instances[0].clients;
+    // Of several at once, some wait for a connection to the unresponsive service first.
+    let answered = (0..4).map(|it| (format!("lookup-lone-{it}"), Duration::from_secs(2)));
+    let abandoned = (0..4).map(|it| (format!("left-{it}"), Duration::from_millis(300)));
+    for requests in [answered.collect::<Vec<_>>(), abandoned.collect()] {
+        UsageFleet::leave_edge().await;
+        let calls = requests.into_iter().map(|(id, patience)| async move {
+            let lookup = with_key(get("lookups", &id), "b");
+            timeout(patience, call(clients, lookup)).await
+        });
+        join_all(calls).await;
+    }
+    for id in ["lookup-lone", "left"] {
+        let is_copied = |it: &String| {
+            it.contains(&format!("event=hedge id={id}")) && it.contains("outcome=sent")
+        };
+        let lines = fleet.instances[0].lines();
+        verify_that!(lines.iter().filter(|it| is_copied(it)).count(), ge(1))?;
+    }
+    fleet.verify_reports(REPORT_BOUND).await
+}
+
 async fn relayed() -> Result<()> {
     let fleet = UsageFleet::start(3).await;
     let holder = fleet.wait_holder().await?;
