Don't take the silence of full services for a cut link

Cause: after 0.4 s without an answer, the instance checks endpoints. A full one's health check waits for a slot like any other request, so all checks are silent, and silence counted as a cut link unless an endpoint had answered within 0.4 s. The requests that wait are then handed to another instance. Log of the case: event=endpoints_cut results=[Silent, Silent, Silent], then relays.

Change: the silence of a check at an endpoint with as many requests as slots shows nothing, until a request has waited beyond its route's objective while no endpoint answers. Refused and reset connections count as before, and so does silence where slots are free, so that a cut is noticed as early as before unless all endpoints seem full, and then by the objective.

--- a/crates/decide/src/serving/link.rs
+++ b/crates/decide/src/serving/link.rs
@@ -4,7 +4,8 @@
 //! other and without an answer of another in between, the link of this instance may be
 //! cut. It then checks some endpoints; if none answers, it is cut until one does. Answers
 //! on connections that were open before don't count against refused ones: a cut may leave
-//! these alone.
+//! these alone. At an endpoint whose slots are all in use, a check waits like any other
+//! request. Its silence shows nothing until a request has waited longer than usual.
 
 use catalogue::id::EndpointId;
 use indexmap::IndexSet;
@@ -37,6 +38,8 @@
     Refused,
     /// There was no answer in time
     Silent,
+    /// There was none, but the endpoint is full, so that the check may wait for a slot
+    Full,
 }
 
 /// Evidence on the link
@@ -48,6 +51,8 @@
     last_answer_at: Option<Instant>,
     /// Last answer on a new connection
     sound_at: Option<Instant>,
+    /// Whether a request has waited longer than usual, and no endpoint has answered since
+    is_overdue: bool,
 }
 
 impl LinkMonitor {
@@ -72,9 +77,20 @@
         false
     }
 
+    /// Records that a request has waited longer than usual while no endpoint answers
+    pub fn record_overdue(&mut self) {
+        self.is_overdue = true;
+    }
+
+    /// Result of a check that was not answered in time
+    pub fn silent_result(&self, is_full: bool) -> CheckResult {
+        if is_full && !self.is_overdue { CheckResult::Full } else { CheckResult::Silent }
+    }
+
     /// Records an answer of an endpoint to a request
     pub fn record_answer(&mut self, is_new_connection: bool, now: Instant) {
         self.last_answer_at = Some(now);
+        self.is_overdue = false;
         if is_new_connection {
             self.failed.clear();
             self.sound_at = Some(now);
@@ -92,7 +108,7 @@
     pub fn decide(&mut self, results: &[CheckResult], now: Instant) -> LinkState {
         let has_answered = results.contains(&CheckResult::Answered);
         let is_silent = results.contains(&CheckResult::Silent);
-        let is_full = is_silent && self.has_answer(now);
+        let is_full = results.contains(&CheckResult::Full) || is_silent && self.has_answer(now);
         self.state = match self.state {
             _ if has_answered || results.is_empty() => LinkState::Sound,
             LinkState::Cut => LinkState::Cut,
@@ -102,6 +118,7 @@
         if self.state == LinkState::Sound {
             self.failed.clear();
             self.sound_at = Some(now);
+            self.is_overdue &= !has_answered;
         }
         self.state
     }
--- a/crates/decide/tests/serving_link.rs
+++ b/crates/decide/tests/serving_link.rs
@@ -17,6 +17,14 @@
     answer_on_an_old_connection_leaves_it_unverified => answered(false, LinkState::Unverified),
     // Guards against a cut that is seen where all endpoints are only full.
     silent_check_beside_answers_shows_full_endpoints => full(),
+    // Guards against a cut that is seen where all endpoints are full and work for seconds.
+    silent_check_of_full_endpoints_shows_nothing => silent_while_full(&[], LinkState::Sound),
+    // Guards against a cut that goes unnoticed while the endpoints are taken for full ones.
+    silent_check_of_full_endpoints_counts_after_the_usual_time =>
+        silent_while_full(&[FullStep::Overdue], LinkState::Cut),
+    answer_since_shows_full_endpoints_again =>
+        silent_while_full(&[FullStep::Overdue, FullStep::Answer], LinkState::Sound),
+    full_endpoints_don_t_end_a_cut => silent_while_full(&[FullStep::Cut], LinkState::Cut),
     cut_ends_with_an_answer_to_a_check => regained(),
     // Guards against a cut that lasts until a check, though an endpoint has answered a request.
     cut_ends_with_an_answer_to_a_request => regained_by_request(),
@@ -61,6 +69,31 @@
     verify_that!(monitor.decide(&[CheckResult::Silent], at(500)), eq(LinkState::Cut))
 }
 
+/// What happens before full endpoints are checked
+enum FullStep {
+    /// A request has waited longer than usual
+    Overdue,
+    Answer,
+    Cut,
+}
+
+fn silent_while_full(steps: &[FullStep], expected: LinkState) -> Result<()> {
+    let now = Instant::now();
+    let mut monitor = unverified(now);
+    for step in steps {
+        match step {
+            FullStep::Overdue => monitor.record_overdue(),
+            FullStep::Answer => monitor.record_answer(false, now),
+            FullStep::Cut => {
+                monitor.decide(&[CheckResult::Refused], now);
+            }
+        }
+    }
+    let results = [monitor.silent_result(true), monitor.silent_result(true)];
+    verify_that!(monitor.decide(&results, now + Duration::from_secs(1)), eq(expected))?;
+    verify_that!(monitor.silent_result(false), eq(CheckResult::Silent))
+}
+
 fn regained() -> Result<()> {
     let now = Instant::now();
     let mut monitor = unverified(now);
--- a/crates/gateway/src/endpoint_link.rs
+++ b/crates/gateway/src/endpoint_link.rs
@@ -21,7 +21,7 @@
 use rand::seq::SliceRandom;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout};
 
 /// Time to wait for the answer of a checked endpoint.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
@@ -79,15 +79,27 @@
         self.record_link_failure(endpoint);
     }
 
-    /// Makes a check of the link due if no endpoint answers while a request waits for this one; never returns
-    pub async fn check_if_silent(&self, endpoint: &ListedEndpoint) {
+    /// Makes a check of the link due if no endpoint answers while a request waits for this one, at a full one only
+    /// once its answer is `usual_by`; never returns
+    pub async fn check_if_silent(&self, endpoint: &ListedEndpoint, usual_by: Instant) {
         sleep(SILENCE_LIMIT).await;
-        if !self.link.monitor.borrow().has_answer(Instant::now()) {
+        if self.is_full(endpoint) {
+            sleep_until(usual_by.into()).await;
+        }
+        let has_answer = self.link.monitor.borrow().has_answer(Instant::now());
+        if !has_answer {
+            self.link.monitor.borrow_mut().record_overdue();
             self.record_link_failure(endpoint);
         }
         std::future::pending().await
     }
 
+    /// Whether an endpoint has as many requests as slots, as far as is known
+    fn is_full(&self, endpoint: &ListedEndpoint) -> bool {
+        let requests = self.load.borrow().total_at(&endpoint.id).requests;
+        endpoint.slots > 0 && requests >= endpoint.slots
+    }
+
     fn record_link_failure(&self, endpoint: &ListedEndpoint) {
         let now = Instant::now();
         let listed = self.endpoints.borrow().ready(now).count();
@@ -142,7 +154,13 @@
 
     /// Asks an endpoint for its health; any answer shows that it can be reached
     async fn check_endpoint(&self, endpoint: &ListedEndpoint) -> CheckResult {
-        self.ask_health(endpoint).await.err().unwrap_or(CheckResult::Answered)
+        match self.ask_health(endpoint).await {
+            Ok(_) => CheckResult::Answered,
+            Err(CheckResult::Silent) => {
+                self.link.monitor.borrow().silent_result(self.is_full(endpoint))
+            }
+            Err(result) => result,
+        }
     }
 
     /// Asks an endpoint for its health
--- a/crates/gateway/tests/gateway/cut_instances.rs
+++ b/crates/gateway/tests/gateway/cut_instances.rs
@@ -1,11 +1,12 @@
 //! Instances that are cut from all endpoints, but not from clients, the store or the other instances.
 
-use crate::client::RawClient;
+use crate::client::{RawClient, call};
 use crate::cut::CutMode;
-use crate::deployment::{generation_with, get_path, post};
+use crate::deployment::{config, generation_with, get_path, post};
 use crate::ending_fleet::{CONTACT_TIME, EndingFleet, LoadRecord, LoadRecords};
 use crate::endpoint::{Arrival, STREAM_END, Step, answer, chunk, event, stream_head};
 use crate::process::ProcessId;
+use futures_util::future::join_all;
 use googletest::prelude::*;
 use indexmap::IndexMap;
 use std::net::SocketAddr;
@@ -28,6 +29,10 @@
     stream_goes_on_through_another_instance => stream_continues(),
     // Guards against an endpoint that still works for a client that has left a cut instance.
     client_that_leaves_a_cut_instance_ends_its_request => client_leaves(),
+    // Guards against requests that are sent twice since a full service, whose health checks wait, is taken for a cut link.
+    slow_work_of_a_full_service_is_not_taken_for_a_cut_link => full_service(),
+    // Guards against a cut that goes unnoticed, since the silent services are taken for full ones.
+    cut_from_full_services_is_noticed => cut_from_full_service(),
     // Guards against requests on the instances' port that come from no instance.
     strangers_are_not_served_on_the_port_of_instances => stranger(),
 }
@@ -237,8 +242,58 @@
     let address = fleet.instances[0].peers();
     let request = get_path("lookups", "page", "stranger-1");
     let headers = "\r\nX-Relayed-By: instance-1\r\nX-Relayed-For: 127.0.0.1\r\nHost:";
-    let got = crate::client::call(address, request.replacen("\r\nHost:", headers, 1)).await;
+    let got = call(address, request.replacen("\r\nHost:", headers, 1)).await;
     verify_that!(got.status, not(eq(200)))?;
     let arrivals = fleet.endpoints.iter().map(|it| it.arrivals().len()).sum::<usize>();
     verify_that!(arrivals, eq(0))
 }
+
+/// Requests that fill all slots of two services, and as many that wait.
+const FULL_REQUESTS: usize = 24;
+const SLOW_WORK_TIME: Duration = Duration::from_millis(1500);
+
+/// Fleet with two services whose work takes longer than a cut usually stays unnoticed, though not longer than expected
+async fn start_slow() -> EndingFleet {
+    let script = |arrival: &Arrival| {
+        vec![Step::Pause(SLOW_WORK_TIME), Step::Write(answer(arrival, "200 OK", "right"))]
+    };
+    let services = (0..2).map(|it| format!("service-{it}"));
+    let fleet = EndingFleet::start(services, script, 3).await;
+    let mut config = config(2, 8000);
+    config["routes"][0]["target_latency_ms"] = 2500.into();
+    fleet.store.put("keyed.op", "config", config.to_string().as_bytes());
+    for instance in &fleet.instances {
+        instance.wait_line("event=config_applied version=2").await;
+    }
+    sleep(CONTACT_TIME).await;
+    fleet
+}
+
+/// Sends requests to one instance at once; returns their statuses
+async fn fill(fleet: &EndingFleet) -> Vec<u16> {
+    let from = Instant::now();
+    fleet.endpoints.iter().for_each(|it| it.silence_pages(from, from + SLOW_WORK_TIME));
+    let calls = (0..FULL_REQUESTS).map(|number| {
+        let request = get_path("lookups", &format!("page-{number}"), &format!("full-{number}"));
+        let request = request.replace("Ms: 1500", "Ms: 8000");
+        call(fleet.instances[0].clients, request)
+    });
+    join_all(calls).await.into_iter().map(|it| it.status).collect()
+}
+
+async fn full_service() -> Result<()> {
+    let fleet = start_slow().await;
+    verify_that!(fill(&fleet).await, each(eq(&200)))?;
+    let arrivals = fleet.endpoints.iter().map(|it| it.arrivals().len()).sum::<usize>();
+    verify_that!(arrivals, eq(FULL_REQUESTS))?;
+    let lines = fleet.instances[0].lines();
+    verify_that!(lines.iter().filter(|it| it.contains("event=endpoints_cut")).count(), eq(0))
+}
+
+async fn cut_from_full_service() -> Result<()> {
+    let fleet = start_slow().await;
+    fleet.cuts.cut(fleet.instances[0].process(), CutMode::Hang);
+    verify_that!(fill(&fleet).await, each(eq(&200)))?;
+    fleet.instances[0].wait_line("event=endpoints_cut").await;
+    Ok(())
+}
