Count the silence of full services from the last answer

Cause: the change before waited for a route's objective from the send. Of a burst that takes several rounds of slots, the later requests wait longer than that while the others are at work, and each round's answers come at once. At the objective no endpoint had answered for 0.4 s, so that a cut was seen again.

Change: at a full endpoint, the objective runs from the send or from the last answer of any endpoint since, whichever is later.

--- a/crates/decide/src/serving/link.rs
+++ b/crates/decide/src/serving/link.rs
@@ -5,7 +5,7 @@
 //! cut. It then checks some endpoints; if none answers, it is cut until one does. Answers
 //! on connections that were open before don't count against refused ones: a cut may leave
 //! these alone. At an endpoint whose slots are all in use, a check waits like any other
-//! request. Its silence shows nothing until a request has waited longer than usual.
+//! request. Its silence shows nothing until there was no answer for longer than is usual.
 
 use catalogue::id::EndpointId;
 use indexmap::IndexSet;
@@ -104,6 +104,11 @@
         self.last_answer_at.is_some_and(is_recent)
     }
 
+    /// Time for which a request that was sent at a moment has seen no answer, to itself or to another one
+    pub fn silence(&self, sent_at: Instant, now: Instant) -> Duration {
+        now.saturating_duration_since(self.last_answer_at.map_or(sent_at, |it| it.max(sent_at)))
+    }
+
     /// Decides on the link by the results of a check; returns the new state
     pub fn decide(&mut self, results: &[CheckResult], now: Instant) -> LinkState {
         let has_answered = results.contains(&CheckResult::Answered);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -241,8 +241,8 @@
     pub may_start: &'a dyn Fn() -> bool,
     /// Time until which to wait for a connection
     pub connect_by: Instant,
-    /// Time by which an answer is usual
-    pub usual_by: Instant,
+    /// Time that an answer usually takes at most
+    pub usual: Duration,
     /// Time by which the client must have the answer
     pub deadline: Instant,
 }
@@ -292,7 +292,7 @@
             }
         },
         () = given_up => return Err(SendError::TimedOut),
-        () = gateway.check_if_silent(endpoint, target.usual_by.into_std()) => return Err(SendError::TimedOut),
+        () = gateway.check_if_silent(endpoint, target.usual) => return Err(SendError::TimedOut),
     };
     gateway.record_link_answer(is_new_connection);
     let (parts, body) = response.into_parts();
--- a/crates/gateway/src/endpoint_link.rs
+++ b/crates/gateway/src/endpoint_link.rs
@@ -21,7 +21,7 @@
 use rand::seq::SliceRandom;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::time::{sleep, timeout};
 
 /// Time to wait for the answer of a checked endpoint.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
@@ -79,12 +79,19 @@
         self.record_link_failure(endpoint);
     }
 
-    /// Makes a check of the link due if no endpoint answers while a request waits for this one, at a full one only
-    /// once its answer is `usual_by`; never returns
-    pub async fn check_if_silent(&self, endpoint: &ListedEndpoint, usual_by: Instant) {
+    /// Makes a check of the link due if no endpoint answers while a request waits for this one; never returns
+    ///
+    /// A full endpoint may be silent for the `usual` time of an answer.
+    pub async fn check_if_silent(&self, endpoint: &ListedEndpoint, usual: Duration) {
+        let sent_at = Instant::now();
         sleep(SILENCE_LIMIT).await;
-        if self.is_full(endpoint) {
-            sleep_until(usual_by.into()).await;
+        while self.is_full(endpoint) {
+            let silent_for = self.link.monitor.borrow().silence(sent_at, Instant::now());
+            let left = usual.saturating_sub(silent_for);
+            if left.is_zero() {
+                break;
+            }
+            sleep(left).await;
         }
         let has_answer = self.link.monitor.borrow().has_answer(Instant::now());
         if !has_answer {
--- a/crates/gateway/src/generation/generate.rs
+++ b/crates/gateway/src/generation/generate.rs
@@ -64,7 +64,7 @@
         expects_signature: true,
         may_start: &may_start,
         connect_by: retry_at,
-        usual_by: Instant::now() + call.route.objective,
+        usual: call.route.objective,
         deadline: call.deadline,
     };
     let sent_at = Instant::now();
--- a/crates/gateway/src/generation/send.rs
+++ b/crates/gateway/src/generation/send.rs
@@ -236,7 +236,7 @@
         expects_signature: false,
         may_start: &may_start,
         connect_by: deadline,
-        usual_by: Instant::now() + call.route.objective,
+        usual: call.route.objective,
         deadline: call.deadline,
     };
     // Reading a prompt has no effect, so that it may be done again for any request.
--- a/crates/gateway/src/hedged_send.rs
+++ b/crates/gateway/src/hedged_send.rs
@@ -86,7 +86,7 @@
         expects_signature: true,
         may_start: &may_start,
         connect_by: deadline,
-        usual_by: Instant::now() + call.route.objective,
+        usual: call.route.objective,
         deadline: call.deadline,
     };
     let has_alternative = || gateway.has_alternative(call, &endpoint.id);
