Take a refusal after a pause for one in the tests' truth

The windows of the test change at 62 s. The instance counted it in the second window, where it ran, which is right. The stand-in's `was_declined` looked at the first step of a script only, here the pause, so that the test took the refused arrival for the run.

Change: the first step that isn't a pause tells whether an arrival was declined. The check is the same: reports equal what ran, by window and customer. Of the other users of `was_declined`, the scripts of `soak` refuse without a pause.

The product is unchanged.

--- a/crates/gateway/tests/gateway/endpoint.rs
+++ b/crates/gateway/tests/gateway/endpoint.rs
@@ -327,7 +327,9 @@
                 true => (self.script)(&arrival),
                 false => vec![Step::Write(not_run(&arrival, "421 Misdirected Request"))],
             };
-            arrival.was_declined = steps.first().is_some_and(declines);
+            // It may decline late.
+            let head = steps.iter().find(|it| !matches!(it, Step::Pause(_)));
+            arrival.was_declined = head.is_some_and(declines);
             let index = {
                 let mut arrivals = self.arrivals.lock().expect("no panic");
                 arrivals.push(arrival);
