Fix the order of services in the test of lone second copies

Cause, by the log of the runs: which of two idle services is asked first is up to chance, and one that was slow while the test learned is asked last. With four requests at once, all may go to the sound service, which is then full.

Change: one request keeps the sound service busy, and the unresponsive one is a new endpoint without a history, so that both requests of the test go there first. The check is the same, and now each of the two has to be sent as a lone copy, where one in four was enough.

--- a/crates/gateway/tests/gateway/usage.rs
+++ b/crates/gateway/tests/gateway/usage.rs
@@ -3,14 +3,13 @@
 use crate::client::{RawClient, call, call_from};
 use crate::control::{ControlMode, FakeControl};
 use crate::cut::{CutMode, CutSwitch};
-use crate::deployment::{config, generation, get, list, list_as, post, stage_of, unix_ms};
+use crate::deployment::{config, generation, get, list, post, stage_of, unix_ms};
 use crate::endpoint::{
     Arrival, FakeEndpoint, STREAM_END, Step, answer, chunk, event, not_run, stream_head,
     unresponsive_address,
 };
 use crate::process::{Instance, InstanceSize};
 use crate::store::{FakeStore, StoreMode};
-use futures_util::future::join_all;
 use gateway::usage::records::decode_report;
 use googletest::prelude::*;
 use http::StatusCode;
@@ -430,28 +429,26 @@
 
 async fn lone_copy() -> Result<()> {
     let fleet = UsageFleet::start_hedging().await?;
+    let (instance, first) = (&fleet.instances[0], &fleet.endpoints[0]);
+    let clients = instance.clients;
+    list(&fleet.store, first, "draining", stage_of(first));
+    sleep(Duration::from_millis(300)).await;
+    // Keeps the other service busy, so that the next ones are sent to the new one, which has no history of being slow.
+    UsageFleet::leave_edge().await;
+    let held = with_key(post("entries", "left-held", "once"), "b");
+    tokio::spawn(async move { call(clients, held).await });
     let (address, _listener, _queued) = unresponsive_address().await?;
-    let unresponsive = fleet.endpoints[0].clone().behind(address);
-    list_as(&fleet.store, &unresponsive, "ready", stage_of(&unresponsive), 2);
+    let unresponsive = first.listed_as(1).behind(address);
+    list(&fleet.store, &unresponsive, "ready", stage_of(&unresponsive));
     sleep(Duration::from_millis(300)).await;
-    let clients = fleet.instances[0].clients;
-    // Of several at once, some wait for a connection to the unresponsive service first.
-    let answered = (0..4).map(|it| (format!("lookup-lone-{it}"), Duration::from_secs(2)));
-    let abandoned = (0..4).map(|it| (format!("left-{it}"), Duration::from_millis(300)));
-    for requests in [answered.collect::<Vec<_>>(), abandoned.collect()] {
+    // The client of the first one leaves.
+    for (id, patience) in [("left-lone", 300), ("lookup-lone", 2000)] {
         UsageFleet::leave_edge().await;
-        let calls = requests.into_iter().map(|(id, patience)| async move {
-            let lookup = with_key(get("lookups", &id), "b");
-            timeout(patience, call(clients, lookup)).await
-        });
-        join_all(calls).await;
-    }
-    for id in ["lookup-lone", "left"] {
-        let is_copied = |it: &String| {
-            it.contains(&format!("event=hedge id={id}")) && it.contains("outcome=sent")
-        };
-        let lines = fleet.instances[0].lines();
-        verify_that!(lines.iter().filter(|it| is_copied(it)).count(), ge(1))?;
+        let answer = call(clients, with_key(get("lookups", id), "b"));
+        let answer = timeout(Duration::from_millis(patience), answer).await;
+        verify_that!(answer.is_ok_and(|it| it.status == 200), eq(id == "lookup-lone"))?;
+        let copied = format!("event=hedge id={id} outcome=sent reason=none first=service-1.1 ");
+        instance.wait_line(&copied).await;
     }
     fleet.verify_reports(REPORT_BOUND).await
 }
